--- /dev/null
+++ b/commons/crew/duty.go
@@ -0,0 +1,65 @@
+package crew
+
+import (
+	"context"
+	"time"
+
+	"sesamewell.example/commons/ring"
+)
+
+// Handler is the work of one duty. All calls come from the duty's own thread.
+type Handler interface {
+	// Start builds the handler's state anew; it runs before anything else
+	// each time the duty is started or restarted.
+	Start(now time.Time) error
+	// Handle processes one message from the duty's inbox.
+	Handle(now time.Time, message any) error
+	// Tick does the periodic work.
+	Tick(now time.Time) error
+}
+
+// DutyConfig holds the construction parameters of a Duty.
+type DutyConfig struct {
+	Name    string
+	Inbox   *ring.Ring
+	Handler Handler
+	Period  time.Duration // time between ticks
+}
+
+// Duty is responsible for running a handler on one thread, fed by one inbox.
+type Duty struct {
+	config DutyConfig
+}
+
+// NewDuty returns a duty that is ready to be added to a crew.
+func NewDuty(config DutyConfig) *Duty { return &Duty{config: config} }
+
+// String returns the duty's name, which supervision events carry.
+func (d *Duty) String() string { return d.config.Name }
+
+// Serve feeds the handler until ctx ends or the handler fails.
+func (d *Duty) Serve(ctx context.Context) error {
+	if err := d.config.Handler.Start(time.Now()); err != nil {
+		return err
+	}
+	next := time.Now().Add(d.config.Period)
+	for {
+		message, err := d.config.Inbox.TakeWithin(ctx, time.Until(next))
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		if message != nil {
+			if err := d.config.Handler.Handle(now, message); err != nil {
+				return err
+			}
+		}
+		if now.Before(next) {
+			continue
+		}
+		if err := d.config.Handler.Tick(now); err != nil {
+			return err
+		}
+		next = now.Add(d.config.Period)
+	}
+}
--- /dev/null
+++ b/commons/handbook/handbook_test.go
@@ -0,0 +1,75 @@
+package handbook_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/handbook"
+)
+
+func declared() []handbook.Setting {
+	return []handbook.Setting{
+		handbook.NewSetting(handbook.SettingConfig{Section: "gate", Key: "listen", Kind: handbook.Address, Required: true, Doc: "where to listen"}),
+		handbook.NewSetting(handbook.SettingConfig{Section: "gate", Key: "idle", Kind: handbook.Duration, Default: "5s", Low: "1s", High: "1m"}),
+		handbook.NewSetting(handbook.SettingConfig{Section: "gate", Key: "max-body", Kind: handbook.Bytes, Default: "1KiB"}),
+		handbook.NewSetting(handbook.SettingConfig{Section: "gate", Key: "open", Kind: handbook.Switch}),
+	}
+}
+
+func TestSettingsReportsEveryFaultWithItsLine(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"missing key":    {text: "[gate]\nidle = 2s\n", want: []string{`f.ini:1: [gate] needs the key "listen": where to listen`}},
+		"host name":      {text: "[gate]\nlisten = localhost:80\n", want: []string{`f.ini:2: listen = "localhost:80": want an IP number and a port, such as 127.0.0.1:8080`}},
+		"unknown key":    {text: "[gate]\nlisten = 127.0.0.1:1\nidel = 2s\n", want: []string{`f.ini:3: [gate] has no setting "idel"; remove it or mend its name`}},
+		"repeated key":   {text: "[gate]\nlisten = 127.0.0.1:1\nlisten = 127.0.0.1:2\n", want: []string{`f.ini:3: key "listen" stands already at line 2; keep one of them`}},
+		"no key":         {text: "[gate]\nlisten\n", want: []string{"f.ini:2: line is neither a section nor a setting; write key = value"}},
+		"before section": {text: "x = 1\n", want: []string{`f.ini:1: key "x" stands before the first section; move it below a [section] line`}},
+		"two at once": {
+			text: "[gate]\nlisten = 127.0.0.1:1\nidle = 2h\n\nmax-body = 1KB\n",
+			want: []string{
+				`f.ini:3: idle = "2h" is out of range; give 1s to 1m`,
+				`f.ini:5: max-body = "1KB": want a number of bytes, such as 4096, 16KiB or 80GiB`,
+			},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := handbook.Settings("f.ini", []byte(tc.text), declared())
+			var faults *handbook.Faults
+			if !errors.As(err, &faults) {
+				t.Fatalf("error = %v, want faults", err)
+			}
+			var got []string
+			for _, fault := range faults.List() {
+				got = append(got, fault.String())
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("faults (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestSettingsReadsValues(t *testing.T) {
+	text := "# comment\n[gate]\nlisten = 127.0.0.1:8080\nmax-body = 2MiB\nopen = yes\n"
+	values, err := handbook.Settings("f.ini", []byte(text), declared())
+	if err != nil {
+		t.Fatal(err)
+	}
+	type read struct {
+		Listen string
+		Idle   time.Duration
+		Body   int64
+		Open   bool
+	}
+	got := read{values.Address("gate", "listen"), values.Duration("gate", "idle"), values.Bytes("gate", "max-body"), values.Switch("gate", "open")}
+	if diff := cmp.Diff(read{"127.0.0.1:8080", 5 * time.Second, 2 << 20, true}, got); diff != "" {
+		t.Errorf("values (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/commons/handbook/setting.go
@@ -0,0 +1,257 @@
+package handbook
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Kind is the type of a setting's value.
+type Kind uint8
+
+// Kinds of settings.
+const (
+	Text     Kind = iota // any text
+	Address              // IP:port
+	Duration             // time span such as 250ms, 10s or 2m
+	Integer              // whole number
+	Bytes                // whole number of bytes, with KiB, MiB or GiB if wanted
+	Switch               // yes or no
+	List                 // words separated by commas
+)
+
+var kindNames = map[Kind]string{
+	Text: "text", Address: "IP:port", Duration: "duration", Integer: "number",
+	Bytes: "bytes", Switch: "yes or no", List: "comma-separated list",
+}
+
+// SettingConfig holds the construction parameters of a Setting.
+type SettingConfig struct {
+	Section  string
+	Key      string
+	Kind     Kind
+	Default  string // empty if Required
+	Low      string // smallest value, in the form of the kind
+	High     string // largest value
+	Required bool
+	Doc      string
+}
+
+// Setting is the declaration of one key of a settings file.
+type Setting struct {
+	config SettingConfig
+}
+
+// NewSetting returns a declaration.
+func NewSetting(config SettingConfig) Setting { return Setting{config: config} }
+
+// Section returns the section's name.
+func (s Setting) Section() string { return s.config.Section }
+
+// Key returns the key's name.
+func (s Setting) Key() string { return s.config.Key }
+
+// Unit returns the form of the value.
+func (s Setting) Unit() string { return kindNames[s.config.Kind] }
+
+// Default returns the value that holds when the key is missing.
+func (s Setting) Default() string { return s.config.Default }
+
+// Doc returns what the setting does.
+func (s Setting) Doc() string { return s.config.Doc }
+
+// Range returns the allowed values as text.
+func (s Setting) Range() string {
+	if s.config.Low == "" && s.config.High == "" {
+		return "any"
+	}
+	return s.config.Low + " to " + s.config.High
+}
+
+// Values holds a program's settings after they have been checked.
+type Values struct {
+	values map[string]any
+}
+
+// Text returns the value of a Text setting.
+func (v *Values) Text(section, key string) string { return v.values[section+"."+key].(string) }
+
+// Address returns the value of an Address setting as IP:port, or "".
+func (v *Values) Address(section, key string) string { return v.values[section+"."+key].(string) }
+
+// Duration returns the value of a Duration setting.
+func (v *Values) Duration(section, key string) time.Duration {
+	return time.Duration(v.values[section+"."+key].(int64))
+}
+
+// Integer returns the value of an Integer setting.
+func (v *Values) Integer(section, key string) int { return int(v.values[section+"."+key].(int64)) }
+
+// Bytes returns the value of a Bytes setting.
+func (v *Values) Bytes(section, key string) int64 { return v.values[section+"."+key].(int64) }
+
+// Switch returns the value of a Switch setting.
+func (v *Values) Switch(section, key string) bool { return v.values[section+"."+key].(bool) }
+
+// List returns the value of a List setting.
+func (v *Values) List(section, key string) []string { return v.values[section+"."+key].([]string) }
+
+// Settings checks a settings file against its declarations. It returns all
+// faults at once.
+func Settings(path string, text []byte, declared []Setting) (*Values, error) {
+	book, err := Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	values := &Values{values: make(map[string]any)}
+	for _, setting := range declared {
+		values.values[setting.config.Section+"."+setting.config.Key] = book.check(setting)
+	}
+	book.reportUnknown(declared)
+	if err := book.Err(); err != nil {
+		return nil, err
+	}
+	return values, nil
+}
+
+func (b *Book) check(setting Setting) any {
+	config := setting.config
+	text, ok := b.Value(config.Section, config.Key)
+	if !ok {
+		if config.Required {
+			b.Report(b.Line(config.Section, config.Key), "[%s] needs the key %q: %s", config.Section, config.Key, config.Doc)
+		}
+		text = config.Default
+	}
+	line := b.Line(config.Section, config.Key)
+	value, err := ParseValue(config.Kind, text)
+	if err != nil {
+		b.Report(line, "%s = %q: %v", config.Key, text, err)
+		return value
+	}
+	if number, isNumber := value.(int64); isNumber && !withinRange(config, number) {
+		b.Report(line, "%s = %q is out of range; give %s", config.Key, text, setting.Range())
+	}
+	return value
+}
+
+func (b *Book) reportUnknown(declared []Setting) {
+	for _, section := range b.Sections() {
+		for _, key := range b.Keys(section) {
+			known := slices.ContainsFunc(declared, func(s Setting) bool {
+				return s.config.Section == section && s.config.Key == key
+			})
+			if !known {
+				b.Report(b.Line(section, key), "[%s] has no setting %q; remove it or mend its name", section, key)
+			}
+		}
+	}
+}
+
+func withinRange(config SettingConfig, number int64) bool {
+	if low, err := ParseValue(config.Kind, config.Low); config.Low != "" && err == nil && number < low.(int64) {
+		return false
+	}
+	if high, err := ParseValue(config.Kind, config.High); config.High != "" && err == nil && number > high.(int64) {
+		return false
+	}
+	return true
+}
+
+// ParseValue reads text as a value of the given kind: a string for Text and
+// Address, an int64 for Integer, Bytes and Duration (nanoseconds), a bool for
+// Switch and a []string for List. On an error the value is the kind's zero.
+func ParseValue(kind Kind, text string) (any, error) {
+	switch kind {
+	case Address:
+		return parseAddress(text)
+	case Duration:
+		return parseDuration(text)
+	case Integer:
+		return parseInteger(text)
+	case Bytes:
+		return parseBytes(text)
+	case Switch:
+		return parseSwitch(text)
+	case List:
+		return parseList(text), nil
+	default:
+		return text, nil
+	}
+}
+
+func parseAddress(text string) (any, error) {
+	if text == "" {
+		return "", nil
+	}
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return "", fmt.Errorf("want an IP number and a port, such as 127.0.0.1:8080")
+	}
+	return text, nil
+}
+
+func parseDuration(text string) (any, error) {
+	if text == "" {
+		return int64(0), nil
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return int64(0), fmt.Errorf("want a time span with its unit, such as 250ms, 10s or 2m")
+	}
+	return int64(span), nil
+}
+
+func parseInteger(text string) (any, error) {
+	if text == "" {
+		return int64(0), nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return int64(0), fmt.Errorf("want a whole number")
+	}
+	return number, nil
+}
+
+var byteUnits = map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
+
+func parseBytes(text string) (any, error) {
+	digits := strings.TrimSpace(text)
+	scale := int64(1)
+	for unit, size := range byteUnits {
+		if rest, ok := strings.CutSuffix(digits, unit); ok {
+			digits, scale = strings.TrimSpace(rest), size
+		}
+	}
+	if digits == "" && text == "" {
+		return int64(0), nil
+	}
+	number, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || number < 0 || number > (1<<62)/scale {
+		return int64(0), fmt.Errorf("want a number of bytes, such as 4096, 16KiB or 80GiB")
+	}
+	return number * scale, nil
+}
+
+func parseSwitch(text string) (any, error) {
+	switch text {
+	case "yes":
+		return true, nil
+	case "no", "":
+		return false, nil
+	default:
+		return false, fmt.Errorf("want yes or no")
+	}
+}
+
+func parseList(text string) []string {
+	var words []string
+	for word := range strings.SplitSeq(text, ",") {
+		if word = strings.TrimSpace(word); word != "" {
+			words = append(words, word)
+		}
+	}
+	return words
+}
--- /dev/null
+++ b/commons/notice/notice_test.go
@@ -0,0 +1,54 @@
+package notice_test
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/gob"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/notice"
+)
+
+var exported = cmp.Exporter(func(reflect.Type) bool { return true })
+
+func TestMessagesSurviveTheirEncoding(t *testing.T) {
+	submit := notice.NewSubmit(notice.SubmitConfig{
+		Attempt: "r-1.1", Request: "r-1", Tenant: "lantern", Model: "trail", Method: "POST", Path: "/v1/completions",
+		ContentType: "application/json", Body: []byte("{}"), Stream: true, Urgent: true, Tokens: 12, Remaining: time.Second,
+	})
+	page := notice.NewPage(notice.PageConfig{Attempt: "r-1.1", Offset: 7, Data: []byte("data"), State: notice.Whole, Status: 200})
+	position := notice.NewPosition(notice.PositionConfig{Attempt: "r-1.1", Offset: 11, Ended: true})
+	receipt := notice.NewReceipt(notice.ReceiptConfig{Attempt: "r-1.1", Code: "leaving", RetryAfter: time.Second})
+	batch := notice.NewBatch(notice.BatchConfig{Entry: "e", Submits: []notice.Submit{submit}, Cancels: []string{"r-0.1"}})
+	receipts := notice.NewReceipts(notice.ReceiptsConfig{Side: "s", Receipts: []notice.Receipt{receipt}})
+	read := notice.NewRead(notice.ReadConfig{Entry: "e", Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
+	pages := notice.NewPages(notice.PagesConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Pages: []notice.Page{page}})
+	cases := map[string]struct {
+		sent encoding.BinaryMarshaler
+		got  encoding.BinaryUnmarshaler
+		want encoding.BinaryUnmarshaler
+	}{
+		"batch":    {sent: batch, got: &notice.Batch{}, want: &batch},
+		"receipts": {sent: receipts, got: &notice.Receipts{}, want: &receipts},
+		"read":     {sent: read, got: &notice.Read{}, want: &read},
+		"pages":    {sent: pages, got: &notice.Pages{}, want: &pages},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var wire bytes.Buffer
+			if err := gob.NewEncoder(&wire).Encode(tc.sent); err != nil {
+				t.Fatal(err)
+			}
+			if err := gob.NewDecoder(&wire).Decode(tc.got); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, tc.got, exported); diff != "" {
+				t.Errorf("message (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/commons/notice/submit.go
@@ -0,0 +1,184 @@
+package notice
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// SubmitConfig holds the construction parameters of a Submit.
+type SubmitConfig struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Attempt     string // unique to this attempt
+	Request     string // common to all attempts of one request
+	Tenant      string
+	Model       string // empty for a plain service
+	Service     string // empty for a model
+	Method      string
+	Path        string
+	ContentType string
+	Trace       string // W3C traceparent
+	Body        []byte
+	Stream      bool
+	Urgent      bool
+	Idempotent  bool
+	Tokens      int64         // upper bound on prompt and output tokens
+	Remaining   time.Duration // time left until the request's deadline
+}
+
+// Submit asks a side to run one attempt of a request.
+type Submit struct {
+	config SubmitConfig
+}
+
+// NewSubmit returns a submit message.
+func NewSubmit(config SubmitConfig) Submit { return Submit{config: config} }
+
+// Attempt returns the attempt's id.
+func (s Submit) Attempt() string { return s.config.Attempt }
+
+// Request returns the id of the request that the attempt belongs to.
+func (s Submit) Request() string { return s.config.Request }
+
+// Tenant returns the tenant for which the attempt runs.
+func (s Submit) Tenant() string { return s.config.Tenant }
+
+// Model returns the model to run, or "" for a plain service.
+func (s Submit) Model() string { return s.config.Model }
+
+// Service returns the plain service to call, or "" for a model.
+func (s Submit) Service() string { return s.config.Service }
+
+// Method returns the HTTP method.
+func (s Submit) Method() string { return s.config.Method }
+
+// Path returns the request path with its query.
+func (s Submit) Path() string { return s.config.Path }
+
+// ContentType returns the body's media type.
+func (s Submit) ContentType() string { return s.config.ContentType }
+
+// Trace returns the W3C traceparent of the calling span.
+func (s Submit) Trace() string { return s.config.Trace }
+
+// Body returns the request body, which must not be changed.
+func (s Submit) Body() []byte { return s.config.Body }
+
+// Stream reports whether the answer is a stream of events.
+func (s Submit) Stream() bool { return s.config.Stream }
+
+// Urgent reports whether the request goes before those that can wait.
+func (s Submit) Urgent() bool { return s.config.Urgent }
+
+// Idempotent reports whether the request may be run more than once.
+func (s Submit) Idempotent() bool { return s.config.Idempotent }
+
+// Tokens returns the upper bound on prompt and output tokens.
+func (s Submit) Tokens() int64 { return s.config.Tokens }
+
+// Remaining returns the time left until the request's deadline.
+func (s Submit) Remaining() time.Duration { return s.config.Remaining }
+
+// EncodeMsgpack writes the message as one msgpack array.
+func (s Submit) EncodeMsgpack(encoder *msgpack.Encoder) error { return encoder.Encode(&s.config) }
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (s *Submit) DecodeMsgpack(decoder *msgpack.Decoder) error { return decoder.Decode(&s.config) }
+
+// BatchConfig holds the construction parameters of a Batch.
+type BatchConfig struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Entry   string // incarnation of the sending entry
+	Submits []Submit
+	Cancels []string // attempts whose answers nobody awaits any more
+}
+
+// Batch carries new attempts and cancellations from an entry to a side.
+type Batch struct {
+	config BatchConfig
+}
+
+// NewBatch returns a batch.
+func NewBatch(config BatchConfig) Batch { return Batch{config: config} }
+
+// Entry returns the incarnation of the sending entry.
+func (b Batch) Entry() string { return b.config.Entry }
+
+// Submits returns the new attempts.
+func (b Batch) Submits() []Submit { return b.config.Submits }
+
+// Cancels returns the attempts to cancel.
+func (b Batch) Cancels() []string { return b.config.Cancels }
+
+// MarshalBinary encodes the message.
+func (b Batch) MarshalBinary() ([]byte, error) { return pack("batch", &b.config) }
+
+// UnmarshalBinary decodes what MarshalBinary wrote.
+func (b *Batch) UnmarshalBinary(data []byte) error { return unpack("batch", data, &b.config) }
+
+// ReceiptConfig holds the construction parameters of a Receipt.
+type ReceiptConfig struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Attempt    string
+	Accepted   bool
+	Code       string        // cause of a refusal
+	RetryAfter time.Duration // earliest useful time of a retry at the same side
+}
+
+// Receipt tells whether a side took an attempt. A refused attempt has not been
+// run and will not be.
+type Receipt struct {
+	config ReceiptConfig
+}
+
+// NewReceipt returns a receipt.
+func NewReceipt(config ReceiptConfig) Receipt { return Receipt{config: config} }
+
+// Attempt returns the attempt's id.
+func (r Receipt) Attempt() string { return r.config.Attempt }
+
+// Accepted reports whether the side took the attempt.
+func (r Receipt) Accepted() bool { return r.config.Accepted }
+
+// Code returns the cause of a refusal.
+func (r Receipt) Code() string { return r.config.Code }
+
+// RetryAfter returns the earliest useful time of a retry at the same side.
+func (r Receipt) RetryAfter() time.Duration { return r.config.RetryAfter }
+
+// EncodeMsgpack writes the message as one msgpack array.
+func (r Receipt) EncodeMsgpack(encoder *msgpack.Encoder) error { return encoder.Encode(&r.config) }
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (r *Receipt) DecodeMsgpack(decoder *msgpack.Decoder) error { return decoder.Decode(&r.config) }
+
+// ReceiptsConfig holds the construction parameters of a Receipts.
+type ReceiptsConfig struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Side     string // incarnation of the answering side
+	Receipts []Receipt
+}
+
+// Receipts answers a batch with one receipt for each submit.
+type Receipts struct {
+	config ReceiptsConfig
+}
+
+// NewReceipts returns the answer to a batch.
+func NewReceipts(config ReceiptsConfig) Receipts { return Receipts{config: config} }
+
+// Side returns the incarnation of the answering side.
+func (r Receipts) Side() string { return r.config.Side }
+
+// Receipts returns one receipt for each submit.
+func (r Receipts) Receipts() []Receipt { return r.config.Receipts }
+
+// MarshalBinary encodes the message.
+func (r Receipts) MarshalBinary() ([]byte, error) { return pack("receipts", &r.config) }
+
+// UnmarshalBinary decodes what MarshalBinary wrote.
+func (r *Receipts) UnmarshalBinary(data []byte) error { return unpack("receipts", data, &r.config) }
--- /dev/null
+++ b/commons/porter/door.go
@@ -0,0 +1,106 @@
+// Package porter carries calls between the system's own processes: net/rpc over
+// TCP, one connection for a pair of processes.
+package porter
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// DoorConfig holds the construction parameters of a Door.
+type DoorConfig struct {
+	Address string // IP:port to listen on
+	Name    string // name under which the service's methods are called
+	Service any    // receiver of the calls, in the form that net/rpc asks
+	Log     *logrus.Entry
+}
+
+// Door is responsible for accepting the connections of other processes and
+// serving their calls.
+type Door struct {
+	config DoorConfig
+}
+
+// NewDoor returns a door that listens once it is served.
+func NewDoor(config DoorConfig) *Door { return &Door{config: config} }
+
+// Serve accepts connections until ctx ends, then closes all of them.
+func (d *Door) Serve(ctx context.Context) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(d.config.Name, d.config.Service); err != nil {
+		return errors.Wrapf(err, "register service %s", d.config.Name)
+	}
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", d.config.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", d.config.Address)
+	}
+	tracked := &trackedListener{Listener: listener, conns: make(map[net.Conn]struct{})}
+	stop := context.AfterFunc(ctx, tracked.closeAll)
+	defer stop()
+	defer tracked.closeAll()
+	server.Accept(tracked)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return errors.Newf("listener on %s closed", d.config.Address)
+}
+
+// trackedListener is responsible for closing accepted connections together
+// with their listener.
+type trackedListener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Accept returns the next connection.
+func (t *trackedListener) Accept() (net.Conn, error) {
+	conn, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errors.CombineErrors(net.ErrClosed, conn.Close())
+	}
+	t.conns[conn] = struct{}{}
+	return &trackedConn{Conn: conn, owner: t}, nil
+}
+
+func (t *trackedListener) closeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	_ = t.Listener.Close()
+	for conn := range t.conns {
+		_ = conn.Close()
+	}
+}
+
+func (t *trackedListener) forget(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, conn)
+}
+
+// trackedConn is responsible for leaving its listener's set when it closes.
+type trackedConn struct {
+	net.Conn
+
+	owner *trackedListener
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.owner.forget(c.Conn)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/commons/register/inventory.go
@@ -0,0 +1,326 @@
+// Package register holds the configuration of the fleet: the inventory of
+// instances, backend servers, models, adapters, tenants, keys and routes, and
+// the fold of the platform's log into numbered revisions of it.
+package register
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"sesamewell.example/commons/handbook"
+)
+
+// Inventory is responsible for one complete, checked description of the fleet.
+// It is immutable.
+type Inventory struct {
+	text      string
+	instances set[Instance]
+	backends  set[Backend]
+	models    set[Model]
+	adapters  set[Adapter]
+	tenants   set[Tenant]
+	keys      set[Key] // by SHA-256 in hexadecimal
+	routes    []Route  // longest path first
+}
+
+// Empty returns an inventory that describes nothing.
+func Empty() *Inventory {
+	return &Inventory{
+		instances: make(set[Instance]),
+		backends:  make(set[Backend]),
+		models:    make(set[Model]),
+		adapters:  make(set[Adapter]),
+		tenants:   make(set[Tenant]),
+		keys:      make(set[Key]),
+	}
+}
+
+// Parse reads and checks the text of an inventory. Its error lists every fault
+// with file and line.
+func Parse(path string, text []byte) (*Inventory, error) {
+	book, err := handbook.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	inventory := Empty()
+	inventory.text = string(text)
+	reader := &reader{book: book, inventory: inventory}
+	reader.readAll()
+	if err := book.Err(); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(inventory.routes, func(a, b Route) int {
+		return cmp.Or(len(b.path)-len(a.path), strings.Compare(a.path, b.path))
+	})
+	return inventory, nil
+}
+
+// Text returns the text that the inventory was read from.
+func (i *Inventory) Text() string { return i.text }
+
+// Instances returns all instances in the order of their names.
+func (i *Inventory) Instances() []Instance { return i.instances.sorted() }
+
+// Instance returns the instance of that name.
+func (i *Inventory) Instance(name string) (Instance, bool) {
+	instance, ok := i.instances[name]
+	return instance, ok
+}
+
+// Backends returns all backend servers in the order of their names.
+func (i *Inventory) Backends() []Backend { return i.backends.sorted() }
+
+// Backend returns the backend server of that name.
+func (i *Inventory) Backend(name string) (Backend, bool) {
+	backend, ok := i.backends[name]
+	return backend, ok
+}
+
+// Models returns all models in the order of their names.
+func (i *Inventory) Models() []Model { return i.models.sorted() }
+
+// Model returns the model of that name.
+func (i *Inventory) Model(name string) (Model, bool) {
+	model, ok := i.models[name]
+	return model, ok
+}
+
+// Adapters returns all adapters in the order of their names.
+func (i *Inventory) Adapters() []Adapter { return i.adapters.sorted() }
+
+// Adapter returns the adapter of that name.
+func (i *Inventory) Adapter(name string) (Adapter, bool) {
+	adapter, ok := i.adapters[name]
+	return adapter, ok
+}
+
+// Tenants returns all tenants in the order of their names.
+func (i *Inventory) Tenants() []Tenant { return i.tenants.sorted() }
+
+// Tenant returns the tenant of that name.
+func (i *Inventory) Tenant(name string) (Tenant, bool) {
+	tenant, ok := i.tenants[name]
+	return tenant, ok
+}
+
+// Keys returns all keys in the order of their names.
+func (i *Inventory) Keys() []Key { return i.keys.sorted() }
+
+// KeyByHash returns the key with that SHA-256 in hexadecimal.
+func (i *Inventory) KeyByHash(hash string) (Key, bool) {
+	key, ok := i.keys[hash]
+	return key, ok
+}
+
+// Routes returns all routes, longest path first.
+func (i *Inventory) Routes() []Route { return i.routes }
+
+// RouteFor returns the route with the longest path that equals path or is a
+// parent of it.
+func (i *Inventory) RouteFor(path string) (Route, bool) {
+	for _, route := range i.routes {
+		if path == route.path || strings.HasPrefix(path, strings.TrimSuffix(route.path, "/")+"/") {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Serves reports whether name is a model or an adapter, and returns the model
+// that has to be resident for it.
+func (i *Inventory) Serves(name string) (Model, bool) {
+	if adapter, ok := i.adapters[name]; ok {
+		name = adapter.model
+	}
+	return i.Model(name)
+}
+
+type named interface{ Name() string }
+
+// set is a collection of items by a unique string.
+type set[T named] map[string]T
+
+// sorted returns the items in the order of their names.
+func (s set[T]) sorted() []T {
+	return slices.SortedFunc(maps.Values(s), func(a, b T) int {
+		return strings.Compare(a.Name(), b.Name())
+	})
+}
+
+// Role is the program that an instance runs.
+type Role string
+
+// Roles of instances.
+const (
+	Entry Role = "entry"
+	Side  Role = "side"
+)
+
+// Instance is one process of the system.
+type Instance struct {
+	name    string
+	role    Role
+	link    string
+	domain  string
+	region  string
+	backend string
+}
+
+// Name returns the instance's name.
+func (i Instance) Name() string { return i.name }
+
+// Role returns the program that the instance runs.
+func (i Instance) Role() Role { return i.role }
+
+// Link returns the IP:port at which other processes call the instance.
+func (i Instance) Link() string { return i.link }
+
+// Domain returns the failure domain.
+func (i Instance) Domain() string { return i.domain }
+
+// Region returns the region, or "" when the fleet has one.
+func (i Instance) Region() string { return i.region }
+
+// Backend returns the name of a side's backend server.
+func (i Instance) Backend() string { return i.backend }
+
+// BackendKind is the kind of a backend server.
+type BackendKind string
+
+// Kinds of backend servers.
+const (
+	Engine  BackendKind = "engine"  // runs models
+	Service BackendKind = "service" // answers plain HTTP
+)
+
+// Backend is one backend server.
+type Backend struct {
+	name    string
+	kind    BackendKind
+	service string
+	memory  int64
+	slots   int
+	fencing bool
+}
+
+// Name returns the backend server's name.
+func (b Backend) Name() string { return b.name }
+
+// Kind returns whether it runs models or answers plain HTTP.
+func (b Backend) Kind() BackendKind { return b.kind }
+
+// Service returns the name of the plain service that it belongs to.
+func (b Backend) Service() string { return b.service }
+
+// Memory returns the accelerator memory in bytes.
+func (b Backend) Memory() int64 { return b.memory }
+
+// Slots returns the number of requests that it runs at once.
+func (b Backend) Slots() int { return b.slots }
+
+// Fencing reports whether it refuses orders with an old fencing number.
+func (b Backend) Fencing() bool { return b.fencing }
+
+// Model is one model.
+type Model struct {
+	name   string
+	memory int64
+	cache  int64
+}
+
+// Name returns the model's name.
+func (m Model) Name() string { return m.name }
+
+// Memory returns the bytes of accelerator memory that the weights take.
+func (m Model) Memory() int64 { return m.memory }
+
+// Cache returns the bytes of accelerator memory to reserve for KV cache.
+func (m Model) Cache() int64 { return m.cache }
+
+// Adapter is one adapter of a model.
+type Adapter struct {
+	name   string
+	model  string
+	memory int64
+}
+
+// Name returns the adapter's name.
+func (a Adapter) Name() string { return a.name }
+
+// Model returns the name of the model that the adapter belongs to.
+func (a Adapter) Model() string { return a.model }
+
+// Memory returns the bytes of accelerator memory that the adapter takes.
+func (a Adapter) Memory() int64 { return a.memory }
+
+// Tenant is one tenant with its limits.
+type Tenant struct {
+	name  string
+	rate  int64
+	burst int64
+}
+
+// Name returns the tenant's name.
+func (t Tenant) Name() string { return t.name }
+
+// Rate returns the tokens per second over the whole fleet.
+func (t Tenant) Rate() int64 { return t.rate }
+
+// Burst returns the tokens that may be spent at once.
+func (t Tenant) Burst() int64 { return t.burst }
+
+// Key is one caller's key, of which only the hash is known.
+type Key struct {
+	name   string
+	tenant string
+	hash   string
+}
+
+// Name returns the key's name.
+func (k Key) Name() string { return k.name }
+
+// Tenant returns the name of the tenant that the key belongs to.
+func (k Key) Tenant() string { return k.tenant }
+
+// Hash returns the key's SHA-256 in hexadecimal.
+func (k Key) Hash() string { return k.hash }
+
+// Route is the rule for one path and everything below it.
+type Route struct {
+	name       string
+	path       string
+	service    string
+	tenant     string
+	open       bool
+	urgent     bool
+	idempotent bool
+	deadline   time.Duration
+}
+
+// Name returns the route's name.
+func (r Route) Name() string { return r.name }
+
+// Path returns the path, without a trailing slash.
+func (r Route) Path() string { return r.path }
+
+// Service returns the plain service that answers, or "" for the models' API.
+func (r Route) Service() string { return r.service }
+
+// Tenant returns the tenant that requests without a key run for on an open
+// route.
+func (r Route) Tenant() string { return r.tenant }
+
+// Open reports whether requests need no key.
+func (r Route) Open() bool { return r.open }
+
+// Urgent reports whether requests go before those that can wait.
+func (r Route) Urgent() bool { return r.urgent }
+
+// Idempotent reports whether a request may be run more than once.
+func (r Route) Idempotent() bool { return r.idempotent }
+
+// Deadline returns the longest time that a request may take, or zero.
+func (r Route) Deadline() time.Duration { return r.deadline }
--- /dev/null
+++ b/commons/register/register_test.go
@@ -0,0 +1,118 @@
+package register_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/register"
+)
+
+const small = `[instance side-1]
+role = side
+link = 127.0.0.1:7101
+domain = viti-a
+backend = engine-1
+
+[backend engine-1]
+kind = engine
+memory = 80GiB
+slots = 32
+
+[model trail]
+memory = 14GiB
+
+[tenant lantern]
+rate = 1000
+burst = 20000
+`
+
+func TestParseNamesEveryFault(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"unknown kind":      {text: "[mdoel x]\n", want: []string{`inv.ini:1: section kind "mdoel" is unknown; use instance, backend, model, adapter, tenant, key or route`}},
+		"missing model":     {text: "[adapter a]\nmodel = b\nmemory = 1MiB\n", want: []string{`inv.ini:2: model "b" is not described; add [model b] or mend the name`}},
+		"bad hash":          {text: small + "[key k]\ntenant = lantern\nsha256 = abc\n", want: []string{"inv.ini:20: sha256 of key k must be 64 hexadecimal digits; print it with sesamewell key hash"}},
+		"unknown key":       {text: "[model m]\nmemory = 1GiB\nsize = 3\n", want: []string{`inv.ini:3: [model m] has no key "size"; use memory, cache`}},
+		"route to nowhere":  {text: "[route r]\npath = /b\nservice = s\n", want: []string{`inv.ini:3: no backend server belongs to service "s"; add one with service = s`}},
+		"zero rate":         {text: "[tenant t]\nrate = 0\nburst = 5\n", want: []string{`inv.ini:2: rate = "0" must be greater than zero`}},
+		"open needs tenant": {text: "[route r]\npath = /b\nopen = yes\n", want: []string{"inv.ini:3: open route r needs tenant = NAME, whose rate its requests use"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := register.Parse("inv.ini", []byte(tc.text))
+			var faults *handbook.Faults
+			if !errors.As(err, &faults) {
+				t.Fatalf("error = %v, want faults", err)
+			}
+			var got []string
+			for _, fault := range faults.List() {
+				got = append(got, fault.String())
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("faults (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFoldAcceptsOnlyChangesOfTheCurrentRevision(t *testing.T) {
+	type step struct {
+		base      int64
+		inventory string
+		want      error
+	}
+	cases := map[string]struct {
+		steps    []step
+		revision int64
+	}{
+		"one after another": {steps: []step{{0, small, nil}, {1, small, nil}}, revision: 2},
+		"two operators race": {
+			steps:    []step{{0, small, nil}, {0, small, register.ErrStaleBase}},
+			revision: 1,
+		},
+		"invalid inventory": {steps: []step{{0, "[model]\n", register.ErrBadRecord}, {0, small, nil}}, revision: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			revision := register.Initial()
+			for offset, step := range tc.steps {
+				record := register.NewRecord(register.RecordConfig{Change: "c", Base: step.base, Kind: register.Replace, Inventory: step.inventory})
+				data, err := record.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				next, err := revision.Fold(int64(offset), data)
+				if !errors.Is(err, step.want) {
+					t.Errorf("Fold at offset %d = %v, want %v", offset, err, step.want)
+				}
+				revision = next
+			}
+			if diff := cmp.Diff(tc.revision, revision.Number()); diff != "" {
+				t.Errorf("revision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFoldNeverGoesBack(t *testing.T) {
+	data, err := register.NewRecord(register.RecordConfig{Change: "c", Kind: register.Replace, Inventory: small}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := register.Initial().Fold(5, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := first.Fold(5, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again != first {
+		t.Errorf("a record that was folded already made revision %d of %d", again.Number(), first.Number())
+	}
+}
--- /dev/null
+++ b/commons/ring/ring.go
@@ -0,0 +1,185 @@
+// Package ring provides the bounded ring buffer that joins the threads of a
+// process: a fixed-capacity queue whose readers park while it is empty and
+// whose writers are refused, never blocked, while it is full.
+package ring
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors returned by a ring. Both mean that the item was not stored.
+var (
+	ErrFull   = errors.New("ring is full")
+	ErrClosed = errors.New("ring is closed")
+)
+
+// Config holds the construction parameters of a Ring.
+type Config struct {
+	Name     string // label of the ring in metrics and logs
+	Capacity int    // items; values below one are treated as one
+}
+
+// Ring is responsible for passing items, in order, from any number of writers
+// to any number of readers within a fixed amount of memory.
+type Ring struct {
+	name string
+	wake chan struct{}
+
+	mu      sync.Mutex
+	items   []any
+	head    int
+	depth   int
+	closed  bool
+	refused uint64
+}
+
+// New returns an empty ring.
+func New(config Config) *Ring {
+	return &Ring{
+		name:  config.Name,
+		wake:  make(chan struct{}, 1),
+		items: make([]any, max(config.Capacity, 1)),
+	}
+}
+
+// Put stores item behind those already in the ring. It returns ErrFull or
+// ErrClosed at once when the item cannot be stored.
+func (r *Ring) Put(item any) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		r.refused++
+		return ErrClosed
+	}
+	if r.depth == len(r.items) {
+		r.refused++
+		return ErrFull
+	}
+	r.items[(r.head+r.depth)%len(r.items)] = item
+	r.depth++
+	r.signal()
+	return nil
+}
+
+// Take removes the oldest item, parking until there is one. It returns the
+// context's error when ctx ends first and ErrClosed when the ring is closed
+// and empty.
+func (r *Ring) Take(ctx context.Context) (any, error) {
+	for {
+		item, ok, err := r.pop()
+		if ok || err != nil {
+			return item, err
+		}
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// TakeWithin is Take with a limit on the time spent parked. It returns a nil
+// item and no error when the limit passes first.
+func (r *Ring) TakeWithin(ctx context.Context, limit time.Duration) (any, error) {
+	item, ok, err := r.pop()
+	if ok || err != nil || limit <= 0 {
+		return item, err
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.wake:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		item, ok, err = r.pop()
+		if ok || err != nil {
+			return item, err
+		}
+	}
+}
+
+// Drain moves up to len(into) items out of the ring without parking and
+// returns their number.
+func (r *Ring) Drain(into []any) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := min(len(into), r.depth)
+	for i := range n {
+		into[i] = r.shift()
+	}
+	r.signalRest()
+	return n
+}
+
+// Close refuses further items. Items already stored can still be taken.
+func (r *Ring) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.signal()
+}
+
+// Name returns the ring's label.
+func (r *Ring) Name() string { return r.name }
+
+// Capacity returns the number of items that the ring can hold.
+func (r *Ring) Capacity() int { return len(r.items) }
+
+// Depth returns the number of items now in the ring.
+func (r *Ring) Depth() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.depth
+}
+
+// Refused returns the number of items refused since construction.
+func (r *Ring) Refused() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused
+}
+
+func (r *Ring) pop() (item any, ok bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.depth > 0 {
+		item = r.shift()
+		r.signalRest()
+		return item, true, nil
+	}
+	if r.closed {
+		r.signal()
+		return nil, false, ErrClosed
+	}
+	return nil, false, nil
+}
+
+func (r *Ring) shift() any {
+	item := r.items[r.head]
+	r.items[r.head] = nil
+	r.head = (r.head + 1) % len(r.items)
+	r.depth--
+	return item
+}
+
+// signalRest passes the wake-up on when items remain for another reader.
+func (r *Ring) signalRest() {
+	if r.depth > 0 || r.closed {
+		r.signal()
+	}
+}
+
+func (r *Ring) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/commons/trail/trail.go
@@ -0,0 +1,228 @@
+// Package trail records traces: one span for each hop of a request, kept in a
+// bounded buffer and identified by W3C trace context.
+package trail
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// header is the W3C trace context header.
+const header = "traceparent"
+
+// Config holds the construction parameters of a Trail.
+type Config struct {
+	Instance string // name of the instance, which each record carries
+	Kept     int    // spans kept in memory
+	Sampling int    // per cent of the traces begun here that are recorded
+}
+
+// Trail is responsible for the spans of one process.
+type Trail struct {
+	instance string
+	tracer   trace.Tracer
+	codec    propagation.TraceContext
+
+	mu    sync.Mutex
+	spans []Record // circular
+	next  int
+}
+
+// New returns a trail without spans.
+func New(config Config) *Trail {
+	t := &Trail{instance: config.Instance, spans: make([]Record, max(config.Kept, 1))}
+	sampler := sdk.ParentBased(sdk.TraceIDRatioBased(float64(config.Sampling) / percent))
+	provider := sdk.NewTracerProvider(sdk.WithSampler(sampler), sdk.WithSpanProcessor(&keeper{trail: t}))
+	t.tracer = provider.Tracer("sesamewell")
+	return t
+}
+
+const percent = 100
+
+// Start opens a span below the given traceparent, or the first span of a new
+// trace when the traceparent is empty or malformed.
+func (t *Trail) Start(now time.Time, parent, name string) *Span {
+	ctx := t.codec.Extract(context.Background(), propagation.MapCarrier{header: parent})
+	_, span := t.tracer.Start(ctx, name, trace.WithTimestamp(now))
+	return &Span{trail: t, span: span}
+}
+
+// Find returns the kept spans of a trace, oldest first.
+func (t *Trail) Find(traceID string) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Record
+	for i := range t.spans {
+		record := t.spans[(t.next+i)%len(t.spans)]
+		if record.config.Trace == traceID && traceID != "" {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+func (t *Trail) keep(record Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spans[t.next] = record
+	t.next = (t.next + 1) % len(t.spans)
+}
+
+// Span is responsible for one hop of one request. A nil span records nothing.
+type Span struct {
+	trail *Trail
+	span  trace.Span
+}
+
+// Traceparent returns the W3C trace context that names this span as parent.
+func (s *Span) Traceparent() string {
+	if s == nil {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	s.trail.codec.Inject(trace.ContextWithSpan(context.Background(), s.span), carrier)
+	return carrier[header]
+}
+
+// TraceID returns the trace's id in hexadecimal.
+func (s *Span) TraceID() string {
+	if s == nil {
+		return ""
+	}
+	return s.span.SpanContext().TraceID().String()
+}
+
+// Note attaches a key and a value.
+func (s *Span) Note(key, value string) {
+	if s != nil {
+		s.span.SetAttributes(attribute.String(key, value))
+	}
+}
+
+// Mark records that something happened at a time within the span.
+func (s *Span) Mark(now time.Time, event string) {
+	if s != nil {
+		s.span.AddEvent(event, trace.WithTimestamp(now))
+	}
+}
+
+// End closes the span; a non-empty failure marks it as failed.
+func (s *Span) End(now time.Time, failure string) {
+	if s == nil {
+		return
+	}
+	if failure != "" {
+		s.span.SetStatus(codes.Error, failure)
+	}
+	s.span.End(trace.WithTimestamp(now))
+}
+
+// RecordConfig holds the construction parameters of a Record and is its JSON
+// form.
+type RecordConfig struct {
+	Trace    string            `json:"trace"`
+	Span     string            `json:"span"`
+	Parent   string            `json:"parent,omitempty"`
+	Instance string            `json:"instance"`
+	Name     string            `json:"name"`
+	Start    time.Time         `json:"start"`
+	End      time.Time         `json:"end"`
+	Failure  string            `json:"failure,omitempty"`
+	Notes    map[string]string `json:"notes,omitempty"`
+	Events   []EventConfig     `json:"events,omitempty"`
+}
+
+// EventConfig is one event of a RecordConfig.
+type EventConfig struct {
+	Name string    `json:"name"`
+	At   time.Time `json:"at"`
+}
+
+// Record is a finished span.
+type Record struct {
+	config RecordConfig
+}
+
+// NewRecord returns a record.
+func NewRecord(config RecordConfig) Record { return Record{config: config} }
+
+// Span returns the span's id.
+func (r Record) Span() string { return r.config.Span }
+
+// Parent returns the id of the parent span, or "".
+func (r Record) Parent() string { return r.config.Parent }
+
+// Instance returns the name of the instance that recorded the span.
+func (r Record) Instance() string { return r.config.Instance }
+
+// Name returns the span's name.
+func (r Record) Name() string { return r.config.Name }
+
+// Start returns the time at which the span began.
+func (r Record) Start() time.Time { return r.config.Start }
+
+// End returns the time at which the span ended.
+func (r Record) End() time.Time { return r.config.End }
+
+// Failure returns why the span failed, or "".
+func (r Record) Failure() string { return r.config.Failure }
+
+// Notes returns the span's keys and values.
+func (r Record) Notes() map[string]string { return r.config.Notes }
+
+// Events returns the span's events in the order of their times.
+func (r Record) Events() []EventConfig { return r.config.Events }
+
+// MarshalJSON returns the record's JSON form.
+func (r Record) MarshalJSON() ([]byte, error) { return json.Marshal(r.config) }
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (r *Record) UnmarshalJSON(data []byte) error { return json.Unmarshal(data, &r.config) }
+
+// keeper is responsible for moving finished spans into their trail's buffer.
+type keeper struct {
+	trail *Trail
+}
+
+// OnStart does nothing.
+func (k *keeper) OnStart(context.Context, sdk.ReadWriteSpan) {}
+
+// OnEnd keeps the span.
+func (k *keeper) OnEnd(span sdk.ReadOnlySpan) {
+	config := RecordConfig{
+		Trace:    span.SpanContext().TraceID().String(),
+		Span:     span.SpanContext().SpanID().String(),
+		Instance: k.trail.instance,
+		Name:     span.Name(),
+		Start:    span.StartTime(),
+		End:      span.EndTime(),
+		Failure:  span.Status().Description,
+	}
+	if span.Parent().HasSpanID() {
+		config.Parent = span.Parent().SpanID().String()
+	}
+	if attributes := span.Attributes(); len(attributes) > 0 {
+		config.Notes = make(map[string]string, len(attributes))
+		for _, a := range attributes {
+			config.Notes[string(a.Key)] = a.Value.Emit()
+		}
+	}
+	for _, event := range span.Events() {
+		config.Events = append(config.Events, EventConfig{Name: event.Name, At: event.Time})
+	}
+	k.trail.keep(NewRecord(config))
+}
+
+// Shutdown does nothing.
+func (k *keeper) Shutdown(context.Context) error { return nil }
+
+// ForceFlush does nothing.
+func (k *keeper) ForceFlush(context.Context) error { return nil }
--- /dev/null
+++ b/commons/trail/trail_test.go
@@ -0,0 +1,55 @@
+package trail_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/trail"
+)
+
+func TestSpansOfTwoProcessesFormOneTrace(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := trail.New(trail.Config{Instance: "entry-1", Kept: 4, Sampling: 100})
+	side := trail.New(trail.Config{Instance: "side-1", Kept: 4, Sampling: 100})
+	root := entry.Start(start, "", "request")
+	hop := side.Start(start.Add(time.Second), root.Traceparent(), "attempt")
+	hop.Mark(start.Add(2*time.Second), "dispatched")
+	hop.End(start.Add(3*time.Second), "")
+	root.End(start.Add(4*time.Second), "cut")
+	roots, hops := entry.Find(root.TraceID()), side.Find(root.TraceID())
+	if len(roots) != 1 || len(hops) != 1 {
+		t.Fatalf("spans: %d at the entry, %d at the side; want one each", len(roots), len(hops))
+	}
+	if diff := cmp.Diff(roots[0].Span(), hops[0].Parent()); diff != "" {
+		t.Errorf("parent (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff("cut", roots[0].Failure()); diff != "" {
+		t.Errorf("failure (-want +got):\n%s", diff)
+	}
+}
+
+func TestBufferKeepsTheNewest(t *testing.T) {
+	cases := map[string]struct {
+		sampling int
+		spans    int
+		want     int
+	}{
+		"below the limit": {sampling: 100, spans: 2, want: 2},
+		"beyond it":       {sampling: 100, spans: 9, want: 3},
+		"not sampled":     {sampling: 0, spans: 9, want: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			kept := trail.New(trail.Config{Instance: "i", Kept: 3, Sampling: tc.sampling})
+			root := kept.Start(time.Unix(0, 0), "", "root")
+			for range tc.spans {
+				kept.Start(time.Unix(1, 0), root.Traceparent(), "child").End(time.Unix(2, 0), "")
+			}
+			if diff := cmp.Diff(tc.want, len(kept.Find(root.TraceID()))); diff != "" {
+				t.Errorf("spans (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/commons/wicket/refusal.go
@@ -0,0 +1,158 @@
+package wicket
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// OutcomeHeader carries, on each refusal or failure, whether the request can
+// have been run.
+const OutcomeHeader = "X-Sesamewell-Outcome"
+
+// Values of OutcomeHeader.
+const (
+	NotRun     = "not-run"
+	MayHaveRun = "may-have-run"
+)
+
+// Refusal is an error that is answered with an HTTP status. Its message tells
+// the caller what to do.
+type Refusal struct {
+	status  int
+	code    string
+	message string
+	outcome string
+}
+
+// RefusalConfig holds the construction parameters of a Refusal.
+type RefusalConfig struct {
+	Status  int    // HTTP status code
+	Code    string // machine-readable cause
+	Message string
+	Outcome string // NotRun if empty
+}
+
+// NewRefusal returns a refusal.
+func NewRefusal(config RefusalConfig) *Refusal {
+	if config.Outcome == "" {
+		config.Outcome = NotRun
+	}
+	return &Refusal{status: config.Status, code: config.Code, message: config.Message, outcome: config.Outcome}
+}
+
+// Error returns the message.
+func (r *Refusal) Error() string { return r.message }
+
+// Status returns the HTTP status code.
+func (r *Refusal) Status() int { return r.status }
+
+// Code returns the machine-readable cause.
+func (r *Refusal) Code() string { return r.code }
+
+// Outcome returns NotRun or MayHaveRun.
+func (r *Refusal) Outcome() string { return r.outcome }
+
+var (
+	errTooManyConns = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: "too_many_connections",
+		Message: "this instance has no room for another connection; retry, which may reach another instance",
+	})
+	errOverloaded = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: "overloaded",
+		Message: "this instance has more requests than it can take; retry after a second",
+	})
+	errHeaderTooLarge = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large",
+		Message: "the request header is larger than this instance accepts; send fewer or shorter header fields",
+	})
+	errBodyTooLarge = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusRequestEntityTooLarge, Code: "body_too_large",
+		Message: "the request body is larger than this instance accepts; send a shorter one",
+	})
+	errAmbiguousLength = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusBadRequest, Code: "ambiguous_length",
+		Message: "the request has both Content-Length and Transfer-Encoding; send one of them",
+	})
+	errSlowSender = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusRequestTimeout, Code: "request_timeout",
+		Message: "the request did not arrive whole in time; send it again without a pause",
+	})
+)
+
+func errMalformed(cause error) *Refusal {
+	return NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusBadRequest, Code: "malformed_request",
+		Message: "the request is not valid HTTP/1.1: " + cause.Error(),
+	})
+}
+
+func bodyError(request *fasthttp.Request, cause error) *Refusal {
+	if errors.Is(cause, fasthttp.ErrBodyTooLarge) {
+		return errBodyTooLarge
+	}
+	if request.Header.ContentLength() == chunkedLength {
+		return errMalformed(errors.Wrap(cause, "chunked body"))
+	}
+	return errMalformed(cause)
+}
+
+// errorBody is the error form of the OpenAI API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// ErrorBody returns the body of an error answer in the form of the OpenAI API.
+func ErrorBody(refusal *Refusal) []byte {
+	kind := "invalid_request_error"
+	if refusal.status >= fasthttp.StatusInternalServerError {
+		kind = "server_error"
+	}
+	detail := errorDetail{Message: refusal.message, Type: kind, Code: refusal.code}
+	body, err := json.Marshal(errorBody{Error: detail})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// AsRefusal returns the refusal in err's chain, or a general one.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusInternalServerError, Code: "internal_error",
+		Message: "the request failed: " + err.Error(), Outcome: MayHaveRun,
+	})
+}
+
+func refusalResponse(err error) *fasthttp.Response {
+	refusal := AsRefusal(err)
+	response := &fasthttp.Response{}
+	response.SetStatusCode(refusal.status)
+	response.Header.SetContentType("application/json")
+	response.Header.Set(OutcomeHeader, refusal.outcome)
+	if refusal.status == fasthttp.StatusServiceUnavailable {
+		response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	}
+	response.SetBodyRaw(ErrorBody(refusal))
+	return response
+}
+
+func refusalBytes(err error) []byte {
+	response := refusalResponse(err)
+	response.Header.SetConnectionClose()
+	body := response.Body()
+	response.Header.SetContentLength(len(body))
+	return append(response.Header.AppendBytes(nil), body...)
+}
