Prove the callers' API, key stripping and planned stops by tests

Cause: the path had no proof yet. Found by the tests: a request with both Content-Length and chunked coding was taken (fasthttp forgets the length), and a batch could overfill a side's queue, since admission counted before the batch's attempts had started. Conclusion: a planned stop cuts nothing on this path.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	@scripts/run
 
 test:
-	go test -race $(MODULES:%=./%/...)
+	go test -race $(TESTFLAGS) $(MODULES:%=./%/...)
 
 lint:
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); exit 1; }
--- a/commons/logbook/logbook.go
+++ b/commons/logbook/logbook.go
@@ -83,7 +83,7 @@
 		http: &fasthttp.HostClient{
 			Addr:                     config.Address,
 			MaxConns:                 maxConns,
-			RetryIf:                  func(*fasthttp.Request) bool { return false },
+			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			NoDefaultUserAgentHeader: true,
 		},
 	}
--- a/commons/notice/notice.go
+++ b/commons/notice/notice.go
@@ -4,13 +4,22 @@
 package notice
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// pack encodes a message as arrays of its fields in their order, so that field
+// names are not sent.
 func pack(name string, config any) ([]byte, error) {
-	data, err := msgpack.Marshal(config)
-	return data, errors.Wrapf(err, "encode %s", name)
+	var data bytes.Buffer
+	encoder := msgpack.NewEncoder(&data)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(config); err != nil {
+		return nil, errors.Wrapf(err, "encode %s", name)
+	}
+	return data.Bytes(), nil
 }
 
 func unpack(name string, data []byte, config any) error {
--- a/commons/notice/page.go
+++ b/commons/notice/page.go
@@ -8,8 +8,6 @@
 
 // PositionConfig holds the construction parameters of a Position.
 type PositionConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Attempt string
 	Offset  int64 // bytes of the answer that the entry holds
 	Ended   bool  // the entry has seen the end
@@ -40,8 +38,6 @@
 
 // ReadConfig holds the construction parameters of a Read.
 type ReadConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Entry     string        // incarnation of the reading entry
 	Resume    bool          // an earlier answer may be lost; send again what is not confirmed
 	Positions []Position    // positions that changed since the last read
@@ -87,8 +83,6 @@
 
 // PageConfig holds the construction parameters of a Page.
 type PageConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Attempt     string
 	Offset      int64 // position of Data's first byte in the answer
 	Data        []byte
@@ -143,8 +137,6 @@
 
 // PagesConfig holds the construction parameters of a Pages.
 type PagesConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Side     string // incarnation of the answering side
 	Leaving  bool   // the side takes no new work
 	Queued   int    // attempts that wait for the backend server
--- a/commons/notice/submit.go
+++ b/commons/notice/submit.go
@@ -8,8 +8,6 @@
 
 // SubmitConfig holds the construction parameters of a Submit.
 type SubmitConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Attempt     string // unique to this attempt
 	Request     string // common to all attempts of one request
 	Tenant      string
@@ -88,8 +86,6 @@
 
 // BatchConfig holds the construction parameters of a Batch.
 type BatchConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Entry   string // incarnation of the sending entry
 	Side    string // incarnation that the batch is meant for; empty if unknown
 	Submits []Submit
@@ -125,8 +121,6 @@
 
 // ReceiptConfig holds the construction parameters of a Receipt.
 type ReceiptConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Attempt    string
 	Accepted   bool
 	Code       string        // cause of a refusal
@@ -162,8 +156,6 @@
 
 // ReceiptsConfig holds the construction parameters of a Receipts.
 type ReceiptsConfig struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Side     string // incarnation of the answering side
 	Receipts []Receipt
 }
--- a/commons/trail/trail.go
+++ b/commons/trail/trail.go
@@ -212,7 +212,7 @@
 	if attributes := span.Attributes(); len(attributes) > 0 {
 		config.Notes = make(map[string]string, len(attributes))
 		for _, a := range attributes {
-			config.Notes[string(a.Key)] = a.Value.Emit()
+			config.Notes[string(a.Key)] = a.Value.String()
 		}
 	}
 	for _, event := range span.Events() {
--- a/commons/wicket/conn.go
+++ b/commons/wicket/conn.go
@@ -14,7 +14,9 @@
 var (
 	headerEnd = []byte("\r\n\r\n")
 	lineEnd   = []byte("\r\n")
-	proceed   = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+	// fasthttp forgets a length that stands beside chunked coding.
+	lengthField = []byte("\ncontent-length")
+	proceed     = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 )
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, DefaultMaxHeader) }}
@@ -100,7 +102,7 @@
 func (k *conn) awaitBody(request *fasthttp.Request, buffered []byte, end int) (bool, error) {
 	length := request.Header.ContentLength()
 	chunked := length == chunkedLength
-	if chunked && len(request.Header.Peek(fasthttp.HeaderContentLength)) > 0 {
+	if chunked && bytes.Contains(bytes.ToLower(buffered[:end]), lengthField) {
 		return false, errAmbiguousLength
 	}
 	if length > k.server.config.MaxBody || len(buffered)-end > 2*k.server.config.MaxBody {
--- /dev/null
+++ b/commons/wicket/wicket_test.go
@@ -0,0 +1,242 @@
+package wicket_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/ring"
+	"sesamewell.example/commons/wicket"
+)
+
+const patience = 10 * time.Second
+
+// serve starts a server whose requests are echoed, and returns its address.
+func serve(t *testing.T, change func(config *wicket.Config)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
+	config := wicket.Config{
+		Address: address, Inbox: inbox, Log: logrus.NewEntry(log), MaxHeader: 2048, MaxBody: 4096,
+		MaxUnsent: 1 << 20, MaxConns: 64, SlowSender: patience, Idle: patience,
+	}
+	if change != nil {
+		change(&config)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = wicket.New(config).Serve(ctx)
+	}()
+	go echo(ctx, inbox)
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+	for range 200 {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return address
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("server did not start")
+	return ""
+}
+
+func echo(ctx context.Context, inbox *ring.Ring) {
+	for {
+		item, err := inbox.Take(ctx)
+		if err != nil {
+			return
+		}
+		call, ok := item.(*wicket.Call)
+		if !ok {
+			continue
+		}
+		response := &fasthttp.Response{}
+		switch string(call.Request().URI().Path()) {
+		case "/stream":
+			_ = call.Begin(response)
+			for i := range 3 {
+				_ = call.Write(fmt.Appendf(nil, "piece%d ", i))
+			}
+			call.End()
+		case "/cut":
+			_ = call.Begin(response)
+			_ = call.Write([]byte("piece"))
+			call.Abort()
+		default:
+			response.SetBody(call.Request().Body())
+			call.Reply(response)
+		}
+	}
+}
+
+// exchange sends raw bytes and returns the statuses and bodies of the answers.
+func exchange(t *testing.T, address, raw string, answers int) (statuses []int, bodies []string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	for range answers {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		statuses, bodies = append(statuses, response.StatusCode), append(bodies, string(body))
+	}
+	return statuses, bodies
+}
+
+func TestRequests(t *testing.T) {
+	cases := map[string]struct {
+		raw      string
+		statuses []int
+		bodies   []string
+	}{
+		"whole":        {raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", statuses: []int{200}, bodies: []string{"hi"}},
+		"chunked":      {raw: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", statuses: []int{200}, bodies: []string{"hi"}},
+		"pipelined":    {raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n2", statuses: []int{200, 200}, bodies: []string{"1", "2"}},
+		"old version":  {raw: "POST / HTTP/1.0\r\nContent-Length: 2\r\n\r\nhi", statuses: []int{200}, bodies: []string{"hi"}},
+		"streamed":     {raw: "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n", statuses: []int{200}, bodies: []string{"piece0 piece1 piece2 "}},
+		"blank before": {raw: "\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", statuses: []int{200}, bodies: []string{""}},
+	}
+	address := serve(t, nil)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			statuses, bodies := exchange(t, address, tc.raw, len(tc.statuses))
+			if diff := cmp.Diff(tc.statuses, statuses); diff != "" {
+				t.Errorf("statuses (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.bodies, bodies); diff != "" {
+				t.Errorf("bodies (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestBadRequestsAreRefusedAndTheServerGoesOn(t *testing.T) {
+	cases := map[string]struct {
+		raw    string
+		status int
+	}{
+		"not HTTP":         {raw: "hello\r\n\r\n", status: 400},
+		"negative length":  {raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", status: 400},
+		"bad chunk":        {raw: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhi\r\n0\r\n\r\n", status: 400},
+		"two lengths":      {raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", status: 400},
+		"header too large": {raw: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4000) + "\r\n\r\n", status: 431},
+		"endless header":   {raw: "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 4000), status: 431},
+		"body too large":   {raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", status: 413},
+	}
+	address := serve(t, nil)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			statuses, _ := exchange(t, address, tc.raw, 1)
+			if diff := cmp.Diff([]int{tc.status}, statuses); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			after, _ := exchange(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1)
+			if diff := cmp.Diff([]int{200}, after); diff != "" {
+				t.Errorf("status of the next request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestSlowSenderIsRefused(t *testing.T) {
+	address := serve(t, func(config *wicket.Config) { config.SlowSender = 50 * time.Millisecond })
+	statuses, _ := exchange(t, address, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhi", 1)
+	if diff := cmp.Diff([]int{408}, statuses); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
+func TestConnectionsBeyondTheLimitAreRefused(t *testing.T) {
+	address := serve(t, func(config *wicket.Config) { config.MaxConns = 1 })
+	first := occupy(t, address)
+	defer func() { _ = first.Close() }()
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = second.Close() }()
+	response, err := http.ReadResponse(bufio.NewReader(second), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(503, response.StatusCode); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(wicket.NotRun, response.Header.Get(wicket.OutcomeHeader)); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
+
+// occupy returns a connection that the server has accepted. The connection that
+// found the server listening may still count when the first is tried.
+func occupy(t *testing.T, address string) net.Conn {
+	t.Helper()
+	for range 200 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil && response.StatusCode == fasthttp.StatusOK {
+			return conn
+		}
+		_ = conn.Close()
+	}
+	t.Fatal("no connection was accepted")
+	return nil
+}
+
+func TestCutAnswerDoesNotLookWhole(t *testing.T) {
+	address := serve(t, nil)
+	response, err := http.Get("http://" + address + "/cut")
+	if err != nil {
+		return // cut before the header: not an answer at all
+	}
+	defer func() { _ = response.Body.Close() }()
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("reading a cut answer gave %q and no error", body)
+	}
+}
--- /dev/null
+++ b/entry/usher/core_test.go
@@ -0,0 +1,209 @@
+package usher
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/wicket"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const fleet = `[instance near]
+role = side
+link = 127.0.0.1:1
+domain = a
+backend = engine-1
+[instance far]
+role = side
+link = 127.0.0.1:2
+domain = b
+backend = engine-2
+[backend engine-1]
+kind = engine
+memory = 1GiB
+slots = 4
+[backend engine-2]
+kind = engine
+memory = 1GiB
+slots = 4
+`
+
+func newCore(t *testing.T) *Core {
+	t.Helper()
+	inventory, err := register.Parse("inv.ini", []byte(fleet))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := NewCore(CoreConfig{Domain: "a", MaxAttempts: 3, Random: rand.New(rand.NewPCG(1, 2))})
+	core.Handle(start, NewRevised(inventory))
+	return core
+}
+
+func ask(idempotent bool) Ask {
+	return NewAsk(AskConfig{Request: "r", Model: "m", Idempotent: idempotent, Deadline: start.Add(time.Minute)})
+}
+
+func accepted(side, attempt string) Receipted {
+	receipt := notice.NewReceipt(notice.ReceiptConfig{Attempt: attempt, Accepted: true})
+	return NewReceipted(side, notice.NewReceipts(notice.ReceiptsConfig{Side: "i1", Receipts: []notice.Receipt{receipt}}))
+}
+
+func refused(side, attempt, code string) Receipted {
+	receipt := notice.NewReceipt(notice.ReceiptConfig{Attempt: attempt, Code: code})
+	return NewReceipted(side, notice.NewReceipts(notice.ReceiptsConfig{Side: "i1", Receipts: []notice.Receipt{receipt}}))
+}
+
+func pages(side, incarnation string, config notice.PageConfig) Read {
+	return NewRead(side, notice.NewPages(notice.PagesConfig{Side: incarnation, Pages: []notice.Page{notice.NewPage(config)}}))
+}
+
+// outcome is the part of the core's actions that the tests compare.
+type outcome struct {
+	Sends     []string
+	Data      string
+	Whole     bool
+	Refusal   string
+	Outcome   string
+	Cancelled []string
+}
+
+func summarize(actions []Action) outcome {
+	var o outcome
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Send:
+			o.Sends = append(o.Sends, a.side)
+		case Deliver:
+			o.Data += string(a.data)
+			o.Whole = o.Whole || a.whole
+		case Refuse:
+			o.Refusal, o.Outcome = a.refusal.Code(), a.refusal.Outcome()
+		case Cancel:
+			o.Cancelled = append(o.Cancelled, a.side)
+		}
+	}
+	return o
+}
+
+func TestFailuresAreRetriedOnlyWhereThatIsAllowed(t *testing.T) {
+	cases := map[string]struct {
+		idempotent bool
+		messages   []Message
+		want       outcome
+	}{
+		"nearest first": {idempotent: true, want: outcome{Sends: []string{"near"}}},
+		"refused, sent elsewhere": {
+			messages: []Message{refused("near", "r.1", notice.CodeQueueFull)},
+			want:     outcome{Sends: []string{"near", "far"}},
+		},
+		"refused everywhere": {
+			messages: []Message{refused("near", "r.1", notice.CodeQueueFull), refused("far", "r.2", notice.CodeQueueFull)},
+			want:     outcome{Sends: []string{"near", "far"}, Refusal: notice.CodeQueueFull, Outcome: wicket.NotRun},
+		},
+		"side not reached": {
+			messages: []Message{NewUnsent("near", []string{"r.1"}, false)},
+			want:     outcome{Sends: []string{"near", "far"}},
+		},
+		"receipt lost, may not be repeated": {
+			messages: []Message{NewUnsent("near", []string{"r.1"}, true)},
+			want:     outcome{Sends: []string{"near"}, Refusal: notice.CodeLinkLost, Outcome: wicket.MayHaveRun},
+		},
+		"receipt lost, may be repeated": {
+			idempotent: true,
+			messages:   []Message{NewUnsent("near", []string{"r.1"}, true)},
+			want:       outcome{Sends: []string{"near", "far"}},
+		},
+		"side lost after its receipt": {
+			messages: []Message{accepted("near", "r.1"), NewLost("near")},
+			want:     outcome{Sends: []string{"near"}, Refusal: notice.CodeLinkLost, Outcome: wicket.MayHaveRun},
+		},
+		"side restarted": {
+			idempotent: true,
+			messages:   []Message{accepted("near", "r.1"), pages("near", "i2", notice.PageConfig{Attempt: "other"})},
+			want:       outcome{Sends: []string{"near", "far"}},
+		},
+		"cut before the first byte": {
+			idempotent: true,
+			messages:   []Message{accepted("near", "r.1"), pages("near", "i1", notice.PageConfig{Attempt: "r.1", State: notice.Failed, Code: notice.CodeCut, Ran: true})},
+			want:       outcome{Sends: []string{"near", "far"}},
+		},
+		"cut after the first byte": {
+			idempotent: true,
+			messages: []Message{
+				accepted("near", "r.1"),
+				pages("near", "i1", notice.PageConfig{Attempt: "r.1", Data: []byte("tok")}),
+				pages("near", "i1", notice.PageConfig{Attempt: "r.1", Offset: 3, State: notice.Failed, Code: notice.CodeCut, Ran: true}),
+			},
+			want: outcome{Sends: []string{"near"}, Data: "tok", Refusal: notice.CodeCut, Outcome: wicket.MayHaveRun},
+		},
+		"backend server not reached": {
+			messages: []Message{accepted("near", "r.1"), pages("near", "i1", notice.PageConfig{Attempt: "r.1", State: notice.Failed, Code: notice.CodeUnreachable})},
+			want:     outcome{Sends: []string{"near", "far"}},
+		},
+		"caller left": {
+			messages: []Message{accepted("near", "r.1"), NewLeave("r")},
+			want:     outcome{Sends: []string{"near"}, Cancelled: []string{"near"}},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			core := newCore(t)
+			actions := core.Handle(start, ask(tc.idempotent))
+			for _, message := range tc.messages {
+				actions = append(actions, core.Handle(start, message)...)
+			}
+			if diff := cmp.Diff(tc.want, summarize(actions)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAnswerIsWholeAndItsOwn(t *testing.T) {
+	piece := func(attempt string, offset int64, data string, state notice.State) Read {
+		return pages("near", "i1", notice.PageConfig{Attempt: attempt, Offset: offset, Data: []byte(data), State: state, Status: 200})
+	}
+	cases := map[string]struct {
+		messages []Message
+		want     outcome
+	}{
+		"in order":          {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 4, "two", notice.Whole)}, want: outcome{Data: "one two", Whole: true}},
+		"sent twice":        {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 0, "one two", notice.Whole)}, want: outcome{Data: "one two", Whole: true}},
+		"other attempt":     {messages: []Message{piece("r.9", 0, "bad", notice.Open), piece("r.1", 0, "good", notice.Whole)}, want: outcome{Data: "good", Whole: true}},
+		"piece missing":     {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 9, "two", notice.Whole)}, want: outcome{Data: "one ", Refusal: notice.CodeDropped, Outcome: wicket.MayHaveRun}},
+		"late after an end": {messages: []Message{piece("r.1", 0, "all", notice.Whole), piece("r.1", 3, "more", notice.Open)}, want: outcome{Data: "all", Whole: true}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			core := newCore(t)
+			core.Handle(start, ask(true))
+			core.Handle(start, accepted("near", "r.1"))
+			var actions []Action
+			for _, message := range tc.messages {
+				actions = append(actions, core.Handle(start, message)...)
+			}
+			if diff := cmp.Diff(tc.want, summarize(actions)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestDeadlineEndsARequest(t *testing.T) {
+	core := newCore(t)
+	core.Handle(start, ask(true))
+	got := summarize(core.Tick(start.Add(2 * time.Minute)))
+	want := outcome{Refusal: notice.CodeExpired, Outcome: wicket.MayHaveRun, Cancelled: []string{"near"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, core.Open()); diff != "" {
+		t.Errorf("open requests (-want +got):\n%s", diff)
+	}
+}
--- a/side/hall/core.go
+++ b/side/hall/core.go
@@ -158,7 +158,7 @@
 	if c.leaving {
 		return notice.CodeLeaving
 	}
-	if c.running >= c.config.Concurrency && len(c.queue) >= c.config.Queue {
+	if c.running+len(c.queue) >= c.config.Concurrency+c.config.Queue {
 		return notice.CodeQueueFull
 	}
 	a := &attempt{submit: submit, entry: entry, arrived: now, expires: now.Add(submit.Remaining())}
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -122,7 +122,7 @@
 		MaxConns:                 1,
 		StreamResponseBody:       true,
 		NoDefaultUserAgentHeader: true,
-		RetryIf:                  func(*fasthttp.Request) bool { return false },
+		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	return r
 }
--- /dev/null
+++ b/standin/proof/fleet_test.go
@@ -0,0 +1,372 @@
+// Package proof tests the system as separate processes on loopback, with the
+// stand-ins in place of the platform and of the backend servers.
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sesamewell.example/entry/badge"
+)
+
+const (
+	patience    = 30 * time.Second // longest time that a test waits for anything
+	tenantKey   = "proof-lantern-key"
+	neighborKey = "proof-twisungane-key"
+)
+
+// bin is the folder with the programs, built once for all tests.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "proof")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	bin = folder
+	for program, module := range map[string]string{"sesamewell": "sesamewell", "sesamewell-entry": "entry", "sesamewell-side": "side", "sesamewell-standin": "standin"} {
+		build := exec.Command("go", "build", "-race", "-o", filepath.Join(bin, program), ".")
+		build.Dir = filepath.Join("..", "..", module)
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", program, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// process is one running program.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     *lockedBuffer
+	exited  chan struct{}
+	code    int
+}
+
+// lockedBuffer collects a program's output.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// wait returns the exit code.
+func (p *process) wait(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.exited:
+		return p.code
+	case <-time.After(patience):
+		t.Fatalf("%s did not exit\n%s", p.name, p.log)
+		return -1
+	}
+}
+
+// fleet is a running system of separate processes.
+type fleet struct {
+	t         *testing.T
+	folder    string
+	inventory strings.Builder
+	log       string
+	entries   []string // callers' addresses
+	pages     map[string]string
+	links     map[string]string
+	backends  map[string]string
+	processes map[string]*process
+}
+
+// newFleet starts the log service and writes the tenants, keys and routes of
+// the inventory.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, folder: t.TempDir(), log: freeAddress(t),
+		pages: make(map[string]string), links: make(map[string]string), backends: make(map[string]string), processes: make(map[string]*process),
+	}
+	f.start("log", "sesamewell-standin", "log", "--listen", f.log)
+	fmt.Fprintf(&f.inventory, `[tenant lantern]
+rate = 1000000
+burst = 10000000
+[tenant twisungane]
+rate = 1000000
+burst = 10000000
+[key lantern]
+tenant = lantern
+sha256 = %s
+[key twisungane]
+tenant = twisungane
+sha256 = %s
+[model trail-writer]
+memory = 1GiB
+[route models]
+path = /v1
+`, badge.Hash(tenantKey), badge.Hash(neighborKey))
+	return f
+}
+
+// addEngine starts an engine with its side.
+func (f *fleet) addEngine(name string, concurrency int, step time.Duration) {
+	address := freeAddress(f.t)
+	f.start(name, "sesamewell-standin", "engine", "--listen", address, "--name", name, "--step", step.String())
+	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = 80GiB\nslots = %d\n", name, concurrency)
+	f.addSide("side-"+name, name, address, concurrency)
+}
+
+// addService starts a booking service with its side.
+func (f *fleet) addService(name string) {
+	address := freeAddress(f.t)
+	f.start(name, "sesamewell-standin", "service", "--listen", address, "--name", name)
+	fmt.Fprintf(&f.inventory, `[backend %s]
+kind = service
+service = bookings
+slots = 8
+[route bookings]
+path = /bookings
+service = bookings
+idempotent = no
+`, name)
+	f.addSide("side-"+name, name, address, 8)
+}
+
+func (f *fleet) addSide(name, backend, address string, concurrency int) {
+	f.links[name], f.pages[name], f.backends[backend] = freeAddress(f.t), freeAddress(f.t), address
+	f.writeSettings(name, fmt.Sprintf("[desk]\nlisten = %s\n[backend]\nname = %s\naddress = %s\nconcurrency = %d\n", f.links[name], backend, address, concurrency))
+	f.startSide(name)
+	f.describe(name, "side", f.links[name], "backend = "+backend+"\n")
+}
+
+// startSide starts, or starts again, a side whose settings are written.
+func (f *fleet) startSide(name string) {
+	f.start(name, "sesamewell-side", filepath.Join(f.folder, name+".ini"))
+}
+
+// addEntry starts an entry; more are further lines of its settings.
+func (f *fleet) addEntry(name, more string) {
+	callers := freeAddress(f.t)
+	f.pages[name] = freeAddress(f.t)
+	f.entries = append(f.entries, callers)
+	f.writeSettings(name, "[gate]\nlisten = "+callers+"\n"+more)
+	f.start(name, "sesamewell-entry", filepath.Join(f.folder, name+".ini"))
+	f.describe(name, "entry", freeAddress(f.t), "")
+}
+
+func (f *fleet) describe(name, role, link, more string) {
+	fmt.Fprintf(&f.inventory, "[instance %s]\nrole = %s\nlink = %s\ndomain = a\n%s", name, role, link, more)
+}
+
+func (f *fleet) writeSettings(name, more string) {
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s", name, f.pages[name], f.log, more)
+	if err := os.WriteFile(filepath.Join(f.folder, name+".ini"), []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// apply publishes the inventory and waits until every entry has it in force
+// and every side is ready.
+func (f *fleet) apply() {
+	f.t.Helper()
+	f.await("log", "http://"+f.log+"/read?from=0&wait=0s")
+	path := filepath.Join(f.folder, "inventory.ini")
+	if err := os.WriteFile(path, []byte(f.inventory.String()), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	apply := exec.Command(filepath.Join(bin, "sesamewell"), "--log", f.log, "apply", path)
+	if out, err := apply.CombinedOutput(); err != nil {
+		f.t.Fatalf("apply: %v\n%s", err, out)
+	}
+	for name, page := range f.pages {
+		f.await(name, "http://"+page+"/readyz")
+	}
+}
+
+func (f *fleet) await(name, url string) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get(url)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	f.t.Fatalf("%s is not ready\n%s", name, f.processes[name].log)
+}
+
+func (f *fleet) start(name, program string, args ...string) {
+	f.t.Helper()
+	p := &process{name: name, command: exec.Command(filepath.Join(bin, program), args...), log: &lockedBuffer{}, exited: make(chan struct{})}
+	p.command.Stderr = p.log
+	p.command.Stdout = p.log
+	if err := p.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.processes[name] = p
+	go func() {
+		defer close(p.exited)
+		_ = p.command.Wait()
+		p.code = p.command.ProcessState.ExitCode()
+	}()
+	f.t.Cleanup(func() { f.end(p) })
+}
+
+// end kills a process that still runs and reports data races in its log.
+func (f *fleet) end(p *process) {
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	<-p.exited
+	if strings.Contains(p.log.String(), "DATA RACE") {
+		f.t.Errorf("%s has a data race:\n%s", p.name, p.log)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer was cut
+}
+
+// callConfig describes a caller's request.
+type callConfig struct {
+	method string // POST if empty
+	path   string
+	key    string
+	body   string
+	header map[string]string
+}
+
+// call makes one request at an entry.
+func (f *fleet) call(entry int, config callConfig) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	method := config.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+f.entries[entry]+config.path, strings.NewReader(config.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if config.key != "" {
+		request.Header.Set("Authorization", "Bearer "+config.key)
+	}
+	for name, value := range config.header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// chat returns a streamed chat completion of so many tokens.
+func chat(key string, tokens int) callConfig {
+	return callConfig{path: "/v1/chat/completions", key: key, body: chatBody(tokens, true)}
+}
+
+func chatBody(tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"trail-writer","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, stream, tokens)
+}
+
+// wholeChat returns an error unless a streamed chat completion came whole.
+func wholeChat(a answer, tokens int) error {
+	if a.err != nil {
+		return a.err
+	}
+	if a.status != http.StatusOK {
+		return fmt.Errorf("status %d: %s", a.status, a.body)
+	}
+	next := 0
+	for line := range strings.Lines(a.body) {
+		if strings.Contains(line, `"content":"token`) {
+			if !strings.Contains(line, fmt.Sprintf(`"content":"token%d "`, next)) {
+				return fmt.Errorf("token %d is missing before %q", next, line)
+			}
+			next++
+		}
+	}
+	if next != tokens || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+		return fmt.Errorf("%d tokens of %d; ends in %q", next, tokens, a.body[max(len(a.body)-20, 0):])
+	}
+	return nil
+}
+
+// received is what an engine stand-in was sent.
+type received struct {
+	Runs  int    `json:"runs"`
+	Bytes string `json:"bytes"`
+}
+
+func (f *fleet) received(backend string) received {
+	f.t.Helper()
+	var got received
+	f.fetch(f.backends[backend], "/received", &got)
+	return got
+}
+
+func (f *fleet) fetch(address, path string, value any) {
+	f.t.Helper()
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/standin/proof/serve_test.go
@@ -0,0 +1,180 @@
+package proof
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/badge"
+)
+
+const fastStep = 2 * time.Millisecond
+
+func TestCallersRequests(t *testing.T) {
+	f := newFleet(t)
+	f.addEngine("engine-1", 16, fastStep)
+	f.addService("booking-1")
+	f.addEntry("entry-1", "")
+	f.apply()
+	cases := map[string]struct {
+		call   callConfig
+		status int
+		code   string // of an error
+		has    string // text in the body
+	}{
+		"streamed chat":       {call: chat(tenantKey, 3), status: 200, has: "data: [DONE]"},
+		"whole chat":          {call: callConfig{path: "/v1/chat/completions", key: tenantKey, body: chatBody(3, false)}, status: 200, has: `"content":"token0 token1 token2 "`},
+		"completion":          {call: callConfig{path: "/v1/completions", key: tenantKey, body: `{"model":"trail-writer","prompt":"x","max_tokens":2}`}, status: 200, has: `"text":"token0 token1 "`},
+		"models":              {call: callConfig{method: "GET", path: "/v1/models", key: tenantKey}, status: 200, has: `"id":"trail-writer"`},
+		"booking":             {call: callConfig{path: "/bookings/today", key: neighborKey, body: "gate 4"}, status: 201, has: `"tenant":"twisungane"`},
+		"no key":              {call: chat("", 3), status: 401, code: "missing_api_key"},
+		"unknown key":         {call: chat("guess", 3), status: 401, code: "invalid_api_key"},
+		"bad JSON":            {call: callConfig{path: "/v1/chat/completions", key: tenantKey, body: "{"}, status: 400, code: "invalid_json"},
+		"no model":            {call: callConfig{path: "/v1/chat/completions", key: tenantKey, body: "{}"}, status: 400, code: "missing_model"},
+		"no messages":         {call: callConfig{path: "/v1/chat/completions", key: tenantKey, body: `{"model":"trail-writer"}`}, status: 400, code: "missing_messages"},
+		"no output":           {call: callConfig{path: "/v1/completions", key: tenantKey, body: `{"model":"trail-writer","prompt":"x","max_tokens":0}`}, status: 400, code: "invalid_max_tokens"},
+		"unknown model":       {call: callConfig{path: "/v1/completions", key: tenantKey, body: `{"model":"m","prompt":"x"}`}, status: 404, code: "model_not_found"},
+		"unknown path":        {call: callConfig{path: "/elsewhere", key: tenantKey}, status: 404, code: "unknown_path"},
+		"unknown path of API": {call: callConfig{path: "/v1/images", key: tenantKey}, status: 404, code: "unknown_path"},
+		"wrong method":        {call: callConfig{method: "GET", path: "/v1/chat/completions", key: tenantKey}, status: 405, code: "method_not_allowed"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := f.call(0, tc.call)
+			if got.err != nil {
+				t.Fatal(got.err)
+			}
+			if diff := cmp.Diff(tc.status, got.status); diff != "" {
+				t.Errorf("status (-want +got):\n%s\n%s", diff, got.body)
+			}
+			if !strings.Contains(got.body, tc.has) {
+				t.Errorf("body %q lacks %q", got.body, tc.has)
+			}
+			if tc.code == "" {
+				return
+			}
+			var refusal struct {
+				Error struct{ Code, Message string } `json:"error"`
+			}
+			if err := json.Unmarshal([]byte(got.body), &refusal); err != nil {
+				t.Fatalf("error body %q: %v", got.body, err)
+			}
+			if diff := cmp.Diff(tc.code, refusal.Error.Code); diff != "" {
+				t.Errorf("code (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(wicket.NotRun, got.header.Get(wicket.OutcomeHeader)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestNoBackendServerSeesAKey(t *testing.T) {
+	f := newFleet(t)
+	f.addEngine("engine-1", 16, fastStep)
+	f.addService("booking-1")
+	f.addEntry("entry-1", "")
+	f.apply()
+	secret := map[string]string{"Cookie": "session=" + tenantKey, "X-Api-Key": tenantKey, "Proxy-Authorization": "Bearer " + tenantKey}
+	calls := map[string]callConfig{
+		"chat":    {path: "/v1/chat/completions", key: tenantKey, body: chatBody(2, false), header: secret},
+		"booking": {path: "/bookings", key: tenantKey, body: "gate 4", header: secret},
+	}
+	for name, call := range calls {
+		if got := f.call(0, call); got.err != nil || got.status >= 300 {
+			t.Fatalf("%s: status %d, %v", name, got.status, got.err)
+		}
+	}
+	seen := map[string]string{"engine-1": f.received("engine-1").Bytes, "booking-1": f.received("booking-1").Bytes}
+	for backend, bytes := range seen {
+		if bytes == "" {
+			t.Errorf("%s kept nothing of what it received", backend)
+		}
+		if strings.Contains(bytes, tenantKey) || strings.Contains(bytes, badge.Hash(tenantKey)) {
+			t.Errorf("%s received the caller's key", backend)
+		}
+	}
+}
+
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	const streams, tokens = 50, 100
+	cases := map[string]struct {
+		stops []string
+	}{
+		"an entry": {stops: []string{"entry-1"}},
+		"a side":   {stops: []string{"side-engine-1"}},
+		"both":     {stops: []string{"entry-1", "side-engine-1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.addEngine("engine-1", streams, 10*time.Millisecond)
+			f.addEngine("engine-2", streams, 10*time.Millisecond)
+			f.addEntry("entry-1", "")
+			f.addEntry("entry-2", "")
+			f.apply()
+			answers := make([]answer, streams)
+			var group sync.WaitGroup
+			for i := range answers {
+				group.Go(func() { answers[i] = f.call(0, chat(tenantKey, tokens)) })
+			}
+			f.awaitRuns(streams, "engine-1", "engine-2")
+			for _, stop := range tc.stops {
+				f.processes[stop].signal(t, syscall.SIGTERM)
+			}
+			f.awaitNotReady(tc.stops[0])
+			if err := wholeChat(f.call(1, chat(tenantKey, 3)), 3); err != nil {
+				t.Errorf("new work during the stop: %v", err)
+			}
+			group.Wait()
+			for i, got := range answers {
+				if err := wholeChat(got, tokens); err != nil {
+					t.Errorf("stream %d: %v", i, err)
+				}
+			}
+			for _, stop := range tc.stops {
+				if code := f.processes[stop].wait(t); code != 0 {
+					t.Errorf("%s exited with %d\n%s", stop, code, f.processes[stop].log)
+				}
+			}
+		})
+	}
+}
+
+// awaitRuns waits until the engines have begun so many requests together.
+func (f *fleet) awaitRuns(want int, engines ...string) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		runs := 0
+		for _, engine := range engines {
+			runs += f.received(engine).Runs
+		}
+		if runs >= want {
+			return
+		}
+	}
+	f.t.Fatalf("the engines did not begin %d requests", want)
+}
+
+// awaitNotReady waits until an instance says that it takes no work, or is gone.
+func (f *fleet) awaitNotReady(name string) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get("http://" + f.pages[name] + "/readyz")
+		if err != nil {
+			return
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return
+		}
+	}
+	f.t.Fatalf("%s still takes work", name)
+}
--- a/standin/stall/stall.go
+++ b/standin/stall/stall.go
@@ -3,6 +3,7 @@
 package stall
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,6 +23,13 @@
 // Stall is responsible for the bookings made so far.
 type Stall struct {
 	bookings []Booking
+	received bytes.Buffer
+}
+
+// received is the JSON form of what the service has been sent.
+type received struct {
+	Runs  int    `json:"runs"`
+	Bytes string `json:"bytes"`
 }
 
 // New returns a service without bookings.
@@ -40,6 +48,12 @@
 		return nil
 	}
 	request := call.Request()
+	if string(request.URI().Path()) == "/received" {
+		stage.ReplyJSON(call, fasthttp.StatusOK, received{Runs: len(s.bookings), Bytes: s.received.String()})
+		return nil
+	}
+	s.received.Write(request.Header.Header())
+	s.received.Write(request.Body())
 	if !request.Header.IsPost() {
 		stage.ReplyJSON(call, fasthttp.StatusOK, s.bookings)
 		return nil
