--- /dev/null
+++ b/standin/proof/bench_test.go
@@ -0,0 +1,126 @@
+package proof
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// metric returns a metric of the process with that operators' page.
+func (f *fleet) metric(page, name string) float64 {
+	f.t.Helper()
+	response, err := http.Get("http://" + page + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		text, ok := strings.CutPrefix(lines.Text(), name+" ")
+		if !ok {
+			continue
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		return value
+	}
+	f.t.Fatalf("no metric %s at %s", name, page)
+	return 0
+}
+
+// Names of metrics that every process has.
+const (
+	cpuSeconds = "process_cpu_seconds_total"
+	mallocs    = "go_memstats_mallocs_total"
+	resident   = "process_resident_memory_bytes"
+)
+
+func BenchmarkRequest(b *testing.B) {
+	cases := map[string]int{"1token": 1, "101tokens": 101}
+	for name, tokens := range cases {
+		b.Run(name, func(b *testing.B) {
+			f := newFleet(b)
+			f.addEngine("engine-1", 16, time.Millisecond)
+			f.addEntry("entry-1", "")
+			f.apply()
+			direct := measure(b, func() answer { return f.direct("engine-1", chat("", tokens)) }, tokens)
+			entry, side := f.pages["entry-1"], f.pages["side-engine-1"]
+			entryBefore, sideBefore := f.metric(entry, mallocs), f.metric(side, mallocs)
+			through := measure(b, func() answer { return f.call(0, chat(tenantKey, tokens)) }, tokens)
+			b.ReportMetric((f.metric(entry, mallocs)-entryBefore)/float64(b.N), "entry-allocs/op")
+			b.ReportMetric((f.metric(side, mallocs)-sideBefore)/float64(b.N), "side-allocs/op")
+			b.ReportMetric(float64((through-direct).Microseconds())/float64(b.N), "added-us/op")
+		})
+	}
+}
+
+// measure returns the time that b.N calls take.
+func measure(b *testing.B, call func() answer, tokens int) time.Duration {
+	b.Helper()
+	begun := time.Now()
+	for range b.N {
+		if err := wholeChat(call(), tokens); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return time.Since(begun)
+}
+
+// direct makes a request at a backend server, past the system.
+func (f *fleet) direct(backend string, config callConfig) answer {
+	bypass := &fleet{t: f.t, entries: []string{f.backends[backend]}}
+	return bypass.call(0, config)
+}
+
+func BenchmarkThousandStreams(b *testing.B) {
+	const streams, tokens, step = 1000, 200, 48 * time.Millisecond
+	f := newFleet(b)
+	f.addEngine("engine-1", streams, step)
+	f.addEntry("entry-1", "")
+	f.apply()
+	for range b.N {
+		answers := make([]answer, streams)
+		var group sync.WaitGroup
+		for i := range answers {
+			group.Go(func() { answers[i] = f.call(0, chat(tenantKey, tokens)) })
+		}
+		f.awaitRuns(streams, "engine-1")
+		pages := map[string]string{"entry": f.pages["entry-1"], "side": f.pages["side-engine-1"]}
+		before := make(map[string]float64)
+		begun := time.Now()
+		for name, page := range pages {
+			before[name] = f.metric(page, cpuSeconds)
+		}
+		time.Sleep(5 * time.Second)
+		for name, page := range pages {
+			used := (f.metric(page, cpuSeconds) - before[name]) / time.Since(begun).Seconds()
+			b.ReportMetric(used*100, name+"-core-%")
+			b.ReportMetric(f.metric(page, resident)/(1<<20), name+"-MB")
+		}
+		group.Wait()
+		for i, got := range answers {
+			if err := wholeChat(got, tokens); err != nil {
+				b.Fatalf("stream %d: %v", i, err)
+			}
+		}
+	}
+}
+
+func BenchmarkIdleMemory(b *testing.B) {
+	f := newFleet(b)
+	f.addEngine("engine-1", 16, time.Millisecond)
+	f.addEntry("entry-1", "")
+	f.apply()
+	for range b.N {
+		for name, page := range map[string]string{"entry": f.pages["entry-1"], "side": f.pages["side-engine-1"]} {
+			b.ReportMetric(f.metric(page, resident)/(1<<20), fmt.Sprintf("%s-MB", name))
+		}
+	}
+}
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +34,7 @@
 var bin string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	os.Exit(buildAndRun(m))
 }
 
@@ -44,7 +47,11 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	bin = folder
 	for program, module := range map[string]string{"sesamewell": "sesamewell", "sesamewell-entry": "entry", "sesamewell-side": "side", "sesamewell-standin": "standin"} {
-		build := exec.Command("go", "build", "-race", "-o", filepath.Join(bin, program), ".")
+		args := []string{"build", "-o", filepath.Join(bin, program), "."}
+		if flag.Lookup("test.bench").Value.String() == "" {
+			args = slices.Insert(args, 1, "-race")
+		}
+		build := exec.Command("go", args...)
 		build.Dir = filepath.Join("..", "..", module)
 		if out, err := build.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", program, err, out)
@@ -82,7 +89,7 @@
 }
 
 // signal sends a signal to the process.
-func (p *process) signal(t *testing.T, signal syscall.Signal) {
+func (p *process) signal(t testing.TB, signal syscall.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(signal); err != nil {
 		t.Fatalf("signal %s: %v", p.name, err)
@@ -90,7 +97,7 @@
 }
 
 // wait returns the exit code.
-func (p *process) wait(t *testing.T) int {
+func (p *process) wait(t testing.TB) int {
 	t.Helper()
 	select {
 	case <-p.exited:
@@ -103,7 +110,7 @@
 
 // fleet is a running system of separate processes.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	folder    string
 	inventory strings.Builder
 	log       string
@@ -116,7 +123,7 @@
 
 // newFleet starts the log service and writes the tenants, keys and routes of
 // the inventory.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, folder: t.TempDir(), log: freeAddress(t),
@@ -260,7 +267,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
