--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -1,6 +1,6 @@
 package handbook
 
-// Commons are the settings that entry and side share.
+// commons are the settings that entry and side share.
 var commons = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance in the inventory"},
 	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
@@ -26,6 +26,7 @@
 	{Section: "gate", Key: "request-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a request may take in all"},
 	{Section: "gate", Key: "default-output", Kind: Integer, Default: "1024", Low: "1", High: "1000000", Doc: "output tokens assumed when a request sets no maximum"},
 	{Section: "gate", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the gate's ring, in messages"},
+	{Section: "link", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
 	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
@@ -36,30 +37,21 @@
 var sideOptions = []SettingConfig{
 	{Section: "desk", Key: "listen", Kind: Address, Required: true, Doc: "address for entries and other sides"},
 	{Section: "desk", Key: "linger", Kind: Duration, Default: "2ms", Low: "0s", High: "100ms", Doc: "time for which answers are gathered before they are sent"},
-	{Section: "hall", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the hall's ring, in messages"},
-	{Section: "hall", Key: "queue", Kind: Integer, Default: "256", Low: "0", High: "100000", Doc: "requests that may wait for the backend server"},
-	{Section: "hall", Key: "max-buffered", Kind: Bytes, Default: "8MiB", Low: "64KiB", High: "256MiB", Doc: "bytes of one answer that an entry has not yet confirmed"},
+	{Section: "foyer", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the foyer's ring, in messages"},
+	{Section: "foyer", Key: "queue", Kind: Integer, Default: "256", Low: "0", High: "100000", Doc: "requests that may wait for the backend server"},
+	{Section: "foyer", Key: "max-buffered", Kind: Bytes, Default: "8MiB", Low: "64KiB", High: "256MiB", Doc: "bytes of one answer that an entry has not yet confirmed"},
 	{Section: "backend", Key: "address", Kind: Address, Required: true, Doc: "address of the backend server"},
 	{Section: "backend", Key: "name", Kind: Text, Required: true, Doc: "name of the backend server in the inventory"},
 	{Section: "backend", Key: "concurrency", Kind: Integer, Default: "32", Low: "1", High: "1024", Doc: "requests that the backend server runs at once"},
 	{Section: "backend", Key: "silence", Kind: Duration, Default: "30s", Low: "100ms", High: "10m", Doc: "longest pause within an answer before the backend server counts as silent"},
 }
 
-var operatorOptions = []SettingConfig{
-	{Section: "platform", Key: "log", Kind: Address, Required: true, Doc: "address of the append-only log service"},
-	{Section: "platform", Key: "log-timeout", Kind: Duration, Default: "2s", Low: "100ms", High: "30s", Doc: "limit on one append or one read"},
-	{Section: "operator", Key: "apply-limit", Kind: Duration, Default: "20s", Low: "1s", High: "10m", Doc: "longest time that apply waits for the fleet"},
-}
-
 // EntryOptions returns the declarations of sesamewell-entry's settings.
 func EntryOptions() []Setting { return declare(commons, entryOptions) }
 
 // SideOptions returns the declarations of sesamewell-side's settings.
 func SideOptions() []Setting { return declare(commons, sideOptions) }
 
-// OperatorOptions returns the declarations of sesamewell's settings.
-func OperatorOptions() []Setting { return declare(operatorOptions) }
-
 func declare(groups ...[]SettingConfig) []Setting {
 	var settings []Setting
 	for _, group := range groups {
--- a/commons/porter/door.go
+++ b/commons/porter/door.go
@@ -12,12 +12,17 @@
 	"github.com/sirupsen/logrus"
 )
 
+// Service is one receiver of calls.
+type Service struct {
+	Name     string // name under which its methods are called
+	Receiver any    // in the form that net/rpc asks
+}
+
 // DoorConfig holds the construction parameters of a Door.
 type DoorConfig struct {
-	Address string // IP:port to listen on
-	Name    string // name under which the service's methods are called
-	Service any    // receiver of the calls, in the form that net/rpc asks
-	Log     *logrus.Entry
+	Address  string // IP:port to listen on
+	Services []Service
+	Log      *logrus.Entry
 }
 
 // Door is responsible for accepting the connections of other processes and
@@ -32,8 +37,10 @@
 // Serve accepts connections until ctx ends, then closes all of them.
 func (d *Door) Serve(ctx context.Context) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(d.config.Name, d.config.Service); err != nil {
-		return errors.Wrapf(err, "register service %s", d.config.Name)
+	for _, service := range d.config.Services {
+		if err := server.RegisterName(service.Name, service.Receiver); err != nil {
+			return errors.Wrapf(err, "register service %s", service.Name)
+		}
 	}
 	var listen net.ListenConfig
 	listener, err := listen.Listen(ctx, "tcp", d.config.Address)
--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,6 +13,13 @@
 // Kinds of records.
 const (
 	Replace Kind = "replace" // replaces the whole inventory
+	Take    Kind = "claim"   // takes a role, such as the planner's, for an instance
+
+	// The bodies of these belong to the duties that follow them; the register
+	// only passes them on.
+	Intent     Kind = "intent"     // announces the run of a request that may run once
+	Outcome    Kind = "outcome"    // stores the answer of such a request
+	Quarantine Kind = "quarantine" // bars a request that crashes backend servers
 )
 
 // RecordConfig holds the construction parameters of a Record and is its JSON
@@ -21,6 +29,11 @@
 	Base      int64  `json:"base"`   // revision that the change was made from
 	Kind      Kind   `json:"kind"`
 	Inventory string `json:"inventory,omitempty"`
+	Claim     string `json:"claim,omitempty"`  // role that a claim takes
+	Holder    string `json:"holder,omitempty"` // incarnation that takes it
+	Epoch     int64  `json:"epoch,omitempty"`  // epoch of the claim that it supersedes, zero if none
+
+	Body json.RawMessage `json:"body,omitempty"` // of the kinds that the register passes on
 }
 
 // Record is one change of the configuration as it stands in the log.
@@ -52,6 +65,14 @@
 // Kind returns the record's kind.
 func (r Record) Kind() Kind { return r.config.Kind }
 
+// Body returns the JSON body of a record that the register passes on.
+func (r Record) Body() json.RawMessage { return r.config.Body }
+
+// PassedOn reports whether the register leaves the record to other duties.
+func (r Record) PassedOn() bool {
+	return r.config.Kind == Intent || r.config.Kind == Outcome || r.config.Kind == Quarantine
+}
+
 // Errors of the fold.
 var (
 	ErrStaleBase = errors.New("the change was made from a revision that is no longer current")
@@ -64,8 +85,27 @@
 	number    int64
 	offset    int64 // of the next record to read
 	inventory *Inventory
+	claims    map[string]Claim // by role
+}
+
+// Claim is the right of one incarnation to act in a role. It stands until a
+// later record supersedes it.
+type Claim struct {
+	role   string
+	holder string
+	epoch  int64
 }
 
+// Role returns the role that the claim takes.
+func (c Claim) Role() string { return c.role }
+
+// Holder returns the incarnation that holds the claim.
+func (c Claim) Holder() string { return c.holder }
+
+// Epoch returns the claim's number, which grows with each claim of a role and
+// serves as its fencing number. It is one more than the record's offset.
+func (c Claim) Epoch() int64 { return c.epoch }
+
 // Initial returns revision zero, which describes nothing.
 func Initial() *Revision { return &Revision{inventory: Empty()} }
 
@@ -78,26 +118,64 @@
 // Inventory returns the configuration.
 func (r *Revision) Inventory() *Inventory { return r.inventory }
 
+// Claim returns the claim that stands for a role.
+func (r *Revision) Claim(role string) (Claim, bool) {
+	claim, ok := r.claims[role]
+	return claim, ok
+}
+
 // Fold applies the record at offset. Every reader of the log gets the same
 // result: a new revision, or the old one and the reason for the rejection.
 func (r *Revision) Fold(offset int64, data []byte) (*Revision, error) {
 	if offset < r.offset {
 		return r, nil
 	}
-	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory}
+	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory, claims: r.claims}
 	record, err := DecodeRecord(data)
 	if err != nil {
 		return skipped, errors.Mark(err, ErrBadRecord)
 	}
-	if record.config.Base != r.number {
-		return skipped, errors.Wrapf(ErrStaleBase, "change %s from revision %d at revision %d", record.config.Change, record.config.Base, r.number)
-	}
-	if record.config.Kind != Replace {
+	switch {
+	case record.config.Kind == Replace:
+		return skipped.replace(record)
+	case record.config.Kind == Take:
+		return skipped.take(offset, record)
+	case record.PassedOn():
+		return skipped, nil
+	default:
 		return skipped, errors.Wrapf(ErrBadRecord, "kind %q", record.config.Kind)
 	}
+}
+
+// replace puts a whole inventory in force.
+func (r *Revision) replace(record Record) (*Revision, error) {
+	if record.config.Base != r.number {
+		return r, errors.Wrapf(ErrStaleBase, "change %s from revision %d at revision %d", record.config.Change, record.config.Base, r.number)
+	}
 	inventory, err := Parse("inventory", []byte(record.config.Inventory))
 	if err != nil {
-		return skipped, errors.Mark(err, ErrBadRecord)
+		return r, errors.Mark(err, ErrBadRecord)
+	}
+	next := *r
+	next.number, next.inventory = r.number+1, inventory
+	return &next, nil
+}
+
+// take gives a role to the claim's holder. Of two claims that supersede the
+// same one, the first in the log stands. Claims leave the revision's number as
+// it is.
+func (r *Revision) take(offset int64, record Record) (*Revision, error) {
+	if record.config.Claim == "" || record.config.Holder == "" {
+		return r, errors.Wrap(ErrBadRecord, "claim without role or holder")
+	}
+	if record.config.Epoch != r.claims[record.config.Claim].epoch {
+		return r, errors.Wrapf(ErrStaleBase, "claim of %s by %s", record.config.Claim, record.config.Holder)
+	}
+	next := *r
+	next.claims = maps.Clone(r.claims)
+	if next.claims == nil {
+		next.claims = make(map[string]Claim)
 	}
-	return &Revision{number: r.number + 1, offset: offset + 1, inventory: inventory}, nil
+	next.claims[record.config.Claim] = Claim{role: record.config.Claim, holder: record.config.Holder, epoch: offset + 1}
+	return &next, nil
 }
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -164,6 +164,7 @@
 	name    string
 	role    Role
 	link    string
+	page    string
 	domain  string
 	region  string
 	backend string
@@ -178,6 +179,9 @@
 // Link returns the IP:port at which other processes call the instance.
 func (i Instance) Link() string { return i.link }
 
+// Operator returns the IP:port of the instance's operators' page, or "".
+func (i Instance) Operator() string { return i.page }
+
 // Domain returns the failure domain.
 func (i Instance) Domain() string { return i.domain }
 
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -66,6 +66,7 @@
 		name:    name,
 		role:    Role(r.choice("role", string(Entry), string(Side))),
 		link:    r.address("link"),
+		page:    r.parse(handbook.Address, "operator", r.optional("operator")).(string),
 		domain:  r.text("domain"),
 		region:  r.optional("region"),
 		backend: r.optional("backend"),
--- a/commons/register/register_test.go
+++ b/commons/register/register_test.go
@@ -116,3 +116,44 @@
 		t.Errorf("a record that was folded already made revision %d of %d", again.Number(), first.Number())
 	}
 }
+
+func TestFirstClaimInTheLogStands(t *testing.T) {
+	type claim struct {
+		holder string
+		epoch  int64
+		want   error
+	}
+	cases := map[string]struct {
+		claims []claim
+		holder string
+		epoch  int64
+	}{
+		"one":          {claims: []claim{{"a", 0, nil}}, holder: "a", epoch: 1},
+		"superseded":   {claims: []claim{{"a", 0, nil}, {"b", 1, nil}}, holder: "b", epoch: 2},
+		"two at once":  {claims: []claim{{"a", 0, nil}, {"b", 0, register.ErrStaleBase}}, holder: "a", epoch: 1},
+		"late and old": {claims: []claim{{"a", 0, nil}, {"b", 1, nil}, {"c", 1, register.ErrStaleBase}}, holder: "b", epoch: 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			revision := register.Initial()
+			for offset, step := range tc.claims {
+				data, err := register.NewRecord(register.RecordConfig{Change: "c", Kind: register.Take, Claim: "planner", Holder: step.holder, Epoch: step.epoch}).Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				next, err := revision.Fold(int64(offset), data)
+				if !errors.Is(err, step.want) {
+					t.Errorf("Fold at offset %d = %v, want %v", offset, err, step.want)
+				}
+				revision = next
+			}
+			got, _ := revision.Claim("planner")
+			if diff := cmp.Diff(tc.holder, got.Holder()); diff != "" {
+				t.Errorf("holder (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.epoch, got.Epoch()); diff != "" {
+				t.Errorf("epoch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/commons/registrar/registrar.go
+++ b/commons/registrar/registrar.go
@@ -12,8 +12,11 @@
 	"sesamewell.example/commons/register"
 )
 
-// retryPause is the time between reads while the log service does not answer.
-const retryPause = 200 * time.Millisecond
+// Named limits of the registrar.
+const (
+	retryPause = 200 * time.Millisecond // time between reads while the log service does not answer
+	handOver   = 10 * time.Second       // longest wait for room in a follower's ring
+)
 
 // Log is the part of the log service's client that the registrar uses.
 type Log interface {
@@ -36,12 +39,35 @@
 // Revision returns the revision.
 func (r Revised) Revision() *register.Revision { return r.revision }
 
+// Recorded brings a record that the register passes on.
+type Recorded struct {
+	offset int64
+	record register.Record
+}
+
+// NewRecorded returns the message for the record at an offset.
+func NewRecorded(offset int64, record register.Record) Recorded {
+	return Recorded{offset: offset, record: record}
+}
+
+// Offset returns the record's offset in the log.
+func (r Recorded) Offset() int64 { return r.offset }
+
+// Record returns the record.
+func (r Recorded) Record() register.Record { return r.record }
+
 // Config holds the construction parameters of a Registrar.
 type Config struct {
 	Log         *logrus.Entry
 	Service     Log
 	Poll        time.Duration // longest wait of one read
-	Subscribers []Inbox
+	Subscribers []Inbox       // receive Revised
+	Followers   []Follower    // receive Recorded, each record once and in order
+}
+
+// Follower receives records that the register passes on.
+type Follower interface {
+	PutWithin(ctx context.Context, item any, limit time.Duration) error
 }
 
 // Registrar is responsible for the process's view of the register.
@@ -69,7 +95,9 @@
 			r.pause(ctx)
 			continue
 		}
-		r.fold(extract)
+		if err := r.fold(ctx, extract); err != nil {
+			return err
+		}
 		r.publish()
 	}
 	return ctx.Err()
@@ -82,9 +110,12 @@
 	return r.config.Poll
 }
 
-func (r *Registrar) fold(extract logbook.Extract) {
+func (r *Registrar) fold(ctx context.Context, extract logbook.Extract) error {
 	before := r.revision.Number()
 	for _, entry := range extract.Entries() {
+		if err := r.passOn(ctx, entry); err != nil {
+			return err
+		}
 		next, err := r.revision.Fold(entry.Offset(), entry.Data())
 		if err != nil {
 			r.config.Log.WithFields(logrus.Fields{"event": "change_rejected", "offset": entry.Offset()}).WithError(err).Info("change rejected")
@@ -92,10 +123,27 @@
 		r.revision = next
 	}
 	if r.revision.Number() == before {
-		return
+		return nil
 	}
 	r.unsent = r.config.Subscribers
 	r.config.Log.WithFields(logrus.Fields{"event": "revision", "revision": r.revision.Number()}).Info("revision in force")
+	return nil
+}
+
+// passOn gives a record that the register does not fold to all followers. Its
+// error means that a follower did not take the record in time; the record is
+// then read again.
+func (r *Registrar) passOn(ctx context.Context, entry logbook.Entry) error {
+	record, err := register.DecodeRecord(entry.Data())
+	if err != nil || !record.PassedOn() {
+		return nil
+	}
+	for _, follower := range r.config.Followers {
+		if err := follower.PutWithin(ctx, NewRecorded(entry.Offset(), record), handOver); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // publish sends the current revision to every subscriber that lacks it.
--- a/entry/house.go
+++ b/entry/house.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
@@ -29,6 +30,7 @@
 //	├── gate      (callers' requests)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
+//	├── door      (calls of other processes)
 //	└── registrar (log)
 type house struct {
 	crew    *crew.Crew
@@ -95,6 +97,11 @@
 		Poll:        settings.Duration("platform", "poll"),
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
 	}))
+	h.crew.Add(porter.NewDoor(porter.DoorConfig{
+		Address:  settings.Address("link", "listen"),
+		Services: nil,
+		Log:      log,
+	}))
 	h.crew.Add(wicket.New(wicket.Config{
 		Address:    settings.Address("gate", "listen"),
 		Inbox:      h.gate.Inbox(),
--- a/side/desk/desk.go
+++ b/side/desk/desk.go
@@ -1,5 +1,5 @@
 // Package desk receives the calls of entries: the net/rpc front end of a side.
-// Each call is handed to the hall's ring at once and waits for its answer.
+// Each call is handed to the foyer's ring at once and waits for its answer.
 package desk
 
 import (
@@ -10,31 +10,31 @@
 
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
-	"sesamewell.example/side/hall"
+	"sesamewell.example/side/foyer"
 )
 
-// answerLimit bounds the wait for the hall beyond a read's own wait.
+// answerLimit bounds the wait for the foyer beyond a read's own wait.
 const answerLimit = 20 * time.Second
 
-// ErrBusy means that the hall's ring is full; nothing was taken.
+// ErrBusy means that the foyer's ring is full; nothing was taken.
 var ErrBusy = errors.New(notice.CodeBusy)
 
-// Hall is the part of the hall that the desk uses.
-type Hall interface {
-	Put(message hall.Message) error
+// Foyer is the part of the foyer that the desk uses.
+type Foyer interface {
+	Put(message foyer.Message) error
 }
 
 // Desk is responsible for the methods that other processes call.
 type Desk struct {
-	hall Hall
+	foyer Foyer
 }
 
-// New returns a desk before a hall.
-func New(hall Hall) *Desk { return &Desk{hall: hall} }
+// New returns a desk before a foyer.
+func New(foyer Foyer) *Desk { return &Desk{foyer: foyer} }
 
 // Submit takes new attempts and cancellations.
 func (d *Desk) Submit(batch notice.Batch, receipts *notice.Receipts) error {
-	answer, err := d.ask(func(reply *ring.Ring) hall.Message { return hall.NewBatchArrived(batch, reply) })
+	answer, err := d.ask(func(reply *ring.Ring) foyer.Message { return foyer.NewBatchArrived(batch, reply) })
 	if err != nil {
 		return err
 	}
@@ -44,7 +44,7 @@
 
 // Read waits for the next pieces of answers.
 func (d *Desk) Read(read notice.Read, pages *notice.Pages) error {
-	answer, err := d.ask(func(reply *ring.Ring) hall.Message { return hall.NewReadArrived(read, reply) })
+	answer, err := d.ask(func(reply *ring.Ring) foyer.Message { return foyer.NewReadArrived(read, reply) })
 	if err != nil {
 		return err
 	}
@@ -52,9 +52,9 @@
 	return nil
 }
 
-func (d *Desk) ask(message func(reply *ring.Ring) hall.Message) (any, error) {
+func (d *Desk) ask(message func(reply *ring.Ring) foyer.Message) (any, error) {
 	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
-	if err := d.hall.Put(message(reply)); err != nil {
+	if err := d.foyer.Put(message(reply)); err != nil {
 		return nil, ErrBusy
 	}
 	answer, err := reply.TakeWithin(context.Background(), answerLimit)
--- a/side/hall/attempt.go
+++ b/side/foyer/attempt.go
@@ -1,4 +1,4 @@
-package hall
+package foyer
 
 import (
 	"time"
--- a/side/hall/constants.go
+++ b/side/foyer/constants.go
@@ -1,8 +1,8 @@
-package hall
+package foyer
 
 import "time"
 
-// Named limits of the hall.
+// Named limits of the foyer.
 const (
 	tombstoneLife = 2 * time.Minute  // time for which an ended attempt's id is kept
 	entrySilence  = 30 * time.Second // an entry that has not read for so long is gone
--- a/side/hall/core.go
+++ b/side/foyer/core.go
@@ -1,6 +1,6 @@
-// Package hall decides for one backend server which attempts run and when, and
+// Package foyer decides for one backend server which attempts run and when, and
 // keeps each answer until its entry has it: the request scheduler of a side.
-package hall
+package foyer
 
 import (
 	"maps"
@@ -19,7 +19,7 @@
 	Linger      time.Duration // time for which pieces are gathered before they are sent
 }
 
-// Core is responsible for every decision of the hall. It does no input or
+// Core is responsible for every decision of the foyer. It does no input or
 // output; its duty carries out the actions that Handle and Tick return.
 type Core struct {
 	config   CoreConfig
--- a/side/hall/message.go
+++ b/side/foyer/message.go
@@ -1,4 +1,4 @@
-package hall
+package foyer
 
 import (
 	"time"
@@ -6,15 +6,15 @@
 	"sesamewell.example/commons/notice"
 )
 
-// Message is what the hall's inbox carries.
-type Message interface{ hallMessage() }
+// Message is what the foyer's inbox carries.
+type Message interface{ foyerMessage() }
 
 // Answerer takes the answer to a batch or a read. It must not block.
 type Answerer interface {
 	Put(item any) error
 }
 
-// BatchArrived asks the hall to take the attempts of a batch.
+// BatchArrived asks the foyer to take the attempts of a batch.
 type BatchArrived struct {
 	batch notice.Batch
 	reply Answerer
@@ -25,7 +25,7 @@
 	return BatchArrived{batch: batch, reply: reply}
 }
 
-// ReadArrived asks the hall for the next pieces of answers.
+// ReadArrived asks the foyer for the next pieces of answers.
 type ReadArrived struct {
 	read  notice.Read
 	reply Answerer
@@ -70,18 +70,18 @@
 	return Ended{attempt: attempt, code: code, ran: ran}
 }
 
-// Drain asks the hall to take no new work and to report when it is empty.
+// Drain asks the foyer to take no new work and to report when it is empty.
 type Drain struct{}
 
-func (BatchArrived) hallMessage() {}
-func (ReadArrived) hallMessage()  {}
-func (Began) hallMessage()        {}
-func (Piece) hallMessage()        {}
-func (Ended) hallMessage()        {}
-func (Drain) hallMessage()        {}
+func (BatchArrived) foyerMessage() {}
+func (ReadArrived) foyerMessage()  {}
+func (Began) foyerMessage()        {}
+func (Piece) foyerMessage()        {}
+func (Ended) foyerMessage()        {}
+func (Drain) foyerMessage()        {}
 
 // Action is what the core asks its duty to do.
-type Action interface{ hallAction() }
+type Action interface{ foyerAction() }
 
 // AnswerBatch sends receipts.
 type AnswerBatch struct {
@@ -118,8 +118,8 @@
 // Attempt returns the id of the attempt to end.
 func (s Stop) Attempt() string { return s.attempt }
 
-func (AnswerBatch) hallAction() {}
-func (AnswerRead) hallAction()  {}
-func (Run) hallAction()         {}
-func (Stop) hallAction()        {}
-func (Drained) hallAction()     {}
+func (AnswerBatch) foyerAction() {}
+func (AnswerRead) foyerAction()  {}
+func (Run) foyerAction()         {}
+func (Stop) foyerAction()        {}
+func (Drained) foyerAction()     {}
--- a/side/house.go
+++ b/side/house.go
@@ -16,7 +16,7 @@
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/side/desk"
-	"sesamewell.example/side/hall"
+	"sesamewell.example/side/foyer"
 	"sesamewell.example/side/runner"
 )
 
@@ -25,11 +25,11 @@
 //	side
 //	├── lantern (operators' pages)
 //	├── desk    (calls of entries)
-//	├── hall    (decisions)
+//	├── foyer    (decisions)
 //	└── runners (backend server)
 type house struct {
 	crew    *crew.Crew
-	hall    *hall.Hall
+	foyer   *foyer.Foyer
 	drained chan struct{}
 }
 
@@ -51,15 +51,15 @@
 		Trail:   traces,
 		Log:     log,
 	})
-	h.hall = hall.New(hall.Config{
-		Core: hall.CoreConfig{
+	h.foyer = foyer.New(foyer.Config{
+		Core: foyer.CoreConfig{
 			Incarnation: uuid.NewString(),
 			Concurrency: concurrency,
-			Queue:       settings.Integer("hall", "queue"),
-			MaxBuffered: settings.Bytes("hall", "max-buffered"),
+			Queue:       settings.Integer("foyer", "queue"),
+			MaxBuffered: settings.Bytes("foyer", "max-buffered"),
 			Linger:      settings.Duration("desk", "linger"),
 		},
-		Capacity: settings.Integer("hall", "inbox"),
+		Capacity: settings.Integer("foyer", "inbox"),
 		Runners:  pool,
 		Log:      log,
 		Drained:  sync.OnceFunc(func() { close(h.drained) }),
@@ -69,17 +69,16 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.hall.Inbox(), pool.Jobs()},
+		Rings:   []*ring.Ring{h.foyer.Inbox(), pool.Jobs()},
 	}))
-	h.crew.Add(h.hall.Duty())
-	for _, r := range pool.Runners(h.hall) {
+	h.crew.Add(h.foyer.Duty())
+	for _, r := range pool.Runners(h.foyer) {
 		h.crew.Add(r)
 	}
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address: settings.Address("desk", "listen"),
-		Name:    notice.Service,
-		Service: desk.New(h.hall),
-		Log:     log,
+		Address:  settings.Address("desk", "listen"),
+		Services: []porter.Service{{Name: notice.Service, Receiver: desk.New(h.foyer)}},
+		Log:      log,
 	}))
 	return h
 }
@@ -90,12 +89,12 @@
 // Drain refuses new work; the returned channel is closed when all answers have
 // been delivered.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
-	return h.drained, h.hall.PutWithin(ctx, hall.Drain{}, drainHandOver)
+	return h.drained, h.foyer.PutWithin(ctx, foyer.Drain{}, drainHandOver)
 }
 
 // Ready returns nil while the side takes work.
 func (h *house) Ready() error {
-	if h.hall.Leaving() {
+	if h.foyer.Leaving() {
 		return errors.New("leaving")
 	}
 	return nil
@@ -103,7 +102,7 @@
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
-	return status{Queued: h.hall.Queued(), Running: h.hall.Running(), Leaving: h.hall.Leaving()}
+	return status{Queued: h.foyer.Queued(), Running: h.foyer.Running(), Leaving: h.foyer.Leaving()}
 }
 
 // status is the JSON form of the status page.
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -18,22 +18,22 @@
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
-	"sesamewell.example/side/hall"
+	"sesamewell.example/side/foyer"
 )
 
 // Named limits of a runner.
 const (
 	readBuffer  = 16 << 10         // bytes read from the backend server at once
-	handOver    = 10 * time.Second // longest wait for room in the hall's ring
+	handOver    = 10 * time.Second // longest wait for room in the foyer's ring
 	dialTimeout = 2 * time.Second
 )
 
 // streamEnd is the last event of a whole stream in the OpenAI API.
 var streamEnd = []byte("data: [DONE]")
 
-// Hall receives what a runner learns.
-type Hall interface {
-	PutWithin(ctx context.Context, message hall.Message, limit time.Duration) error
+// Foyer receives what a runner learns.
+type Foyer interface {
+	PutWithin(ctx context.Context, message foyer.Message, limit time.Duration) error
 }
 
 // Config holds the construction parameters of a Pool.
@@ -68,7 +68,7 @@
 func (p *Pool) Jobs() *ring.Ring { return p.jobs }
 
 // Run hands an attempt to the next free runner.
-func (p *Pool) Run(run hall.Run) error { return p.jobs.Put(run) }
+func (p *Pool) Run(run foyer.Run) error { return p.jobs.Put(run) }
 
 // Stop closes the connection of the runner that runs the attempt.
 func (p *Pool) Stop(attempt string) {
@@ -81,10 +81,10 @@
 }
 
 // Runners returns the threads, to be added to a crew.
-func (p *Pool) Runners(hall Hall) []*Runner {
+func (p *Pool) Runners(foyer Foyer) []*Runner {
 	runners := make([]*Runner, 0, p.config.Threads)
 	for range p.config.Threads {
-		runners = append(runners, newRunner(p, hall))
+		runners = append(runners, newRunner(p, foyer))
 	}
 	return runners
 }
@@ -104,7 +104,7 @@
 // Runner is responsible for one attempt at a time.
 type Runner struct {
 	pool   *Pool
-	hall   Hall
+	foyer  Foyer
 	client *fasthttp.HostClient
 	buffer []byte
 
@@ -114,8 +114,8 @@
 	conn    net.Conn
 }
 
-func newRunner(pool *Pool, hall Hall) *Runner {
-	r := &Runner{pool: pool, hall: hall, buffer: make([]byte, readBuffer)}
+func newRunner(pool *Pool, foyer Foyer) *Runner {
+	r := &Runner{pool: pool, foyer: foyer, buffer: make([]byte, readBuffer)}
 	r.client = &fasthttp.HostClient{
 		Addr:                     pool.config.Address,
 		Dial:                     r.dial,
@@ -137,7 +137,7 @@
 		if err != nil {
 			return err
 		}
-		run, ok := job.(hall.Run)
+		run, ok := job.(foyer.Run)
 		if !ok {
 			continue
 		}
@@ -147,8 +147,8 @@
 	}
 }
 
-// run carries one attempt out. Its error means that the hall cannot be told.
-func (r *Runner) run(ctx context.Context, run hall.Run) error {
+// run carries one attempt out. Its error means that the foyer cannot be told.
+func (r *Runner) run(ctx context.Context, run foyer.Run) error {
 	submit := run.Submit()
 	started := time.Now()
 	span := r.pool.config.Trail.Start(started.Add(-run.Queued()), submit.Trace(), "side")
@@ -159,7 +159,7 @@
 	defer r.release(submit.Attempt())
 	code, ran := r.exchange(ctx, submit, span)
 	span.End(time.Now(), code)
-	return r.hall.PutWithin(ctx, hall.NewEnded(submit.Attempt(), code, ran), handOver)
+	return r.foyer.PutWithin(ctx, foyer.NewEnded(submit.Attempt(), code, ran), handOver)
 }
 
 // exchange sends the request and passes the answer on. It returns an empty
@@ -173,8 +173,8 @@
 		return r.failure(err), r.dialed()
 	}
 	defer func() { _ = response.CloseBodyStream() }()
-	began := hall.NewBegan(submit.Attempt(), response.StatusCode(), string(response.Header.ContentType()))
-	if err := r.hall.PutWithin(ctx, began, handOver); err != nil {
+	began := foyer.NewBegan(submit.Attempt(), response.StatusCode(), string(response.Header.ContentType()))
+	if err := r.foyer.PutWithin(ctx, began, handOver); err != nil {
 		return notice.CodeBusy, true
 	}
 	if err := r.copyBody(ctx, submit, response, span); err != nil {
@@ -231,7 +231,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	return r.hall.PutWithin(ctx, hall.NewPiece(attempt, bytes.Clone(data)), handOver)
+	return r.foyer.PutWithin(ctx, foyer.NewPiece(attempt, bytes.Clone(data)), handOver)
 }
 
 // checkEnd makes sure that a stream ends with its last event.
