Say may-have-run when any attempt may have run

Cause: an idempotent request whose first attempt was cut and whose next was refused by a side's queue ended with the outcome of the last attempt alone: "not-run", although the first may have run.

Ruled out: the receipt paths, which are right for the attempt they are about.

Change: a request remembers that an earlier attempt may have run, and every refusal says so.

Before: the new case "cut, then refused elsewhere" gave not-run. After: may-have-run; go test ./entry/usher passes.

Conclusion: "not-run" speaks for the request, not for its last attempt.

--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -52,6 +52,7 @@
 	count    int
 	received int64
 	started  bool // bytes have been delivered
+	ran      bool // an earlier attempt may have been run
 	tried    []string
 }
 
@@ -308,6 +309,7 @@
 // failed ends an attempt and retries its request where that is allowed.
 func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) Action {
 	c.release(r)
+	r.ran = r.ran || ran
 	if r.started || (ran && !r.ask.config.Idempotent) {
 		return c.refuse(r, code, ran, retryAfter)
 	}
@@ -319,7 +321,7 @@
 
 func (c *Core) refuse(r *request, code string, ran bool, retryAfter time.Duration) Action {
 	c.forget(r)
-	return Refuse{request: r.ask.config.Request, refusal: refusalFor(code, ran), retryAfter: max(retryAfter, minRetryAfter)}
+	return Refuse{request: r.ask.config.Request, refusal: refusalFor(code, ran || r.ran), retryAfter: max(retryAfter, minRetryAfter)}
 }
 
 // release frees the side's place that an attempt held.
--- a/entry/usher/core_test.go
+++ b/entry/usher/core_test.go
@@ -133,6 +133,15 @@
 			messages:   []Message{accepted("near", "r.1"), pages("near", "i1", notice.PageConfig{Attempt: "r.1", State: notice.Failed, Code: notice.CodeCut, Ran: true})},
 			want:       outcome{Sends: []string{"near", "far"}},
 		},
+		"cut, then refused elsewhere": {
+			idempotent: true,
+			messages: []Message{
+				accepted("near", "r.1"),
+				pages("near", "i1", notice.PageConfig{Attempt: "r.1", State: notice.Failed, Code: notice.CodeCut, Ran: true}),
+				refused("far", "r.2", notice.CodeQueueFull),
+			},
+			want: outcome{Sends: []string{"near", "far"}, Refusal: notice.CodeQueueFull, Outcome: wicket.MayHaveRun},
+		},
 		"cut after the first byte": {
 			idempotent: true,
 			messages: []Message{
