Run a request with an Idempotency-Key at most once over all entries

Cause: a route that is not idempotent was sent to one side only, but a caller that lost its answer and sent the request again had it run again.

Ruled out: a lock or lease in the log (has to be renewed, and a paused holder may act late); asking the other entries (no answer after a crash); a table at the side (gone with the side).

Change: entry/booking between gate and usher. An intent goes to the log before the run and the first of a scope (tenant, route, key) in log order is run, by the entry that announced it, when it reads its own record back. The fold of the log is the only acknowledgement, so a lost append answer needs no case of its own. An intent that did not show in time is never run and is released when it shows late. Stored answers are bounded by size and age, intents by number (further ones are refused) and age. Table.State and Restore carry the table past the log's retention.

--- /dev/null
+++ b/entry/booking/table_test.go
@@ -0,0 +1,91 @@
+package booking
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestTableIsBounded(t *testing.T) {
+	start := time.Unix(1_000_000, 0).UTC()
+	intent := func(scope string, after time.Duration) Batch {
+		return NewBatch(BatchConfig{Intents: []Intent{NewIntent(IntentConfig{Scope: scope, Run: "run-" + scope, At: start.Add(after)})}})
+	}
+	answer := func(scope string, size int, after time.Duration) Batch {
+		return NewBatch(BatchConfig{Outcomes: []Outcome{NewOutcome(OutcomeConfig{
+			Scope: scope, Run: "run-" + scope, Result: Answered, At: start.Add(after), Status: 201, Body: []byte(strings.Repeat("x", size)),
+		})}})
+	}
+	cases := map[string]struct {
+		batches []Batch
+		want    map[string]Result // empty while there is no outcome
+	}{
+		"answers beyond the bytes": {
+			batches: []Batch{intent("a", 0), answer("a", 60, 0), intent("b", 0), answer("b", 60, 0)},
+			want:    map[string]Result{"a": NotKept, "b": Answered},
+		},
+		"answers beyond their age": {
+			batches: []Batch{intent("a", 0), answer("a", 1, 0), intent("b", 2*time.Hour)},
+			want:    map[string]Result{"a": NotKept, "b": ""},
+		},
+		"intents beyond their age": {
+			batches: []Batch{intent("a", 0), intent("b", 25*time.Hour)},
+			want:    map[string]Result{"b": ""},
+		},
+		"intents beyond the capacity": {
+			batches: []Batch{intent("a", 0), intent("b", 0), intent("c", 0)},
+			want:    map[string]Result{"a": "", "b": ""},
+		},
+		"a second outcome": {
+			batches: []Batch{intent("a", 0), answer("a", 1, 0), NewBatch(BatchConfig{Outcomes: []Outcome{NewOutcome(OutcomeConfig{Scope: "a", Run: "run-a", Result: NotRun})}})},
+			want:    map[string]Result{"a": Answered},
+		},
+		"the outcome of another run": {
+			batches: []Batch{intent("a", 0), NewBatch(BatchConfig{Outcomes: []Outcome{NewOutcome(OutcomeConfig{Scope: "a", Run: "run-b", Result: NotRun})}})},
+			want:    map[string]Result{"a": ""},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			config := TableConfig{Capacity: 2, Remember: 24 * time.Hour, KeptBytes: 100, KeptFor: time.Hour}
+			table := NewTable(config)
+			for offset, batch := range tc.batches {
+				table.Fold(int64(offset), batch)
+			}
+			got := make(map[string]Result)
+			for scope, s := range table.standing {
+				got[scope] = s.outcome.Result()
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("table (-want +got):\n%s", diff)
+			}
+			restored := restore(t, config, table)
+			if diff := cmp.Diff(encoded(t, table), encoded(t, restored)); diff != "" {
+				t.Errorf("restored table (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(table.Bytes(), restored.Bytes()); diff != "" {
+				t.Errorf("bytes of the restored table (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func restore(t *testing.T, config TableConfig, table *Table) *Table {
+	t.Helper()
+	restored := NewTable(config)
+	if err := restored.Restore([]byte(encoded(t, table))); err != nil {
+		t.Fatal(err)
+	}
+	return restored
+}
+
+func encoded(t *testing.T, table *Table) string {
+	t.Helper()
+	state, err := table.State()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(state)
+}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -203,9 +203,15 @@
 		limit = min(limit, route.Deadline())
 	}
 	o.expires = now.Add(limit)
+	key, err := idempotencyKey(request, route)
+	if err != nil {
+		return usher.Ask{}, err
+	}
 	config := usher.AskConfig{
 		Request:     o.id,
 		Tenant:      pass.Tenant(),
+		Route:       route.Name(),
+		Key:         key,
 		Service:     route.Service(),
 		Method:      string(request.Header.Method()),
 		Path:        string(request.URI().RequestURI()),
--- a/entry/house.go
+++ b/entry/house.go
@@ -17,6 +17,7 @@
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/usher"
@@ -28,6 +29,7 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
@@ -35,6 +37,7 @@
 type house struct {
 	crew    *crew.Crew
 	gate    *gate.Gate
+	booking *booking.Booking
 	usher   *usher.Usher
 	drained chan struct{}
 }
@@ -63,8 +66,13 @@
 		DefaultOutput: int64(settings.Integer("gate", "default-output")),
 		Trail:         traces,
 		Log:           log,
-		Drained:       sync.OnceFunc(func() { close(h.drained) }),
+		Drained:       sync.OnceFunc(func() { h.booking.Drain() }),
 	})
+	service := logbook.New(logbook.Config{
+		Address: settings.Address("platform", "log"),
+		Timeout: settings.Duration("platform", "log-timeout"),
+	})
+	h.booking = newBooking(settings, h, service, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -73,29 +81,31 @@
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.gate.Inbox(),
+		Gate:     h.booking,
 		Log:      log,
 	})
 	lines.Attach(h.usher)
-	h.gate.Attach(h.usher)
+	h.booking.Attach(h.usher)
+	h.gate.Attach(h.booking)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
 	}))
+	for _, service := range h.booking.Services() {
+		h.crew.Add(service)
+	}
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
 	h.crew.Add(registrar.New(registrar.Config{
-		Log: log,
-		Service: logbook.New(logbook.Config{
-			Address: settings.Address("platform", "log"),
-			Timeout: settings.Duration("platform", "log-timeout"),
-		}),
+		Log:         log,
+		Service:     service,
 		Poll:        settings.Duration("platform", "poll"),
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox()},
 	}))
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address:  settings.Address("link", "listen"),
@@ -117,6 +127,29 @@
 	return h
 }
 
+func newBooking(settings *handbook.Values, h *house, service *logbook.Client, log *logrus.Entry) *booking.Booking {
+	return booking.New(booking.Config{
+		Core: booking.CoreConfig{
+			Table: booking.TableConfig{
+				Capacity:  settings.Integer("booking", "intents"),
+				Remember:  settings.Duration("booking", "remember"),
+				KeptBytes: settings.Bytes("booking", "kept"),
+				KeptFor:   settings.Duration("booking", "kept-for"),
+			},
+			Pending:     settings.Integer("booking", "pending"),
+			AppendLimit: settings.Duration("booking", "append-limit"),
+			Wait:        settings.Duration("booking", "wait"),
+			MaxOutcome:  settings.Bytes("booking", "max-outcome"),
+		},
+		Capacity: settings.Integer("booking", "inbox"),
+		Appends:  settings.Integer("booking", "appends"),
+		Service:  service,
+		Gate:     h.gate.Inbox(),
+		Log:      log,
+		Drained:  sync.OnceFunc(func() { close(h.drained) }),
+	})
+}
+
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -15,6 +15,8 @@
 type AskConfig struct {
 	Request     string // unique id
 	Tenant      string
+	Route       string // name of the route
+	Key         string // Idempotency-Key of a request that may run once, else empty
 	Model       string // model that must be resident; empty for a plain service
 	Service     string // plain service; empty for a model
 	Method      string
