Make links between processes prove the fleet's secret

Cause: any process that reached a side's or an entry's port could order work. Weighed: a challenge by shared secret alone (leaves requests and answers readable on the way), mutual TLS with certificates from an authority (operators would have to issue and renew them, and instances have no disks), and mutual TLS 1.3 with one key that each process derives from the shared secret. The last needs one setting and encrypts; a secret may be missing only on loopback.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -4,6 +4,7 @@
 var commons = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance in the inventory"},
 	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
+	{Section: "process", Key: "secret", Kind: Text, Doc: "secret that all processes of the fleet share, of 16 bytes or more; links between processes prove it and are encrypted with it; may be missing only where all links are on loopback"},
 	{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, traces)"},
 	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
 	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
--- a/commons/porter/door.go
+++ b/commons/porter/door.go
@@ -22,6 +22,7 @@
 type DoorConfig struct {
 	Address  string // IP:port to listen on
 	Services []Service
+	Identity *Identity // nil leaves links in plain text, for loopback only
 	Log      *logrus.Entry
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", d.config.Address)
 	}
-	tracked := &trackedListener{Listener: listener, conns: make(map[net.Conn]struct{})}
+	tracked := &trackedListener{Listener: listener, identity: d.config.Identity, conns: make(map[net.Conn]struct{})}
 	stop := context.AfterFunc(ctx, tracked.closeAll)
 	defer stop()
 	defer tracked.closeAll()
@@ -63,6 +64,8 @@
 type trackedListener struct {
 	net.Listener
 
+	identity *Identity
+
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
 	closed bool
@@ -80,7 +83,7 @@
 		return nil, errors.CombineErrors(net.ErrClosed, conn.Close())
 	}
 	t.conns[conn] = struct{}{}
-	return &trackedConn{Conn: conn, owner: t}, nil
+	return &trackedConn{Conn: t.identity.server(conn), raw: conn, owner: t}, nil
 }
 
 func (t *trackedListener) closeAll() {
@@ -103,11 +106,12 @@
 type trackedConn struct {
 	net.Conn
 
+	raw   net.Conn
 	owner *trackedListener
 }
 
 // Close closes the connection.
 func (c *trackedConn) Close() error {
-	c.owner.forget(c.Conn)
+	c.owner.forget(c.raw)
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/commons/porter/identity.go
@@ -0,0 +1,157 @@
+package porter
+
+import (
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a link's authentication.
+var (
+	ErrStranger   = errors.New("the peer does not know the fleet's secret")
+	ErrWeakSecret = errors.New("the fleet's secret is too short")
+)
+
+// Named limits of identities.
+const (
+	minSecret        = 16 // bytes
+	certificateLife  = 100 * 365 * 24 * time.Hour
+	handshakeTimeout = 5 * time.Second
+	keyPurpose       = "sesamewell link key 1"
+)
+
+// Identity is responsible for proving that both ends of a link belong to the
+// fleet: mutual TLS 1.3 (RFC 8446) with one Ed25519 key, which every process
+// derives from the fleet's shared secret by HKDF (RFC 5869).
+type Identity struct {
+	config *tls.Config
+}
+
+// NewIdentity derives an identity from the fleet's secret. It returns
+// ErrWeakSecret when the secret has fewer than 16 bytes.
+func NewIdentity(secret string) (*Identity, error) {
+	if len(secret) < minSecret {
+		return nil, errors.Wrapf(ErrWeakSecret, "%d bytes, want %d", len(secret), minSecret)
+	}
+	seed, err := hkdf.Key(sha256.New, []byte(secret), nil, keyPurpose, ed25519.SeedSize)
+	if err != nil {
+		return nil, errors.Wrap(err, "derive the link key")
+	}
+	key := ed25519.NewKeyFromSeed(seed)
+	certificate, err := selfSigned(key)
+	if err != nil {
+		return nil, err
+	}
+	known := key.Public().(ed25519.PublicKey)
+	return &Identity{config: &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The peer's key is compared with the fleet's own in place of a chain
+		// of certificates.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verify(known, state)
+		},
+	}}, nil
+}
+
+// IdentityFor returns the identity for a process whose links listen on address:
+// nil without a secret on loopback. It returns ErrWeakSecret when the secret is
+// too short, or missing elsewhere.
+func IdentityFor(secret, address string) (*Identity, error) {
+	listen, err := netip.ParseAddrPort(address)
+	if secret == "" && err == nil && listen.Addr().IsLoopback() {
+		return nil, nil
+	}
+	return NewIdentity(secret)
+}
+
+func verify(known ed25519.PublicKey, state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return ErrStranger
+	}
+	got, ok := state.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
+	if !ok || subtle.ConstantTimeCompare(got, known) != 1 {
+		return ErrStranger
+	}
+	return nil
+}
+
+func selfSigned(key ed25519.PrivateKey) (tls.Certificate, error) {
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "sesamewell"},
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Unix(0, 0).Add(certificateLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "make the link certificate")
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, nil
+}
+
+// server wraps an accepted connection; the handshake runs with its first read.
+// A nil identity leaves the connection as it is.
+func (i *Identity) server(conn net.Conn) net.Conn {
+	if i == nil {
+		return conn
+	}
+	return &limitedConn{Conn: tls.Server(conn, i.config), started: time.Now()}
+}
+
+// client makes the handshake on a dialled connection. A nil identity leaves
+// the connection as it is.
+func (i *Identity) client(conn net.Conn) (net.Conn, error) {
+	if i == nil {
+		return conn, nil
+	}
+	secured := tls.Client(conn, i.config)
+	if err := secured.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	if err := secured.Handshake(); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "link handshake"), conn.Close())
+	}
+	return secured, secured.SetDeadline(time.Time{})
+}
+
+// limitedConn is responsible for bounding the time that a peer may take to
+// prove who it is.
+type limitedConn struct {
+	net.Conn
+
+	started time.Time
+	proved  bool
+}
+
+// Read completes the handshake first. Only one goroutine may read.
+func (c *limitedConn) Read(into []byte) (int, error) {
+	if c.proved {
+		return c.Conn.Read(into)
+	}
+	if err := c.SetReadDeadline(c.started.Add(handshakeTimeout)); err != nil {
+		return 0, err
+	}
+	if err := c.Conn.(*tls.Conn).Handshake(); err != nil {
+		return 0, err
+	}
+	c.proved = true
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(into)
+}
--- a/commons/porter/line.go
+++ b/commons/porter/line.go
@@ -19,6 +19,7 @@
 type LineConfig struct {
 	Address     string // IP:port of the peer
 	DialTimeout time.Duration
+	Identity    *Identity // nil leaves the link in plain text, for loopback only
 }
 
 // Line is responsible for the one connection to a peer process: it dials on
@@ -77,7 +78,11 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", l.config.Address), ErrDial)
 	}
-	l.client = rpc.NewClient(conn)
+	secured, err := l.config.Identity.client(conn)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", l.config.Address), ErrDial)
+	}
+	l.client = rpc.NewClient(secured)
 	return l.client, nil
 }
 
--- a/entry/house.go
+++ b/entry/house.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
@@ -39,7 +40,11 @@
 	drained chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("link", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "entry", Log: log}),
 		drained: make(chan struct{}),
@@ -54,6 +59,7 @@
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
+		Identity:    identity,
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -100,6 +106,7 @@
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address:  settings.Address("link", "listen"),
 		Services: nil,
+		Identity: identity,
 		Log:      log,
 	}))
 	h.crew.Add(wicket.New(wicket.Config{
@@ -114,7 +121,7 @@
 		Idle:       settings.Duration("gate", "idle"),
 		Loops:      callerLoops,
 	}))
-	return h
+	return h, nil
 }
 
 // Serve runs the tree until ctx ends.
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -33,6 +33,7 @@
 	Capacity    int           // messages in each line's inbox
 	ReadWait    time.Duration // longest wait of one read at a side
 	Timeout     time.Duration // silence after which a connection is replaced
+	Identity    *porter.Identity
 	Usher       Usher
 	Log         *logrus.Entry
 }
@@ -138,7 +139,7 @@
 }
 
 func (l *Lines) add(name, address string) {
-	connection := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: l.config.Timeout})
+	connection := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: l.config.Timeout, Identity: l.config.Identity})
 	added := &line{side: name, address: address, porter: connection}
 	added.reader = newReader(l.config, name, connection)
 	added.sender = newSender(l.config, name, connection, added.reader)
--- a/entry/main.go
+++ b/entry/main.go
@@ -29,8 +29,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(crew.ExitUsage)
 	}
+	root, err := newHouse(settings, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(crew.ExitUsage)
+	}
 	os.Exit(crew.Run(crew.RunConfig{
-		Root:       newHouse(settings, log),
+		Root:       root,
 		DrainLimit: settings.Duration("process", "drain-limit"),
 		Log:        log,
 	}))
--- a/side/house.go
+++ b/side/house.go
@@ -33,7 +33,11 @@
 	drained chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("desk", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "side", Log: log}),
 		drained: make(chan struct{}),
@@ -78,9 +82,10 @@
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address:  settings.Address("desk", "listen"),
 		Services: []porter.Service{{Name: notice.Service, Receiver: desk.New(h.foyer)}},
+		Identity: identity,
 		Log:      log,
 	}))
-	return h
+	return h, nil
 }
 
 // Serve runs the tree until ctx ends.
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -28,6 +28,7 @@
 	patience    = 30 * time.Second // longest time that a test waits for anything
 	tenantKey   = "proof-lantern-key"
 	neighborKey = "proof-twisungane-key"
+	fleetSecret = "proof-fleet-secret"
 )
 
 // bin is the folder with the programs, built once for all tests.
@@ -202,7 +203,7 @@
 }
 
 func (f *fleet) writeSettings(name, more string) {
-	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s", name, f.pages[name], f.log, more)
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\nsecret = %s\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s", name, fleetSecret, f.pages[name], f.log, more)
 	if err := os.WriteFile(filepath.Join(f.folder, name+".ini"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
