--- a/commons/handbook/handbook_test.go
+++ b/commons/handbook/handbook_test.go
@@ -25,6 +25,7 @@
 		want []string
 	}{
 		"missing key":    {text: "[gate]\nidle = 2s\n", want: []string{`f.ini:1: [gate] needs the key "listen": where to listen`}},
+		"empty value":    {text: "[gate]\nlisten =\n", want: []string{`f.ini:2: [gate] needs the key "listen": where to listen`}},
 		"host name":      {text: "[gate]\nlisten = localhost:80\n", want: []string{`f.ini:2: listen = "localhost:80": want an IP number and a port, such as 127.0.0.1:8080`}},
 		"unknown key":    {text: "[gate]\nlisten = 127.0.0.1:1\nidel = 2s\n", want: []string{`f.ini:3: [gate] has no setting "idel"; remove it or mend its name`}},
 		"repeated key":   {text: "[gate]\nlisten = 127.0.0.1:1\nlisten = 127.0.0.1:2\n", want: []string{`f.ini:3: key "listen" stands already at line 2; keep one of them`}},
--- a/commons/handbook/setting.go
+++ b/commons/handbook/setting.go
@@ -119,8 +119,8 @@
 
 func (b *Book) check(setting Setting) any {
 	config := setting.config
-	text, ok := b.Value(config.Section, config.Key)
-	if !ok {
+	text, _ := b.Value(config.Section, config.Key)
+	if text == "" {
 		if config.Required {
 			b.Report(b.Line(config.Section, config.Key), "[%s] needs the key %q: %s", config.Section, config.Key, config.Doc)
 		}
