Prove bookings through kills, outages and planned stops by processes

Cause: the property in virtual time says nothing of the wiring.

Change: the service stand-in holds answers back on command; kill -9 of entry, side and both around a booking, log down, append answer lost, log slow, and planned stops of entry, side and both with bookings in flight. The service's own count decides. Waiting intents share one append (100 in one record).

--- /dev/null
+++ b/entry/booking/appender_test.go
@@ -0,0 +1,81 @@
+package booking
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/ring"
+)
+
+// slowLog holds the first append until it is let go, and refuses it then.
+type slowLog struct {
+	entered chan struct{}
+	release chan struct{}
+	records chan []byte
+}
+
+func (l *slowLog) Append(record []byte) (int64, error) {
+	l.entered <- struct{}{}
+	<-l.release
+	l.records <- record
+	if len(l.records) == 1 {
+		return 0, logbook.ErrUnavailable
+	}
+	return 0, nil
+}
+
+func TestWaitingIntentsShareOneAppend(t *testing.T) {
+	const waiting = 100
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	service := &slowLog{entered: make(chan struct{}), release: make(chan struct{}), records: make(chan []byte, 2)}
+	inbox := ring.New(ring.Config{Name: "test", Capacity: 1})
+	a := newAppender(Config{Service: service, Log: logrus.NewEntry(log), Capacity: 2 * waiting}, inbox)
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Serve(ctx) }()
+	for i := range waiting + 1 {
+		if err := a.inbox.Put(Announce{intent: NewIntent(IntentConfig{Run: fmt.Sprint("run-", i)})}); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			<-service.entered
+		}
+	}
+	service.release <- struct{}{}
+	<-service.entered
+	service.release <- struct{}{}
+	got := []int{intentsIn(t, <-service.records), intentsIn(t, <-service.records)}
+	if diff := cmp.Diff([]int{1, waiting}, got); diff != "" {
+		t.Errorf("intents in each append (-want +got):\n%s", diff)
+	}
+	refused, err := inbox.Take(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"run-0"}, refused.(NotAppended).runs); diff != "" {
+		t.Errorf("runs reported as not appended (-want +got):\n%s", diff)
+	}
+	cancel()
+	<-stopped
+}
+
+func intentsIn(t *testing.T, data []byte) int {
+	t.Helper()
+	record, err := register.DecodeRecord(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch, ok := DecodeBatch(record)
+	if !ok {
+		t.Fatalf("%s carries no batch", data)
+	}
+	return len(batch.Intents())
+}
--- /dev/null
+++ b/standin/proof/booking_test.go
@@ -0,0 +1,211 @@
+package proof
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/wicket"
+)
+
+// reserve returns a booking that runs once.
+func reserve(body, key string) callConfig {
+	return callConfig{path: "/bookings/today", key: neighborKey, body: body, header: map[string]string{"Idempotency-Key": key}}
+}
+
+// newBookingFleet starts two entries and two booking services.
+func newBookingFleet(t *testing.T, more string) *fleet {
+	f := newFleet(t)
+	f.addService("booking-1")
+	f.addEntry("entry-1", more)
+	f.addEntry("entry-2", more)
+	f.apply()
+	return f
+}
+
+// fault sends a command to a stand-in.
+func (f *fleet) fault(address, body string) {
+	f.t.Helper()
+	response, err := http.Post("http://"+address+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		f.t.Fatalf("fault %s: status %d", body, response.StatusCode)
+	}
+}
+
+func (f *fleet) kill(name string) {
+	f.t.Helper()
+	f.processes[name].signal(f.t, syscall.SIGKILL)
+	f.processes[name].wait(f.t)
+}
+
+func TestBookingIsMadeOnceThroughKills(t *testing.T) {
+	cases := map[string]struct {
+		kill    []string
+		restart bool // the side, before the booking is sent again
+	}{
+		"entry":                    {kill: []string{"entry-1"}},
+		"side":                     {kill: []string{"side-booking-1"}, restart: true},
+		"entry and side":           {kill: []string{"entry-1", "side-booking-1"}, restart: true},
+		"entry, side not replaced": {kill: []string{"entry-1", "side-booking-1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newBookingFleet(t, "[booking]\nwait = 200ms\n")
+			f.fault(f.backends["booking-1"], `{"hold":true}`)
+			first := make(chan answer, 1)
+			go func() { first <- f.call(0, reserve("gate 4", "k1")) }()
+			f.awaitRuns(1, "booking-1")
+			for _, victim := range tc.kill {
+				f.kill(victim)
+			}
+			if got := <-first; got.err == nil && got.header.Get(wicket.OutcomeHeader) != wicket.MayHaveRun {
+				t.Errorf("first answer: status %d, outcome %q", got.status, got.header.Get(wicket.OutcomeHeader))
+			}
+			if tc.restart {
+				f.startSide("side-booking-1")
+				f.await("side-booking-1", "http://"+f.pages["side-booking-1"]+"/readyz")
+			}
+			f.fault(f.backends["booking-1"], `{"hold":false}`)
+			for range 3 {
+				got := f.call(1, reserve("gate 4", "k1"))
+				if diff := cmp.Diff(wicket.MayHaveRun, got.header.Get(wicket.OutcomeHeader)); diff != "" {
+					t.Errorf("outcome of a repeated booking (-want +got):\n%s\n%s", diff, got.body)
+				}
+			}
+			if diff := cmp.Diff(1, f.received("booking-1").Runs); diff != "" {
+				t.Errorf("bookings made (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRepeatedBookingGetsTheFirstAnswer(t *testing.T) {
+	f := newBookingFleet(t, "")
+	cases := map[string]struct {
+		fault string // of the log service, before the first copy
+		call  callConfig
+	}{
+		"calm":                      {call: reserve("gate 1", "k1")},
+		"answer of the append lost": {fault: `{"lose_answers":1}`, call: reserve("gate 2", "k2")},
+		"log slow":                  {fault: `{"slow_millis":200}`, call: reserve("gate 3", "k3")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := f.received("booking-1").Runs
+			if tc.fault != "" {
+				f.fault(f.log, tc.fault)
+				defer f.fault(f.log, `{}`)
+			}
+			first := f.call(0, tc.call)
+			if diff := cmp.Diff(http.StatusCreated, first.status); diff != "" {
+				t.Fatalf("status (-want +got):\n%s\n%s", diff, first.body)
+			}
+			for at := range f.entries {
+				if diff := cmp.Diff(first.body, f.call(at, tc.call).body); diff != "" {
+					t.Errorf("repeated at entry %d (-want +got):\n%s", at, diff)
+				}
+			}
+			if diff := cmp.Diff(before+1, f.received("booking-1").Runs); diff != "" {
+				t.Errorf("bookings made (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestBookingIsRefusedWhileTheLogIsDown(t *testing.T) {
+	f := newBookingFleet(t, "")
+	f.fault(f.log, `{"down":true}`)
+	for at := range f.entries {
+		got := f.call(at, reserve("gate 4", "k1"))
+		want := []string{"503", wicket.NotRun, "2"}
+		if diff := cmp.Diff(want, []string{statusText(got), got.header.Get(wicket.OutcomeHeader), got.header.Get("Retry-After")}); diff != "" {
+			t.Errorf("refusal (-want +got):\n%s\n%s", diff, got.body)
+		}
+	}
+	if diff := cmp.Diff(0, f.received("booking-1").Runs); diff != "" {
+		t.Errorf("bookings made in the outage (-want +got):\n%s", diff)
+	}
+	f.fault(f.log, `{}`)
+	f.awaitBooking(1, reserve("gate 4", "k1"))
+	if diff := cmp.Diff(1, f.received("booking-1").Runs); diff != "" {
+		t.Errorf("bookings made (-want +got):\n%s", diff)
+	}
+}
+
+func statusText(got answer) string {
+	text, err := json.Marshal(got.status)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+// awaitBooking sends a booking until it is answered.
+func (f *fleet) awaitBooking(entry int, call callConfig) answer {
+	f.t.Helper()
+	var got answer
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if got = f.call(entry, call); got.status == http.StatusCreated {
+			return got
+		}
+	}
+	f.t.Fatalf("no answer to a booking: status %d, %s, %v", got.status, got.body, got.err)
+	return got
+}
+
+func TestPlannedStopCutsNoBooking(t *testing.T) {
+	const bookings = 5
+	cases := map[string]struct {
+		stops []string
+	}{
+		"an entry": {stops: []string{"entry-1"}},
+		"a side":   {stops: []string{"side-booking-1"}},
+		"both":     {stops: []string{"entry-1", "side-booking-1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newBookingFleet(t, "")
+			f.fault(f.backends["booking-1"], `{"hold":true}`)
+			answers := make(chan answer, bookings)
+			for i := range bookings {
+				go func() { answers <- f.call(0, reserve("gate 4", string(rune('a'+i)))) }()
+			}
+			f.awaitRuns(bookings, "booking-1")
+			for _, stop := range tc.stops {
+				f.processes[stop].signal(t, syscall.SIGTERM)
+			}
+			f.awaitNotReady(tc.stops[0])
+			f.fault(f.backends["booking-1"], `{"hold":false}`)
+			made := make(map[string]bool)
+			for range bookings {
+				got := <-answers
+				if diff := cmp.Diff(http.StatusCreated, got.status); diff != "" {
+					t.Errorf("status (-want +got):\n%s\n%s", diff, got.body)
+				}
+				made[got.body] = true
+			}
+			for _, stop := range tc.stops {
+				if code := f.processes[stop].wait(t); code != 0 {
+					t.Errorf("%s exited with %d\n%s", stop, code, f.processes[stop].log)
+				}
+			}
+			for i := range bookings {
+				if got := f.call(1, reserve("gate 4", string(rune('a'+i)))); !made[got.body] {
+					t.Errorf("repeated booking: status %d, %s", got.status, got.body)
+				}
+			}
+			if diff := cmp.Diff(bookings, f.received("booking-1").Runs); diff != "" {
+				t.Errorf("bookings made (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/standin/stall/stall.go
+++ b/standin/stall/stall.go
@@ -24,6 +24,8 @@
 type Stall struct {
 	bookings []Booking
 	received bytes.Buffer
+	faults   faults
+	held     []unanswered
 }
 
 // received is the JSON form of what the service has been sent.
@@ -52,6 +54,10 @@
 		stage.ReplyJSON(call, fasthttp.StatusOK, received{Runs: len(s.bookings), Bytes: s.received.String()})
 		return nil
 	}
+	if string(request.URI().Path()) == "/faults" {
+		s.setFaults(call)
+		return nil
+	}
 	s.received.Write(request.Header.Header())
 	s.received.Write(request.Body())
 	if !request.Header.IsPost() {
@@ -65,6 +71,6 @@
 		Body:    string(request.Body()),
 	}
 	s.bookings = append(s.bookings, booking)
-	stage.ReplyJSON(call, fasthttp.StatusCreated, booking)
+	s.finish(call, booking)
 	return nil
 }
