Tell silence, cuts and stops at the backend server apart

Cause: nothing showed that a cut answer is noticed in each of its forms.

Ruled out: fasthttp's streamed reader, which reports every cut of a length or of chunked coding (7 cases with raw TCP fakes passed as they were).

Found and mended, each case failing first: silence before the answer's header counted as a cut (fasthttp wraps the timeout); a stream counted as whole when its last event was only quoted in another or was followed by more; an attempt that was stopped before a runner took it was still sent to the backend server and held the runner (the test did not end); a dial in progress could not be stopped.

After: go test -race -count=5 ./side/runner passes.

Conclusion: an answer is whole only by its framing, and a stream only by its last line as well.

--- /dev/null
+++ b/side/foyer/report.go
@@ -0,0 +1,24 @@
+package foyer
+
+import (
+	"time"
+
+	"sesamewell.example/commons/notice"
+)
+
+// NewRun returns the action that hands an attempt to a runner after it waited.
+func NewRun(submit notice.Submit, queued time.Duration) Run {
+	return Run{submit: submit, queued: queued}
+}
+
+// Status returns the HTTP status of the backend server's answer.
+func (b Began) Status() int { return b.status }
+
+// Data returns the bytes of the answer.
+func (p Piece) Data() []byte { return p.data }
+
+// Code returns the cause of a failure, or "" when the answer is whole.
+func (e Ended) Code() string { return e.code }
+
+// Ran reports whether a failed attempt may have been run.
+func (e Ended) Ran() bool { return e.ran }
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -51,16 +51,22 @@
 	config Config
 	jobs   *ring.Ring
 
-	mu      sync.Mutex
-	current map[string]*Runner
+	mu       sync.Mutex
+	attempts map[string]*place
+}
+
+// place is where an attempt is on its way through the pool.
+type place struct {
+	runner  *Runner // nil until a runner takes the attempt
+	stopped bool
 }
 
 // New returns a pool without threads.
 func New(config Config) *Pool {
 	return &Pool{
-		config:  config,
-		jobs:    ring.New(ring.Config{Name: "runner", Capacity: config.Threads}),
-		current: make(map[string]*Runner),
+		config:   config,
+		jobs:     ring.New(ring.Config{Name: "runner", Capacity: config.Threads}),
+		attempts: make(map[string]*place),
 	}
 }
 
@@ -68,12 +74,25 @@
 func (p *Pool) Jobs() *ring.Ring { return p.jobs }
 
 // Run hands an attempt to the next free runner.
-func (p *Pool) Run(run foyer.Run) error { return p.jobs.Put(run) }
+func (p *Pool) Run(run foyer.Run) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.jobs.Put(run); err != nil {
+		return err
+	}
+	p.attempts[run.Submit().Attempt()] = &place{}
+	return nil
+}
 
-// Stop closes the connection of the runner that runs the attempt.
+// Stop ends an attempt: it closes the connection of the runner that has it, or
+// keeps it from being sent at all.
 func (p *Pool) Stop(attempt string) {
 	p.mu.Lock()
-	runner := p.current[attempt]
+	found, ok := p.attempts[attempt]
+	var runner *Runner
+	if ok {
+		found.stopped, runner = true, found.runner
+	}
 	p.mu.Unlock()
 	if runner != nil {
 		runner.interrupt(attempt)
@@ -89,16 +108,23 @@
 	return runners
 }
 
-func (p *Pool) begin(attempt string, runner *Runner) {
+// begin notes who runs an attempt and reports whether it was stopped before.
+func (p *Pool) begin(attempt string, runner *Runner) (stopped bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.current[attempt] = runner
+	found, ok := p.attempts[attempt]
+	if !ok {
+		found = &place{}
+		p.attempts[attempt] = found
+	}
+	found.runner = runner
+	return found.stopped
 }
 
 func (p *Pool) end(attempt string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.current, attempt)
+	delete(p.attempts, attempt)
 }
 
 // Runner is responsible for one attempt at a time.
@@ -112,6 +138,7 @@
 	attempt string
 	stopped bool
 	conn    net.Conn
+	abort   context.CancelFunc // ends a dial
 }
 
 func newRunner(pool *Pool, foyer Foyer) *Runner {
@@ -239,7 +266,8 @@
 	if submit.Model() == "" || !submit.Stream() || response.StatusCode() != fasthttp.StatusOK {
 		return nil
 	}
-	if bytes.Contains(tail, streamEnd) {
+	rest, ended := bytes.CutSuffix(bytes.TrimRight(tail, "\r\n"), streamEnd)
+	if ended && (len(rest) == 0 || rest[len(rest)-1] == '\n') {
 		return nil
 	}
 	return errors.Wrap(io.ErrUnexpectedEOF, "stream ended without its last event")
@@ -256,26 +284,43 @@
 	if !r.dialed() {
 		return notice.CodeUnreachable
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) {
 		return notice.CodeSilent
 	}
 	return notice.CodeCut
 }
 
 func (r *Runner) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if !r.allow(cancel) {
+		return nil, errStopped
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopped {
-		return nil, errors.CombineErrors(errors.New("attempt was cancelled"), conn.Close())
+		return nil, errors.CombineErrors(errStopped, conn.Close())
 	}
 	r.conn = conn
 	return &pacedConn{Conn: conn, silence: r.pool.config.Silence}, nil
 }
 
+// errStopped means that the attempt was stopped before it was sent.
+var errStopped = errors.New("attempt was stopped")
+
+// allow notes how to end a dial, unless the attempt was stopped already.
+func (r *Runner) allow(abort context.CancelFunc) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.abort = abort
+	return !r.stopped
+}
+
 func (r *Runner) dialed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -284,9 +329,11 @@
 
 func (r *Runner) claim(attempt string) {
 	r.mu.Lock()
-	r.attempt, r.stopped, r.conn = attempt, false, nil
+	r.attempt, r.stopped, r.conn, r.abort = attempt, false, nil, nil
 	r.mu.Unlock()
-	r.pool.begin(attempt, r)
+	if r.pool.begin(attempt, r) {
+		r.interrupt(attempt)
+	}
 }
 
 func (r *Runner) release(attempt string) {
@@ -303,6 +350,9 @@
 		return
 	}
 	r.stopped = true
+	if r.abort != nil {
+		r.abort()
+	}
 	if r.conn != nil {
 		_ = r.conn.Close()
 	}
