--- /dev/null
+++ b/commons/courier/courier_test.go
@@ -0,0 +1,37 @@
+package courier_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"sesamewell.example/commons/courier"
+	"sesamewell.example/commons/trail"
+)
+
+func TestSpansAreExported(t *testing.T) {
+	posts := make(chan string, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		posts <- r.URL.Path + " " + string(body)
+	}))
+	defer collector.Close()
+	exported := trail.New(trail.Config{Instance: "entry-1", Kept: 1, Sampling: 100, Export: courier.New(strings.TrimPrefix(collector.URL, "http://"))})
+	exported.Start(time.Unix(1, 0), "", "hop of the test").End(time.Unix(2, 0), "")
+	if err := exported.Close(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	post := <-posts
+	for _, part := range []string{"/v1/traces", "hop of the test", "entry-1"} {
+		if !strings.Contains(post, part) {
+			t.Errorf("export %q lacks %q", post, part)
+		}
+	}
+}
--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -13,6 +13,7 @@
 	{Section: "platform", Key: "poll", Kind: Duration, Default: "1s", Low: "50ms", High: "10s", Doc: "longest time that one read of the log waits for news"},
 	{Section: "traces", Key: "kept", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "recent spans kept in memory"},
 	{Section: "traces", Key: "sampling", Kind: Integer, Default: "100", Low: "0", High: "100", Doc: "share of requests that are traced, in per cent"},
+	{Section: "traces", Key: "otlp", Kind: Address, Doc: "address of an OTLP collector over HTTP; empty for none"},
 }
 
 var entryOptions = []SettingConfig{
--- a/commons/trail/trail.go
+++ b/commons/trail/trail.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 )
@@ -20,14 +21,16 @@
 
 // Config holds the construction parameters of a Trail.
 type Config struct {
-	Instance string // name of the instance, which each record carries
-	Kept     int    // spans kept in memory
-	Sampling int    // per cent of the traces begun here that are recorded
+	Instance string            // name of the instance, which each record carries
+	Kept     int               // spans kept in memory
+	Sampling int               // per cent of the traces begun here that are recorded
+	Export   sdk.SpanProcessor // receives every recorded span; nil for none
 }
 
 // Trail is responsible for the spans of one process.
 type Trail struct {
 	instance string
+	provider *sdk.TracerProvider
 	tracer   trace.Tracer
 	codec    propagation.TraceContext
 
@@ -39,12 +42,25 @@
 // New returns a trail without spans.
 func New(config Config) *Trail {
 	t := &Trail{instance: config.Instance, spans: make([]Record, max(config.Kept, 1))}
-	sampler := sdk.ParentBased(sdk.TraceIDRatioBased(float64(config.Sampling) / percent))
-	provider := sdk.NewTracerProvider(sdk.WithSampler(sampler), sdk.WithSpanProcessor(&keeper{trail: t}))
-	t.tracer = provider.Tracer("sesamewell")
+	options := []sdk.TracerProviderOption{
+		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(float64(config.Sampling) / percent))),
+		sdk.WithSpanProcessor(&keeper{trail: t}),
+		sdk.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "sesamewell"),
+			attribute.String("service.instance.id", config.Instance),
+		)),
+	}
+	if config.Export != nil {
+		options = append(options, sdk.WithSpanProcessor(config.Export))
+	}
+	t.provider = sdk.NewTracerProvider(options...)
+	t.tracer = t.provider.Tracer("sesamewell")
 	return t
 }
 
+// Close sends the spans that wait for export; it gives up when ctx ends.
+func (t *Trail) Close(ctx context.Context) error { return t.provider.Shutdown(ctx) }
+
 const percent = 100
 
 // Start opens a span below the given traceparent, or the first span of a new
--- a/commons/trail/trail_test.go
+++ b/commons/trail/trail_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+func BenchmarkSpan(b *testing.B) {
+	cases := map[string]int{"on": 100, "off": 0}
+	for name, sampling := range cases {
+		b.Run(name, func(b *testing.B) {
+			kept := trail.New(trail.Config{Instance: "i", Kept: 4096, Sampling: sampling})
+			root := kept.Start(time.Unix(0, 0), "", "root")
+			parent := root.Traceparent()
+			b.ReportAllocs()
+			for b.Loop() {
+				span := kept.Start(time.Unix(1, 0), parent, "hop")
+				span.Note("request", "id")
+				_ = span.Traceparent()
+				span.Mark(time.Unix(2, 0), "dispatched")
+				span.End(time.Unix(3, 0), "")
+			}
+		})
+	}
+}
+
 func TestBufferKeepsTheNewest(t *testing.T) {
 	cases := map[string]struct {
 		sampling int
--- a/entry/house.go
+++ b/entry/house.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
@@ -53,6 +54,7 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
 	})
 	lines := line.New(line.Config{
 		Incarnation: uuid.NewString(),
