Explain a request or a model from the kept spans

Cause: the apprentice had to know trace ids to learn what became of a request. Change: operators' pages find spans by request id; sesamewell explain gathers them from all instances of the inventory. Conclusion: one command answers by request id; what was not sampled or is older than the kept spans is said to be unknown.

--- a/commons/lantern/lantern.go
+++ b/commons/lantern/lantern.go
@@ -116,9 +116,11 @@
 		writeJSON(response, l.config.Status.Status())
 	case strings.HasPrefix(path, "/traces/"):
 		writeJSON(response, l.config.Trail.Find(strings.TrimPrefix(path, "/traces/")))
+	case strings.HasPrefix(path, "/requests/"):
+		writeJSON(response, l.config.Trail.FindRequest(strings.TrimPrefix(path, "/requests/")))
 	default:
 		response.SetStatusCode(fasthttp.StatusNotFound)
-		response.SetBodyString("no such page; try /healthz, /readyz, /metrics, /status or /traces/ID\n")
+		response.SetBodyString("no such page; try /healthz, /readyz, /metrics, /status, /traces/ID or /requests/ID\n")
 	}
 	return response
 }
--- a/commons/porter/door.go
+++ b/commons/porter/door.go
@@ -83,7 +83,7 @@
 		return nil, errors.CombineErrors(net.ErrClosed, conn.Close())
 	}
 	t.conns[conn] = struct{}{}
-	return &trackedConn{Conn: t.identity.server(conn), raw: conn, owner: t}, nil
+	return &trackedConn{Conn: t.identity.server(countedConn{Conn: conn}), raw: conn, owner: t}, nil
 }
 
 func (t *trackedListener) closeAll() {
--- a/commons/porter/line.go
+++ b/commons/porter/line.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", l.config.Address), ErrDial)
 	}
-	secured, err := l.config.Identity.client(conn)
+	secured, err := l.config.Identity.client(countedConn{Conn: conn})
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", l.config.Address), ErrDial)
 	}
--- a/commons/trail/trail.go
+++ b/commons/trail/trail.go
@@ -73,12 +73,24 @@
 
 // Find returns the kept spans of a trace, oldest first.
 func (t *Trail) Find(traceID string) []Record {
+	return t.search(func(record Record) bool { return record.config.Trace == traceID && traceID != "" })
+}
+
+// FindRequest returns the kept spans that were noted with a request's id,
+// oldest first.
+func (t *Trail) FindRequest(request string) []Record {
+	return t.search(func(record Record) bool { return record.config.Notes[RequestNote] == request && request != "" })
+}
+
+// RequestNote is the key under which spans carry the id of their request.
+const RequestNote = "request"
+
+func (t *Trail) search(matches func(record Record) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []Record
 	for i := range t.spans {
-		record := t.spans[(t.next+i)%len(t.spans)]
-		if record.config.Trace == traceID && traceID != "" {
+		if record := t.spans[(t.next+i)%len(t.spans)]; matches(record) {
 			found = append(found, record)
 		}
 	}
@@ -173,6 +185,9 @@
 // Span returns the span's id.
 func (r Record) Span() string { return r.config.Span }
 
+// Trace returns the trace's id.
+func (r Record) Trace() string { return r.config.Trace }
+
 // Parent returns the id of the parent span, or "".
 func (r Record) Parent() string { return r.config.Parent }
 
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -161,7 +161,7 @@
 	}
 	o := &open{id: uuid.NewString(), call: call}
 	o.span = g.config.Trail.Start(call.Arrived(), string(request.Header.Peek(traceKey)), "entry")
-	o.span.Note("request", o.id)
+	o.span.Note(trail.RequestNote, o.id)
 	o.span.Note("path", path)
 	ask, err := g.admit(now, o, path)
 	if err != nil {
--- /dev/null
+++ b/sesamewell/explain.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/sesamewell/inspect"
+	"sesamewell.example/sesamewell/publish"
+)
+
+// errUnexplained means that no instance remembers the request.
+var errUnexplained = errors.New("no instance remembers this request: its id is wrong, it was not sampled, or it is older than the kept spans")
+
+// explain tells what became of a request, or how a model can be reached.
+func explain(out io.Writer, args options) error {
+	publisher := publish.New(logbook.New(logbook.Config{Address: args.Log, Timeout: args.Timeout}))
+	if err := publisher.Refresh(); err != nil {
+		return err
+	}
+	inventory := publisher.Revision().Inventory()
+	addresses := operators(inventory)
+	if model, ok := inventory.Serves(args.Explain.Subject); ok {
+		return explainModel(out, args.Explain.Subject, model, inventory)
+	}
+	spans, err := inspect.Request(args.Explain.Subject, addresses)
+	if len(spans) == 0 {
+		return errors.CombineErrors(errors.WithStack(errUnexplained), err)
+	}
+	fmt.Fprintln(out, inspect.Explain(spans))
+	inspect.PrintTree(out, spans)
+	return err
+}
+
+func explainModel(out io.Writer, name string, model register.Model, inventory *register.Inventory) error {
+	fmt.Fprintf(out, "%s is served by the model %s, which takes %d bytes and %d bytes of cache.\n", name, model.Name(), model.Memory(), model.Cache())
+	for _, instance := range inventory.Instances() {
+		backend, ok := inventory.Backend(instance.Backend())
+		if !ok || backend.Kind() != register.Engine || instance.Operator() == "" {
+			continue
+		}
+		line, err := inspect.Side(instance.Operator())
+		if err != nil {
+			line = "does not answer"
+		}
+		fmt.Fprintf(out, "%s (%s, %s): %s\n", instance.Name(), backend.Name(), instance.Domain(), line)
+	}
+	return nil
+}
+
+// operators returns the addresses of all operators' pages in the inventory.
+func operators(inventory *register.Inventory) []string {
+	var addresses []string
+	for _, instance := range inventory.Instances() {
+		if instance.Operator() != "" {
+			addresses = append(addresses, instance.Operator())
+		}
+	}
+	return addresses
+}
--- a/sesamewell/options.go
+++ b/sesamewell/options.go
@@ -12,6 +12,7 @@
 	Apply    *applyOptions    `arg:"subcommand:apply" help:"put an inventory in force on the whole fleet"`
 	Key      *keyOptions      `arg:"subcommand:key" help:"work with callers' keys"`
 	Trace    *traceOptions    `arg:"subcommand:trace" help:"print the spans of a request"`
+	Explain  *explainOptions  `arg:"subcommand:explain" help:"tell why a request went, waited or was refused, or where a model is"`
 	Settings *settingsOptions `arg:"subcommand:settings" help:"print the table of all settings"`
 
 	Log     string        `default:"127.0.0.1:9100" placeholder:"IP:PORT" help:"address of the log service"`
@@ -40,6 +41,10 @@
 	Operators []string `arg:"--from,separate,required" placeholder:"IP:PORT" help:"operators' page to ask; may be given several times"`
 }
 
+type explainOptions struct {
+	Subject string `arg:"positional,required" placeholder:"REQUEST|MODEL" help:"request id, as X-Request-Id gives it, or the name of a model or adapter"`
+}
+
 type settingsOptions struct{}
 
 // Version returns the line that --version prints.
