--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -269,14 +269,35 @@
 	}
 }
 
+// Ports for the tests' processes lie below those that the kernel gives to
+// outgoing connections, so that no connection takes a port that was found free.
+const (
+	firstPort     = 10000
+	lastPort      = 32000
+	portsPerChunk = 500
+)
+
+var nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portsPerChunk)*portsPerChunk
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // answer is what a caller got.
