Give the proof's processes ports that outgoing connections cannot take

Cause: go test -race ./standin/proof failed once (1 of 2 runs): the log stand-in found its port taken (bind: address already in use) for as long as it tried. The address was one that the kernel had handed out and taken back, from the range 32768 to 60999 that it gives to outgoing connections. Ruled out: a second listener of the same fleet; the port was never listed twice. Change: addresses are drawn at random from 12000 to 31999 and probed. Conclusion: the race with outgoing connections is gone; one with other fleets on the machine is left, at 1 in 20,000 for each pair of addresses.

--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -268,14 +269,26 @@
 	}
 }
 
+// Ports for the fleet's processes lie below those that the kernel gives to
+// outgoing connections, which could take a port before its process listens.
+const (
+	firstPort = 12000
+	portCount = 20000
+)
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // answer is what a caller got.
