Act on the log only under a freshness proof

Cause: an entry that lost the log went on with keys that had been withdrawn, for good; a side did not follow the log at all and ran queued requests of such keys. Ruled out: counting a proof from the answer of a read (a slow answer would look new); trusting the age that rides on a request (a paused receiver reads it late, so it counts from a stamp that the sender echoes); one proof for the process (the gate may be a revision behind the registrar, so it is kept for each state). Change: commons/nightwatch decides, purely; words on freshness ride on all messages between entries and sides; in an outage every live process has to vouch. The gate refuses and ends calls without a proof, the side refuses what is queued, and a withdrawn key ends queued attempts there as not run. A request carries an identifier of its key's permission, from which nobody can tell the key. Conclusion: settings platform.freshness (3s) and platform.peers are new.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -10,6 +10,8 @@
 	{Section: "platform", Key: "log", Kind: Address, Required: true, Doc: "address of the append-only log service"},
 	{Section: "platform", Key: "log-timeout", Kind: Duration, Default: "2s", Low: "100ms", High: "30s", Doc: "limit on one append or one read beyond its long poll"},
 	{Section: "platform", Key: "poll", Kind: Duration, Default: "1s", Low: "50ms", High: "10s", Doc: "longest time that one read of the log waits for news"},
+	{Section: "platform", Key: "freshness", Kind: Duration, Default: "3s", Low: "300ms", High: "30s", Doc: "time after which a process that cannot tell whether its configuration is current stops to act on it"},
+	{Section: "platform", Key: "peers", Kind: List, Doc: "link addresses of other processes, from which the configuration is read when the log service does not answer at the start"},
 	{Section: "traces", Key: "kept", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "recent spans kept in memory"},
 	{Section: "traces", Key: "sampling", Kind: Integer, Default: "100", Low: "0", High: "100", Doc: "share of requests that are traced, in per cent"},
 }
--- /dev/null
+++ b/commons/nightwatch/message.go
@@ -0,0 +1,136 @@
+package nightwatch
+
+import (
+	"time"
+
+	"sesamewell.example/commons/notice"
+)
+
+// Peer is another process of the fleet.
+type Peer struct {
+	name    string
+	address string
+}
+
+// NewPeer returns a process with the IP:port of its door.
+func NewPeer(name, address string) Peer { return Peer{name: name, address: address} }
+
+// Name returns the instance's name.
+func (p Peer) Name() string { return p.name }
+
+// Address returns the IP:port of the instance's door.
+func (p Peer) Address() string { return p.address }
+
+// Message is what the watch's inbox carries.
+type Message interface{ nightwatchMessage() }
+
+// Folded tells how far the register has followed the log.
+type Folded struct {
+	state int64
+	known int64
+}
+
+// NewFolded returns the message: state is the offset after the last record that
+// changed the register, known the offset of the first record not folded.
+func NewFolded(state, known int64) Folded { return Folded{state: state, known: known} }
+
+// LogRead reports the head that a read of the log returned.
+type LogRead struct {
+	sent time.Time
+	head int64
+}
+
+// NewLogRead returns the message for a read that was begun at sent.
+func NewLogRead(sent time.Time, head int64) LogRead { return LogRead{sent: sent, head: head} }
+
+// Answered brings the word that came with the answer to a call.
+type Answered struct {
+	peer string
+	sent time.Time
+	word notice.Freshness
+}
+
+// NewAnswered returns the message for a call that was begun at sent. The peer
+// is named when the call was an Ask, else empty.
+func NewAnswered(peer string, sent time.Time, word notice.Freshness) Answered {
+	return Answered{peer: peer, sent: sent, word: word}
+}
+
+// Received brings the word that rode on another process's request.
+type Received struct {
+	word notice.Freshness
+}
+
+// NewReceived returns the message.
+func NewReceived(word notice.Freshness) Received { return Received{word: word} }
+
+// Listed names all other processes that the platform's instance list holds
+// live.
+type Listed struct {
+	peers []Peer
+}
+
+// NewListed returns the message.
+func NewListed(peers []Peer) Listed { return Listed{peers: peers} }
+
+func (Folded) nightwatchMessage()   {}
+func (LogRead) nightwatchMessage()  {}
+func (Answered) nightwatchMessage() {}
+func (Received) nightwatchMessage() {}
+func (Listed) nightwatchMessage()   {}
+
+// Action is what the core asks its duty to do.
+type Action interface{ nightwatchAction() }
+
+// Ask calls another process for its word.
+type Ask struct {
+	peer Peer
+}
+
+// Peer returns the process to call.
+func (a Ask) Peer() Peer { return a.peer }
+
+func (Ask) nightwatchAction() {}
+
+// View is an immutable copy of what a core knows.
+type View struct {
+	config CoreConfig
+	heard  int64
+	read   proof
+	round  proof
+	spans  []span
+}
+
+// Fresh reports whether a duty may act on a state of the register, named by
+// the offset after the record that made it.
+func (v View) Fresh(now time.Time, state int64) bool {
+	for _, s := range v.spans {
+		if s.state == state {
+			return !s.at.IsZero() && now.Sub(s.at) < v.config.Limit
+		}
+	}
+	return false
+}
+
+// Word returns what the process can tell another one, whose newest word was
+// last.
+func (v View) Word(now time.Time, last notice.Freshness) notice.Freshness {
+	config := notice.FreshnessConfig{
+		Process: v.config.Process,
+		Stamp:   now.Sub(v.config.Origin),
+		Echoed:  last.Process(),
+		Echo:    last.Stamp(),
+		Heard:   v.heard,
+	}
+	config.ReadHead, config.ReadAge = v.read.state(now)
+	config.RoundHead, config.RoundAge = v.round.state(now)
+	return notice.NewFreshness(config)
+}
+
+// state returns the proof's head and age.
+func (p proof) state(now time.Time) (head int64, age time.Duration) {
+	if p.at.IsZero() {
+		return 0, notice.NoProof
+	}
+	return p.head, max(now.Sub(p.at), time.Nanosecond)
+}
--- a/commons/notice/page.go
+++ b/commons/notice/page.go
@@ -42,6 +42,7 @@
 	Resume    bool          // an earlier answer may be lost; send again what is not confirmed
 	Positions []Position    // positions that changed since the last read
 	Wait      time.Duration // longest time to wait for something to send
+	Freshness Freshness     // of what the sender knows of the log
 }
 
 // Read asks a side for the next pieces of all answers that an entry awaits
@@ -65,6 +66,9 @@
 // Wait returns the longest time to wait for something to send.
 func (r Read) Wait() time.Duration { return r.config.Wait }
 
+// Freshness tells how recently the sender knew the head of the log.
+func (r Read) Freshness() Freshness { return r.config.Freshness }
+
 // MarshalBinary encodes the message.
 func (r Read) MarshalBinary() ([]byte, error) { return pack("read", &r.config) }
 
@@ -137,11 +141,12 @@
 
 // PagesConfig holds the construction parameters of a Pages.
 type PagesConfig struct {
-	Side     string // incarnation of the answering side
-	Leaving  bool   // the side takes no new work
-	Queued   int    // attempts that wait for the backend server
-	InFlight int    // attempts that the backend server runs
-	Pages    []Page
+	Side      string // incarnation of the answering side
+	Leaving   bool   // the side takes no new work
+	Queued    int    // attempts that wait for the backend server
+	InFlight  int    // attempts that the backend server runs
+	Pages     []Page
+	Freshness Freshness // of what the sender knows of the log
 }
 
 // Pages answers a read.
@@ -167,8 +172,17 @@
 // Pages returns the pieces, oldest first for each attempt.
 func (p Pages) Pages() []Page { return p.config.Pages }
 
+// Freshness tells how recently the sender knew the head of the log.
+func (p Pages) Freshness() Freshness { return p.config.Freshness }
+
 // MarshalBinary encodes the message.
 func (p Pages) MarshalBinary() ([]byte, error) { return pack("pages", &p.config) }
 
 // UnmarshalBinary decodes what MarshalBinary wrote.
 func (p *Pages) UnmarshalBinary(data []byte) error { return unpack("pages", data, &p.config) }
+
+// WithFreshness returns the pages with the sender's word on the log.
+func (p Pages) WithFreshness(freshness Freshness) Pages {
+	p.config.Freshness = freshness
+	return p
+}
--- a/commons/notice/submit.go
+++ b/commons/notice/submit.go
@@ -11,6 +11,7 @@
 	Attempt     string // unique to this attempt
 	Request     string // common to all attempts of one request
 	Tenant      string
+	Grant       string // identifier of the key's permission; empty on an open route
 	Model       string // empty for a plain service
 	Service     string // empty for a model
 	Method      string
@@ -42,6 +43,10 @@
 // Tenant returns the tenant for which the attempt runs.
 func (s Submit) Tenant() string { return s.config.Tenant }
 
+// Grant returns the identifier of the permission under which the attempt runs,
+// or "" on an open route.
+func (s Submit) Grant() string { return s.config.Grant }
+
 // Model returns the model to run, or "" for a plain service.
 func (s Submit) Model() string { return s.config.Model }
 
@@ -86,10 +91,11 @@
 
 // BatchConfig holds the construction parameters of a Batch.
 type BatchConfig struct {
-	Entry   string // incarnation of the sending entry
-	Side    string // incarnation that the batch is meant for; empty if unknown
-	Submits []Submit
-	Cancels []string // attempts whose answers nobody awaits any more
+	Entry     string // incarnation of the sending entry
+	Side      string // incarnation that the batch is meant for; empty if unknown
+	Submits   []Submit
+	Cancels   []string  // attempts whose answers nobody awaits any more
+	Freshness Freshness // of what the sender knows of the log
 }
 
 // Batch carries new attempts and cancellations from an entry to a side.
@@ -113,6 +119,9 @@
 // Cancels returns the attempts to cancel.
 func (b Batch) Cancels() []string { return b.config.Cancels }
 
+// Freshness tells how recently the sender knew the head of the log.
+func (b Batch) Freshness() Freshness { return b.config.Freshness }
+
 // MarshalBinary encodes the message.
 func (b Batch) MarshalBinary() ([]byte, error) { return pack("batch", &b.config) }
 
@@ -156,8 +165,9 @@
 
 // ReceiptsConfig holds the construction parameters of a Receipts.
 type ReceiptsConfig struct {
-	Side     string // incarnation of the answering side
-	Receipts []Receipt
+	Side      string // incarnation of the answering side
+	Receipts  []Receipt
+	Freshness Freshness // of what the sender knows of the log
 }
 
 // Receipts answers a batch with one receipt for each submit.
@@ -174,8 +184,17 @@
 // Receipts returns one receipt for each submit.
 func (r Receipts) Receipts() []Receipt { return r.config.Receipts }
 
+// Freshness tells how recently the sender knew the head of the log.
+func (r Receipts) Freshness() Freshness { return r.config.Freshness }
+
 // MarshalBinary encodes the message.
 func (r Receipts) MarshalBinary() ([]byte, error) { return pack("receipts", &r.config) }
 
 // UnmarshalBinary decodes what MarshalBinary wrote.
 func (r *Receipts) UnmarshalBinary(data []byte) error { return unpack("receipts", data, &r.config) }
+
+// WithFreshness returns the receipts with the sender's word on the log.
+func (r Receipts) WithFreshness(freshness Freshness) Receipts {
+	r.config.Freshness = freshness
+	return r
+}
--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -84,6 +84,7 @@
 type Revision struct {
 	number    int64
 	offset    int64 // of the next record to read
+	state     int64 // offset after the last record that changed anything
 	inventory *Inventory
 	claims    map[string]Claim // by role
 }
@@ -115,6 +116,10 @@
 // Offset returns the offset of the first record that is not folded in.
 func (r *Revision) Offset() int64 { return r.offset }
 
+// State returns the offset after the last record that changed the inventory or
+// a claim. It names what the revision says.
+func (r *Revision) State() int64 { return r.state }
+
 // Inventory returns the configuration.
 func (r *Revision) Inventory() *Inventory { return r.inventory }
 
@@ -130,7 +135,7 @@
 	if offset < r.offset {
 		return r, nil
 	}
-	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory, claims: r.claims}
+	skipped := &Revision{number: r.number, offset: offset + 1, state: r.state, inventory: r.inventory, claims: r.claims}
 	record, err := DecodeRecord(data)
 	if err != nil {
 		return skipped, errors.Mark(err, ErrBadRecord)
@@ -157,7 +162,7 @@
 		return r, errors.Mark(err, ErrBadRecord)
 	}
 	next := *r
-	next.number, next.inventory = r.number+1, inventory
+	next.number, next.state, next.inventory = r.number+1, r.offset, inventory
 	return &next, nil
 }
 
@@ -172,6 +177,7 @@
 		return r, errors.Wrapf(ErrStaleBase, "claim of %s by %s", record.config.Claim, record.config.Holder)
 	}
 	next := *r
+	next.state = r.offset
 	next.claims = maps.Clone(r.claims)
 	if next.claims == nil {
 		next.claims = make(map[string]Claim)
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"strings"
@@ -23,6 +25,7 @@
 	adapters  set[Adapter]
 	tenants   set[Tenant]
 	keys      set[Key] // by SHA-256 in hexadecimal
+	grants    set[Key] // by grant
 	routes    []Route  // longest path first
 }
 
@@ -35,6 +38,7 @@
 		adapters:  make(set[Adapter]),
 		tenants:   make(set[Tenant]),
 		keys:      make(set[Key]),
+		grants:    make(set[Key]),
 	}
 }
 
@@ -115,6 +119,13 @@
 	return key, ok
 }
 
+// Granted reports whether a key stands that gives the grant. The empty grant,
+// of a request on an open route, always stands.
+func (i *Inventory) Granted(grant string) bool {
+	_, ok := i.grants[grant]
+	return ok || grant == ""
+}
+
 // Routes returns all routes, longest path first.
 func (i *Inventory) Routes() []Route { return i.routes }
 
@@ -289,6 +300,18 @@
 // Tenant returns the name of the tenant that the key belongs to.
 func (k Key) Tenant() string { return k.tenant }
 
+// Grant returns an identifier of the permission to run requests for the key's
+// tenant. It differs for each pair of key and tenant, and nobody can tell the
+// key from it.
+func (k Key) Grant() string {
+	sum := sha256.Sum256([]byte(k.tenant + "\x00" + k.hash))
+	return hex.EncodeToString(sum[:grantBytes])
+}
+
+// grantBytes is the length of a grant's identifier before it is written in
+// hexadecimal.
+const grantBytes = 8
+
 // Hash returns the key's SHA-256 in hexadecimal.
 func (k Key) Hash() string { return k.hash }
 
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -98,6 +98,7 @@
 		r.fault("sha256", "keys %s and %s have the same sha256; give each its own key", other.name, name)
 	}
 	r.inventory.keys[key.hash] = key
+	r.inventory.grants[key.Grant()] = key
 }
 
 func (r *reader) readRoute(name string) {
--- a/commons/registrar/registrar.go
+++ b/commons/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,15 @@
 	Put(item any) error
 }
 
+// Watch decides on the process's freshness proof.
+type Watch interface {
+	// LogRead takes the head that a read, begun at sent, returned.
+	LogRead(sent time.Time, head int64)
+	// Folded takes the state that the register has reached, and the addresses
+	// of the instances that it describes.
+	Folded(state, known int64, instances map[string]string)
+}
+
 // Revised tells a duty that a new revision is in force.
 type Revised struct {
 	revision *register.Revision
@@ -61,8 +71,9 @@
 	Log         *logrus.Entry
 	Service     Log
 	Poll        time.Duration // longest wait of one read
-	Subscribers []Inbox       // receive Revised
-	Followers   []Follower    // receive Recorded, each record once and in order
+	Watch       Watch
+	Subscribers []Inbox    // receive Revised
+	Followers   []Follower // receive Recorded, each record once and in order
 }
 
 // Follower receives records that the register passes on.
@@ -74,14 +85,21 @@
 type Registrar struct {
 	config   Config
 	revision *register.Revision
+	shown    atomic.Pointer[register.Revision]
 	unsent   []Inbox
+	doors    map[string]string // address of each instance's door
 }
 
 // New returns a registrar at revision zero.
 func New(config Config) *Registrar {
-	return &Registrar{config: config, revision: register.Initial()}
+	r := &Registrar{config: config, revision: register.Initial()}
+	r.shown.Store(r.revision)
+	return r
 }
 
+// Revision returns the newest revision. It may be called from any thread.
+func (r *Registrar) Revision() *register.Revision { return r.shown.Load() }
+
 // String returns the duty's name.
 func (r *Registrar) String() string { return "registrar" }
 
@@ -89,16 +107,20 @@
 func (r *Registrar) Serve(ctx context.Context) error {
 	r.unsent = r.config.Subscribers
 	for ctx.Err() == nil {
+		sent := time.Now()
 		extract, err := r.config.Service.Read(r.revision.Offset(), r.wait())
 		if err != nil {
 			r.config.Log.WithField("event", "log_read").WithError(err).Warn("log service cannot be read")
 			r.pause(ctx)
 			continue
 		}
+		r.config.Watch.LogRead(sent, extract.Head())
 		if err := r.fold(ctx, extract); err != nil {
 			return err
 		}
+		r.shown.Store(r.revision)
 		r.publish()
+		r.config.Watch.Folded(r.revision.State(), r.revision.Offset(), r.doors)
 	}
 	return ctx.Err()
 }
@@ -111,7 +133,7 @@
 }
 
 func (r *Registrar) fold(ctx context.Context, extract logbook.Extract) error {
-	before := r.revision.Number()
+	before := r.revision
 	for _, entry := range extract.Entries() {
 		if err := r.passOn(ctx, entry); err != nil {
 			return err
@@ -122,10 +144,14 @@
 		}
 		r.revision = next
 	}
-	if r.revision.Number() == before {
+	if r.revision.State() == before.State() {
 		return nil
 	}
 	r.unsent = r.config.Subscribers
+	if r.revision.Number() == before.Number() {
+		return nil
+	}
+	r.doors = addresses(r.revision)
 	r.config.Log.WithFields(logrus.Fields{"event": "revision", "revision": r.revision.Number()}).Info("revision in force")
 	return nil
 }
@@ -148,7 +174,7 @@
 
 // publish sends the current revision to every subscriber that lacks it.
 func (r *Registrar) publish() {
-	if r.revision.Number() == 0 {
+	if r.revision.State() == 0 {
 		r.unsent = nil
 		return
 	}
@@ -169,3 +195,12 @@
 	case <-ctx.Done():
 	}
 }
+
+// addresses returns the doors of the instances that a revision describes.
+func addresses(revision *register.Revision) map[string]string {
+	found := make(map[string]string)
+	for _, instance := range revision.Inventory().Instances() {
+		found[instance.Name()] = instance.Link()
+	}
+	return found
+}
--- a/entry/badge/badge.go
+++ b/entry/badge/badge.go
@@ -38,6 +38,7 @@
 type Pass struct {
 	tenant string
 	hash   string
+	grant  string
 }
 
 // Tenant returns the tenant for which the request runs.
@@ -46,6 +47,10 @@
 // Hash returns the hash of the key that was shown, or "" on an open route.
 func (p Pass) Hash() string { return p.hash }
 
+// Grant returns the identifier of the permission that the key gave, or "" on an
+// open route.
+func (p Pass) Grant() string { return p.grant }
+
 // Check returns the pass for a request on a route. A key that is shown decides,
 // also on an open route; only a request without one runs for the route's
 // tenant.
@@ -64,14 +69,10 @@
 	if !ok {
 		return Pass{}, ErrUnknown
 	}
-	return Pass{tenant: key.Tenant(), hash: hash}, nil
+	return Pass{tenant: key.Tenant(), hash: hash, grant: key.Grant()}, nil
 }
 
 // Valid reports whether a pass that was given earlier still holds.
 func (p Pass) Valid(inventory *register.Inventory) bool {
-	if p.hash == "" {
-		return true
-	}
-	key, ok := inventory.KeyByHash(p.hash)
-	return ok && key.Tenant() == p.tenant
+	return inventory.Granted(p.grant)
 }
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -6,4 +6,6 @@
 const (
 	drainHandOver = 10 * time.Second // longest wait for room to announce a drain
 	callerLoops   = 2                // event loops for callers' connections
+	// pollsPerProof is the number of reads of the log begun while one proof lasts.
+	pollsPerProof = 4
 )
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -25,6 +25,7 @@
 // Named limits of the gate.
 const (
 	tickPeriod   = 100 * time.Millisecond // time between checks of lost requests
+	barredLife   = time.Second            // time for which the answer is awaited whether a request with a withdrawn key was run
 	lostAfter    = 5 * time.Second        // time beyond its deadline after which a request counts as lost
 	requestIDKey = "X-Request-Id"
 	traceKey     = "traceparent"
@@ -35,6 +36,11 @@
 	Put(message usher.Message) error
 }
 
+// Watch decides whether the entry may act on a state of the register.
+type Watch interface {
+	Fresh(now time.Time, state int64) bool
+}
+
 // Config holds the construction parameters of a Gate.
 type Config struct {
 	Capacity      int           // messages in the inbox
@@ -42,6 +48,7 @@
 	MaxAnswer     int64         // bytes of an answer that is not streamed
 	DefaultOutput int64         // output tokens of a request without a maximum
 	Usher         Usher
+	Watch         Watch
 	Trail         *trail.Trail
 	Log           *logrus.Entry
 	Drained       func() // called once, when a drain has ended
@@ -59,6 +66,7 @@
 	calls     map[string]*open
 	ids       map[*wicket.Call]string
 	revision  atomic.Int64
+	state     atomic.Int64 // of the revision
 	draining  atomic.Bool
 	open      atomic.Int64
 }
@@ -70,6 +78,7 @@
 	pass    badge.Pass
 	span    *trail.Span
 	expires time.Time
+	barred  time.Time // when the key was withdrawn; zero while it stands
 	stream  bool
 	begun   bool
 	body    []byte
@@ -136,9 +145,14 @@
 
 // Tick ends the calls whose requests the usher has lost.
 func (g *Gate) Tick(now time.Time) error {
+	g.checkFreshness(now)
 	for _, o := range g.calls {
-		if now.Sub(o.expires) > lostAfter {
+		switch {
+		case now.Sub(o.expires) > lostAfter:
 			g.fail(now, o, errLost, 0)
+		case !o.barred.IsZero() && now.Sub(o.barred) > barredLife:
+			g.leave(o)
+			g.fail(now, o, errWithdrawn, 0)
 		}
 	}
 	g.settle()
@@ -156,7 +170,7 @@
 func (g *Gate) receive(now time.Time, call *wicket.Call) {
 	request := call.Request()
 	path := string(request.URI().Path())
-	if g.answerHealth(call, path) {
+	if g.answerHealth(now, call, path) {
 		return
 	}
 	o := &open{id: uuid.NewString(), call: call}
@@ -184,8 +198,8 @@
 	if g.draining.Load() {
 		return usher.Ask{}, errDraining
 	}
-	if g.revision.Load() == 0 {
-		return usher.Ask{}, errNoRevision
+	if err := g.current(now); err != nil {
+		return usher.Ask{}, err
 	}
 	route, ok := g.inventory.RouteFor(path)
 	if !ok {
@@ -206,6 +220,7 @@
 	config := usher.AskConfig{
 		Request:     o.id,
 		Tenant:      pass.Tenant(),
+		Grant:       pass.Grant(),
 		Service:     route.Service(),
 		Method:      string(request.Header.Method()),
 		Path:        string(request.URI().RequestURI()),
@@ -257,13 +272,13 @@
 	return nil
 }
 
-func (g *Gate) answerHealth(call *wicket.Call, path string) bool {
+func (g *Gate) answerHealth(now time.Time, call *wicket.Call, path string) bool {
 	response := &fasthttp.Response{}
 	switch path {
 	case "/healthz":
 		response.SetBodyString("ok\n")
 	case "/readyz":
-		lantern.Readiness(response, g.Ready())
+		lantern.Readiness(response, g.Ready(now))
 	default:
 		return false
 	}
@@ -273,14 +288,11 @@
 }
 
 // Ready returns nil while the gate takes requests, else why it does not.
-func (g *Gate) Ready() error {
+func (g *Gate) Ready(now time.Time) error {
 	if g.draining.Load() {
 		return errDraining
 	}
-	if g.revision.Load() == 0 {
-		return errNoRevision
-	}
-	return nil
+	return g.current(now)
 }
 
 func (g *Gate) answerModels(now time.Time, o *open) {
@@ -295,10 +307,15 @@
 // deliver passes a piece of an answer on: at once for a stream, else when the
 // answer is whole.
 func (g *Gate) deliver(now time.Time, m usher.Deliver) {
+	g.checkFreshness(now)
 	o, ok := g.calls[m.Request()]
 	if !ok {
 		return
 	}
+	if !o.barred.IsZero() {
+		g.fail(now, o, errWithdrawn, 0)
+		return
+	}
 	if !o.stream || (!o.begun && m.Status() != fasthttp.StatusOK) {
 		g.gather(now, o, m)
 		return
@@ -392,18 +409,6 @@
 	delete(g.ids, o.call)
 }
 
-// revise takes over a new revision and ends the calls whose keys it withdraws.
-func (g *Gate) revise(now time.Time, revision *register.Revision) {
-	g.inventory = revision.Inventory()
-	g.revision.Store(revision.Number())
-	for _, o := range g.calls {
-		if !o.pass.Valid(g.inventory) {
-			g.leave(o)
-			g.fail(now, o, errWithdrawn, 0)
-		}
-	}
-}
-
 // stamp adds the headers that every answer carries.
 func (o *open) stamp(response *fasthttp.Response) {
 	response.Header.Set(requestIDKey, o.id)
--- a/entry/gate/refusal.go
+++ b/entry/gate/refusal.go
@@ -9,6 +9,7 @@
 	"github.com/tmaxmax/go-sse"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/wicket"
 )
 
@@ -26,8 +27,16 @@
 		Status: fasthttp.StatusServiceUnavailable, Code: "no_configuration",
 		Message: "this instance has not read its configuration yet; retry after the time in Retry-After",
 	})
+	errNotCurrent = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: notice.CodeNotCurrent,
+		Message: "this instance cannot tell whether its configuration is current; retry, which reaches another instance",
+	})
+	errLapsed = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: notice.CodeNotCurrent, Outcome: wicket.MayHaveRun,
+		Message: "this instance can no longer tell whether the key stands; retry, which reaches another instance",
+	})
 	errWithdrawn = wicket.NewRefusal(wicket.RefusalConfig{
-		Status: fasthttp.StatusUnauthorized, Code: "key_withdrawn", Outcome: wicket.MayHaveRun,
+		Status: fasthttp.StatusUnauthorized, Code: notice.CodeWithdrawn, Outcome: wicket.MayHaveRun,
 		Message: "the key was withdrawn while the request ran; ask your operator for a new one",
 	})
 	errLost = wicket.NewRefusal(wicket.RefusalConfig{
--- /dev/null
+++ b/entry/gate/revision.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"time"
+
+	"sesamewell.example/commons/register"
+)
+
+// current returns nil while the gate may act on the revision that it has.
+func (g *Gate) current(now time.Time) error {
+	if g.revision.Load() == 0 {
+		return errNoRevision
+	}
+	if !g.config.Watch.Fresh(now, g.state.Load()) {
+		return errNotCurrent
+	}
+	return nil
+}
+
+// checkFreshness ends all open calls when the gate may no longer act on the
+// revision that it has: the keys may have been withdrawn.
+func (g *Gate) checkFreshness(now time.Time) {
+	if len(g.calls) == 0 || g.current(now) == nil {
+		return
+	}
+	for _, o := range g.calls {
+		g.leave(o)
+		g.fail(now, o, errLapsed, 0)
+	}
+}
+
+// revise takes over a new revision and bars the calls whose keys it withdraws.
+// A stream ends at once. Of a call without an answer so far, the side says
+// whether it was run; its answer is awaited for a moment.
+func (g *Gate) revise(now time.Time, revision *register.Revision) {
+	g.inventory = revision.Inventory()
+	g.revision.Store(revision.Number())
+	g.state.Store(revision.State())
+	for _, o := range g.calls {
+		if o.pass.Valid(g.inventory) || !o.barred.IsZero() {
+			continue
+		}
+		o.barred = now
+		if o.begun {
+			g.leave(o)
+			g.fail(now, o, errWithdrawn, 0)
+		}
+	}
+}
--- a/entry/house.go
+++ b/entry/house.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -31,12 +33,15 @@
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
+//	├── nightwatch (freshness proof)
 //	└── registrar (log)
 type house struct {
-	crew    *crew.Crew
-	gate    *gate.Gate
-	usher   *usher.Usher
-	drained chan struct{}
+	crew      *crew.Crew
+	watch     *nightwatch.Watch
+	registrar *registrar.Registrar
+	gate      *gate.Gate
+	usher     *usher.Usher
+	drained   chan struct{}
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
@@ -49,11 +54,17 @@
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
 	})
+	h.watch = nightwatch.New(nightwatch.Config{
+		Instance: settings.Text("process", "instance"),
+		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Log:      log,
+	})
 	lines := line.New(line.Config{
 		Incarnation: uuid.NewString(),
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
+		Watch:       h.watch,
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -62,6 +73,7 @@
 		MaxAnswer:     settings.Bytes("gate", "max-answer"),
 		DefaultOutput: int64(settings.Integer("gate", "default-output")),
 		Trail:         traces,
+		Watch:         h.watch,
 		Log:           log,
 		Drained:       sync.OnceFunc(func() { close(h.drained) }),
 	})
@@ -88,19 +100,24 @@
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
-	h.crew.Add(registrar.New(registrar.Config{
+	h.crew.Add(h.watch)
+	h.registrar = registrar.New(registrar.Config{
 		Log: log,
 		Service: logbook.New(logbook.Config{
 			Address: settings.Address("platform", "log"),
 			Timeout: settings.Duration("platform", "log-timeout"),
 		}),
-		Poll:        settings.Duration("platform", "poll"),
+		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Watch:       h.watch,
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
-	}))
+	})
+	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address:  settings.Address("link", "listen"),
-		Services: nil,
-		Log:      log,
+		Address: settings.Address("link", "listen"),
+		Services: []porter.Service{
+			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+		},
+		Log: log,
 	}))
 	h.crew.Add(wicket.New(wicket.Config{
 		Address:    settings.Address("gate", "listen"),
@@ -127,7 +144,7 @@
 }
 
 // Ready returns nil while the entry takes requests.
-func (h *house) Ready() error { return h.gate.Ready() }
+func (h *house) Ready() error { return h.gate.Ready(time.Now()) }
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -27,6 +27,12 @@
 	PutWithin(ctx context.Context, message usher.Message, limit time.Duration) error
 }
 
+// Watch exchanges words on the freshness of what processes know of the log.
+type Watch interface {
+	Word(now time.Time, last notice.Freshness) notice.Freshness
+	Answered(sent time.Time, word notice.Freshness)
+}
+
 // Config holds the construction parameters of Lines.
 type Config struct {
 	Incarnation string        // of this entry
@@ -34,6 +40,7 @@
 	ReadWait    time.Duration // longest wait of one read at a side
 	Timeout     time.Duration // silence after which a connection is replaced
 	Usher       Usher
+	Watch       Watch
 	Log         *logrus.Entry
 }
 
--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -30,6 +30,7 @@
 	confirmed []notice.Position
 	resume    bool
 	failures  int
+	last      notice.Freshness // newest word of the side
 }
 
 func newReader(config Config, side string, line *porter.Line) *reader {
@@ -97,17 +98,20 @@
 	if len(r.awaited) == 0 {
 		wait = 0
 	}
+	sent := time.Now()
 	query := notice.NewRead(notice.ReadConfig{
 		Entry:     r.config.Incarnation,
 		Resume:    r.resume,
 		Positions: r.confirmed,
 		Wait:      wait,
+		Freshness: r.config.Watch.Word(sent, r.last),
 	})
 	var pages notice.Pages
 	if err := r.line.Call(notice.ReadMethod, query, &pages, wait+r.config.Timeout); err != nil {
 		return r.failed(ctx, err)
 	}
-	r.resume, r.failures, r.confirmed = false, 0, nil
+	r.resume, r.failures, r.confirmed, r.last = false, 0, nil, pages.Freshness()
+	r.config.Watch.Answered(sent, r.last)
 	if err := r.config.Usher.PutWithin(ctx, usher.NewRead(r.side, pages), handOver); err != nil {
 		r.resume = true
 		return err
--- a/entry/line/sender.go
+++ b/entry/line/sender.go
@@ -28,6 +28,7 @@
 	reader *reader
 	inbox  *ring.Ring
 	known  atomic.Pointer[string] // incarnation of the side
+	last   notice.Freshness       // newest word of the side
 }
 
 func newSender(config Config, side string, line *porter.Line, reader *reader) *sender {
@@ -101,7 +102,13 @@
 			config.Side = *known
 		}
 		receipts = notice.Receipts{}
+		begun := time.Now()
+		config.Freshness = s.config.Watch.Word(begun, s.last)
 		err = s.line.Call(notice.SubmitMethod, notice.NewBatch(config), &receipts, s.config.Timeout)
+		if err == nil {
+			s.last = receipts.Freshness()
+			s.config.Watch.Answered(begun, s.last)
+		}
 		if err == nil && s.restarted(config, receipts) && !sent {
 			continue
 		}
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -136,6 +136,7 @@
 		Attempt:     r.attempt,
 		Request:     a.Request,
 		Tenant:      a.Tenant,
+		Grant:       a.Grant,
 		Model:       a.Model,
 		Service:     a.Service,
 		Method:      a.Method,
@@ -308,7 +309,7 @@
 // failed ends an attempt and retries its request where that is allowed.
 func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) Action {
 	c.release(r)
-	if r.started || (ran && !r.ask.config.Idempotent) {
+	if r.started || code == notice.CodeWithdrawn || (ran && !r.ask.config.Idempotent) {
 		return c.refuse(r, code, ran, retryAfter)
 	}
 	if ran && r.count >= c.config.MaxAttempts {
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -15,6 +15,7 @@
 type AskConfig struct {
 	Request     string // unique id
 	Tenant      string
+	Grant       string // identifier of the key's permission; empty on an open route
 	Model       string // model that must be resident; empty for a plain service
 	Service     string // plain service; empty for a model
 	Method      string
--- a/entry/usher/refusal.go
+++ b/entry/usher/refusal.go
@@ -12,6 +12,10 @@
 	switch code {
 	case notice.CodeNoBackend, notice.CodeLeaving, notice.CodeRestarted:
 		return fasthttp.StatusServiceUnavailable, "no backend server can take the request now; retry after the time in Retry-After"
+	case notice.CodeWithdrawn:
+		return fasthttp.StatusUnauthorized, "the key was withdrawn; ask your operator for a new one"
+	case notice.CodeNotCurrent:
+		return fasthttp.StatusServiceUnavailable, "no instance for the request knows the newest configuration; retry after the time in Retry-After"
 	case notice.CodeQueueFull, notice.CodeBusy:
 		return fasthttp.StatusServiceUnavailable, "every backend server for the request has a full queue; retry after the time in Retry-After"
 	case notice.CodeExpired:
--- a/side/constants.go
+++ b/side/constants.go
@@ -5,4 +5,6 @@
 // Named limits of the process.
 const (
 	drainHandOver = 10 * time.Second // longest wait for room to announce a drain
+	// pollsPerProof is the number of reads of the log begun while one proof lasts.
+	pollsPerProof = 4
 )
--- a/side/desk/desk.go
+++ b/side/desk/desk.go
@@ -24,31 +24,40 @@
 	Put(message foyer.Message) error
 }
 
+// Watch exchanges words on the freshness of what processes know of the log.
+type Watch interface {
+	Word(now time.Time, last notice.Freshness) notice.Freshness
+	Received(word notice.Freshness)
+}
+
 // Desk is responsible for the methods that other processes call.
 type Desk struct {
 	foyer Foyer
+	watch Watch
 }
 
 // New returns a desk before a foyer.
-func New(foyer Foyer) *Desk { return &Desk{foyer: foyer} }
+func New(foyer Foyer, watch Watch) *Desk { return &Desk{foyer: foyer, watch: watch} }
 
 // Submit takes new attempts and cancellations.
 func (d *Desk) Submit(batch notice.Batch, receipts *notice.Receipts) error {
+	d.watch.Received(batch.Freshness())
 	answer, err := d.ask(func(reply *ring.Ring) foyer.Message { return foyer.NewBatchArrived(batch, reply) })
 	if err != nil {
 		return err
 	}
-	*receipts = answer.(notice.Receipts)
+	*receipts = answer.(notice.Receipts).WithFreshness(d.watch.Word(time.Now(), batch.Freshness()))
 	return nil
 }
 
 // Read waits for the next pieces of answers.
 func (d *Desk) Read(read notice.Read, pages *notice.Pages) error {
+	d.watch.Received(read.Freshness())
 	answer, err := d.ask(func(reply *ring.Ring) foyer.Message { return foyer.NewReadArrived(read, reply) })
 	if err != nil {
 		return err
 	}
-	*pages = answer.(notice.Pages)
+	*pages = answer.(notice.Pages).WithFreshness(d.watch.Word(time.Now(), read.Freshness()))
 	return nil
 }
 
--- a/side/foyer/attempt.go
+++ b/side/foyer/attempt.go
@@ -33,6 +33,7 @@
 	code        string
 	ran         bool
 	abandoned   bool // nobody awaits the answer
+	withdrawn   bool // the key was withdrawn while the attempt ran
 }
 
 // confirm drops the bytes that the entry holds.
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/register"
 )
 
 // CoreConfig holds the construction parameters of a Core.
@@ -30,6 +31,9 @@
 	ended    map[string]time.Time // attempts that are done, so that a late copy is not run
 	leaving  bool
 	drained  bool
+
+	inventory *register.Inventory // nil until the first revision
+	lapsed    bool                // the inventory may be out of date
 }
 
 // entryReader is responsible for one entry's reads.
@@ -75,6 +79,12 @@
 		actions = c.append(now, m)
 	case Ended:
 		c.end(now, m)
+	case Revised:
+		c.inventory = m.inventory
+		actions = c.withdraw(now)
+	case Proved:
+		c.lapsed = !m.fresh
+		c.refuseQueue(now)
 	case Drain:
 		c.leaving = true
 		c.wakeReaders(now)
@@ -158,6 +168,12 @@
 	if c.leaving {
 		return notice.CodeLeaving
 	}
+	if c.lapsed {
+		return notice.CodeNotCurrent
+	}
+	if !c.granted(submit) {
+		return notice.CodeWithdrawn
+	}
 	if c.running+len(c.queue) >= c.config.Concurrency+c.config.Queue {
 		return notice.CodeQueueFull
 	}
@@ -229,7 +245,7 @@
 
 func (c *Core) append(now time.Time, m Piece) []Action {
 	a, ok := c.attempts[m.attempt]
-	if !ok || a.phase != running || a.abandoned {
+	if !ok || a.phase != running || a.abandoned || a.withdrawn {
 		return nil
 	}
 	if int64(len(a.buffer)+len(m.data)) > c.config.MaxBuffered {
@@ -249,6 +265,10 @@
 		return
 	}
 	c.running--
+	if a.withdrawn && !a.abandoned {
+		c.endWithdrawn(now, a)
+		return
+	}
 	if m.code == "" {
 		a.phase = over
 		a.state = notice.Whole
--- a/side/foyer/foyer.go
+++ b/side/foyer/foyer.go
@@ -8,6 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 )
 
@@ -19,11 +21,17 @@
 	Stop(attempt string)
 }
 
+// Watch decides whether the side may act on a state of the register.
+type Watch interface {
+	Fresh(now time.Time, state int64) bool
+}
+
 // Config holds the construction parameters of a Foyer.
 type Config struct {
 	Core     CoreConfig
 	Capacity int // messages in the inbox
 	Runners  Runners
+	Watch    Watch
 	Log      *logrus.Entry
 	Drained  func() // called once, when a drain has ended
 }
@@ -35,6 +43,9 @@
 	inbox  *ring.Ring
 	core   *Core
 
+	revision *register.Revision
+	fresh    bool
+
 	queued  atomic.Int64
 	running atomic.Int64
 	leaving atomic.Bool
@@ -42,7 +53,7 @@
 
 // New returns a foyer.
 func New(config Config) *Foyer {
-	return &Foyer{config: config, inbox: ring.New(ring.Config{Name: "foyer", Capacity: config.Capacity})}
+	return &Foyer{config: config, inbox: ring.New(ring.Config{Name: "foyer", Capacity: config.Capacity}), revision: register.Initial()}
 }
 
 // Inbox returns the ring that feeds the foyer.
@@ -76,11 +87,21 @@
 	config := f.config.Core
 	config.Incarnation += "/" + now.UTC().Format(time.RFC3339Nano)
 	f.core = NewCore(config)
+	f.fresh = f.config.Watch.Fresh(now, f.revision.State())
+	f.core.Handle(now, NewProved(f.fresh))
+	if f.revision.State() > 0 {
+		f.core.Handle(now, NewRevised(f.revision.Inventory()))
+	}
 	return nil
 }
 
 // Handle processes one message.
 func (f *Foyer) Handle(now time.Time, message any) error {
+	if m, ok := message.(registrar.Revised); ok {
+		f.revision = m.Revision()
+		message = NewRevised(f.revision.Inventory())
+	}
+	f.prove(now)
 	if m, ok := message.(Message); ok {
 		f.carryOut(now, f.core.Handle(now, m))
 	}
@@ -89,10 +110,20 @@
 
 // Tick does what is due by time alone.
 func (f *Foyer) Tick(now time.Time) error {
+	f.prove(now)
 	f.carryOut(now, f.core.Tick(now))
 	return nil
 }
 
+// prove tells the core when the side's freshness proof lapses or returns.
+func (f *Foyer) prove(now time.Time) {
+	fresh := f.config.Watch.Fresh(now, f.revision.State())
+	if fresh != f.fresh {
+		f.fresh = fresh
+		f.carryOut(now, f.core.Handle(now, NewProved(fresh)))
+	}
+}
+
 // Alarm returns the time of the next read that must be answered.
 func (f *Foyer) Alarm() time.Time { return f.core.Alarm() }
 
--- /dev/null
+++ b/side/foyer/grant.go
@@ -0,0 +1,59 @@
+package foyer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sesamewell.example/commons/notice"
+)
+
+// granted reports whether the key of an attempt still stands.
+func (c *Core) granted(submit notice.Submit) bool {
+	return c.inventory == nil || c.inventory.Granted(submit.Grant())
+}
+
+// withdraw ends the attempts whose keys no longer stand. Those that wait are
+// not run. One that runs and may not be repeated is left to finish without its
+// answer, as after a cancellation.
+func (c *Core) withdraw(now time.Time) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		a := c.attempts[id]
+		if a.phase == over || a.abandoned || a.withdrawn || c.granted(a.submit) {
+			continue
+		}
+		if a.phase == waiting {
+			c.unqueue(a)
+			a.fail(notice.CodeWithdrawn, false)
+			c.touch(now, a)
+		} else {
+			a.withdrawn = true
+			a.buffer = a.buffer[:a.sent-a.base]
+			if a.submit.Idempotent() {
+				actions = append(actions, Stop{attempt: id})
+			}
+		}
+	}
+	return actions
+}
+
+// endWithdrawn ends the answer of an attempt that ran when its key was
+// withdrawn.
+func (c *Core) endWithdrawn(now time.Time, a *attempt) {
+	a.fail(notice.CodeWithdrawn, true)
+	c.touch(now, a)
+}
+
+// refuseQueue refuses all that waits while the side may not know which keys
+// stand.
+func (c *Core) refuseQueue(now time.Time) {
+	if !c.lapsed {
+		return
+	}
+	for _, a := range slices.Clone(c.queue) {
+		c.unqueue(a)
+		a.fail(notice.CodeNotCurrent, false)
+		c.touch(now, a)
+	}
+}
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/register"
 )
 
 // Message is what the foyer's inbox carries.
@@ -73,6 +74,24 @@
 // Drain asks the foyer to take no new work and to report when it is empty.
 type Drain struct{}
 
+// Revised brings a new revision of the register.
+type Revised struct {
+	inventory *register.Inventory
+}
+
+// NewRevised returns the message.
+func NewRevised(inventory *register.Inventory) Revised { return Revised{inventory: inventory} }
+
+// Proved tells whether the side may act on the revision that it has.
+type Proved struct {
+	fresh bool
+}
+
+// NewProved returns the message.
+func NewProved(fresh bool) Proved { return Proved{fresh: fresh} }
+
+func (Revised) foyerMessage()      {}
+func (Proved) foyerMessage()       {}
 func (BatchArrived) foyerMessage() {}
 func (ReadArrived) foyerMessage()  {}
 func (Began) foyerMessage()        {}
--- a/side/house.go
+++ b/side/house.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -11,8 +13,11 @@
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
+	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/side/desk"
@@ -25,12 +30,16 @@
 //	side
 //	├── lantern (operators' pages)
 //	├── desk    (calls of entries)
-//	├── foyer    (decisions)
-//	└── runners (backend server)
+//	├── foyer   (decisions)
+//	├── runners (backend server)
+//	├── nightwatch (freshness proof)
+//	└── registrar  (log)
 type house struct {
-	crew    *crew.Crew
-	foyer   *foyer.Foyer
-	drained chan struct{}
+	crew      *crew.Crew
+	watch     *nightwatch.Watch
+	registrar *registrar.Registrar
+	foyer     *foyer.Foyer
+	drained   chan struct{}
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
@@ -51,6 +60,11 @@
 		Trail:   traces,
 		Log:     log,
 	})
+	h.watch = nightwatch.New(nightwatch.Config{
+		Instance: settings.Text("process", "instance"),
+		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Log:      log,
+	})
 	h.foyer = foyer.New(foyer.Config{
 		Core: foyer.CoreConfig{
 			Incarnation: uuid.NewString(),
@@ -61,6 +75,7 @@
 		},
 		Capacity: settings.Integer("foyer", "inbox"),
 		Runners:  pool,
+		Watch:    h.watch,
 		Log:      log,
 		Drained:  sync.OnceFunc(func() { close(h.drained) }),
 	})
@@ -71,14 +86,29 @@
 		Trail:   traces,
 		Rings:   []*ring.Ring{h.foyer.Inbox(), pool.Jobs()},
 	}))
+	h.crew.Add(h.watch)
 	h.crew.Add(h.foyer.Duty())
+	h.registrar = registrar.New(registrar.Config{
+		Log: log,
+		Service: logbook.New(logbook.Config{
+			Address: settings.Address("platform", "log"),
+			Timeout: settings.Duration("platform", "log-timeout"),
+		}),
+		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Watch:       h.watch,
+		Subscribers: []registrar.Inbox{h.foyer.Inbox()},
+	})
+	h.crew.Add(h.registrar)
 	for _, r := range pool.Runners(h.foyer) {
 		h.crew.Add(r)
 	}
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address:  settings.Address("desk", "listen"),
-		Services: []porter.Service{{Name: notice.Service, Receiver: desk.New(h.foyer)}},
-		Log:      log,
+		Address: settings.Address("desk", "listen"),
+		Services: []porter.Service{
+			{Name: notice.Service, Receiver: desk.New(h.foyer, h.watch)},
+			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+		},
+		Log: log,
 	}))
 	return h
 }
@@ -97,17 +127,21 @@
 	if h.foyer.Leaving() {
 		return errors.New("leaving")
 	}
+	if revision := h.registrar.Revision(); !h.watch.Fresh(time.Now(), revision.State()) {
+		return errors.New("the configuration may be out of date; see whether the log service and the other instances can be reached")
+	}
 	return nil
 }
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
-	return status{Queued: h.foyer.Queued(), Running: h.foyer.Running(), Leaving: h.foyer.Leaving()}
+	return status{Revision: h.registrar.Revision().Number(), Queued: h.foyer.Queued(), Running: h.foyer.Running(), Leaving: h.foyer.Leaving()}
 }
 
 // status is the JSON form of the status page.
 type status struct {
-	Queued  int  `json:"queued"`
-	Running int  `json:"running"`
-	Leaving bool `json:"leaving"`
+	Revision int64 `json:"revision"`
+	Queued   int   `json:"queued"`
+	Running  int   `json:"running"`
+	Leaving  bool  `json:"leaving"`
 }
