--- a/commons/nightwatch/core.go
+++ b/commons/nightwatch/core.go
@@ -47,7 +47,6 @@
 // vouch is the word of one process that it does not reach the log.
 type vouch struct {
 	asked time.Time
-	heard int64
 	holds bool // the process had no recent log read
 }
 
@@ -167,13 +166,14 @@
 	_, age := m.word.Read()
 	holds := age == notice.NoProof || age >= c.config.doubt()
 	if m.sent.After(c.vouches[m.peer].asked) {
-		c.vouches[m.peer] = vouch{asked: m.sent, heard: m.word.Heard(), holds: holds}
+		c.vouches[m.peer] = vouch{asked: m.sent, holds: holds}
 	}
 	c.closeRound()
 }
 
 // closeRound makes a proof of the vouches when every live process has given
-// one. It counts from the oldest of them.
+// one. It counts from the oldest of them; its head is the newest that any of
+// them had heard of, which take has noted.
 func (c *Core) closeRound() {
 	if len(c.peers) == 0 {
 		return
@@ -187,7 +187,6 @@
 		if found.at.IsZero() || v.asked.Before(found.at) {
 			found.at = v.asked
 		}
-		found.head = max(found.head, v.heard)
 	}
 	c.round = c.round.newer(found)
 }
--- a/commons/notice/submit.go
+++ b/commons/notice/submit.go
@@ -12,6 +12,7 @@
 	Request     string // common to all attempts of one request
 	Tenant      string
 	Grant       string // identifier of the key's permission; empty on an open route
+	State       int64  // state of the register under which the entry admitted the request
 	Model       string // empty for a plain service
 	Service     string // empty for a model
 	Method      string
@@ -47,6 +48,10 @@
 // or "" on an open route.
 func (s Submit) Grant() string { return s.config.Grant }
 
+// State returns the state of the register under which the entry admitted the
+// request.
+func (s Submit) State() int64 { return s.config.State }
+
 // Model returns the model to run, or "" for a plain service.
 func (s Submit) Model() string { return s.config.Model }
 
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -221,6 +221,7 @@
 		Request:     o.id,
 		Tenant:      pass.Tenant(),
 		Grant:       pass.Grant(),
+		State:       g.state.Load(),
 		Service:     route.Service(),
 		Method:      string(request.Header.Method()),
 		Path:        string(request.URI().RequestURI()),
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -137,6 +137,7 @@
 		Request:     a.Request,
 		Tenant:      a.Tenant,
 		Grant:       a.Grant,
+		State:       a.State,
 		Model:       a.Model,
 		Service:     a.Service,
 		Method:      a.Method,
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -16,6 +16,7 @@
 	Request     string // unique id
 	Tenant      string
 	Grant       string // identifier of the key's permission; empty on an open route
+	State       int64  // state of the register under which the request was admitted
 	Model       string // model that must be resident; empty for a plain service
 	Service     string // plain service; empty for a model
 	Method      string
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -32,8 +32,8 @@
 	leaving  bool
 	drained  bool
 
-	inventory *register.Inventory // nil until the first revision
-	lapsed    bool                // the inventory may be out of date
+	revision *register.Revision
+	lapsed   bool // the revision may be out of date
 }
 
 // entryReader is responsible for one entry's reads.
@@ -50,6 +50,7 @@
 func NewCore(config CoreConfig) *Core {
 	return &Core{
 		config:   config,
+		revision: register.Initial(),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
 		ended:    make(map[string]time.Time),
@@ -80,7 +81,7 @@
 	case Ended:
 		c.end(now, m)
 	case Revised:
-		c.inventory = m.inventory
+		c.revision = m.revision
 		actions = c.withdraw(now)
 	case Proved:
 		c.lapsed = !m.fresh
--- a/side/foyer/foyer.go
+++ b/side/foyer/foyer.go
@@ -90,7 +90,7 @@
 	f.fresh = f.config.Watch.Fresh(now, f.revision.State())
 	f.core.Handle(now, NewProved(f.fresh))
 	if f.revision.State() > 0 {
-		f.core.Handle(now, NewRevised(f.revision.Inventory()))
+		f.core.Handle(now, NewRevised(f.revision))
 	}
 	return nil
 }
@@ -99,7 +99,7 @@
 func (f *Foyer) Handle(now time.Time, message any) error {
 	if m, ok := message.(registrar.Revised); ok {
 		f.revision = m.Revision()
-		message = NewRevised(f.revision.Inventory())
+		message = NewRevised(f.revision)
 	}
 	f.prove(now)
 	if m, ok := message.(Message); ok {
--- a/side/foyer/grant.go
+++ b/side/foyer/grant.go
@@ -8,9 +8,10 @@
 	"sesamewell.example/commons/notice"
 )
 
-// granted reports whether the key of an attempt still stands.
+// granted reports whether the key of an attempt still stands. An entry that is
+// ahead of this side is believed until the side has caught up.
 func (c *Core) granted(submit notice.Submit) bool {
-	return c.inventory == nil || c.inventory.Granted(submit.Grant())
+	return submit.State() > c.revision.State() || c.revision.Inventory().Granted(submit.Grant())
 }
 
 // withdraw ends the attempts whose keys no longer stand. Those that wait are
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -76,11 +76,11 @@
 
 // Revised brings a new revision of the register.
 type Revised struct {
-	inventory *register.Inventory
+	revision *register.Revision
 }
 
 // NewRevised returns the message.
-func NewRevised(inventory *register.Inventory) Revised { return Revised{inventory: inventory} }
+func NewRevised(revision *register.Revision) Revised { return Revised{revision: revision} }
 
 // Proved tells whether the side may act on the revision that it has.
 type Proved struct {
