--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	@scripts/run
 
 test:
-	go test -race $(TESTFLAGS) $(MODULES:%=./%/...)
+	go test -race -count=1 $(TESTFLAGS) $(MODULES:%=./%/...)
 
 lint:
 	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); exit 1; }
--- a/entry/house.go
+++ b/entry/house.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -14,6 +15,7 @@
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -33,12 +35,15 @@
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
+//	├── nightwatch (freshness proof)
 //	└── registrar (log)
 type house struct {
-	crew    *crew.Crew
-	gate    *gate.Gate
-	usher   *usher.Usher
-	drained chan struct{}
+	crew      *crew.Crew
+	watch     *nightwatch.Watch
+	registrar *registrar.Registrar
+	gate      *gate.Gate
+	usher     *usher.Usher
+	drained   chan struct{}
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
@@ -56,12 +61,18 @@
 		Sampling: settings.Integer("traces", "sampling"),
 		Export:   courier.New(settings.Address("traces", "otlp")),
 	})
+	h.watch = nightwatch.New(nightwatch.Config{
+		Instance: settings.Text("process", "instance"),
+		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Log:      log,
+	})
 	lines := line.New(line.Config{
 		Incarnation: uuid.NewString(),
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
+		Watch:       h.watch,
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -70,6 +81,7 @@
 		MaxAnswer:     settings.Bytes("gate", "max-answer"),
 		DefaultOutput: int64(settings.Integer("gate", "default-output")),
 		Trail:         traces,
+		Watch:         h.watch,
 		Log:           log,
 		Drained:       sync.OnceFunc(func() { close(h.drained) }),
 	})
@@ -96,18 +108,23 @@
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
-	h.crew.Add(registrar.New(registrar.Config{
+	h.crew.Add(h.watch)
+	h.registrar = registrar.New(registrar.Config{
 		Log: log,
 		Service: logbook.New(logbook.Config{
 			Address: settings.Address("platform", "log"),
 			Timeout: settings.Duration("platform", "log-timeout"),
 		}),
-		Poll:        settings.Duration("platform", "poll"),
+		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Watch:       h.watch,
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
-	}))
+	})
+	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address:  settings.Address("link", "listen"),
-		Services: nil,
+		Address: settings.Address("link", "listen"),
+		Services: []porter.Service{
+			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+		},
 		Identity: identity,
 		Log:      log,
 	}))
@@ -136,7 +153,7 @@
 }
 
 // Ready returns nil while the entry takes requests.
-func (h *house) Ready() error { return h.gate.Ready() }
+func (h *house) Ready() error { return h.gate.Ready(time.Now()) }
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
