--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -17,6 +17,8 @@
 	Tenant      string
 	Grant       string // identifier of the key's permission; empty on an open route
 	State       int64  // state of the register under which the request was admitted
+	Route       string // name of the route
+	Key         string // Idempotency-Key of a request that may run once, else empty
 	Model       string // model that must be resident; empty for a plain service
 	Service     string // plain service; empty for a model
 	Method      string
