--- /dev/null
+++ b/commons/crew/program.go
@@ -0,0 +1,81 @@
+package crew
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/chronicle"
+	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/version"
+)
+
+// Program describes a long-running program that is configured by one settings
+// file.
+type Program struct {
+	Name     string
+	Summary  string // first paragraph of the help
+	Settings []handbook.Setting
+	Build    func(settings *handbook.Values, log *logrus.Entry) (Root, error)
+}
+
+// arguments are the command line of a Program.
+type arguments struct {
+	Settings string `arg:"positional,required" placeholder:"FILE" help:"settings file in INI form"`
+
+	program Program
+}
+
+// Version returns the line that --version prints.
+func (a *arguments) Version() string { return a.program.Name + " " + version.Number }
+
+// Description returns the first paragraph of the help.
+func (a *arguments) Description() string { return a.program.Summary }
+
+// Epilogue returns the last paragraph of the help.
+func (a *arguments) Epilogue() string {
+	return "Example: " + a.program.Name + " /etc/sesamewell/" + a.program.Name + ".ini\n" +
+		"Exit codes: 0 stopped as asked, 1 failed, 2 bad arguments or settings."
+}
+
+// Main runs a program with the process's arguments and returns its exit code.
+// Faults in arguments or settings are written to standard error.
+func Main(program Program) int {
+	args := &arguments{program: program}
+	arg.MustParse(args)
+	settings, err := readSettings(args.Settings, program.Settings)
+	if err != nil {
+		return usage(os.Stderr, err)
+	}
+	log, err := chronicle.New(chronicle.Config{
+		Output:   os.Stderr,
+		Level:    settings.Text("process", "log-level"),
+		Program:  program.Name,
+		Instance: settings.Text("process", "instance"),
+	})
+	if err != nil {
+		return usage(os.Stderr, err)
+	}
+	root, err := program.Build(settings, log)
+	if err != nil {
+		return usage(os.Stderr, err)
+	}
+	return Run(RunConfig{Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log})
+}
+
+func readSettings(path string, declared []handbook.Setting) (*handbook.Values, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return handbook.Settings(path, text, declared)
+}
+
+func usage(out io.Writer, err error) int {
+	fmt.Fprintln(out, err)
+	return ExitUsage
+}
--- a/side/main.go
+++ b/side/main.go
@@ -2,41 +2,21 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
 
-	"sesamewell.example/commons/chronicle"
 	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/handbook"
 )
 
 func main() {
-	var args options
-	arg.MustParse(&args)
-	settings, err := loadSettings(args.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(crew.ExitUsage)
-	}
-	log, err := chronicle.New(chronicle.Config{
-		Output:   os.Stderr,
-		Level:    settings.Text("process", "log-level"),
-		Program:  "sesamewell-side",
-		Instance: settings.Text("process", "instance"),
-	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(crew.ExitUsage)
-	}
-	root, err := newHouse(settings, log)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(crew.ExitUsage)
-	}
-	os.Exit(crew.Run(crew.RunConfig{
-		Root:       root,
-		DrainLimit: settings.Duration("process", "drain-limit"),
-		Log:        log,
+	os.Exit(crew.Main(crew.Program{
+		Name:     "sesamewell-side",
+		Summary:  "sesamewell-side runs beside one backend server: it queues the requests for it and keeps their answers until the entry has them.",
+		Settings: handbook.SideOptions(),
+		Build: func(settings *handbook.Values, log *logrus.Entry) (crew.Root, error) {
+			return newHouse(settings, log)
+		},
 	}))
 }
