--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 MODULES := commons sesamewell entry side standin
 
-.PHONY: build run test lint bench clean
+.PHONY: build run test lint bench settings clean
 
 build:
 	@mkdir -p bin
@@ -23,5 +23,8 @@
 bench:
 	go test -run '^$$' -bench . $(MODULES:%=./%/...)
 
+settings: build
+	bin/sesamewell settings > docs/SETTINGS.md
+
 clean:
 	rm -rf bin
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -141,6 +141,7 @@
 		{"sesamewell-entry", handbook.EntryOptions()},
 		{"sesamewell-side", handbook.SideOptions()},
 	}
+	fmt.Fprint(out, "# Settings\n\nMade by `make settings`; each program reads one file in INI form.\n\n")
 	for _, table := range tables {
 		fmt.Fprintf(out, "## %s\n\n| section | key | form | default | range | meaning |\n| --- | --- | --- | --- | --- | --- |\n", table.program)
 		for _, s := range table.settings {
