Keep each backend server's memory ledger and the plan in the log

Cause: nothing decided which model an engine holds, and nothing kept its accelerator memory from being overcommitted while that changes.

Change: commons/register folds plan records, only from the planner whose claim stands, and works out who takes up a model without a live copy. side/hall is the ledger and the orders: reserved before the order, given up only on a report that shows the memory free when no order can bring it back, by fencing number or by the longest delay of an order.

--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -14,6 +14,7 @@
 const (
 	Replace Kind = "replace" // replaces the whole inventory
 	Take    Kind = "claim"   // takes a role, such as the planner's, for an instance
+	Assign  Kind = "plan"    // changes which backend server holds which model
 
 	// The bodies of these belong to the duties that follow them; the register
 	// only passes them on.
@@ -86,6 +87,7 @@
 	offset    int64 // of the next record to read
 	inventory *Inventory
 	claims    map[string]Claim // by role
+	plan      *Plan            // nil until the first
 }
 
 // Claim is the right of one incarnation to act in a role. It stands until a
@@ -130,7 +132,7 @@
 	if offset < r.offset {
 		return r, nil
 	}
-	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory, claims: r.claims}
+	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory, claims: r.claims, plan: r.plan}
 	record, err := DecodeRecord(data)
 	if err != nil {
 		return skipped, errors.Mark(err, ErrBadRecord)
@@ -140,6 +142,8 @@
 		return skipped.replace(record)
 	case record.config.Kind == Take:
 		return skipped.take(offset, record)
+	case record.config.Kind == Assign:
+		return skipped.assign(offset, record)
 	case record.PassedOn():
 		return skipped, nil
 	default:
--- /dev/null
+++ b/commons/register/plan.go
@@ -0,0 +1,124 @@
+package register
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Roles that are taken by claims.
+const (
+	PlannerRole = "planner"  // decides which backend server holds which model
+	backendRole = "backend/" // gives orders to one backend server
+)
+
+// BackendRole returns the role of the one process that gives orders to a
+// backend server.
+func BackendRole(backend string) string { return backendRole + backend }
+
+// PlanChange is what one record changes in the plan of one backend server, and
+// its JSON form.
+type PlanChange struct {
+	Backend string   `json:"backend"`
+	Load    []string `json:"load,omitempty"` // models that it shall hold from now on
+	Drop    []string `json:"drop,omitempty"` // models that it shall no longer hold
+}
+
+// PlanConfig holds the construction parameters of a plan record.
+type PlanConfig struct {
+	Change  string
+	Epoch   int64 // of the planner's claim
+	Changes []PlanChange
+}
+
+// NewPlanRecord returns the record that changes the plan.
+func NewPlanRecord(config PlanConfig) (Record, error) {
+	body, err := json.Marshal(config.Changes)
+	if err != nil {
+		return Record{}, errors.Wrap(err, "encode plan")
+	}
+	return NewRecord(RecordConfig{Change: config.Change, Kind: Assign, Epoch: config.Epoch, Body: body}), nil
+}
+
+// Plan says which models each backend server shall hold. Adapters stand beside
+// every copy of their model. It is immutable.
+type Plan struct {
+	number int64
+	models map[string][]string // sorted, by backend server
+}
+
+// NewPlan returns a plan, such as that of a snapshot.
+func NewPlan(number int64, models map[string][]string) *Plan {
+	return &Plan{number: number, models: models}
+}
+
+// Number returns the plan's number, which grows with each change.
+func (p *Plan) Number() int64 { return p.number }
+
+// Models returns the models that a backend server shall hold, in the order of
+// their names.
+func (p *Plan) Models(backend string) []string { return p.models[backend] }
+
+// Backends returns the backend servers that hold anything, in the order of
+// their names.
+func (p *Plan) Backends() []string { return slices.Sorted(maps.Keys(p.models)) }
+
+// Apply returns the plan with the changes made.
+func (p *Plan) Apply(number int64, changes []PlanChange) *Plan {
+	next := &Plan{number: number, models: maps.Clone(p.models)}
+	if next.models == nil {
+		next.models = make(map[string][]string)
+	}
+	for _, change := range changes {
+		models := slices.DeleteFunc(slices.Clone(next.models[change.Backend]), func(model string) bool {
+			return slices.Contains(change.Drop, model)
+		})
+		models = append(models, change.Load...)
+		slices.Sort(models)
+		models = slices.Compact(models)
+		next.models[change.Backend] = models
+		if len(models) == 0 {
+			delete(next.models, change.Backend)
+		}
+	}
+	return next
+}
+
+// Plan returns the plan in force.
+func (r *Revision) Plan() *Plan {
+	if r.plan == nil {
+		return &Plan{}
+	}
+	return r.plan
+}
+
+// assign changes the plan, if the record comes from the planner whose claim
+// stands. Plans leave the revision's number as it is.
+func (r *Revision) assign(offset int64, record Record) (*Revision, error) {
+	claim, ok := r.claims[PlannerRole]
+	if !ok || claim.epoch != record.config.Epoch {
+		return r, errors.Wrapf(ErrStaleBase, "plan %s of epoch %d at epoch %d", record.config.Change, record.config.Epoch, claim.epoch)
+	}
+	var changes []PlanChange
+	if err := json.Unmarshal(record.config.Body, &changes); err != nil {
+		return r, errors.Mark(errors.Wrap(err, "decode plan"), ErrBadRecord)
+	}
+	next := *r
+	next.plan = r.Plan().Apply(offset+1, changes)
+	return &next, nil
+}
+
+// Footprints returns, for each model, the bytes of accelerator memory that one
+// copy takes together with its adapters.
+func (i *Inventory) Footprints() map[string]int64 {
+	bytes := make(map[string]int64, len(i.models))
+	for name, model := range i.models {
+		bytes[name] = model.memory + model.cache
+	}
+	for _, adapter := range i.adapters {
+		bytes[adapter.model] += adapter.memory
+	}
+	return bytes
+}
--- /dev/null
+++ b/side/hall/core.go
@@ -0,0 +1,400 @@
+// Package hall gives the orders of one backend server and keeps the ledger of
+// its accelerator memory: the one writer of what the engine holds.
+//
+// Memory is reserved before the order that uses it, and given up only when the
+// engine's own report shows that nothing holds it and no order can still bring
+// it back. An order that has not taken effect may be lost or only late. An
+// engine that checks fencing numbers refuses it once it has taken a higher
+// number. With an engine that does not, it counts until the longest delay of an
+// order is over.
+package hall
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sesamewell.example/commons/register"
+)
+
+// ordersPerClaim is the number of fencing numbers that belong to one claim:
+// an order's number is the claim's epoch times this, plus the order's own.
+const ordersPerClaim = 1 << 20
+
+// servingRole is the role that an engine is told to have.
+const servingRole = "serve"
+
+// CoreConfig holds the construction parameters of a Core.
+type CoreConfig struct {
+	Backend     string        // name of the backend server
+	Incarnation string        // unique to this start of the side
+	Lease       time.Duration // longest time for which a holder acts on a claim that was superseded
+	OrderDelay  time.Duration // longest time from sending an order until it takes effect
+	SendLimit   time.Duration // longest time from a decision until its order is sent
+	Retry       time.Duration // time until an order without effect is given again
+	Period      time.Duration // time between two looks at the engine
+	Grace       time.Duration // time for which a model is left without a live copy
+	Linger      time.Duration // time for which what is no longer wanted stays while nothing needs its memory
+	Settle      time.Duration // time from the last advertisement of a model until it is unloaded
+	Loads       int           // models loaded at once
+	Adapters    int           // adapters loaded at once
+}
+
+// Core is responsible for every decision of the hall. It does no input or
+// output; its duty carries out the actions that Handle and Tick return.
+type Core struct {
+	config   CoreConfig
+	revision *register.Revision
+	backend  register.Backend
+	live     map[string]bool // backend servers; nil until known
+	ledger   *ledger
+	state    State
+	asked    time.Time // of the last report
+	looked   time.Time // of the last action Look
+	tried    time.Time // of the last action TakeClaim
+	epoch    int64     // of the own claim, zero without
+	first    bool      // nobody held a claim before
+	since    time.Time // the claim's beginning
+	orders   int64
+	raised   time.Time // of the last order that only brings a fencing number
+	adoption register.Adoption
+	orphans  time.Time // since when models have been without a live copy
+}
+
+// NewCore returns a core that knows nothing of its engine.
+func NewCore(config CoreConfig) *Core {
+	return &Core{config: config, revision: register.Initial(), ledger: newLedger()}
+}
+
+// Reserved returns the bytes that the ledger counts.
+func (c *Core) Reserved() int64 { return c.ledger.reserved() }
+
+// Epoch returns the epoch of the claim that this core acts on, zero if none.
+func (c *Core) Epoch() int64 { return c.epoch }
+
+// Ready reports whether the engine has been seen.
+func (c *Core) Ready() bool { return !c.asked.IsZero() }
+
+// Holds returns what the engine can run requests for and is not about to
+// unload, in the order of the names.
+func (c *Core) Holds() []string {
+	var names []string
+	for _, name := range c.ledger.names() {
+		if c.ledger.resident(name) && c.ledger.items[name].leaving.IsZero() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Handle processes one message.
+func (c *Core) Handle(now time.Time, message Message) []Action {
+	switch m := message.(type) {
+	case Revised:
+		c.revise(now, m.revision)
+		c.adopt(now)
+	case Seen:
+		c.live = m.live
+		c.adopt(now)
+	case Reported:
+		c.report(m)
+	}
+	return c.Tick(now)
+}
+
+// Tick returns what is due.
+func (c *Core) Tick(now time.Time) []Action {
+	var actions []Action
+	if now.Sub(c.looked) >= c.config.Period {
+		c.looked = now
+		actions = append(actions, Look{})
+	}
+	if c.backend.Kind() != register.Engine || c.asked.IsZero() {
+		return actions
+	}
+	if c.epoch == 0 {
+		return append(actions, c.claim(now)...)
+	}
+	if !c.settled() {
+		return append(actions, c.raise(now)...)
+	}
+	return append(actions, c.order(now)...)
+}
+
+// revise takes a new state of the register over. A claim that another process
+// took ends the right to give orders for good.
+func (c *Core) revise(now time.Time, revision *register.Revision) {
+	c.revision = revision
+	c.backend, _ = revision.Inventory().Backend(c.config.Backend)
+	claim, _ := revision.Claim(register.BackendRole(c.config.Backend))
+	switch {
+	case claim.Holder() != c.config.Incarnation:
+		c.epoch = 0
+	case c.epoch == 0:
+		c.epoch, c.since, c.orders = claim.Epoch(), now, 0
+	}
+}
+
+// claim asks for the claim on the backend server. A process that held it and
+// lost it does not take it back: its successor is at work.
+func (c *Core) claim(now time.Time) []Action {
+	if !c.since.IsZero() || !c.tried.IsZero() && now.Sub(c.tried) < c.config.Retry {
+		return nil
+	}
+	standing, ok := c.revision.Claim(register.BackendRole(c.config.Backend))
+	c.first = !ok
+	c.tried = now
+	return []Action{TakeClaim{epoch: standing.Epoch()}}
+}
+
+// settled reports whether no order of an earlier holder can still take effect.
+// Until then this holder gives no order that takes memory, so that whatever the
+// earlier one has in flight fits as it did when it was given.
+func (c *Core) settled() bool {
+	if c.first {
+		return true
+	}
+	if c.backend.Fencing() {
+		return c.state.Fence() >= c.epoch*ordersPerClaim
+	}
+	return c.asked.After(c.since.Add(c.config.Lease + c.config.SendLimit + c.config.OrderDelay))
+}
+
+// raise brings the engine a fencing number of this claim.
+func (c *Core) raise(now time.Time) []Action {
+	if !c.backend.Fencing() || !c.raised.IsZero() && now.Sub(c.raised) < c.config.Retry {
+		return nil
+	}
+	c.raised = now
+	return []Action{c.newOrder(now, OrderConfig{Verb: Serve, Role: servingRole})}
+}
+
+// report takes over the engine's state. Reports that were asked for before the
+// last one are dropped.
+func (c *Core) report(m Reported) {
+	if m.asked.Before(c.asked) {
+		return
+	}
+	c.asked, c.state = m.asked, m.state
+	c.ledger.report(m.state, c.gone)
+}
+
+// gone reports whether no order to load an item can still take effect.
+func (c *Core) gone(i *item) bool {
+	if i.fence == 0 {
+		return true
+	}
+	if c.backend.Fencing() && c.state.Fence() > i.fence {
+		return true
+	}
+	return c.asked.After(i.expiry.Add(c.config.OrderDelay))
+}
+
+// order returns the orders that bring the engine closer to the plan. What is
+// not wanted leaves when its memory is needed, else after a while.
+func (c *Core) order(now time.Time) []Action {
+	wanted := c.wanted(now)
+	loads, blocked := c.load(now, wanted)
+	return append(c.unload(now, wanted, blocked), loads...)
+}
+
+// want is one model or adapter that the engine shall hold.
+type want struct {
+	name  string
+	base  string
+	bytes int64
+}
+
+// wanted returns what the engine shall hold: models before adapters.
+func (c *Core) wanted(now time.Time) []want {
+	inventory := c.revision.Inventory()
+	var wanted []want
+	for _, name := range c.models(now) {
+		if model, ok := inventory.Model(name); ok {
+			wanted = append(wanted, want{name: name, bytes: model.Memory() + model.Cache()})
+		}
+	}
+	models := len(wanted)
+	for _, adapter := range inventory.Adapters() {
+		beside := func(w want) bool { return w.name == adapter.Model() }
+		if slices.ContainsFunc(wanted[:models], beside) {
+			wanted = append(wanted, want{name: adapter.Name(), base: adapter.Model(), bytes: adapter.Memory()})
+		}
+	}
+	return wanted
+}
+
+// adopt works out which models without a live copy fall to this backend server.
+func (c *Core) adopt(now time.Time) {
+	if c.live == nil {
+		return
+	}
+	c.adoption = register.Adopt(c.revision.Inventory(), c.revision.Plan(), func(backend string) bool {
+		return backend == c.config.Backend || c.live[backend]
+	})
+	switch {
+	case len(c.adoption.Taken(c.config.Backend)) == 0:
+		c.orphans = time.Time{}
+	case c.orphans.IsZero():
+		c.orphans = now
+	}
+}
+
+// models returns the planned models and, once the grace is over, the adopted
+// ones.
+func (c *Core) models(now time.Time) []string {
+	planned := c.revision.Plan().Models(c.config.Backend)
+	if c.orphans.IsZero() || now.Sub(c.orphans) < c.config.Grace {
+		return planned
+	}
+	dropped := c.adoption.Dropped(c.config.Backend)
+	kept := slices.DeleteFunc(slices.Clone(planned), func(model string) bool { return slices.Contains(dropped, model) })
+	return append(kept, c.adoption.Taken(c.config.Backend)...)
+}
+
+// load orders what is wanted and fits beside everything that is counted. It
+// reports whether something does not fit.
+func (c *Core) load(now time.Time, wanted []want) (actions []Action, blocked bool) {
+	for _, w := range wanted {
+		i := c.ledger.items[w.name]
+		if i != nil {
+			i.idle, i.leaving = time.Time{}, time.Time{}
+		}
+		if i != nil && (i.phase != "" || !c.due(now, i)) || i == nil && !c.mayBegin(w) {
+			continue
+		}
+		if i = c.reserve(w); i == nil {
+			blocked = true
+			continue
+		}
+		order := c.newOrder(now, OrderConfig{Verb: Load, Name: w.name, Base: w.base, Bytes: w.bytes})
+		i.base, i.ordered, i.fence, i.expiry = w.base, now, order.Fence(), order.Expiry()
+		actions = append(actions, order)
+	}
+	return actions, blocked
+}
+
+// mayBegin reports whether another load may begin: adapters after their model,
+// and no more of either at once than the settings allow.
+func (c *Core) mayBegin(w want) bool {
+	if w.base == "" {
+		return c.loading(false) < c.config.Loads
+	}
+	return c.ledger.resident(w.base) && c.loading(true) < c.config.Adapters
+}
+
+// reserve counts the bytes of a load and returns its item, or nil when the
+// memory does not suffice.
+func (c *Core) reserve(w want) *item {
+	i, ok := c.ledger.items[w.name]
+	if !ok {
+		i = &item{name: w.name}
+	}
+	if c.ledger.reserved()+max(w.bytes-i.bytes, 0) > c.backend.Memory() {
+		return nil
+	}
+	i.bytes = max(i.bytes, w.bytes)
+	c.ledger.items[w.name] = i
+	return i
+}
+
+// unload orders what is not wanted out of memory, adapters first.
+func (c *Core) unload(now time.Time, wanted []want, blocked bool) []Action {
+	keep := make(map[string]bool, len(wanted))
+	for _, w := range wanted {
+		keep[w.name] = true
+	}
+	var actions, models []Action
+	for _, name := range c.ledger.names() {
+		i := c.ledger.items[name]
+		if keep[name] || !c.mayUnload(now, i, blocked) {
+			continue
+		}
+		i.ordered = now
+		order := c.newOrder(now, OrderConfig{Verb: Unload, Name: i.name, Base: i.base})
+		if i.base == "" {
+			models = append(models, order)
+		} else {
+			actions = append(actions, order)
+		}
+	}
+	return append(actions, models...)
+}
+
+// mayUnload marks an unwanted item as idle, then as leaving, and reports
+// whether its order is due.
+func (c *Core) mayUnload(now time.Time, i *item, blocked bool) bool {
+	if i.idle.IsZero() {
+		i.idle = now
+	}
+	if !blocked && now.Sub(i.idle) < c.config.Linger {
+		return false
+	}
+	if i.leaving.IsZero() {
+		i.leaving = now
+	}
+	if i.phase == Resident && now.Sub(i.leaving) < c.config.Settle {
+		return false
+	}
+	return c.due(now, i)
+}
+
+// loading returns the number of models, or of adapters, that are counted but
+// not resident.
+func (c *Core) loading(adapters bool) int {
+	n := 0
+	for _, i := range c.ledger.items {
+		if (i.base != "") == adapters && i.phase != Resident {
+			n++
+		}
+	}
+	return n
+}
+
+// due reports whether no order about the item was given lately.
+func (c *Core) due(now time.Time, i *item) bool {
+	return i.ordered.IsZero() || now.Sub(i.ordered) >= c.config.Retry
+}
+
+// newOrder returns an order with the next fencing number.
+func (c *Core) newOrder(now time.Time, config OrderConfig) Order {
+	c.orders++
+	config.Fence = c.epoch*ordersPerClaim + c.orders
+	config.State = c.revision.Offset()
+	config.Expiry = now.Add(c.config.SendLimit)
+	return Order{config: config}
+}
+
+// Stock returns what operators and the planner are told.
+func (c *Core) Stock() Stock {
+	var loading []string
+	for _, name := range c.ledger.names() {
+		if !c.ledger.resident(name) {
+			loading = append(loading, name)
+		}
+	}
+	return Stock{resident: c.Holds(), loading: loading, reserved: c.Reserved(), memory: c.backend.Memory()}
+}
+
+// Stock is a summary of the ledger.
+type Stock struct {
+	resident []string
+	loading  []string
+	reserved int64
+	memory   int64
+}
+
+// Resident returns what the engine can run requests for.
+func (s Stock) Resident() []string { return s.resident }
+
+// Loading returns what is counted and not resident.
+func (s Stock) Loading() []string { return s.loading }
+
+// Reserved returns the bytes that are counted.
+func (s Stock) Reserved() int64 { return s.reserved }
+
+// Memory returns the accelerator memory in bytes.
+func (s Stock) Memory() int64 { return s.memory }
+
+// String returns the summary for a log line.
+func (s Stock) String() string { return strings.Join(s.resident, ",") }
