--- a/commons/register/plan.go
+++ b/commons/register/plan.go
@@ -106,7 +106,7 @@
 		return r, errors.Mark(errors.Wrap(err, "decode plan"), ErrBadRecord)
 	}
 	next := *r
-	next.plan = r.Plan().Apply(offset+1, changes)
+	next.state, next.plan = r.offset, r.Plan().Apply(offset+1, changes)
 	return &next, nil
 }
 
--- a/side/hall/core.go
+++ b/side/hall/core.go
@@ -360,7 +360,7 @@
 func (c *Core) newOrder(now time.Time, config OrderConfig) Order {
 	c.orders++
 	config.Fence = c.epoch*ordersPerClaim + c.orders
-	config.State = c.revision.Offset()
+	config.State = c.revision.State()
 	config.Expiry = now.Add(c.config.SendLimit)
 	return Order{config: config}
 }
--- a/side/hall/world_test.go
+++ b/side/hall/world_test.go
@@ -141,7 +141,7 @@
 		// A rejected record leaves the revision as it is.
 		s.revision, _ = s.revision.Fold(offset, w.records[offset])
 	}
-	s.proven[s.revision.Offset()] = w.now
+	s.proven[s.revision.State()] = w.now
 	s.inbox = append(s.inbox, hall.NewRevised(s.revision))
 }
 
