--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -4,6 +4,7 @@
 var commons = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance in the inventory"},
 	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
+	{Section: "process", Key: "secret", Kind: Text, Doc: "secret that all processes of the fleet share, of 16 bytes or more; links between processes prove it and are encrypted with it; may be missing only where all links are on loopback"},
 	{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, traces)"},
 	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
 	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
@@ -14,6 +15,7 @@
 	{Section: "platform", Key: "peers", Kind: List, Doc: "link addresses of other processes, from which the configuration is read when the log service does not answer at the start"},
 	{Section: "traces", Key: "kept", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "recent spans kept in memory"},
 	{Section: "traces", Key: "sampling", Kind: Integer, Default: "100", Low: "0", High: "100", Doc: "share of requests that are traced, in per cent"},
+	{Section: "traces", Key: "otlp", Kind: Address, Doc: "address of an OTLP collector over HTTP; empty for none"},
 }
 
 var entryOptions = []SettingConfig{
@@ -29,6 +31,16 @@
 	{Section: "gate", Key: "default-output", Kind: Integer, Default: "1024", Low: "1", High: "1000000", Doc: "output tokens assumed when a request sets no maximum"},
 	{Section: "gate", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the gate's ring, in messages"},
 	{Section: "link", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
+	{Section: "booking", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of the rings of requests that may run once, in messages"},
+	{Section: "booking", Key: "pending", Kind: Integer, Default: "1024", Low: "1", High: "100000", Doc: "requests with an Idempotency-Key that may be open"},
+	{Section: "booking", Key: "append-limit", Kind: Duration, Default: "3s", Low: "100ms", High: "1m", Doc: "longest wait for the log to show an announced run before the request is refused as not run"},
+	{Section: "booking", Key: "wait", Kind: Duration, Default: "10s", Low: "0s", High: "10m", Doc: "longest wait of a repeated request for the outcome of the first"},
+	{Section: "booking", Key: "max-outcome", Kind: Bytes, Default: "64KiB", Low: "0", High: "512KiB", Doc: "largest answer that is stored for repeated requests"},
+	{Section: "booking", Key: "kept", Kind: Bytes, Default: "4MiB", Low: "0", High: "1GiB", Doc: "stored answers in all; beyond it the oldest are dropped"},
+	{Section: "booking", Key: "kept-for", Kind: Duration, Default: "24h", Low: "1m", High: "8760h", Doc: "age at which a stored answer is dropped"},
+	{Section: "booking", Key: "intents", Kind: Integer, Default: "20000", Low: "16", High: "10000000", Doc: "Idempotency-Keys that are remembered; further ones are refused"},
+	{Section: "booking", Key: "remember", Kind: Duration, Default: "720h", Low: "1h", High: "87600h", Doc: "age at which an Idempotency-Key is forgotten, after which it may run again"},
+	{Section: "booking", Key: "appends", Kind: Integer, Default: "200", Low: "1", High: "100000", Doc: "appends per second of all entries together for requests that may run once"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
 	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -175,7 +175,7 @@
 	}
 	o := &open{id: uuid.NewString(), call: call}
 	o.span = g.config.Trail.Start(call.Arrived(), string(request.Header.Peek(traceKey)), "entry")
-	o.span.Note("request", o.id)
+	o.span.Note(trail.RequestNote, o.id)
 	o.span.Note("path", path)
 	ask, err := g.admit(now, o, path)
 	if err != nil {
@@ -217,11 +217,17 @@
 		limit = min(limit, route.Deadline())
 	}
 	o.expires = now.Add(limit)
+	key, err := idempotencyKey(request, route)
+	if err != nil {
+		return usher.Ask{}, err
+	}
 	config := usher.AskConfig{
 		Request:     o.id,
 		Tenant:      pass.Tenant(),
 		Grant:       pass.Grant(),
 		State:       g.state.Load(),
+		Route:       route.Name(),
+		Key:         key,
 		Service:     route.Service(),
 		Method:      string(request.Header.Method()),
 		Path:        string(request.URI().RequestURI()),
--- a/entry/house.go
+++ b/entry/house.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
@@ -19,6 +21,7 @@
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/usher"
@@ -30,6 +33,7 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
@@ -40,11 +44,16 @@
 	watch     *nightwatch.Watch
 	registrar *registrar.Registrar
 	gate      *gate.Gate
+	booking   *booking.Booking
 	usher     *usher.Usher
 	drained   chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("link", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "entry", Log: log}),
 		drained: make(chan struct{}),
@@ -53,6 +62,7 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
 	})
 	h.watch = nightwatch.New(nightwatch.Config{
 		Instance: settings.Text("process", "instance"),
@@ -64,6 +74,7 @@
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
+		Identity:    identity,
 		Watch:       h.watch,
 		Log:         log,
 	})
@@ -75,8 +86,13 @@
 		Trail:         traces,
 		Watch:         h.watch,
 		Log:           log,
-		Drained:       sync.OnceFunc(func() { close(h.drained) }),
+		Drained:       sync.OnceFunc(func() { h.booking.Drain() }),
+	})
+	service := logbook.New(logbook.Config{
+		Address: settings.Address("platform", "log"),
+		Timeout: settings.Duration("platform", "log-timeout"),
 	})
+	h.booking = newBooking(settings, h, service, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -85,31 +101,33 @@
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.gate.Inbox(),
+		Gate:     h.booking,
 		Log:      log,
 	})
 	lines.Attach(h.usher)
-	h.gate.Attach(h.usher)
+	h.booking.Attach(h.usher)
+	h.gate.Attach(h.booking)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
 	}))
+	for _, service := range h.booking.Services() {
+		h.crew.Add(service)
+	}
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
 	h.crew.Add(h.watch)
 	h.registrar = registrar.New(registrar.Config{
-		Log: log,
-		Service: logbook.New(logbook.Config{
-			Address: settings.Address("platform", "log"),
-			Timeout: settings.Duration("platform", "log-timeout"),
-		}),
+		Log:         log,
+		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
@@ -117,7 +135,8 @@
 		Services: []porter.Service{
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 		},
-		Log: log,
+		Identity: identity,
+		Log:      log,
 	}))
 	h.crew.Add(wicket.New(wicket.Config{
 		Address:    settings.Address("gate", "listen"),
@@ -131,7 +150,30 @@
 		Idle:       settings.Duration("gate", "idle"),
 		Loops:      callerLoops,
 	}))
-	return h
+	return h, nil
+}
+
+func newBooking(settings *handbook.Values, h *house, service *logbook.Client, log *logrus.Entry) *booking.Booking {
+	return booking.New(booking.Config{
+		Core: booking.CoreConfig{
+			Table: booking.TableConfig{
+				Capacity:  settings.Integer("booking", "intents"),
+				Remember:  settings.Duration("booking", "remember"),
+				KeptBytes: settings.Bytes("booking", "kept"),
+				KeptFor:   settings.Duration("booking", "kept-for"),
+			},
+			Pending:     settings.Integer("booking", "pending"),
+			AppendLimit: settings.Duration("booking", "append-limit"),
+			Wait:        settings.Duration("booking", "wait"),
+			MaxOutcome:  settings.Bytes("booking", "max-outcome"),
+		},
+		Capacity: settings.Integer("booking", "inbox"),
+		Appends:  settings.Integer("booking", "appends"),
+		Service:  service,
+		Gate:     h.gate.Inbox(),
+		Log:      log,
+		Drained:  sync.OnceFunc(func() { close(h.drained) }),
+	})
 }
 
 // Serve runs the tree until ctx ends.
--- a/side/house.go
+++ b/side/house.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
@@ -46,7 +47,11 @@
 	drained   chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("desk", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "side", Log: log}),
 		drained: make(chan struct{}),
@@ -55,6 +60,7 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
 	})
 	concurrency := settings.Integer("backend", "concurrency")
 	pool := runner.New(runner.Config{
@@ -118,9 +124,10 @@
 			{Name: notice.Service, Receiver: desk.New(h.foyer, h.watch)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 		},
-		Log: log,
+		Identity: identity,
+		Log:      log,
 	}))
-	return h
+	return h, nil
 }
 
 // Serve runs the tree until ctx ends.
