Hold tenants to rate and burst over all entries by claims and allowances

Ruled out: a static split (refuses inside the rate when the balancer is skewed), an owner round trip on each request, optimistic sharing (overspends), late credits of unused tokens to the owner (a bucket that was full meanwhile would give out more than its burst, so refunds fill only allowances that still stand and the floor). Change: entry/treasurer, a pure core and its duty. Eight groups of tenants, each with an owner by a claim in the log; allowances whose life counts from before the entry asked; floors for each entry, behind a claim of their own; hand-over at a planned stop; after a crash the successor waits out proof and allowances and counts all as spent. Not wired to the gate yet.

--- a/commons/notice/notice_test.go
+++ b/commons/notice/notice_test.go
@@ -27,6 +27,15 @@
 	receipts := notice.NewReceipts(notice.ReceiptsConfig{Side: "s", Receipts: []notice.Receipt{receipt}})
 	read := notice.NewRead(notice.ReadConfig{Entry: "e", Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
 	pages := notice.NewPages(notice.PagesConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Pages: []notice.Page{page}})
+	need := notice.NewNeed(notice.NeedConfig{Tenant: "lantern", Least: 1, All: 2, Stock: 3})
+	back := notice.NewGiveBack(notice.GiveBackConfig{Tenant: "lantern", Serial: 4, Tokens: 5})
+	lend := notice.NewLend(notice.LendConfig{Holder: "e/1", Serial: 6, Needs: []notice.Need{need}, GiveBacks: []notice.GiveBack{back}})
+	loan := notice.NewLoan(notice.LoanConfig{Tenant: "lantern", Tokens: 7, Wait: time.Second})
+	loans := notice.NewLoans(notice.LoansConfig{Holder: "e/2", Loans: []notice.Loan{loan}})
+	debt := notice.NewDebt(notice.DebtConfig{Holder: "e/1", Serial: 6, Tokens: 7, Remaining: time.Second})
+	balance := notice.NewBalance(notice.BalanceConfig{Tenant: "lantern", Level: 8, Debts: []notice.Debt{debt}})
+	handOver := notice.NewHandOver(notice.HandOverConfig{Role: "treasury-1", Epoch: 9, Balances: []notice.Balance{balance}})
+	handedOver := notice.NewHandedOver(true)
 	cases := map[string]struct {
 		sent encoding.BinaryMarshaler
 		got  encoding.BinaryUnmarshaler
@@ -36,6 +45,11 @@
 		"receipts": {sent: receipts, got: &notice.Receipts{}, want: &receipts},
 		"read":     {sent: read, got: &notice.Read{}, want: &read},
 		"pages":    {sent: pages, got: &notice.Pages{}, want: &pages},
+
+		"lend":        {sent: lend, got: &notice.Lend{}, want: &lend},
+		"loans":       {sent: loans, got: &notice.Loans{}, want: &loans},
+		"hand-over":   {sent: handOver, got: &notice.HandOver{}, want: &handOver},
+		"handed over": {sent: handedOver, got: &notice.HandedOver{}, want: &handedOver},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/entry/treasurer/refusal.go
@@ -0,0 +1,27 @@
+package treasurer
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/wicket"
+)
+
+// Refusals by the treasurer. Nothing of these requests was run.
+var (
+	errRateExceeded = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusTooManyRequests, Code: "rate_limit_exceeded",
+		Message: "the tenant's rate of tokens is used up; retry after the time in Retry-After",
+	})
+	errTooLarge = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusBadRequest, Code: "request_exceeds_burst",
+		Message: "prompt and maximum output are larger than the tenant's burst; ask for less output or for a larger burst",
+	})
+	errLeaving = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: "leaving",
+		Message: "this instance is stopping; retry, which reaches another instance",
+	})
+	errOverloaded = wicket.NewRefusal(wicket.RefusalConfig{
+		Status: fasthttp.StatusServiceUnavailable, Code: "overloaded",
+		Message: "this instance has more requests than it can take; retry after the time in Retry-After",
+	})
+)
--- /dev/null
+++ b/entry/treasurer/teller.go
@@ -0,0 +1,177 @@
+package treasurer
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/ring"
+)
+
+// Named limits of the threads beside the core.
+const (
+	tellerCapacity = 16 // calls to one peer that may wait
+	recordCapacity = 64 // claims that may wait for the log
+	answerHandOver = 5 * time.Second
+)
+
+// Receiver takes what the tellers learn.
+type Receiver interface {
+	PutWithin(ctx context.Context, message Message, limit time.Duration) error
+}
+
+// PeersConfig holds the construction parameters of Peers.
+type PeersConfig struct {
+	Receiver Receiver
+	Log      *logrus.Entry
+}
+
+// Peers is responsible for one thread with one connection for each entry that
+// is called. Its methods belong to the treasurer's thread.
+type Peers struct {
+	config  PeersConfig
+	crew    *crew.Crew
+	tellers map[string]*teller
+}
+
+// NewPeers returns the supervisor of the threads.
+func NewPeers(config PeersConfig) *Peers {
+	return &Peers{
+		config:  config,
+		crew:    crew.New(crew.Config{Name: "tellers", Log: config.Log}),
+		tellers: make(map[string]*teller),
+	}
+}
+
+// Serve runs the threads until ctx ends.
+func (p *Peers) Serve(ctx context.Context) error { return p.crew.Serve(ctx) }
+
+// String returns the supervisor's name.
+func (p *Peers) String() string { return "tellers" }
+
+// Lend hands a call for allowances to the peer's thread without blocking.
+func (p *Peers) Lend(peer, address string, lend notice.Lend) error {
+	return p.teller(peer, address).inbox.Put(lend)
+}
+
+// HandOver hands the buckets of a claim to the peer's thread without blocking.
+func (p *Peers) HandOver(peer, address string, handOver notice.HandOver) error {
+	return p.teller(peer, address).inbox.Put(handOver)
+}
+
+func (p *Peers) teller(peer, address string) *teller {
+	existing, ok := p.tellers[peer]
+	if ok && existing.address == address {
+		return existing
+	}
+	if ok {
+		existing.line.Close()
+		if err := p.crew.Remove(existing.token); err != nil {
+			p.config.Log.WithFields(logrus.Fields{"event": "teller_removed", "peer": peer}).WithError(err).Warn("thread did not stop")
+		}
+	}
+	added := &teller{
+		peer:     peer,
+		address:  address,
+		line:     porter.NewLine(porter.LineConfig{Address: address, DialTimeout: callLimit}),
+		inbox:    ring.New(ring.Config{Name: "teller " + peer, Capacity: tellerCapacity}),
+		receiver: p.config.Receiver,
+	}
+	added.token = p.crew.Add(added)
+	p.tellers[peer] = added
+	return added
+}
+
+// teller is responsible for the calls to one peer.
+type teller struct {
+	peer     string
+	address  string
+	token    crew.Token
+	line     *porter.Line
+	inbox    *ring.Ring
+	receiver Receiver
+}
+
+// String returns the thread's name.
+func (t *teller) String() string { return "teller " + t.peer }
+
+// Serve makes one call after the other until ctx ends.
+func (t *teller) Serve(ctx context.Context) error {
+	for {
+		item, err := t.inbox.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := t.receiver.PutWithin(ctx, t.call(item), answerHandOver); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *teller) call(item any) Message {
+	if handOver, ok := item.(notice.HandOver); ok {
+		var answer notice.HandedOver
+		err := t.line.Call(notice.HandOverMethod, handOver, &answer, callLimit)
+		return NewHandedOver(handOver.Role(), err == nil && answer.Taken())
+	}
+	lend := item.(notice.Lend)
+	var loans notice.Loans
+	err := t.line.Call(notice.LendMethod, lend, &loans, callLimit)
+	return NewLent(t.peer, lend.Serial(), loans, err)
+}
+
+// LogService appends records to the platform's log.
+type LogService interface {
+	Append(record []byte) (int64, error)
+}
+
+// Appender is responsible for the thread that appends claims to the log. A
+// claim whose append fails is proposed again by the core.
+type Appender struct {
+	service LogService
+	inbox   *ring.Ring
+	log     *logrus.Entry
+}
+
+var _ LogService = (*logbook.Client)(nil)
+
+// NewAppender returns the thread.
+func NewAppender(service LogService, log *logrus.Entry) *Appender {
+	return &Appender{service: service, inbox: ring.New(ring.Config{Name: "claims", Capacity: recordCapacity}), log: log}
+}
+
+// Put hands a record over without blocking.
+func (a *Appender) Put(record register.Record) error { return a.inbox.Put(record) }
+
+// Inbox returns the ring of the records that wait.
+func (a *Appender) Inbox() *ring.Ring { return a.inbox }
+
+// String returns the thread's name.
+func (a *Appender) String() string { return "appender" }
+
+// Serve appends one record after the other until ctx ends.
+func (a *Appender) Serve(ctx context.Context) error {
+	for {
+		item, err := a.inbox.Take(ctx)
+		if err != nil {
+			return err
+		}
+		a.append(item.(register.Record))
+	}
+}
+
+func (a *Appender) append(record register.Record) {
+	data, err := record.Encode()
+	if err == nil {
+		_, err = a.service.Append(data)
+	}
+	if err != nil {
+		a.log.WithFields(logrus.Fields{"event": "claim_append", "change": record.Change()}).WithError(err).Warn("claim may not be in the log")
+	}
+}
--- /dev/null
+++ b/entry/treasurer/treasury.go
@@ -0,0 +1,68 @@
+package treasurer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/ring"
+)
+
+// answerLimit bounds the wait for the treasurer's answer to a peer.
+const answerLimit = 2 * time.Second
+
+// Errors of the service. Nothing was lent.
+var (
+	ErrBusy   = errors.New("the treasurer's ring is full")
+	ErrSilent = errors.New("the treasurer did not answer in time")
+)
+
+// Inbox takes the messages of the service.
+type Inbox interface {
+	Put(message Message) error
+}
+
+// Treasury is responsible for the methods that other entries call.
+type Treasury struct {
+	inbox Inbox
+}
+
+// NewTreasury returns the service before a treasurer.
+func NewTreasury(inbox Inbox) *Treasury { return &Treasury{inbox: inbox} }
+
+// Lend borrows and returns allowances.
+func (t *Treasury) Lend(lend notice.Lend, loans *notice.Loans) error {
+	answer, err := t.ask(func(reply *ring.Ring) Message { return NewLendArrived(lend, reply) })
+	if err != nil {
+		return err
+	}
+	*loans = answer.(notice.Loans)
+	return nil
+}
+
+// HandOver takes over the buckets of a leaving owner.
+func (t *Treasury) HandOver(handOver notice.HandOver, taken *notice.HandedOver) error {
+	answer, err := t.ask(func(reply *ring.Ring) Message { return NewHandOverArrived(handOver, reply) })
+	if err != nil {
+		return err
+	}
+	*taken = answer.(notice.HandedOver)
+	return nil
+}
+
+func (t *Treasury) ask(message func(reply *ring.Ring) Message) (any, error) {
+	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
+	if err := t.inbox.Put(message(reply)); err != nil {
+		return nil, ErrBusy
+	}
+	answer, err := reply.TakeWithin(context.Background(), answerLimit)
+	if err != nil {
+		return nil, err
+	}
+	if answer == nil {
+		return nil, ErrSilent
+	}
+	return answer, nil
+}
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -40,6 +40,12 @@
 // Request returns the request's id.
 func (a Ask) Request() string { return a.config.Request }
 
+// Tenant returns the tenant for which the request runs.
+func (a Ask) Tenant() string { return a.config.Tenant }
+
+// Tokens returns the upper bound on prompt and output tokens.
+func (a Ask) Tokens() int64 { return a.config.Tokens }
+
 // Leave reports that nobody awaits a request's answer any more.
 type Leave struct {
 	request string
