--- a/entry/house.go
+++ b/entry/house.go
@@ -4,19 +4,24 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/usher"
@@ -28,18 +33,27 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
+//	├── nightwatch (freshness proof)
 //	└── registrar (log)
 type house struct {
-	crew    *crew.Crew
-	gate    *gate.Gate
-	usher   *usher.Usher
-	drained chan struct{}
+	crew      *crew.Crew
+	watch     *nightwatch.Watch
+	registrar *registrar.Registrar
+	gate      *gate.Gate
+	booking   *booking.Booking
+	usher     *usher.Usher
+	drained   chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("link", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "entry", Log: log}),
 		drained: make(chan struct{}),
@@ -48,12 +62,20 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
+	})
+	h.watch = nightwatch.New(nightwatch.Config{
+		Instance: settings.Text("process", "instance"),
+		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Log:      log,
 	})
 	lines := line.New(line.Config{
 		Incarnation: uuid.NewString(),
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
+		Identity:    identity,
+		Watch:       h.watch,
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -62,9 +84,15 @@
 		MaxAnswer:     settings.Bytes("gate", "max-answer"),
 		DefaultOutput: int64(settings.Integer("gate", "default-output")),
 		Trail:         traces,
+		Watch:         h.watch,
 		Log:           log,
-		Drained:       sync.OnceFunc(func() { close(h.drained) }),
+		Drained:       sync.OnceFunc(func() { h.booking.Drain() }),
+	})
+	service := logbook.New(logbook.Config{
+		Address: settings.Address("platform", "log"),
+		Timeout: settings.Duration("platform", "log-timeout"),
 	})
+	h.booking = newBooking(settings, h, service, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -73,33 +101,41 @@
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.gate.Inbox(),
+		Gate:     h.booking,
 		Log:      log,
 	})
 	lines.Attach(h.usher)
-	h.gate.Attach(h.usher)
+	h.booking.Attach(h.usher)
+	h.gate.Attach(h.booking)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
 	}))
+	for _, service := range h.booking.Services() {
+		h.crew.Add(service)
+	}
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
-	h.crew.Add(registrar.New(registrar.Config{
-		Log: log,
-		Service: logbook.New(logbook.Config{
-			Address: settings.Address("platform", "log"),
-			Timeout: settings.Duration("platform", "log-timeout"),
-		}),
-		Poll:        settings.Duration("platform", "poll"),
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
-	}))
+	h.crew.Add(h.watch)
+	h.registrar = registrar.New(registrar.Config{
+		Log:         log,
+		Service:     service,
+		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Watch:       h.watch,
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox()},
+	})
+	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address:  settings.Address("link", "listen"),
-		Services: nil,
+		Address: settings.Address("link", "listen"),
+		Services: []porter.Service{
+			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+		},
+		Identity: identity,
 		Log:      log,
 	}))
 	h.crew.Add(wicket.New(wicket.Config{
@@ -114,7 +150,30 @@
 		Idle:       settings.Duration("gate", "idle"),
 		Loops:      callerLoops,
 	}))
-	return h
+	return h, nil
+}
+
+func newBooking(settings *handbook.Values, h *house, service *logbook.Client, log *logrus.Entry) *booking.Booking {
+	return booking.New(booking.Config{
+		Core: booking.CoreConfig{
+			Table: booking.TableConfig{
+				Capacity:  settings.Integer("booking", "intents"),
+				Remember:  settings.Duration("booking", "remember"),
+				KeptBytes: settings.Bytes("booking", "kept"),
+				KeptFor:   settings.Duration("booking", "kept-for"),
+			},
+			Pending:     settings.Integer("booking", "pending"),
+			AppendLimit: settings.Duration("booking", "append-limit"),
+			Wait:        settings.Duration("booking", "wait"),
+			MaxOutcome:  settings.Bytes("booking", "max-outcome"),
+		},
+		Capacity: settings.Integer("booking", "inbox"),
+		Appends:  settings.Integer("booking", "appends"),
+		Service:  service,
+		Gate:     h.gate.Inbox(),
+		Log:      log,
+		Drained:  sync.OnceFunc(func() { close(h.drained) }),
+	})
 }
 
 // Serve runs the tree until ctx ends.
@@ -127,7 +186,7 @@
 }
 
 // Ready returns nil while the entry takes requests.
-func (h *house) Ready() error { return h.gate.Ready() }
+func (h *house) Ready() error { return h.gate.Ready(time.Now()) }
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -15,6 +15,10 @@
 type AskConfig struct {
 	Request     string // unique id
 	Tenant      string
+	Grant       string // identifier of the key's permission; empty on an open route
+	State       int64  // state of the register under which the request was admitted
+	Route       string // name of the route
+	Key         string // Idempotency-Key of a request that may run once, else empty
 	Model       string // model that must be resident; empty for a plain service
 	Service     string // plain service; empty for a model
 	Method      string
@@ -40,9 +44,6 @@
 // Request returns the request's id.
 func (a Ask) Request() string { return a.config.Request }
 
-// Tenant returns the tenant for which the request runs.
-func (a Ask) Tenant() string { return a.config.Tenant }
-
 // Tokens returns the upper bound on prompt and output tokens.
 func (a Ask) Tokens() int64 { return a.config.Tokens }
 
