--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -44,6 +44,9 @@
 // Request returns the request's id.
 func (a Ask) Request() string { return a.config.Request }
 
+// Tokens returns the upper bound on prompt and output tokens.
+func (a Ask) Tokens() int64 { return a.config.Tokens }
+
 // Leave reports that nobody awaits a request's answer any more.
 type Leave struct {
 	request string
