--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -137,6 +137,8 @@
 		Attempt:     r.attempt,
 		Request:     a.Request,
 		Tenant:      a.Tenant,
+		Grant:       a.Grant,
+		State:       a.State,
 		Model:       a.Model,
 		Service:     a.Service,
 		Method:      a.Method,
@@ -310,7 +312,7 @@
 func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) Action {
 	c.release(r)
 	r.ran = r.ran || ran
-	if r.started || (ran && !r.ask.config.Idempotent) {
+	if r.started || code == notice.CodeWithdrawn || (ran && !r.ask.config.Idempotent) {
 		return c.refuse(r, code, ran, retryAfter)
 	}
 	if ran && r.count >= c.config.MaxAttempts {
