Plan which engine holds which model, and carry the plan out

Cause: engines had to be started with every model loaded.

Ruled out: pacing loads in each side (a share of the store's limits is one load in minutes at 600 sides); a plan record without a base (a late append of the same planner would be made from an older plan).

Change: entry/pitch holds the planner's claim in one entry; the others ask it for a sign of life and take its place by turns. It asks each side what its backend server holds and what was asked of it, and changes the plan by small records: a live copy for each model, a second one in another failure domain, more for demand, paced by the weight store's limits ([store NAME] in the inventory). A plan record counts only when it comes from the planner whose claim stands and was made from the plan in force. Sides answer the planner by net/rpc and count tokens on the way to the foyer.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -46,6 +46,17 @@
 	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
 	{Section: "line", Key: "read-wait", Kind: Duration, Default: "1s", Low: "10ms", High: "10s", Doc: "longest time that one read of answers waits at a side"},
 	{Section: "line", Key: "timeout", Kind: Duration, Default: "2s", Low: "50ms", High: "30s", Doc: "silence beyond the expected answer after which a connection is replaced"},
+	{Section: "planner", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "capacity of the planner's rings, in messages"},
+	{Section: "planner", Key: "threads", Kind: Integer, Default: "8", Low: "1", High: "64", Doc: "calls to sides that the planner makes at once"},
+	{Section: "planner", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "30s", Doc: "limit on one call of the planner"},
+	{Section: "planner", Key: "period", Kind: Duration, Default: "1s", Low: "100ms", High: "1m", Doc: "time between two decisions of the planner"},
+	{Section: "planner", Key: "idle", Kind: Duration, Default: "10s", Low: "100ms", High: "10m", Doc: "time between two looks at a backend server that loads nothing"},
+	{Section: "planner", Key: "retry", Kind: Duration, Default: "3s", Low: "100ms", High: "10m", Doc: "time until a change of the plan that shows no effect is decided again"},
+	{Section: "planner", Key: "takeover", Kind: Duration, Default: "10s", Low: "500ms", High: "10m", Doc: "silence of the planner after which another entry takes its place"},
+	{Section: "planner", Key: "silence", Kind: Duration, Default: "5s", Low: "200ms", High: "10m", Doc: "time without an answer after which a backend server counts as down"},
+	{Section: "planner", Key: "absence", Kind: Duration, Default: "10m", Low: "1s", High: "24h", Doc: "time down after which the copies of a backend server no longer count"},
+	{Section: "planner", Key: "average", Kind: Duration, Default: "1m", Low: "1s", High: "1h", Doc: "time over which the demand for a model is averaged"},
+	{Section: "planner", Key: "load-limit", Kind: Duration, Default: "2m", Low: "1s", High: "1h", Doc: "time after which a planned copy that is not resident no longer counts"},
 }
 
 var sideOptions = []SettingConfig{
@@ -64,7 +75,6 @@
 	{Section: "orders", Key: "linger", Kind: Duration, Default: "1m", Low: "0s", High: "1h", Doc: "time for which a model that is no longer planned stays while nothing needs its memory"},
 	{Section: "orders", Key: "settle", Kind: Duration, Default: "2s", Low: "0s", High: "1m", Doc: "time from the last advertisement of a model until it is unloaded"},
 	{Section: "orders", Key: "loads", Kind: Integer, Default: "2", Low: "1", High: "64", Doc: "models that the backend server loads at once"},
-	{Section: "orders", Key: "adapters", Kind: Integer, Default: "4", Low: "1", High: "256", Doc: "adapters that the backend server loads at once"},
 	{Section: "backend", Key: "address", Kind: Address, Required: true, Doc: "address of the backend server"},
 	{Section: "backend", Key: "name", Kind: Text, Required: true, Doc: "name of the backend server in the inventory"},
 	{Section: "backend", Key: "concurrency", Kind: Integer, Default: "32", Low: "1", High: "1024", Doc: "requests that the backend server runs at once"},
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -27,6 +27,7 @@
 	keys      set[Key] // by SHA-256 in hexadecimal
 	grants    set[Key] // by grant
 	routes    []Route  // longest path first
+	stores    set[Store]
 }
 
 // Empty returns an inventory that describes nothing.
@@ -38,6 +39,7 @@
 		adapters:  make(set[Adapter]),
 		tenants:   make(set[Tenant]),
 		keys:      make(set[Key]),
+		stores:    make(set[Store]),
 		grants:    make(set[Key]),
 	}
 }
--- a/commons/register/plan.go
+++ b/commons/register/plan.go
@@ -30,6 +30,7 @@
 type PlanConfig struct {
 	Change  string
 	Epoch   int64 // of the planner's claim
+	Base    int64 // number of the plan that is changed
 	Changes []PlanChange
 }
 
@@ -39,7 +40,7 @@
 	if err != nil {
 		return Record{}, errors.Wrap(err, "encode plan")
 	}
-	return NewRecord(RecordConfig{Change: config.Change, Kind: Assign, Epoch: config.Epoch, Body: body}), nil
+	return NewRecord(RecordConfig{Change: config.Change, Kind: Assign, Epoch: config.Epoch, Base: config.Base, Body: body}), nil
 }
 
 // Plan says which models each backend server shall hold. Adapters stand beside
@@ -95,12 +96,15 @@
 }
 
 // assign changes the plan, if the record comes from the planner whose claim
-// stands. Plans leave the revision's number as it is.
+// stands and was made from the plan in force. Plans leave the revision's number as it is.
 func (r *Revision) assign(offset int64, record Record) (*Revision, error) {
 	claim, ok := r.claims[PlannerRole]
 	if !ok || claim.epoch != record.config.Epoch {
 		return r, errors.Wrapf(ErrStaleBase, "plan %s of epoch %d at epoch %d", record.config.Change, record.config.Epoch, claim.epoch)
 	}
+	if record.config.Base != r.Plan().number {
+		return r, errors.Wrapf(ErrStaleBase, "plan %s from plan %d at plan %d", record.config.Change, record.config.Base, r.Plan().number)
+	}
 	var changes []PlanChange
 	if err := json.Unmarshal(record.config.Body, &changes); err != nil {
 		return r, errors.Mark(errors.Wrap(err, "decode plan"), ErrBadRecord)
--- a/commons/register/plan_test.go
+++ b/commons/register/plan_test.go
@@ -17,6 +17,7 @@
 		"no planner's":               {epochs: []int64{0}, want: nil},
 		"earlier planner's":          {epochs: []int64{1}, want: nil},
 		"late record changes little": {epochs: []int64{2, 1, 2}, want: []string{"m0", "m2"}},
+		"made from an earlier plan":  {epochs: []int64{2, 2, 2}, want: []string{"m0", "m2"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -25,8 +26,13 @@
 				register.NewRecord(register.RecordConfig{Kind: register.Take, Claim: register.PlannerRole, Holder: "p2", Epoch: 1}),
 			}
 			for i, epoch := range tc.epochs {
+				base := int64(0)
+				if i == len(tc.epochs)-1 && i > 0 {
+					base = 3
+				}
 				record, err := register.NewPlanRecord(register.PlanConfig{
 					Epoch:   epoch,
+					Base:    base,
 					Changes: []register.PlanChange{{Backend: "engine-1", Load: []string{"m" + string(rune('0'+i))}}},
 				})
 				if err != nil {
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -54,8 +54,10 @@
 		r.readKey(name)
 	case "route":
 		r.readRoute(name)
+	case "store":
+		r.readStore(name)
 	default:
-		r.fault("", "section kind %q is unknown; use instance, backend, model, adapter, tenant, key or route", kind)
+		r.fault("", "section kind %q is unknown; use instance, backend, model, adapter, tenant, key, route or store", kind)
 		return
 	}
 	r.reportUnknownKeys()
--- a/entry/house.go
+++ b/entry/house.go
@@ -16,6 +16,7 @@
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/nightwatch"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -24,6 +25,7 @@
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/pitch"
 	"sesamewell.example/entry/usher"
 )
 
@@ -36,6 +38,8 @@
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
+//	├── pitch     (placement of models, under a claim)
+//	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
 //	├── nightwatch (freshness proof)
 //	└── registrar (log)
@@ -104,6 +108,8 @@
 		Gate:     h.booking,
 		Log:      log,
 	})
+	records := newScribe(settings, service, log)
+	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.usher)
 	h.booking.Attach(h.usher)
 	h.gate.Attach(h.booking)
@@ -112,11 +118,15 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range h.booking.Services() {
 		h.crew.Add(service)
 	}
+	for _, service := range planner.Services() {
+		h.crew.Add(service)
+	}
+	h.crew.Add(records)
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
@@ -126,13 +136,14 @@
 		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address: settings.Address("link", "listen"),
 		Services: []porter.Service{
+			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 		},
 		Identity: identity,
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -26,6 +26,9 @@
 	return BatchArrived{batch: batch, reply: reply}
 }
 
+// Batch returns the attempts that arrived.
+func (b BatchArrived) Batch() notice.Batch { return b.batch }
+
 // ReadArrived asks the foyer for the next pieces of answers.
 type ReadArrived struct {
 	read  notice.Read
--- a/side/hall/core.go
+++ b/side/hall/core.go
@@ -36,7 +36,6 @@
 	Linger      time.Duration // time for which what is no longer wanted stays while nothing needs its memory
 	Settle      time.Duration // time from the last advertisement of a model until it is unloaded
 	Loads       int           // models loaded at once
-	Adapters    int           // adapters loaded at once
 }
 
 // Core is responsible for every decision of the hall. It does no input or
@@ -56,6 +55,7 @@
 	since    time.Time // the claim's beginning
 	orders   int64
 	raised   time.Time // of the last order that only brings a fencing number
+	adapters int       // loaded at once
 	adoption register.Adoption
 	orphans  time.Time // since when models have been without a live copy
 }
@@ -125,6 +125,7 @@
 func (c *Core) revise(now time.Time, revision *register.Revision) {
 	c.revision = revision
 	c.backend, _ = revision.Inventory().Backend(c.config.Backend)
+	c.adapters = adapterShare(revision.Inventory())
 	claim, _ := revision.Claim(register.BackendRole(c.config.Backend))
 	switch {
 	case claim.Holder() != c.config.Incarnation:
@@ -134,6 +135,18 @@
 	}
 }
 
+// adapterShare returns the backend server's share of the adapters that the
+// weight store serves at full speed.
+func adapterShare(inventory *register.Inventory) int {
+	engines := 0
+	for _, backend := range inventory.Backends() {
+		if backend.Kind() == register.Engine {
+			engines++
+		}
+	}
+	return max(int(inventory.Store().Adapters())/max(engines, 1), 1)
+}
+
 // claim asks for the claim on the backend server. A process that held it and
 // lost it does not take it back: its successor is at work.
 func (c *Core) claim(now time.Time) []Action {
@@ -279,7 +292,7 @@
 	if w.base == "" {
 		return c.loading(false) < c.config.Loads
 	}
-	return c.ledger.resident(w.base) && c.loading(true) < c.config.Adapters
+	return c.ledger.resident(w.base) && c.loading(true) < c.adapters
 }
 
 // reserve counts the bytes of a load and returns its item, or nil when the
--- a/side/hall/world_test.go
+++ b/side/hall/world_test.go
@@ -35,6 +35,7 @@
 	sides   []*side
 	planned []string
 	planner int64 // epoch
+	base    int64 // number of the plan
 }
 
 func newWorld(seed uint64, fencing bool) *world {
@@ -77,11 +78,12 @@
 			change.Drop = append(change.Drop, model)
 		}
 	}
-	record, err := register.NewPlanRecord(register.PlanConfig{Epoch: w.planner, Changes: []register.PlanChange{change}})
+	record, err := register.NewPlanRecord(register.PlanConfig{Epoch: w.planner, Base: w.base, Changes: []register.PlanChange{change}})
 	if err != nil {
 		panic(err)
 	}
 	w.append(record)
+	w.base = int64(len(w.records))
 	slices.Sort(next)
 	w.planned = next
 }
@@ -103,7 +105,7 @@
 	w.sides = append(w.sides, &side{name: name, revision: register.Initial(), proven: make(map[int64]time.Time), core: hall.NewCore(hall.CoreConfig{
 		Backend: backend, Incarnation: name, Lease: lease, OrderDelay: orderDelay,
 		SendLimit: time.Second, Retry: 3 * time.Second, Period: 500 * time.Millisecond,
-		Grace: 10 * time.Second, Linger: 20 * time.Second, Settle: time.Second, Loads: 2, Adapters: 4,
+		Grace: 10 * time.Second, Linger: 20 * time.Second, Settle: time.Second, Loads: 2,
 	})})
 }
 
--- a/side/house.go
+++ b/side/house.go
@@ -90,6 +90,7 @@
 		Drained:  sync.OnceFunc(func() { close(h.drained) }),
 	})
 	records := newScribe(settings, log)
+	meter := hall.NewMeter(h.foyer)
 	h.hall = newHall(settings, h.watch, records, log)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
@@ -121,7 +122,8 @@
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address: settings.Address("desk", "listen"),
 		Services: []porter.Service{
-			{Name: notice.Service, Receiver: desk.New(h.foyer, h.watch)},
+			{Name: notice.Service, Receiver: desk.New(meter, h.watch)},
+			{Name: notice.HallService, Receiver: hall.NewDesk(h.hall, meter)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 		},
 		Identity: identity,
--- a/side/orders.go
+++ b/side/orders.go
@@ -37,7 +37,6 @@
 			Linger:      settings.Duration("orders", "linger"),
 			Settle:      settings.Duration("orders", "settle"),
 			Loads:       settings.Integer("orders", "loads"),
-			Adapters:    settings.Integer("orders", "adapters"),
 		},
 		Address:  settings.Address("backend", "address"),
 		Timeout:  settings.Duration("orders", "timeout"),
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -176,8 +176,13 @@
 }
 
 func (f *fleet) addSide(name, backend, address string, concurrency int) {
+	f.addSideWith(name, backend, address, concurrency, "")
+}
+
+// addSideWith starts a side; more are further lines of its settings.
+func (f *fleet) addSideWith(name, backend, address string, concurrency int, more string) {
 	f.links[name], f.pages[name], f.backends[backend] = freeAddress(f.t), freeAddress(f.t), address
-	f.writeSettings(name, fmt.Sprintf("[desk]\nlisten = %s\n[backend]\nname = %s\naddress = %s\nconcurrency = %d\n", f.links[name], backend, address, concurrency))
+	f.writeSettings(name, fmt.Sprintf("[desk]\nlisten = %s\n[backend]\nname = %s\naddress = %s\nconcurrency = %d\n%s", f.links[name], backend, address, concurrency, more))
 	f.startSide(name)
 	f.describe(name, "side", f.links[name], "backend = "+backend+"\n")
 }
