Admit requests through the treasurer and return unused tokens

Cause: the rate limiter stood beside the path; nothing was charged. Ruled out: charging in the gate (its thread would wait for other entries); settings for the allowance's life and the floors' share (two entries with different values would overspend, so both are constants of the program). Change: gate -> treasurer -> booking -> usher. The gate counts the tokens of an answer, by the engine's own count where there is one, and returns the rest; refusals that say not-run return all. Entries lend to each other by net/rpc at their doors. A planned stop waits for the hand-over too. A duty ahead of the watch now goes by the newest proof: it knows all that the proof covers. Setting rates.inbox is new.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -41,6 +41,7 @@
 	{Section: "booking", Key: "intents", Kind: Integer, Default: "20000", Low: "16", High: "10000000", Doc: "Idempotency-Keys that are remembered; further ones are refused"},
 	{Section: "booking", Key: "remember", Kind: Duration, Default: "720h", Low: "1h", High: "87600h", Doc: "age at which an Idempotency-Key is forgotten, after which it may run again"},
 	{Section: "booking", Key: "appends", Kind: Integer, Default: "200", Low: "1", High: "100000", Doc: "appends per second of all entries together for requests that may run once"},
+	{Section: "rates", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the ring of requests that need tokens, in messages"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
 	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
--- a/commons/nightwatch/message.go
+++ b/commons/nightwatch/message.go
@@ -102,10 +102,12 @@
 }
 
 // Fresh reports whether a duty may act on a state of the register, named by
-// the offset after the record that made it.
+// the offset after the record that made it. A duty that is ahead of the watch
+// knows all that the newest proof covers, and more.
 func (v View) Fresh(now time.Time, state int64) bool {
-	for _, s := range v.spans {
-		if s.state == state {
+	for i, s := range v.spans {
+		ahead := i == len(v.spans)-1 && state > s.state
+		if s.state == state || ahead {
 			return !s.at.IsZero() && now.Sub(s.at) < v.config.Limit
 		}
 	}
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -19,6 +19,7 @@
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
 	"sesamewell.example/entry/badge"
+	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
 
@@ -31,9 +32,11 @@
 	traceKey     = "traceparent"
 )
 
-// Usher routes the requests that pass the gate.
+// Usher routes the requests that pass the gate, within their tenants' rates.
 type Usher interface {
 	Put(message usher.Message) error
+	// Refund returns tokens that an admitted request did not use.
+	Refund(tenant string, tokens int64)
 }
 
 // Watch decides whether the entry may act on a state of the register.
@@ -82,6 +85,7 @@
 	stream  bool
 	begun   bool
 	body    []byte
+	charge  charge
 }
 
 // New returns a gate.
@@ -134,6 +138,8 @@
 		g.deliver(now, m)
 	case usher.Refuse:
 		g.refuse(now, m)
+	case treasurer.Refuse:
+		g.refuseRate(now, m)
 	case registrar.Revised:
 		g.revise(now, m.Revision())
 	case Drain:
@@ -276,6 +282,7 @@
 	config.Model = model.Name()
 	config.Stream = request.Stream
 	config.Tokens = request.tokens(config.Body, g.config.DefaultOutput)
+	o.charge = charge{tokens: config.Tokens, prompt: promptTokens(config.Body)}
 	return nil
 }
 
@@ -344,8 +351,10 @@
 		g.hangUp(now, o.call)
 		return
 	}
+	o.charge.read(m.Data())
 	if m.Whole() {
 		o.call.End()
+		g.refund(o, o.charge.unused())
 		g.close(now, o, "")
 	}
 }
@@ -358,6 +367,7 @@
 		return
 	}
 	if m.Whole() {
+		g.refund(o, o.charge.unusedOf(o.body))
 		g.replyWhole(now, o, m.Status(), m.ContentType(), o.body)
 	}
 }
@@ -373,11 +383,31 @@
 }
 
 func (g *Gate) refuse(now time.Time, m usher.Refuse) {
+	o, ok := g.calls[m.Request()]
+	if !ok {
+		return
+	}
+	if m.Refusal().Outcome() == wicket.NotRun {
+		g.refund(o, o.charge.tokens)
+	}
+	g.fail(now, o, m.Refusal(), m.RetryAfter())
+}
+
+// refuseRate ends a call that its tenant's rate does not allow; nothing was
+// charged for it.
+func (g *Gate) refuseRate(now time.Time, m treasurer.Refuse) {
 	if o, ok := g.calls[m.Request()]; ok {
 		g.fail(now, o, m.Refusal(), m.RetryAfter())
 	}
 }
 
+// refund returns tokens that were charged for a call but not used.
+func (g *Gate) refund(o *open, tokens int64) {
+	if tokens > 0 {
+		g.config.Usher.Refund(o.pass.Tenant(), tokens)
+	}
+}
+
 // fail ends a call without a whole answer.
 func (g *Gate) fail(now time.Time, o *open, refusal *wicket.Refusal, retryAfter time.Duration) {
 	if o.begun {
--- a/entry/gate/openai.go
+++ b/entry/gate/openai.go
@@ -68,9 +68,12 @@
 	if c.Choices != nil {
 		choices = *c.Choices
 	}
-	return int64(len(body)/charactersPerToken) + output*choices
+	return promptTokens(body) + output*choices
 }
 
+// promptTokens returns the estimate of a prompt's tokens.
+func promptTokens(body []byte) int64 { return int64(len(body) / charactersPerToken) }
+
 func badRequest(code, message string) *wicket.Refusal {
 	return wicket.NewRefusal(wicket.RefusalConfig{Status: fasthttp.StatusBadRequest, Code: code, Message: message})
 }
--- a/entry/house.go
+++ b/entry/house.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,7 @@
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/nightwatch"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -24,6 +26,7 @@
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
 
@@ -33,6 +36,7 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
@@ -44,9 +48,11 @@
 	watch     *nightwatch.Watch
 	registrar *registrar.Registrar
 	gate      *gate.Gate
+	treasurer *treasurer.Treasurer
 	booking   *booking.Booking
 	usher     *usher.Usher
 	drained   chan struct{}
+	draining  atomic.Int32 // duties whose drain has not ended
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
@@ -92,7 +98,9 @@
 		Address: settings.Address("platform", "log"),
 		Timeout: settings.Duration("platform", "log-timeout"),
 	})
+	h.draining.Store(drainingDuties)
 	h.booking = newBooking(settings, h, service, log)
+	h.treasurer = newTreasurer(settings, h, service, identity, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -106,15 +114,16 @@
 	})
 	lines.Attach(h.usher)
 	h.booking.Attach(h.usher)
-	h.gate.Attach(h.booking)
+	h.treasurer.Attach(h.booking)
+	h.gate.Attach(h.treasurer)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.treasurer.Inbox(), h.treasurer.Appends(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
 	}))
-	for _, service := range h.booking.Services() {
+	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
 		h.crew.Add(service)
 	}
 	h.crew.Add(h.usher.Duty())
@@ -126,7 +135,7 @@
 		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
@@ -134,6 +143,7 @@
 		Address: settings.Address("link", "listen"),
 		Services: []porter.Service{
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+			{Name: notice.TreasuryService, Receiver: treasurer.NewTreasury(h.treasurer)},
 		},
 		Identity: identity,
 		Log:      log,
@@ -172,17 +182,45 @@
 		Service:  service,
 		Gate:     h.gate.Inbox(),
 		Log:      log,
-		Drained:  sync.OnceFunc(func() { close(h.drained) }),
+		Drained:  sync.OnceFunc(h.drainEnded),
 	})
 }
 
+func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
+	return treasurer.New(treasurer.Config{
+		Core: treasurer.CoreConfig{
+			Instance:  settings.Text("process", "instance"),
+			Freshness: settings.Duration("platform", "freshness"),
+			Allowance: allowanceLife,
+			Floor:     floorPercent,
+			Proof:     h.watch,
+		},
+		Capacity: settings.Integer("rates", "inbox"),
+		Gate:     h.gate.Inbox(),
+		Service:  service,
+		Identity: identity,
+		Drained:  sync.OnceFunc(h.drainEnded),
+		Log:      log,
+	})
+}
+
+// drainEnded notes that the drain of one more duty has ended.
+func (h *house) drainEnded() {
+	if h.draining.Add(-1) == 0 {
+		close(h.drained)
+	}
+}
+
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
 // Drain refuses new requests; the returned channel is closed when all open
 // ones have ended.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
-	return h.drained, h.gate.Drain(ctx, drainHandOver)
+	if err := h.gate.Drain(ctx, drainHandOver); err != nil {
+		return nil, err
+	}
+	return h.drained, h.treasurer.Drain(ctx, drainHandOver)
 }
 
 // Ready returns nil while the entry takes requests.
--- a/entry/treasurer/core.go
+++ b/entry/treasurer/core.go
@@ -22,8 +22,8 @@
 
 // Proof tells whether this process may act on what it knows of the log.
 type Proof interface {
-	// Fresh reports whether the log's head was known a short time ago and
-	// the state that ends before offset state was current then.
+	// Fresh reports whether a state of the register, named by the offset
+	// after the record that made it, was current a short time ago.
 	Fresh(now time.Time, state int64) bool
 }
 
@@ -145,7 +145,7 @@
 
 // fresh reports whether this entry may act on what it knows of the log.
 func (c *Core) fresh(now time.Time) bool {
-	return c.revision != nil && c.config.Proof.Fresh(now, c.revision.Offset())
+	return c.revision != nil && c.config.Proof.Fresh(now, c.revision.State())
 }
 
 // floorOpen reports whether the floors may be spent.
--- a/entry/treasurer/teller.go
+++ b/entry/treasurer/teller.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/crew"
-	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/register"
@@ -21,51 +20,46 @@
 	answerHandOver = 5 * time.Second
 )
 
-// Receiver takes what the tellers learn.
-type Receiver interface {
-	PutWithin(ctx context.Context, message Message, limit time.Duration) error
-}
-
-// PeersConfig holds the construction parameters of Peers.
-type PeersConfig struct {
-	Receiver Receiver
-	Log      *logrus.Entry
+// peers is responsible for one thread with one connection for each entry that
+// is called. Its methods belong to the treasurer's thread.
+type peers struct {
+	config   Config
+	receiver receiver
+	crew     *crew.Crew
+	tellers  map[string]*teller
 }
 
-// Peers is responsible for one thread with one connection for each entry that
-// is called. Its methods belong to the treasurer's thread.
-type Peers struct {
-	config  PeersConfig
-	crew    *crew.Crew
-	tellers map[string]*teller
+// receiver takes what the tellers learn.
+type receiver interface {
+	PutWithin(ctx context.Context, message Message, limit time.Duration) error
 }
 
-// NewPeers returns the supervisor of the threads.
-func NewPeers(config PeersConfig) *Peers {
-	return &Peers{
-		config:  config,
-		crew:    crew.New(crew.Config{Name: "tellers", Log: config.Log}),
-		tellers: make(map[string]*teller),
+func newPeers(config Config, to receiver) *peers {
+	return &peers{
+		config:   config,
+		receiver: to,
+		crew:     crew.New(crew.Config{Name: "tellers", Log: config.Log}),
+		tellers:  make(map[string]*teller),
 	}
 }
 
 // Serve runs the threads until ctx ends.
-func (p *Peers) Serve(ctx context.Context) error { return p.crew.Serve(ctx) }
+func (p *peers) Serve(ctx context.Context) error { return p.crew.Serve(ctx) }
 
 // String returns the supervisor's name.
-func (p *Peers) String() string { return "tellers" }
+func (p *peers) String() string { return "tellers" }
 
-// Lend hands a call for allowances to the peer's thread without blocking.
-func (p *Peers) Lend(peer, address string, lend notice.Lend) error {
+// lend hands a call for allowances to the peer's thread without blocking.
+func (p *peers) lend(peer, address string, lend notice.Lend) error {
 	return p.teller(peer, address).inbox.Put(lend)
 }
 
-// HandOver hands the buckets of a claim to the peer's thread without blocking.
-func (p *Peers) HandOver(peer, address string, handOver notice.HandOver) error {
+// handOver hands the buckets of a claim to the peer's thread without blocking.
+func (p *peers) handOver(peer, address string, handOver notice.HandOver) error {
 	return p.teller(peer, address).inbox.Put(handOver)
 }
 
-func (p *Peers) teller(peer, address string) *teller {
+func (p *peers) teller(peer, address string) *teller {
 	existing, ok := p.tellers[peer]
 	if ok && existing.address == address {
 		return existing
@@ -79,9 +73,9 @@
 	added := &teller{
 		peer:     peer,
 		address:  address,
-		line:     porter.NewLine(porter.LineConfig{Address: address, DialTimeout: callLimit}),
+		line:     porter.NewLine(porter.LineConfig{Address: address, DialTimeout: callLimit, Identity: p.config.Identity}),
 		inbox:    ring.New(ring.Config{Name: "teller " + peer, Capacity: tellerCapacity}),
-		receiver: p.config.Receiver,
+		receiver: p.receiver,
 	}
 	added.token = p.crew.Add(added)
 	p.tellers[peer] = added
@@ -95,7 +89,7 @@
 	token    crew.Token
 	line     *porter.Line
 	inbox    *ring.Ring
-	receiver Receiver
+	receiver receiver
 }
 
 // String returns the thread's name.
@@ -131,32 +125,27 @@
 	Append(record []byte) (int64, error)
 }
 
-// Appender is responsible for the thread that appends claims to the log. A
+// appender is responsible for the thread that appends claims to the log. A
 // claim whose append fails is proposed again by the core.
-type Appender struct {
+type appender struct {
 	service LogService
 	inbox   *ring.Ring
 	log     *logrus.Entry
 }
 
-var _ LogService = (*logbook.Client)(nil)
-
-// NewAppender returns the thread.
-func NewAppender(service LogService, log *logrus.Entry) *Appender {
-	return &Appender{service: service, inbox: ring.New(ring.Config{Name: "claims", Capacity: recordCapacity}), log: log}
+func newAppender(config Config) *appender {
+	return &appender{
+		service: config.Service,
+		inbox:   ring.New(ring.Config{Name: "claims", Capacity: recordCapacity}),
+		log:     config.Log,
+	}
 }
 
-// Put hands a record over without blocking.
-func (a *Appender) Put(record register.Record) error { return a.inbox.Put(record) }
-
-// Inbox returns the ring of the records that wait.
-func (a *Appender) Inbox() *ring.Ring { return a.inbox }
-
 // String returns the thread's name.
-func (a *Appender) String() string { return "appender" }
+func (a *appender) String() string { return "appender" }
 
 // Serve appends one record after the other until ctx ends.
-func (a *Appender) Serve(ctx context.Context) error {
+func (a *appender) Serve(ctx context.Context) error {
 	for {
 		item, err := a.inbox.Take(ctx)
 		if err != nil {
@@ -166,7 +155,7 @@
 	}
 }
 
-func (a *Appender) append(record register.Record) {
+func (a *appender) append(record register.Record) {
 	data, err := record.Encode()
 	if err == nil {
 		_, err = a.service.Append(data)
--- a/entry/treasurer/treasurer.go
+++ b/entry/treasurer/treasurer.go
@@ -9,6 +9,7 @@
 
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -28,26 +29,14 @@
 	PutWithin(ctx context.Context, item any, limit time.Duration) error
 }
 
-// Tellers reach the other entries. Their answers come as Lent and HandedOver
-// messages.
-type Tellers interface {
-	Lend(peer, address string, lend notice.Lend) error
-	HandOver(peer, address string, handOver notice.HandOver) error
-}
-
-// Log appends claims.
-type Log interface {
-	Put(record register.Record) error
-}
-
 // Config holds the construction parameters of a Treasurer.
 type Config struct {
 	Core     CoreConfig // Incarnation is set by the duty
 	Capacity int        // messages in the inbox
 	Usher    Usher
 	Gate     Gate
-	Tellers  Tellers
-	Records  Log
+	Service  LogService
+	Identity *porter.Identity
 	Drained  func() // called once, when a drain has ended
 	Log      *logrus.Entry
 }
@@ -55,36 +44,70 @@
 // Treasurer is responsible for running the core on its own thread and carrying
 // out its actions.
 type Treasurer struct {
-	config  Config
-	inbox   *ring.Ring
-	core    *Core
-	revised Revised
+	config   Config
+	inbox    *ring.Ring
+	peers    *peers
+	appender *appender
+	core     *Core
+	revised  Revised
 }
 
 // New returns a treasurer.
 func New(config Config) *Treasurer {
-	return &Treasurer{config: config, inbox: ring.New(ring.Config{Name: "treasurer", Capacity: config.Capacity})}
+	t := &Treasurer{
+		config:   config,
+		inbox:    ring.New(ring.Config{Name: "treasurer", Capacity: config.Capacity}),
+		appender: newAppender(config),
+	}
+	t.peers = newPeers(config, t)
+	return t
 }
 
 // Inbox returns the ring that feeds the treasurer.
 func (t *Treasurer) Inbox() *ring.Ring { return t.inbox }
 
-// Attach sets the tellers, before the treasurer is served.
-func (t *Treasurer) Attach(tellers Tellers) { t.config.Tellers = tellers }
+// Attach sets the receiver of admitted requests, before the treasurer is
+// served.
+func (t *Treasurer) Attach(router Usher) { t.config.Usher = router }
+
+// Put takes a request of the gate, or the news that its caller has left,
+// without blocking.
+func (t *Treasurer) Put(message usher.Message) error {
+	switch m := message.(type) {
+	case usher.Ask:
+		return t.Offer(NewAsk(m))
+	case usher.Leave:
+		return t.Offer(NewLeave(m.Request()))
+	}
+	return t.config.Usher.Put(message)
+}
+
+// Refund returns the tokens that an admitted request did not use. Those that
+// find the inbox full count as used.
+func (t *Treasurer) Refund(tenant string, tokens int64) { _ = t.Offer(NewRefund(tenant, tokens)) }
 
-// Put offers a message without blocking.
-func (t *Treasurer) Put(message Message) error { return t.inbox.Put(message) }
+// Offer offers a message without blocking.
+func (t *Treasurer) Offer(message Message) error { return t.inbox.Put(message) }
+
+// Drain asks the treasurer to hand over what it holds.
+func (t *Treasurer) Drain(ctx context.Context, limit time.Duration) error {
+	return t.PutWithin(ctx, Drain{}, limit)
+}
 
 // PutWithin offers a message and parks up to limit while the inbox is full.
 func (t *Treasurer) PutWithin(ctx context.Context, message Message, limit time.Duration) error {
 	return t.inbox.PutWithin(ctx, message, limit)
 }
 
-// Duty returns the treasurer's thread, to be added to a crew.
-func (t *Treasurer) Duty() *crew.Duty {
-	return crew.NewDuty(crew.DutyConfig{Name: "treasurer", Inbox: t.inbox, Handler: t, Period: tickPeriod})
+// Services returns the threads, to be added to a crew.
+func (t *Treasurer) Services() []crew.Service {
+	duty := crew.NewDuty(crew.DutyConfig{Name: "treasurer", Inbox: t.inbox, Handler: t, Period: tickPeriod})
+	return []crew.Service{duty, t.peers, t.appender}
 }
 
+// Appends returns the ring of the claims that wait for the log.
+func (t *Treasurer) Appends() *ring.Ring { return t.appender.inbox }
+
 // Start builds the core anew, as a new incarnation, from the last revision.
 // What an earlier core held expires by itself.
 func (t *Treasurer) Start(now time.Time) error {
@@ -131,11 +154,11 @@
 	case Refuse:
 		return t.config.Gate.PutWithin(context.Background(), a, gateHandOver)
 	case Call:
-		if err := t.config.Tellers.Lend(a.peer, a.address, a.lend); err != nil {
+		if err := t.peers.lend(a.peer, a.address, a.lend); err != nil {
 			return t.Handle(now, NewLent(a.peer, a.lend.Serial(), notice.Loans{}, err))
 		}
 	case Pass:
-		if err := t.config.Tellers.HandOver(a.peer, a.address, a.handOver); err != nil {
+		if err := t.peers.handOver(a.peer, a.address, a.handOver); err != nil {
 			return t.Handle(now, NewHandedOver(a.handOver.Role(), false))
 		}
 	case Reply:
@@ -163,7 +186,7 @@
 
 // append puts a claim into the log. One that is refused here is proposed again.
 func (t *Treasurer) append(record register.Record) {
-	if err := t.config.Records.Put(record); err != nil {
+	if err := t.appender.inbox.Put(record); err != nil {
 		t.config.Log.WithField("event", "claim_refused").WithError(err).Warn("claim not appended")
 	}
 }
--- a/entry/treasurer/treasury.go
+++ b/entry/treasurer/treasury.go
@@ -21,7 +21,7 @@
 
 // Inbox takes the messages of the service.
 type Inbox interface {
-	Put(message Message) error
+	Offer(message Message) error
 }
 
 // Treasury is responsible for the methods that other entries call.
@@ -54,7 +54,7 @@
 
 func (t *Treasury) ask(message func(reply *ring.Ring) Message) (any, error) {
 	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
-	if err := t.inbox.Put(message(reply)); err != nil {
+	if err := t.inbox.Offer(message(reply)); err != nil {
 		return nil, ErrBusy
 	}
 	answer, err := reply.TakeWithin(context.Background(), answerLimit)
