Order the side's queue by urgency, slack and tenants' counters

Cause: the queue was first in, first out within two classes; a tenant that sends several times its rate filled it for all others, a full queue refused whoever came next, and Retry-After was always one second.

Change: virtual token counters for each tenant (Sheng et al., OSDI 2024), charged at dispatch and settled by the use; within a tenant by slack; a patient attempt whose slack is used up counts as urgent; a full queue drops the last attempt of the longest backlog for a tenant with a shorter one; an attempt that would wait beyond its deadline is refused; Retry-After is the estimated wait for a slot. A probe (net/rpc method Side.Probe) tells queue, in-flight, expected first token, matched prefix and residency.

Ruled out: one counter each for a shared heap key; a counter changes with every dispatch, so the heap would be rebuilt. Tenants are few, so a scan is used.

Test changed: TestQueuedAttemptExpiresWithoutRunning sends its two attempts in two batches, since within one batch the shorter deadline now goes first.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -39,6 +39,7 @@
 	{Section: "desk", Key: "linger", Kind: Duration, Default: "2ms", Low: "0s", High: "100ms", Doc: "time for which answers are gathered before they are sent"},
 	{Section: "foyer", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the foyer's ring, in messages"},
 	{Section: "foyer", Key: "queue", Kind: Integer, Default: "256", Low: "0", High: "100000", Doc: "requests that may wait for the backend server"},
+	{Section: "foyer", Key: "prefix-blocks", Kind: Integer, Default: "16384", Low: "64", High: "1000000", Doc: "blocks of recent prompts that are remembered, to send like prompts to the same backend server"},
 	{Section: "foyer", Key: "max-buffered", Kind: Bytes, Default: "8MiB", Low: "64KiB", High: "256MiB", Doc: "bytes of one answer that an entry has not yet confirmed"},
 	{Section: "backend", Key: "address", Kind: Address, Required: true, Doc: "address of the backend server"},
 	{Section: "backend", Key: "name", Kind: Text, Required: true, Doc: "name of the backend server in the inventory"},
--- a/commons/notice/notice.go
+++ b/commons/notice/notice.go
@@ -38,6 +38,8 @@
 	CodeLeaving     = "leaving"              // the side takes no new work
 	CodeQueueFull   = "queue_full"           // too many requests wait already
 	CodeRestarted   = "side_restarted"       // the batch was meant for an earlier incarnation
+	CodeOverloaded  = "would_expire"         // the request would wait beyond its deadline
+	CodeNotResident = "model_not_resident"   // the backend server does not hold the model
 	CodeBusy        = "side_overloaded"      // the side's ring is full
 	CodeUnreachable = "backend_unreachable"  // the backend server took no connection
 	CodeCut         = "answer_cut"           // the backend server's answer ended too early
--- a/commons/notice/notice_test.go
+++ b/commons/notice/notice_test.go
@@ -18,7 +18,7 @@
 func TestMessagesSurviveTheirEncoding(t *testing.T) {
 	submit := notice.NewSubmit(notice.SubmitConfig{
 		Attempt: "r-1.1", Request: "r-1", Tenant: "lantern", Model: "trail", Method: "POST", Path: "/v1/completions",
-		ContentType: "application/json", Body: []byte("{}"), Stream: true, Urgent: true, Tokens: 12, Remaining: time.Second,
+		ContentType: "application/json", Body: []byte("{}"), Prefix: []uint64{1, 1 << 63}, Stream: true, Urgent: true, Tokens: 12, Remaining: time.Second,
 	})
 	page := notice.NewPage(notice.PageConfig{Attempt: "r-1.1", Offset: 7, Data: []byte("data"), State: notice.Whole, Status: 200})
 	position := notice.NewPosition(notice.PositionConfig{Attempt: "r-1.1", Offset: 11, Ended: true})
@@ -27,6 +27,10 @@
 	receipts := notice.NewReceipts(notice.ReceiptsConfig{Side: "s", Receipts: []notice.Receipt{receipt}})
 	read := notice.NewRead(notice.ReadConfig{Entry: "e", Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
 	pages := notice.NewPages(notice.PagesConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Pages: []notice.Page{page}})
+	query := notice.NewQuery(notice.QueryConfig{Request: "r-1", Tenant: "lantern", Model: "trail", Prefix: []uint64{1 << 63}, Urgent: true})
+	probe := notice.NewProbe(notice.ProbeConfig{Entry: "e", Queries: []notice.Query{query}})
+	estimate := notice.NewEstimate(notice.EstimateConfig{Request: "r-1", Resident: true, Matched: 3, FirstToken: time.Second})
+	report := notice.NewReport(notice.ReportConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Slots: 4, Estimates: []notice.Estimate{estimate}})
 	cases := map[string]struct {
 		sent encoding.BinaryMarshaler
 		got  encoding.BinaryUnmarshaler
@@ -35,6 +39,8 @@
 		"batch":    {sent: batch, got: &notice.Batch{}, want: &batch},
 		"receipts": {sent: receipts, got: &notice.Receipts{}, want: &receipts},
 		"read":     {sent: read, got: &notice.Read{}, want: &read},
+		"probe":    {sent: probe, got: &notice.Probe{}, want: &probe},
+		"report":   {sent: report, got: &notice.Report{}, want: &report},
 		"pages":    {sent: pages, got: &notice.Pages{}, want: &pages},
 	}
 	for name, tc := range cases {
--- /dev/null
+++ b/commons/notice/probe.go
@@ -0,0 +1,151 @@
+package notice
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ProbeMethod is the name of the side's method that answers probes.
+const ProbeMethod = Service + ".Probe"
+
+// QueryConfig holds the construction parameters of a Query.
+type QueryConfig struct {
+	Request string // common to all attempts of one request
+	Tenant  string
+	Model   string   // empty for a plain service
+	Prefix  []uint64 // hashes of the prompt's leading blocks, each covering those before it
+	Urgent  bool
+}
+
+// Query asks how a side would serve one request.
+type Query struct {
+	config QueryConfig
+}
+
+// NewQuery returns a query.
+func NewQuery(config QueryConfig) Query { return Query{config: config} }
+
+// Request returns the id of the request.
+func (q Query) Request() string { return q.config.Request }
+
+// Tenant returns the tenant for which the request would run.
+func (q Query) Tenant() string { return q.config.Tenant }
+
+// Model returns the model, or "" for a plain service.
+func (q Query) Model() string { return q.config.Model }
+
+// Prefix returns the hashes of the prompt's leading blocks.
+func (q Query) Prefix() []uint64 { return q.config.Prefix }
+
+// Urgent reports whether the request goes before those that can wait.
+func (q Query) Urgent() bool { return q.config.Urgent }
+
+// EncodeMsgpack writes the message as one msgpack array.
+func (q Query) EncodeMsgpack(encoder *msgpack.Encoder) error { return encoder.Encode(&q.config) }
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (q *Query) DecodeMsgpack(decoder *msgpack.Decoder) error { return decoder.Decode(&q.config) }
+
+// ProbeConfig holds the construction parameters of a Probe.
+type ProbeConfig struct {
+	Entry   string // incarnation of the asking entry
+	Queries []Query
+}
+
+// Probe asks a side for its load.
+type Probe struct {
+	config ProbeConfig
+}
+
+// NewProbe returns a probe.
+func NewProbe(config ProbeConfig) Probe { return Probe{config: config} }
+
+// Entry returns the incarnation of the asking entry.
+func (p Probe) Entry() string { return p.config.Entry }
+
+// Queries returns the requests that are to be placed.
+func (p Probe) Queries() []Query { return p.config.Queries }
+
+// MarshalBinary encodes the message.
+func (p Probe) MarshalBinary() ([]byte, error) { return pack("probe", &p.config) }
+
+// UnmarshalBinary decodes what MarshalBinary wrote.
+func (p *Probe) UnmarshalBinary(data []byte) error { return unpack("probe", data, &p.config) }
+
+// EstimateConfig holds the construction parameters of an Estimate.
+type EstimateConfig struct {
+	Request    string
+	Resident   bool          // the model can run without being loaded first
+	Matched    int           // leading blocks of the prompt that the backend server has seen
+	FirstToken time.Duration // expected time until the first byte of an answer
+}
+
+// Estimate tells how a side would serve one request.
+type Estimate struct {
+	config EstimateConfig
+}
+
+// NewEstimate returns an estimate.
+func NewEstimate(config EstimateConfig) Estimate { return Estimate{config: config} }
+
+// Request returns the id of the request.
+func (e Estimate) Request() string { return e.config.Request }
+
+// Resident reports whether the model can run without being loaded first.
+func (e Estimate) Resident() bool { return e.config.Resident }
+
+// Matched returns the number of leading blocks of the prompt that the backend
+// server has seen.
+func (e Estimate) Matched() int { return e.config.Matched }
+
+// FirstToken returns the expected time until the first byte of an answer.
+func (e Estimate) FirstToken() time.Duration { return e.config.FirstToken }
+
+// EncodeMsgpack writes the message as one msgpack array.
+func (e Estimate) EncodeMsgpack(encoder *msgpack.Encoder) error { return encoder.Encode(&e.config) }
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (e *Estimate) DecodeMsgpack(decoder *msgpack.Decoder) error { return decoder.Decode(&e.config) }
+
+// ReportConfig holds the construction parameters of a Report.
+type ReportConfig struct {
+	Side      string // incarnation of the answering side
+	Leaving   bool   // the side takes no new work
+	Queued    int    // attempts that wait for the backend server
+	InFlight  int    // attempts that the backend server runs
+	Slots     int    // attempts that the backend server may run at once
+	Estimates []Estimate
+}
+
+// Report answers a probe.
+type Report struct {
+	config ReportConfig
+}
+
+// NewReport returns the answer to a probe.
+func NewReport(config ReportConfig) Report { return Report{config: config} }
+
+// Side returns the incarnation of the answering side.
+func (r Report) Side() string { return r.config.Side }
+
+// Leaving reports whether the side takes no new work.
+func (r Report) Leaving() bool { return r.config.Leaving }
+
+// Queued returns the number of attempts that wait for the backend server.
+func (r Report) Queued() int { return r.config.Queued }
+
+// InFlight returns the number of attempts that the backend server runs.
+func (r Report) InFlight() int { return r.config.InFlight }
+
+// Slots returns the number of attempts that the backend server may run at once.
+func (r Report) Slots() int { return r.config.Slots }
+
+// Estimates returns one estimate for each query.
+func (r Report) Estimates() []Estimate { return r.config.Estimates }
+
+// MarshalBinary encodes the message.
+func (r Report) MarshalBinary() ([]byte, error) { return pack("report", &r.config) }
+
+// UnmarshalBinary decodes what MarshalBinary wrote.
+func (r *Report) UnmarshalBinary(data []byte) error { return unpack("report", data, &r.config) }
--- a/commons/notice/submit.go
+++ b/commons/notice/submit.go
@@ -18,6 +18,7 @@
 	ContentType string
 	Trace       string // W3C traceparent
 	Body        []byte
+	Prefix      []uint64 // hashes of the prompt's leading blocks, each covering those before it
 	Stream      bool
 	Urgent      bool
 	Idempotent  bool
@@ -63,6 +64,9 @@
 // Body returns the request body, which must not be changed.
 func (s Submit) Body() []byte { return s.config.Body }
 
+// Prefix returns the hashes of the prompt's leading blocks.
+func (s Submit) Prefix() []uint64 { return s.config.Prefix }
+
 // Stream reports whether the answer is a stream of events.
 func (s Submit) Stream() bool { return s.config.Stream }
 
--- a/side/desk/desk.go
+++ b/side/desk/desk.go
@@ -52,6 +52,16 @@
 	return nil
 }
 
+// Probe tells how the side would serve some requests.
+func (d *Desk) Probe(probe notice.Probe, report *notice.Report) error {
+	answer, err := d.ask(func(reply *ring.Ring) foyer.Message { return foyer.NewProbeArrived(probe, reply) })
+	if err != nil {
+		return err
+	}
+	*report = answer.(notice.Report)
+	return nil
+}
+
 func (d *Desk) ask(message func(reply *ring.Ring) foyer.Message) (any, error) {
 	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
 	if err := d.foyer.Put(message(reply)); err != nil {
--- a/side/foyer/attempt.go
+++ b/side/foyer/attempt.go
@@ -20,8 +20,13 @@
 	submit  notice.Submit
 	entry   string
 	phase   phase
+	number  uint64 // order of admission
+	index   int    // place in its heap, or -1
 	arrived time.Time
 	expires time.Time
+	started time.Time // when it was handed to a runner
+	begun   bool      // bytes of the answer have come
+	made    int64     // tokens of the answer so far
 
 	base        int64 // offset of buffer[0] in the answer
 	buffer      []byte
@@ -32,6 +37,7 @@
 	state       notice.State
 	code        string
 	ran         bool
+	retryAfter  time.Duration
 	abandoned   bool // nobody awaits the answer
 }
 
@@ -71,12 +77,17 @@
 	}
 	a.sent += int64(len(data))
 	if a.state != notice.Open && a.sent == a.base+int64(len(a.buffer)) {
-		config.State, config.Code, config.Ran = a.state, a.code, a.ran
+		config.State, config.Code, config.Ran, config.RetryAfter = a.state, a.code, a.ran, a.retryAfter
 		a.endSent = true
 	}
 	return notice.NewPage(config)
 }
 
+// used returns the tokens of the prompt and of the answer so far.
+func (a *attempt) used() int64 {
+	return int64(len(a.submit.Body())/bytesPerToken) + a.made
+}
+
 // fail ends the answer with a cause.
 func (a *attempt) fail(code string, ran bool) {
 	a.phase = over
--- a/side/foyer/constants.go
+++ b/side/foyer/constants.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// bytesPerToken is the number of bytes of text that count as one token.
+const bytesPerToken = 4
+
+// eventEnd ends each event of a stream, which carries one token.
+var eventEnd = []byte("\n\n")
+
 // Named limits of the foyer.
 const (
 	tombstoneLife = 2 * time.Minute  // time for which an ended attempt's id is kept
@@ -9,5 +15,6 @@
 	maxReadWait   = 10 * time.Second // longest wait of one read
 	maxPagesBytes = 1 << 20          // bytes of answers in one reply
 	pageOverhead  = 64               // bytes counted for a page beside its data
+	promoteSlack  = 30 * time.Second // a patient attempt with less time than this left counts as urgent
 	tickPeriod    = time.Second      // time between checks of what is due by time alone
 )
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -3,6 +3,7 @@
 package foyer
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -15,16 +16,28 @@
 	Incarnation string        // unique to this start of the side
 	Concurrency int           // attempts that the backend server runs at once
 	Queue       int           // attempts that may wait
+	Prefixes    int           // blocks of prompts that are remembered
+	Residency   Residency     // nil when every model is always resident
 	MaxBuffered int64         // bytes of one answer that its entry has not confirmed
 	Linger      time.Duration // time for which pieces are gathered before they are sent
 }
 
+// Residency tells which models the backend server holds. It is asked from the
+// foyer's thread.
+type Residency interface {
+	// Resident reports whether the model can run without being loaded first.
+	Resident(model string) bool
+}
+
 // Core is responsible for every decision of the foyer. It does no input or
 // output; its duty carries out the actions that Handle and Tick return.
 type Core struct {
 	config   CoreConfig
 	attempts map[string]*attempt
-	queue    []*attempt
+	queue    *queue
+	pace     pace
+	prefixes *prefixIndex
+	number   uint64 // attempts admitted so far
 	running  int
 	readers  map[string]*entryReader
 	ended    map[string]time.Time // attempts that are done, so that a late copy is not run
@@ -46,6 +59,8 @@
 func NewCore(config CoreConfig) *Core {
 	return &Core{
 		config:   config,
+		queue:    newQueue(),
+		prefixes: newPrefixIndex(config.Prefixes),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
 		ended:    make(map[string]time.Time),
@@ -53,7 +68,7 @@
 }
 
 // Queued returns the number of attempts that wait.
-func (c *Core) Queued() int { return len(c.queue) }
+func (c *Core) Queued() int { return c.queue.Len() }
 
 // Running returns the number of attempts at the backend server.
 func (c *Core) Running() int { return c.running }
@@ -69,6 +84,8 @@
 		actions = c.takeBatch(now, m)
 	case ReadArrived:
 		actions = c.takeRead(now, m)
+	case ProbeArrived:
+		actions = append(actions, c.report(m))
 	case Began:
 		c.begin(m)
 	case Piece:
@@ -90,13 +107,7 @@
 		}
 	}
 	var actions []Action
-	for _, a := range slices.Clone(c.queue) {
-		if now.After(a.expires) {
-			c.unqueue(a)
-			a.fail(notice.CodeExpired, false)
-			c.touch(now, a)
-		}
-	}
+	c.queue.prune()
 	for name, reader := range c.readers {
 		if now.Sub(reader.seen) > entrySilence {
 			actions = append(actions, c.abandon(now, name)...)
@@ -135,11 +146,11 @@
 		if current {
 			code = c.admit(now, m.batch.Entry(), submit)
 		}
-		receipts = append(receipts, notice.NewReceipt(notice.ReceiptConfig{
-			Attempt:  submit.Attempt(),
-			Accepted: code == "",
-			Code:     code,
-		}))
+		config := notice.ReceiptConfig{Attempt: submit.Attempt(), Accepted: code == "", Code: code}
+		if code == notice.CodeQueueFull || code == notice.CodeOverloaded {
+			config.RetryAfter = c.wait(submit.Tenant(), submit.Urgent())
+		}
+		receipts = append(receipts, notice.NewReceipt(config))
 	}
 	answer := notice.NewReceipts(notice.ReceiptsConfig{Side: c.config.Incarnation, Receipts: receipts})
 	return append(actions, AnswerBatch{reply: m.reply, receipts: answer})
@@ -158,32 +169,76 @@
 	if c.leaving {
 		return notice.CodeLeaving
 	}
-	if c.running+len(c.queue) >= c.config.Concurrency+c.config.Queue {
+	if !c.resident(submit.Model()) {
+		return notice.CodeNotResident
+	}
+	if c.wait(submit.Tenant(), submit.Urgent()) > submit.Remaining() {
+		return notice.CodeOverloaded
+	}
+	if c.full() && !c.makeRoom(now, submit) {
 		return notice.CodeQueueFull
 	}
-	a := &attempt{submit: submit, entry: entry, arrived: now, expires: now.Add(submit.Remaining())}
+	c.number++
+	a := &attempt{submit: submit, entry: entry, number: c.number, arrived: now, expires: now.Add(submit.Remaining())}
 	c.attempts[id] = a
 	c.reader(now, entry).attempts[id] = a
-	c.enqueue(a)
+	c.queue.push(a)
 	return ""
 }
 
-// enqueue puts urgent attempts before those that can wait.
-func (c *Core) enqueue(a *attempt) {
-	at := len(c.queue)
-	if a.submit.Urgent() {
-		at = slices.IndexFunc(c.queue, func(other *attempt) bool { return !other.submit.Urgent() })
-		if at < 0 {
-			at = len(c.queue)
-		}
+func (c *Core) resident(model string) bool {
+	return model == "" || c.config.Residency == nil || c.config.Residency.Resident(model)
+}
+
+func (c *Core) full() bool {
+	return c.running+c.queue.Len() >= c.config.Concurrency+c.config.Queue
+}
+
+// makeRoom drops a waiting attempt whose claim is weaker than the newcomer's.
+func (c *Core) makeRoom(now time.Time, newcomer notice.Submit) bool {
+	victim := c.queue.victim(newcomer)
+	if victim == nil {
+		return false
+	}
+	c.queue.remove(victim)
+	victim.retryAfter = c.wait(victim.submit.Tenant(), victim.submit.Urgent())
+	c.drop(now, victim, notice.CodeQueueFull)
+	return true
+}
+
+// drop ends an attempt that has left the queue without being run.
+func (c *Core) drop(now time.Time, a *attempt, code string) {
+	a.fail(code, false)
+	c.touch(now, a)
+}
+
+// wait estimates how long a new attempt would wait for a slot.
+func (c *Core) wait(tenant string, urgent bool) time.Duration {
+	if c.running < c.config.Concurrency && c.queue.Len() == 0 {
+		return 0
 	}
-	c.queue = slices.Insert(c.queue, at, a)
+	return c.pace.wait(c.queue.ahead(tenant, urgent), c.config.Concurrency)
 }
 
-func (c *Core) unqueue(a *attempt) {
-	if at := slices.Index(c.queue, a); at >= 0 {
-		c.queue = slices.Delete(c.queue, at, at+1)
+// report tells how new requests would fare.
+func (c *Core) report(m ProbeArrived) Action {
+	estimates := make([]notice.Estimate, 0, len(m.probe.Queries()))
+	for _, query := range m.probe.Queries() {
+		estimates = append(estimates, notice.NewEstimate(notice.EstimateConfig{
+			Request:    query.Request(),
+			Resident:   c.resident(query.Model()),
+			Matched:    c.prefixes.match(query.Prefix()),
+			FirstToken: c.wait(query.Tenant(), query.Urgent()) + c.pace.first.value,
+		}))
 	}
+	return AnswerProbe{reply: m.reply, report: notice.NewReport(notice.ReportConfig{
+		Side:      c.config.Incarnation,
+		Leaving:   c.leaving,
+		Queued:    c.queue.Len(),
+		InFlight:  c.running,
+		Slots:     c.config.Concurrency,
+		Estimates: estimates,
+	})}
 }
 
 func (c *Core) takeRead(now time.Time, m ReadArrived) []Action {
@@ -233,22 +288,36 @@
 		return nil
 	}
 	if int64(len(a.buffer)+len(m.data)) > c.config.MaxBuffered {
-		c.running--
+		c.vacate(now, a)
 		a.fail(notice.CodeTooLarge, true)
 		c.touch(now, a)
 		return []Action{Stop{attempt: m.attempt}}
 	}
+	c.measure(now, a, m.data)
 	a.buffer = append(a.buffer, m.data...)
 	c.touch(now, a)
 	return nil
 }
 
+// measure counts the tokens of a piece and notes when the first one came.
+func (c *Core) measure(now time.Time, a *attempt, data []byte) {
+	if !a.begun {
+		a.begun = true
+		c.pace.first.add(now.Sub(a.started))
+	}
+	if a.submit.Stream() {
+		a.made += int64(bytes.Count(data, eventEnd))
+	} else {
+		a.made += int64(len(data) / bytesPerToken)
+	}
+}
+
 func (c *Core) end(now time.Time, m Ended) {
 	a, ok := c.attempts[m.attempt]
 	if !ok || a.phase != running {
 		return
 	}
-	c.running--
+	c.vacate(now, a)
 	if m.code == "" {
 		a.phase = over
 		a.state = notice.Whole
@@ -272,7 +341,7 @@
 	}
 	switch a.phase {
 	case waiting:
-		c.unqueue(a)
+		c.queue.remove(a)
 		c.forget(now, a)
 	case running:
 		a.abandoned = true
@@ -310,13 +379,7 @@
 // settle starts what can run, answers the reads that are due and reports the
 // end of a drain.
 func (c *Core) settle(now time.Time, actions []Action) []Action {
-	for c.running < c.config.Concurrency && len(c.queue) > 0 {
-		a := c.queue[0]
-		c.queue = slices.Delete(c.queue, 0, 1)
-		a.phase = running
-		c.running++
-		actions = append(actions, Run{submit: a.submit, queued: now.Sub(a.arrived)})
-	}
+	actions = c.dispatch(now, actions)
 	for _, reader := range c.readers {
 		if reader.reply != nil && c.due(now, reader) {
 			actions = append(actions, c.answer(reader))
@@ -329,6 +392,36 @@
 	return actions
 }
 
+// dispatch hands attempts to the runners while there are free slots.
+func (c *Core) dispatch(now time.Time, actions []Action) []Action {
+	for _, a := range c.queue.expired(now) {
+		c.drop(now, a, notice.CodeExpired)
+	}
+	for c.running < c.config.Concurrency {
+		a := c.queue.pop(now.Add(promoteSlack))
+		if a == nil {
+			break
+		}
+		if !c.resident(a.submit.Model()) {
+			c.queue.settle(a, 0)
+			c.drop(now, a, notice.CodeNotResident)
+			continue
+		}
+		a.phase, a.started = running, now
+		c.running++
+		c.prefixes.add(a.submit.Prefix())
+		actions = append(actions, Run{submit: a.submit, queued: now.Sub(a.arrived)})
+	}
+	return actions
+}
+
+// vacate frees the slot of an attempt that the backend server runs no more.
+func (c *Core) vacate(now time.Time, a *attempt) {
+	c.running--
+	c.queue.settle(a, a.used())
+	c.pace.service.add(now.Sub(a.started))
+}
+
 func (c *Core) due(now time.Time, reader *entryReader) bool {
 	if !now.Before(reader.deadline) {
 		return true
@@ -357,7 +450,7 @@
 	return AnswerRead{reply: reply, pages: notice.NewPages(notice.PagesConfig{
 		Side:     c.config.Incarnation,
 		Leaving:  c.leaving,
-		Queued:   len(c.queue),
+		Queued:   c.queue.Len(),
 		InFlight: c.running,
 		Pages:    pages,
 	})}
--- a/side/foyer/core_test.go
+++ b/side/foyer/core_test.go
@@ -46,9 +46,11 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case AnswerBatch:
-			_ = a.reply.Put(a.receipts)
+			a.Send()
 		case AnswerRead:
-			_ = a.reply.Put(a.pages)
+			a.Send()
+		case AnswerProbe:
+			a.Send()
 		case Run:
 			b.runs = append(b.runs, a.submit.Attempt())
 		case Stop:
@@ -243,7 +245,8 @@
 
 func TestQueuedAttemptExpiresWithoutRunning(t *testing.T) {
 	b := newBench(nil)
-	b.submit(batch(attemptOf("a"), notice.NewSubmit(notice.SubmitConfig{Attempt: "b", Remaining: time.Second})))
+	b.submit(batch(attemptOf("a")))
+	b.submit(batch(notice.NewSubmit(notice.SubmitConfig{Attempt: "b", Remaining: time.Second})))
 	b.now = b.now.Add(2 * time.Second)
 	b.carryOut(b.core.Tick(b.now))
 	pages := b.read(t, notice.ReadConfig{Wait: time.Second}).Pages()
--- a/side/foyer/foyer.go
+++ b/side/foyer/foyer.go
@@ -100,10 +100,11 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case AnswerBatch:
-			// A refused Put means that the caller has stopped waiting.
-			_ = a.reply.Put(a.receipts)
+			a.Send()
 		case AnswerRead:
-			_ = a.reply.Put(a.pages)
+			a.Send()
+		case AnswerProbe:
+			a.Send()
 		case Run:
 			f.run(now, a)
 		case Stop:
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -36,6 +36,17 @@
 	return ReadArrived{read: read, reply: reply}
 }
 
+// ProbeArrived asks the foyer how it would serve some requests.
+type ProbeArrived struct {
+	probe notice.Probe
+	reply Answerer
+}
+
+// NewProbeArrived returns the message; reply receives a notice.Report.
+func NewProbeArrived(probe notice.Probe, reply Answerer) ProbeArrived {
+	return ProbeArrived{probe: probe, reply: reply}
+}
+
 // Began reports the header of a backend server's answer.
 type Began struct {
 	attempt     string
@@ -75,6 +86,7 @@
 
 func (BatchArrived) foyerMessage() {}
 func (ReadArrived) foyerMessage()  {}
+func (ProbeArrived) foyerMessage() {}
 func (Began) foyerMessage()        {}
 func (Piece) foyerMessage()        {}
 func (Ended) foyerMessage()        {}
@@ -95,6 +107,12 @@
 	pages notice.Pages
 }
 
+// AnswerProbe sends a report.
+type AnswerProbe struct {
+	reply  Answerer
+	report notice.Report
+}
+
 // Run hands an attempt to a runner.
 type Run struct {
 	submit notice.Submit
@@ -109,6 +127,18 @@
 // Drained reports that nothing is left to do after a Drain.
 type Drained struct{}
 
+// Send gives the receipts to whom they belong. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerBatch) Send() { _ = a.reply.Put(a.receipts) }
+
+// Send gives the pages to whom they belong. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerRead) Send() { _ = a.reply.Put(a.pages) }
+
+// Send gives the report to whom it belongs. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerProbe) Send() { _ = a.reply.Put(a.report) }
+
 // Submit returns the attempt to run.
 func (r Run) Submit() notice.Submit { return r.submit }
 
@@ -120,6 +150,7 @@
 
 func (AnswerBatch) foyerAction() {}
 func (AnswerRead) foyerAction()  {}
+func (AnswerProbe) foyerAction() {}
 func (Run) foyerAction()         {}
 func (Stop) foyerAction()        {}
 func (Drained) foyerAction()     {}
--- a/side/house.go
+++ b/side/house.go
@@ -56,6 +56,7 @@
 			Incarnation: uuid.NewString(),
 			Concurrency: concurrency,
 			Queue:       settings.Integer("foyer", "queue"),
+			Prefixes:    settings.Integer("foyer", "prefix-blocks"),
 			MaxBuffered: settings.Bytes("foyer", "max-buffered"),
 			Linger:      settings.Duration("desk", "linger"),
 		},
