--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -30,9 +30,12 @@
 	{Section: "link", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
-	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
-	{Section: "line", Key: "read-wait", Kind: Duration, Default: "1s", Low: "10ms", High: "10s", Doc: "longest time that one read of answers waits at a side"},
-	{Section: "line", Key: "timeout", Kind: Duration, Default: "2s", Low: "50ms", High: "30s", Doc: "silence beyond the expected answer after which a connection is replaced"},
+	{Section: "usher", Key: "probes", Kind: Integer, Default: "4", Low: "1", High: "16", Doc: "sides that are asked for their load before a request is placed"},
+	{Section: "usher", Key: "retry-share", Kind: Integer, Default: "20", Low: "0", High: "100", Doc: "retries as a share of recent requests, in per cent"},
+	{Section: "line", Key: "inbox", Kind: Integer, Default: "1024", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
+	{Section: "line", Key: "idle", Kind: Duration, Default: "15s", Low: "10s", High: "1h", Doc: "time without use after which the connection to a side is closed"},
+	{Section: "line", Key: "read-wait", Kind: Duration, Default: "250ms", Low: "10ms", High: "10s", Doc: "longest time that one read of answers waits at a side"},
+	{Section: "line", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "2s", Doc: "silence beyond the expected answer after which a connection is replaced"},
 }
 
 var sideOptions = []SettingConfig{
--- a/commons/notice/notice_test.go
+++ b/commons/notice/notice_test.go
@@ -25,7 +25,7 @@
 	receipt := notice.NewReceipt(notice.ReceiptConfig{Attempt: "r-1.1", Code: "leaving", RetryAfter: time.Second})
 	batch := notice.NewBatch(notice.BatchConfig{Entry: "e", Submits: []notice.Submit{submit}, Cancels: []string{"r-0.1"}})
 	receipts := notice.NewReceipts(notice.ReceiptsConfig{Side: "s", Receipts: []notice.Receipt{receipt}})
-	read := notice.NewRead(notice.ReadConfig{Entry: "e", Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
+	read := notice.NewRead(notice.ReadConfig{Entry: "e", Number: 7, Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
 	pages := notice.NewPages(notice.PagesConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Pages: []notice.Page{page}})
 	query := notice.NewQuery(notice.QueryConfig{Request: "r-1", Tenant: "lantern", Model: "trail", Prefix: []uint64{1 << 63}, Urgent: true})
 	probe := notice.NewProbe(notice.ProbeConfig{Entry: "e", Queries: []notice.Query{query}})
--- a/commons/notice/page.go
+++ b/commons/notice/page.go
@@ -39,6 +39,7 @@
 // ReadConfig holds the construction parameters of a Read.
 type ReadConfig struct {
 	Entry     string        // incarnation of the reading entry
+	Number    uint64        // grows with each read of an entry from a side
 	Resume    bool          // an earlier answer may be lost; send again what is not confirmed
 	Positions []Position    // positions that changed since the last read
 	Wait      time.Duration // longest time to wait for something to send
@@ -56,6 +57,10 @@
 // Entry returns the incarnation of the reading entry.
 func (r Read) Entry() string { return r.config.Entry }
 
+// Number returns the read's number, which grows with each read of an entry
+// from a side.
+func (r Read) Number() uint64 { return r.config.Number }
+
 // Resume reports whether the side must send again all that is not confirmed.
 func (r Read) Resume() bool { return r.config.Resume }
 
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -253,6 +253,7 @@
 	o.span.Note("model", request.Model)
 	config.Model = model.Name()
 	config.Stream = request.Stream
+	config.Prompt = request.prompt()
 	config.Tokens = request.tokens(config.Body, g.config.DefaultOutput)
 	return nil
 }
--- a/entry/gate/openai.go
+++ b/entry/gate/openai.go
@@ -55,6 +55,14 @@
 	return request, nil
 }
 
+// prompt returns the part of the request that the model reads.
+func (c completion) prompt() []byte {
+	if len(c.Messages) > 0 {
+		return c.Messages
+	}
+	return c.Prompt
+}
+
 // tokens returns the upper bound on prompt and output tokens.
 func (c completion) tokens(body []byte, fallback int64) int64 {
 	output := fallback
--- a/entry/house.go
+++ b/entry/house.go
@@ -30,7 +30,7 @@
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
 //	├── usher     (routing)
-//	├── lines     (sides: one sender and one reader each)
+//	├── lines     (sides in use: a sender, a reader and a prober each)
 //	├── door      (calls of other processes)
 //	└── registrar (log)
 type house struct {
@@ -60,6 +60,7 @@
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
+		Idle:        settings.Duration("line", "idle"),
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -75,6 +76,8 @@
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
 			MaxAttempts: settings.Integer("usher", "max-attempts"),
+			Probes:      settings.Integer("usher", "probes"),
+			RetryShare:  float64(settings.Integer("usher", "retry-share")) / 100,
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("usher", "inbox"),
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -1,10 +1,13 @@
 // Package line carries attempts to the sides and their answers back: for each
-// side one connection, one thread that sends and one that reads.
+// side in use one connection, one thread that sends, one that reads and one
+// that probes. A line is made on first use and removed when it is idle, so an
+// entry's memory follows its traffic and not the number of sides.
 package line
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,19 +36,22 @@
 	Capacity    int           // messages in each line's inbox
 	ReadWait    time.Duration // longest wait of one read at a side
 	Timeout     time.Duration // silence after which a connection is replaced
+	Idle        time.Duration // time without use after which a line is removed
 	Identity    *porter.Identity
 	Usher       Usher
 	Log         *logrus.Entry
 }
 
-// Lines is responsible for having one line to every side of the register.
+// Lines is responsible for having one line to every side in use.
 type Lines struct {
 	config Config
 	inbox  *ring.Ring
 	crew   *crew.Crew
 
-	mu    sync.Mutex
-	lines map[string]*line
+	reads     atomic.Uint64 // number of the last read, over all lines
+	mu        sync.Mutex
+	addresses map[string]string // of all sides in the register
+	lines     map[string]*line
 }
 
 // line is responsible for the threads and the connection of one side.
@@ -55,7 +61,9 @@
 	token   crew.Token
 	sender  *sender
 	reader  *reader
+	prober  *prober
 	porter  *porter.Line
+	used    time.Time
 }
 
 // New returns the supervisor of all lines.
@@ -65,6 +73,8 @@
 		inbox:  ring.New(ring.Config{Name: "lines", Capacity: linesCapacity}),
 		crew:   crew.New(crew.Config{Name: "lines", Log: config.Log}),
 		lines:  make(map[string]*line),
+
+		addresses: make(map[string]string),
 	}
 	l.crew.Add(crew.NewDuty(crew.DutyConfig{Name: "lines", Inbox: l.inbox, Handler: l, Period: linesPeriod}))
 	return l
@@ -84,26 +94,41 @@
 
 // Submit hands an attempt to the line of a side without blocking.
 func (l *Lines) Submit(side string, submit notice.Submit) error {
-	found := l.find(side)
-	if found == nil {
-		return ErrNoSide
-	}
-	return found.sender.inbox.Put(submit)
+	return l.put(side, func(found *line) *ring.Ring { return found.sender.inbox }, submit)
+}
+
+// Probe asks a side how it would serve a request, without blocking.
+func (l *Lines) Probe(side string, query notice.Query) error {
+	return l.put(side, func(found *line) *ring.Ring { return found.prober.inbox }, query)
 }
 
 // Cancel ends an attempt at a side. A cancellation that is refused is harmless:
 // the side drops the answer when its entry does not confirm it.
 func (l *Lines) Cancel(side, attempt string) {
-	if found := l.find(side); found != nil {
-		_ = found.sender.inbox.Put(cancel{attempt: attempt})
-	}
+	_ = l.put(side, func(found *line) *ring.Ring { return found.sender.inbox }, cancel{attempt: attempt})
+}
+
+// Open returns the number of lines in use.
+func (l *Lines) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.lines)
 }
 
 // Start does nothing: the lines are kept when the duty is restarted.
 func (l *Lines) Start(time.Time) error { return nil }
 
-// Tick does nothing.
-func (l *Lines) Tick(time.Time) error { return nil }
+// Tick removes the lines that have been idle.
+func (l *Lines) Tick(now time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, existing := range l.lines {
+		if now.Sub(existing.used) > l.config.Idle && existing.quiet() {
+			l.remove(existing)
+		}
+	}
+	return nil
+}
 
 // Handle takes over the sides of a new revision.
 func (l *Lines) Handle(_ time.Time, message any) error {
@@ -111,43 +136,57 @@
 	if !ok {
 		return nil
 	}
-	wanted := make(map[string]string)
+	addresses := make(map[string]string)
 	for _, instance := range revised.Revision().Inventory().Instances() {
 		if instance.Role() == register.Side {
-			wanted[instance.Name()] = instance.Link()
+			addresses[instance.Name()] = instance.Link()
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.addresses = addresses
 	for name, existing := range l.lines {
-		if wanted[name] != existing.address {
+		if addresses[name] != existing.address {
 			l.remove(existing)
 		}
 	}
-	for name, address := range wanted {
-		if _, ok := l.lines[name]; !ok {
-			l.add(name, address)
-		}
-	}
 	return nil
 }
 
-func (l *Lines) find(side string) *line {
+// put hands an item to one of the rings of a side's line.
+func (l *Lines) put(side string, inbox func(found *line) *ring.Ring, item any) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lines[side]
+	found, ok := l.lines[side]
+	if !ok {
+		address, known := l.addresses[side]
+		if !known {
+			return ErrNoSide
+		}
+		found = l.add(side, address)
+	}
+	found.used = time.Now()
+	return inbox(found).Put(item)
+}
+
+// quiet reports whether nothing waits in the line and no answer is awaited.
+func (l *line) quiet() bool {
+	return l.sender.inbox.Depth()+l.prober.inbox.Depth()+l.reader.inbox.Depth() == 0 && !l.reader.busy.Load()
 }
 
-func (l *Lines) add(name, address string) {
+func (l *Lines) add(name, address string) *line {
 	connection := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: l.config.Timeout, Identity: l.config.Identity})
 	added := &line{side: name, address: address, porter: connection}
-	added.reader = newReader(l.config, name, connection)
+	added.reader = newReader(l.config, name, connection, &l.reads)
 	added.sender = newSender(l.config, name, connection, added.reader)
+	added.prober = newProber(l.config, name, connection, added.sender)
 	supervisor := crew.New(crew.Config{Name: "line " + name, Log: l.config.Log})
 	supervisor.Add(added.sender)
 	supervisor.Add(added.reader)
+	supervisor.Add(added.prober)
 	added.token = l.crew.Add(supervisor)
 	l.lines[name] = added
+	return added
 }
 
 func (l *Lines) remove(existing *line) {
--- /dev/null
+++ b/entry/line/prober.go
@@ -0,0 +1,65 @@
+package line
+
+import (
+	"context"
+
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/ring"
+	"sesamewell.example/entry/usher"
+)
+
+// prober is responsible for asking one side for its load, for as many requests
+// in one call as wait together.
+type prober struct {
+	config Config
+	side   string
+	line   *porter.Line
+	sender *sender
+	inbox  *ring.Ring
+}
+
+func newProber(config Config, side string, line *porter.Line, sender *sender) *prober {
+	return &prober{
+		config: config,
+		side:   side,
+		line:   line,
+		sender: sender,
+		inbox:  ring.New(ring.Config{Name: "probe " + side, Capacity: probeCapacity}),
+	}
+}
+
+// String returns the duty's name.
+func (p *prober) String() string { return "probe " + p.side }
+
+// Serve sends probes until ctx ends.
+func (p *prober) Serve(ctx context.Context) error {
+	items := make([]any, maxProbes)
+	for {
+		first, err := p.inbox.Take(ctx)
+		if err != nil {
+			return err
+		}
+		items[0] = first
+		n := 1 + p.inbox.Drain(items[1:])
+		if err := p.probe(ctx, items[:n]); err != nil {
+			return err
+		}
+	}
+}
+
+// probe makes one call. Its error means that the usher cannot be told.
+func (p *prober) probe(ctx context.Context, items []any) error {
+	config := notice.ProbeConfig{Entry: p.config.Incarnation}
+	for _, item := range items {
+		if query, ok := item.(notice.Query); ok {
+			config.Queries = append(config.Queries, query)
+		}
+	}
+	var report notice.Report
+	if err := p.line.Call(notice.ProbeMethod, notice.NewProbe(config), &report, p.config.Timeout); err != nil {
+		return p.config.Usher.PutWithin(ctx, usher.NewUnanswered(p.side), handOver)
+	}
+	p.sender.learn(report.Side())
+	return p.config.Usher.PutWithin(ctx, usher.NewReported(p.side, report), handOver)
+}
--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,14 +30,17 @@
 	awaited   map[string]struct{}
 	confirmed []notice.Position
 	resume    bool
+	numbers   *atomic.Uint64 // of the last read; outlives the line
 	failures  int
+	busy      atomic.Bool
 }
 
-func newReader(config Config, side string, line *porter.Line) *reader {
+func newReader(config Config, side string, line *porter.Line, numbers *atomic.Uint64) *reader {
 	return &reader{
 		config:  config,
 		side:    side,
 		line:    line,
+		numbers: numbers,
 		inbox:   ring.New(ring.Config{Name: "read " + side, Capacity: config.Capacity}),
 		awaited: make(map[string]struct{}),
 		resume:  true,
@@ -60,12 +64,14 @@
 	items := make([]any, maxBatch)
 	for {
 		if len(r.awaited) == 0 && len(r.confirmed) == 0 {
+			r.busy.Store(false)
 			item, err := r.inbox.Take(ctx)
 			if err != nil {
 				return err
 			}
 			r.note(item)
 		}
+		r.busy.Store(true)
 		for _, item := range items[:r.inbox.Drain(items)] {
 			r.note(item)
 		}
@@ -99,6 +105,7 @@
 	}
 	query := notice.NewRead(notice.ReadConfig{
 		Entry:     r.config.Incarnation,
+		Number:    r.numbers.Add(1),
 		Resume:    r.resume,
 		Positions: r.confirmed,
 		Wait:      wait,
--- a/entry/line/sender.go
+++ b/entry/line/sender.go
@@ -136,6 +136,10 @@
 	return receipts, sent, nil
 }
 
+// learn notes the side's incarnation before anything was sent to it, so that
+// the first batch, too, can be sent again when its answer is lost.
+func (s *sender) learn(incarnation string) { s.known.CompareAndSwap(nil, &incarnation) }
+
 func (s *sender) giveUp(ctx context.Context, ids []string, sent bool) error {
 	if err := s.reader.open(ctx, nil, ids); err != nil {
 		return err
@@ -152,7 +156,9 @@
 	maxSends      = 3               // tries to send one batch
 	handOver      = 5 * time.Second // longest wait for room in another duty's ring
 	linesCapacity = 16              // revisions that may wait
-	linesPeriod   = time.Minute     // time between ticks, which do nothing
+	linesPeriod   = time.Second     // time between checks for idle lines
+	probeCapacity = 256             // requests that may wait to be asked for
+	maxProbes     = 64              // requests in one probe
 	readFailures  = 3               // reads in a row that fail before a side counts as lost
 	readPause     = 100 * time.Millisecond
 )
--- a/entry/usher/constants.go
+++ b/entry/usher/constants.go
@@ -5,9 +5,23 @@
 // Named limits of the usher.
 const (
 	failurePause  = 2 * time.Second        // time for which a side that failed gets no request
-	farHandicap   = 0.25                   // share of slots by which a side in another failure domain must be less loaded
-	tieBreak      = 0.01                   // share of slots below which loads count as equal
 	minRetryAfter = time.Second            // smallest Retry-After
 	gateHandOver  = 5 * time.Second        // longest wait for room in the gate's ring
 	tickPeriod    = 100 * time.Millisecond // time between checks of deadlines
 )
+
+// Limits of probing.
+const (
+	probeWait    = 20 * time.Millisecond  // longest wait of a request for answers to its probes
+	probeLife    = 100 * time.Millisecond // time for which an answer may be reused
+	probeUses    = 4                      // requests that one answer may place
+	suspectAfter = 250 * time.Millisecond // time without an answer after which a side is asked as a last resort
+	maxRounds    = 8                      // times that candidates are picked for one request
+)
+
+// Weights of a candidate's cost, as time.
+const (
+	loadCost    = 400 * time.Millisecond // of a backend server whose slots are all taken
+	spillCost   = 50 * time.Millisecond  // of another failure domain
+	blockSaving = 25 * time.Millisecond  // of each block of the prompt that need not be computed again
+)
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -16,8 +16,10 @@
 
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
-	Domain      string // failure domain of this entry
-	MaxAttempts int    // attempts for one request in all
+	Domain      string  // failure domain of this entry
+	MaxAttempts int     // attempts for one request in all
+	Probes      int     // sides that are asked for one request
+	RetryShare  float64 // retries for one request, on average over recent ones
 	Random      *rand.Rand
 }
 
@@ -27,20 +29,14 @@
 	config    CoreConfig
 	inventory *register.Inventory
 	sides     map[string]*side
+	ordered   []*side             // by name
+	copies    map[string][]string // sides that hold a model, by the plan
 	requests  map[string]*request
 	attempts  map[string]*request // by the id of the current attempt
-}
-
-// side is responsible for what the entry knows of one side.
-type side struct {
-	name        string
-	domain      string
-	backend     register.Backend
-	incarnation string
-	leaving     bool
-	queued      int // as last reported
-	open        int // this entry's own attempts
-	failedAt    time.Time
+	probing   []*request          // oldest first; may hold some that are placed
+	affinity  *affinity
+	budget    *budget
+	checked   time.Time // when deadlines were checked last
 }
 
 // request is responsible for one request's progress.
@@ -52,7 +48,16 @@
 	count    int
 	received int64
 	started  bool // bytes have been delivered
-	tried    []string
+
+	prefix     []uint64
+	candidates []*candidate
+	excluded   []string // sides that had an attempt or cannot take one
+	rounds     int
+	probeBy    time.Time
+
+	code       string // cause of the last failure
+	ran        bool   // an attempt may have run
+	retryAfter time.Duration
 }
 
 // NewCore returns a core that knows no sides.
@@ -63,6 +68,8 @@
 		sides:     make(map[string]*side),
 		requests:  make(map[string]*request),
 		attempts:  make(map[string]*request),
+		affinity:  newAffinity(),
+		budget:    newBudget(config.RetryShare),
 	}
 }
 
@@ -76,6 +83,12 @@
 		return c.ask(now, m)
 	case Leave:
 		return c.leave(m)
+	case Reported:
+		return c.reported(now, m)
+	case Unanswered:
+		return c.unanswered(now, m)
+	case Placed:
+		c.copies = m.copies
 	case Receipted:
 		return c.receipted(now, m)
 	case Unsent:
@@ -90,9 +103,14 @@
 	return nil
 }
 
-// Tick ends the requests whose time is over.
+// Tick places the requests whose probes were not answered in time and ends
+// those whose time is over.
 func (c *Core) Tick(now time.Time) []Action {
-	var actions []Action
+	actions := c.placeDue(now)
+	if now.Sub(c.checked) < tickPeriod {
+		return actions
+	}
+	c.checked = now
 	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
 		r := c.requests[id]
 		if now.Before(r.ask.config.Deadline) {
@@ -101,33 +119,38 @@
 		if r.attempt != "" {
 			actions = append(actions, Cancel{side: r.side, attempt: r.attempt})
 		}
-		actions = append(actions, c.refuse(r, notice.CodeExpired, r.attempt != "", 0))
+		r.note(notice.CodeExpired, r.attempt != "", 0)
+		actions = append(actions, c.refuse(r))
 	}
 	return actions
 }
 
+// Alarm returns the time at which Tick is due next, or the zero time.
+func (c *Core) Alarm() time.Time {
+	if len(c.probing) == 0 {
+		return time.Time{}
+	}
+	return c.probing[0].probeBy
+}
+
 func (c *Core) ask(now time.Time, m Ask) []Action {
-	r := &request{ask: m}
+	r := &request{ask: m, code: notice.CodeNoBackend, prefix: hashPrefix(m.config.Model, m.config.Prompt)}
 	c.requests[m.config.Request] = r
-	return []Action{c.try(now, r, notice.CodeNoBackend, 0)}
+	c.budget.earn()
+	return c.seek(now, r)
 }
 
-// try sends the request to the best side that has not refused it yet.
-func (c *Core) try(now time.Time, r *request, code string, retryAfter time.Duration) Action {
-	if r.count >= c.config.MaxAttempts {
-		return c.refuse(r, code, false, retryAfter)
-	}
-	best := c.choose(now, r)
-	if best == nil {
-		return c.refuse(r, code, false, retryAfter)
-	}
+// send makes the next attempt, at the given side.
+func (c *Core) send(now time.Time, r *request, to *side) []Action {
 	r.count++
 	r.attempt = fmt.Sprintf("%s.%d", r.ask.config.Request, r.count)
-	r.side, r.accepted, r.received = best.name, "", 0
-	r.tried = append(r.tried, best.name)
-	best.open++
+	r.side, r.accepted, r.received = to.name, "", 0
+	r.excluded = append(r.excluded, to.name)
+	to.sent++
+	to.uses++
 	c.attempts[r.attempt] = r
-	return Send{side: best.name, submit: r.submit(now)}
+	c.affinity.note(r.prefix, to.name)
+	return []Action{Send{side: to.name, submit: r.submit(now)}}
 }
 
 func (r *request) submit(now time.Time) notice.Submit {
@@ -143,6 +166,7 @@
 		ContentType: a.ContentType,
 		Trace:       a.Trace,
 		Body:        a.Body,
+		Prefix:      r.prefix,
 		Stream:      a.Stream,
 		Urgent:      a.Urgent,
 		Idempotent:  a.Idempotent,
@@ -151,48 +175,17 @@
 	})
 }
 
-// choose returns the side with the least load that may run the request.
-func (c *Core) choose(now time.Time, r *request) *side {
-	var best *side
-	var bestLoad float64
-	for _, name := range slices.Sorted(maps.Keys(c.sides)) {
-		s := c.sides[name]
-		if !s.serves(r.ask) || s.leaving || slices.Contains(r.tried, name) || now.Sub(s.failedAt) < failurePause {
-			continue
-		}
-		load := s.load(c.config.Domain) + c.config.Random.Float64()*tieBreak
-		if best == nil || load < bestLoad {
-			best, bestLoad = s, load
-		}
-	}
-	return best
-}
-
-func (s *side) serves(ask Ask) bool {
-	if ask.config.Service != "" {
-		return s.backend.Service() == ask.config.Service
-	}
-	return s.backend.Kind() == register.Engine
-}
-
-// load is the expected share of the backend server's slots in use, with a
-// handicap for a side in another failure domain.
-func (s *side) load(domain string) float64 {
-	load := float64(s.open+s.queued) / float64(max(s.backend.Slots(), 1))
-	if s.domain != domain {
-		load += farHandicap
-	}
-	return load
-}
-
 func (c *Core) leave(m Leave) []Action {
 	r, ok := c.requests[m.request]
 	if !ok {
 		return nil
 	}
-	action := Cancel{side: r.side, attempt: r.attempt}
+	var actions []Action
+	if r.attempt != "" {
+		actions = append(actions, Cancel{side: r.side, attempt: r.attempt})
+	}
 	c.forget(r)
-	return []Action{action}
+	return actions
 }
 
 func (c *Core) receipted(now time.Time, m Receipted) []Action {
@@ -211,8 +204,7 @@
 			continue
 		}
 		s.leaving = s.leaving || receipt.Code() == notice.CodeLeaving
-		c.release(r)
-		actions = append(actions, c.try(now, r, receipt.Code(), receipt.RetryAfter()))
+		actions = append(actions, c.failed(now, r, receipt.Code(), false, receipt.RetryAfter())...)
 	}
 	return actions
 }
@@ -223,8 +215,13 @@
 	}
 	var actions []Action
 	for _, id := range m.attempts {
-		if r, ok := c.attempts[id]; ok {
-			actions = append(actions, c.failed(now, r, notice.CodeLinkLost, m.ran, 0))
+		r, ok := c.attempts[id]
+		switch {
+		case !ok:
+		case m.ran:
+			actions = append(actions, c.giveUp(now, r, notice.CodeLinkLost)...)
+		default:
+			actions = append(actions, c.failed(now, r, notice.CodeLinkLost, false, 0)...)
 		}
 	}
 	return actions
@@ -236,7 +233,11 @@
 		return nil
 	}
 	s.failedAt = now
-	return c.failAll(now, s, func(r *request) bool { return true })
+	var actions []Action
+	for _, r := range c.openAt(s) {
+		actions = append(actions, c.giveUp(now, r, notice.CodeLinkLost)...)
+	}
+	return actions
 }
 
 // meet notes the incarnation of a side and fails the attempts that an earlier
@@ -246,19 +247,25 @@
 		return nil
 	}
 	s.incarnation = incarnation
-	s.leaving = false
-	return c.failAll(now, s, func(r *request) bool { return r.accepted != "" && r.accepted != incarnation })
+	s.leaving, s.reportedAt = false, time.Time{}
+	var actions []Action
+	for _, r := range c.openAt(s) {
+		if r.accepted != "" && r.accepted != incarnation {
+			actions = append(actions, c.failed(now, r, notice.CodeLinkLost, true, 0)...)
+		}
+	}
+	return actions
 }
 
-func (c *Core) failAll(now time.Time, s *side, lost func(r *request) bool) []Action {
-	var actions []Action
+// openAt returns the requests whose current attempt is at the side.
+func (c *Core) openAt(s *side) []*request {
+	var open []*request
 	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
-		r := c.attempts[id]
-		if r.side == s.name && lost(r) {
-			actions = append(actions, c.failed(now, r, notice.CodeLinkLost, true, 0))
+		if r := c.attempts[id]; r.side == s.name {
+			open = append(open, r)
 		}
 	}
-	return actions
+	return open
 }
 
 func (c *Core) read(now time.Time, m Read) []Action {
@@ -267,7 +274,7 @@
 		return nil
 	}
 	actions := c.meet(now, s, m.pages.Side())
-	s.leaving, s.queued = m.pages.Leaving(), m.pages.Queued()
+	s.leaving, s.queued, s.inFlight = m.pages.Leaving(), m.pages.Queued(), m.pages.InFlight()
 	for _, page := range m.pages.Pages() {
 		if r, ok := c.attempts[page.Attempt()]; ok {
 			actions = append(actions, c.page(now, r, page)...)
@@ -281,12 +288,12 @@
 func (c *Core) page(now time.Time, r *request, page notice.Page) []Action {
 	overlap := r.received - page.Offset()
 	if overlap < 0 {
-		return []Action{c.failed(now, r, notice.CodeDropped, true, 0)}
+		return c.giveUp(now, r, notice.CodeDropped)
 	}
 	data := page.Data()[min(overlap, int64(len(page.Data()))):]
 	r.received += int64(len(data))
 	if page.State() == notice.Failed {
-		return []Action{c.failed(now, r, page.Code(), page.Ran(), page.RetryAfter())}
+		return c.failed(now, r, page.Code(), page.Ran(), page.RetryAfter())
 	}
 	whole := page.State() == notice.Whole
 	if len(data) == 0 && !whole {
@@ -305,36 +312,62 @@
 	}}
 }
 
-// failed ends an attempt and retries its request where that is allowed.
-func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) Action {
+// failed ends an attempt and retries its request where that is allowed: an
+// attempt that may have run only if the request is idempotent and nothing of
+// an answer was delivered.
+func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) []Action {
 	c.release(r)
-	if r.started || (ran && !r.ask.config.Idempotent) {
-		return c.refuse(r, code, ran, retryAfter)
+	r.note(code, ran, retryAfter)
+	if r.started || (ran && !r.ask.config.Idempotent) || !c.mayRetry(code) {
+		return []Action{c.refuse(r)}
 	}
-	if ran && r.count >= c.config.MaxAttempts {
-		return c.refuse(r, code, true, retryAfter)
+	return c.seek(now, r)
+}
+
+// giveUp fails an attempt that the side may still have, and ends it there when
+// its effect is not wanted without its answer.
+func (c *Core) giveUp(now time.Time, r *request, code string) []Action {
+	var actions []Action
+	if r.ask.config.Idempotent {
+		actions = append(actions, Cancel{side: r.side, attempt: r.attempt})
+	}
+	return append(actions, c.failed(now, r, code, true, 0)...)
+}
+
+// mayRetry asks the retry budget, save for the causes that cost a side nothing.
+func (c *Core) mayRetry(code string) bool {
+	switch code {
+	case notice.CodeLeaving, notice.CodeRestarted, notice.CodeNotResident:
+		return true
+	default:
+		return c.budget.spend()
 	}
-	return c.try(now, r, code, retryAfter)
 }
 
-func (c *Core) refuse(r *request, code string, ran bool, retryAfter time.Duration) Action {
+// note keeps the cause of the last failure, whether any attempt may have run,
+// and the earliest useful time of a retry.
+func (r *request) note(code string, ran bool, retryAfter time.Duration) {
+	r.code = code
+	r.ran = r.ran || ran
+	if r.retryAfter == 0 || (retryAfter > 0 && retryAfter < r.retryAfter) {
+		r.retryAfter = retryAfter
+	}
+}
+
+func (c *Core) refuse(r *request) Action {
 	c.forget(r)
-	return Refuse{request: r.ask.config.Request, refusal: refusalFor(code, ran), retryAfter: max(retryAfter, minRetryAfter)}
+	return Refuse{request: r.ask.config.Request, refusal: refusalFor(r.code, r.ran), retryAfter: max(r.retryAfter, minRetryAfter)}
 }
 
-// release frees the side's place that an attempt held.
+// release ends the current attempt.
 func (c *Core) release(r *request) {
-	if _, ok := c.attempts[r.attempt]; !ok {
-		return
-	}
 	delete(c.attempts, r.attempt)
-	if s, ok := c.sides[r.side]; ok {
-		s.open--
-	}
+	r.attempt = ""
 }
 
 func (c *Core) forget(r *request) {
 	c.release(r)
+	r.candidates = nil
 	delete(c.requests, r.ask.config.Request)
 }
 
@@ -343,6 +376,7 @@
 func (c *Core) revise(inventory *register.Inventory) {
 	c.inventory = inventory
 	sides := make(map[string]*side)
+	c.ordered = nil
 	for _, instance := range inventory.Instances() {
 		if instance.Role() != register.Side {
 			continue
@@ -354,6 +388,7 @@
 		s.domain = instance.Domain()
 		s.backend, _ = inventory.Backend(instance.Backend())
 		sides[s.name] = s
+		c.ordered = append(c.ordered, s)
 	}
 	c.sides = sides
 }
--- a/entry/usher/core_test.go
+++ b/entry/usher/core_test.go
@@ -40,11 +40,30 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	core := NewCore(CoreConfig{Domain: "a", MaxAttempts: 3, Random: rand.New(rand.NewPCG(1, 2))})
+	core := NewCore(CoreConfig{Domain: "a", MaxAttempts: 3, Probes: 4, RetryShare: 0.2, Random: rand.New(rand.NewPCG(1, 2))})
 	core.Handle(start, NewRevised(inventory))
 	return core
 }
 
+// handle gives the core a message and answers its probes as idle sides do.
+func handle(core *Core, message Message) []Action {
+	var rest []Action
+	for _, action := range core.Handle(start, message) {
+		probe, ok := action.(Probe)
+		if !ok {
+			rest = append(rest, action)
+			continue
+		}
+		rest = append(rest, handle(core, idleReport(probe))...)
+	}
+	return rest
+}
+
+func idleReport(probe Probe) Reported {
+	estimate := notice.NewEstimate(notice.EstimateConfig{Request: probe.query.Request(), Resident: true})
+	return NewReported(probe.side, notice.NewReport(notice.ReportConfig{Side: "i1", Slots: 4, Estimates: []notice.Estimate{estimate}}))
+}
+
 func ask(idempotent bool) Ask {
 	return NewAsk(AskConfig{Request: "r", Model: "m", Idempotent: idempotent, Deadline: start.Add(time.Minute)})
 }
@@ -117,7 +136,7 @@
 		"receipt lost, may be repeated": {
 			idempotent: true,
 			messages:   []Message{NewUnsent("near", []string{"r.1"}, true)},
-			want:       outcome{Sends: []string{"near", "far"}},
+			want:       outcome{Sends: []string{"near", "far"}, Cancelled: []string{"near"}},
 		},
 		"side lost after its receipt": {
 			messages: []Message{accepted("near", "r.1"), NewLost("near")},
@@ -154,9 +173,9 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			core := newCore(t)
-			actions := core.Handle(start, ask(tc.idempotent))
+			actions := handle(core, ask(tc.idempotent))
 			for _, message := range tc.messages {
-				actions = append(actions, core.Handle(start, message)...)
+				actions = append(actions, handle(core, message)...)
 			}
 			if diff := cmp.Diff(tc.want, summarize(actions)); diff != "" {
 				t.Errorf("outcome (-want +got):\n%s", diff)
@@ -176,17 +195,17 @@
 		"in order":          {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 4, "two", notice.Whole)}, want: outcome{Data: "one two", Whole: true}},
 		"sent twice":        {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 0, "one two", notice.Whole)}, want: outcome{Data: "one two", Whole: true}},
 		"other attempt":     {messages: []Message{piece("r.9", 0, "bad", notice.Open), piece("r.1", 0, "good", notice.Whole)}, want: outcome{Data: "good", Whole: true}},
-		"piece missing":     {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 9, "two", notice.Whole)}, want: outcome{Data: "one ", Refusal: notice.CodeDropped, Outcome: wicket.MayHaveRun}},
+		"piece missing":     {messages: []Message{piece("r.1", 0, "one ", notice.Open), piece("r.1", 9, "two", notice.Whole)}, want: outcome{Data: "one ", Refusal: notice.CodeDropped, Outcome: wicket.MayHaveRun, Cancelled: []string{"near"}}},
 		"late after an end": {messages: []Message{piece("r.1", 0, "all", notice.Whole), piece("r.1", 3, "more", notice.Open)}, want: outcome{Data: "all", Whole: true}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			core := newCore(t)
-			core.Handle(start, ask(true))
-			core.Handle(start, accepted("near", "r.1"))
+			handle(core, ask(true))
+			handle(core, accepted("near", "r.1"))
 			var actions []Action
 			for _, message := range tc.messages {
-				actions = append(actions, core.Handle(start, message)...)
+				actions = append(actions, handle(core, message)...)
 			}
 			if diff := cmp.Diff(tc.want, summarize(actions)); diff != "" {
 				t.Errorf("outcome (-want +got):\n%s", diff)
@@ -197,7 +216,7 @@
 
 func TestDeadlineEndsARequest(t *testing.T) {
 	core := newCore(t)
-	core.Handle(start, ask(true))
+	handle(core, ask(true))
 	got := summarize(core.Tick(start.Add(2 * time.Minute)))
 	want := outcome{Refusal: notice.CodeExpired, Outcome: wicket.MayHaveRun, Cancelled: []string{"near"}}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -22,6 +22,7 @@
 	ContentType string
 	Trace       string // W3C traceparent of the request's span
 	Body        []byte
+	Prompt      []byte // the part of the body that the model reads; empty for a plain service
 	Stream      bool
 	Urgent      bool
 	Idempotent  bool
@@ -59,6 +60,34 @@
 	return Receipted{side: side, receipts: receipts}
 }
 
+// Reported carries a side's answer to a probe.
+type Reported struct {
+	side   string
+	report notice.Report
+}
+
+// NewReported returns the message.
+func NewReported(side string, report notice.Report) Reported {
+	return Reported{side: side, report: report}
+}
+
+// Unanswered reports that a side did not answer a probe.
+type Unanswered struct {
+	side string
+}
+
+// NewUnanswered returns the message.
+func NewUnanswered(side string) Unanswered { return Unanswered{side: side} }
+
+// Placed brings a new plan of which sides hold which models.
+type Placed struct {
+	copies map[string][]string
+}
+
+// NewPlaced returns the message; copies holds the sides of each model and is
+// not changed afterwards. A model that it lacks is looked for at every side.
+func NewPlaced(copies map[string][]string) Placed { return Placed{copies: copies} }
+
 // Unsent reports that attempts got no receipt.
 type Unsent struct {
 	side     string
@@ -96,13 +125,16 @@
 // NewRevised returns the message.
 func NewRevised(inventory *register.Inventory) Revised { return Revised{inventory: inventory} }
 
-func (Ask) usherMessage()       {}
-func (Leave) usherMessage()     {}
-func (Receipted) usherMessage() {}
-func (Unsent) usherMessage()    {}
-func (Read) usherMessage()      {}
-func (Lost) usherMessage()      {}
-func (Revised) usherMessage()   {}
+func (Ask) usherMessage()        {}
+func (Leave) usherMessage()      {}
+func (Receipted) usherMessage()  {}
+func (Reported) usherMessage()   {}
+func (Unanswered) usherMessage() {}
+func (Placed) usherMessage()     {}
+func (Unsent) usherMessage()     {}
+func (Read) usherMessage()       {}
+func (Lost) usherMessage()       {}
+func (Revised) usherMessage()    {}
 
 // Action is what the core asks its duty to do.
 type Action interface{ usherAction() }
@@ -113,12 +145,36 @@
 	submit notice.Submit
 }
 
+// Side returns the side that gets the attempt.
+func (s Send) Side() string { return s.side }
+
+// Submit returns the attempt.
+func (s Send) Submit() notice.Submit { return s.submit }
+
+// Probe asks a side how it would serve a request.
+type Probe struct {
+	side  string
+	query notice.Query
+}
+
+// Side returns the side to ask.
+func (p Probe) Side() string { return p.side }
+
+// Query returns the question.
+func (p Probe) Query() notice.Query { return p.query }
+
 // Cancel ends an attempt at a side.
 type Cancel struct {
 	side    string
 	attempt string
 }
 
+// Side returns the side that has the attempt.
+func (c Cancel) Side() string { return c.side }
+
+// Attempt returns the id of the attempt to end.
+func (c Cancel) Attempt() string { return c.attempt }
+
 // Deliver passes a piece of an answer to the gate.
 type Deliver struct {
 	request     string
@@ -160,6 +216,7 @@
 func (r Refuse) RetryAfter() time.Duration { return r.retryAfter }
 
 func (Send) usherAction()    {}
+func (Probe) usherAction()   {}
 func (Cancel) usherAction()  {}
 func (Deliver) usherAction() {}
 func (Refuse) usherAction()  {}
--- /dev/null
+++ b/entry/usher/placing.go
@@ -0,0 +1,235 @@
+package usher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesamewell.example/commons/notice"
+)
+
+// candidate is responsible for what one side said of one request.
+type candidate struct {
+	side     *side
+	answered bool
+	absent   bool // the side does not hold the model
+	matched  int  // leading blocks of the prompt that the side has seen
+}
+
+// seek looks for a side for the request. It probes a few candidates and waits
+// for their answers, or places the request at once when the last answers of
+// all of them can be reused. Probing a few, by need, and preferring those with
+// free slots before those that promise the earliest answer follows "Load is
+// not what you should balance: Introducing Prequal" (Wydrowski et al., NSDI
+// 2024).
+func (c *Core) seek(now time.Time, r *request) []Action {
+	if r.count >= c.config.MaxAttempts || r.rounds >= maxRounds {
+		return []Action{c.refuse(r)}
+	}
+	r.rounds++
+	r.candidates = c.candidates(now, r)
+	if len(r.candidates) == 0 {
+		return []Action{c.refuse(r)}
+	}
+	var actions []Action
+	for _, candidate := range r.candidates {
+		if candidate.answered {
+			continue
+		}
+		candidate.side.probed(now)
+		actions = append(actions, Probe{side: candidate.side.name, query: r.query()})
+	}
+	if len(actions) == 0 {
+		return c.place(now, r)
+	}
+	r.probeBy = now.Add(probeWait)
+	c.probing = append(c.probing, r)
+	return actions
+}
+
+// candidates picks the sides to ask: the one that all entries prefer for the
+// prompt, others of the nearest failure domain, and at least one elsewhere so
+// that a spill is decided by measure.
+func (c *Core) candidates(now time.Time, r *request) []*candidate {
+	near, far := c.eligible(now, r, false)
+	if len(near)+len(far) == 0 {
+		near, far = c.eligible(now, r, true)
+	}
+	var picked []*side
+	if len(r.prefix) > 0 && len(near) > 0 {
+		preferred := slices.MaxFunc(near, func(a, b *side) int {
+			return cmp.Compare(rendezvous(r.prefix[0], a.name), rendezvous(r.prefix[0], b.name))
+		})
+		picked = append(picked, preferred)
+		near = slices.DeleteFunc(near, func(s *side) bool { return s == preferred })
+	}
+	c.shuffle(near)
+	c.shuffle(far)
+	fromNear := min(max(c.config.Probes-len(picked)-min(len(far), 1), 0), len(near))
+	picked = append(picked, near[:fromNear]...)
+	picked = append(picked, far[:min(max(c.config.Probes-len(picked), 0), len(far))]...)
+	candidates := make([]*candidate, 0, len(picked))
+	for _, s := range picked {
+		matched := c.affinity.match(r.prefix, s.name)
+		candidates = append(candidates, &candidate{side: s, answered: s.reusable(now), matched: matched})
+	}
+	return candidates
+}
+
+// eligible returns the sides that may be asked, in this failure domain and
+// elsewhere. Sides that leave probes unanswered count only as a last resort.
+func (c *Core) eligible(now time.Time, r *request, suspects bool) (near, far []*side) {
+	for _, s := range c.holders(r.ask) {
+		if !s.serves(r.ask) || !s.usable(now) || s.suspect(now) != suspects || slices.Contains(r.excluded, s.name) {
+			continue
+		}
+		if s.domain == c.config.Domain {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
+	}
+	return near, far
+}
+
+// holders returns the sides that the plan names for the model, or all.
+func (c *Core) holders(ask Ask) []*side {
+	names, ok := c.copies[ask.config.Model]
+	if !ok {
+		return c.ordered
+	}
+	var holders []*side
+	for _, name := range names {
+		if s, ok := c.sides[name]; ok {
+			holders = append(holders, s)
+		}
+	}
+	return holders
+}
+
+func (c *Core) shuffle(sides []*side) {
+	c.config.Random.Shuffle(len(sides), func(i, j int) { sides[i], sides[j] = sides[j], sides[i] })
+}
+
+// reported takes a side's answer to a probe.
+func (c *Core) reported(now time.Time, m Reported) []Action {
+	s, ok := c.sides[m.side]
+	if !ok {
+		return nil
+	}
+	var actions []Action
+	s.report(now, m.report)
+	for _, estimate := range m.report.Estimates() {
+		r, ok := c.requests[estimate.Request()]
+		if !ok || r.attempt != "" {
+			continue
+		}
+		for _, candidate := range r.candidates {
+			if candidate.side == s && !candidate.answered {
+				candidate.answered, candidate.absent = true, !estimate.Resident()
+				candidate.matched = max(candidate.matched, estimate.Matched())
+			}
+		}
+		if enough(r.candidates) {
+			actions = append(actions, c.place(now, r)...)
+		}
+	}
+	return actions
+}
+
+// unanswered notes that a side did not answer a probe.
+func (c *Core) unanswered(now time.Time, m Unanswered) []Action {
+	s, ok := c.sides[m.side]
+	if !ok {
+		return nil
+	}
+	s.failedAt, s.probedAt = now, time.Time{}
+	return nil
+}
+
+// enough reports whether a request need not wait for further answers: one of
+// several may be missing.
+func enough(candidates []*candidate) bool {
+	missing := 0
+	for _, candidate := range candidates {
+		if !candidate.answered {
+			missing++
+		}
+	}
+	return missing == 0 || (missing == 1 && len(candidates) > 2)
+}
+
+// placeDue places the requests that have waited for their probes long enough.
+func (c *Core) placeDue(now time.Time) []Action {
+	var actions []Action
+	for len(c.probing) > 0 {
+		r := c.probing[0]
+		if r.waits() && now.Before(r.probeBy) {
+			return actions
+		}
+		c.probing[0] = nil
+		c.probing = c.probing[1:]
+		if r.waits() && c.requests[r.ask.config.Request] == r {
+			actions = append(actions, c.place(now, r)...)
+		}
+	}
+	return actions
+}
+
+// place sends the request to the best of its candidates, or looks for others.
+func (c *Core) place(now time.Time, r *request) []Action {
+	var best *candidate
+	for _, candidate := range r.candidates {
+		if candidate.absent || !candidate.side.usable(now) {
+			continue
+		}
+		if best == nil || c.better(candidate, best) {
+			best = candidate
+		}
+	}
+	if best == nil {
+		if r.code == notice.CodeNoBackend && len(r.candidates) > 0 {
+			r.code = notice.CodeNotResident
+		}
+		for _, candidate := range r.candidates {
+			r.excluded = append(r.excluded, candidate.side.name)
+		}
+		r.candidates = nil
+		return c.seek(now, r)
+	}
+	r.candidates = nil
+	return c.send(now, r, best.side)
+}
+
+// better compares two candidates: one that answered goes before one that did
+// not, one with a free slot before one without, then the lower cost wins.
+func (c *Core) better(a, b *candidate) bool {
+	if a.answered != b.answered {
+		return a.answered
+	}
+	aFree, bFree := a.side.share() < 1, b.side.share() < 1
+	if aFree != bFree {
+		return aFree
+	}
+	return c.cost(a) < c.cost(b)
+}
+
+// cost is the expected time to the first token, with the wear of a loaded
+// batch and of the way to another failure domain counted as time.
+func (c *Core) cost(candidate *candidate) time.Duration {
+	s := candidate.side
+	cost := s.firstToken + s.roundTrip + time.Duration(s.share()*float64(loadCost))
+	cost -= time.Duration(candidate.matched) * blockSaving
+	if s.domain != c.config.Domain {
+		cost += spillCost
+	}
+	return cost
+}
+
+func (r *request) query() notice.Query {
+	a := r.ask.config
+	return notice.NewQuery(notice.QueryConfig{Request: a.Request, Tenant: a.Tenant, Model: a.Model, Prefix: r.prefix, Urgent: a.Urgent})
+}
+
+// waits reports whether the request waits for answers to its probes.
+func (r *request) waits() bool { return len(r.candidates) > 0 }
--- a/entry/usher/refusal.go
+++ b/entry/usher/refusal.go
@@ -10,10 +10,12 @@
 // explain returns the HTTP status of a cause and what the caller can do.
 func explain(code string) (int, string) {
 	switch code {
-	case notice.CodeNoBackend, notice.CodeLeaving, notice.CodeRestarted:
+	case notice.CodeNoBackend, notice.CodeLeaving, notice.CodeRestarted, notice.CodeNotResident:
 		return fasthttp.StatusServiceUnavailable, "no backend server can take the request now; retry after the time in Retry-After"
 	case notice.CodeQueueFull, notice.CodeBusy:
 		return fasthttp.StatusServiceUnavailable, "every backend server for the request has a full queue; retry after the time in Retry-After"
+	case notice.CodeOverloaded:
+		return fasthttp.StatusServiceUnavailable, "the request would wait beyond its deadline; retry after the time in Retry-After"
 	case notice.CodeExpired:
 		return fasthttp.StatusGatewayTimeout, "the request's time was over before its answer was whole; retry when the load is lower or ask for less output"
 	case notice.CodeTooLarge:
--- a/entry/usher/usher.go
+++ b/entry/usher/usher.go
@@ -17,6 +17,8 @@
 type Lines interface {
 	// Submit hands an attempt to the line of a side without blocking.
 	Submit(side string, submit notice.Submit) error
+	// Probe asks a side how it would serve a request, without blocking.
+	Probe(side string, query notice.Query) error
 	// Cancel ends an attempt at a side.
 	Cancel(side, attempt string)
 }
@@ -102,6 +104,10 @@
 			if err := u.send(now, a); err != nil {
 				return err
 			}
+		case Probe:
+			if err := u.probe(now, a); err != nil {
+				return err
+			}
 		case Cancel:
 			u.config.Lines.Cancel(a.side, a.attempt)
 		default:
@@ -113,6 +119,16 @@
 	return nil
 }
 
+// Alarm returns the time at which a request has waited for its probes.
+func (u *Usher) Alarm() time.Time { return u.core.Alarm() }
+
+func (u *Usher) probe(now time.Time, probe Probe) error {
+	if err := u.config.Lines.Probe(probe.side, probe.query); err != nil {
+		return u.carryOut(now, u.core.Handle(now, NewUnanswered(probe.side)))
+	}
+	return nil
+}
+
 // send hands an attempt to its side's line. A refusal there is an attempt that
 // was not run.
 func (u *Usher) send(now time.Time, send Send) error {
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -52,7 +52,8 @@
 	deadline time.Time
 	ready    time.Time // time since which there is something to send
 	seen     time.Time
-	told     bool // an answer has said that the side is leaving
+	number   uint64 // of the last read
+	told     bool   // an answer has said that the side is leaving
 }
 
 // NewCore returns a core without attempts.
@@ -241,8 +242,16 @@
 	})}
 }
 
+// takeRead parks a read until there is something to send. A read that comes
+// after a later one of the same entry, and one that a later one replaces, are
+// answered with nothing: their caller has given up, and what they took along
+// would be lost.
 func (c *Core) takeRead(now time.Time, m ReadArrived) []Action {
 	reader := c.reader(now, m.read.Entry())
+	if m.read.Number() <= reader.number {
+		return []Action{c.answerEmpty(m.reply)}
+	}
+	reader.number = m.read.Number()
 	reader.seen = now
 	for _, position := range m.read.Positions() {
 		c.confirm(now, position)
@@ -254,7 +263,7 @@
 	}
 	var actions []Action
 	if reader.reply != nil {
-		actions = append(actions, c.answer(reader))
+		actions = append(actions, c.answerEmpty(reader.reply))
 	}
 	reader.reply = m.reply
 	reader.deadline = now.Add(min(m.read.Wait(), maxReadWait))
@@ -447,13 +456,21 @@
 	reply := reader.reply
 	reader.reply = nil
 	reader.told = c.leaving
-	return AnswerRead{reply: reply, pages: notice.NewPages(notice.PagesConfig{
+	return AnswerRead{reply: reply, pages: c.pages(pages)}
+}
+
+func (c *Core) answerEmpty(reply Answerer) Action {
+	return AnswerRead{reply: reply, pages: c.pages(nil)}
+}
+
+func (c *Core) pages(pages []notice.Page) notice.Pages {
+	return notice.NewPages(notice.PagesConfig{
 		Side:     c.config.Incarnation,
 		Leaving:  c.leaving,
 		Queued:   c.queue.Len(),
 		InFlight: c.running,
 		Pages:    pages,
-	})}
+	})
 }
 
 // touch notes that an attempt has something to send.
--- a/side/foyer/core_test.go
+++ b/side/foyer/core_test.go
@@ -28,6 +28,7 @@
 	runs    []string
 	stops   []string
 	drained bool
+	reads   uint64
 }
 
 func newBench(change func(config *CoreConfig)) *bench {
@@ -76,14 +77,20 @@
 func (b *bench) read(t *testing.T, config notice.ReadConfig) notice.Pages {
 	t.Helper()
 	reply := &sink{}
-	config.Entry = "e1"
-	b.handle(NewReadArrived(notice.NewRead(config), reply))
+	b.handle(NewReadArrived(b.numbered(config), reply))
 	if len(reply.items) == 0 {
 		t.Fatal("the read was not answered")
 	}
 	return reply.items[0].(notice.Pages)
 }
 
+// numbered returns an entry's next read.
+func (b *bench) numbered(config notice.ReadConfig) notice.Read {
+	b.reads++
+	config.Entry, config.Number = "e1", b.reads
+	return notice.NewRead(config)
+}
+
 func attemptOf(id string) notice.Submit {
 	return notice.NewSubmit(notice.SubmitConfig{Attempt: id, Idempotent: true, Remaining: time.Minute})
 }
@@ -137,7 +144,7 @@
 		b.handle(NewEnded(id, "", true))
 		reply := &sink{}
 		position := notice.NewPosition(notice.PositionConfig{Attempt: id, Ended: true})
-		b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Positions: []notice.Position{position}}), reply))
+		b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Positions: []notice.Position{position}}), reply))
 	}
 }
 
@@ -224,7 +231,7 @@
 	}
 	b.read(t, notice.ReadConfig{Wait: time.Second})
 	position := notice.NewPosition(notice.PositionConfig{Attempt: "a", Ended: true})
-	b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Positions: []notice.Position{position}}), &sink{}))
+	b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Positions: []notice.Position{position}}), &sink{}))
 	if !b.drained {
 		t.Error("not drained after the entry had the answer")
 	}
@@ -261,11 +268,45 @@
 	}
 }
 
+func TestReadOfAnEarlierConnectionTakesNothing(t *testing.T) {
+	cases := map[string]func(b *bench, dead *sink){
+		"replaced by a later one": func(b *bench, dead *sink) {
+			b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), dead))
+		},
+		"comes after a later one": func(b *bench, dead *sink) {
+			b.reads += 2
+			late := notice.NewRead(notice.ReadConfig{Entry: "e1", Number: b.reads - 1, Wait: time.Second})
+			b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), &sink{}))
+			b.handle(NewReadArrived(late, dead))
+		},
+	}
+	for name, earlier := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(nil)
+			b.submit(batch(attemptOf("a")))
+			b.handle(NewPiece("a", []byte("lost")))
+			b.read(t, notice.ReadConfig{Wait: time.Second})
+			dead := &sink{}
+			earlier(b, dead)
+			pages := b.read(t, notice.ReadConfig{Wait: time.Second, Resume: true}).Pages()
+			if len(pages) != 1 {
+				t.Fatalf("%d pages, want 1", len(pages))
+			}
+			if diff := cmp.Diff("lost", string(pages[0].Data())); diff != "" {
+				t.Errorf("data (-want +got):\n%s", diff)
+			}
+			if len(dead.items) != 1 || len(dead.items[0].(notice.Pages).Pages()) != 0 {
+				t.Errorf("the earlier read was answered with %v", dead.items)
+			}
+		})
+	}
+}
+
 func TestReadWaitsForItsLinger(t *testing.T) {
 	b := newBench(func(config *CoreConfig) { config.Linger = 2 * time.Millisecond })
 	b.submit(batch(attemptOf("a")))
 	reply := &sink{}
-	b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Wait: time.Second}), reply))
+	b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), reply))
 	b.handle(NewPiece("a", []byte("1")))
 	if diff := cmp.Diff(b.now.Add(2*time.Millisecond), b.core.Alarm()); diff != "" {
 		t.Errorf("alarm (-want +got):\n%s", diff)
