--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -139,10 +139,12 @@
 }
 
 // failed replaces the connection and, after several failures in a row, reports
-// the side as lost.
+// the side as lost. A side that answers with an error is not lost.
 func (r *reader) failed(ctx context.Context, cause error) error {
 	r.resume = true
-	r.failures++
+	if !porter.Refused(cause) {
+		r.failures++
+	}
 	if r.failures < readFailures {
 		return r.pause(ctx)
 	}
--- a/entry/line/sender.go
+++ b/entry/line/sender.go
@@ -92,14 +92,16 @@
 	return s.config.Usher.PutWithin(ctx, usher.NewReceipted(s.side, receipts), handOver)
 }
 
-// exchange sends a batch until there is an answer. A batch whose answer was
-// lost is sent again only to the same incarnation, which takes each attempt
-// once. The result tells whether the side may have the batch.
+// exchange sends a batch until there is an answer. Every batch names the
+// incarnation that it is meant for, which takes each attempt once, so that it
+// can be sent again when its answer was lost. The result tells whether the side
+// may have the batch.
 func (s *sender) exchange(config notice.BatchConfig) (receipts notice.Receipts, sent bool, err error) {
 	for range maxSends {
-		if known := s.known.Load(); known != nil {
-			config.Side = *known
+		if err = s.introduce(); err != nil {
+			continue
 		}
+		config.Side = *s.known.Load()
 		receipts = notice.Receipts{}
 		err = s.line.Call(notice.SubmitMethod, notice.NewBatch(config), &receipts, s.config.Timeout)
 		if err == nil && s.restarted(config, receipts) && !sent {
@@ -112,19 +114,30 @@
 			continue
 		}
 		sent = true
-		if config.Side == "" {
-			return receipts, sent, err
-		}
 	}
 	return receipts, sent, err
 }
 
+// introduce asks an unknown side for its incarnation by an empty batch.
+func (s *sender) introduce() error {
+	if s.known.Load() != nil {
+		return nil
+	}
+	empty := notice.NewBatch(notice.BatchConfig{Entry: s.config.Incarnation})
+	var receipts notice.Receipts
+	if err := s.line.Call(notice.SubmitMethod, empty, &receipts, s.config.Timeout); err != nil {
+		return err
+	}
+	s.learn(receipts.Side())
+	return nil
+}
+
 // restarted notes the side's incarnation and reports whether the batch was
 // meant for an earlier one, which means that nothing of it was taken.
 func (s *sender) restarted(config notice.BatchConfig, receipts notice.Receipts) bool {
 	incarnation := receipts.Side()
 	s.known.Store(&incarnation)
-	return config.Side != "" && config.Side != incarnation
+	return config.Side != incarnation
 }
 
 // accept returns the receipts. An answer of another incarnation than the batch
@@ -136,8 +149,7 @@
 	return receipts, sent, nil
 }
 
-// learn notes the side's incarnation before anything was sent to it, so that
-// the first batch, too, can be sent again when its answer is lost.
+// learn notes the side's incarnation before anything was sent to it.
 func (s *sender) learn(incarnation string) { s.known.CompareAndSwap(nil, &incarnation) }
 
 func (s *sender) giveUp(ctx context.Context, ids []string, sent bool) error {
--- a/entry/usher/constants.go
+++ b/entry/usher/constants.go
@@ -4,7 +4,7 @@
 
 // Named limits of the usher.
 const (
-	failurePause  = 2 * time.Second        // time for which a side that failed gets no request
+	failurePause  = 2 * time.Second        // time for which a side that failed is asked as a last resort only
 	minRetryAfter = time.Second            // smallest Retry-After
 	gateHandOver  = 5 * time.Second        // longest wait for room in the gate's ring
 	tickPeriod    = 100 * time.Millisecond // time between checks of deadlines
--- a/entry/usher/placing.go
+++ b/entry/usher/placing.go
@@ -17,8 +17,8 @@
 }
 
 // seek looks for a side for the request. It probes a few candidates and waits
-// for their answers, or places the request at once when the last answers of
-// all of them can be reused. Probing a few, by need, and preferring those with
+// for their answers, or places the request at once when there is no choice or
+// when the last answers of all of them can be reused. Probing a few, by need, and preferring those with
 // free slots before those that promise the earliest answer follows "Load is
 // not what you should balance: Introducing Prequal" (Wydrowski et al., NSDI
 // 2024).
@@ -33,7 +33,7 @@
 	}
 	var actions []Action
 	for _, candidate := range r.candidates {
-		if candidate.answered {
+		if candidate.answered || len(r.candidates) == 1 {
 			continue
 		}
 		candidate.side.probed(now)
@@ -77,10 +77,10 @@
 }
 
 // eligible returns the sides that may be asked, in this failure domain and
-// elsewhere. Sides that leave probes unanswered count only as a last resort.
+// elsewhere. Sides that are suspect count only as a last resort.
 func (c *Core) eligible(now time.Time, r *request, suspects bool) (near, far []*side) {
 	for _, s := range c.holders(r.ask) {
-		if !s.serves(r.ask) || !s.usable(now) || s.suspect(now) != suspects || slices.Contains(r.excluded, s.name) {
+		if !s.serves(r.ask) || s.leaving || s.suspect(now) != suspects || slices.Contains(r.excluded, s.name) {
 			continue
 		}
 		if s.domain == c.config.Domain {
@@ -180,7 +180,7 @@
 func (c *Core) place(now time.Time, r *request) []Action {
 	var best *candidate
 	for _, candidate := range r.candidates {
-		if candidate.absent || !candidate.side.usable(now) {
+		if candidate.absent || candidate.side.leaving {
 			continue
 		}
 		if best == nil || c.better(candidate, best) {
--- a/entry/usher/side.go
+++ b/entry/usher/side.go
@@ -33,14 +33,11 @@
 	return s.backend.Kind() == register.Engine
 }
 
-// usable reports whether the side may get new work.
-func (s *side) usable(now time.Time) bool {
-	return !s.leaving && now.Sub(s.failedAt) >= failurePause
-}
-
-// suspect reports whether a probe has gone unanswered for long.
+// suspect reports whether the side failed of late or has left a probe
+// unanswered for long.
 func (s *side) suspect(now time.Time) bool {
-	return !s.probedAt.IsZero() && now.Sub(s.probedAt) > suspectAfter
+	silent := !s.probedAt.IsZero() && now.Sub(s.probedAt) > suspectAfter
+	return silent || now.Sub(s.failedAt) < failurePause
 }
 
 // reusable reports whether the last answer to a probe still tells the load.
--- a/side/desk/desk.go
+++ b/side/desk/desk.go
@@ -74,5 +74,8 @@
 	if answer == nil {
 		return nil, errors.New("the side did not answer in time")
 	}
+	if refusal, ok := answer.(error); ok {
+		return nil, refusal
+	}
 	return answer, nil
 }
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -40,13 +40,21 @@
 	number   uint64 // attempts admitted so far
 	running  int
 	readers  map[string]*entryReader
-	ended    map[string]time.Time // attempts that are done, so that a late copy is not run
+	order    []*entryReader       // as they came, so that actions have a fixed order
+	ended    map[string]tombstone // attempts that are done, so that a late copy is not run
 	leaving  bool
 	drained  bool
 }
 
+// tombstone is what is kept of an attempt that has ended or was refused.
+type tombstone struct {
+	at   time.Time
+	code string // cause of the refusal, or ""
+}
+
 // entryReader is responsible for one entry's reads.
 type entryReader struct {
+	entry    string
 	attempts map[string]*attempt
 	reply    Answerer // of the read that waits, or nil
 	deadline time.Time
@@ -64,7 +72,7 @@
 		prefixes: newPrefixIndex(config.Prefixes),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
-		ended:    make(map[string]time.Time),
+		ended:    make(map[string]tombstone),
 	}
 }
 
@@ -102,16 +110,16 @@
 
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Time) []Action {
-	for id, at := range c.ended {
-		if now.Sub(at) > tombstoneLife {
+	for id, t := range c.ended {
+		if now.Sub(t.at) > tombstoneLife {
 			delete(c.ended, id)
 		}
 	}
 	var actions []Action
 	c.queue.prune()
-	for name, reader := range c.readers {
+	for _, reader := range slices.Clone(c.order) {
 		if now.Sub(reader.seen) > entrySilence {
-			actions = append(actions, c.abandon(now, name)...)
+			actions = append(actions, c.abandon(now, reader)...)
 		}
 	}
 	return c.settle(now, actions)
@@ -120,7 +128,7 @@
 // Alarm returns the time at which Tick is due next, or the zero time.
 func (c *Core) Alarm() time.Time {
 	var alarm time.Time
-	for _, reader := range c.readers {
+	for _, reader := range c.order {
 		if reader.reply == nil {
 			continue
 		}
@@ -145,7 +153,7 @@
 	for _, submit := range m.batch.Submits() {
 		code := notice.CodeRestarted
 		if current {
-			code = c.admit(now, m.batch.Entry(), submit)
+			code = c.admitOnce(now, m.batch.Entry(), submit)
 		}
 		config := notice.ReceiptConfig{Attempt: submit.Attempt(), Accepted: code == "", Code: code}
 		if code == notice.CodeQueueFull || code == notice.CodeOverloaded {
@@ -157,16 +165,25 @@
 	return append(actions, AnswerBatch{reply: m.reply, receipts: answer})
 }
 
-// admit takes an attempt or returns the cause of its refusal. A copy of an
-// attempt that was taken already is taken again without being run again.
-func (c *Core) admit(now time.Time, entry string, submit notice.Submit) string {
+// admitOnce gives a copy of an attempt the same answer as the attempt got: one
+// that was taken is not run again, and one that was refused is never run.
+func (c *Core) admitOnce(now time.Time, entry string, submit notice.Submit) string {
 	id := submit.Attempt()
 	if _, ok := c.attempts[id]; ok {
 		return ""
 	}
-	if _, ok := c.ended[id]; ok {
-		return ""
+	if earlier, ok := c.ended[id]; ok {
+		return earlier.code
 	}
+	code := c.admit(now, entry, submit)
+	if code != "" {
+		c.ended[id] = tombstone{at: now, code: code}
+	}
+	return code
+}
+
+// admit takes an attempt or returns the cause of its refusal.
+func (c *Core) admit(now time.Time, entry string, submit notice.Submit) string {
 	if c.leaving {
 		return notice.CodeLeaving
 	}
@@ -181,8 +198,8 @@
 	}
 	c.number++
 	a := &attempt{submit: submit, entry: entry, number: c.number, arrived: now, expires: now.Add(submit.Remaining())}
-	c.attempts[id] = a
-	c.reader(now, entry).attempts[id] = a
+	c.attempts[submit.Attempt()] = a
+	c.reader(now, entry).attempts[submit.Attempt()] = a
 	c.queue.push(a)
 	return ""
 }
@@ -243,13 +260,12 @@
 }
 
 // takeRead parks a read until there is something to send. A read that comes
-// after a later one of the same entry, and one that a later one replaces, are
-// answered with nothing: their caller has given up, and what they took along
-// would be lost.
+// after a later one of the same entry, and one that a later one replaces, get
+// an error: their caller has given up, and what they took along would be lost.
 func (c *Core) takeRead(now time.Time, m ReadArrived) []Action {
 	reader := c.reader(now, m.read.Entry())
 	if m.read.Number() <= reader.number {
-		return []Action{c.answerEmpty(m.reply)}
+		return []Action{AnswerRead{reply: m.reply, err: ErrSuperseded}}
 	}
 	reader.number = m.read.Number()
 	reader.seen = now
@@ -263,7 +279,7 @@
 	}
 	var actions []Action
 	if reader.reply != nil {
-		actions = append(actions, c.answerEmpty(reader.reply))
+		actions = append(actions, AnswerRead{reply: reader.reply, err: ErrSuperseded})
 	}
 	reader.reply = m.reply
 	reader.deadline = now.Add(min(m.read.Wait(), maxReadWait))
@@ -345,7 +361,7 @@
 func (c *Core) cancel(now time.Time, id string) []Action {
 	a, ok := c.attempts[id]
 	if !ok {
-		c.ended[id] = now
+		c.ended[id] = tombstone{at: now}
 		return nil
 	}
 	switch a.phase {
@@ -364,14 +380,14 @@
 }
 
 // abandon drops an entry that has stopped reading.
-func (c *Core) abandon(now time.Time, name string) []Action {
+func (c *Core) abandon(now time.Time, reader *entryReader) []Action {
 	var actions []Action
-	reader := c.readers[name]
 	for _, id := range slices.Sorted(maps.Keys(reader.attempts)) {
 		actions = append(actions, c.cancel(now, id)...)
 	}
 	if reader.reply == nil && len(reader.attempts) == 0 {
-		delete(c.readers, name)
+		delete(c.readers, reader.entry)
+		c.order = slices.DeleteFunc(c.order, func(other *entryReader) bool { return other == reader })
 	}
 	return actions
 }
@@ -379,7 +395,7 @@
 func (c *Core) forget(now time.Time, a *attempt) {
 	id := a.submit.Attempt()
 	delete(c.attempts, id)
-	c.ended[id] = now
+	c.ended[id] = tombstone{at: now}
 	if reader, ok := c.readers[a.entry]; ok {
 		delete(reader.attempts, id)
 	}
@@ -389,7 +405,7 @@
 // end of a drain.
 func (c *Core) settle(now time.Time, actions []Action) []Action {
 	actions = c.dispatch(now, actions)
-	for _, reader := range c.readers {
+	for _, reader := range c.order {
 		if reader.reply != nil && c.due(now, reader) {
 			actions = append(actions, c.answer(reader))
 		}
@@ -456,21 +472,13 @@
 	reply := reader.reply
 	reader.reply = nil
 	reader.told = c.leaving
-	return AnswerRead{reply: reply, pages: c.pages(pages)}
-}
-
-func (c *Core) answerEmpty(reply Answerer) Action {
-	return AnswerRead{reply: reply, pages: c.pages(nil)}
-}
-
-func (c *Core) pages(pages []notice.Page) notice.Pages {
-	return notice.NewPages(notice.PagesConfig{
+	return AnswerRead{reply: reply, pages: notice.NewPages(notice.PagesConfig{
 		Side:     c.config.Incarnation,
 		Leaving:  c.leaving,
 		Queued:   c.queue.Len(),
 		InFlight: c.running,
 		Pages:    pages,
-	})
+	})}
 }
 
 // touch notes that an attempt has something to send.
@@ -481,7 +489,7 @@
 }
 
 func (c *Core) wakeReaders(now time.Time) {
-	for _, reader := range c.readers {
+	for _, reader := range c.order {
 		if reader.ready.IsZero() {
 			reader.ready = now
 		}
@@ -491,8 +499,9 @@
 func (c *Core) reader(now time.Time, entry string) *entryReader {
 	reader, ok := c.readers[entry]
 	if !ok {
-		reader = &entryReader{attempts: make(map[string]*attempt), seen: now}
+		reader = &entryReader{entry: entry, attempts: make(map[string]*attempt), seen: now}
 		c.readers[entry] = reader
+		c.order = append(c.order, reader)
 	}
 	return reader
 }
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"sesamewell.example/commons/notice"
 )
 
@@ -101,10 +103,15 @@
 	receipts notice.Receipts
 }
 
-// AnswerRead sends pages.
+// ErrSuperseded answers a read after which the entry has sent another, because
+// it had given the earlier one up.
+var ErrSuperseded = errors.New("a later read has come")
+
+// AnswerRead sends pages, or ErrSuperseded.
 type AnswerRead struct {
 	reply Answerer
 	pages notice.Pages
+	err   error
 }
 
 // AnswerProbe sends a report.
@@ -133,7 +140,13 @@
 
 // Send gives the pages to whom they belong. A refusal means that the caller
 // has stopped waiting.
-func (a AnswerRead) Send() { _ = a.reply.Put(a.pages) }
+func (a AnswerRead) Send() {
+	if a.err != nil {
+		_ = a.reply.Put(a.err)
+		return
+	}
+	_ = a.reply.Put(a.pages)
+}
 
 // Send gives the report to whom it belongs. A refusal means that the caller
 // has stopped waiting.
