--- a/entry/usher/placing.go
+++ b/entry/usher/placing.go
@@ -10,10 +10,11 @@
 
 // candidate is responsible for what one side said of one request.
 type candidate struct {
-	side     *side
-	answered bool
-	absent   bool // the side does not hold the model
-	matched  int  // leading blocks of the prompt that the side has seen
+	side       *side
+	answered   bool
+	absent     bool          // the side does not hold the model
+	matched    int           // leading blocks of the prompt that the side has seen
+	firstToken time.Duration // expected time to the first token
 }
 
 // seek looks for a side for the request. It probes a few candidates and waits
@@ -71,7 +72,7 @@
 	candidates := make([]*candidate, 0, len(picked))
 	for _, s := range picked {
 		matched := c.affinity.match(r.prefix, s.name)
-		candidates = append(candidates, &candidate{side: s, answered: s.reusable(now), matched: matched})
+		candidates = append(candidates, &candidate{side: s, answered: s.reusable(now), matched: matched, firstToken: s.firstToken})
 	}
 	return candidates
 }
@@ -128,6 +129,7 @@
 			if candidate.side == s && !candidate.answered {
 				candidate.answered, candidate.absent = true, !estimate.Resident()
 				candidate.matched = max(candidate.matched, estimate.Matched())
+				candidate.firstToken = estimate.FirstToken()
 			}
 		}
 		if enough(r.candidates) {
@@ -218,7 +220,7 @@
 // batch and of the way to another failure domain counted as time.
 func (c *Core) cost(candidate *candidate) time.Duration {
 	s := candidate.side
-	cost := s.firstToken + s.roundTrip + time.Duration(s.share()*float64(loadCost))
+	cost := candidate.firstToken + s.roundTrip + time.Duration(min(s.share(), 1)*float64(loadCost))
 	cost -= time.Duration(candidate.matched) * blockSaving
 	if s.domain != c.config.Domain {
 		cost += spillCost
--- a/entry/usher/side.go
+++ b/entry/usher/side.go
@@ -40,9 +40,10 @@
 	return silent || now.Sub(s.failedAt) < failurePause
 }
 
-// reusable reports whether the last answer to a probe still tells the load.
+// reusable reports whether the last answer to a probe still tells the load. When
+// no slot is free, the wait depends on the request's tenant, so it is asked anew.
 func (s *side) reusable(now time.Time) bool {
-	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < probeLife && s.uses < probeUses
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < probeLife && s.uses < probeUses && s.share() < 1
 }
 
 // share returns the expected attempts for each slot of the backend server.
--- a/side/foyer/attempt.go
+++ b/side/foyer/attempt.go
@@ -26,7 +26,6 @@
 	expires time.Time
 	started time.Time // when it was handed to a runner
 	begun   bool      // bytes of the answer have come
-	made    int64     // tokens of the answer so far
 
 	base        int64 // offset of buffer[0] in the answer
 	buffer      []byte
@@ -83,11 +82,6 @@
 	return notice.NewPage(config)
 }
 
-// used returns the tokens of the prompt and of the answer so far.
-func (a *attempt) used() int64 {
-	return int64(len(a.submit.Body())/bytesPerToken) + a.made
-}
-
 // fail ends the answer with a cause.
 func (a *attempt) fail(code string, ran bool) {
 	a.phase = over
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -330,11 +330,11 @@
 		a.begun = true
 		c.pace.first.add(now.Sub(a.started))
 	}
+	tokens := len(data) / bytesPerToken
 	if a.submit.Stream() {
-		a.made += int64(bytes.Count(data, eventEnd))
-	} else {
-		a.made += int64(len(data) / bytesPerToken)
+		tokens = bytes.Count(data, eventEnd)
 	}
+	c.queue.charge(a, int64(tokens))
 }
 
 func (c *Core) end(now time.Time, m Ended) {
@@ -428,7 +428,7 @@
 			break
 		}
 		if !c.resident(a.submit.Model()) {
-			c.queue.settle(a, 0)
+			c.queue.end(a)
 			c.drop(now, a, notice.CodeNotResident)
 			continue
 		}
@@ -443,7 +443,7 @@
 // vacate frees the slot of an attempt that the backend server runs no more.
 func (c *Core) vacate(now time.Time, a *attempt) {
 	c.running--
-	c.queue.settle(a, a.used())
+	c.queue.end(a)
 	c.pace.service.add(now.Sub(a.started))
 }
 
--- a/side/foyer/queue.go
+++ b/side/foyer/queue.go
@@ -9,13 +9,14 @@
 	"sesamewell.example/commons/notice"
 )
 
-// queue is responsible for the order in which waiting attempts run. Urgent
-// attempts go before patient ones, unless the slack of a patient one is used
-// up. Within a class, the tenant with the smallest virtual token counter goes
-// first, as in "Fairness in Serving Large Language Models" (Sheng et al.,
-// OSDI 2024), and within a tenant the attempt with the least slack. An attempt
-// is charged its upper bound of tokens when it is taken out, and the unused
-// part is given back when it has ended.
+// queue is responsible for the order in which waiting attempts run. The tenant
+// with the smallest virtual token counter goes first, as in "Fairness in Serving
+// Large Language Models" (Sheng et al., OSDI 2024); of several with the same
+// counter, one with an urgent attempt. Within a tenant, urgent attempts go before patient ones, unless the slack of a
+// patient one is used up, and then by slack. A tenant is charged the prompt when
+// an attempt is taken out and each token of the answer when it comes; counters
+// never fall, since a later refund would let a tenant overtake those who were
+// lifted to its counter meanwhile.
 type queue struct {
 	tenants map[string]*backlog
 	depth   int
@@ -76,17 +77,17 @@
 // pop takes out the attempt that runs next. A patient attempt that must start
 // before the given time counts as urgent.
 func (q *queue) pop(promoted time.Time) *attempt {
-	best := q.first(func(b *backlog) bool { return b.pressing(promoted) })
-	if best == nil {
-		best = q.first(func(b *backlog) bool { return len(b.patient) > 0 })
-	}
+	best := q.first(func(b *backlog) bool { return b.waiting() > 0 })
 	if best == nil {
 		return nil
 	}
+	if urgent := q.first(func(b *backlog) bool { return b.pressing(promoted) }); urgent != nil && urgent.counter == best.counter {
+		best = urgent
+	}
 	a := best.head(promoted)
 	q.remove(a)
 	best.running++
-	best.counter += charge(a.submit)
+	best.counter += max(promptTokens(a.submit), 1)
 	q.floor = best.counter
 	return a
 }
@@ -105,14 +106,18 @@
 	return best
 }
 
-// settle gives back what a popped attempt was charged beyond its use.
-func (q *queue) settle(a *attempt, used int64) {
-	b, ok := q.tenants[a.submit.Tenant()]
-	if !ok {
-		return
+// charge counts tokens of a running attempt's answer.
+func (q *queue) charge(a *attempt, tokens int64) {
+	if b, ok := q.tenants[a.submit.Tenant()]; ok {
+		b.counter += tokens
+	}
+}
+
+// end notes that a popped attempt runs no more.
+func (q *queue) end(a *attempt) {
+	if b, ok := q.tenants[a.submit.Tenant()]; ok {
+		b.running--
 	}
-	b.running--
-	b.counter -= max(charge(a.submit)-used, 0)
 }
 
 // expired returns the attempts whose deadline is over, in the order of tenants.
@@ -209,8 +214,8 @@
 	return b.urgent[0]
 }
 
-// charge returns the tokens that an attempt counts for until it has ended.
-func charge(submit notice.Submit) int64 { return max(submit.Tokens(), 1) }
+// promptTokens estimates the length of an attempt's prompt.
+func promptTokens(submit notice.Submit) int64 { return int64(len(submit.Body()) / bytesPerToken) }
 
 // deadlines is a heap of attempts, that with the earliest deadline on top.
 type deadlines []*attempt
