--- a/entry/line/sender.go
+++ b/entry/line/sender.go
@@ -93,14 +93,16 @@
 	return s.config.Usher.PutWithin(ctx, usher.NewReceipted(s.side, receipts), handOver)
 }
 
-// exchange sends a batch until there is an answer. A batch whose answer was
-// lost is sent again only to the same incarnation, which takes each attempt
-// once. The result tells whether the side may have the batch.
+// exchange sends a batch until there is an answer. Every batch names the
+// incarnation that it is meant for, which takes each attempt once, so that it
+// can be sent again when its answer was lost. The result tells whether the side
+// may have the batch.
 func (s *sender) exchange(config notice.BatchConfig) (receipts notice.Receipts, sent bool, err error) {
 	for range maxSends {
-		if known := s.known.Load(); known != nil {
-			config.Side = *known
+		if err = s.introduce(); err != nil {
+			continue
 		}
+		config.Side = *s.known.Load()
 		receipts = notice.Receipts{}
 		begun := time.Now()
 		config.Freshness = s.config.Watch.Word(begun, s.last)
@@ -119,19 +121,30 @@
 			continue
 		}
 		sent = true
-		if config.Side == "" {
-			return receipts, sent, err
-		}
 	}
 	return receipts, sent, err
 }
 
+// introduce asks an unknown side for its incarnation by an empty batch.
+func (s *sender) introduce() error {
+	if s.known.Load() != nil {
+		return nil
+	}
+	empty := notice.NewBatch(notice.BatchConfig{Entry: s.config.Incarnation})
+	var receipts notice.Receipts
+	if err := s.line.Call(notice.SubmitMethod, empty, &receipts, s.config.Timeout); err != nil {
+		return err
+	}
+	s.learn(receipts.Side())
+	return nil
+}
+
 // restarted notes the side's incarnation and reports whether the batch was
 // meant for an earlier one, which means that nothing of it was taken.
 func (s *sender) restarted(config notice.BatchConfig, receipts notice.Receipts) bool {
 	incarnation := receipts.Side()
 	s.known.Store(&incarnation)
-	return config.Side != "" && config.Side != incarnation
+	return config.Side != incarnation
 }
 
 // accept returns the receipts. An answer of another incarnation than the batch
@@ -143,6 +156,9 @@
 	return receipts, sent, nil
 }
 
+// learn notes the side's incarnation before anything was sent to it.
+func (s *sender) learn(incarnation string) { s.known.CompareAndSwap(nil, &incarnation) }
+
 func (s *sender) giveUp(ctx context.Context, ids []string, sent bool) error {
 	if err := s.reader.open(ctx, nil, ids); err != nil {
 		return err
@@ -159,7 +175,9 @@
 	maxSends      = 3               // tries to send one batch
 	handOver      = 5 * time.Second // longest wait for room in another duty's ring
 	linesCapacity = 16              // revisions that may wait
-	linesPeriod   = time.Minute     // time between ticks, which do nothing
+	linesPeriod   = time.Second     // time between checks for idle lines
+	probeCapacity = 256             // requests that may wait to be asked for
+	maxProbes     = 64              // requests in one probe
 	readFailures  = 3               // reads in a row that fail before a side counts as lost
 	readPause     = 100 * time.Millisecond
 )
--- a/entry/usher/refusal.go
+++ b/entry/usher/refusal.go
@@ -10,7 +10,7 @@
 // explain returns the HTTP status of a cause and what the caller can do.
 func explain(code string) (int, string) {
 	switch code {
-	case notice.CodeNoBackend, notice.CodeLeaving, notice.CodeRestarted:
+	case notice.CodeNoBackend, notice.CodeLeaving, notice.CodeRestarted, notice.CodeNotResident:
 		return fasthttp.StatusServiceUnavailable, "no backend server can take the request now; retry after the time in Retry-After"
 	case notice.CodeWithdrawn:
 		return fasthttp.StatusUnauthorized, "the key was withdrawn; ask your operator for a new one"
@@ -18,6 +18,8 @@
 		return fasthttp.StatusServiceUnavailable, "no instance for the request knows the newest configuration; retry after the time in Retry-After"
 	case notice.CodeQueueFull, notice.CodeBusy:
 		return fasthttp.StatusServiceUnavailable, "every backend server for the request has a full queue; retry after the time in Retry-After"
+	case notice.CodeOverloaded:
+		return fasthttp.StatusServiceUnavailable, "the request would wait beyond its deadline; retry after the time in Retry-After"
 	case notice.CodeExpired:
 		return fasthttp.StatusGatewayTimeout, "the request's time was over before its answer was whole; retry when the load is lower or ask for less output"
 	case notice.CodeTooLarge:
--- a/side/foyer/core_test.go
+++ b/side/foyer/core_test.go
@@ -28,6 +28,7 @@
 	runs    []string
 	stops   []string
 	drained bool
+	reads   uint64
 }
 
 func newBench(change func(config *CoreConfig)) *bench {
@@ -46,9 +47,11 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case AnswerBatch:
-			_ = a.reply.Put(a.receipts)
+			a.Send()
 		case AnswerRead:
-			_ = a.reply.Put(a.pages)
+			a.Send()
+		case AnswerProbe:
+			a.Send()
 		case Run:
 			b.runs = append(b.runs, a.submit.Attempt())
 		case Stop:
@@ -74,14 +77,20 @@
 func (b *bench) read(t *testing.T, config notice.ReadConfig) notice.Pages {
 	t.Helper()
 	reply := &sink{}
-	config.Entry = "e1"
-	b.handle(NewReadArrived(notice.NewRead(config), reply))
+	b.handle(NewReadArrived(b.numbered(config), reply))
 	if len(reply.items) == 0 {
 		t.Fatal("the read was not answered")
 	}
 	return reply.items[0].(notice.Pages)
 }
 
+// numbered returns an entry's next read.
+func (b *bench) numbered(config notice.ReadConfig) notice.Read {
+	b.reads++
+	config.Entry, config.Number = "e1", b.reads
+	return notice.NewRead(config)
+}
+
 func attemptOf(id string) notice.Submit {
 	return notice.NewSubmit(notice.SubmitConfig{Attempt: id, Idempotent: true, Remaining: time.Minute})
 }
@@ -101,14 +110,18 @@
 		codes  []string
 		runs   []string
 	}{
-		"runs at once":       {batch: batch(attemptOf("a")), codes: []string{""}, runs: []string{"a"}},
-		"waits":              {batch: batch(attemptOf("a"), attemptOf("b")), codes: []string{"", ""}, runs: []string{"a"}},
-		"queue is full":      {batch: batch(attemptOf("a"), attemptOf("b"), attemptOf("c"), attemptOf("d")), codes: []string{"", "", "", notice.CodeQueueFull}, runs: []string{"a"}},
-		"a copy runs once":   {batch: batch(attemptOf("a"), attemptOf("a")), codes: []string{"", ""}, runs: []string{"a"}},
-		"leaving":            {before: func(b *bench) { b.handle(Drain{}) }, batch: batch(attemptOf("a")), codes: []string{notice.CodeLeaving}},
-		"other incarnation":  {batch: notice.BatchConfig{Entry: "e1", Side: "i0", Submits: []notice.Submit{attemptOf("a")}}, codes: []string{notice.CodeRestarted}},
-		"cancelled earlier":  {before: func(b *bench) { b.submit(notice.BatchConfig{Entry: "e1", Cancels: []string{"a"}}) }, batch: batch(attemptOf("a")), codes: []string{""}},
-		"this incarnation":   {batch: notice.BatchConfig{Entry: "e1", Side: "i1", Submits: []notice.Submit{attemptOf("a")}}, codes: []string{""}, runs: []string{"a"}},
+		"runs at once":      {batch: batch(attemptOf("a")), codes: []string{""}, runs: []string{"a"}},
+		"waits":             {batch: batch(attemptOf("a"), attemptOf("b")), codes: []string{"", ""}, runs: []string{"a"}},
+		"queue is full":     {batch: batch(attemptOf("a"), attemptOf("b"), attemptOf("c"), attemptOf("d")), codes: []string{"", "", "", notice.CodeQueueFull}, runs: []string{"a"}},
+		"a copy runs once":  {batch: batch(attemptOf("a"), attemptOf("a")), codes: []string{"", ""}, runs: []string{"a"}},
+		"leaving":           {before: func(b *bench) { b.handle(Drain{}) }, batch: batch(attemptOf("a")), codes: []string{notice.CodeLeaving}},
+		"other incarnation": {batch: notice.BatchConfig{Entry: "e1", Side: "i0", Submits: []notice.Submit{attemptOf("a")}}, codes: []string{notice.CodeRestarted}},
+		"cancelled earlier": {before: func(b *bench) { b.submit(notice.BatchConfig{Entry: "e1", Cancels: []string{"a"}}) }, batch: batch(attemptOf("a")), codes: []string{""}},
+		"this incarnation":  {batch: notice.BatchConfig{Entry: "e1", Side: "i1", Submits: []notice.Submit{attemptOf("a")}}, codes: []string{""}, runs: []string{"a"}},
+		"copy of a refusal": {before: func(b *bench) {
+			b.submit(batch(attemptOf("a"), attemptOf("b"), attemptOf("c"), attemptOf("d")))
+			b.handle(NewEnded("a", "", true))
+		}, batch: batch(attemptOf("d")), codes: []string{notice.CodeQueueFull}, runs: []string{"a", "b"}},
 		"copy after its end": {before: finished("a"), batch: batch(attemptOf("a")), codes: []string{""}, runs: []string{"a"}},
 	}
 	for name, tc := range cases {
@@ -135,7 +148,7 @@
 		b.handle(NewEnded(id, "", true))
 		reply := &sink{}
 		position := notice.NewPosition(notice.PositionConfig{Attempt: id, Ended: true})
-		b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Positions: []notice.Position{position}}), reply))
+		b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Positions: []notice.Position{position}}), reply))
 	}
 }
 
@@ -222,7 +235,7 @@
 	}
 	b.read(t, notice.ReadConfig{Wait: time.Second})
 	position := notice.NewPosition(notice.PositionConfig{Attempt: "a", Ended: true})
-	b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Positions: []notice.Position{position}}), &sink{}))
+	b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Positions: []notice.Position{position}}), &sink{}))
 	if !b.drained {
 		t.Error("not drained after the entry had the answer")
 	}
@@ -243,7 +256,8 @@
 
 func TestQueuedAttemptExpiresWithoutRunning(t *testing.T) {
 	b := newBench(nil)
-	b.submit(batch(attemptOf("a"), notice.NewSubmit(notice.SubmitConfig{Attempt: "b", Remaining: time.Second})))
+	b.submit(batch(attemptOf("a")))
+	b.submit(batch(notice.NewSubmit(notice.SubmitConfig{Attempt: "b", Remaining: time.Second})))
 	b.now = b.now.Add(2 * time.Second)
 	b.carryOut(b.core.Tick(b.now))
 	pages := b.read(t, notice.ReadConfig{Wait: time.Second}).Pages()
@@ -258,11 +272,45 @@
 	}
 }
 
+func TestReadOfAnEarlierConnectionTakesNothing(t *testing.T) {
+	cases := map[string]func(b *bench, dead *sink){
+		"replaced by a later one": func(b *bench, dead *sink) {
+			b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), dead))
+		},
+		"comes after a later one": func(b *bench, dead *sink) {
+			b.reads += 2
+			late := notice.NewRead(notice.ReadConfig{Entry: "e1", Number: b.reads - 1, Wait: time.Second})
+			b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), &sink{}))
+			b.handle(NewReadArrived(late, dead))
+		},
+	}
+	for name, earlier := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(nil)
+			b.submit(batch(attemptOf("a")))
+			b.handle(NewPiece("a", []byte("lost")))
+			b.read(t, notice.ReadConfig{Wait: time.Second})
+			dead := &sink{}
+			earlier(b, dead)
+			pages := b.read(t, notice.ReadConfig{Wait: time.Second, Resume: true}).Pages()
+			if len(pages) != 1 {
+				t.Fatalf("%d pages, want 1", len(pages))
+			}
+			if diff := cmp.Diff("lost", string(pages[0].Data())); diff != "" {
+				t.Errorf("data (-want +got):\n%s", diff)
+			}
+			if len(dead.items) != 1 || dead.items[0] != error(ErrSuperseded) {
+				t.Errorf("the earlier read was answered with %v", dead.items)
+			}
+		})
+	}
+}
+
 func TestReadWaitsForItsLinger(t *testing.T) {
 	b := newBench(func(config *CoreConfig) { config.Linger = 2 * time.Millisecond })
 	b.submit(batch(attemptOf("a")))
 	reply := &sink{}
-	b.handle(NewReadArrived(notice.NewRead(notice.ReadConfig{Entry: "e1", Wait: time.Second}), reply))
+	b.handle(NewReadArrived(b.numbered(notice.ReadConfig{Wait: time.Second}), reply))
 	b.handle(NewPiece("a", []byte("1")))
 	if diff := cmp.Diff(b.now.Add(2*time.Millisecond), b.core.Alarm()); diff != "" {
 		t.Errorf("alarm (-want +got):\n%s", diff)
