Close sides to new work by the platform's list and what their links show

Cause: the list of instances was not read; a side that fell silent was tried again every two seconds, and one that had announced its end again by each entry. Ruled out: heartbeats from every entry to every side (a full mesh at 600 workers); opening a side as soon as another incarnation answers while the list still shows it as leaving (a restarted process of a leaving instance would get work; staying closed costs capacity for the list's lag only). Change: entry/roster, a pure core and its duty, between the lines and the usher. Only sides that are closed are probed, with growing pauses; a list that is older than 30 s is not believed. The usher takes Closed and keeps it over a restart. Conclusion: setting platform.list is new, optional, of entries.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -19,6 +19,7 @@
 }
 
 var entryOptions = []SettingConfig{
+	{Section: "platform", Key: "list", Kind: Address, Doc: "address of the platform's list of live and leaving instances; empty for none"},
 	{Section: "gate", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
 	{Section: "gate", Key: "max-header", Kind: Bytes, Default: "16KiB", Low: "1KiB", High: "16KiB", Doc: "largest request header"},
 	{Section: "gate", Key: "max-body", Kind: Bytes, Default: "4MiB", Low: "1KiB", High: "64MiB", Doc: "largest request body"},
--- a/entry/house.go
+++ b/entry/house.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/roster"
 	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
@@ -39,6 +41,7 @@
 //	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
+//	├── roster    (membership of the sides)
 //	├── lines     (sides: one sender and one reader each)
 //	├── door      (calls of other processes)
 //	├── nightwatch (freshness proof)
@@ -51,6 +54,7 @@
 	treasurer *treasurer.Treasurer
 	booking   *booking.Booking
 	usher     *usher.Usher
+	roster    *roster.Roster
 	drained   chan struct{}
 	draining  atomic.Int32 // duties whose drain has not ended
 }
@@ -75,8 +79,9 @@
 		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
 		Log:      log,
 	})
+	incarnation := uuid.NewString()
 	lines := line.New(line.Config{
-		Incarnation: uuid.NewString(),
+		Incarnation: incarnation,
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
@@ -112,7 +117,14 @@
 		Gate:     h.booking,
 		Log:      log,
 	})
-	lines.Attach(h.usher)
+	h.roster = roster.New(roster.Config{
+		Incarnation: incarnation,
+		List:        settings.Address("platform", "list"),
+		Usher:       h.usher,
+		Identity:    identity,
+		Log:         log,
+	})
+	lines.Attach(h.roster)
 	h.booking.Attach(h.usher)
 	h.treasurer.Attach(h.booking)
 	h.gate.Attach(h.treasurer)
@@ -121,9 +133,9 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.treasurer.Inbox(), h.treasurer.Appends(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.treasurer.Inbox(), h.treasurer.Appends(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox()},
 	}))
-	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
+	for _, service := range slices.Concat(h.booking.Services(), h.treasurer.Services(), h.roster.Services()) {
 		h.crew.Add(service)
 	}
 	h.crew.Add(h.usher.Duty())
@@ -135,7 +147,7 @@
 		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
--- /dev/null
+++ b/entry/roster/core_test.go
@@ -0,0 +1,274 @@
+package roster
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/register"
+)
+
+const (
+	step     = 10 * time.Millisecond
+	silence  = 2 * time.Second // until a request to a side that is silent fails
+	linkTime = step
+	faultAt  = 10 * time.Second
+	settled  = 3 * time.Second // beyond the list's lag, after which the invariant must hold
+)
+
+// TestMain fixes what rapid draws, so that the verdict is always the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// process is one side as it is.
+type process struct {
+	incarnation int
+	up          bool
+	silent      bool // down without closing its connections
+	leaving     bool // announced by the process
+	taken       []time.Duration
+	sent        []time.Duration
+}
+
+// delayed is a message on its way to the core.
+type delayed struct {
+	due     time.Duration
+	message Message
+}
+
+// fleet drives a core against sides that fail, in virtual time.
+type fleet struct {
+	core    *Core
+	random  *rand.Rand
+	sides   map[string]*process
+	names   []string
+	truth   map[string]State // of the platform, now
+	history map[time.Duration]map[string]State
+	lag     time.Duration
+	closed  []string
+	transit []delayed
+	faults  map[time.Duration]func(f *fleet)
+	now     time.Duration
+}
+
+func newFleet(t testing.TB, seed uint64, lag time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{
+		core: NewCore(), random: rand.New(rand.NewPCG(seed, 1)), sides: make(map[string]*process),
+		truth: make(map[string]State), history: make(map[time.Duration]map[string]State),
+		lag: lag, faults: make(map[time.Duration]func(f *fleet)),
+	}
+	var text strings.Builder
+	for i := range 3 {
+		name := fmt.Sprintf("side-%d", i)
+		fmt.Fprintf(&text, "[instance %s]\nrole = side\nlink = 127.0.0.1:%d\ndomain = a\nbackend = b%d\n[backend b%d]\nkind = engine\nmemory = 1GiB\nslots = 4\n", name, i+1, i, i)
+		f.names, f.sides[name], f.truth[name] = append(f.names, name), &process{up: true}, Live
+	}
+	inventory, err := register.Parse("inv.ini", []byte(text.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.do(f.core.Handle(f.clock(), NewRevised(inventory)))
+	return f
+}
+
+func (f *fleet) clock() time.Time { return time.Unix(1_000_000, 0).Add(f.now) }
+
+// run lets virtual time pass: the list is read each second and a request is
+// sent to a random side that is not closed at every step.
+func (f *fleet) run(until time.Duration) {
+	for ; f.now < until; f.now += step {
+		if fault, ok := f.faults[f.now]; ok {
+			fault(f)
+		}
+		f.history[f.now] = cloneStates(f.truth)
+		if shown, ok := f.history[f.now-f.lag]; ok && f.now%listPeriod == 0 {
+			f.do(f.core.Handle(f.clock(), NewListed(shown)))
+		}
+		f.receive()
+		f.do(f.core.Tick(f.clock()))
+		if open := f.open(); len(open) > 0 {
+			f.send(open[f.random.IntN(len(open))])
+		}
+	}
+}
+
+func cloneStates(states map[string]State) map[string]State {
+	clone := make(map[string]State, len(states))
+	for name, state := range states {
+		clone[name] = state
+	}
+	return clone
+}
+
+func (f *fleet) receive() {
+	transit := f.transit
+	f.transit = nil
+	for _, d := range transit {
+		if d.due > f.now {
+			f.transit = append(f.transit, d)
+			continue
+		}
+		f.do(f.core.Handle(f.clock(), d.message))
+	}
+}
+
+func (f *fleet) open() []string {
+	return slices.DeleteFunc(slices.Clone(f.names), func(name string) bool { return slices.Contains(f.closed, name) })
+}
+
+func (f *fleet) do(actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Close:
+			f.closed = a.sides
+		case Probe:
+			f.ask(a.side)
+		}
+	}
+}
+
+// send gives a side a request, which it takes unless it is leaving or down.
+func (f *fleet) send(name string) {
+	p := f.sides[name]
+	p.sent = append(p.sent, f.now)
+	if p.up && !p.leaving {
+		p.taken = append(p.taken, f.now)
+	}
+	f.ask(name)
+}
+
+// ask sends a side anything; its answer, or the lack of one, comes later.
+func (f *fleet) ask(name string) {
+	p := f.sides[name]
+	switch {
+	case p.up:
+		f.transit = append(f.transit, delayed{f.now + linkTime, NewAnswered(name, fmt.Sprint(p.incarnation), p.leaving)})
+	case p.silent:
+		f.transit = append(f.transit, delayed{f.now + silence, NewSilent(name)})
+	default:
+		f.transit = append(f.transit, delayed{f.now + linkTime, NewSilent(name)})
+	}
+}
+
+func (p *process) restart() {
+	*p = process{incarnation: p.incarnation + 1, up: true, taken: p.taken, sent: p.sent}
+}
+
+// within counts the times from one time to another.
+func within(times []time.Duration, from, to time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at >= from && at < to {
+			count++
+		}
+	}
+	return count
+}
+
+func TestLeavingSideGetsNoNewWork(t *testing.T) {
+	const victim, end = "side-1", 40 * time.Second
+	cases := map[string]struct {
+		faults map[time.Duration]func(f *fleet, p *process)
+		from   func(lag time.Duration) time.Duration // when the invariant begins to hold
+		to     func(lag time.Duration) time.Duration
+		opens  bool // the side gets work again in the end
+	}{
+		"the list shows it as leaving, late": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt: func(f *fleet, _ *process) { f.truth[victim] = Leaving },
+			},
+			from: func(lag time.Duration) time.Duration { return faultAt + lag + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+		"the process says so, the list never does": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt: func(_ *fleet, p *process) { p.leaving = true },
+			},
+			from: func(time.Duration) time.Duration { return faultAt + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+		"it dies without a word": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt: func(_ *fleet, p *process) { p.up = false },
+			},
+			from: func(time.Duration) time.Duration { return faultAt + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+		"it falls silent with its connections open": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt: func(_ *fleet, p *process) { p.up, p.silent = false, true },
+			},
+			from: func(time.Duration) time.Duration { return faultAt + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+		"it says so, ends, and is replaced at the same address": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt:                 func(_ *fleet, p *process) { p.leaving = true },
+				faultAt + 5*time.Second: func(f *fleet, p *process) { p.up = false; f.truth[victim] = Leaving },
+				faultAt + 8*time.Second: func(f *fleet, p *process) { p.restart(); f.truth[victim] = Live },
+			},
+			from:  func(time.Duration) time.Duration { return faultAt + settled },
+			to:    func(time.Duration) time.Duration { return faultAt + 8*time.Second },
+			opens: true,
+		},
+		"it dies, and comes back while the list shows it as leaving": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt:                 func(f *fleet, p *process) { p.up = false; f.truth[victim] = Leaving },
+				faultAt + 3*time.Second: func(_ *fleet, p *process) { p.restart() },
+			},
+			from: func(lag time.Duration) time.Duration { return faultAt + lag + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+		"it is gone from the list, but still answers": {
+			faults: map[time.Duration]func(f *fleet, p *process){
+				faultAt: func(f *fleet, _ *process) { delete(f.truth, victim) },
+			},
+			from: func(lag time.Duration) time.Duration { return faultAt + lag + settled },
+			to:   func(time.Duration) time.Duration { return end },
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) {
+				lag := time.Duration(rapid.IntRange(0, 10).Draw(rt, "lag")) * time.Second
+				f := newFleet(t, rapid.Uint64().Draw(rt, "seed"), lag)
+				p := f.sides[victim]
+				for at, fault := range tc.faults {
+					f.faults[at] = func(f *fleet) { fault(f, p) }
+				}
+				f.run(end)
+				if got := within(p.sent, tc.from(lag), tc.to(lag)); got != 0 {
+					rt.Errorf("%d requests were sent to the side after it should have had none", got)
+				}
+				if diff := cmp.Diff(tc.opens, !slices.Contains(f.closed, victim)); diff != "" {
+					rt.Errorf("gets work in the end (-want +got):\n%s", diff)
+				}
+				if others := f.open(); !slices.Contains(others, "side-0") || !slices.Contains(others, "side-2") {
+					rt.Errorf("a side that did not fail is closed; open are %v", others)
+				}
+			})
+		})
+	}
+}
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -27,6 +27,7 @@
 	config    CoreConfig
 	inventory *register.Inventory
 	sides     map[string]*side
+	closed    Closed
 	requests  map[string]*request
 	attempts  map[string]*request // by the id of the current attempt
 }
@@ -85,6 +86,8 @@
 		return c.read(now, m)
 	case Lost:
 		return c.lost(now, m)
+	case Closed:
+		c.closed = m
 	case Revised:
 		c.revise(m.inventory)
 	}
@@ -160,7 +163,7 @@
 	var bestLoad float64
 	for _, name := range slices.Sorted(maps.Keys(c.sides)) {
 		s := c.sides[name]
-		if !s.serves(r.ask) || s.leaving || slices.Contains(r.tried, name) || now.Sub(s.failedAt) < failurePause {
+		if !s.serves(r.ask) || s.leaving || c.closed.has(name) || slices.Contains(r.tried, name) || now.Sub(s.failedAt) < failurePause {
 			continue
 		}
 		load := s.load(c.config.Domain) + c.config.Random.Float64()*tieBreak
--- a/entry/usher/usher.go
+++ b/entry/usher/usher.go
@@ -42,6 +42,7 @@
 	inbox     *ring.Ring
 	core      *Core
 	inventory Revised
+	closed    Closed
 	open      atomic.Int64
 }
 
@@ -76,6 +77,7 @@
 	if u.inventory.inventory != nil {
 		u.core.Handle(now, u.inventory)
 	}
+	u.core.Handle(now, u.closed)
 	return nil
 }
 
@@ -85,6 +87,9 @@
 		u.inventory = NewRevised(m.Revision().Inventory())
 		message = u.inventory
 	}
+	if m, ok := message.(Closed); ok {
+		u.closed = m
+	}
 	if m, ok := message.(Message); ok {
 		return u.carryOut(now, u.core.Handle(now, m))
 	}
