Prove rates and membership by separate processes

Cause: both were tested by their cores only. Change: two entries and one tenant with a small burst: 80 calls at once, kill -9 of either entry, with and without a restart, 80 calls again; tokens run at the engine against rate and burst. Unused tokens come back: six calls that each reserve a third of the burst. A side that the list shows as leaving gets nothing, also after kill -9 and restart, until the list shows it live. Conclusion: the wiring holds; the bounds come from the cores' tests.

--- /dev/null
+++ b/standin/proof/rates_test.go
@@ -0,0 +1,240 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/badge"
+)
+
+const (
+	frugalKey   = "proof-frugal-key"
+	frugalRate  = 1
+	frugalBurst = 2000
+	frugalCalls = 40 // at each entry at once, more than the burst allows
+)
+
+// addFrugal describes a tenant with a small burst.
+func (f *fleet) addFrugal() {
+	fmt.Fprintf(&f.inventory, "[tenant frugal]\nrate = %d\nburst = %d\n[key frugal]\ntenant = frugal\nsha256 = %s\n", frugalRate, frugalBurst, badge.Hash(frugalKey))
+}
+
+// callAll makes as many calls at each of the entries at once and returns the
+// answers.
+func (f *fleet) callAll(calls int, call callConfig, entries ...int) []answer {
+	answers := make([]answer, calls*len(entries))
+	var group sync.WaitGroup
+	for i := range answers {
+		group.Go(func() { answers[i] = f.call(entries[i%len(entries)], call) })
+	}
+	group.Wait()
+	return answers
+}
+
+func TestBurstHoldsOverAllEntriesWhenOneIsKilled(t *testing.T) {
+	const tokens = 20
+	cases := map[string]struct {
+		killed  string
+		restart bool
+	}{
+		"one entry":                {killed: "entry-1"},
+		"the other":                {killed: "entry-2"},
+		"one, and it comes back":   {killed: "entry-1", restart: true},
+		"other, and it comes back": {killed: "entry-2", restart: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.addFrugal()
+			f.addEngine("engine-1", 2*frugalCalls, fastStep)
+			f.addEntry("entry-1", "")
+			f.addEntry("entry-2", "")
+			begun := time.Now()
+			f.apply()
+			call := chat(frugalKey, tokens)
+			charge := len(call.body)/4 + tokens
+			f.callAll(frugalCalls, call, 0, 1)
+			f.processes[tc.killed].signal(t, syscall.SIGKILL)
+			<-f.processes[tc.killed].exited
+			if tc.restart {
+				f.start(tc.killed, "sesamewell-entry", filepath.Join(f.folder, tc.killed+".ini"))
+				f.await(tc.killed, "http://"+f.pages[tc.killed]+"/readyz")
+			}
+			answers := f.callAll(frugalCalls, call, 0, 1)
+			used := f.received("engine-1").Runs * charge
+			limit := frugalBurst + frugalRate*int(time.Since(begun)/time.Second+1)
+			if used > limit {
+				t.Errorf("the tenant ran %d tokens; rate and burst allow %d", used, limit)
+			}
+			if used < frugalBurst/4 {
+				t.Errorf("the tenant ran only %d tokens of %d", used, frugalBurst)
+			}
+			checkRefusals(t, answers)
+		})
+	}
+}
+
+// checkRefusals looks at the answers that are refusals for the tenant's rate,
+// of which there must be one.
+func checkRefusals(t *testing.T, answers []answer) {
+	t.Helper()
+	refused := 0
+	for _, got := range answers {
+		if got.status != http.StatusTooManyRequests {
+			continue
+		}
+		refused++
+		if diff := cmp.Diff(wicket.NotRun, got.header.Get(wicket.OutcomeHeader)); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+		if seconds, err := strconv.Atoi(got.header.Get("Retry-After")); err != nil || seconds < 1 {
+			t.Errorf("Retry-After = %q, want a number of seconds", got.header.Get("Retry-After"))
+		}
+		if !strings.Contains(got.body, `"code":"rate_limit_exceeded"`) {
+			t.Errorf("body %q is not the API's error form", got.body)
+		}
+	}
+	if refused == 0 {
+		t.Error("no request was refused")
+	}
+}
+
+func TestUnusedTokensComeBack(t *testing.T) {
+	f := newFleet(t)
+	f.addFrugal()
+	f.addEngine("engine-1", 16, fastStep)
+	f.addEntry("entry-1", "")
+	f.apply()
+	// Each call reserves more than a third of the burst. The last of them are
+	// admitted only with what the calls before them did not use.
+	call := callConfig{path: "/v1/completions", key: frugalKey, body: `{"model":"trail-writer","n":40,"max_tokens":18,"prompt":"x"}`}
+	for i := range 6 {
+		if got := f.call(0, call); got.status != http.StatusOK {
+			t.Errorf("call %d: status %d: %s", i, got.status, got.body)
+		}
+	}
+}
+
+// listedFleet is a fleet whose entry reads the platform's list.
+type listedFleet struct {
+	*fleet
+	list string
+}
+
+func newListedFleet(t *testing.T, lag time.Duration) *listedFleet {
+	t.Helper()
+	f := &listedFleet{fleet: newFleet(t), list: freeAddress(t)}
+	f.start("list", "sesamewell-standin", "list", "--listen", f.list, "--lag", lag.String())
+	f.addEngine("engine-1", 16, fastStep)
+	f.addEngine("engine-2", 16, fastStep)
+	f.addEntry("entry-1", "")
+	// The entry is started again with the list's address among its settings.
+	f.processes["entry-1"].signal(t, syscall.SIGKILL)
+	<-f.processes["entry-1"].exited
+	path := filepath.Join(f.folder, "entry-1.ini")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := strings.Replace(string(text), "[platform]\n", "[platform]\nlist = "+f.list+"\n", 1)
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.start("entry-1", "sesamewell-entry", path)
+	return f
+}
+
+// show changes the platform's list.
+func (f *listedFleet) show(states map[string]string) {
+	f.t.Helper()
+	type line struct {
+		Name  string `json:"name"`
+		State string `json:"state"`
+	}
+	var lines []line
+	for name, state := range states {
+		lines = append(lines, line{Name: name, State: state})
+	}
+	body, err := json.Marshal(lines)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := http.Post("http://"+f.list+"/", "application/json", strings.NewReader(string(body)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// awaitQuiet calls until the engine gets none of many calls in a row, all of
+// which must succeed.
+func (f *listedFleet) awaitQuiet(engine string) {
+	f.t.Helper()
+	const calls = 20
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		before := f.received(engine).Runs
+		for _, got := range f.callAll(calls, chat(tenantKey, 2), 0) {
+			if err := wholeChat(got, 2); err != nil {
+				f.t.Fatalf("%v\n%s", err, f.processes["entry-1"].log)
+			}
+		}
+		if f.received(engine).Runs == before {
+			return
+		}
+	}
+	f.t.Fatalf("%s still gets new work", engine)
+}
+
+func TestLeavingSideGetsNoNewWork(t *testing.T) {
+	f := newListedFleet(t, 300*time.Millisecond)
+	live := map[string]string{"entry-1": "live", "side-engine-1": "live", "side-engine-2": "live"}
+	f.await("list", "http://"+f.list+"/")
+	f.show(live)
+	f.apply()
+	live["side-engine-2"] = "leaving"
+	f.show(live)
+	f.awaitQuiet("engine-2")
+	// It stays so when the side dies and comes back while it is still listed
+	// as leaving.
+	f.processes["side-engine-2"].signal(t, syscall.SIGKILL)
+	<-f.processes["side-engine-2"].exited
+	f.startSide("side-engine-2")
+	f.await("side-engine-2", "http://"+f.pages["side-engine-2"]+"/readyz")
+	before := f.received("engine-2").Runs
+	for _, got := range f.callAll(20, chat(tenantKey, 2), 0) {
+		if err := wholeChat(got, 2); err != nil {
+			t.Error(err)
+		}
+	}
+	if diff := cmp.Diff(before, f.received("engine-2").Runs); diff != "" {
+		t.Errorf("requests at the leaving backend server (-want +got):\n%s", diff)
+	}
+	live["side-engine-2"] = "live"
+	f.show(live)
+	f.awaitWork("engine-2")
+}
+
+// awaitWork calls until the engine gets new work.
+func (f *listedFleet) awaitWork(engine string) {
+	f.t.Helper()
+	before := f.received(engine).Runs
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		f.callAll(20, chat(tenantKey, 2), 0)
+		if f.received(engine).Runs > before {
+			return
+		}
+	}
+	f.t.Fatalf("%s gets no new work", engine)
+}
