--- a/entry/house.go
+++ b/entry/house.go
@@ -27,6 +27,7 @@
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/pitch"
 	"sesamewell.example/entry/roster"
 	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
@@ -43,6 +44,8 @@
 //	├── usher     (routing)
 //	├── roster    (membership of the sides)
 //	├── lines     (sides: one sender and one reader each)
+//	├── pitch     (placement of models, under a claim)
+//	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
 //	├── nightwatch (freshness proof)
 //	└── registrar (log)
@@ -124,6 +127,8 @@
 		Identity:    identity,
 		Log:         log,
 	})
+	records := newScribe(settings, service, log)
+	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.roster)
 	h.booking.Attach(h.usher)
 	h.treasurer.Attach(h.booking)
@@ -133,11 +138,15 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.treasurer.Inbox(), h.treasurer.Appends(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range slices.Concat(h.booking.Services(), h.treasurer.Services(), h.roster.Services()) {
 		h.crew.Add(service)
 	}
+	for _, service := range planner.Services() {
+		h.crew.Add(service)
+	}
+	h.crew.Add(records)
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
@@ -147,13 +156,14 @@
 		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address: settings.Address("link", "listen"),
 		Services: []porter.Service{
+			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 			{Name: notice.TreasuryService, Receiver: treasurer.NewTreasury(h.treasurer)},
 		},
