Append the treasurer's claims through the scribe

Cause: the treasurer and the planner each had a thread that appends records. Ruled out: keeping both; the treasurer's also proposes again what is lost. Conclusion: one appender for each process.

--- a/entry/house.go
+++ b/entry/house.go
@@ -108,7 +108,8 @@
 	})
 	h.draining.Store(drainingDuties)
 	h.booking = newBooking(settings, h, service, log)
-	h.treasurer = newTreasurer(settings, h, service, identity, log)
+	records := newScribe(settings, service, log)
+	h.treasurer = newTreasurer(settings, h, records, identity, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -127,7 +128,6 @@
 		Identity:    identity,
 		Log:         log,
 	})
-	records := newScribe(settings, service, log)
 	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.roster)
 	h.booking.Attach(h.usher)
@@ -138,7 +138,7 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range slices.Concat(h.booking.Services(), h.treasurer.Services(), h.roster.Services()) {
 		h.crew.Add(service)
@@ -208,7 +208,7 @@
 	})
 }
 
-func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
+func newTreasurer(settings *handbook.Values, h *house, records treasurer.Scribe, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
 	return treasurer.New(treasurer.Config{
 		Core: treasurer.CoreConfig{
 			Instance:  settings.Text("process", "instance"),
@@ -219,7 +219,7 @@
 		},
 		Capacity: settings.Integer("rates", "inbox"),
 		Gate:     h.gate.Inbox(),
-		Service:  service,
+		Scribe:   records,
 		Identity: identity,
 		Drained:  sync.OnceFunc(h.drainEnded),
 		Log:      log,
--- a/entry/treasurer/teller.go
+++ b/entry/treasurer/teller.go
@@ -9,14 +9,12 @@
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
-	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/ring"
 )
 
 // Named limits of the threads beside the core.
 const (
 	tellerCapacity = 16 // calls to one peer that may wait
-	recordCapacity = 64 // claims that may wait for the log
 	answerHandOver = 5 * time.Second
 )
 
@@ -119,48 +117,3 @@
 	err := t.line.Call(notice.LendMethod, lend, &loans, callLimit)
 	return NewLent(t.peer, lend.Serial(), loans, err)
 }
-
-// LogService appends records to the platform's log.
-type LogService interface {
-	Append(record []byte) (int64, error)
-}
-
-// appender is responsible for the thread that appends claims to the log. A
-// claim whose append fails is proposed again by the core.
-type appender struct {
-	service LogService
-	inbox   *ring.Ring
-	log     *logrus.Entry
-}
-
-func newAppender(config Config) *appender {
-	return &appender{
-		service: config.Service,
-		inbox:   ring.New(ring.Config{Name: "claims", Capacity: recordCapacity}),
-		log:     config.Log,
-	}
-}
-
-// String returns the thread's name.
-func (a *appender) String() string { return "appender" }
-
-// Serve appends one record after the other until ctx ends.
-func (a *appender) Serve(ctx context.Context) error {
-	for {
-		item, err := a.inbox.Take(ctx)
-		if err != nil {
-			return err
-		}
-		a.append(item.(register.Record))
-	}
-}
-
-func (a *appender) append(record register.Record) {
-	data, err := record.Encode()
-	if err == nil {
-		_, err = a.service.Append(data)
-	}
-	if err != nil {
-		a.log.WithFields(logrus.Fields{"event": "claim_append", "change": record.Change()}).WithError(err).Warn("claim may not be in the log")
-	}
-}
--- a/entry/treasurer/treasurer.go
+++ b/entry/treasurer/treasurer.go
@@ -29,13 +29,18 @@
 	PutWithin(ctx context.Context, item any, limit time.Duration) error
 }
 
+// Scribe appends claims to the log.
+type Scribe interface {
+	Append(record register.Record) error
+}
+
 // Config holds the construction parameters of a Treasurer.
 type Config struct {
 	Core     CoreConfig // Incarnation is set by the duty
 	Capacity int        // messages in the inbox
 	Usher    Usher
 	Gate     Gate
-	Service  LogService
+	Scribe   Scribe
 	Identity *porter.Identity
 	Drained  func() // called once, when a drain has ended
 	Log      *logrus.Entry
@@ -44,20 +49,18 @@
 // Treasurer is responsible for running the core on its own thread and carrying
 // out its actions.
 type Treasurer struct {
-	config   Config
-	inbox    *ring.Ring
-	peers    *peers
-	appender *appender
-	core     *Core
-	revised  Revised
+	config  Config
+	inbox   *ring.Ring
+	peers   *peers
+	core    *Core
+	revised Revised
 }
 
 // New returns a treasurer.
 func New(config Config) *Treasurer {
 	t := &Treasurer{
-		config:   config,
-		inbox:    ring.New(ring.Config{Name: "treasurer", Capacity: config.Capacity}),
-		appender: newAppender(config),
+		config: config,
+		inbox:  ring.New(ring.Config{Name: "treasurer", Capacity: config.Capacity}),
 	}
 	t.peers = newPeers(config, t)
 	return t
@@ -102,12 +105,9 @@
 // Services returns the threads, to be added to a crew.
 func (t *Treasurer) Services() []crew.Service {
 	duty := crew.NewDuty(crew.DutyConfig{Name: "treasurer", Inbox: t.inbox, Handler: t, Period: tickPeriod})
-	return []crew.Service{duty, t.peers, t.appender}
+	return []crew.Service{duty, t.peers}
 }
 
-// Appends returns the ring of the claims that wait for the log.
-func (t *Treasurer) Appends() *ring.Ring { return t.appender.inbox }
-
 // Start builds the core anew, as a new incarnation, from the last revision.
 // What an earlier core held expires by itself.
 func (t *Treasurer) Start(now time.Time) error {
@@ -186,7 +186,7 @@
 
 // append puts a claim into the log. One that is refused here is proposed again.
 func (t *Treasurer) append(record register.Record) {
-	if err := t.appender.inbox.Put(record); err != nil {
+	if err := t.config.Scribe.Append(record); err != nil {
 		t.config.Log.WithField("event", "claim_refused").WithError(err).Warn("claim not appended")
 	}
 }
