Let only three candidates send an owner heartbeats

Cause: every entry called each of up to eight owners twice a second, so that an owner's traffic grew with the number of entries even when nobody spent anything. Ruled out: no heartbeats (a tenant that is idle when its owner dies would wait for the succession at its next request). Change: the first three candidates for an owner's claim send heartbeats; others call on need. Silence counts from the first call without an answer, so an entry that does not call an owner cannot suspect it. Conclusion: idle traffic at an owner no longer grows with the fleet.

--- a/entry/treasurer/borrow.go
+++ b/entry/treasurer/borrow.go
@@ -50,18 +50,18 @@
 }
 
 // callOwners calls the owners from which something is wanted, to which
-// something is owed, or that were not called for a heartbeat.
+// something is owed, or that this entry watches.
 func (c *Core) callOwners(now time.Time) {
-	owners := make(map[string]struct{})
+	watched := make(map[string]bool) // by owner
 	for _, t := range c.tenures {
 		if holder := t.claim.Holder(); holder != "" {
-			owners[holder] = struct{}{}
+			watched[holder] = watched[holder] || t.rank < watchers
 		}
 	}
-	for _, owner := range slices.Sorted(maps.Keys(owners)) {
+	for _, owner := range slices.Sorted(maps.Keys(watched)) {
 		p := c.peers[holderName(owner)]
-		needs, owed := c.needs(now, owner), c.owes(owner)
-		if len(needs) > 0 || owed || p == nil || now.Sub(p.sentAt) >= heartbeat {
+		beat := watched[owner] && (p == nil || now.Sub(p.sentAt) >= heartbeat)
+		if beat || c.owes(owner) || len(c.needs(now, owner)) > 0 {
 			c.call(now, owner)
 		}
 	}
@@ -109,6 +109,9 @@
 	}
 	c.serial++
 	p.holder, p.busy, p.serial, p.sentAt = owner, true, c.serial, now
+	if _, ok := c.silent[owner]; !ok {
+		c.silent[owner] = now
+	}
 	p.needs, p.sent = c.needs(now, owner), c.takeOwed(now, owner)
 	config := notice.LendConfig{Holder: c.config.Incarnation, Serial: p.serial, Needs: p.needs}
 	for _, role := range slices.Sorted(maps.Keys(p.sent)) {
@@ -177,7 +180,7 @@
 		return
 	}
 	if called == answered {
-		c.heard[called] = now
+		delete(c.silent, called)
 		delete(c.gone, called)
 		return
 	}
--- a/entry/treasurer/constants.go
+++ b/entry/treasurer/constants.go
@@ -12,6 +12,7 @@
 	stockShare    = 4                      // an owner lends at most one part in so many of its level as stock
 	returnGrace   = 500 * time.Millisecond // time beyond its expiry in which the rest of an allowance may come back
 	heartbeat     = 500 * time.Millisecond // longest time between two messages to an owner
+	watchers      = 3                      // candidates that send an owner heartbeats; others call it only when they need it
 	suspectAfter  = 1500 * time.Millisecond
 	stagger       = 500 * time.Millisecond // time between the candidates for a silent owner's claim
 	proposePause  = time.Second            // time after which a claim without effect is appended again
--- a/entry/treasurer/core.go
+++ b/entry/treasurer/core.go
@@ -54,7 +54,7 @@
 
 	purses  map[string]*purse     // by tenant
 	peers   map[string]*peer      // owners that this entry calls, by instance
-	heard   map[string]time.Time  // last answer, by incarnation
+	silent  map[string]time.Time  // first call without an answer since the last one, by incarnation
 	gone    map[string]time.Time  // first sign that another incarnation has its place
 	owed    map[string][]giveBack // ended allowances to report, by role
 	serial  int64
@@ -74,7 +74,7 @@
 		terms:     make(map[string]*terms),
 		purses:    make(map[string]*purse),
 		peers:     make(map[string]*peer),
-		heard:     make(map[string]time.Time),
+		silent:    make(map[string]time.Time),
 		gone:      make(map[string]time.Time),
 		owed:      make(map[string][]giveBack),
 		ledgers:   make(map[string]*ledger),
--- a/entry/treasurer/own.go
+++ b/entry/treasurer/own.go
@@ -88,6 +88,7 @@
 			t.barredUntil = now.Add(lossPause)
 		}
 	}
+	c.rankRoles()
 	c.claim(now)
 	for tenant, p := range c.purses {
 		if len(p.parked) > 0 {
@@ -96,6 +97,27 @@
 	}
 }
 
+// rankRoles finds this entry's place among those that would succeed the holder
+// of each role, and forgets what it knows of earlier holders.
+func (c *Core) rankRoles() {
+	holders := make(map[string]struct{})
+	for _, t := range c.tenures {
+		holder := t.claim.Holder()
+		holders[holder] = struct{}{}
+		order := candidates(c.revision.Inventory(), t.role)
+		if name := holderName(holder); name != c.config.Instance {
+			order = slices.DeleteFunc(order, func(candidate string) bool { return candidate == name })
+		}
+		t.rank = slices.Index(order, c.config.Instance)
+	}
+	past := func(holder string, _ time.Time) bool {
+		_, ok := holders[holder]
+		return !ok
+	}
+	maps.DeleteFunc(c.silent, past)
+	maps.DeleteFunc(c.gone, past)
+}
+
 // reviseTerms divides the tenants' limits anew.
 func (c *Core) reviseTerms(now time.Time, first bool) {
 	inventory := c.revision.Inventory()
@@ -239,15 +261,8 @@
 	}
 	holder := t.claim.Holder()
 	name := holderName(holder)
-	order := candidates(c.revision.Inventory(), t.role)
-	if holder != "" {
-		order = slices.DeleteFunc(order, func(candidate string) bool { return candidate == name && name != c.config.Instance })
-	}
-	wait := time.Duration(slices.Index(order, c.config.Instance)) * stagger
-	heard := c.heard[holder]
-	if heard.Before(t.seenAt) {
-		heard = t.seenAt
-	}
+	wait := time.Duration(t.rank) * stagger
+	silent, unheard := c.silent[holder]
 	gone, replaced := c.gone[holder]
 	switch {
 	case holder == "":
@@ -257,7 +272,7 @@
 	case replaced:
 		return now.Sub(gone) >= wait
 	default:
-		return now.Sub(heard) >= suspectAfter+wait
+		return unheard && now.Sub(silent) >= suspectAfter+wait
 	}
 }
 
--- a/entry/treasurer/tenure.go
+++ b/entry/treasurer/tenure.go
@@ -19,6 +19,7 @@
 	claim      register.Claim
 	mine       bool
 	seenAt     time.Time
+	rank       int   // of this entry among the candidates for succession
 	proposed   bool  // this incarnation has appended a claim
 	superseded int64 // epoch that the appended claim supersedes
 	proposedAt time.Time
