--- a/entry/house.go
+++ b/entry/house.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/pitch"
+	"sesamewell.example/entry/roster"
 	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
@@ -40,6 +42,7 @@
 //	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
+//	├── roster    (membership of the sides)
 //	├── lines     (sides in use: a sender, a reader and a prober each)
 //	├── pitch     (placement of models, under a claim)
 //	├── scribe    (appends to the log)
@@ -54,6 +57,7 @@
 	treasurer *treasurer.Treasurer
 	booking   *booking.Booking
 	usher     *usher.Usher
+	roster    *roster.Roster
 	drained   chan struct{}
 	draining  atomic.Int32 // duties whose drain has not ended
 }
@@ -78,8 +82,9 @@
 		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
 		Log:      log,
 	})
+	incarnation := uuid.NewString()
 	lines := line.New(line.Config{
-		Incarnation: uuid.NewString(),
+		Incarnation: incarnation,
 		Capacity:    settings.Integer("line", "inbox"),
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
@@ -104,7 +109,8 @@
 	})
 	h.draining.Store(drainingDuties)
 	h.booking = newBooking(settings, h, service, log)
-	h.treasurer = newTreasurer(settings, h, service, identity, log)
+	records := newScribe(settings, service, log)
+	h.treasurer = newTreasurer(settings, h, records, identity, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -118,9 +124,15 @@
 		Gate:     h.booking,
 		Log:      log,
 	})
-	records := newScribe(settings, service, log)
+	h.roster = roster.New(roster.Config{
+		Incarnation: incarnation,
+		List:        settings.Address("platform", "list"),
+		Usher:       h.usher,
+		Identity:    identity,
+		Log:         log,
+	})
 	planner := newPitch(settings, identity, records, log)
-	lines.Attach(h.usher)
+	lines.Attach(h.roster)
 	h.booking.Attach(h.usher)
 	h.treasurer.Attach(h.booking)
 	h.gate.Attach(h.treasurer)
@@ -129,9 +141,9 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
-	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
+	for _, service := range slices.Concat(h.booking.Services(), h.treasurer.Services(), h.roster.Services()) {
 		h.crew.Add(service)
 	}
 	for _, service := range planner.Services() {
@@ -147,7 +159,7 @@
 		Service:     service,
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 	})
 	h.crew.Add(h.registrar)
@@ -199,7 +211,7 @@
 	})
 }
 
-func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
+func newTreasurer(settings *handbook.Values, h *house, records treasurer.Scribe, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
 	return treasurer.New(treasurer.Config{
 		Core: treasurer.CoreConfig{
 			Instance:  settings.Text("process", "instance"),
@@ -210,7 +222,7 @@
 		},
 		Capacity: settings.Integer("rates", "inbox"),
 		Gate:     h.gate.Inbox(),
-		Service:  service,
+		Scribe:   records,
 		Identity: identity,
 		Drained:  sync.OnceFunc(h.drainEnded),
 		Log:      log,
