--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -14,6 +14,7 @@
 const (
 	Replace Kind = "replace" // replaces the whole inventory
 	Take    Kind = "claim"   // takes a role, such as the planner's, for an instance
+	Assign  Kind = "plan"    // changes which backend server holds which model
 
 	// The bodies of these belong to the duties that follow them; the register
 	// only passes them on.
@@ -84,8 +85,10 @@
 type Revision struct {
 	number    int64
 	offset    int64 // of the next record to read
+	state     int64 // offset after the last record that changed anything
 	inventory *Inventory
 	claims    map[string]Claim // by role
+	plan      *Plan            // nil until the first
 }
 
 // Claim is the right of one incarnation to act in a role. It stands until a
@@ -115,6 +118,10 @@
 // Offset returns the offset of the first record that is not folded in.
 func (r *Revision) Offset() int64 { return r.offset }
 
+// State returns the offset after the last record that changed the inventory or
+// a claim. It names what the revision says.
+func (r *Revision) State() int64 { return r.state }
+
 // Inventory returns the configuration.
 func (r *Revision) Inventory() *Inventory { return r.inventory }
 
@@ -130,7 +137,7 @@
 	if offset < r.offset {
 		return r, nil
 	}
-	skipped := &Revision{number: r.number, offset: offset + 1, inventory: r.inventory, claims: r.claims}
+	skipped := &Revision{number: r.number, offset: offset + 1, state: r.state, inventory: r.inventory, claims: r.claims, plan: r.plan}
 	record, err := DecodeRecord(data)
 	if err != nil {
 		return skipped, errors.Mark(err, ErrBadRecord)
@@ -140,6 +147,8 @@
 		return skipped.replace(record)
 	case record.config.Kind == Take:
 		return skipped.take(offset, record)
+	case record.config.Kind == Assign:
+		return skipped.assign(offset, record)
 	case record.PassedOn():
 		return skipped, nil
 	default:
@@ -157,7 +166,7 @@
 		return r, errors.Mark(err, ErrBadRecord)
 	}
 	next := *r
-	next.number, next.inventory = r.number+1, inventory
+	next.number, next.state, next.inventory = r.number+1, r.offset, inventory
 	return &next, nil
 }
 
@@ -172,6 +181,7 @@
 		return r, errors.Wrapf(ErrStaleBase, "claim of %s by %s", record.config.Claim, record.config.Holder)
 	}
 	next := *r
+	next.state = r.offset
 	next.claims = maps.Clone(r.claims)
 	if next.claims == nil {
 		next.claims = make(map[string]Claim)
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -54,8 +54,10 @@
 		r.readKey(name)
 	case "route":
 		r.readRoute(name)
+	case "store":
+		r.readStore(name)
 	default:
-		r.fault("", "section kind %q is unknown; use instance, backend, model, adapter, tenant, key or route", kind)
+		r.fault("", "section kind %q is unknown; use instance, backend, model, adapter, tenant, key, route or store", kind)
 		return
 	}
 	r.reportUnknownKeys()
@@ -98,6 +100,7 @@
 		r.fault("sha256", "keys %s and %s have the same sha256; give each its own key", other.name, name)
 	}
 	r.inventory.keys[key.hash] = key
+	r.inventory.grants[key.Grant()] = key
 }
 
 func (r *reader) readRoute(name string) {
--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -19,20 +19,29 @@
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
 	"sesamewell.example/entry/badge"
+	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
 
 // Named limits of the gate.
 const (
 	tickPeriod   = 100 * time.Millisecond // time between checks of lost requests
+	barredLife   = time.Second            // time for which the answer is awaited whether a request with a withdrawn key was run
 	lostAfter    = 5 * time.Second        // time beyond its deadline after which a request counts as lost
 	requestIDKey = "X-Request-Id"
 	traceKey     = "traceparent"
 )
 
-// Usher routes the requests that pass the gate.
+// Usher routes the requests that pass the gate, within their tenants' rates.
 type Usher interface {
 	Put(message usher.Message) error
+	// Refund returns tokens that an admitted request did not use.
+	Refund(tenant string, tokens int64)
+}
+
+// Watch decides whether the entry may act on a state of the register.
+type Watch interface {
+	Fresh(now time.Time, state int64) bool
 }
 
 // Config holds the construction parameters of a Gate.
@@ -42,6 +51,7 @@
 	MaxAnswer     int64         // bytes of an answer that is not streamed
 	DefaultOutput int64         // output tokens of a request without a maximum
 	Usher         Usher
+	Watch         Watch
 	Trail         *trail.Trail
 	Log           *logrus.Entry
 	Drained       func() // called once, when a drain has ended
@@ -59,6 +69,7 @@
 	calls     map[string]*open
 	ids       map[*wicket.Call]string
 	revision  atomic.Int64
+	state     atomic.Int64 // of the revision
 	draining  atomic.Bool
 	open      atomic.Int64
 }
@@ -70,9 +81,11 @@
 	pass    badge.Pass
 	span    *trail.Span
 	expires time.Time
+	barred  time.Time // when the key was withdrawn; zero while it stands
 	stream  bool
 	begun   bool
 	body    []byte
+	charge  charge
 }
 
 // New returns a gate.
@@ -125,6 +138,8 @@
 		g.deliver(now, m)
 	case usher.Refuse:
 		g.refuse(now, m)
+	case treasurer.Refuse:
+		g.refuseRate(now, m)
 	case registrar.Revised:
 		g.revise(now, m.Revision())
 	case Drain:
@@ -136,9 +151,14 @@
 
 // Tick ends the calls whose requests the usher has lost.
 func (g *Gate) Tick(now time.Time) error {
+	g.checkFreshness(now)
 	for _, o := range g.calls {
-		if now.Sub(o.expires) > lostAfter {
+		switch {
+		case now.Sub(o.expires) > lostAfter:
 			g.fail(now, o, errLost, 0)
+		case !o.barred.IsZero() && now.Sub(o.barred) > barredLife:
+			g.leave(o)
+			g.fail(now, o, errWithdrawn, 0)
 		}
 	}
 	g.settle()
@@ -156,12 +176,12 @@
 func (g *Gate) receive(now time.Time, call *wicket.Call) {
 	request := call.Request()
 	path := string(request.URI().Path())
-	if g.answerHealth(call, path) {
+	if g.answerHealth(now, call, path) {
 		return
 	}
 	o := &open{id: uuid.NewString(), call: call}
 	o.span = g.config.Trail.Start(call.Arrived(), string(request.Header.Peek(traceKey)), "entry")
-	o.span.Note("request", o.id)
+	o.span.Note(trail.RequestNote, o.id)
 	o.span.Note("path", path)
 	ask, err := g.admit(now, o, path)
 	if err != nil {
@@ -184,8 +204,8 @@
 	if g.draining.Load() {
 		return usher.Ask{}, errDraining
 	}
-	if g.revision.Load() == 0 {
-		return usher.Ask{}, errNoRevision
+	if err := g.current(now); err != nil {
+		return usher.Ask{}, err
 	}
 	route, ok := g.inventory.RouteFor(path)
 	if !ok {
@@ -203,9 +223,17 @@
 		limit = min(limit, route.Deadline())
 	}
 	o.expires = now.Add(limit)
+	key, err := idempotencyKey(request, route)
+	if err != nil {
+		return usher.Ask{}, err
+	}
 	config := usher.AskConfig{
 		Request:     o.id,
 		Tenant:      pass.Tenant(),
+		Grant:       pass.Grant(),
+		State:       g.state.Load(),
+		Route:       route.Name(),
+		Key:         key,
 		Service:     route.Service(),
 		Method:      string(request.Header.Method()),
 		Path:        string(request.URI().RequestURI()),
@@ -255,16 +283,17 @@
 	config.Stream = request.Stream
 	config.Prompt = request.prompt()
 	config.Tokens = request.tokens(config.Body, g.config.DefaultOutput)
+	o.charge = charge{tokens: config.Tokens, prompt: promptTokens(config.Body)}
 	return nil
 }
 
-func (g *Gate) answerHealth(call *wicket.Call, path string) bool {
+func (g *Gate) answerHealth(now time.Time, call *wicket.Call, path string) bool {
 	response := &fasthttp.Response{}
 	switch path {
 	case "/healthz":
 		response.SetBodyString("ok\n")
 	case "/readyz":
-		lantern.Readiness(response, g.Ready())
+		lantern.Readiness(response, g.Ready(now))
 	default:
 		return false
 	}
@@ -274,14 +303,11 @@
 }
 
 // Ready returns nil while the gate takes requests, else why it does not.
-func (g *Gate) Ready() error {
+func (g *Gate) Ready(now time.Time) error {
 	if g.draining.Load() {
 		return errDraining
 	}
-	if g.revision.Load() == 0 {
-		return errNoRevision
-	}
-	return nil
+	return g.current(now)
 }
 
 func (g *Gate) answerModels(now time.Time, o *open) {
@@ -296,10 +322,15 @@
 // deliver passes a piece of an answer on: at once for a stream, else when the
 // answer is whole.
 func (g *Gate) deliver(now time.Time, m usher.Deliver) {
+	g.checkFreshness(now)
 	o, ok := g.calls[m.Request()]
 	if !ok {
 		return
 	}
+	if !o.barred.IsZero() {
+		g.fail(now, o, errWithdrawn, 0)
+		return
+	}
 	if !o.stream || (!o.begun && m.Status() != fasthttp.StatusOK) {
 		g.gather(now, o, m)
 		return
@@ -321,8 +352,10 @@
 		g.hangUp(now, o.call)
 		return
 	}
+	o.charge.read(m.Data())
 	if m.Whole() {
 		o.call.End()
+		g.refund(o, o.charge.unused())
 		g.close(now, o, "")
 	}
 }
@@ -335,6 +368,7 @@
 		return
 	}
 	if m.Whole() {
+		g.refund(o, o.charge.unusedOf(o.body))
 		g.replyWhole(now, o, m.Status(), m.ContentType(), o.body)
 	}
 }
@@ -350,11 +384,31 @@
 }
 
 func (g *Gate) refuse(now time.Time, m usher.Refuse) {
+	o, ok := g.calls[m.Request()]
+	if !ok {
+		return
+	}
+	if m.Refusal().Outcome() == wicket.NotRun {
+		g.refund(o, o.charge.tokens)
+	}
+	g.fail(now, o, m.Refusal(), m.RetryAfter())
+}
+
+// refuseRate ends a call that its tenant's rate does not allow; nothing was
+// charged for it.
+func (g *Gate) refuseRate(now time.Time, m treasurer.Refuse) {
 	if o, ok := g.calls[m.Request()]; ok {
 		g.fail(now, o, m.Refusal(), m.RetryAfter())
 	}
 }
 
+// refund returns tokens that were charged for a call but not used.
+func (g *Gate) refund(o *open, tokens int64) {
+	if tokens > 0 {
+		g.config.Usher.Refund(o.pass.Tenant(), tokens)
+	}
+}
+
 // fail ends a call without a whole answer.
 func (g *Gate) fail(now time.Time, o *open, refusal *wicket.Refusal, retryAfter time.Duration) {
 	if o.begun {
@@ -393,18 +447,6 @@
 	delete(g.ids, o.call)
 }
 
-// revise takes over a new revision and ends the calls whose keys it withdraws.
-func (g *Gate) revise(now time.Time, revision *register.Revision) {
-	g.inventory = revision.Inventory()
-	g.revision.Store(revision.Number())
-	for _, o := range g.calls {
-		if !o.pass.Valid(g.inventory) {
-			g.leave(o)
-			g.fail(now, o, errWithdrawn, 0)
-		}
-	}
-}
-
 // stamp adds the headers that every answer carries.
 func (o *open) stamp(response *fasthttp.Response) {
 	response.Header.Set(requestIDKey, o.id)
--- a/entry/house.go
+++ b/entry/house.go
@@ -4,22 +4,30 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/nightwatch"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/pitch"
+	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
 
@@ -29,15 +37,25 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── treasurer (tenants' rates, and its calls of other entries)
+//	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides in use: a sender, a reader and a prober each)
+//	├── pitch     (placement of models, under a claim)
+//	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
+//	├── nightwatch (freshness proof)
 //	└── registrar (log)
 type house struct {
-	crew    *crew.Crew
-	gate    *gate.Gate
-	usher   *usher.Usher
-	drained chan struct{}
+	crew      *crew.Crew
+	watch     *nightwatch.Watch
+	registrar *registrar.Registrar
+	gate      *gate.Gate
+	treasurer *treasurer.Treasurer
+	booking   *booking.Booking
+	usher     *usher.Usher
+	drained   chan struct{}
+	draining  atomic.Int32 // duties whose drain has not ended
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
@@ -53,6 +71,12 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
+	})
+	h.watch = nightwatch.New(nightwatch.Config{
+		Instance: settings.Text("process", "instance"),
+		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Log:      log,
 	})
 	lines := line.New(line.Config{
 		Incarnation: uuid.NewString(),
@@ -61,6 +85,7 @@
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
 		Idle:        settings.Duration("line", "idle"),
+		Watch:       h.watch,
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -69,9 +94,17 @@
 		MaxAnswer:     settings.Bytes("gate", "max-answer"),
 		DefaultOutput: int64(settings.Integer("gate", "default-output")),
 		Trail:         traces,
+		Watch:         h.watch,
 		Log:           log,
-		Drained:       sync.OnceFunc(func() { close(h.drained) }),
+		Drained:       sync.OnceFunc(func() { h.booking.Drain() }),
+	})
+	service := logbook.New(logbook.Config{
+		Address: settings.Address("platform", "log"),
+		Timeout: settings.Duration("platform", "log-timeout"),
 	})
+	h.draining.Store(drainingDuties)
+	h.booking = newBooking(settings, h, service, log)
+	h.treasurer = newTreasurer(settings, h, service, identity, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
@@ -82,33 +115,49 @@
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.gate.Inbox(),
+		Gate:     h.booking,
 		Log:      log,
 	})
+	records := newScribe(settings, service, log)
+	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.usher)
-	h.gate.Attach(h.usher)
+	h.booking.Attach(h.usher)
+	h.treasurer.Attach(h.booking)
+	h.gate.Attach(h.treasurer)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
+	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
+		h.crew.Add(service)
+	}
+	for _, service := range planner.Services() {
+		h.crew.Add(service)
+	}
+	h.crew.Add(records)
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
-	h.crew.Add(registrar.New(registrar.Config{
-		Log: log,
-		Service: logbook.New(logbook.Config{
-			Address: settings.Address("platform", "log"),
-			Timeout: settings.Duration("platform", "log-timeout"),
-		}),
-		Poll:        settings.Duration("platform", "poll"),
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
-	}))
+	h.crew.Add(h.watch)
+	h.registrar = registrar.New(registrar.Config{
+		Log:         log,
+		Service:     service,
+		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Watch:       h.watch,
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox()},
+	})
+	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
-		Address:  settings.Address("link", "listen"),
-		Services: nil,
+		Address: settings.Address("link", "listen"),
+		Services: []porter.Service{
+			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
+			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+			{Name: notice.TreasuryService, Receiver: treasurer.NewTreasury(h.treasurer)},
+		},
 		Identity: identity,
 		Log:      log,
 	}))
@@ -127,17 +176,68 @@
 	return h, nil
 }
 
+func newBooking(settings *handbook.Values, h *house, service *logbook.Client, log *logrus.Entry) *booking.Booking {
+	return booking.New(booking.Config{
+		Core: booking.CoreConfig{
+			Table: booking.TableConfig{
+				Capacity:  settings.Integer("booking", "intents"),
+				Remember:  settings.Duration("booking", "remember"),
+				KeptBytes: settings.Bytes("booking", "kept"),
+				KeptFor:   settings.Duration("booking", "kept-for"),
+			},
+			Pending:     settings.Integer("booking", "pending"),
+			AppendLimit: settings.Duration("booking", "append-limit"),
+			Wait:        settings.Duration("booking", "wait"),
+			MaxOutcome:  settings.Bytes("booking", "max-outcome"),
+		},
+		Capacity: settings.Integer("booking", "inbox"),
+		Appends:  settings.Integer("booking", "appends"),
+		Service:  service,
+		Gate:     h.gate.Inbox(),
+		Log:      log,
+		Drained:  sync.OnceFunc(h.drainEnded),
+	})
+}
+
+func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
+	return treasurer.New(treasurer.Config{
+		Core: treasurer.CoreConfig{
+			Instance:  settings.Text("process", "instance"),
+			Freshness: settings.Duration("platform", "freshness"),
+			Allowance: allowanceLife,
+			Floor:     floorPercent,
+			Proof:     h.watch,
+		},
+		Capacity: settings.Integer("rates", "inbox"),
+		Gate:     h.gate.Inbox(),
+		Service:  service,
+		Identity: identity,
+		Drained:  sync.OnceFunc(h.drainEnded),
+		Log:      log,
+	})
+}
+
+// drainEnded notes that the drain of one more duty has ended.
+func (h *house) drainEnded() {
+	if h.draining.Add(-1) == 0 {
+		close(h.drained)
+	}
+}
+
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
 // Drain refuses new requests; the returned channel is closed when all open
 // ones have ended.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
-	return h.drained, h.gate.Drain(ctx, drainHandOver)
+	if err := h.gate.Drain(ctx, drainHandOver); err != nil {
+		return nil, err
+	}
+	return h.drained, h.treasurer.Drain(ctx, drainHandOver)
 }
 
 // Ready returns nil while the entry takes requests.
-func (h *house) Ready() error { return h.gate.Ready() }
+func (h *house) Ready() error { return h.gate.Ready(time.Now()) }
 
 // Status returns what the operators' status page shows.
 func (h *house) Status() any {
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -30,6 +30,12 @@
 	PutWithin(ctx context.Context, message usher.Message, limit time.Duration) error
 }
 
+// Watch exchanges words on the freshness of what processes know of the log.
+type Watch interface {
+	Word(now time.Time, last notice.Freshness) notice.Freshness
+	Answered(sent time.Time, word notice.Freshness)
+}
+
 // Config holds the construction parameters of Lines.
 type Config struct {
 	Incarnation string        // of this entry
@@ -39,6 +45,7 @@
 	Idle        time.Duration // time without use after which a line is removed
 	Identity    *porter.Identity
 	Usher       Usher
+	Watch       Watch
 	Log         *logrus.Entry
 }
 
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -159,6 +159,8 @@
 		Attempt:     r.attempt,
 		Request:     a.Request,
 		Tenant:      a.Tenant,
+		Grant:       a.Grant,
+		State:       a.State,
 		Model:       a.Model,
 		Service:     a.Service,
 		Method:      a.Method,
@@ -318,7 +320,7 @@
 func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) []Action {
 	c.release(r)
 	r.note(code, ran, retryAfter)
-	if r.started || (ran && !r.ask.config.Idempotent) || !c.mayRetry(code) {
+	if r.started || code == notice.CodeWithdrawn || (ran && !r.ask.config.Idempotent) || !c.mayRetry(code) {
 		return []Action{c.refuse(r)}
 	}
 	return c.seek(now, r)
--- a/side/foyer/attempt.go
+++ b/side/foyer/attempt.go
@@ -38,6 +38,7 @@
 	ran         bool
 	retryAfter  time.Duration
 	abandoned   bool // nobody awaits the answer
+	withdrawn   bool // the key was withdrawn while the attempt ran
 }
 
 // confirm drops the bytes that the entry holds.
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/register"
 )
 
 // CoreConfig holds the construction parameters of a Core.
@@ -44,6 +45,9 @@
 	ended    map[string]tombstone // attempts that are done, so that a late copy is not run
 	leaving  bool
 	drained  bool
+
+	revision *register.Revision
+	lapsed   bool // the revision may be out of date
 }
 
 // tombstone is what is kept of an attempt that has ended or was refused.
@@ -70,6 +74,7 @@
 		config:   config,
 		queue:    newQueue(config.Concurrency),
 		prefixes: newPrefixIndex(config.Prefixes),
+		revision: register.Initial(),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
 		ended:    make(map[string]tombstone),
@@ -101,6 +106,12 @@
 		actions = c.append(now, m)
 	case Ended:
 		c.end(now, m)
+	case Revised:
+		c.revision = m.revision
+		actions = c.withdraw(now)
+	case Proved:
+		c.lapsed = !m.fresh
+		c.refuseQueue(now)
 	case Drain:
 		c.leaving = true
 		c.wakeReaders(now)
@@ -187,6 +198,12 @@
 	if c.leaving {
 		return notice.CodeLeaving
 	}
+	if c.lapsed {
+		return notice.CodeNotCurrent
+	}
+	if !c.granted(submit) {
+		return notice.CodeWithdrawn
+	}
 	if !c.resident(submit.Model()) {
 		return notice.CodeNotResident
 	}
@@ -309,7 +326,7 @@
 
 func (c *Core) append(now time.Time, m Piece) []Action {
 	a, ok := c.attempts[m.attempt]
-	if !ok || a.phase != running || a.abandoned {
+	if !ok || a.phase != running || a.abandoned || a.withdrawn {
 		return nil
 	}
 	if int64(len(a.buffer)+len(m.data)) > c.config.MaxBuffered {
@@ -343,6 +360,10 @@
 		return
 	}
 	c.vacate(now, a)
+	if a.withdrawn && !a.abandoned {
+		c.endWithdrawn(now, a)
+		return
+	}
 	if m.code == "" {
 		a.phase = over
 		a.state = notice.Whole
--- a/side/foyer/queue.go
+++ b/side/foyer/queue.go
@@ -148,13 +148,24 @@
 	}
 }
 
-// expired returns the attempts whose deadline is over, in the order of tenants.
+// expired takes out the attempts whose deadline is over, in the order of tenants.
 func (q *queue) expired(now time.Time) []*attempt {
+	return q.takeWhile(func(a *attempt) bool { return now.After(a.expires) })
+}
+
+// takeAll takes out all attempts, in the order of tenants.
+func (q *queue) takeAll() []*attempt {
+	return q.takeWhile(func(*attempt) bool { return true })
+}
+
+// takeWhile takes out the attempts with the earliest deadlines of each class
+// while they match.
+func (q *queue) takeWhile(match func(a *attempt) bool) []*attempt {
 	var over []*attempt
 	for _, tenant := range slices.Sorted(maps.Keys(q.tenants)) {
 		b := q.tenants[tenant]
 		for _, class := range []*deadlines{&b.urgent, &b.patient} {
-			for len(*class) > 0 && now.After((*class)[0].expires) {
+			for len(*class) > 0 && match((*class)[0]) {
 				over = append(over, heap.Pop(class).(*attempt))
 				q.depth--
 			}
