--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -44,12 +44,6 @@
 	{Section: "rates", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the ring of requests that need tokens, in messages"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
-	{Section: "usher", Key: "probes", Kind: Integer, Default: "4", Low: "1", High: "16", Doc: "sides that are asked for their load before a request is placed"},
-	{Section: "usher", Key: "retry-share", Kind: Integer, Default: "20", Low: "0", High: "100", Doc: "retries as a share of recent requests, in per cent"},
-	{Section: "line", Key: "inbox", Kind: Integer, Default: "1024", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
-	{Section: "line", Key: "idle", Kind: Duration, Default: "15s", Low: "10s", High: "1h", Doc: "time without use after which the connection to a side is closed"},
-	{Section: "line", Key: "read-wait", Kind: Duration, Default: "250ms", Low: "10ms", High: "10s", Doc: "longest time that one read of answers waits at a side"},
-	{Section: "line", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "2s", Doc: "silence beyond the expected answer after which a connection is replaced"},
 	{Section: "planner", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "capacity of the planner's rings, in messages"},
 	{Section: "planner", Key: "threads", Kind: Integer, Default: "8", Low: "1", High: "64", Doc: "calls to sides that the planner makes at once"},
 	{Section: "planner", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "30s", Doc: "limit on one call of the planner"},
@@ -61,6 +55,12 @@
 	{Section: "planner", Key: "absence", Kind: Duration, Default: "10m", Low: "1s", High: "24h", Doc: "time down after which the copies of a backend server no longer count"},
 	{Section: "planner", Key: "average", Kind: Duration, Default: "1m", Low: "1s", High: "1h", Doc: "time over which the demand for a model is averaged"},
 	{Section: "planner", Key: "load-limit", Kind: Duration, Default: "2m", Low: "1s", High: "1h", Doc: "time after which a planned copy that is not resident no longer counts"},
+	{Section: "usher", Key: "probes", Kind: Integer, Default: "4", Low: "1", High: "16", Doc: "sides that are asked for their load before a request is placed"},
+	{Section: "usher", Key: "retry-share", Kind: Integer, Default: "20", Low: "0", High: "100", Doc: "retries as a share of recent requests, in per cent"},
+	{Section: "line", Key: "inbox", Kind: Integer, Default: "1024", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
+	{Section: "line", Key: "idle", Kind: Duration, Default: "15s", Low: "10s", High: "1h", Doc: "time without use after which the connection to a side is closed"},
+	{Section: "line", Key: "read-wait", Kind: Duration, Default: "250ms", Low: "10ms", High: "10s", Doc: "longest time that one read of answers waits at a side"},
+	{Section: "line", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "2s", Doc: "silence beyond the expected answer after which a connection is replaced"},
 }
 
 var sideOptions = []SettingConfig{
--- a/commons/notice/notice_test.go
+++ b/commons/notice/notice_test.go
@@ -27,10 +27,6 @@
 	receipts := notice.NewReceipts(notice.ReceiptsConfig{Side: "s", Receipts: []notice.Receipt{receipt}})
 	read := notice.NewRead(notice.ReadConfig{Entry: "e", Number: 7, Resume: true, Positions: []notice.Position{position}, Wait: time.Second})
 	pages := notice.NewPages(notice.PagesConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Pages: []notice.Page{page}})
-	query := notice.NewQuery(notice.QueryConfig{Request: "r-1", Tenant: "lantern", Model: "trail", Prefix: []uint64{1 << 63}, Urgent: true})
-	probe := notice.NewProbe(notice.ProbeConfig{Entry: "e", Queries: []notice.Query{query}})
-	estimate := notice.NewEstimate(notice.EstimateConfig{Request: "r-1", Resident: true, Matched: 3, FirstToken: time.Second})
-	report := notice.NewReport(notice.ReportConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Slots: 4, Estimates: []notice.Estimate{estimate}})
 	need := notice.NewNeed(notice.NeedConfig{Tenant: "lantern", Least: 1, All: 2, Stock: 3})
 	back := notice.NewGiveBack(notice.GiveBackConfig{Tenant: "lantern", Serial: 4, Tokens: 5})
 	lend := notice.NewLend(notice.LendConfig{Holder: "e/1", Serial: 6, Needs: []notice.Need{need}, GiveBacks: []notice.GiveBack{back}})
@@ -40,6 +36,10 @@
 	balance := notice.NewBalance(notice.BalanceConfig{Tenant: "lantern", Level: 8, Debts: []notice.Debt{debt}})
 	handOver := notice.NewHandOver(notice.HandOverConfig{Role: "treasury-1", Epoch: 9, Balances: []notice.Balance{balance}})
 	handedOver := notice.NewHandedOver(true)
+	query := notice.NewQuery(notice.QueryConfig{Request: "r-1", Tenant: "lantern", Model: "trail", Prefix: []uint64{1 << 63}, Urgent: true})
+	probe := notice.NewProbe(notice.ProbeConfig{Entry: "e", Queries: []notice.Query{query}})
+	estimate := notice.NewEstimate(notice.EstimateConfig{Request: "r-1", Resident: true, Matched: 3, FirstToken: time.Second})
+	report := notice.NewReport(notice.ReportConfig{Side: "s", Leaving: true, Queued: 2, InFlight: 3, Slots: 4, Estimates: []notice.Estimate{estimate}})
 	cases := map[string]struct {
 		sent encoding.BinaryMarshaler
 		got  encoding.BinaryUnmarshaler
--- a/entry/house.go
+++ b/entry/house.go
@@ -84,8 +84,8 @@
 		ReadWait:    settings.Duration("line", "read-wait"),
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
-		Idle:        settings.Duration("line", "idle"),
 		Watch:       h.watch,
+		Idle:        settings.Duration("line", "idle"),
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -32,8 +32,8 @@
 	resume    bool
 	numbers   *atomic.Uint64 // of the last read; outlives the line
 	failures  int
-	busy      atomic.Bool
 	last      notice.Freshness // newest word of the side
+	busy      atomic.Bool
 }
 
 func newReader(config Config, side string, line *porter.Line, numbers *atomic.Uint64) *reader {
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -152,6 +152,12 @@
 	submit notice.Submit
 }
 
+// Side returns the side that gets the attempt.
+func (s Send) Side() string { return s.side }
+
+// Submit returns the attempt.
+func (s Send) Submit() notice.Submit { return s.submit }
+
 // Probe asks a side how it would serve a request.
 type Probe struct {
 	side  string
--- a/side/foyer/grant.go
+++ b/side/foyer/grant.go
@@ -51,7 +51,10 @@
 	if !c.lapsed {
 		return
 	}
-	for _, a := range c.queue.takeAll() {
-		c.drop(now, a, notice.CodeNotCurrent)
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		if a := c.attempts[id]; a.phase == waiting {
+			c.queue.remove(a)
+			c.drop(now, a, notice.CodeNotCurrent)
+		}
 	}
 }
