--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -72,9 +72,9 @@
 func NewCore(config CoreConfig) *Core {
 	return &Core{
 		config:   config,
-		revision: register.Initial(),
-		queue:    newQueue(),
+		queue:    newQueue(config.Concurrency),
 		prefixes: newPrefixIndex(config.Prefixes),
+		revision: register.Initial(),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
 		ended:    make(map[string]tombstone),
@@ -444,7 +444,7 @@
 		c.drop(now, a, notice.CodeExpired)
 	}
 	for c.running < c.config.Concurrency {
-		a := c.queue.pop(now.Add(promoteSlack))
+		a := c.queue.pop(now)
 		if a == nil {
 			break
 		}
