--- a/standin/proof/rates_test.go
+++ b/standin/proof/rates_test.go
@@ -226,12 +226,19 @@
 	f.awaitWork("engine-2")
 }
 
-// awaitWork calls until the engine gets new work.
+// awaitWork calls until the engine gets new work. Each call has a prompt of its
+// own, since like prompts go to the engine that has seen them.
 func (f *listedFleet) awaitWork(engine string) {
 	f.t.Helper()
 	before := f.received(engine).Runs
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
-		f.callAll(20, chat(tenantKey, 2), 0)
+		var group sync.WaitGroup
+		for i := range 20 {
+			call := chat(tenantKey, 2)
+			call.body = strings.Replace(call.body, "hello", fmt.Sprintf("%d at %s", i, time.Now()), 1)
+			group.Go(func() { f.call(0, call) })
+		}
+		group.Wait()
 		if f.received(engine).Runs > before {
 			return
 		}
