--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -115,6 +115,7 @@
 	folder    string
 	inventory strings.Builder
 	log       string
+	platform  string   // further lines of the section [platform]
 	entries   []string // callers' addresses
 	pages     map[string]string
 	links     map[string]string
@@ -203,7 +204,7 @@
 }
 
 func (f *fleet) writeSettings(name, more string) {
-	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s", name, f.pages[name], f.log, more)
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s%s", name, f.pages[name], f.log, f.platform, more)
 	if err := os.WriteFile(filepath.Join(f.folder, name+".ini"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -214,10 +215,7 @@
 func (f *fleet) apply() {
 	f.t.Helper()
 	f.await("log", "http://"+f.log+"/read?from=0&wait=0s")
-	path := filepath.Join(f.folder, "inventory.ini")
-	if err := os.WriteFile(path, []byte(f.inventory.String()), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
+	path := f.writeInventory()
 	apply := exec.Command(filepath.Join(bin, "sesamewell"), "--log", f.log, "apply", path)
 	if out, err := apply.CombinedOutput(); err != nil {
 		f.t.Fatalf("apply: %v\n%s", err, out)
@@ -227,6 +225,16 @@
 	}
 }
 
+// writeInventory returns the path of a file with the inventory.
+func (f *fleet) writeInventory() string {
+	f.t.Helper()
+	path := filepath.Join(f.folder, "inventory.ini")
+	if err := os.WriteFile(path, []byte(f.inventory.String()), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
 func (f *fleet) await(name, url string) {
 	f.t.Helper()
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
