Edit the register by sections and keep it past the log's retention

Cause: each change put the whole inventory into the log; nothing survived the log's retention; a process that started in an outage had no configuration. Change: a change is the edits of its sections. Nothing older than what a process has is taken.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -29,6 +29,8 @@
 	{Section: "gate", Key: "default-output", Kind: Integer, Default: "1024", Low: "1", High: "1000000", Doc: "output tokens assumed when a request sets no maximum"},
 	{Section: "gate", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the gate's ring, in messages"},
 	{Section: "link", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
+	{Section: "platform", Key: "snapshot-period", Kind: Duration, Default: "10m", Low: "1s", High: "24h", Doc: "time without a snapshot in the log after which this instance appends one; a third of the log's retention or less"},
+	{Section: "platform", Key: "snapshot-records", Kind: Integer, Default: "5000", Low: "10", High: "10000000", Doc: "records without a snapshot in the log after which this instance appends one; a third of what the log keeps or less"},
 	{Section: "usher", Key: "inbox", Kind: Integer, Default: "16384", Low: "16", High: "1000000", Doc: "capacity of the usher's ring, in messages"},
 	{Section: "usher", Key: "max-attempts", Kind: Integer, Default: "3", Low: "1", High: "10", Doc: "attempts for one request in all"},
 	{Section: "line", Key: "inbox", Kind: Integer, Default: "4096", Low: "16", High: "1000000", Doc: "capacity of each side's ring, in messages"},
--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -12,8 +12,10 @@
 
 // Kinds of records.
 const (
-	Replace Kind = "replace" // replaces the whole inventory
-	Take    Kind = "claim"   // takes a role, such as the planner's, for an instance
+	Replace Kind = "replace"  // replaces the whole inventory
+	Amend   Kind = "amend"    // sets and removes sections of the inventory
+	Save    Kind = "snapshot" // repeats the whole state before the records that made it are dropped
+	Take    Kind = "claim"    // takes a role, such as the planner's, for an instance
 
 	// The bodies of these belong to the duties that follow them; the register
 	// only passes them on.
@@ -25,15 +27,16 @@
 // RecordConfig holds the construction parameters of a Record and is its JSON
 // form in the log.
 type RecordConfig struct {
-	Change    string `json:"change"` // unique id, by which a lost answer is settled
-	Base      int64  `json:"base"`   // revision that the change was made from
-	Kind      Kind   `json:"kind"`
-	Inventory string `json:"inventory,omitempty"`
-	Claim     string `json:"claim,omitempty"`  // role that a claim takes
-	Holder    string `json:"holder,omitempty"` // incarnation that takes it
-	Epoch     int64  `json:"epoch,omitempty"`  // epoch of the claim that it supersedes, zero if none
-
-	Body json.RawMessage `json:"body,omitempty"` // of the kinds that the register passes on
+	Change    string       `json:"change"` // unique id, by which a lost answer is settled
+	Base      int64        `json:"base"`   // revision that the change was made from
+	Kind      Kind         `json:"kind"`
+	Inventory string       `json:"inventory,omitempty"`
+	Edits     []EditConfig `json:"edits,omitempty"`
+	Claim     string       `json:"claim,omitempty"`  // role that a claim takes
+	Holder    string       `json:"holder,omitempty"` // incarnation that takes it
+	Epoch     int64        `json:"epoch,omitempty"`  // epoch of the claim that it supersedes, zero if none
+
+	Body json.RawMessage `json:"body,omitempty"` // of a snapshot and of the kinds that the register passes on
 }
 
 // Record is one change of the configuration as it stands in the log.
@@ -145,7 +148,9 @@
 		return skipped.replace(record)
 	case record.config.Kind == Take:
 		return skipped.take(offset, record)
-	case record.PassedOn():
+	case record.config.Kind == Amend:
+		return skipped.edit(record)
+	case record.config.Kind == Save || record.PassedOn():
 		return skipped, nil
 	default:
 		return skipped, errors.Wrapf(ErrBadRecord, "kind %q", record.config.Kind)
@@ -154,10 +159,26 @@
 
 // replace puts a whole inventory in force.
 func (r *Revision) replace(record Record) (*Revision, error) {
+	inventory, err := Parse("inventory", []byte(record.config.Inventory))
+	return r.accept(record, inventory, err)
+}
+
+// edit puts an inventory in force of which some sections have changed.
+func (r *Revision) edit(record Record) (*Revision, error) {
+	var edits []Edit
+	for _, config := range record.config.Edits {
+		edits = append(edits, NewEdit(config))
+	}
+	inventory, err := r.inventory.Edited("inventory", edits)
+	return r.accept(record, inventory, err)
+}
+
+// accept makes the next revision of an inventory, unless it has faults or was
+// made from another revision than this one.
+func (r *Revision) accept(record Record, inventory *Inventory, err error) (*Revision, error) {
 	if record.config.Base != r.number {
 		return r, errors.Wrapf(ErrStaleBase, "change %s from revision %d at revision %d", record.config.Change, record.config.Base, r.number)
 	}
-	inventory, err := Parse("inventory", []byte(record.config.Inventory))
 	if err != nil {
 		return r, errors.Mark(err, ErrBadRecord)
 	}
--- /dev/null
+++ b/commons/register/section_test.go
@@ -0,0 +1,119 @@
+package register_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/register"
+)
+
+func parse(t testing.TB, text string) *register.Inventory {
+	t.Helper()
+	inventory, err := register.Parse("inv.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return inventory
+}
+
+func TestDiff(t *testing.T) {
+	const tenant = "[tenant new]\nrate = 1\nburst = 2\n"
+	cases := map[string]struct {
+		to   string
+		want []register.EditConfig
+	}{
+		"nothing":        {to: small},
+		"comment, space": {to: "# for the weekend\n" + strings.ReplaceAll(small, " = ", "="), want: nil},
+		"added":          {to: small + tenant, want: []register.EditConfig{{Section: "tenant new", Lines: []string{"rate = 1", "burst = 2"}}}},
+		"changed":        {to: strings.Replace(small, "14GiB", "15GiB", 1), want: []register.EditConfig{{Section: "model trail", Lines: []string{"memory = 15GiB"}}}},
+		"removed":        {to: strings.Replace(small, "[model trail]\nmemory = 14GiB\n", "", 1), want: []register.EditConfig{{Section: "model trail", Remove: true}}},
+	}
+	from := parse(t, small)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			to := parse(t, tc.to)
+			edits := register.Diff(from, to)
+			var got []register.EditConfig
+			for _, edit := range edits {
+				got = append(got, edit.Config())
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("edits (-want +got):\n%s", diff)
+			}
+			edited, err := from.Edited("inv.ini", edits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rest := register.Diff(edited, to); len(rest) > 0 {
+				t.Errorf("%d edits are left after %d", len(rest), len(edits))
+			}
+		})
+	}
+}
+
+func TestEditsWithFaultsAreRejected(t *testing.T) {
+	cases := map[string]register.EditConfig{
+		"section to remove is not there": {Section: "model other", Remove: true},
+		"needed by another section":      {Section: "backend engine-1", Remove: true},
+		"bad value":                      {Section: "model trail", Lines: []string{"memory = much"}},
+	}
+	for name, edit := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, err := register.Initial().Fold(0, record(t, register.RecordConfig{Kind: register.Replace, Inventory: small}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			next, err := first.Fold(1, record(t, register.RecordConfig{Kind: register.Amend, Base: 1, Edits: []register.EditConfig{edit}}))
+			if !errors.Is(err, register.ErrBadRecord) || next.Number() != 1 {
+				t.Errorf("revision %d, error %v; want revision 1 and a bad record", next.Number(), err)
+			}
+		})
+	}
+}
+
+func record(t testing.TB, config register.RecordConfig) []byte {
+	t.Helper()
+	config.Change = "c"
+	data, err := register.NewRecord(config).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// targetText describes a fleet of the size that the system is built towards.
+func targetText() string {
+	var text strings.Builder
+	for i := range 600 {
+		fmt.Fprintf(&text, "[backend engine-%d]\nkind = engine\nmemory = 320GiB\nslots = 64\n", i)
+		fmt.Fprintf(&text, "[instance side-%d]\nrole = side\nlink = 10.0.%d.%d:7100\noperator = 10.0.%d.%d:7190\ndomain = d-%d\nbackend = engine-%d\n", i, i/250, i%250, i/250, i%250, i%6, i)
+	}
+	for i := range 380 {
+		fmt.Fprintf(&text, "[instance entry-%d]\nrole = entry\nlink = 10.1.%d.%d:7100\noperator = 10.1.%d.%d:7190\ndomain = d-%d\n", i, i/250, i%250, i/250, i%250, i%6)
+	}
+	for i := range 1600 {
+		fmt.Fprintf(&text, "[model m-%d]\nmemory = 14GiB\ncache = 2GiB\n", i)
+	}
+	text.WriteString("[tenant t]\nrate = 1\nburst = 1\n")
+	return text.String()
+}
+
+func BenchmarkFoldOneEditAtTargetSize(b *testing.B) {
+	first, err := register.Initial().Fold(0, record(b, register.RecordConfig{Kind: register.Replace, Inventory: targetText()}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	key := register.EditConfig{Section: "key k", Lines: []string{"tenant = t", "sha256 = " + strings.Repeat("a", 64)}}
+	data := record(b, register.RecordConfig{Kind: register.Amend, Base: 1, Edits: []register.EditConfig{key}})
+	for b.Loop() {
+		if _, err := first.Fold(1, data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "record-bytes")
+	b.ReportMetric(float64(len(first.Inventory().Text())), "whole-bytes")
+}
--- /dev/null
+++ b/commons/registrar/peer.go
@@ -0,0 +1,92 @@
+package registrar
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/register"
+)
+
+// Names in net/rpc.
+const (
+	Service     = "Register"
+	FetchMethod = Service + ".Fetch"
+)
+
+// fetchLimit bounds one call of another process.
+const fetchLimit = time.Second
+
+// Desk is the net/rpc receiver that hands the register out to other processes.
+type Desk struct {
+	registrar *Registrar
+}
+
+// NewDesk returns the receiver for a registrar.
+func NewDesk(registrar *Registrar) *Desk { return &Desk{registrar: registrar} }
+
+// Fetch returns a snapshot in JSON when it contains the record at the offset,
+// else nothing.
+func (d *Desk) Fetch(from int64, answer *[]byte) error {
+	if d.registrar.Revision().Offset() <= from {
+		return nil
+	}
+	data, err := d.registrar.Snapshot().Encode()
+	*answer = data
+	return err
+}
+
+// CallersConfig holds the construction parameters of Callers.
+type CallersConfig struct {
+	Instance string   // name of this instance in the inventory
+	Seeds    []string // IP:port of processes to ask before the register is known
+	Log      *logrus.Entry
+}
+
+// Callers fetch the register from other processes.
+type Callers struct {
+	config CallersConfig
+}
+
+// NewCallers returns the caller of other processes.
+func NewCallers(config CallersConfig) *Callers { return &Callers{config: config} }
+
+// Fetch asks one process after another for a snapshot that contains the record
+// at the offset.
+func (c *Callers) Fetch(from int64, addresses map[string]string) (register.Snapshot, bool) {
+	asked := slices.Clone(c.config.Seeds)
+	for _, name := range slices.Sorted(maps.Keys(addresses)) {
+		if name != c.config.Instance && !slices.Contains(asked, addresses[name]) {
+			asked = append(asked, addresses[name])
+		}
+	}
+	for _, address := range asked {
+		snapshot, err := fetch(address, from)
+		if err != nil {
+			c.config.Log.WithFields(logrus.Fields{"event": "register_fetch", "peer": address}).WithError(err).Debug("process gave no register")
+			continue
+		}
+		if snapshot.Offset() > from {
+			c.config.Log.WithFields(logrus.Fields{"event": "register_fetch", "peer": address, "offset": snapshot.Offset()}).Info("register taken from another process")
+			return snapshot, true
+		}
+	}
+	return register.Snapshot{}, false
+}
+
+// fetch asks one process. The zero snapshot means that it has nothing newer.
+func fetch(address string, from int64) (register.Snapshot, error) {
+	line := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: fetchLimit})
+	defer line.Close()
+	var data []byte
+	if err := line.Call(FetchMethod, from, &data, fetchLimit); err != nil {
+		return register.Snapshot{}, err
+	}
+	if len(data) == 0 {
+		return register.Snapshot{}, nil
+	}
+	return register.DecodeSnapshot(data)
+}
--- a/commons/registrar/registrar.go
+++ b/commons/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/logbook"
@@ -15,18 +16,14 @@
 
 // Named limits of the registrar.
 const (
-	retryPause = 200 * time.Millisecond // time between reads while the log service does not answer
+	unsentPoll = 200 * time.Millisecond // longest wait of a read while a subscriber lacks the newest revision
 	handOver   = 10 * time.Second       // longest wait for room in a follower's ring
 )
 
 // Log is the part of the log service's client that the registrar uses.
 type Log interface {
-	Read(from int64, wait time.Duration) (logbook.Extract, error)
-}
-
-// Inbox receives a Revised message for each new revision.
-type Inbox interface {
-	Put(item any) error
+	Reader
+	Append(record []byte) (int64, error)
 }
 
 // Watch decides on the process's freshness proof.
@@ -36,49 +33,49 @@
 	// Folded takes the state that the register has reached, and the addresses
 	// of the instances that it describes.
 	Folded(state, known int64, instances map[string]string)
+	// Heard returns the newest head of the log that the process has heard of.
+	Heard() int64
 }
 
-// Revised tells a duty that a new revision is in force.
-type Revised struct {
-	revision *register.Revision
+// Peers hand out their registers.
+type Peers interface {
+	// Fetch returns a snapshot that contains the record at the offset, if any
+	// of the processes at the addresses has it.
+	Fetch(from int64, addresses map[string]string) (register.Snapshot, bool)
 }
 
-// NewRevised returns the message for a revision.
-func NewRevised(revision *register.Revision) Revised { return Revised{revision: revision} }
-
-// Revision returns the revision.
-func (r Revised) Revision() *register.Revision { return r.revision }
-
-// Recorded brings a record that the register passes on.
-type Recorded struct {
-	offset int64
-	record register.Record
+// Inbox receives a Revised message for each new revision.
+type Inbox interface {
+	Put(item any) error
 }
 
-// NewRecorded returns the message for the record at an offset.
-func NewRecorded(offset int64, record register.Record) Recorded {
-	return Recorded{offset: offset, record: record}
+// Follower receives records that the register passes on.
+type Follower interface {
+	PutWithin(ctx context.Context, item any, limit time.Duration) error
 }
 
-// Offset returns the record's offset in the log.
-func (r Recorded) Offset() int64 { return r.offset }
-
-// Record returns the record.
-func (r Recorded) Record() register.Record { return r.record }
+// Saver is a duty whose state has to outlast the log's retention. It is also a
+// Follower, to get its state back.
+type Saver interface {
+	// Name returns the name of the duty's part of a snapshot.
+	Name() string
+	// Save returns the duty's state in JSON and the offset of the first record
+	// that it does not contain. It may be called from any thread.
+	Save() (offset int64, body []byte)
+}
 
 // Config holds the construction parameters of a Registrar.
 type Config struct {
 	Log         *logrus.Entry
 	Service     Log
 	Poll        time.Duration // longest wait of one read
+	Retry       time.Duration // time between reads while the log service does not answer
 	Watch       Watch
+	Peers       Peers
 	Subscribers []Inbox    // receive Revised
-	Followers   []Follower // receive Recorded, each record once and in order
-}
-
-// Follower receives records that the register passes on.
-type Follower interface {
-	PutWithin(ctx context.Context, item any, limit time.Duration) error
+	Followers   []Follower // receive Recorded, each record once and in order, and Restored
+	Savers      []Saver
+	Snapshots   SnapshotConfig
 }
 
 // Registrar is responsible for the process's view of the register.
@@ -86,13 +83,15 @@
 	config   Config
 	revision *register.Revision
 	shown    atomic.Pointer[register.Revision]
+	passed   int64 // offset of the first record that the followers do not have
 	unsent   []Inbox
 	doors    map[string]string // address of each instance's door
+	schedule *schedule
 }
 
 // New returns a registrar at revision zero.
 func New(config Config) *Registrar {
-	r := &Registrar{config: config, revision: register.Initial()}
+	r := &Registrar{config: config, revision: register.Initial(), schedule: newSchedule(config.Snapshots)}
 	r.shown.Store(r.revision)
 	return r
 }
@@ -107,34 +106,47 @@
 func (r *Registrar) Serve(ctx context.Context) error {
 	r.unsent = r.config.Subscribers
 	for ctx.Err() == nil {
-		sent := time.Now()
-		extract, err := r.config.Service.Read(r.revision.Offset(), r.wait())
-		if err != nil {
-			r.config.Log.WithField("event", "log_read").WithError(err).Warn("log service cannot be read")
-			r.pause(ctx)
-			continue
-		}
-		r.config.Watch.LogRead(sent, extract.Head())
-		if err := r.fold(ctx, extract); err != nil {
+		if err := r.Step(ctx); err != nil {
 			return err
 		}
-		r.shown.Store(r.revision)
-		r.publish()
-		r.config.Watch.Folded(r.revision.State(), r.revision.Offset(), r.doors)
 	}
 	return ctx.Err()
 }
 
+// Step makes one read, which Serve repeats. Its error means that a follower cannot be told.
+func (r *Registrar) Step(ctx context.Context) error {
+	sent := time.Now()
+	extract, err := r.config.Service.Read(min(r.passed, r.revision.Offset()), r.wait())
+	switch {
+	case errors.Is(err, logbook.ErrTrimmed):
+		return r.catchUp(ctx, extract.First())
+	case err != nil:
+		r.config.Log.WithField("event", "log_read").WithError(err).Warn("log service cannot be read")
+		return r.consult(ctx)
+	}
+	if r.revision.Offset() == 0 && extract.Head() > 0 {
+		return r.catchUp(ctx, extract.First())
+	}
+	r.config.Watch.LogRead(sent, extract.Head())
+	if err := r.fold(ctx, extract.Entries()); err != nil {
+		return err
+	}
+	r.show()
+	r.saveWhenDue(sent, extract.Head())
+	return nil
+}
+
+// wait returns the longest time that the next read may take.
 func (r *Registrar) wait() time.Duration {
 	if len(r.unsent) > 0 {
-		return retryPause
+		return min(unsentPoll, r.config.Poll)
 	}
 	return r.config.Poll
 }
 
-func (r *Registrar) fold(ctx context.Context, extract logbook.Extract) error {
-	before := r.revision
-	for _, entry := range extract.Entries() {
+// fold applies records. Each is read again when a follower did not take it.
+func (r *Registrar) fold(ctx context.Context, entries []logbook.Entry) error {
+	for _, entry := range entries {
 		if err := r.passOn(ctx, entry); err != nil {
 			return err
 		}
@@ -144,15 +156,6 @@
 		}
 		r.revision = next
 	}
-	if r.revision.State() == before.State() {
-		return nil
-	}
-	r.unsent = r.config.Subscribers
-	if r.revision.Number() == before.Number() {
-		return nil
-	}
-	r.doors = addresses(r.revision)
-	r.config.Log.WithFields(logrus.Fields{"event": "revision", "revision": r.revision.Number()}).Info("revision in force")
 	return nil
 }
 
@@ -160,18 +163,52 @@
 // error means that a follower did not take the record in time; the record is
 // then read again.
 func (r *Registrar) passOn(ctx context.Context, entry logbook.Entry) error {
-	record, err := register.DecodeRecord(entry.Data())
-	if err != nil || !record.PassedOn() {
+	if entry.Offset() < r.passed {
 		return nil
 	}
+	record, err := register.DecodeRecord(entry.Data())
+	if err == nil && record.Kind() == register.Save {
+		r.schedule.noteSnapshot(time.Now(), entry.Offset())
+	}
+	if err == nil && record.PassedOn() {
+		if err := r.tell(ctx, NewRecorded(entry.Offset(), record)); err != nil {
+			return err
+		}
+	}
+	r.passed = entry.Offset() + 1
+	return nil
+}
+
+func (r *Registrar) tell(ctx context.Context, message any) error {
 	for _, follower := range r.config.Followers {
-		if err := follower.PutWithin(ctx, NewRecorded(entry.Offset(), record), handOver); err != nil {
+		if err := follower.PutWithin(ctx, message, handOver); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// show publishes the current revision to the process.
+func (r *Registrar) show() {
+	before := r.shown.Swap(r.revision)
+	if r.revision.State() != before.State() {
+		r.unsent = r.config.Subscribers
+	}
+	if r.revision.Number() != before.Number() {
+		r.listDoors()
+		r.config.Log.WithFields(logrus.Fields{"event": "revision", "revision": r.revision.Number()}).Info("revision in force")
+	}
+	r.publish()
+	r.config.Watch.Folded(r.revision.State(), r.revision.Offset(), r.doors)
+}
+
+func (r *Registrar) listDoors() {
+	r.doors = make(map[string]string)
+	for _, instance := range r.revision.Inventory().Instances() {
+		r.doors[instance.Name()] = instance.Link()
+	}
+}
+
 // publish sends the current revision to every subscriber that lacks it.
 func (r *Registrar) publish() {
 	if r.revision.State() == 0 {
@@ -188,19 +225,10 @@
 }
 
 func (r *Registrar) pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause)
+	timer := time.NewTimer(r.config.Retry)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
-
-// addresses returns the doors of the instances that a revision describes.
-func addresses(revision *register.Revision) map[string]string {
-	found := make(map[string]string)
-	for _, instance := range revision.Inventory().Instances() {
-		found[instance.Name()] = instance.Link()
-	}
-	return found
-}
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -8,4 +8,6 @@
 	callerLoops   = 2                // event loops for callers' connections
 	// pollsPerProof is the number of reads of the log begun while one proof lasts.
 	pollsPerProof = 4
+	// logRetry is the time between reads while the log service does not answer.
+	logRetry = 200 * time.Millisecond
 )
--- a/entry/house.go
+++ b/entry/house.go
@@ -107,15 +107,27 @@
 			Address: settings.Address("platform", "log"),
 			Timeout: settings.Duration("platform", "log-timeout"),
 		}),
-		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
-		Watch:       h.watch,
+		Poll:  min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Retry: logRetry,
+		Watch: h.watch,
+		Peers: registrar.NewCallers(registrar.CallersConfig{
+			Instance: settings.Text("process", "instance"),
+			Seeds:    settings.List("platform", "peers"),
+			Log:      log,
+		}),
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox()},
+		Snapshots: registrar.SnapshotConfig{
+			Period:  settings.Duration("platform", "snapshot-period"),
+			Records: int64(settings.Integer("platform", "snapshot-records")),
+			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address: settings.Address("link", "listen"),
 		Services: []porter.Service{
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
 		Log: log,
 	}))
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -100,7 +100,7 @@
 	if err := publisher.Refresh(); err != nil {
 		return err
 	}
-	revision, err := publisher.Replace(uuid.NewString(), inventory.Text())
+	revision, err := publisher.Replace(uuid.NewString(), inventory)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/sesamewell/publish/fleet_test.go
@@ -0,0 +1,206 @@
+package publish_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/registrar"
+	"sesamewell.example/sesamewell/publish"
+)
+
+// TestMain fixes the seed, so that the verdict is always the same.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// stubWatch stands for a process that hears of nothing.
+type stubWatch struct{}
+
+func (stubWatch) LogRead(time.Time, int64)               {}
+func (stubWatch) Folded(int64, int64, map[string]string) {}
+func (stubWatch) Heard() int64                           { return 1 << 40 }
+
+// stubPeers hands out the register of one process, be it older or not.
+type stubPeers struct{ peer *registrar.Registrar }
+
+func (s *stubPeers) Fetch(int64, map[string]string) (register.Snapshot, bool) {
+	if s.peer == nil {
+		return register.Snapshot{}, false
+	}
+	return s.peer.Snapshot(), true
+}
+
+// fleet is a set of processes that follow one log, with two operators.
+type fleet struct {
+	log       *fakeLog
+	operators []*publish.Publisher
+	processes []*registrar.Registrar
+	peers     []*stubPeers
+	late      []register.Snapshot // snapshots that have not arrived yet
+	texts     map[int64]string    // inventory of each revision that was reported as accepted
+	numbers   []int64
+	changes   int
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{log: &fakeLog{}, texts: make(map[int64]string), numbers: make([]int64, size)}
+	for range 2 {
+		f.operators = append(f.operators, publish.New(f.log))
+	}
+	for i := range size {
+		f.peers = append(f.peers, &stubPeers{})
+		f.processes = append(f.processes, f.boot(i))
+	}
+	return f
+}
+
+func (f *fleet) boot(i int) *registrar.Registrar {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	return registrar.New(registrar.Config{Log: logrus.NewEntry(quiet), Service: f.log, Retry: time.Nanosecond, Watch: stubWatch{}, Peers: f.peers[i]})
+}
+
+// apply lets an operator change the inventory; it may read the log before, and
+// may lose the answer of its append.
+func (f *fleet) apply(t *rapid.T) {
+	f.changes++
+	operator := rapid.SampledFrom(f.operators).Draw(t, "operator")
+	if rapid.Bool().Draw(t, "refresh") {
+		if err := operator.Refresh(); err != nil {
+			return
+		}
+	}
+	f.log.loseAnswer = rapid.Bool().Draw(t, "answer lost")
+	wanted := parse(fmt.Sprintf("[tenant lantern]\nrate = %d\nburst = 1\n[tenant t%d]\nrate = 1\nburst = 1\n", f.changes, rapid.IntRange(0, 3).Draw(t, "other")))
+	number, err := operator.Replace(fmt.Sprint(f.changes), wanted)
+	switch {
+	case err == nil:
+		f.texts[number] = operator.Revision().Inventory().Text()
+		if diff := cmp.Diff([]register.Edit(nil), register.Diff(operator.Revision().Inventory(), wanted), cmp.AllowUnexported(register.Edit{})); diff != "" && operator.Revision().Number() == number {
+			t.Errorf("revision %d is not what was applied:\n%s", number, diff)
+		}
+	case !errors.Is(err, publish.ErrSuperseded) && !errors.Is(err, registrar.ErrNoSnapshot):
+		t.Errorf("change %d: %v", f.changes, err)
+	}
+}
+
+// check compares a process with what the operators were told.
+func (f *fleet) check(t *rapid.T, i int) {
+	revision := f.processes[i].Revision()
+	if revision.Number() < f.numbers[i] {
+		t.Errorf("process %d went back from revision %d to %d", i, f.numbers[i], revision.Number())
+	}
+	f.numbers[i] = revision.Number()
+	if want, ok := f.texts[revision.Number()]; ok {
+		if diff := cmp.Diff(want, revision.Inventory().Text()); diff != "" {
+			t.Errorf("revision %d at process %d (-accepted +in force):\n%s", revision.Number(), i, diff)
+		}
+	}
+}
+
+// finish appends a snapshot, drops all that is older and lets every process
+// catch up, if one of them has the whole log.
+func (f *fleet) finish(t *rapid.T) {
+	first := f.processes[0]
+	step := func(process *registrar.Registrar) {
+		if err := process.Step(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}
+	step(first)
+	if first.Revision().Offset() < f.log.head() || first.Revision().Number() == 0 {
+		return
+	}
+	f.log.append(t, first.Snapshot())
+	f.log.trim(1)
+	for i, process := range f.processes {
+		step(process)
+		f.check(t, i)
+		if diff := cmp.Diff(first.Revision().Number(), process.Revision().Number()); diff != "" {
+			t.Errorf("revision of process %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// append adds a snapshot to the log.
+func (f *fakeLog) append(t *rapid.T, snapshot register.Snapshot) {
+	body, err := snapshot.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := register.NewRecord(register.RecordConfig{Change: "s", Kind: register.Save, Body: body}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.loseAnswer = false
+	if _, err := f.Append(record); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAcceptedIsInForce lets two operators race while answers are lost, the log
+// drops old records, snapshots arrive late and processes start anew, from the
+// log or from each other.
+func TestAcceptedIsInForce(t *testing.T) {
+	ctx := context.Background()
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(3)
+		process := rapid.IntRange(0, len(f.processes)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"apply": f.apply,
+			"step": func(t *rapid.T) {
+				i := process.Draw(t, "process")
+				if err := f.processes[i].Step(ctx); err != nil {
+					t.Error(err)
+				}
+				f.check(t, i)
+			},
+			"restart": func(t *rapid.T) {
+				i := process.Draw(t, "process")
+				f.peers[i].peer = f.processes[process.Draw(t, "peer")]
+				f.processes[i], f.numbers[i] = f.boot(i), 0
+			},
+			"restart in an outage": func(t *rapid.T) {
+				i := process.Draw(t, "process")
+				peer := f.processes[(i+1)%len(f.processes)]
+				f.peers[i].peer = peer
+				f.processes[i], f.numbers[i] = f.boot(i), 0
+				f.log.down = true
+				defer func() { f.log.down = false }()
+				if err := f.processes[i].Step(ctx); err != nil {
+					t.Error(err)
+				}
+				f.check(t, i)
+				if diff := cmp.Diff(peer.Revision().Number(), f.numbers[i]); diff != "" {
+					t.Errorf("revision of process %d from its peer (-want +got):\n%s", i, diff)
+				}
+			},
+			"snapshot": func(t *rapid.T) {
+				f.late = append(f.late, f.processes[process.Draw(t, "process")].Snapshot())
+			},
+			"arrive": func(t *rapid.T) {
+				if len(f.late) == 0 {
+					t.Skip("no snapshot is on its way")
+				}
+				f.log.append(t, rapid.SampledFrom(f.late).Draw(t, "snapshot"))
+			},
+			"trim": func(t *rapid.T) { f.log.trim(rapid.IntRange(1, 6).Draw(t, "kept")) },
+		})
+		f.finish(t)
+	})
+}
--- a/sesamewell/publish/publish.go
+++ b/sesamewell/publish/publish.go
@@ -9,6 +9,7 @@
 
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/register"
+	"sesamewell.example/commons/registrar"
 )
 
 // Errors of a change.
@@ -41,16 +42,27 @@
 	return err
 }
 
-// Replace publishes a whole inventory as the change with the given id, made
-// from the current revision. It returns the revision that the change made, or
-// ErrSuperseded when another change came first.
-func (p *Publisher) Replace(change, inventory string) (int64, error) {
-	record := register.NewRecord(register.RecordConfig{
-		Change:    change,
-		Base:      p.revision.Number(),
-		Kind:      register.Replace,
-		Inventory: inventory,
-	})
+// Replace publishes the edits that make the inventory of the current revision
+// equal to another one.
+func (p *Publisher) Replace(change string, inventory *register.Inventory) (int64, error) {
+	return p.Edit(change, register.Diff(p.revision.Inventory(), inventory))
+}
+
+// Edit publishes edits of the current revision as the change with the given id.
+// It returns the revision that the change made, the current one when there is
+// nothing to edit, or ErrSuperseded when another change came first.
+func (p *Publisher) Edit(change string, edits []register.Edit) (int64, error) {
+	if len(edits) == 0 {
+		return p.revision.Number(), nil
+	}
+	if _, err := p.revision.Inventory().Edited("inventory", edits); err != nil {
+		return 0, err
+	}
+	config := register.RecordConfig{Change: change, Base: p.revision.Number(), Kind: register.Amend}
+	for _, edit := range edits {
+		config.Edits = append(config.Edits, edit.Config())
+	}
+	record := register.NewRecord(config)
 	data, err := record.Encode()
 	if err != nil {
 		return 0, err
@@ -66,7 +78,7 @@
 func (p *Publisher) settle(change string) (int64, error) {
 	found, accepted, err := p.follow(change)
 	if err != nil {
-		return 0, errors.CombineErrors(errors.WithStack(ErrUndecided), err)
+		return 0, errors.Mark(errors.Wrap(err, ErrUndecided.Error()), ErrUndecided)
 	}
 	if !found {
 		return 0, errors.WithStack(ErrUndecided)
@@ -80,24 +92,48 @@
 // follow reads to the end of the log. It reports whether the change was seen
 // and which revision it made, zero if it was rejected.
 func (p *Publisher) follow(change string) (found bool, accepted int64, err error) {
-	for {
-		extract, err := p.log.Read(p.revision.Offset(), 0)
-		if err != nil {
-			return found, accepted, err
+	entries, err := p.read()
+	if err != nil {
+		return false, 0, err
+	}
+	for _, entry := range entries {
+		if entry.Offset() < p.revision.Offset() {
+			continue
 		}
-		for _, entry := range extract.Entries() {
-			next, rejection := p.revision.Fold(entry.Offset(), entry.Data())
-			record, err := register.DecodeRecord(entry.Data())
-			if err == nil && change != "" && record.Change() == change {
-				found = true
-				if rejection == nil {
-					accepted = next.Number()
-				}
+		next, rejection := p.revision.Fold(entry.Offset(), entry.Data())
+		record, err := register.DecodeRecord(entry.Data())
+		if err == nil && change != "" && record.Change() == change {
+			found = true
+			if rejection == nil {
+				accepted = next.Number()
 			}
-			p.revision = next
-		}
-		if p.revision.Offset() >= extract.Head() {
-			return found, accepted, nil
 		}
+		p.revision = next
+	}
+	return found, accepted, nil
+}
+
+// read returns the records that the publisher lacks. It first takes over a
+// snapshot at the start, or when the log service has dropped some of them.
+func (p *Publisher) read() ([]logbook.Entry, error) {
+	extract, err := p.log.Read(p.revision.Offset(), 0)
+	if err == nil && p.revision.Offset() > 0 {
+		return registrar.ReadAll(p.log, p.revision.Offset())
+	}
+	if err != nil && !errors.Is(err, logbook.ErrTrimmed) {
+		return nil, err
+	}
+	entries, err := registrar.ReadAll(p.log, extract.First())
+	if err != nil {
+		return nil, err
+	}
+	snapshot, ok := registrar.NewestSnapshot(entries, extract.First())
+	if !ok && extract.First() <= p.revision.Offset() {
+		return entries, nil
+	}
+	if !ok {
+		return nil, registrar.ErrNoSnapshot
 	}
+	p.revision, err = p.revision.Adopt(snapshot)
+	return entries, err
 }
--- a/sesamewell/publish/publish_test.go
+++ b/sesamewell/publish/publish_test.go
@@ -9,17 +9,29 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/register"
 	"sesamewell.example/sesamewell/publish"
 )
 
-const inventory = "[tenant lantern]\nrate = 1\nburst = 1\n"
+const text = "[tenant lantern]\nrate = 1\nburst = 1\n"
+
+func parse(text string) *register.Inventory {
+	inventory, err := register.Parse("inv", []byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return inventory
+}
 
 // fakeLog keeps records in memory and fails on demand.
 type fakeLog struct {
+	first      int64 // offset of records[0]
 	records    []json.RawMessage
 	loseAnswer bool
 	refuse     bool
+	down       bool
 	before     func(log *fakeLog)
+	after      func(log *fakeLog)
 }
 
 func (f *fakeLog) Append(record []byte) (int64, error) {
@@ -30,27 +42,60 @@
 		f.before(f)
 	}
 	f.records = append(f.records, record)
+	if f.after != nil {
+		f.after(f)
+	}
 	if f.loseAnswer {
 		return 0, logbook.ErrUnknown
 	}
-	return int64(len(f.records) - 1), nil
+	return f.head() - 1, nil
 }
 
 func (f *fakeLog) Read(from int64, _ time.Duration) (logbook.Extract, error) {
-	config := logbook.ExtractConfig{Head: int64(len(f.records)), From: from}
+	config := logbook.ExtractConfig{First: f.first, Head: f.head(), From: from}
+	if f.down {
+		return logbook.Extract{}, logbook.ErrUnavailable
+	}
+	if from < f.first {
+		return logbook.NewExtract(config), logbook.ErrTrimmed
+	}
 	if from < config.Head {
-		config.Records = f.records[from:]
+		config.Records = f.records[from-f.first:]
 	}
 	return logbook.NewExtract(config), nil
 }
 
+func (f *fakeLog) head() int64 { return f.first + int64(len(f.records)) }
+
+// trim drops all records but the newest.
+func (f *fakeLog) trim(keep int) {
+	excess := max(len(f.records)-keep, 0)
+	f.records, f.first = f.records[excess:], f.first+int64(excess)
+}
+
 func TestReplaceTellsTheTruth(t *testing.T) {
 	rival := func(log *fakeLog) {
 		log.before = nil
 		other := publish.New(log)
-		if _, err := other.Replace("rival", inventory); err != nil {
+		if _, err := other.Replace("rival", parse(text)); err != nil {
+			panic(err)
+		}
+	}
+	save := func(log *fakeLog) {
+		log.after = nil
+		reader := publish.New(log)
+		if err := reader.Refresh(); err != nil {
+			panic(err)
+		}
+		body, err := register.NewSnapshot(reader.Revision(), nil).Encode()
+		if err != nil {
+			panic(err)
+		}
+		record, err := register.NewRecord(register.RecordConfig{Change: "s", Kind: register.Save, Body: body}).Encode()
+		if err != nil {
 			panic(err)
 		}
+		log.records = append(log.records, record)
 	}
 	cases := map[string]struct {
 		log      *fakeLog
@@ -61,10 +106,11 @@
 		"answer lost":            {log: &fakeLog{loseAnswer: true}, revision: 1},
 		"log down":               {log: &fakeLog{refuse: true}, want: logbook.ErrUnavailable},
 		"another operator first": {log: &fakeLog{before: rival}, want: publish.ErrSuperseded},
+		"a snapshot comes after": {log: &fakeLog{after: save}, want: publish.ErrUndecided},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			got, err := publish.New(tc.log).Replace("mine", inventory)
+			got, err := publish.New(tc.log).Replace("mine", parse(text))
 			if !errors.Is(err, tc.want) {
 				t.Errorf("error = %v, want %v", err, tc.want)
 			}
--- a/side/house.go
+++ b/side/house.go
@@ -94,8 +94,14 @@
 			Address: settings.Address("platform", "log"),
 			Timeout: settings.Duration("platform", "log-timeout"),
 		}),
-		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
-		Watch:       h.watch,
+		Poll:  min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Retry: logRetry,
+		Watch: h.watch,
+		Peers: registrar.NewCallers(registrar.CallersConfig{
+			Instance: settings.Text("process", "instance"),
+			Seeds:    settings.List("platform", "peers"),
+			Log:      log,
+		}),
 		Subscribers: []registrar.Inbox{h.foyer.Inbox()},
 	})
 	h.crew.Add(h.registrar)
@@ -107,6 +113,7 @@
 		Services: []porter.Service{
 			{Name: notice.Service, Receiver: desk.New(h.foyer, h.watch)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
 		Log: log,
 	}))
--- a/standin/proof/register_test.go
+++ b/standin/proof/register_test.go
@@ -139,6 +139,26 @@
 	}
 }
 
+// TestBootInAnOutage replaces an entry while nobody reaches the log.
+func TestBootInAnOutage(t *testing.T) {
+	f := newFleet(t)
+	f.platform = shortProof
+	f.addEngine("engine-1", 16, fastStep)
+	f.platform += "peers = " + f.links["side-engine-1"] + "\n"
+	f.addEntry("entry-1", "")
+	f.apply()
+	f.fail(`{"down":true}`)
+	f.processes["entry-1"].signal(t, syscall.SIGKILL)
+	f.processes["entry-1"].wait(t)
+	begun := time.Now()
+	f.start("entry-1", "sesamewell-entry", filepath.Join(f.folder, "entry-1.ini"))
+	f.await("entry-1", "http://"+f.pages["entry-1"]+"/readyz")
+	t.Logf("the new entry was ready after %s", time.Since(begun).Round(time.Millisecond))
+	if err := wholeChat(f.call(0, chat(tenantKey, 3)), 3); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLogOutage stops the log for longer than a proof lasts.
 func TestLogOutage(t *testing.T) {
 	const streams, tokens = 20, 3000
