--- a/commons/registrar/peer.go
+++ b/commons/registrar/peer.go
@@ -43,6 +43,7 @@
 type CallersConfig struct {
 	Instance string   // name of this instance in the inventory
 	Seeds    []string // IP:port of processes to ask before the register is known
+	Identity *porter.Identity
 	Log      *logrus.Entry
 }
 
@@ -64,7 +65,7 @@
 		}
 	}
 	for _, address := range asked {
-		snapshot, err := fetch(address, from)
+		snapshot, err := c.fetch(address, from)
 		if err != nil {
 			c.config.Log.WithFields(logrus.Fields{"event": "register_fetch", "peer": address}).WithError(err).Debug("process gave no register")
 			continue
@@ -78,8 +79,8 @@
 }
 
 // fetch asks one process. The zero snapshot means that it has nothing newer.
-func fetch(address string, from int64) (register.Snapshot, error) {
-	line := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: fetchLimit})
+func (c *Callers) fetch(address string, from int64) (register.Snapshot, error) {
+	line := porter.NewLine(porter.LineConfig{Address: address, DialTimeout: fetchLimit, Identity: c.config.Identity})
 	defer line.Close()
 	var data []byte
 	if err := line.Call(FetchMethod, from, &data, fetchLimit); err != nil {
--- a/commons/trail/trail.go
+++ b/commons/trail/trail.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 )
@@ -20,14 +21,16 @@
 
 // Config holds the construction parameters of a Trail.
 type Config struct {
-	Instance string // name of the instance, which each record carries
-	Kept     int    // spans kept in memory
-	Sampling int    // per cent of the traces begun here that are recorded
+	Instance string            // name of the instance, which each record carries
+	Kept     int               // spans kept in memory
+	Sampling int               // per cent of the traces begun here that are recorded
+	Export   sdk.SpanProcessor // receives every recorded span; nil for none
 }
 
 // Trail is responsible for the spans of one process.
 type Trail struct {
 	instance string
+	provider *sdk.TracerProvider
 	tracer   trace.Tracer
 	codec    propagation.TraceContext
 
@@ -39,12 +42,25 @@
 // New returns a trail without spans.
 func New(config Config) *Trail {
 	t := &Trail{instance: config.Instance, spans: make([]Record, max(config.Kept, 1))}
-	sampler := sdk.ParentBased(sdk.TraceIDRatioBased(float64(config.Sampling) / percent))
-	provider := sdk.NewTracerProvider(sdk.WithSampler(sampler), sdk.WithSpanProcessor(&keeper{trail: t}))
-	t.tracer = provider.Tracer("sesamewell")
+	options := []sdk.TracerProviderOption{
+		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(float64(config.Sampling) / percent))),
+		sdk.WithSpanProcessor(&keeper{trail: t}),
+		sdk.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "sesamewell"),
+			attribute.String("service.instance.id", config.Instance),
+		)),
+	}
+	if config.Export != nil {
+		options = append(options, sdk.WithSpanProcessor(config.Export))
+	}
+	t.provider = sdk.NewTracerProvider(options...)
+	t.tracer = t.provider.Tracer("sesamewell")
 	return t
 }
 
+// Close sends the spans that wait for export; it gives up when ctx ends.
+func (t *Trail) Close(ctx context.Context) error { return t.provider.Shutdown(ctx) }
+
 const percent = 100
 
 // Start opens a span below the given traceparent, or the first span of a new
@@ -57,12 +73,24 @@
 
 // Find returns the kept spans of a trace, oldest first.
 func (t *Trail) Find(traceID string) []Record {
+	return t.search(func(record Record) bool { return record.config.Trace == traceID && traceID != "" })
+}
+
+// FindRequest returns the kept spans that were noted with a request's id,
+// oldest first.
+func (t *Trail) FindRequest(request string) []Record {
+	return t.search(func(record Record) bool { return record.config.Notes[RequestNote] == request && request != "" })
+}
+
+// RequestNote is the key under which spans carry the id of their request.
+const RequestNote = "request"
+
+func (t *Trail) search(matches func(record Record) bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []Record
 	for i := range t.spans {
-		record := t.spans[(t.next+i)%len(t.spans)]
-		if record.config.Trace == traceID && traceID != "" {
+		if record := t.spans[(t.next+i)%len(t.spans)]; matches(record) {
 			found = append(found, record)
 		}
 	}
@@ -157,6 +185,9 @@
 // Span returns the span's id.
 func (r Record) Span() string { return r.config.Span }
 
+// Trace returns the trace's id.
+func (r Record) Trace() string { return r.config.Trace }
+
 // Parent returns the id of the parent span, or "".
 func (r Record) Parent() string { return r.config.Parent }
 
--- a/side/house.go
+++ b/side/house.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/courier"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/lantern"
@@ -42,7 +43,11 @@
 	drained   chan struct{}
 }
 
-func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
+	identity, err := porter.IdentityFor(settings.Text("process", "secret"), settings.Address("desk", "listen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "[process] secret")
+	}
 	h := &house{
 		crew:    crew.New(crew.Config{Name: "side", Log: log}),
 		drained: make(chan struct{}),
@@ -51,6 +56,7 @@
 		Instance: settings.Text("process", "instance"),
 		Kept:     settings.Integer("traces", "kept"),
 		Sampling: settings.Integer("traces", "sampling"),
+		Export:   courier.New(settings.Address("traces", "otlp")),
 	})
 	concurrency := settings.Integer("backend", "concurrency")
 	pool := runner.New(runner.Config{
@@ -63,6 +69,7 @@
 	h.watch = nightwatch.New(nightwatch.Config{
 		Instance: settings.Text("process", "instance"),
 		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Identity: identity,
 		Log:      log,
 	})
 	h.foyer = foyer.New(foyer.Config{
@@ -100,6 +107,7 @@
 		Peers: registrar.NewCallers(registrar.CallersConfig{
 			Instance: settings.Text("process", "instance"),
 			Seeds:    settings.List("platform", "peers"),
+			Identity: identity,
 			Log:      log,
 		}),
 		Subscribers: []registrar.Inbox{h.foyer.Inbox()},
@@ -115,9 +123,10 @@
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
-		Log: log,
+		Identity: identity,
+		Log:      log,
 	}))
-	return h
+	return h, nil
 }
 
 // Serve runs the tree until ctx ends.
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -9,7 +9,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +28,7 @@
 	patience    = 30 * time.Second // longest time that a test waits for anything
 	tenantKey   = "proof-lantern-key"
 	neighborKey = "proof-twisungane-key"
+	fleetSecret = "proof-fleet-secret"
 )
 
 // bin is the folder with the programs, built once for all tests.
@@ -204,7 +204,7 @@
 }
 
 func (f *fleet) writeSettings(name, more string) {
-	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s%s", name, f.pages[name], f.log, f.platform, more)
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\nsecret = %s\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s%s", name, fleetSecret, f.pages[name], f.log, f.platform, more)
 	if err := os.WriteFile(filepath.Join(f.folder, name+".ini"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -277,25 +277,34 @@
 	}
 }
 
-// Ports for the fleet's processes lie below those that the kernel gives to
-// outgoing connections, which could take a port before its process listens.
+// Ports for the tests' processes lie below those that the kernel gives to
+// outgoing connections, so that no connection takes a port that was found free.
 const (
-	firstPort = 12000
-	portCount = 20000
+	firstPort     = 10000
+	lastPort      = 32000
+	portsPerChunk = 500
 )
 
+var nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portsPerChunk)*portsPerChunk
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		_ = listener.Close()
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
 		return address
 	}
-	t.Fatal("no port is free")
+	t.Fatal("no free port")
 	return ""
 }
 
--- a/standin/proof/register_test.go
+++ b/standin/proof/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -47,10 +48,29 @@
 	_ = response.Body.Close()
 }
 
-// stream begins a chat completion and returns its answer when it has ended.
+// stream begins a chat completion, waits for the first byte of its answer and
+// returns the answer when it has ended.
 func (f *fleet) stream(entry, tokens int) <-chan answer {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry]+"/v1/chat/completions", strings.NewReader(chatBody(tokens, true)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(response.Body, first); err != nil {
+		f.t.Fatal(err)
+	}
 	done := make(chan answer, 1)
-	go func() { done <- f.call(entry, chat(tenantKey, tokens)) }()
+	go func() {
+		defer func() { _ = response.Body.Close() }()
+		rest, err := io.ReadAll(response.Body)
+		done <- answer{status: response.StatusCode, header: response.Header, body: string(first) + string(rest), err: err}
+	}()
 	return done
 }
 
@@ -118,7 +138,6 @@
 			f.addEntry("entry-2", "")
 			f.apply()
 			open := f.stream(0, endless)
-			f.awaitRuns(1, "engine-1")
 			if tc.before != nil {
 				tc.before(f)
 			}
@@ -173,7 +192,6 @@
 	for i := range streams {
 		open = append(open, f.stream(i%2, tokens))
 	}
-	f.awaitRuns(streams, "engine-1", "engine-2")
 	f.fail(`{"down":true}`)
 	time.Sleep(4 * time.Second)
 	for i, done := range open {
