--- a/commons/register/fold.go
+++ b/commons/register/fold.go
@@ -16,6 +16,7 @@
 	Amend   Kind = "amend"    // sets and removes sections of the inventory
 	Save    Kind = "snapshot" // repeats the whole state before the records that made it are dropped
 	Take    Kind = "claim"    // takes a role, such as the planner's, for an instance
+	Assign  Kind = "plan"     // changes which backend server holds which model
 
 	// The bodies of these belong to the duties that follow them; the register
 	// only passes them on.
@@ -90,6 +91,7 @@
 	state     int64 // offset after the last record that changed anything
 	inventory *Inventory
 	claims    map[string]Claim // by role
+	plan      *Plan            // nil until the first
 }
 
 // Claim is the right of one incarnation to act in a role. It stands until a
@@ -138,7 +140,7 @@
 	if offset < r.offset {
 		return r, nil
 	}
-	skipped := &Revision{number: r.number, offset: offset + 1, state: r.state, inventory: r.inventory, claims: r.claims}
+	skipped := &Revision{number: r.number, offset: offset + 1, state: r.state, inventory: r.inventory, claims: r.claims, plan: r.plan}
 	record, err := DecodeRecord(data)
 	if err != nil {
 		return skipped, errors.Mark(err, ErrBadRecord)
@@ -148,6 +150,8 @@
 		return skipped.replace(record)
 	case record.config.Kind == Take:
 		return skipped.take(offset, record)
+	case record.config.Kind == Assign:
+		return skipped.assign(offset, record)
 	case record.config.Kind == Amend:
 		return skipped.edit(record)
 	case record.config.Kind == Save || record.PassedOn():
--- a/commons/register/snapshot.go
+++ b/commons/register/snapshot.go
@@ -16,6 +16,12 @@
 	Epoch  int64  `json:"epoch"`
 }
 
+// PlanSnapshot is the form of a plan in a snapshot.
+type PlanSnapshot struct {
+	Number int64               `json:"number"`
+	Models map[string][]string `json:"models,omitempty"` // by backend server
+}
+
 // SavedConfig is the part of a snapshot that belongs to a duty which follows
 // the records that the register passes on.
 type SavedConfig struct {
@@ -32,6 +38,7 @@
 	State     int64         `json:"state"`
 	Inventory string        `json:"inventory"`
 	Claims    []ClaimConfig `json:"claims,omitempty"`
+	Plan      PlanSnapshot  `json:"plan"`
 	Saved     []SavedConfig `json:"saved,omitempty"`
 }
 
@@ -49,6 +56,7 @@
 		State:     revision.state,
 		Inventory: revision.inventory.text,
 		Saved:     saved,
+		Plan:      PlanSnapshot{Number: revision.Plan().number, Models: revision.Plan().models},
 	}
 	for _, role := range slices.Sorted(maps.Keys(revision.claims)) {
 		claim := revision.claims[role]
@@ -102,6 +110,7 @@
 		state:     snapshot.config.State,
 		inventory: inventory,
 		claims:    make(map[string]Claim),
+		plan:      NewPlan(snapshot.config.Plan.Number, snapshot.config.Plan.Models),
 	}
 	for _, claim := range snapshot.config.Claims {
 		next.claims[claim.Role] = Claim{role: claim.Role, holder: claim.Holder, epoch: claim.Epoch}
--- a/commons/registrar/message.go
+++ b/commons/registrar/message.go
@@ -30,9 +30,10 @@
 // Record returns the record.
 func (r Recorded) Record() register.Record { return r.record }
 
-// Restored brings the saved states of a snapshot, after records were missed. A
-// follower takes its own part and passes over the Recorded messages after it
-// that the part contains already.
+// Restored brings the saved states of a snapshot, after records may have been
+// missed. A follower takes its own part if that contains more records than the
+// follower has, and passes over the Recorded messages after it that the part
+// contains already.
 type Restored struct {
 	saved []register.SavedConfig
 }
--- a/commons/registrar/snapshot.go
+++ b/commons/registrar/snapshot.go
@@ -108,17 +108,22 @@
 		return r.consult(ctx)
 	}
 	if snapshot, ok := NewestSnapshot(entries, first); ok {
-		return r.adopt(ctx, snapshot, entries)
-	}
-	if first <= r.revision.Offset() {
-		if err := r.fold(ctx, entries); err != nil {
+		if err := r.adopt(ctx, snapshot); err != nil {
 			return err
 		}
-		r.show()
-		return nil
 	}
-	r.config.Log.WithFields(logrus.Fields{"event": "log_trimmed", "oldest": first}).WithError(ErrNoSnapshot).Error("the register cannot be read from the log")
-	return r.consult(ctx)
+	if first > r.revision.Offset() {
+		r.config.Log.WithFields(logrus.Fields{"event": "log_trimmed", "oldest": first}).WithError(ErrNoSnapshot).Error("the register cannot be read from the log")
+		return r.consult(ctx)
+	}
+	// Followers get all that the log keeps, since a snapshot holds nothing of
+	// those that save nothing.
+	r.passed = max(r.passed, first)
+	if err := r.fold(ctx, entries); err != nil {
+		return err
+	}
+	r.show()
+	return nil
 }
 
 // Reader is the part of the log service's client that ReadAll uses.
@@ -166,27 +171,15 @@
 	return snapshot, err == nil
 }
 
-// adopt takes over a snapshot and the records after it.
-func (r *Registrar) adopt(ctx context.Context, snapshot register.Snapshot, entries []logbook.Entry) error {
+// adopt takes over a snapshot, unless this process has more.
+func (r *Registrar) adopt(ctx context.Context, snapshot register.Snapshot) error {
 	next, err := r.revision.Adopt(snapshot)
 	if err != nil {
 		r.config.Log.WithField("event", "snapshot").WithError(err).Error("snapshot is not valid")
-		r.pause(ctx)
 		return nil
 	}
-	if next == r.revision && snapshot.Since() <= r.passed {
-		r.pause(ctx)
-		return nil
-	}
-	if err := r.tell(ctx, NewRestored(snapshot.Saved())); err != nil {
-		return err
-	}
-	r.revision, r.passed = next, max(r.passed, snapshot.Since())
-	if err := r.fold(ctx, entries); err != nil {
-		return err
-	}
-	r.show()
-	return nil
+	r.revision = next
+	return r.tell(ctx, NewRestored(snapshot.Saved()))
 }
 
 // consult takes the register from another process while the log cannot be read
@@ -194,11 +187,12 @@
 func (r *Registrar) consult(ctx context.Context) error {
 	if r.config.Peers != nil && (r.revision.State() == 0 || r.config.Watch.Heard() > r.revision.Offset()) {
 		if snapshot, ok := r.config.Peers.Fetch(r.revision.Offset(), r.doors); ok {
-			return r.adopt(ctx, snapshot, nil)
+			if err := r.adopt(ctx, snapshot); err != nil {
+				return err
+			}
 		}
 	}
-	// The watch may have missed the last message when its ring was full.
-	r.config.Watch.Folded(r.revision.State(), r.revision.Offset(), r.doors)
+	r.show()
 	r.pause(ctx)
 	return nil
 }
