--- a/entry/house.go
+++ b/entry/house.go
@@ -16,6 +16,7 @@
 	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/nightwatch"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
@@ -24,6 +25,7 @@
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
+	"sesamewell.example/entry/pitch"
 	"sesamewell.example/entry/usher"
 )
 
@@ -36,6 +38,8 @@
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── lines     (sides: one sender and one reader each)
+//	├── pitch     (placement of models, under a claim)
+//	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
 //	├── nightwatch (freshness proof)
 //	└── registrar (log)
@@ -105,6 +109,8 @@
 		Gate:     h.booking,
 		Log:      log,
 	})
+	records := newScribe(settings, service, log)
+	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.usher)
 	h.booking.Attach(h.usher)
 	h.gate.Attach(h.booking)
@@ -113,11 +119,15 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range h.booking.Services() {
 		h.crew.Add(service)
 	}
+	for _, service := range planner.Services() {
+		h.crew.Add(service)
+	}
+	h.crew.Add(records)
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
@@ -134,7 +144,7 @@
 			Identity: identity,
 			Log:      log,
 		}),
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 		Snapshots: registrar.SnapshotConfig{
 			Period:  settings.Duration("platform", "snapshot-period"),
@@ -146,6 +156,7 @@
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address: settings.Address("link", "listen"),
 		Services: []porter.Service{
+			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
