Check capacity, show differences, work with keys and drain from the tool

Cause: check accepted models that no engine can hold; apply waited for nobody unless told; keys could be changed by editing the whole inventory only. Change: check, apply and every other change name models that fit on no engine, models that the engines cannot hold together, and those without room in one piece. diff, status, key grant, key withdraw and drain. The tool waits for instances that do not answer, too: they may be cut off from the tool alone. A drained backend server gets no new work; the planner does not leave it yet.

--- a/commons/handbook/setting.go
+++ b/commons/handbook/setting.go
@@ -235,6 +235,21 @@
 	return number * scale, nil
 }
 
+// FormatBytes returns a number of bytes in its largest unit, rounded to a tenth
+// where that does not divide it.
+func FormatBytes(number int64) string {
+	for _, unit := range []string{"TiB", "GiB", "MiB", "KiB"} {
+		size := byteUnits[unit]
+		if number >= size && number%size == 0 {
+			return fmt.Sprintf("%d%s", number/size, unit)
+		}
+		if number >= size {
+			return fmt.Sprintf("%.1f%s", float64(number)/float64(size), unit)
+		}
+	}
+	return strconv.FormatInt(number, 10)
+}
+
 func parseSwitch(text string) (any, error) {
 	switch text {
 	case "yes":
--- /dev/null
+++ b/commons/register/capacity.go
@@ -0,0 +1,93 @@
+package register
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"sesamewell.example/commons/handbook"
+)
+
+// Check is Parse for an inventory that is about to be put in force: it also
+// reports models that the engines cannot hold.
+func Check(path string, text []byte) (*Inventory, error) {
+	return parse(path, text, true)
+}
+
+// checkCapacity reports each model that fits on no engine, and the models that
+// the engines cannot hold together.
+func (r *reader) checkCapacity() {
+	engines := r.engines()
+	models := r.inventory.Models()
+	footprints := r.inventory.Footprints()
+	slices.SortStableFunc(models, func(a, b Model) int { return cmp.Compare(footprints[b.name], footprints[a.name]) })
+	var need, room int64
+	for _, engine := range engines {
+		room += engine.memory
+	}
+	var placed []Model
+	for _, model := range models {
+		r.section = "model " + model.name
+		if len(engines) == 0 || footprints[model.name] > engines[0].memory {
+			r.reportMisfit(model, footprints[model.name], engines)
+			continue
+		}
+		need += footprints[model.name]
+		placed = append(placed, model)
+	}
+	if need > room {
+		r.section = "model " + placed[0].name
+		r.fault("memory", "the models take %s together with caches and adapters, but the engines have %s; add engines with %s more or remove models",
+			handbook.FormatBytes(need), handbook.FormatBytes(room), handbook.FormatBytes(need-room))
+		return
+	}
+	r.place(placed, footprints, engines)
+}
+
+// engines returns the engines that take models, largest first.
+func (r *reader) engines() []Backend {
+	var engines []Backend
+	for _, backend := range r.inventory.Backends() {
+		if backend.kind == Engine && !backend.draining {
+			engines = append(engines, backend)
+		}
+	}
+	slices.SortStableFunc(engines, func(a, b Backend) int { return cmp.Compare(b.memory, a.memory) })
+	return engines
+}
+
+func (r *reader) reportMisfit(model Model, footprint int64, engines []Backend) {
+	if len(engines) == 0 {
+		r.fault("memory", "no backend server takes model %s; add one with kind = engine", model.name)
+		return
+	}
+	r.fault("memory", "model %s takes %s with its cache and adapters, but the largest engine, %s, has %s; lower cache, move adapters or add an engine with %s",
+		model.name, handbook.FormatBytes(footprint), engines[0].name, handbook.FormatBytes(engines[0].memory), handbook.FormatBytes(footprint))
+}
+
+// place puts each model on the engine where it leaves the least room and
+// reports those for which no engine has room.
+func (r *reader) place(models []Model, footprints map[string]int64, engines []Backend) {
+	free := make([]int64, len(engines))
+	for i, engine := range engines {
+		free[i] = engine.memory
+	}
+	var left []string
+	for _, model := range models {
+		best := -1
+		for i := range free {
+			if free[i] >= footprints[model.name] && (best < 0 || free[i] < free[best]) {
+				best = i
+			}
+		}
+		if best < 0 {
+			left = append(left, model.name)
+			continue
+		}
+		free[best] -= footprints[model.name]
+	}
+	if len(left) > 0 {
+		r.section = "model " + left[0]
+		r.fault("memory", "the engines have room enough in all, but not in one piece for %s; add an engine or make models smaller", strings.Join(left, ", "))
+	}
+}
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -47,6 +47,10 @@
 // Parse reads and checks the text of an inventory. Its error lists every fault
 // with file and line.
 func Parse(path string, text []byte) (*Inventory, error) {
+	return parse(path, text, false)
+}
+
+func parse(path string, text []byte, capacity bool) (*Inventory, error) {
 	book, err := handbook.Parse(path, text)
 	if err != nil {
 		return nil, err
@@ -55,6 +59,9 @@
 	inventory.text = string(text)
 	reader := &reader{book: book, inventory: inventory}
 	reader.readAll()
+	if capacity {
+		reader.checkCapacity()
+	}
 	if err := book.Err(); err != nil {
 		return nil, err
 	}
@@ -221,6 +228,8 @@
 	memory  int64
 	slots   int
 	fencing bool
+
+	draining bool
 }
 
 // Name returns the backend server's name.
@@ -241,6 +250,9 @@
 // Fencing reports whether it refuses orders with an old fencing number.
 func (b Backend) Fencing() bool { return b.fencing }
 
+// Draining reports whether it is to get no new work and to be left by its models.
+func (b Backend) Draining() bool { return b.draining }
+
 // Model is one model.
 type Model struct {
 	name   string
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -82,6 +82,7 @@
 func (r *reader) readBackend(name string) {
 	backend := Backend{name: name, kind: BackendKind(r.choice("kind", string(Engine), string(Service)))}
 	backend.slots = int(r.integer("slots"))
+	backend.draining = r.flag("draining")
 	if backend.kind == Engine {
 		backend.memory = r.bytes("memory")
 		backend.fencing = r.flag("fencing")
--- a/commons/register/section.go
+++ b/commons/register/section.go
@@ -93,6 +93,17 @@
 	return edits
 }
 
+// Section returns the settings of a section without comments, or nil when the
+// inventory has no such section.
+func (i *Inventory) Section(name string) []string {
+	for _, s := range splitSections(i.text) {
+		if s.name == name {
+			return append([]string{}, s.lines...)
+		}
+	}
+	return nil
+}
+
 // Edited returns the inventory after some edits. Its error lists the faults of
 // the result.
 func (i *Inventory) Edited(path string, edits []Edit) (*Inventory, error) {
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -172,6 +172,9 @@
 }
 
 func (s *side) serves(ask Ask) bool {
+	if s.backend.Draining() {
+		return false
+	}
 	if ask.config.Service != "" {
 		return s.backend.Service() == ask.config.Service
 	}
--- /dev/null
+++ b/sesamewell/change.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/register"
+	"sesamewell.example/sesamewell/publish"
+)
+
+// errNotDescribed means that the inventory in force has no such section.
+var errNotDescribed = errors.New("the inventory in force does not describe it; see sesamewell diff")
+
+// connect returns a publisher that has read the log.
+func connect(args options) (*publish.Publisher, error) {
+	publisher := publish.New(logbook.New(logbook.Config{Address: args.Log, Timeout: args.Timeout}))
+	return publisher, publisher.Refresh()
+}
+
+// apply puts an inventory in force.
+func apply(out io.Writer, args options) error {
+	inventory, err := readInventory(args.Apply.Inventory)
+	if err != nil {
+		return err
+	}
+	publisher, err := connect(args)
+	if err != nil {
+		return err
+	}
+	return change(out, args, publisher, register.Diff(publisher.Revision().Inventory(), inventory))
+}
+
+// diff shows the sections that apply would change.
+func diff(out io.Writer, args options) error {
+	inventory, err := readInventory(args.Diff.Inventory)
+	if err != nil {
+		return err
+	}
+	publisher, err := connect(args)
+	if err != nil {
+		return err
+	}
+	current := publisher.Revision().Inventory()
+	fmt.Fprintf(out, "against revision %d:\n", publisher.Revision().Number())
+	for _, edit := range register.Diff(current, inventory) {
+		before := current.Section(edit.Section())
+		fmt.Fprintf(out, "[%s]\n", edit.Section())
+		for _, line := range before {
+			if edit.Remove() || !slices.Contains(edit.Lines(), line) {
+				fmt.Fprintf(out, "- %s\n", line)
+			}
+		}
+		for _, line := range edit.Lines() {
+			if !slices.Contains(before, line) {
+				fmt.Fprintf(out, "+ %s\n", line)
+			}
+		}
+	}
+	return nil
+}
+
+// grant adds a key.
+func grant(out io.Writer, args options) error {
+	asked := args.Key.Grant
+	publisher, err := connect(args)
+	if err != nil {
+		return err
+	}
+	lines := []string{"tenant = " + asked.Tenant, "sha256 = " + asked.Hash}
+	return change(out, args, publisher, []register.Edit{register.NewEdit(register.EditConfig{Section: "key " + asked.Name, Lines: lines})})
+}
+
+// withdraw removes a key.
+func withdraw(out io.Writer, args options) error {
+	publisher, err := connect(args)
+	if err != nil {
+		return err
+	}
+	section := "key " + args.Key.Withdraw.Name
+	if publisher.Revision().Inventory().Section(section) == nil {
+		return errors.Wrapf(errNotDescribed, "[%s]", section)
+	}
+	return change(out, args, publisher, []register.Edit{register.NewEdit(register.EditConfig{Section: section, Remove: true})})
+}
+
+// drain marks a backend server as one to be left, or as one in service again.
+func drain(out io.Writer, args options) error {
+	publisher, err := connect(args)
+	if err != nil {
+		return err
+	}
+	section := "backend " + args.Drain.Backend
+	lines := publisher.Revision().Inventory().Section(section)
+	if lines == nil {
+		return errors.Wrapf(errNotDescribed, "[%s]", section)
+	}
+	lines = slices.DeleteFunc(slices.Clone(lines), func(line string) bool { return line == "draining = yes" || line == "draining = no" })
+	if !args.Drain.Undo {
+		lines = append(lines, "draining = yes")
+	}
+	return change(out, args, publisher, []register.Edit{register.NewEdit(register.EditConfig{Section: section, Lines: lines})})
+}
+
+// change publishes edits and waits until they are in force. The edits are
+// refused when the models no longer have room.
+func change(out io.Writer, args options, publisher *publish.Publisher, edits []register.Edit) error {
+	begun := time.Now()
+	edited, err := publisher.Revision().Inventory().Edited("inventory", edits)
+	if err != nil {
+		return err
+	}
+	if _, err := register.Check("inventory", []byte(edited.Text())); err != nil {
+		return err
+	}
+	revision, err := publisher.Edit(uuid.NewString(), edits)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "revision %d accepted\n", revision)
+	instances, err := awaited(args, edited)
+	if err != nil {
+		return err
+	}
+	if err := await(out, revision, instances, begun.Add(args.Timeout)); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "revision %d in force on %d instances after %s\n", revision, len(instances), time.Since(begun).Round(time.Millisecond))
+	return nil
+}
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -6,13 +6,10 @@
 	"fmt"
 	"io"
 	"os"
-	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 
 	"sesamewell.example/commons/handbook"
-	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/register"
 	"sesamewell.example/sesamewell/inspect"
 	"sesamewell.example/sesamewell/publish"
@@ -25,9 +22,6 @@
 	exitLagging    = 5 // in force, but not everywhere in time
 )
 
-// errLagging means that a revision is not in force everywhere in time.
-var errLagging = errors.New("the revision is accepted, but not in force on every instance yet")
-
 // run carries out the command that was asked for.
 func run(out io.Writer, args options) error {
 	switch {
@@ -35,9 +29,18 @@
 		return check(out, args.Check.Inventory)
 	case args.Apply != nil:
 		return apply(out, args)
+	case args.Diff != nil:
+		return diff(out, args)
+	case args.Status != nil:
+		return status(out, args)
+	case args.Drain != nil:
+		return drain(out, args)
+	case args.Key != nil && args.Key.Grant != nil:
+		return grant(out, args)
+	case args.Key != nil && args.Key.Withdraw != nil:
+		return withdraw(out, args)
 	case args.Key != nil && args.Key.Hash != nil:
-		sum := sha256.Sum256([]byte(args.Key.Hash.Key))
-		fmt.Fprintln(out, hex.EncodeToString(sum[:]))
+		fmt.Fprintln(out, hashOf(args.Key.Hash.Key))
 		return nil
 	case args.Trace != nil:
 		spans, err := inspect.Spans(args.Trace.ID, args.Trace.Operators)
@@ -75,6 +78,12 @@
 	}
 }
 
+// hashOf returns the SHA-256 of a key in hexadecimal.
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 func check(out io.Writer, path string) error {
 	inventory, err := readInventory(path)
 	if err != nil {
@@ -90,49 +99,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read inventory")
 	}
-	return register.Parse(path, text)
-}
-
-func apply(out io.Writer, args options) error {
-	inventory, err := readInventory(args.Apply.Inventory)
-	if err != nil {
-		return err
-	}
-	publisher := publish.New(logbook.New(logbook.Config{Address: args.Log, Timeout: args.Timeout}))
-	if err := publisher.Refresh(); err != nil {
-		return err
-	}
-	revision, err := publisher.Replace(uuid.NewString(), inventory)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "revision %d accepted\n", revision)
-	return await(out, revision, args.Apply.Operators, time.Now().Add(args.Timeout))
+	return register.Check(path, text)
 }
 
-// await polls the instances until all have the revision in force.
-func await(out io.Writer, revision int64, addresses []string, deadline time.Time) error {
-	for _, address := range addresses {
-		for {
-			got, err := inspect.Revision(address)
-			if err == nil && got >= revision {
-				break
-			}
-			if time.Now().After(deadline) {
-				return errors.Wrapf(errLagging, "%s", address)
-			}
-			time.Sleep(pollPause)
-		}
-	}
-	if len(addresses) > 0 {
-		fmt.Fprintf(out, "revision %d in force on %d instances\n", revision, len(addresses))
-	}
-	return nil
-}
-
-// pollPause is the time between two looks at an instance.
-const pollPause = 50 * time.Millisecond
-
 func printSettings(out io.Writer) {
 	tables := []struct {
 		program  string
--- /dev/null
+++ b/sesamewell/fleet_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/handbook"
+)
+
+// page serves a status page with a revision, and returns its address.
+func page(t *testing.T, revision int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"revision":%d}`, revision)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func TestAwaitNamesTheLaggards(t *testing.T) {
+	cases := map[string]struct {
+		revisions []int // zero does not answer
+		lag       []string
+	}{
+		"all in force":   {revisions: []int{4, 5}},
+		"one behind":     {revisions: []int{4, 3, 4}, lag: []string{"i1 at"}},
+		"one is silent":  {revisions: []int{0, 4}, lag: []string{"i0 at"}},
+		"all are behind": {revisions: []int{3, 0}, lag: []string{"i0 at", "i1 at"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var targets []target
+			for i, revision := range tc.revisions {
+				address := "127.0.0.1:1"
+				if revision > 0 {
+					address = page(t, revision)
+				}
+				targets = append(targets, target{name: fmt.Sprint("i", i), address: address})
+			}
+			var out bytes.Buffer
+			err := await(&out, 4, targets, time.Time{})
+			if got, want := errors.Is(err, errLagging), len(tc.lag) > 0; got != want {
+				t.Errorf("error = %v, lagging %v", err, want)
+			}
+			var got []string
+			for line := range strings.Lines(out.String()) {
+				got = append(got, line[:len("i0 at")])
+			}
+			if diff := cmp.Diff(tc.lag, got); diff != "" {
+				t.Errorf("laggards (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCheckReportsWhatCannotBeHeld(t *testing.T) {
+	const engines = "[backend e1]\nkind = engine\nmemory = 80GiB\nslots = 1\n[backend e2]\nkind = engine\nmemory = 80GiB\nslots = 1\n"
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"all fit":       {text: engines + "[model a]\nmemory = 70GiB\n[model b]\nmemory = 70GiB\n"},
+		"no engine":     {text: "[model a]\nmemory = 1GiB\n", want: []string{":2: no backend server takes model a; add one with kind = engine"}},
+		"fits nowhere":  {text: engines + "[model a]\nmemory = 79GiB\ncache = 2GiB\n", want: []string{":10: model a takes 81GiB with its cache and adapters, but the largest engine, e1, has 80GiB; lower cache, move adapters or add an engine with 81GiB"}},
+		"too many":      {text: engines + "[model a]\nmemory = 60GiB\n[model b]\nmemory = 60GiB\n[model c]\nmemory = 60GiB\n", want: []string{":10: the models take 180GiB together with caches and adapters, but the engines have 160GiB; add engines with 20GiB more or remove models"}},
+		"no room whole": {text: engines + "[model a]\nmemory = 50GiB\n[model b]\nmemory = 50GiB\n[model c]\nmemory = 50GiB\n", want: []string{":14: the engines have room enough in all, but not in one piece for c; add an engine or make models smaller"}},
+		"left engine":   {text: engines + "draining = yes\n[model a]\nmemory = 70GiB\n[model b]\nmemory = 70GiB\n", want: []string{":11: the models take 140GiB together with caches and adapters, but the engines have 80GiB; add engines with 60GiB more or remove models"}},
+		"every fault":   {text: engines + "[model a]\nmemory = 90GiB\n[adapter x]\nmodel = z\nmemory = 1MiB\n", want: []string{":10: model a takes 90GiB with its cache and adapters, but the largest engine, e1, has 80GiB; lower cache, move adapters or add an engine with 90GiB", `:12: model "z" is not described; add [model z] or mend the name`}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "inventory.ini")
+			if err := os.WriteFile(path, []byte(tc.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			err := check(&bytes.Buffer{}, path)
+			var got []string
+			var faults *handbook.Faults
+			if errors.As(err, &faults) {
+				for _, fault := range faults.List() {
+					got = append(got, strings.TrimPrefix(fault.String(), path))
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("faults (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/sesamewell/inspect/inspect.go
+++ b/sesamewell/inspect/inspect.go
@@ -31,15 +31,6 @@
 	return errors.Wrapf(json.Unmarshal(body, value), "answer of %s", address)
 }
 
-// Revision returns the revision in force at the instance with that operators'
-// page.
-func Revision(address string) (int64, error) {
-	var status struct {
-		Revision int64 `json:"revision"`
-	}
-	return status.Revision, Fetch(address, "/status", &status)
-}
-
 // Spans collects the spans of a trace from all addresses. Instances that do
 // not answer are named in the error; the spans of the others are returned.
 func Spans(traceID string, addresses []string) ([]trail.Record, error) {
--- a/sesamewell/options.go
+++ b/sesamewell/options.go
@@ -10,12 +10,16 @@
 type options struct {
 	Check    *checkOptions    `arg:"subcommand:check" help:"report every fault of an inventory"`
 	Apply    *applyOptions    `arg:"subcommand:apply" help:"put an inventory in force on the whole fleet"`
+	Diff     *diffOptions     `arg:"subcommand:diff" help:"show what apply would change"`
+	Status   *statusOptions   `arg:"subcommand:status" help:"show what every instance does"`
+	Drain    *drainOptions    `arg:"subcommand:drain" help:"take a backend server out of service without cutting off a request"`
 	Key      *keyOptions      `arg:"subcommand:key" help:"work with callers' keys"`
 	Trace    *traceOptions    `arg:"subcommand:trace" help:"print the spans of a request"`
 	Explain  *explainOptions  `arg:"subcommand:explain" help:"tell why a request went, waited or was refused, or where a model is"`
 	Settings *settingsOptions `arg:"subcommand:settings" help:"print the table of all settings"`
 
 	Log     string        `default:"127.0.0.1:9100" placeholder:"IP:PORT" help:"address of the log service"`
+	List    string        `placeholder:"IP:PORT" help:"address of the platform's list of instances; without it every instance of the inventory counts as live"`
 	Timeout time.Duration `default:"20s" help:"longest time that a command waits"`
 }
 
@@ -25,11 +29,34 @@
 
 type applyOptions struct {
 	Inventory string   `arg:"positional,required" placeholder:"FILE" help:"inventory in INI form"`
-	Operators []string `arg:"--wait-for,separate" placeholder:"IP:PORT" help:"operators' page of an instance that must have the revision in force; may be given several times"`
+	Operators []string `arg:"--wait-for,separate" placeholder:"IP:PORT" help:"operators' pages to wait for instead of those of all live instances; may be given several times"`
 }
 
 type keyOptions struct {
-	Hash *hashOptions `arg:"subcommand:hash" help:"print the SHA-256 of a key for the inventory"`
+	Grant    *grantOptions    `arg:"subcommand:grant" help:"let a key run requests for a tenant"`
+	Withdraw *withdrawOptions `arg:"subcommand:withdraw" help:"end a key, also for connected callers"`
+	Hash     *hashOptions     `arg:"subcommand:hash" help:"print the SHA-256 of a key for the inventory"`
+}
+
+type diffOptions struct {
+	Inventory string `arg:"positional,required" placeholder:"FILE" help:"inventory in INI form"`
+}
+
+type statusOptions struct{}
+
+type drainOptions struct {
+	Backend string `arg:"positional,required" placeholder:"BACKEND" help:"name of the backend server"`
+	Undo    bool   `arg:"--undo" help:"put it back into service"`
+}
+
+type grantOptions struct {
+	Name   string `arg:"positional,required" placeholder:"NAME" help:"name of the key in the inventory"`
+	Tenant string `arg:"required" placeholder:"TENANT" help:"tenant for which its requests run"`
+	Hash   string `arg:"--sha256,required" placeholder:"HASH" help:"SHA-256 of the key, as sesamewell key hash prints it"`
+}
+
+type withdrawOptions struct {
+	Name string `arg:"positional,required" placeholder:"NAME" help:"name of the key in the inventory"`
 }
 
 type hashOptions struct {
