--- a/commons/nightwatch/nightwatch.go
+++ b/commons/nightwatch/nightwatch.go
@@ -38,6 +38,7 @@
 	Instance string // name of this instance in the inventory
 	Core     CoreConfig
 	Roster   Roster // nil counts every instance of the inventory as live
+	Identity *porter.Identity
 	Log      *logrus.Entry
 }
 
@@ -200,7 +201,7 @@
 	limit := a.watch.config.Core.Limit / 3
 	line, ok := a.lines[peer.address]
 	if !ok {
-		line = porter.NewLine(porter.LineConfig{Address: peer.address, DialTimeout: limit})
+		line = porter.NewLine(porter.LineConfig{Address: peer.address, DialTimeout: limit, Identity: a.watch.config.Identity})
 		a.lines[peer.address] = line
 	}
 	sent := time.Now()
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -16,4 +16,6 @@
 	// floorPercent is the share of each tenant's rate and burst that the entries
 	// hold without the bucket's owner. No setting, for the same reason.
 	floorPercent = 20
+	// logRetry is the time between reads while the log service does not answer.
+	logRetry = 200 * time.Millisecond
 )
--- a/entry/house.go
+++ b/entry/house.go
@@ -80,6 +80,7 @@
 	h.watch = nightwatch.New(nightwatch.Config{
 		Instance: settings.Text("process", "instance"),
 		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Identity: identity,
 		Log:      log,
 	})
 	incarnation := uuid.NewString()
@@ -155,12 +156,24 @@
 	h.crew.Add(lines)
 	h.crew.Add(h.watch)
 	h.registrar = registrar.New(registrar.Config{
-		Log:         log,
-		Service:     service,
-		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
-		Watch:       h.watch,
+		Log:     log,
+		Service: service,
+		Poll:    min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Retry:   logRetry,
+		Watch:   h.watch,
+		Peers: registrar.NewCallers(registrar.CallersConfig{
+			Instance: settings.Text("process", "instance"),
+			Seeds:    settings.List("platform", "peers"),
+			Identity: identity,
+			Log:      log,
+		}),
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
+		Snapshots: registrar.SnapshotConfig{
+			Period:  settings.Duration("platform", "snapshot-period"),
+			Records: int64(settings.Integer("platform", "snapshot-records")),
+			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
@@ -169,6 +182,7 @@
 			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 			{Name: notice.TreasuryService, Receiver: treasurer.NewTreasury(h.treasurer)},
+			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
 		Identity: identity,
 		Log:      log,
--- a/entry/usher/side.go
+++ b/entry/usher/side.go
@@ -27,6 +27,9 @@
 }
 
 func (s *side) serves(ask Ask) bool {
+	if s.backend.Draining() {
+		return false
+	}
 	if ask.config.Service != "" {
 		return s.backend.Service() == ask.config.Service
 	}
--- a/side/house.go
+++ b/side/house.go
@@ -73,6 +73,7 @@
 	h.watch = nightwatch.New(nightwatch.Config{
 		Instance: settings.Text("process", "instance"),
 		Core:     nightwatch.CoreConfig{Limit: settings.Duration("platform", "freshness"), Process: rand.Uint64(), Origin: time.Now()},
+		Identity: identity,
 		Log:      log,
 	})
 	h.foyer = foyer.New(foyer.Config{
@@ -112,8 +113,15 @@
 			Address: settings.Address("platform", "log"),
 			Timeout: settings.Duration("platform", "log-timeout"),
 		}),
-		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
-		Watch:       h.watch,
+		Poll:  min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
+		Retry: logRetry,
+		Watch: h.watch,
+		Peers: registrar.NewCallers(registrar.CallersConfig{
+			Instance: settings.Text("process", "instance"),
+			Seeds:    settings.List("platform", "peers"),
+			Identity: identity,
+			Log:      log,
+		}),
 		Subscribers: []registrar.Inbox{h.foyer.Inbox(), h.hall.Inbox()},
 	})
 	h.crew.Add(h.registrar)
@@ -126,6 +134,7 @@
 			{Name: notice.Service, Receiver: desk.New(meter, h.watch)},
 			{Name: notice.HallService, Receiver: hall.NewDesk(h.hall, meter)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
+			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
 		},
 		Identity: identity,
 		Log:      log,
--- /dev/null
+++ b/standin/proof/register_test.go
@@ -0,0 +1,280 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/wicket"
+	"sesamewell.example/entry/badge"
+)
+
+// shortProof makes proofs lapse soon enough for a test that waits for it.
+const shortProof = "freshness = 2s\n"
+
+// sesamewell runs the operator's tool and returns its output.
+func (f *fleet) sesamewell(args ...string) (string, error) {
+	out, err := exec.Command(filepath.Join(bin, "sesamewell"), append([]string{"--log", f.log}, args...)...).CombinedOutput()
+	return string(out), err
+}
+
+// withdraw takes tenantKey out of the inventory and waits for the side, since
+// an entry may be paused.
+func (f *fleet) withdraw() {
+	f.t.Helper()
+	section := fmt.Sprintf("[key lantern]\ntenant = lantern\nsha256 = %s\n", badge.Hash(tenantKey))
+	text := strings.Replace(f.inventory.String(), section, "", 1)
+	f.inventory.Reset()
+	f.inventory.WriteString(text)
+	path := f.writeInventory()
+	if out, err := f.sesamewell("apply", path, "--wait-for", f.pages["side-engine-1"]); err != nil {
+		f.t.Fatalf("withdraw: %v\n%s", err, out)
+	}
+}
+
+// fail sets the log service's faults.
+func (f *fleet) fail(faults string) {
+	f.t.Helper()
+	response, err := http.Post("http://"+f.log+"/faults", "application/json", strings.NewReader(faults))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// stream begins a chat completion, waits for the first byte of its answer and
+// returns the answer when it has ended.
+func (f *fleet) stream(entry, tokens int) <-chan answer {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry]+"/v1/chat/completions", strings.NewReader(chatBody(tokens, true)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(response.Body, first); err != nil {
+		f.t.Fatal(err)
+	}
+	done := make(chan answer, 1)
+	go func() {
+		defer func() { _ = response.Body.Close() }()
+		rest, err := io.ReadAll(response.Body)
+		done <- answer{status: response.StatusCode, header: response.Header, body: string(first) + string(rest), err: err}
+	}()
+	return done
+}
+
+// within returns the answer or fails after the longest time that a test waits.
+func (f *fleet) within(done <-chan answer) answer {
+	f.t.Helper()
+	select {
+	case got := <-done:
+		return got
+	case <-time.After(patience):
+		f.t.Fatal("the stream did not end")
+		return answer{}
+	}
+}
+
+// refused returns an error unless an answer is a refusal with that code.
+func refused(got answer, code, outcome string) error {
+	var body struct {
+		Error struct{ Code string } `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil || body.Error.Code != code || got.header.Get(wicket.OutcomeHeader) != outcome {
+		return fmt.Errorf("status %d, outcome %q, %v: %s; want %s, %s", got.status, got.header.Get(wicket.OutcomeHeader), got.err, got.body, code, outcome)
+	}
+	return nil
+}
+
+// TestWithdrawnKey withdraws a key while a stream of its caller is open, after
+// something has happened to the entry that serves it.
+func TestWithdrawnKey(t *testing.T) {
+	const endless = 100_000
+	cases := map[string]struct {
+		before func(f *fleet)
+		after  func(f *fleet)
+	}{
+		"all is well": {},
+		"entry paused past its proof": {
+			before: func(f *fleet) { f.processes["entry-1"].signal(t, syscall.SIGSTOP) },
+			after: func(f *fleet) {
+				time.Sleep(3 * time.Second)
+				f.processes["entry-1"].signal(t, syscall.SIGCONT)
+			},
+		},
+		"entry paused, log down when it goes on": {
+			before: func(f *fleet) { f.processes["entry-1"].signal(t, syscall.SIGSTOP) },
+			after: func(f *fleet) {
+				f.fail(`{"down":true}`)
+				time.Sleep(3 * time.Second)
+				f.processes["entry-1"].signal(t, syscall.SIGCONT)
+			},
+		},
+		"log outage just after": {after: func(f *fleet) { f.fail(`{"down":true}`) }},
+		"the other entry killed": {
+			before: func(f *fleet) {
+				f.processes["entry-2"].signal(t, syscall.SIGKILL)
+				f.processes["entry-2"].wait(t)
+			},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.platform = shortProof
+			f.addEngine("engine-1", 16, fastStep)
+			f.addEntry("entry-1", "")
+			f.addEntry("entry-2", "")
+			f.apply()
+			open := f.stream(0, endless)
+			if tc.before != nil {
+				tc.before(f)
+			}
+			f.withdraw()
+			begun := time.Now()
+			if tc.after != nil {
+				tc.after(f)
+			}
+			got := f.within(open)
+			t.Logf("the stream ended %s after the withdrawal", time.Since(begun).Round(time.Millisecond))
+			if got.err == nil || !strings.Contains(got.body, "event: error") {
+				t.Errorf("the stream ended without an error: status %d, %q", got.status, got.body[max(len(got.body)-200, 0):])
+			}
+			if late := f.call(0, chat(tenantKey, 1)); late.status == http.StatusOK {
+				t.Errorf("a request with the withdrawn key was answered: %s", late.body)
+			}
+		})
+	}
+}
+
+// TestBootInAnOutage replaces an entry while nobody reaches the log.
+func TestBootInAnOutage(t *testing.T) {
+	f := newFleet(t)
+	f.platform = shortProof
+	f.addEngine("engine-1", 16, fastStep)
+	f.platform += "peers = " + f.links["side-engine-1"] + "\n"
+	f.addEntry("entry-1", "")
+	f.apply()
+	f.fail(`{"down":true}`)
+	f.processes["entry-1"].signal(t, syscall.SIGKILL)
+	f.processes["entry-1"].wait(t)
+	begun := time.Now()
+	f.start("entry-1", "sesamewell-entry", filepath.Join(f.folder, "entry-1.ini"))
+	f.await("entry-1", "http://"+f.pages["entry-1"]+"/readyz")
+	t.Logf("the new entry was ready after %s", time.Since(begun).Round(time.Millisecond))
+	if err := wholeChat(f.call(0, chat(tenantKey, 3)), 3); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLogOutage stops the log for longer than a proof lasts.
+func TestLogOutage(t *testing.T) {
+	const streams, tokens = 20, 3000
+	f := newFleet(t)
+	f.platform = shortProof
+	f.addEngine("engine-1", streams, fastStep)
+	f.addEngine("engine-2", streams, fastStep)
+	f.addEntry("entry-1", "")
+	f.addEntry("entry-2", "")
+	f.apply()
+	var open []<-chan answer
+	for i := range streams {
+		open = append(open, f.stream(i%2, tokens))
+	}
+	f.fail(`{"down":true}`)
+	time.Sleep(4 * time.Second)
+	for i, done := range open {
+		if err := wholeChat(f.within(done), tokens); err != nil {
+			t.Errorf("stream %d: %v", i, err)
+		}
+	}
+	if err := wholeChat(f.call(0, chat(tenantKey, 3)), 3); err != nil {
+		t.Errorf("new work in the outage: %v", err)
+	}
+	f.processes["side-engine-1"].signal(t, syscall.SIGSTOP)
+	f.awaitNotReady("entry-1")
+	if err := refused(f.call(0, chat(tenantKey, 3)), "not_current", wicket.NotRun); err != nil {
+		t.Errorf("without the word of one process: %v", err)
+	}
+	f.processes["side-engine-1"].signal(t, syscall.SIGCONT)
+	f.fail(`{}`)
+	f.await("entry-1", "http://"+f.pages["entry-1"]+"/readyz")
+	if err := wholeChat(f.call(0, chat(tenantKey, 3)), 3); err != nil {
+		t.Errorf("after the outage: %v", err)
+	}
+}
+
+// TestOperatorsTool changes the configuration of a running fleet and shows how
+// long each change takes until it is in force on every process.
+func TestOperatorsTool(t *testing.T) {
+	f := newFleet(t)
+	f.addEngine("engine-1", 16, fastStep)
+	f.addEngine("engine-2", 16, fastStep)
+	f.addEntry("entry-1", "")
+	f.addEntry("entry-2", "")
+	f.apply()
+	other := badge.Hash("proof-new-key")
+	status := func(key string) int { return f.call(0, chat(key, 1)).status }
+	steps := []struct {
+		name   string
+		faults string
+		args   []string
+		code   int
+		has    string
+		key    string // with which a request has the status
+		status int
+	}{
+		{name: "grant", args: []string{"key", "grant", "new", "--tenant", "lantern", "--sha256", other}, has: "in force on 4 instances", key: "proof-new-key", status: 200},
+		{name: "withdraw", args: []string{"key", "withdraw", "new"}, has: "in force on 4 instances", key: "proof-new-key", status: 401},
+		{name: "withdraw again", args: []string{"key", "withdraw", "new"}, code: 1, has: "[key new]"},
+		{name: "answer lost", faults: `{"lose_answers":1}`, args: []string{"key", "grant", "new", "--tenant", "twisungane", "--sha256", other}, has: "in force on 4 instances", key: "proof-new-key", status: 200},
+		{name: "log slow", faults: `{"slow_millis":400}`, args: []string{"key", "withdraw", "new"}, has: "in force on 4 instances", key: "proof-new-key", status: 401},
+		{name: "log down", faults: `{"down":true}`, args: []string{"key", "grant", "new", "--tenant", "lantern", "--sha256", other}, code: 1, has: "log service is not available", key: "proof-new-key", status: 401},
+		{name: "unknown tenant", faults: `{}`, args: []string{"key", "grant", "new", "--tenant", "nobody", "--sha256", other}, code: 3, has: `tenant "nobody" is not described`},
+		{name: "drain", args: []string{"drain", "engine-2"}, has: "in force on 4 instances", key: tenantKey, status: 200},
+		{name: "drain the last", args: []string{"drain", "engine-1"}, code: 3, has: "no backend server takes model trail-writer"},
+		{name: "diff", args: []string{"diff", f.writeInventory()}, has: "[backend engine-2]\n- draining = yes\n"},
+		{name: "status", args: []string{"status"}, has: "side-engine-2"},
+	}
+	for _, step := range steps {
+		if step.faults != "" {
+			f.fail(step.faults)
+		}
+		out, err := f.sesamewell(step.args...)
+		var failed *exec.ExitError
+		code := 0
+		if errors.As(err, &failed) {
+			code = failed.ExitCode()
+		}
+		if code != step.code || !strings.Contains(out, step.has) {
+			t.Errorf("%s: exit code %d, want %d: %s", step.name, code, step.code, out)
+		}
+		if step.status != 0 {
+			if diff := cmp.Diff(step.status, status(step.key)); diff != "" {
+				t.Errorf("%s: status of a request (-want +got):\n%s", step.name, diff)
+			}
+		}
+		t.Logf("%s: %s", step.name, out)
+	}
+	f.processes["side-engine-2"].signal(t, syscall.SIGSTOP)
+	out, err := f.sesamewell("--timeout", "2s", "key", "grant", "new", "--tenant", "lantern", "--sha256", other)
+	if err == nil || !strings.Contains(out, "side-engine-2 at") || !strings.Contains(out, "1 of 4") {
+		t.Errorf("with one process paused: %v: %s", err, out)
+	}
+	f.processes["side-engine-2"].signal(t, syscall.SIGCONT)
+}
