Measure the rate limiter against its baselines and call owners less

Cause: nothing said what the design costs or gains. Change: stock is borrowed at ticks and at most every 400 ms for all tenants of an owner together; rests of allowances ride on calls that are made anyway.

--- a/entry/treasurer/borrow.go
+++ b/entry/treasurer/borrow.go
@@ -61,21 +61,38 @@
 	for _, owner := range slices.Sorted(maps.Keys(watched)) {
 		p := c.peers[holderName(owner)]
 		beat := watched[owner] && (p == nil || now.Sub(p.sentAt) >= heartbeat)
-		if beat || c.owes(owner) || len(c.needs(now, owner)) > 0 {
+		if beat || c.owes(now, owner) || c.wants(now, owner, p) {
 			c.call(now, owner)
 		}
 	}
 }
 
-func (c *Core) owes(owner string) bool {
+// owes reports whether an owner must be told now of an ended allowance. Others
+// wait for a call that is made anyway.
+func (c *Core) owes(now time.Time, owner string) bool {
 	for role, backs := range c.owed {
-		if len(backs) > 0 && c.ownerOf(role) == owner {
-			return true
+		if c.ownerOf(role) != owner {
+			continue
+		}
+		for _, g := range backs {
+			if !now.Add(returnMargin).Before(g.due) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// wants reports whether an owner must be called for what this entry needs.
+// Stock alone is borrowed for all tenants together, a few times a second.
+func (c *Core) wants(now time.Time, owner string, p *peer) bool {
+	needs := c.needs(now, owner)
+	if p == nil || now.Sub(p.sentAt) >= stockPause {
+		return len(needs) > 0
+	}
+	return slices.ContainsFunc(needs, func(need notice.Need) bool { return need.All() > 0 })
+}
+
 // needs returns what this entry wants to borrow from an owner.
 func (c *Core) needs(now time.Time, owner string) []notice.Need {
 	var needs []notice.Need
--- a/entry/treasurer/constants.go
+++ b/entry/treasurer/constants.go
@@ -6,11 +6,13 @@
 const (
 	groups        = 8                      // claims that share the tenants' buckets
 	tickPeriod    = 100 * time.Millisecond // time between checks of deadlines
+	stockPause    = 400 * time.Millisecond // shortest time between two calls that only borrow stock
 	stockSpan     = time.Second            // demand that an entry borrows ahead
 	renewAhead    = 400 * time.Millisecond // time before its expiry at which an allowance no longer counts as stock
 	demandWeight  = 0.2                    // weight of the newest tick in the mean demand
 	stockShare    = 4                      // an owner lends at most one part in so many of its level as stock
 	returnGrace   = 500 * time.Millisecond // time beyond its expiry in which the rest of an allowance may come back
+	returnMargin  = 250 * time.Millisecond // time before the end of the grace at which a rest is reported by a call of its own
 	heartbeat     = 500 * time.Millisecond // longest time between two messages to an owner
 	watchers      = 3                      // candidates that send an owner heartbeats; others call it only when they need it
 	suspectAfter  = 1500 * time.Millisecond
--- a/entry/treasurer/core.go
+++ b/entry/treasurer/core.go
@@ -172,7 +172,6 @@
 	switch {
 	case len(p.parked) == 0 && p.spend(now, tokens(ask.Tokens()), c.floorOpen(now)):
 		c.do(Admit{ask: ask})
-		c.refill(now, ask.Tenant(), p)
 	case c.tooLarge(ask):
 		c.do(Refuse{request: ask.Request(), refusal: errTooLarge})
 	case now.Before(p.dryUntil):
@@ -194,13 +193,6 @@
 	return ok && tokens(ask.Tokens()) > t.next.owner.burst+t.next.floor.burst
 }
 
-// refill borrows ahead when the stock is low.
-func (c *Core) refill(now time.Time, tenant string, p *purse) {
-	if _, wants := p.need(now, tenant, false); wants {
-		c.callOwner(now, tenant)
-	}
-}
-
 func (c *Core) leave(m Leave) {
 	for _, p := range c.purses {
 		for i, w := range p.parked {
--- a/entry/treasurer/leave.go
+++ b/entry/treasurer/leave.go
@@ -26,8 +26,10 @@
 		}
 		p.parked = nil
 	}
-	if c.owes(c.config.Incarnation) {
-		c.call(now, c.config.Incarnation)
+	for _, role := range slices.Sorted(maps.Keys(c.owed)) {
+		if owner := c.ownerOf(role); owner != "" {
+			c.call(now, owner)
+		}
 	}
 	for _, role := range slices.Sorted(maps.Keys(c.tenures)) {
 		if t := c.tenures[role]; t.acts(now) && c.fresh(now) {
--- a/entry/treasurer/world_test.go
+++ b/entry/treasurer/world_test.go
@@ -68,6 +68,7 @@
 	exact    map[string]*bucket
 	requests int
 	stats    stats
+	arrivals []arrival
 }
 
 // stats are what a run has counted.
@@ -75,6 +76,7 @@
 	Offered, Admitted, Refused int
 	Overspent                  int64 // tokens beyond rate and burst
 	Calls, Bytes, Appends      int
+	Delayed                    int           // admitted after a wait
 	Waited                     time.Duration // of admitted requests
 }
 
@@ -87,6 +89,7 @@
 	skew   time.Duration // of its clock
 	starts int
 
+	bytes    int  // sent and received for control
 	replaced bool // another node has its name
 	alive    bool
 	paused   bool
@@ -97,6 +100,7 @@
 }
 
 type request struct {
+	index  int // of its arrival
 	ask    usher.Ask
 	at     time.Time
 	unused int64
@@ -321,6 +325,8 @@
 	w, to, start := n.world, n.world.node(a.peer), n.starts
 	w.stats.Calls++
 	w.stats.Bytes += size(a.lend)
+	n.bytes += size(a.lend) + envelope
+	to.bytes += size(a.lend) + envelope
 	back := func(loans notice.Loans, err error) {
 		n.do(func() {
 			if n.starts == start {
@@ -338,6 +344,8 @@
 				return
 			}
 			w.stats.Bytes += size(answer)
+			n.bytes += size(answer) + envelope
+			to.bytes += size(answer) + envelope
 			w.send(n.index, to.index, func() { back(answer, nil) })
 		})
 	})
@@ -379,11 +387,12 @@
 	n := w.nodes[index]
 	id := fmt.Sprintf("r%d", w.requests)
 	ask := usher.NewAsk(usher.AskConfig{Request: id, Tenant: tenant, Tokens: size})
+	w.arrivals = append(w.arrivals, arrival{at: w.now, node: index, tenant: tenant, size: size, unused: unused, length: length})
 	if !n.alive {
 		w.stats.Refused++
 		return
 	}
-	r := request{ask: ask, at: w.now, unused: unused, length: length}
+	r := request{index: w.requests - 1, ask: ask, at: w.now, unused: unused, length: length}
 	n.do(func() {
 		n.asked[id] = r
 		n.handle(NewAsk(ask))
@@ -396,6 +405,10 @@
 	w, r, start := n.world, n.asked[ask.Request()], n.starts
 	delete(n.asked, ask.Request())
 	w.stats.Admitted++
+	w.arrivals[r.index].admitted = true
+	if w.now.After(r.at) {
+		w.stats.Delayed++
+	}
 	w.stats.Waited += w.now.Sub(r.at)
 	exact := w.exact[ask.Tenant()]
 	exact.advance(w.now)
@@ -444,3 +457,8 @@
 	}
 	next()
 }
+
+// testAsk returns a request of the usual size.
+func testAsk(tenant string) usher.Ask {
+	return usher.NewAsk(usher.AskConfig{Request: "r", Tenant: tenant, Tokens: 460})
+}
