--- a/entry/gate/gate.go
+++ b/entry/gate/gate.go
@@ -281,6 +281,7 @@
 	o.span.Note("model", request.Model)
 	config.Model = model.Name()
 	config.Stream = request.Stream
+	config.Prompt = request.prompt()
 	config.Tokens = request.tokens(config.Body, g.config.DefaultOutput)
 	o.charge = charge{tokens: config.Tokens, prompt: promptTokens(config.Body)}
 	return nil
--- a/entry/house.go
+++ b/entry/house.go
@@ -43,7 +43,7 @@
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
 //	├── roster    (membership of the sides)
-//	├── lines     (sides: one sender and one reader each)
+//	├── lines     (sides in use: a sender, a reader and a prober each)
 //	├── pitch     (placement of models, under a claim)
 //	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
@@ -90,6 +90,7 @@
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
 		Watch:       h.watch,
+		Idle:        settings.Duration("line", "idle"),
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -114,6 +115,8 @@
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
 			MaxAttempts: settings.Integer("usher", "max-attempts"),
+			Probes:      settings.Integer("usher", "probes"),
+			RetryShare:  float64(settings.Integer("usher", "retry-share")) / 100,
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("usher", "inbox"),
--- a/entry/usher/forward.go
+++ b/entry/usher/forward.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/wicket"
 )
 
@@ -74,9 +73,3 @@
 	r.request = request
 	return r
 }
-
-// Side returns the name of the side that is to run the attempt.
-func (s Send) Side() string { return s.side }
-
-// Submit returns the attempt.
-func (s Send) Submit() notice.Submit { return s.submit }
--- a/entry/usher/membership.go
+++ b/entry/usher/membership.go
@@ -52,6 +52,10 @@
 		return Evidence{side: m.side, incarnation: m.receipts.Side(), leaving: leaving}, true
 	case Read:
 		return Evidence{side: m.side, incarnation: m.pages.Side(), leaving: m.pages.Leaving()}, true
+	case Reported:
+		return Evidence{side: m.side, incarnation: m.report.Side(), leaving: m.report.Leaving()}, true
+	case Unanswered:
+		return Evidence{side: m.side}, true
 	case Unsent:
 		return Evidence{side: m.side}, true
 	case Lost:
--- a/side/foyer/message.go
+++ b/side/foyer/message.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/register"
 )
@@ -40,6 +42,17 @@
 	return ReadArrived{read: read, reply: reply}
 }
 
+// ProbeArrived asks the foyer how it would serve some requests.
+type ProbeArrived struct {
+	probe notice.Probe
+	reply Answerer
+}
+
+// NewProbeArrived returns the message; reply receives a notice.Report.
+func NewProbeArrived(probe notice.Probe, reply Answerer) ProbeArrived {
+	return ProbeArrived{probe: probe, reply: reply}
+}
+
 // Began reports the header of a backend server's answer.
 type Began struct {
 	attempt     string
@@ -97,6 +110,7 @@
 func (Proved) foyerMessage()       {}
 func (BatchArrived) foyerMessage() {}
 func (ReadArrived) foyerMessage()  {}
+func (ProbeArrived) foyerMessage() {}
 func (Began) foyerMessage()        {}
 func (Piece) foyerMessage()        {}
 func (Ended) foyerMessage()        {}
@@ -111,10 +125,21 @@
 	receipts notice.Receipts
 }
 
-// AnswerRead sends pages.
+// ErrSuperseded answers a read after which the entry has sent another, because
+// it had given the earlier one up.
+var ErrSuperseded = errors.New("a later read has come")
+
+// AnswerRead sends pages, or ErrSuperseded.
 type AnswerRead struct {
 	reply Answerer
 	pages notice.Pages
+	err   error
+}
+
+// AnswerProbe sends a report.
+type AnswerProbe struct {
+	reply  Answerer
+	report notice.Report
 }
 
 // Run hands an attempt to a runner.
@@ -131,6 +156,24 @@
 // Drained reports that nothing is left to do after a Drain.
 type Drained struct{}
 
+// Send gives the receipts to whom they belong. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerBatch) Send() { _ = a.reply.Put(a.receipts) }
+
+// Send gives the pages to whom they belong. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerRead) Send() {
+	if a.err != nil {
+		_ = a.reply.Put(a.err)
+		return
+	}
+	_ = a.reply.Put(a.pages)
+}
+
+// Send gives the report to whom it belongs. A refusal means that the caller
+// has stopped waiting.
+func (a AnswerProbe) Send() { _ = a.reply.Put(a.report) }
+
 // Submit returns the attempt to run.
 func (r Run) Submit() notice.Submit { return r.submit }
 
@@ -142,6 +185,7 @@
 
 func (AnswerBatch) foyerAction() {}
 func (AnswerRead) foyerAction()  {}
+func (AnswerProbe) foyerAction() {}
 func (Run) foyerAction()         {}
 func (Stop) foyerAction()        {}
 func (Drained) foyerAction()     {}
