--- a/standin/proof/rates_test.go
+++ b/standin/proof/rates_test.go
@@ -24,6 +24,11 @@
 	frugalRate  = 1
 	frugalBurst = 2000
 	frugalCalls = 40 // at each entry at once, more than the burst allows
+
+	// Enough at once that they do not all go to the engine that is preferred for
+	// their prompt.
+	listedCalls  = 48
+	listedTokens = 50
 )
 
 // addFrugal describes a tenant with a small burst.
@@ -182,11 +187,10 @@
 // which must succeed.
 func (f *listedFleet) awaitQuiet(engine string) {
 	f.t.Helper()
-	const calls = 20
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
 		before := f.received(engine).Runs
-		for _, got := range f.callAll(calls, chat(tenantKey, 2), 0) {
-			if err := wholeChat(got, 2); err != nil {
+		for _, got := range f.callAll(listedCalls, chat(tenantKey, listedTokens), 0) {
+			if err := wholeChat(got, listedTokens); err != nil {
 				f.t.Fatalf("%v\n%s", err, f.processes["entry-1"].log)
 			}
 		}
@@ -203,27 +207,39 @@
 	f.await("list", "http://"+f.list+"/")
 	f.show(live)
 	f.apply()
-	live["side-engine-2"] = "leaving"
+	// The side to leave is one that has work.
+	f.callAll(listedCalls, chat(tenantKey, listedTokens), 0)
+	engine := "engine-1"
+	if f.received("engine-1").Runs < f.received("engine-2").Runs {
+		engine = "engine-2"
+	}
+	live["side-"+engine] = "leaving"
 	f.show(live)
-	f.awaitQuiet("engine-2")
+	f.awaitQuiet(engine)
 	// It stays so when the side dies and comes back while it is still listed
 	// as leaving.
-	f.processes["side-engine-2"].signal(t, syscall.SIGKILL)
-	<-f.processes["side-engine-2"].exited
-	f.startSide("side-engine-2")
-	f.await("side-engine-2", "http://"+f.pages["side-engine-2"]+"/readyz")
-	before := f.received("engine-2").Runs
-	for _, got := range f.callAll(20, chat(tenantKey, 2), 0) {
-		if err := wholeChat(got, 2); err != nil {
+	f.processes["side-"+engine].signal(t, syscall.SIGKILL)
+	<-f.processes["side-"+engine].exited
+	f.startSide("side-" + engine)
+	f.await("side-"+engine, "http://"+f.pages["side-"+engine]+"/readyz")
+	before := f.received(engine).Runs
+	for _, got := range f.callAll(listedCalls, chat(tenantKey, listedTokens), 0) {
+		if err := wholeChat(got, listedTokens); err != nil {
 			t.Error(err)
 		}
 	}
-	if diff := cmp.Diff(before, f.received("engine-2").Runs); diff != "" {
+	if diff := cmp.Diff(before, f.received(engine).Runs); diff != "" {
 		t.Errorf("requests at the leaving backend server (-want +got):\n%s", diff)
 	}
-	live["side-engine-2"] = "live"
+	// With the other side leaving in its place, work comes back to it.
+	for name := range live {
+		if strings.HasPrefix(name, "side-") {
+			live[name] = "leaving"
+		}
+	}
+	live["side-"+engine] = "live"
 	f.show(live)
-	f.awaitWork("engine-2")
+	f.awaitWork(engine)
 }
 
 // awaitWork calls until the engine gets new work. Each call has a prompt of its
