--- a/entry/gate/openai.go
+++ b/entry/gate/openai.go
@@ -55,6 +55,14 @@
 	return request, nil
 }
 
+// prompt returns the part of the request that the model reads.
+func (c completion) prompt() []byte {
+	if len(c.Messages) > 0 {
+		return c.Messages
+	}
+	return c.Prompt
+}
+
 // tokens returns the upper bound on prompt and output tokens.
 func (c completion) tokens(body []byte, fallback int64) int64 {
 	output := fallback
@@ -68,9 +76,12 @@
 	if c.Choices != nil {
 		choices = *c.Choices
 	}
-	return int64(len(body)/charactersPerToken) + output*choices
+	return promptTokens(body) + output*choices
 }
 
+// promptTokens returns the estimate of a prompt's tokens.
+func promptTokens(body []byte) int64 { return int64(len(body) / charactersPerToken) }
+
 func badRequest(code, message string) *wicket.Refusal {
 	return wicket.NewRefusal(wicket.RefusalConfig{Status: fasthttp.StatusBadRequest, Code: code, Message: message})
 }
--- a/entry/house.go
+++ b/entry/house.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/pitch"
+	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
 
@@ -35,9 +37,10 @@
 //	├── lantern   (operators' pages)
 //	├── wicket    (callers' connections)
 //	├── gate      (callers' requests)
+//	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
 //	├── usher     (routing)
-//	├── lines     (sides: one sender and one reader each)
+//	├── lines     (sides in use: a sender, a reader and a prober each)
 //	├── pitch     (placement of models, under a claim)
 //	├── scribe    (appends to the log)
 //	├── door      (calls of other processes)
@@ -48,9 +51,11 @@
 	watch     *nightwatch.Watch
 	registrar *registrar.Registrar
 	gate      *gate.Gate
+	treasurer *treasurer.Treasurer
 	booking   *booking.Booking
 	usher     *usher.Usher
 	drained   chan struct{}
+	draining  atomic.Int32 // duties whose drain has not ended
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) (*house, error) {
@@ -81,6 +86,7 @@
 		Timeout:     settings.Duration("line", "timeout"),
 		Identity:    identity,
 		Watch:       h.watch,
+		Idle:        settings.Duration("line", "idle"),
 		Log:         log,
 	})
 	h.gate = gate.New(gate.Config{
@@ -97,11 +103,15 @@
 		Address: settings.Address("platform", "log"),
 		Timeout: settings.Duration("platform", "log-timeout"),
 	})
+	h.draining.Store(drainingDuties)
 	h.booking = newBooking(settings, h, service, log)
+	h.treasurer = newTreasurer(settings, h, service, identity, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
 			MaxAttempts: settings.Integer("usher", "max-attempts"),
+			Probes:      settings.Integer("usher", "probes"),
+			RetryShare:  float64(settings.Integer("usher", "retry-share")) / 100,
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("usher", "inbox"),
@@ -113,15 +123,16 @@
 	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.usher)
 	h.booking.Attach(h.usher)
-	h.gate.Attach(h.booking)
+	h.treasurer.Attach(h.booking)
+	h.gate.Attach(h.treasurer)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
-	for _, service := range h.booking.Services() {
+	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
 		h.crew.Add(service)
 	}
 	for _, service := range planner.Services() {
@@ -144,7 +155,7 @@
 			Identity: identity,
 			Log:      log,
 		}),
-		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.booking.Inbox(), planner.Inbox()},
+		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
 		Followers:   []registrar.Follower{h.booking.Inbox()},
 		Snapshots: registrar.SnapshotConfig{
 			Period:  settings.Duration("platform", "snapshot-period"),
@@ -159,6 +170,7 @@
 			{Name: notice.PitchService, Receiver: pitch.NewDesk(planner)},
 			{Name: nightwatch.Service, Receiver: nightwatch.NewDesk(h.watch)},
 			{Name: registrar.Service, Receiver: registrar.NewDesk(h.registrar)},
+			{Name: notice.TreasuryService, Receiver: treasurer.NewTreasury(h.treasurer)},
 		},
 		Identity: identity,
 		Log:      log,
@@ -197,17 +209,45 @@
 		Service:  service,
 		Gate:     h.gate.Inbox(),
 		Log:      log,
-		Drained:  sync.OnceFunc(func() { close(h.drained) }),
+		Drained:  sync.OnceFunc(h.drainEnded),
 	})
 }
 
+func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
+	return treasurer.New(treasurer.Config{
+		Core: treasurer.CoreConfig{
+			Instance:  settings.Text("process", "instance"),
+			Freshness: settings.Duration("platform", "freshness"),
+			Allowance: allowanceLife,
+			Floor:     floorPercent,
+			Proof:     h.watch,
+		},
+		Capacity: settings.Integer("rates", "inbox"),
+		Gate:     h.gate.Inbox(),
+		Service:  service,
+		Identity: identity,
+		Drained:  sync.OnceFunc(h.drainEnded),
+		Log:      log,
+	})
+}
+
+// drainEnded notes that the drain of one more duty has ended.
+func (h *house) drainEnded() {
+	if h.draining.Add(-1) == 0 {
+		close(h.drained)
+	}
+}
+
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
 // Drain refuses new requests; the returned channel is closed when all open
 // ones have ended.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
-	return h.drained, h.gate.Drain(ctx, drainHandOver)
+	if err := h.gate.Drain(ctx, drainHandOver); err != nil {
+		return nil, err
+	}
+	return h.drained, h.treasurer.Drain(ctx, drainHandOver)
 }
 
 // Ready returns nil while the entry takes requests.
--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,15 +30,18 @@
 	awaited   map[string]struct{}
 	confirmed []notice.Position
 	resume    bool
+	numbers   *atomic.Uint64 // of the last read; outlives the line
 	failures  int
 	last      notice.Freshness // newest word of the side
+	busy      atomic.Bool
 }
 
-func newReader(config Config, side string, line *porter.Line) *reader {
+func newReader(config Config, side string, line *porter.Line, numbers *atomic.Uint64) *reader {
 	return &reader{
 		config:  config,
 		side:    side,
 		line:    line,
+		numbers: numbers,
 		inbox:   ring.New(ring.Config{Name: "read " + side, Capacity: config.Capacity}),
 		awaited: make(map[string]struct{}),
 		resume:  true,
@@ -61,12 +65,14 @@
 	items := make([]any, maxBatch)
 	for {
 		if len(r.awaited) == 0 && len(r.confirmed) == 0 {
+			r.busy.Store(false)
 			item, err := r.inbox.Take(ctx)
 			if err != nil {
 				return err
 			}
 			r.note(item)
 		}
+		r.busy.Store(true)
 		for _, item := range items[:r.inbox.Drain(items)] {
 			r.note(item)
 		}
@@ -101,6 +107,7 @@
 	sent := time.Now()
 	query := notice.NewRead(notice.ReadConfig{
 		Entry:     r.config.Incarnation,
+		Number:    r.numbers.Add(1),
 		Resume:    r.resume,
 		Positions: r.confirmed,
 		Wait:      wait,
@@ -136,10 +143,12 @@
 }
 
 // failed replaces the connection and, after several failures in a row, reports
-// the side as lost.
+// the side as lost. A side that answers with an error is not lost.
 func (r *reader) failed(ctx context.Context, cause error) error {
 	r.resume = true
-	r.failures++
+	if !porter.Refused(cause) {
+		r.failures++
+	}
 	if r.failures < readFailures {
 		return r.pause(ctx)
 	}
--- a/side/foyer/attempt.go
+++ b/side/foyer/attempt.go
@@ -20,8 +20,12 @@
 	submit  notice.Submit
 	entry   string
 	phase   phase
+	number  uint64 // order of admission
+	index   int    // place in its heap, or -1
 	arrived time.Time
 	expires time.Time
+	started time.Time // when it was handed to a runner
+	begun   bool      // bytes of the answer have come
 
 	base        int64 // offset of buffer[0] in the answer
 	buffer      []byte
@@ -32,6 +36,7 @@
 	state       notice.State
 	code        string
 	ran         bool
+	retryAfter  time.Duration
 	abandoned   bool // nobody awaits the answer
 	withdrawn   bool // the key was withdrawn while the attempt ran
 }
@@ -72,7 +77,7 @@
 	}
 	a.sent += int64(len(data))
 	if a.state != notice.Open && a.sent == a.base+int64(len(a.buffer)) {
-		config.State, config.Code, config.Ran = a.state, a.code, a.ran
+		config.State, config.Code, config.Ran, config.RetryAfter = a.state, a.code, a.ran, a.retryAfter
 		a.endSent = true
 	}
 	return notice.NewPage(config)
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -150,13 +150,18 @@
 	return f
 }
 
+// describeModel adds the model that the engines run, once.
+func (f *fleet) describeModel() {
+	if !strings.Contains(f.inventory.String(), "[model trail-writer]") {
+		f.inventory.WriteString("[model trail-writer]\nmemory = 1GiB\n")
+	}
+}
+
 // addEngine starts an engine with its side.
 func (f *fleet) addEngine(name string, concurrency int, step time.Duration) {
 	address := freeAddress(f.t)
 	f.start(name, "sesamewell-standin", "engine", "--listen", address, "--name", name, "--step", step.String(), "--preload")
-	if !strings.Contains(f.inventory.String(), "[model trail-writer]") {
-		f.inventory.WriteString("[model trail-writer]\nmemory = 1GiB\n")
-	}
+	f.describeModel()
 	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = 80GiB\nslots = %d\n", name, concurrency)
 	f.addSide("side-"+name, name, address, concurrency)
 }
--- a/standin/proof/placement_test.go
+++ b/standin/proof/placement_test.go
@@ -48,6 +48,7 @@
 		args, word = append(args, "--fencing"), "yes"
 	}
 	f.start(name, "sesamewell-standin", args...)
+	f.describeModel()
 	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = %d\nslots = 16\nfencing = %s\n", name, engineMemory, word)
 	f.addSideWith("side-"+name, name, address, 16, fastOrders)
 }
