--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -31,6 +31,7 @@
 	sides     map[string]*side
 	ordered   []*side             // by name
 	copies    map[string][]string // sides that hold a model, by the plan
+	closed    Closed
 	requests  map[string]*request
 	attempts  map[string]*request // by the id of the current attempt
 	probing   []*request          // oldest first; may hold some that are placed
@@ -97,6 +98,8 @@
 		return c.read(now, m)
 	case Lost:
 		return c.lost(now, m)
+	case Closed:
+		c.closed = m
 	case Revised:
 		c.revise(m.inventory)
 	}
--- a/entry/usher/placing.go
+++ b/entry/usher/placing.go
@@ -81,7 +81,7 @@
 // elsewhere. Sides that are suspect count only as a last resort.
 func (c *Core) eligible(now time.Time, r *request, suspects bool) (near, far []*side) {
 	for _, s := range c.holders(r.ask) {
-		if !s.serves(r.ask) || s.leaving || s.suspect(now) != suspects || slices.Contains(r.excluded, s.name) {
+		if !s.serves(r.ask) || c.gone(s) || s.suspect(now) != suspects || slices.Contains(r.excluded, s.name) {
 			continue
 		}
 		if s.domain == c.config.Domain {
@@ -93,6 +93,10 @@
 	return near, far
 }
 
+// gone reports whether a side gets no new work, by its own word or by the
+// membership.
+func (c *Core) gone(s *side) bool { return s.leaving || c.closed.has(s.name) }
+
 // holders returns the sides that the plan names for the model, or all.
 func (c *Core) holders(ask Ask) []*side {
 	names, ok := c.copies[ask.config.Model]
@@ -182,7 +186,7 @@
 func (c *Core) place(now time.Time, r *request) []Action {
 	var best *candidate
 	for _, candidate := range r.candidates {
-		if candidate.absent || candidate.side.leaving {
+		if candidate.absent || c.gone(candidate.side) {
 			continue
 		}
 		if best == nil || c.better(candidate, best) {
