Quarantine requests that crash backend servers

Cause: a request at which an engine crashes was retried at the next engine at once, and every later copy of it ended further engines.

Ruled out: counting crashes by fingerprint alone. Treating a lost side as a crash: every restart of a side would then make its requests run one at a time, so side_unreachable makes no suspects.

Change: entry/quarantine stands between booking and usher. The usher hands over the requests whose answer was cut at the backend server (Crashed). The entry runs suspects one at a time, marked Alone in notice.Submit, and the side runs such an attempt while it runs no other. A crash of a suspect in its turn appends a quarantine record with the fingerprint, the time and an expiry; every entry follows the log and refuses further copies as not-run with 422 request_quarantined. A whole answer clears a suspect. The new field of Submit comes last, so that older processes pass over it.

Conclusion: a crashing request ends at most two engines for each sending, and bystanders are served. Capacity, the time for which suspects are remembered and expiry are constants of the entry.

--- a/commons/notice/submit.go
+++ b/commons/notice/submit.go
@@ -26,6 +26,7 @@
 	Idempotent  bool
 	Tokens      int64         // upper bound on prompt and output tokens
 	Remaining   time.Duration // time left until the request's deadline
+	Alone       bool          // the backend server runs no other attempt meanwhile
 }
 
 // Submit asks a side to run one attempt of a request.
@@ -89,6 +90,10 @@
 // Tokens returns the upper bound on prompt and output tokens.
 func (s Submit) Tokens() int64 { return s.config.Tokens }
 
+// Alone reports whether the attempt is to run while its backend server runs no
+// other.
+func (s Submit) Alone() bool { return s.config.Alone }
+
 // Remaining returns the time left until the request's deadline.
 func (s Submit) Remaining() time.Duration { return s.config.Remaining }
 
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -16,4 +16,10 @@
 	// floorPercent is the share of each tenant's rate and burst that the entries
 	// hold without the bucket's owner. No setting, for the same reason.
 	floorPercent = 20
+	// maxSuspects bounds the requests that are remembered after a crash.
+	maxSuspects = 4096
+	// suspectLife is the time for which a first crash counts against a request.
+	suspectLife = time.Hour
+	// quarantineLife is the time for which a request is barred.
+	quarantineLife = 24 * time.Hour
 )
--- a/entry/house.go
+++ b/entry/house.go
@@ -21,12 +21,14 @@
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
+	"sesamewell.example/commons/scribe"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/pitch"
+	"sesamewell.example/entry/quarantine"
 	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
 )
@@ -39,6 +41,7 @@
 //	├── gate      (callers' requests)
 //	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
+//	├── quarantine (requests that crash backend servers)
 //	├── usher     (routing)
 //	├── lines     (sides in use: a sender, a reader and a prober each)
 //	├── pitch     (placement of models, under a claim)
@@ -105,23 +108,26 @@
 	h.draining.Store(drainingDuties)
 	h.booking = newBooking(settings, h, service, log)
 	h.treasurer = newTreasurer(settings, h, service, identity, log)
+	records := newScribe(settings, service, log)
+	quarantined := newQuarantine(settings, h, records, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
 			MaxAttempts: settings.Integer("usher", "max-attempts"),
 			Probes:      settings.Integer("usher", "probes"),
+			Contain:     true,
 			RetryShare:  float64(settings.Integer("usher", "retry-share")) / 100,
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.booking,
+		Gate:     quarantined,
 		Log:      log,
 	})
-	records := newScribe(settings, service, log)
 	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.usher)
-	h.booking.Attach(h.usher)
+	quarantined.Attach(h.usher)
+	h.booking.Attach(quarantined)
 	h.treasurer.Attach(h.booking)
 	h.gate.Attach(h.treasurer)
 	h.crew.Add(lantern.New(lantern.Config{
@@ -129,7 +135,7 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.treasurer.Appends(), quarantined.Inbox(), h.usher.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range append(h.booking.Services(), h.treasurer.Services()...) {
 		h.crew.Add(service)
@@ -138,6 +144,7 @@
 		h.crew.Add(service)
 	}
 	h.crew.Add(records)
+	h.crew.Add(quarantined.Duty())
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
@@ -148,7 +155,7 @@
 		Poll:        min(settings.Duration("platform", "poll"), settings.Duration("platform", "freshness")/pollsPerProof),
 		Watch:       h.watch,
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
-		Followers:   []registrar.Follower{h.booking.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox(), quarantined.Inbox()},
 	})
 	h.crew.Add(h.registrar)
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
@@ -199,6 +206,16 @@
 	})
 }
 
+func newQuarantine(settings *handbook.Values, h *house, records *scribe.Scribe, log *logrus.Entry) *quarantine.Quarantine {
+	return quarantine.New(quarantine.Config{
+		Core:     quarantine.CoreConfig{Capacity: maxSuspects, Remember: suspectLife, Expiry: quarantineLife},
+		Capacity: settings.Integer("usher", "inbox"),
+		Gate:     h.booking,
+		Scribe:   records,
+		Log:      log,
+	})
+}
+
 func newTreasurer(settings *handbook.Values, h *house, service *logbook.Client, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
 	return treasurer.New(treasurer.Config{
 		Core: treasurer.CoreConfig{
--- a/entry/usher/core.go
+++ b/entry/usher/core.go
@@ -21,6 +21,7 @@
 	Probes      int     // sides that are asked for one request
 	RetryShare  float64 // retries for one request, on average over recent ones
 	Random      *rand.Rand
+	Contain     bool // hand the requests of a crash over as Crashed
 }
 
 // Core is responsible for every routing decision of an entry. It does no input
@@ -134,7 +135,7 @@
 }
 
 func (c *Core) ask(now time.Time, m Ask) []Action {
-	r := &request{ask: m, code: notice.CodeNoBackend, prefix: hashPrefix(m.config.Model, m.config.Prompt)}
+	r := &request{ask: m, count: m.config.Tried, ran: m.config.Tried > 0, code: notice.CodeNoBackend, prefix: hashPrefix(m.config.Model, m.config.Prompt)}
 	c.requests[m.config.Request] = r
 	c.budget.earn()
 	return c.seek(now, r)
@@ -173,6 +174,7 @@
 		Urgent:      a.Urgent,
 		Idempotent:  a.Idempotent,
 		Tokens:      a.Tokens,
+		Alone:       a.Alone,
 		Remaining:   a.Deadline.Sub(now),
 	})
 }
@@ -320,10 +322,25 @@
 func (c *Core) failed(now time.Time, r *request, code string, ran bool, retryAfter time.Duration) []Action {
 	c.release(r)
 	r.note(code, ran, retryAfter)
+	var actions []Action
+	if c.config.Contain && ran && (code == notice.CodeCut || code == notice.CodeUnreachable) {
+		if !r.started && r.ask.config.Idempotent && r.count < c.config.MaxAttempts && c.mayRetry(code) {
+			c.forget(r)
+			return []Action{r.crashed(true)}
+		}
+		actions = append(actions, r.crashed(false))
+	}
 	if r.started || code == notice.CodeWithdrawn || (ran && !r.ask.config.Idempotent) || !c.mayRetry(code) {
-		return []Action{c.refuse(r)}
+		return append(actions, c.refuse(r))
 	}
-	return c.seek(now, r)
+	return append(actions, c.seek(now, r)...)
+}
+
+// crashed hands the request over with the number of its attempts.
+func (r *request) crashed(retry bool) Crashed {
+	ask := r.ask
+	ask.config.Tried = r.count
+	return NewCrashed(ask, retry)
 }
 
 // giveUp fails an attempt that the side may still have, and ends it there when
--- a/entry/usher/forward.go
+++ b/entry/usher/forward.go
@@ -22,6 +22,12 @@
 // Path returns the request path with its query.
 func (a Ask) Path() string { return a.config.Path }
 
+// Model returns the model that must be resident, or "" for a plain service.
+func (a Ask) Model() string { return a.config.Model }
+
+// Service returns the plain service, or "" for a model.
+func (a Ask) Service() string { return a.config.Service }
+
 // Body returns the request body, which must not be changed.
 func (a Ask) Body() []byte { return a.config.Body }
 
--- a/entry/usher/message.go
+++ b/entry/usher/message.go
@@ -32,6 +32,8 @@
 	Idempotent  bool
 	Tokens      int64
 	Deadline    time.Time
+	Tried       int  // attempts made before
+	Alone       bool // the backend server runs no other request meanwhile
 }
 
 // Ask is one request that has passed the gate.
@@ -48,6 +50,19 @@
 // Tokens returns the upper bound on prompt and output tokens.
 func (a Ask) Tokens() int64 { return a.config.Tokens }
 
+// Tried returns the number of attempts that were made before.
+func (a Ask) Tried() int { return a.config.Tried }
+
+// Apart returns the request to be run while its backend server runs no other.
+func (a Ask) Apart() Ask {
+	a.config.Alone = true
+	return a
+}
+
+// Alone reports whether the request is to run while its backend server runs no
+// other.
+func (a Ask) Alone() bool { return a.config.Alone }
+
 // Leave reports that nobody awaits a request's answer any more.
 type Leave struct {
 	request string
@@ -222,6 +237,24 @@
 // RetryAfter returns the earliest useful time of a retry.
 func (r Refuse) RetryAfter() time.Duration { return r.retryAfter }
 
+// Crashed hands over a request that was in flight when its backend server's
+// answer was cut off.
+type Crashed struct {
+	ask   Ask
+	retry bool
+}
+
+// NewCrashed returns the action.
+func NewCrashed(ask Ask, retry bool) Crashed { return Crashed{ask: ask, retry: retry} }
+
+// Ask returns the request, with the number of its attempts.
+func (c Crashed) Ask() Ask { return c.ask }
+
+// Retry reports whether the request may be run again; the usher has forgotten
+// it then. Otherwise the usher refuses it.
+func (c Crashed) Retry() bool { return c.retry }
+
+func (Crashed) usherAction() {}
 func (Send) usherAction()    {}
 func (Probe) usherAction()   {}
 func (Cancel) usherAction()  {}
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -40,6 +40,8 @@
 	prefixes *prefixIndex
 	number   uint64 // attempts admitted so far
 	running  int
+	held     []*attempt // at most one: the next to run, which waits to run alone
+	apart    bool       // the attempt that runs is to run alone
 	readers  map[string]*entryReader
 	order    []*entryReader       // as they came, so that actions have a fixed order
 	ended    map[string]tombstone // attempts that are done, so that a late copy is not run
@@ -82,7 +84,7 @@
 }
 
 // Queued returns the number of attempts that wait.
-func (c *Core) Queued() int { return c.queue.Len() }
+func (c *Core) Queued() int { return c.queue.Len() + len(c.held) }
 
 // Running returns the number of attempts at the backend server.
 func (c *Core) Running() int { return c.running }
@@ -226,7 +228,7 @@
 }
 
 func (c *Core) full() bool {
-	return c.running+c.queue.Len() >= c.config.Concurrency+c.config.Queue
+	return c.running+c.Queued() >= c.config.Concurrency+c.config.Queue
 }
 
 // makeRoom drops a waiting attempt whose claim is weaker than the newcomer's.
@@ -249,7 +251,7 @@
 
 // wait estimates how long a new attempt would wait for a slot.
 func (c *Core) wait(tenant string, urgent bool) time.Duration {
-	if c.running < c.config.Concurrency && c.queue.Len() == 0 {
+	if c.running < c.config.Concurrency && c.Queued() == 0 {
 		return 0
 	}
 	return c.pace.wait(c.queue.ahead(tenant, urgent), c.config.Concurrency)
@@ -269,7 +271,7 @@
 	return AnswerProbe{reply: m.reply, report: notice.NewReport(notice.ReportConfig{
 		Side:      c.config.Incarnation,
 		Leaving:   c.leaving,
-		Queued:    c.queue.Len(),
+		Queued:    c.Queued(),
 		InFlight:  c.running,
 		Slots:     c.config.Concurrency,
 		Estimates: estimates,
@@ -387,7 +389,7 @@
 	}
 	switch a.phase {
 	case waiting:
-		c.queue.remove(a)
+		c.unqueue(a)
 		c.forget(now, a)
 	case running:
 		a.abandoned = true
@@ -443,16 +445,26 @@
 	for _, a := range c.queue.expired(now) {
 		c.drop(now, a, notice.CodeExpired)
 	}
-	for c.running < c.config.Concurrency {
-		a := c.queue.pop(now.Add(promoteSlack))
+	for c.running < c.config.Concurrency && !c.apart {
+		a := c.next(now)
 		if a == nil {
 			break
 		}
+		if now.After(a.expires) {
+			c.queue.end(a)
+			c.drop(now, a, notice.CodeExpired)
+			continue
+		}
 		if !c.resident(a.submit.Model()) {
 			c.queue.end(a)
 			c.drop(now, a, notice.CodeNotResident)
 			continue
 		}
+		if a.submit.Alone() && c.running > 0 {
+			c.held = append(c.held, a)
+			break
+		}
+		c.apart = a.submit.Alone()
 		a.phase, a.started = running, now
 		c.running++
 		c.prefixes.add(a.submit.Prefix())
@@ -461,9 +473,33 @@
 	return actions
 }
 
+// next takes out the attempt that runs next: the one that waits to run alone
+// goes before the queue, so that it does not wait for ever.
+func (c *Core) next(now time.Time) *attempt {
+	if len(c.held) == 0 {
+		return c.queue.pop(now.Add(promoteSlack))
+	}
+	a := c.held[0]
+	c.held = nil
+	return a
+}
+
+// unqueue takes out a waiting attempt that will not run.
+func (c *Core) unqueue(a *attempt) {
+	if len(c.held) > 0 && c.held[0] == a {
+		c.held = nil
+		c.queue.end(a)
+		return
+	}
+	c.queue.remove(a)
+}
+
 // vacate frees the slot of an attempt that the backend server runs no more.
 func (c *Core) vacate(now time.Time, a *attempt) {
 	c.running--
+	if a.submit.Alone() {
+		c.apart = false
+	}
 	c.queue.end(a)
 	c.pace.service.add(now.Sub(a.started))
 }
@@ -496,7 +532,7 @@
 	return AnswerRead{reply: reply, pages: notice.NewPages(notice.PagesConfig{
 		Side:     c.config.Incarnation,
 		Leaving:  c.leaving,
-		Queued:   c.queue.Len(),
+		Queued:   c.Queued(),
 		InFlight: c.running,
 		Pages:    pages,
 	})}
--- a/side/foyer/grant.go
+++ b/side/foyer/grant.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if a.phase == waiting {
-			c.queue.remove(a)
+			c.unqueue(a)
 			c.drop(now, a, notice.CodeWithdrawn)
 		} else {
 			a.withdrawn = true
@@ -53,7 +53,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
 		if a := c.attempts[id]; a.phase == waiting {
-			c.queue.remove(a)
+			c.unqueue(a)
 			c.drop(now, a, notice.CodeNotCurrent)
 		}
 	}
--- a/standin/guide/guide.go
+++ b/standin/guide/guide.go
@@ -26,6 +26,8 @@
 	Step   time.Duration // time between two tokens of one answer
 	Trail  *trail.Trail
 	Orders OrdersConfig
+	Crash  func() // ends the process
+	Marker string // text in a request's body at which to crash; empty for none
 }
 
 // Engine is responsible for the answers in the batch.
@@ -129,6 +131,7 @@
 	request := call.Request()
 	e.received.Write(request.Header.Header())
 	e.received.Write(request.Body())
+	e.crash(request.Body())
 	var asked struct {
 		Model         string `json:"model"`
 		Stream        bool   `json:"stream"`
--- a/standin/main.go
+++ b/standin/main.go
@@ -23,10 +23,11 @@
 
 // Named limits of the stand-ins.
 const (
-	spansKept  = 4096            // spans that an engine keeps
-	stopLimit  = 5 * time.Second // longest time that a stop may take
-	idlePeriod = 50 * time.Millisecond
-	loadPeriod = 5 * time.Millisecond
+	spansKept   = 4096            // spans that an engine keeps
+	stopLimit   = 5 * time.Second // longest time that a stop may take
+	idlePeriod  = 50 * time.Millisecond
+	loadPeriod  = 5 * time.Millisecond
+	exitCrashed = 3 // exit code of an engine that crashes on a marked request
 )
 
 func main() {
@@ -52,7 +53,7 @@
 	case args.Engine != nil:
 		traces := trail.New(trail.Config{Instance: args.Engine.Name, Kept: spansKept, Sampling: 100})
 		loader := guide.NewLoader(guide.LoaderConfig{Store: args.Engine.Store})
-		engine := guide.New(guide.Config{Step: args.Engine.Step, Trail: traces, Orders: guide.OrdersConfig{
+		engine := guide.New(guide.Config{Step: args.Engine.Step, Marker: args.Engine.CrashOn, Crash: func() { os.Exit(exitCrashed) }, Trail: traces, Orders: guide.OrdersConfig{
 			Memory: args.Engine.Memory, Fencing: args.Engine.Fencing, Preload: args.Engine.Preload, Loader: loader,
 		}})
 		return stage.Config{Name: args.Engine.Name, Address: args.Engine.Listen, Handler: engine, Period: args.Engine.Step, Helpers: loader.Services()}, true
--- a/standin/options.go
+++ b/standin/options.go
@@ -23,6 +23,7 @@
 	Memory  int64  `default:"85899345920" help:"bytes of accelerator memory"`
 	Fencing bool   `help:"refuse orders with an old fencing number"`
 	Preload bool   `help:"run requests for every model, loaded or not"`
+	CrashOn string `arg:"--crash-on" placeholder:"TEXT" help:"exit with code 3 when a request's body contains the text"`
 	Store   string `placeholder:"IP:PORT" help:"address of the weight store; without it loads take no time"`
 }
 
@@ -60,5 +61,5 @@
 
 // Epilogue returns the last paragraph of the help.
 func (options) Epilogue() string {
-	return "Example: sesamewell-standin engine --listen 127.0.0.1:9001\nExit codes: 0 stopped as asked, 1 failed, 2 bad arguments."
+	return "Example: sesamewell-standin engine --listen 127.0.0.1:9001\nExit codes: 0 stopped as asked, 1 failed, 2 bad arguments, 3 an engine crashed as asked by --crash-on."
 }
--- /dev/null
+++ b/standin/proof/crash_test.go
@@ -0,0 +1,91 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/wicket"
+)
+
+const crashMarker = "poisoned prompt"
+
+// crashExit is the exit code of an engine that crashed on the marker.
+const crashExit = 3
+
+// startCrashing starts, or starts again, an engine that crashes on the marker.
+func (f *fleet) startCrashing(name, address string) {
+	f.start(name, "sesamewell-standin", "engine", "--listen", address, "--name", name, "--step", "5ms", "--preload", "--crash-on", crashMarker)
+}
+
+// addCrashing adds such an engine with its side.
+func (f *fleet) addCrashing(name string) {
+	address := freeAddress(f.t)
+	f.startCrashing(name, address)
+	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = 80GiB\nslots = 4\n", name)
+	f.addSide("side-"+name, name, address, 4)
+}
+
+// revive starts the engines that have crashed again and returns their number.
+func (f *fleet) revive(engines ...string) int {
+	f.t.Helper()
+	dead := 0
+	for _, name := range engines {
+		select {
+		case <-f.processes[name].exited:
+			dead++
+			if diff := cmp.Diff(crashExit, f.processes[name].code); diff != "" {
+				f.t.Errorf("exit code of %s (-want +got):\n%s\n%s", name, diff, f.processes[name].log)
+			}
+			f.startCrashing(name, f.backends[name])
+			f.await(name, "http://"+f.backends[name]+"/received")
+		default:
+		}
+	}
+	return dead
+}
+
+func TestCrashingRequestIsQuarantinedEverywhere(t *testing.T) {
+	f := newFleet(t)
+	f.addCrashing("engine-1")
+	f.addCrashing("engine-2")
+	f.addEntry("entry-1", "")
+	f.addEntry("entry-2", "")
+	f.apply()
+	marked := callConfig{
+		path: "/v1/chat/completions", key: tenantKey,
+		body: strings.Replace(chatBody(4, true), "hello", crashMarker, 1),
+	}
+	const maxSendings = 6
+	deaths, sendings, refused := 0, 0, 0
+	for refused < len(f.entries) && sendings < maxSendings {
+		got := f.call(sendings%len(f.entries), marked)
+		sendings++
+		deaths += f.revive("engine-1", "engine-2")
+		if got.status == http.StatusUnprocessableEntity && got.header.Get(wicket.OutcomeHeader) == wicket.NotRun {
+			refused++
+		}
+		for entry := range f.entries {
+			if err := wholeChat(f.call(entry, chat(neighborKey, 5)), 5); err != nil {
+				t.Errorf("bystander at entry %d after sending %d: %v", entry, sendings, err)
+			}
+		}
+	}
+	t.Logf("%d engine deaths in %d sendings", deaths, sendings)
+	if before := sendings - refused; deaths < 2 || deaths > 2*before {
+		t.Errorf("%d engine deaths in %d sendings before the quarantine", deaths, before)
+	}
+	for entry := range f.entries {
+		got := f.call(entry, marked)
+		want := []any{http.StatusUnprocessableEntity, wicket.NotRun, true}
+		if diff := cmp.Diff(want, []any{got.status, got.header.Get(wicket.OutcomeHeader), strings.Contains(got.body, `"request_quarantined"`)}); diff != "" {
+			t.Errorf("marked request at entry %d (-want +got):\n%s\n%s", entry, diff, got.body)
+		}
+	}
+	if diff := cmp.Diff(0, f.revive("engine-1", "engine-2")); diff != "" {
+		t.Errorf("engine deaths after the quarantine (-want +got):\n%s", diff)
+	}
+}
