--- a/entry/constants.go
+++ b/entry/constants.go
@@ -18,4 +18,10 @@
 	floorPercent = 20
 	// logRetry is the time between reads while the log service does not answer.
 	logRetry = 200 * time.Millisecond
+	// maxSuspects bounds the requests that are remembered after a crash.
+	maxSuspects = 4096
+	// suspectLife is the time for which a first crash counts against a request.
+	suspectLife = time.Hour
+	// quarantineLife is the time for which a request is barred.
+	quarantineLife = 24 * time.Hour
 )
--- a/entry/house.go
+++ b/entry/house.go
@@ -22,12 +22,14 @@
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
+	"sesamewell.example/commons/scribe"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/commons/wicket"
 	"sesamewell.example/entry/booking"
 	"sesamewell.example/entry/gate"
 	"sesamewell.example/entry/line"
 	"sesamewell.example/entry/pitch"
+	"sesamewell.example/entry/quarantine"
 	"sesamewell.example/entry/roster"
 	"sesamewell.example/entry/treasurer"
 	"sesamewell.example/entry/usher"
@@ -41,6 +43,7 @@
 //	├── gate      (callers' requests)
 //	├── treasurer (tenants' rates, and its calls of other entries)
 //	├── booking   (requests that may run once, and their appends)
+//	├── quarantine (requests that crash backend servers)
 //	├── usher     (routing)
 //	├── roster    (membership of the sides)
 //	├── lines     (sides in use: a sender, a reader and a prober each)
@@ -112,17 +115,19 @@
 	h.booking = newBooking(settings, h, service, log)
 	records := newScribe(settings, service, log)
 	h.treasurer = newTreasurer(settings, h, records, identity, log)
+	quarantined := newQuarantine(settings, h, records, log)
 	h.usher = usher.New(usher.Config{
 		Core: usher.CoreConfig{
 			Domain:      settings.Text("process", "domain"),
 			MaxAttempts: settings.Integer("usher", "max-attempts"),
 			Probes:      settings.Integer("usher", "probes"),
+			Contain:     true,
 			RetryShare:  float64(settings.Integer("usher", "retry-share")) / 100,
 			Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("usher", "inbox"),
 		Lines:    lines,
-		Gate:     h.booking,
+		Gate:     quarantined,
 		Log:      log,
 	})
 	h.roster = roster.New(roster.Config{
@@ -134,7 +139,8 @@
 	})
 	planner := newPitch(settings, identity, records, log)
 	lines.Attach(h.roster)
-	h.booking.Attach(h.usher)
+	quarantined.Attach(h.usher)
+	h.booking.Attach(quarantined)
 	h.treasurer.Attach(h.booking)
 	h.gate.Attach(h.treasurer)
 	h.crew.Add(lantern.New(lantern.Config{
@@ -142,7 +148,7 @@
 		Log:     log,
 		Status:  h,
 		Trail:   traces,
-		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
+		Rings:   []*ring.Ring{h.gate.Inbox(), h.booking.Inbox(), h.booking.Appends(), h.treasurer.Inbox(), quarantined.Inbox(), h.usher.Inbox(), h.roster.Inbox(), lines.Inbox(), planner.Inbox(), planner.Calls(), records.Inbox()},
 	}))
 	for _, service := range slices.Concat(h.booking.Services(), h.treasurer.Services(), h.roster.Services()) {
 		h.crew.Add(service)
@@ -151,6 +157,7 @@
 		h.crew.Add(service)
 	}
 	h.crew.Add(records)
+	h.crew.Add(quarantined.Duty())
 	h.crew.Add(h.usher.Duty())
 	h.crew.Add(h.gate.Duty())
 	h.crew.Add(lines)
@@ -168,7 +175,7 @@
 			Log:      log,
 		}),
 		Subscribers: []registrar.Inbox{lines.Inbox(), h.roster.Inbox(), h.usher.Inbox(), h.gate.Inbox(), h.treasurer.Inbox(), h.booking.Inbox(), planner.Inbox()},
-		Followers:   []registrar.Follower{h.booking.Inbox()},
+		Followers:   []registrar.Follower{h.booking.Inbox(), quarantined.Inbox()},
 		Snapshots: registrar.SnapshotConfig{
 			Period:  settings.Duration("platform", "snapshot-period"),
 			Records: int64(settings.Integer("platform", "snapshot-records")),
@@ -225,6 +232,16 @@
 	})
 }
 
+func newQuarantine(settings *handbook.Values, h *house, records *scribe.Scribe, log *logrus.Entry) *quarantine.Quarantine {
+	return quarantine.New(quarantine.Config{
+		Core:     quarantine.CoreConfig{Capacity: maxSuspects, Remember: suspectLife, Expiry: quarantineLife},
+		Capacity: settings.Integer("usher", "inbox"),
+		Gate:     h.booking,
+		Scribe:   records,
+		Log:      log,
+	})
+}
+
 func newTreasurer(settings *handbook.Values, h *house, records treasurer.Scribe, identity *porter.Identity, log *logrus.Entry) *treasurer.Treasurer {
 	return treasurer.New(treasurer.Config{
 		Core: treasurer.CoreConfig{
