--- a/entry/booking/world_test.go
+++ b/entry/booking/world_test.go
@@ -91,7 +91,7 @@
 			Table:   TableConfig{Capacity: 100, Remember: 240 * time.Hour, KeptBytes: 1 << 20, KeptFor: 24 * time.Hour},
 			Pending: 100, AppendLimit: 3 * time.Second, Wait: 10 * time.Second, MaxOutcome: 1 << 10,
 		}),
-		router: usher.NewCore(usher.CoreConfig{Domain: "a", MaxAttempts: 3, Random: rand.New(rand.NewPCG(1, 2))}),
+		router: usher.NewCore(usher.CoreConfig{Domain: "a", MaxAttempts: 3, Probes: 2, RetryShare: 1, Random: rand.New(rand.NewPCG(1, 2))}),
 	}
 	e.router.Handle(w.now, usher.NewRevised(inventory))
 	return e
@@ -143,6 +143,8 @@
 		switch a := action.(type) {
 		case usher.Send:
 			e.sends = append(e.sends, a)
+		case usher.Probe:
+			w.route(e, e.router.Handle(w.now, usher.NewReported(a.Side(), idle(a.Query()))))
 		case usher.Deliver:
 			w.carryOut(e, e.core.Handle(w.now, NewDelivered(a)))
 		case usher.Refuse:
@@ -151,6 +153,12 @@
 	}
 }
 
+// idle returns the report of a side without load.
+func idle(query notice.Query) notice.Report {
+	estimate := notice.NewEstimate(notice.EstimateConfig{Request: query.Request(), Resident: true})
+	return notice.NewReport(notice.ReportConfig{Side: "i", Slots: 8, Estimates: []notice.Estimate{estimate}})
+}
+
 // fate is what becomes of an append or of an attempt on its way.
 type fate int
 
--- a/side/foyer/constants.go
+++ b/side/foyer/constants.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// bytesPerToken is the number of bytes of text that count as one token.
+const bytesPerToken = 4
+
+// eventEnd ends each event of a stream, which carries one token.
+var eventEnd = []byte("\n\n")
+
+// keptSlots is the number of slots of which one is kept from tenants that run
+// far more than an equal part.
+const keptSlots = 6
+
 // Named limits of the foyer.
 const (
 	tombstoneLife = 2 * time.Minute  // time for which an ended attempt's id is kept
@@ -9,5 +19,7 @@
 	maxReadWait   = 10 * time.Second // longest wait of one read
 	maxPagesBytes = 1 << 20          // bytes of answers in one reply
 	pageOverhead  = 64               // bytes counted for a page beside its data
+	promoteSlack  = 30 * time.Second // a patient attempt with less time than this left counts as urgent
+	activeFor     = 10 * time.Second // time after its last request for which a tenant counts as active
 	tickPeriod    = time.Second      // time between checks of what is due by time alone
 )
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -3,6 +3,7 @@
 package foyer
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -16,19 +17,32 @@
 	Incarnation string        // unique to this start of the side
 	Concurrency int           // attempts that the backend server runs at once
 	Queue       int           // attempts that may wait
+	Prefixes    int           // blocks of prompts that are remembered
+	Residency   Residency     // nil when every model is always resident
 	MaxBuffered int64         // bytes of one answer that its entry has not confirmed
 	Linger      time.Duration // time for which pieces are gathered before they are sent
 }
 
+// Residency tells which models the backend server holds. It is asked from the
+// foyer's thread.
+type Residency interface {
+	// Resident reports whether the model can run without being loaded first.
+	Resident(model string) bool
+}
+
 // Core is responsible for every decision of the foyer. It does no input or
 // output; its duty carries out the actions that Handle and Tick return.
 type Core struct {
 	config   CoreConfig
 	attempts map[string]*attempt
-	queue    []*attempt
+	queue    *queue
+	pace     pace
+	prefixes *prefixIndex
+	number   uint64 // attempts admitted so far
 	running  int
 	readers  map[string]*entryReader
-	ended    map[string]time.Time // attempts that are done, so that a late copy is not run
+	order    []*entryReader       // as they came, so that actions have a fixed order
+	ended    map[string]tombstone // attempts that are done, so that a late copy is not run
 	leaving  bool
 	drained  bool
 
@@ -36,29 +50,39 @@
 	lapsed   bool // the revision may be out of date
 }
 
+// tombstone is what is kept of an attempt that has ended or was refused.
+type tombstone struct {
+	at   time.Time
+	code string // cause of the refusal, or ""
+}
+
 // entryReader is responsible for one entry's reads.
 type entryReader struct {
+	entry    string
 	attempts map[string]*attempt
 	reply    Answerer // of the read that waits, or nil
 	deadline time.Time
 	ready    time.Time // time since which there is something to send
 	seen     time.Time
-	told     bool // an answer has said that the side is leaving
+	number   uint64 // of the last read
+	told     bool   // an answer has said that the side is leaving
 }
 
 // NewCore returns a core without attempts.
 func NewCore(config CoreConfig) *Core {
 	return &Core{
 		config:   config,
+		queue:    newQueue(config.Concurrency),
+		prefixes: newPrefixIndex(config.Prefixes),
 		revision: register.Initial(),
 		attempts: make(map[string]*attempt),
 		readers:  make(map[string]*entryReader),
-		ended:    make(map[string]time.Time),
+		ended:    make(map[string]tombstone),
 	}
 }
 
 // Queued returns the number of attempts that wait.
-func (c *Core) Queued() int { return len(c.queue) }
+func (c *Core) Queued() int { return c.queue.Len() }
 
 // Running returns the number of attempts at the backend server.
 func (c *Core) Running() int { return c.running }
@@ -74,6 +98,8 @@
 		actions = c.takeBatch(now, m)
 	case ReadArrived:
 		actions = c.takeRead(now, m)
+	case ProbeArrived:
+		actions = append(actions, c.report(m))
 	case Began:
 		c.begin(m)
 	case Piece:
@@ -95,22 +121,16 @@
 
 // Tick does what is due by time alone.
 func (c *Core) Tick(now time.Time) []Action {
-	for id, at := range c.ended {
-		if now.Sub(at) > tombstoneLife {
+	for id, t := range c.ended {
+		if now.Sub(t.at) > tombstoneLife {
 			delete(c.ended, id)
 		}
 	}
 	var actions []Action
-	for _, a := range slices.Clone(c.queue) {
-		if now.After(a.expires) {
-			c.unqueue(a)
-			a.fail(notice.CodeExpired, false)
-			c.touch(now, a)
-		}
-	}
-	for name, reader := range c.readers {
+	c.queue.prune()
+	for _, reader := range slices.Clone(c.order) {
 		if now.Sub(reader.seen) > entrySilence {
-			actions = append(actions, c.abandon(now, name)...)
+			actions = append(actions, c.abandon(now, reader)...)
 		}
 	}
 	return c.settle(now, actions)
@@ -119,7 +139,7 @@
 // Alarm returns the time at which Tick is due next, or the zero time.
 func (c *Core) Alarm() time.Time {
 	var alarm time.Time
-	for _, reader := range c.readers {
+	for _, reader := range c.order {
 		if reader.reply == nil {
 			continue
 		}
@@ -144,28 +164,37 @@
 	for _, submit := range m.batch.Submits() {
 		code := notice.CodeRestarted
 		if current {
-			code = c.admit(now, m.batch.Entry(), submit)
+			code = c.admitOnce(now, m.batch.Entry(), submit)
 		}
-		receipts = append(receipts, notice.NewReceipt(notice.ReceiptConfig{
-			Attempt:  submit.Attempt(),
-			Accepted: code == "",
-			Code:     code,
-		}))
+		config := notice.ReceiptConfig{Attempt: submit.Attempt(), Accepted: code == "", Code: code}
+		if code == notice.CodeQueueFull || code == notice.CodeOverloaded {
+			config.RetryAfter = c.wait(submit.Tenant(), submit.Urgent())
+		}
+		receipts = append(receipts, notice.NewReceipt(config))
 	}
 	answer := notice.NewReceipts(notice.ReceiptsConfig{Side: c.config.Incarnation, Receipts: receipts})
 	return append(actions, AnswerBatch{reply: m.reply, receipts: answer})
 }
 
-// admit takes an attempt or returns the cause of its refusal. A copy of an
-// attempt that was taken already is taken again without being run again.
-func (c *Core) admit(now time.Time, entry string, submit notice.Submit) string {
+// admitOnce gives a copy of an attempt the same answer as the attempt got: one
+// that was taken is not run again, and one that was refused is never run.
+func (c *Core) admitOnce(now time.Time, entry string, submit notice.Submit) string {
 	id := submit.Attempt()
 	if _, ok := c.attempts[id]; ok {
 		return ""
 	}
-	if _, ok := c.ended[id]; ok {
-		return ""
+	if earlier, ok := c.ended[id]; ok {
+		return earlier.code
 	}
+	code := c.admit(now, entry, submit)
+	if code != "" {
+		c.ended[id] = tombstone{at: now, code: code}
+	}
+	return code
+}
+
+// admit takes an attempt or returns the cause of its refusal.
+func (c *Core) admit(now time.Time, entry string, submit notice.Submit) string {
 	if c.leaving {
 		return notice.CodeLeaving
 	}
@@ -175,36 +204,87 @@
 	if !c.granted(submit) {
 		return notice.CodeWithdrawn
 	}
-	if c.running+len(c.queue) >= c.config.Concurrency+c.config.Queue {
+	if !c.resident(submit.Model()) {
+		return notice.CodeNotResident
+	}
+	if c.wait(submit.Tenant(), submit.Urgent()) > submit.Remaining() {
+		return notice.CodeOverloaded
+	}
+	if c.full() && !c.makeRoom(now, submit) {
 		return notice.CodeQueueFull
 	}
-	a := &attempt{submit: submit, entry: entry, arrived: now, expires: now.Add(submit.Remaining())}
-	c.attempts[id] = a
-	c.reader(now, entry).attempts[id] = a
-	c.enqueue(a)
+	c.number++
+	a := &attempt{submit: submit, entry: entry, number: c.number, arrived: now, expires: now.Add(submit.Remaining())}
+	c.attempts[submit.Attempt()] = a
+	c.reader(now, entry).attempts[submit.Attempt()] = a
+	c.queue.push(a)
 	return ""
 }
 
-// enqueue puts urgent attempts before those that can wait.
-func (c *Core) enqueue(a *attempt) {
-	at := len(c.queue)
-	if a.submit.Urgent() {
-		at = slices.IndexFunc(c.queue, func(other *attempt) bool { return !other.submit.Urgent() })
-		if at < 0 {
-			at = len(c.queue)
-		}
+func (c *Core) resident(model string) bool {
+	return model == "" || c.config.Residency == nil || c.config.Residency.Resident(model)
+}
+
+func (c *Core) full() bool {
+	return c.running+c.queue.Len() >= c.config.Concurrency+c.config.Queue
+}
+
+// makeRoom drops a waiting attempt whose claim is weaker than the newcomer's.
+func (c *Core) makeRoom(now time.Time, newcomer notice.Submit) bool {
+	victim := c.queue.victim(newcomer)
+	if victim == nil {
+		return false
+	}
+	c.queue.remove(victim)
+	victim.retryAfter = c.wait(victim.submit.Tenant(), victim.submit.Urgent())
+	c.drop(now, victim, notice.CodeQueueFull)
+	return true
+}
+
+// drop ends an attempt that has left the queue without being run.
+func (c *Core) drop(now time.Time, a *attempt, code string) {
+	a.fail(code, false)
+	c.touch(now, a)
+}
+
+// wait estimates how long a new attempt would wait for a slot.
+func (c *Core) wait(tenant string, urgent bool) time.Duration {
+	if c.running < c.config.Concurrency && c.queue.Len() == 0 {
+		return 0
 	}
-	c.queue = slices.Insert(c.queue, at, a)
+	return c.pace.wait(c.queue.ahead(tenant, urgent), c.config.Concurrency)
 }
 
-func (c *Core) unqueue(a *attempt) {
-	if at := slices.Index(c.queue, a); at >= 0 {
-		c.queue = slices.Delete(c.queue, at, at+1)
+// report tells how new requests would fare.
+func (c *Core) report(m ProbeArrived) Action {
+	estimates := make([]notice.Estimate, 0, len(m.probe.Queries()))
+	for _, query := range m.probe.Queries() {
+		estimates = append(estimates, notice.NewEstimate(notice.EstimateConfig{
+			Request:    query.Request(),
+			Resident:   c.resident(query.Model()),
+			Matched:    c.prefixes.match(query.Prefix()),
+			FirstToken: c.wait(query.Tenant(), query.Urgent()) + c.pace.first.value,
+		}))
 	}
+	return AnswerProbe{reply: m.reply, report: notice.NewReport(notice.ReportConfig{
+		Side:      c.config.Incarnation,
+		Leaving:   c.leaving,
+		Queued:    c.queue.Len(),
+		InFlight:  c.running,
+		Slots:     c.config.Concurrency,
+		Estimates: estimates,
+	})}
 }
 
+// takeRead parks a read until there is something to send. A read that comes
+// after a later one of the same entry, and one that a later one replaces, get
+// an error: their caller has given up, and what they took along would be lost.
 func (c *Core) takeRead(now time.Time, m ReadArrived) []Action {
 	reader := c.reader(now, m.read.Entry())
+	if m.read.Number() <= reader.number {
+		return []Action{AnswerRead{reply: m.reply, err: ErrSuperseded}}
+	}
+	reader.number = m.read.Number()
 	reader.seen = now
 	for _, position := range m.read.Positions() {
 		c.confirm(now, position)
@@ -216,7 +296,7 @@
 	}
 	var actions []Action
 	if reader.reply != nil {
-		actions = append(actions, c.answer(reader))
+		actions = append(actions, AnswerRead{reply: reader.reply, err: ErrSuperseded})
 	}
 	reader.reply = m.reply
 	reader.deadline = now.Add(min(m.read.Wait(), maxReadWait))
@@ -250,22 +330,36 @@
 		return nil
 	}
 	if int64(len(a.buffer)+len(m.data)) > c.config.MaxBuffered {
-		c.running--
+		c.vacate(now, a)
 		a.fail(notice.CodeTooLarge, true)
 		c.touch(now, a)
 		return []Action{Stop{attempt: m.attempt}}
 	}
+	c.measure(now, a, m.data)
 	a.buffer = append(a.buffer, m.data...)
 	c.touch(now, a)
 	return nil
 }
 
+// measure counts the tokens of a piece and notes when the first one came.
+func (c *Core) measure(now time.Time, a *attempt, data []byte) {
+	if !a.begun {
+		a.begun = true
+		c.pace.first.add(now.Sub(a.started))
+	}
+	tokens := len(data) / bytesPerToken
+	if a.submit.Stream() {
+		tokens = bytes.Count(data, eventEnd)
+	}
+	c.queue.charge(a, int64(tokens))
+}
+
 func (c *Core) end(now time.Time, m Ended) {
 	a, ok := c.attempts[m.attempt]
 	if !ok || a.phase != running {
 		return
 	}
-	c.running--
+	c.vacate(now, a)
 	if a.withdrawn && !a.abandoned {
 		c.endWithdrawn(now, a)
 		return
@@ -288,12 +382,12 @@
 func (c *Core) cancel(now time.Time, id string) []Action {
 	a, ok := c.attempts[id]
 	if !ok {
-		c.ended[id] = now
+		c.ended[id] = tombstone{at: now}
 		return nil
 	}
 	switch a.phase {
 	case waiting:
-		c.unqueue(a)
+		c.queue.remove(a)
 		c.forget(now, a)
 	case running:
 		a.abandoned = true
@@ -307,14 +401,14 @@
 }
 
 // abandon drops an entry that has stopped reading.
-func (c *Core) abandon(now time.Time, name string) []Action {
+func (c *Core) abandon(now time.Time, reader *entryReader) []Action {
 	var actions []Action
-	reader := c.readers[name]
 	for _, id := range slices.Sorted(maps.Keys(reader.attempts)) {
 		actions = append(actions, c.cancel(now, id)...)
 	}
 	if reader.reply == nil && len(reader.attempts) == 0 {
-		delete(c.readers, name)
+		delete(c.readers, reader.entry)
+		c.order = slices.DeleteFunc(c.order, func(other *entryReader) bool { return other == reader })
 	}
 	return actions
 }
@@ -322,7 +416,7 @@
 func (c *Core) forget(now time.Time, a *attempt) {
 	id := a.submit.Attempt()
 	delete(c.attempts, id)
-	c.ended[id] = now
+	c.ended[id] = tombstone{at: now}
 	if reader, ok := c.readers[a.entry]; ok {
 		delete(reader.attempts, id)
 	}
@@ -331,14 +425,8 @@
 // settle starts what can run, answers the reads that are due and reports the
 // end of a drain.
 func (c *Core) settle(now time.Time, actions []Action) []Action {
-	for c.running < c.config.Concurrency && len(c.queue) > 0 {
-		a := c.queue[0]
-		c.queue = slices.Delete(c.queue, 0, 1)
-		a.phase = running
-		c.running++
-		actions = append(actions, Run{submit: a.submit, queued: now.Sub(a.arrived)})
-	}
-	for _, reader := range c.readers {
+	actions = c.dispatch(now, actions)
+	for _, reader := range c.order {
 		if reader.reply != nil && c.due(now, reader) {
 			actions = append(actions, c.answer(reader))
 		}
@@ -350,6 +438,36 @@
 	return actions
 }
 
+// dispatch hands attempts to the runners while there are free slots.
+func (c *Core) dispatch(now time.Time, actions []Action) []Action {
+	for _, a := range c.queue.expired(now) {
+		c.drop(now, a, notice.CodeExpired)
+	}
+	for c.running < c.config.Concurrency {
+		a := c.queue.pop(now)
+		if a == nil {
+			break
+		}
+		if !c.resident(a.submit.Model()) {
+			c.queue.end(a)
+			c.drop(now, a, notice.CodeNotResident)
+			continue
+		}
+		a.phase, a.started = running, now
+		c.running++
+		c.prefixes.add(a.submit.Prefix())
+		actions = append(actions, Run{submit: a.submit, queued: now.Sub(a.arrived)})
+	}
+	return actions
+}
+
+// vacate frees the slot of an attempt that the backend server runs no more.
+func (c *Core) vacate(now time.Time, a *attempt) {
+	c.running--
+	c.queue.end(a)
+	c.pace.service.add(now.Sub(a.started))
+}
+
 func (c *Core) due(now time.Time, reader *entryReader) bool {
 	if !now.Before(reader.deadline) {
 		return true
@@ -378,7 +496,7 @@
 	return AnswerRead{reply: reply, pages: notice.NewPages(notice.PagesConfig{
 		Side:     c.config.Incarnation,
 		Leaving:  c.leaving,
-		Queued:   len(c.queue),
+		Queued:   c.queue.Len(),
 		InFlight: c.running,
 		Pages:    pages,
 	})}
@@ -392,7 +510,7 @@
 }
 
 func (c *Core) wakeReaders(now time.Time) {
-	for _, reader := range c.readers {
+	for _, reader := range c.order {
 		if reader.ready.IsZero() {
 			reader.ready = now
 		}
@@ -402,8 +520,9 @@
 func (c *Core) reader(now time.Time, entry string) *entryReader {
 	reader, ok := c.readers[entry]
 	if !ok {
-		reader = &entryReader{attempts: make(map[string]*attempt), seen: now}
+		reader = &entryReader{entry: entry, attempts: make(map[string]*attempt), seen: now}
 		c.readers[entry] = reader
+		c.order = append(c.order, reader)
 	}
 	return reader
 }
