Tell the hall which instances the platform lists

Cause: nothing fed the hall the platform's list, so models without a live copy were never taken up without the planner.

Change: the side runs a lister when [platform] list is set; that setting is now common to entries and sides. [orders] list-period sets its pace.

The lister itself has no test yet.

--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -13,13 +13,13 @@
 	{Section: "platform", Key: "poll", Kind: Duration, Default: "1s", Low: "50ms", High: "10s", Doc: "longest time that one read of the log waits for news"},
 	{Section: "platform", Key: "freshness", Kind: Duration, Default: "3s", Low: "300ms", High: "30s", Doc: "time after which a process that cannot tell whether its configuration is current stops to act on it"},
 	{Section: "platform", Key: "peers", Kind: List, Doc: "link addresses of other processes, from which the configuration is read when the log service does not answer at the start"},
+	{Section: "platform", Key: "list", Kind: Address, Doc: "address of the platform's list of live and leaving instances; empty for none"},
 	{Section: "traces", Key: "kept", Kind: Integer, Default: "4096", Low: "16", High: "100000", Doc: "recent spans kept in memory"},
 	{Section: "traces", Key: "sampling", Kind: Integer, Default: "100", Low: "0", High: "100", Doc: "share of requests that are traced, in per cent"},
 	{Section: "traces", Key: "otlp", Kind: Address, Doc: "address of an OTLP collector over HTTP; empty for none"},
 }
 
 var entryOptions = []SettingConfig{
-	{Section: "platform", Key: "list", Kind: Address, Doc: "address of the platform's list of live and leaving instances; empty for none"},
 	{Section: "gate", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
 	{Section: "gate", Key: "max-header", Kind: Bytes, Default: "16KiB", Low: "1KiB", High: "16KiB", Doc: "largest request header"},
 	{Section: "gate", Key: "max-body", Kind: Bytes, Default: "4MiB", Low: "1KiB", High: "64MiB", Doc: "largest request body"},
@@ -79,6 +79,7 @@
 	{Section: "orders", Key: "report", Kind: Duration, Default: "500ms", Low: "50ms", High: "1m", Doc: "time between two looks at the backend server's memory"},
 	{Section: "orders", Key: "grace", Kind: Duration, Default: "10s", Low: "100ms", High: "10m", Doc: "time for which a model is left without a live copy before another backend server takes it up without the planner"},
 	{Section: "orders", Key: "linger", Kind: Duration, Default: "1m", Low: "0s", High: "1h", Doc: "time for which a model that is no longer planned stays while nothing needs its memory"},
+	{Section: "orders", Key: "list-period", Kind: Duration, Default: "2s", Low: "50ms", High: "1m", Doc: "time between two looks at the platform's list of instances"},
 	{Section: "orders", Key: "settle", Kind: Duration, Default: "2s", Low: "0s", High: "1m", Doc: "time from the last advertisement of a model until it is unloaded"},
 	{Section: "orders", Key: "loads", Kind: Integer, Default: "2", Low: "1", High: "64", Doc: "models that the backend server loads at once"},
 	{Section: "backend", Key: "address", Kind: Address, Required: true, Doc: "address of the backend server"},
--- a/side/house.go
+++ b/side/house.go
@@ -35,6 +35,7 @@
 //	├── foyer   (decisions)
 //	├── runners (backend server)
 //	├── hall    (orders and memory of the backend server)
+//	├── lister  (platform's list of instances)
 //	├── scribe  (appends to the log)
 //	├── nightwatch (freshness proof)
 //	└── registrar  (log)
@@ -106,6 +107,9 @@
 	for _, service := range h.hall.Services() {
 		h.crew.Add(service)
 	}
+	if address := settings.Address("platform", "list"); address != "" {
+		h.crew.Add(newLister(settings, address, h.hall.Inbox(), log))
+	}
 	h.registrar = registrar.New(registrar.Config{
 		Log: log,
 		Service: logbook.New(logbook.Config{
--- a/side/orders.go
+++ b/side/orders.go
@@ -6,6 +6,7 @@
 
 	"sesamewell.example/commons/handbook"
 	"sesamewell.example/commons/logbook"
+	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/scribe"
 	"sesamewell.example/side/hall"
 )
@@ -46,3 +47,14 @@
 		Log:      log,
 	})
 }
+
+// newLister returns the thread that brings the hall the platform's list.
+func newLister(settings *handbook.Values, address string, inbox *ring.Ring, log *logrus.Entry) *hall.Lister {
+	return hall.NewLister(hall.ListerConfig{
+		Address: address,
+		Period:  settings.Duration("orders", "list-period"),
+		Timeout: settings.Duration("orders", "timeout"),
+		Hall:    inbox,
+		Log:     log,
+	})
+}
