--- a/standin/drill/reach_test.go
+++ b/standin/drill/reach_test.go
@@ -23,6 +23,10 @@
 			panic(err)
 		}
 	}
+	// A saved case would change the verdict of the next run.
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
--- a/standin/drill/world_test.go
+++ b/standin/drill/world_test.go
@@ -200,11 +200,11 @@
 	if !w.logDown {
 		if next := w.fold(s.revision); next != s.revision {
 			s.revision = next
-			s.proven[next.State()] = w.now
 			w.obey(s, s.core.Handle(w.now, hall.NewRevised(next)))
 		}
 	}
-	// In an outage of the whole log, the sides vouch for each other.
+	// The proof of a new state comes after the hall has been told of it, as in
+	// the side. In an outage of the whole log, the sides vouch for each other.
 	s.proven[s.revision.State()] = w.now
 	if w.random.IntN(8) == 0 {
 		w.obey(s, s.core.Handle(w.now, hall.NewListed(w.list[0].names)))
