Route by residency and by the plan in force

Cause: routing and placement were built side by side and not joined: every side counted as holding every model, so that an engine that lacked a model was asked to run it. Change: the foyer asks the hall's ledger, the usher prefers the sides that the plan names. An engine that holds its models by itself is marked static in the inventory; the planner and the halls leave it alone. Conclusion: requests go where the model is.

--- a/commons/register/adopt.go
+++ b/commons/register/adopt.go
@@ -53,7 +53,7 @@
 		adoption:   Adoption{taken: make(map[string][]string), dropped: make(map[string][]string)},
 	}
 	for name, backend := range inventory.backends {
-		if backend.kind != Engine || !live[name] {
+		if !backend.Placed() || !live[name] {
 			continue
 		}
 		a.free[name] = backend.memory
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -228,6 +228,7 @@
 	memory  int64
 	slots   int
 	fencing bool
+	static  bool
 
 	draining bool
 }
@@ -247,6 +248,10 @@
 // Slots returns the number of requests that it runs at once.
 func (b Backend) Slots() int { return b.slots }
 
+// Placed reports whether models are loaded onto it by plan and order. A plain
+// service and an engine that is marked static run everything by themselves.
+func (b Backend) Placed() bool { return b.kind == Engine && !b.static }
+
 // Fencing reports whether it refuses orders with an old fencing number.
 func (b Backend) Fencing() bool { return b.fencing }
 
--- a/commons/register/reader.go
+++ b/commons/register/reader.go
@@ -86,6 +86,7 @@
 	if backend.kind == Engine {
 		backend.memory = r.bytes("memory")
 		backend.fencing = r.flag("fencing")
+		backend.static = r.flag("static")
 	} else {
 		backend.service = r.text("service")
 	}
--- a/entry/pitch/core.go
+++ b/entry/pitch/core.go
@@ -122,7 +122,7 @@
 func (c *Core) follow(inventory *register.Inventory) {
 	links := make(map[string]string)
 	for _, instance := range inventory.Instances() {
-		if b, ok := inventory.Backend(instance.Backend()); ok && b.Kind() == register.Engine && instance.Role() == register.Side {
+		if b, ok := inventory.Backend(instance.Backend()); ok && b.Placed() && instance.Role() == register.Side {
 			links[b.Name()] = instance.Link()
 		}
 	}
--- a/entry/pitch/layout.go
+++ b/entry/pitch/layout.go
@@ -32,7 +32,7 @@
 	})
 	slots := 0
 	for _, backend := range inventory.Backends() {
-		if backend.Kind() == register.Engine {
+		if backend.Placed() {
 			l.backends = append(l.backends, backend.Name())
 			l.memory[backend.Name()] = backend.Memory()
 			slots += backend.Slots()
--- a/entry/usher/usher.go
+++ b/entry/usher/usher.go
@@ -9,6 +9,7 @@
 
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/commons/ring"
 )
@@ -45,6 +46,7 @@
 	core      *Core
 	inventory Revised
 	closed    Closed
+	placed    Placed
 	open      atomic.Int64
 }
 
@@ -78,6 +80,7 @@
 	u.core = NewCore(u.config.Core)
 	if u.inventory.inventory != nil {
 		u.core.Handle(now, u.inventory)
+		u.core.Handle(now, u.placed)
 	}
 	u.core.Handle(now, u.closed)
 	return nil
@@ -87,6 +90,8 @@
 func (u *Usher) Handle(now time.Time, message any) error {
 	if m, ok := message.(registrar.Revised); ok {
 		u.inventory = NewRevised(m.Revision().Inventory())
+		u.placed = NewPlaced(planned(m.Revision()))
+		u.core.Handle(now, u.placed)
 		message = u.inventory
 	}
 	if m, ok := message.(Closed); ok {
@@ -98,6 +103,28 @@
 	return nil
 }
 
+// planned returns the sides that shall hold each model by the plan in force.
+func planned(revision *register.Revision) map[string][]string {
+	copies := make(map[string][]string)
+	var static []string
+	for _, instance := range revision.Inventory().Instances() {
+		backend, ok := revision.Inventory().Backend(instance.Backend())
+		if !ok || backend.Kind() != register.Engine {
+			continue
+		}
+		if !backend.Placed() {
+			static = append(static, instance.Name())
+		}
+		for _, model := range revision.Plan().Models(instance.Backend()) {
+			copies[model] = append(copies[model], instance.Name())
+		}
+	}
+	for model, sides := range copies {
+		copies[model] = append(sides, static...)
+	}
+	return copies
+}
+
 // Tick does what is due by time alone.
 func (u *Usher) Tick(now time.Time) error { return u.carryOut(now, u.core.Tick(now)) }
 
--- a/side/hall/core.go
+++ b/side/hall/core.go
@@ -108,7 +108,7 @@
 		c.looked = now
 		actions = append(actions, Look{})
 	}
-	if c.backend.Kind() != register.Engine || c.asked.IsZero() {
+	if !c.backend.Placed() || c.asked.IsZero() {
 		return actions
 	}
 	if c.epoch == 0 {
@@ -140,7 +140,7 @@
 func adapterShare(inventory *register.Inventory) int {
 	engines := 0
 	for _, backend := range inventory.Backends() {
-		if backend.Kind() == register.Engine {
+		if backend.Placed() {
 			engines++
 		}
 	}
--- a/side/hall/stock.go
+++ b/side/hall/stock.go
@@ -1,10 +1,6 @@
 package hall
 
-import (
-	"slices"
-
-	"sesamewell.example/commons/register"
-)
+import "slices"
 
 // Stock is a summary of the ledger for routing, the planner and operators.
 type Stock struct {
@@ -19,7 +15,7 @@
 // Stock returns the summary.
 func (c *Core) Stock() Stock {
 	stock := Stock{
-		service:  c.backend.Kind() == register.Service,
+		service:  c.backend.Name() != "" && !c.backend.Placed(),
 		resident: c.Holds(),
 		reserved: c.Reserved(),
 		memory:   c.backend.Memory(),
--- a/side/house.go
+++ b/side/house.go
@@ -77,12 +77,15 @@
 		Identity: identity,
 		Log:      log,
 	})
+	records := newScribe(settings, log)
+	h.hall = newHall(settings, h.watch, records, log)
 	h.foyer = foyer.New(foyer.Config{
 		Core: foyer.CoreConfig{
 			Incarnation: uuid.NewString(),
 			Concurrency: concurrency,
 			Queue:       settings.Integer("foyer", "queue"),
 			Prefixes:    settings.Integer("foyer", "prefix-blocks"),
+			Residency:   h.hall,
 			MaxBuffered: settings.Bytes("foyer", "max-buffered"),
 			Linger:      settings.Duration("desk", "linger"),
 		},
@@ -92,9 +95,7 @@
 		Log:      log,
 		Drained:  sync.OnceFunc(func() { close(h.drained) }),
 	})
-	records := newScribe(settings, log)
 	meter := hall.NewMeter(h.foyer)
-	h.hall = newHall(settings, h.watch, records, log)
 	h.crew.Add(lantern.New(lantern.Config{
 		Address: settings.Address("process", "operator"),
 		Log:     log,
--- a/standin/proof/crash_test.go
+++ b/standin/proof/crash_test.go
@@ -26,7 +26,7 @@
 	address := freeAddress(f.t)
 	f.startCrashing(name, address)
 	f.describeModel()
-	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = 80GiB\nslots = 4\n", name)
+	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nstatic = yes\nmemory = 80GiB\nslots = 4\n", name)
 	f.addSide("side-"+name, name, address, 4)
 }
 
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -162,7 +162,7 @@
 	address := freeAddress(f.t)
 	f.start(name, "sesamewell-standin", "engine", "--listen", address, "--name", name, "--step", step.String(), "--preload")
 	f.describeModel()
-	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nmemory = 80GiB\nslots = %d\n", name, concurrency)
+	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nstatic = yes\nmemory = 80GiB\nslots = %d\n", name, concurrency)
 	f.addSide("side-"+name, name, address, concurrency)
 }
 
