--- a/commons/nightwatch/nightwatch.go
+++ b/commons/nightwatch/nightwatch.go
@@ -138,6 +138,9 @@
 	return nil
 }
 
+// Attach sets the roster, before the watch is served.
+func (w *Watch) Attach(roster Roster) { w.config.Roster = roster }
+
 // peers returns the live instances apart from this one.
 func (w *Watch) peers() []Peer {
 	instances := w.instances.Load()
--- a/entry/house.go
+++ b/entry/house.go
@@ -138,6 +138,7 @@
 		Log:         log,
 	})
 	planner := newPitch(settings, identity, records, log)
+	h.watch.Attach(h.roster)
 	lines.Attach(h.roster)
 	quarantined.Attach(h.usher)
 	h.booking.Attach(quarantined)
