Keep the proofs of all states that a busy duty may still be at

Ruled out: a lapse of the proof itself (the log shows none), and the order in which proof and state reach the watch (the new state is covered at once). Conclusion: a wrongful refusal less at each claim and plan.

--- a/commons/nightwatch/ahead_test.go
+++ b/commons/nightwatch/ahead_test.go
@@ -32,3 +32,33 @@
 		})
 	}
 }
+
+func TestDutyBehindTheWatchGoesByItsOwnProof(t *testing.T) {
+	const limit = 3 * time.Second
+	start := time.Unix(1_000_000, 0)
+	cases := map[string]struct {
+		states int // that follow the duty's own within the time
+		within time.Duration
+		want   bool
+	}{
+		"one state behind":      {states: 1, within: 10 * time.Millisecond, want: true},
+		"many states behind":    {states: 100, within: 10 * time.Millisecond, want: true},
+		"behind for too long":   {states: 1, within: limit},
+		"many, and for so long": {states: 100, within: limit},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			core := nightwatch.NewCore(nightwatch.CoreConfig{Limit: limit, Process: 1, Origin: start})
+			now := start
+			for i := range tc.states + 1 {
+				state := int64(i + 1)
+				now = start.Add(tc.within * time.Duration(i) / time.Duration(tc.states))
+				core.Handle(now, nightwatch.NewLogRead(now, state))
+				core.Handle(now, nightwatch.NewFolded(state, state))
+			}
+			if diff := cmp.Diff(tc.want, core.View().Fresh(now, 1)); diff != "" {
+				t.Errorf("fresh (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/commons/nightwatch/core.go
+++ b/commons/nightwatch/core.go
@@ -52,7 +52,7 @@
 
 // maxSpans is the number of recent states whose proofs are kept. Duties that
 // are further behind than that must not act.
-const maxSpans = 8
+const maxSpans = 256
 
 // Core is responsible for the freshness proof of one process.
 type Core struct {
@@ -75,7 +75,7 @@
 func (c *Core) Handle(now time.Time, message Message) []Action {
 	switch m := message.(type) {
 	case Folded:
-		c.fold(m)
+		c.fold(now, m)
 	case LogRead:
 		c.heard = max(c.heard, m.head)
 		c.read = c.read.newer(proof{at: m.sent, head: m.head})
@@ -120,7 +120,7 @@
 }
 
 // fold notes the state that the register has reached.
-func (c *Core) fold(m Folded) {
+func (c *Core) fold(now time.Time, m Folded) {
 	last := len(c.spans) - 1
 	if last >= 0 && m.known < c.spans[last].known {
 		return
@@ -129,11 +129,19 @@
 		c.spans[last].known = m.known
 	} else {
 		c.spans = append(c.spans, span{state: m.state, known: m.known})
-		c.spans = c.spans[max(len(c.spans)-maxSpans, 0):]
+		c.forget(now)
 	}
 	c.heard = max(c.heard, m.known)
 }
 
+// forget drops the oldest states, on which nobody may act any more.
+func (c *Core) forget(now time.Time) {
+	c.spans = c.spans[max(len(c.spans)-maxSpans, 0):]
+	for len(c.spans) > 1 && now.Sub(c.spans[0].at) >= c.config.Limit {
+		c.spans = c.spans[1:]
+	}
+}
+
 // receive takes the word that rode on a request. Nobody knows how long a
 // request was on its way, so its proofs count from the echoed stamp, which this
 // process had set before the sender stated their age.
--- a/standin/proof/capacity_test.go
+++ b/standin/proof/capacity_test.go
@@ -109,6 +109,9 @@
 				measured.add(name+" MB", float64(streams), f.residentMB(name))
 			}
 			group.Wait()
+			if b.Failed() {
+				b.Fatalf("%d streams\n%s\n%s", streams, f.processes["entry-1"].log, f.processes["side-engine-1"].log)
+			}
 			f.stopAll()
 		}
 		measured.report(b)
