--- a/standin/proof/capacity_test.go
+++ b/standin/proof/capacity_test.go
@@ -119,71 +119,59 @@
 }
 
 func BenchmarkSlopeOfModels(b *testing.B) {
-	for range b.N {
-		measured := make(slopes)
-		for _, models := range []int{200, 400, 800, 1600} {
-			f := newFleet(b)
-			f.addEngine("engine-1", 16, time.Millisecond)
-			f.addEntry("entry-1", "")
-			for i := range models {
-				fmt.Fprintf(&f.inventory, "[model m-%d]\nmemory = 1MiB\n", i)
-			}
-			begun := time.Now()
-			f.apply()
-			measured.add("apply seconds", float64(models), time.Since(begun).Seconds())
-			f.measureRest(measured, float64(models))
-			f.stopAll()
+	sweep(b, []int{200, 400, 800, 1600}, func(f *fleet, models int) {
+		f.addPair()
+		for i := range models {
+			fmt.Fprintf(&f.inventory, "[model m-%d]\nmemory = 1MiB\n", i)
 		}
-		measured.report(b)
-	}
+	})
 }
 
 func BenchmarkSlopeOfTenants(b *testing.B) {
-	for range b.N {
-		measured := make(slopes)
-		for _, tenants := range []int{10, 40, 160, 640} {
-			f := newFleet(b)
-			f.addEngine("engine-1", 16, time.Millisecond)
-			f.addEntry("entry-1", "")
-			for i := range tenants {
-				fmt.Fprintf(&f.inventory, "[tenant t-%d]\nrate = 100\nburst = 1000\n", i)
-			}
-			f.apply()
-			f.measureRest(measured, float64(tenants))
-			f.stopAll()
+	sweep(b, []int{10, 40, 160, 640}, func(f *fleet, tenants int) {
+		f.addPair()
+		for i := range tenants {
+			fmt.Fprintf(&f.inventory, "[tenant t-%d]\nrate = 100\nburst = 1000\n", i)
 		}
-		measured.report(b)
-	}
+	})
 }
 
 func BenchmarkSlopeOfSides(b *testing.B) {
-	for range b.N {
-		measured := make(slopes)
-		for _, sides := range []int{4, 8, 16, 32} {
-			f := newFleet(b)
-			for i := range sides {
-				f.addEngine(fmt.Sprintf("engine-%d", i+1), 16, time.Millisecond)
-			}
-			f.addEntry("entry-1", "")
-			f.apply()
-			f.measureRest(measured, float64(sides))
-			f.stopAll()
+	sweep(b, []int{4, 8, 16, 32}, func(f *fleet, sides int) {
+		for i := range sides {
+			f.addEngine(fmt.Sprintf("engine-%d", i+1), 16, time.Millisecond)
 		}
-		measured.report(b)
-	}
+		f.addEntry("entry-1", "")
+	})
 }
 
 func BenchmarkSlopeOfEntries(b *testing.B) {
+	sweep(b, []int{2, 4, 8, 16}, func(f *fleet, entries int) {
+		f.addEngine("engine-1", 16, time.Millisecond)
+		for i := range entries {
+			f.addEntry(fmt.Sprintf("entry-%d", i+1), "")
+		}
+	})
+}
+
+// addPair adds one engine with its side, and one entry.
+func (f *fleet) addPair() {
+	f.addEngine("engine-1", 16, time.Millisecond)
+	f.addEntry("entry-1", "")
+}
+
+// sweep measures a fleet at rest at each size.
+func sweep(b *testing.B, sizes []int, build func(f *fleet, size int)) {
+	b.Helper()
 	for range b.N {
 		measured := make(slopes)
-		for _, entries := range []int{2, 4, 8, 16} {
+		for _, size := range sizes {
 			f := newFleet(b)
-			f.addEngine("engine-1", 16, time.Millisecond)
-			for i := range entries {
-				f.addEntry(fmt.Sprintf("entry-%d", i+1), "")
-			}
+			build(f, size)
+			begun := time.Now()
 			f.apply()
-			f.measureRest(measured, float64(entries))
+			measured.add("apply seconds", float64(size), time.Since(begun).Seconds())
+			f.measureRest(measured, float64(size))
 			f.stopAll()
 		}
 		measured.report(b)
