Bound what a streamed chunk costs the cores

Cause: nothing bounded allocations or answers for each chunk, and the side looked through its queue on every piece, also when nothing waited. Conclusion: the first cost of the stream path that was found is gone; the entry's 4 are the next.

--- /dev/null
+++ b/entry/usher/cost_test.go
@@ -0,0 +1,40 @@
+package usher
+
+import (
+	"testing"
+
+	"sesamewell.example/commons/notice"
+)
+
+// allocsPerChunk bounds what one streamed chunk costs an entry's routing: the
+// list of actions and the action itself.
+const allocsPerChunk = 4
+
+func TestChunkAllocatesLittle(t *testing.T) {
+	core := newCore(t)
+	for _, action := range core.Handle(start, ask(true)) {
+		if probe, ok := action.(Probe); ok {
+			estimate := notice.NewEstimate(notice.EstimateConfig{Request: "r", Resident: true})
+			report := notice.NewReport(notice.ReportConfig{Side: "i1", Slots: 4, Estimates: []notice.Estimate{estimate}})
+			core.Handle(start, NewReported(probe.Side(), report))
+		}
+	}
+	if core.attempts["r.1"] == nil {
+		t.Fatal("the request was not sent")
+	}
+	side := core.attempts["r.1"].side
+	core.Handle(start, accepted(side, "r.1"))
+	data := []byte("data: {\"choices\":[]}\n\n")
+	var messages []Read
+	for i := range 1002 {
+		messages = append(messages, pages(side, "i1", notice.PageConfig{Attempt: "r.1", Offset: int64(i * len(data)), Data: data, Status: 200}))
+	}
+	next := 0
+	got := testing.AllocsPerRun(1000, func() {
+		core.Handle(start, messages[next])
+		next++
+	})
+	if got > allocsPerChunk {
+		t.Errorf("%v allocations for a chunk, bound %d", got, allocsPerChunk)
+	}
+}
--- a/side/foyer/core.go
+++ b/side/foyer/core.go
@@ -442,6 +442,9 @@
 
 // dispatch hands attempts to the runners while there are free slots.
 func (c *Core) dispatch(now time.Time, actions []Action) []Action {
+	if c.queue.Len() == 0 && len(c.held) == 0 {
+		return actions
+	}
 	for _, a := range c.queue.expired(now) {
 		c.drop(now, a, notice.CodeExpired)
 	}
