Hash callers' keys in one place and drop a cause that nothing gives

Cause: entry and operator's tool each hashed keys, and too_many_attempts was declared and documented but never produced. Change: register.HashKey serves both; the cause and its row are gone. Conclusion: behaviour as before.

--- a/commons/notice/notice.go
+++ b/commons/notice/notice.go
@@ -48,7 +48,6 @@
 	CodeLinkLost    = "side_unreachable"     // the entry lost the side
 	CodeExpired     = "deadline_exceeded"    // the request's time was over
 	CodeNoBackend   = "no_backend_available" // no side serves the model or service
-	CodeAttempts    = "too_many_attempts"    // every allowed attempt was refused
 	CodeWithdrawn   = "key_withdrawn"        // the request's key was withdrawn
 	CodeNotCurrent  = "not_current"          // the process may not know the newest configuration
 	CodeDropped     = "message_out_of_order" // a piece of the answer is missing
--- a/commons/register/inventory.go
+++ b/commons/register/inventory.go
@@ -370,3 +370,10 @@
 
 // Deadline returns the longest time that a request may take, or zero.
 func (r Route) Deadline() time.Duration { return r.deadline }
+
+// HashKey returns the SHA-256 of a key in hexadecimal, the only form in which
+// the system keeps it.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- a/entry/badge/badge.go
+++ b/entry/badge/badge.go
@@ -3,8 +3,6 @@
 package badge
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -30,8 +28,7 @@
 // Hash returns the SHA-256 of a key in hexadecimal, the only form in which the
 // system keeps it.
 func Hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	return register.HashKey(key)
 }
 
 // Pass is the permission to run one request.
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"os"
@@ -80,8 +78,7 @@
 
 // hashOf returns the SHA-256 of a key in hexadecimal.
 func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	return register.HashKey(key)
 }
 
 func check(out io.Writer, path string) error {
