Give a withheld order again as soon as its state is proven

Cause: the hall gives its first order from a new state of the register a moment before that state is proven; the clerk withheld the order and said nothing, so the core took it for given and repeated it 3 s later, when the orders of several sides bunched. Ruled out: the planner's pace (its plans come a load apart). Change: the clerk hands a withheld order back and the core makes it due again after 200 ms. The drill's world does the same. Before: TestPlacementAtTheStart failed, loads 6 to 13 within a second. After: it passes; TestModelsComeBackUnderAnyFaults fails as before.

--- a/side/hall/clerk.go
+++ b/side/hall/clerk.go
@@ -61,7 +61,9 @@
 		}
 		switch j := job.(type) {
 		case Order:
-			c.send(j)
+			if err := c.send(ctx, j); err != nil {
+				return err
+			}
 		case Look:
 			if err := c.look(ctx); err != nil {
 				return err
@@ -71,23 +73,25 @@
 }
 
 // send sends an order unless it has become too old or the state of the register
-// that it was decided from may no longer stand.
-func (c *clerk) send(order Order) {
+// that it was decided from may no longer stand; then the hall is told. Its error
+// means that the hall cannot be told.
+func (c *clerk) send(ctx context.Context, order Order) error {
 	log := c.config.Log.WithFields(logrus.Fields{"event": "order", "verb": order.Verb(), "name": order.Name(), "fence": order.Fence()})
 	body, err := order.Encode()
 	if err != nil {
 		log.WithError(err).Error("order cannot be encoded")
-		return
+		return nil
 	}
 	if now := time.Now(); now.After(order.Expiry()) || !c.config.Proof.Fresh(now, order.State()) {
 		log.Warn("order withheld")
-		return
+		return c.hall.PutWithin(ctx, NewWithheld(order), handOver)
 	}
 	if _, err := c.call(fasthttp.MethodPost, ordersPath, body); err != nil {
 		log.WithError(err).Warn("order may not have been taken")
-		return
+		return nil
 	}
 	log.Info("order taken")
+	return nil
 }
 
 // look asks for the engine's state. Its error means that the hall cannot be
--- a/side/hall/core.go
+++ b/side/hall/core.go
@@ -23,6 +23,9 @@
 // servingRole is the role that an engine is told to have.
 const servingRole = "serve"
 
+// withheldRetry is the time until an order that was not sent is given again.
+const withheldRetry = 200 * time.Millisecond
+
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
 	Backend     string        // name of the backend server
@@ -97,6 +100,9 @@
 		c.adopt(now)
 	case Reported:
 		c.report(m)
+	case Withheld:
+		c.withheld(now, m.order)
+		return nil
 	}
 	return c.Tick(now)
 }
@@ -191,6 +197,14 @@
 	c.ledger.report(m.state, c.gone)
 }
 
+// withheld makes the item of an order that was not sent due again soon. A new
+// state of the register is proven a moment after the hall is told of it.
+func (c *Core) withheld(now time.Time, order Order) {
+	if i, ok := c.ledger.items[order.Name()]; ok {
+		i.ordered = now.Add(withheldRetry - c.config.Retry)
+	}
+}
+
 // gone reports whether no order to load an item can still take effect.
 func (c *Core) gone(i *item) bool {
 	if i.fence == 0 {
--- a/side/hall/message.go
+++ b/side/hall/message.go
@@ -38,6 +38,16 @@
 	return Reported{asked: asked, state: state}
 }
 
+// Withheld brings back an order that was not sent, because the state of the
+// register that it was decided from was not proven to stand, or no longer.
+type Withheld struct {
+	order Order
+}
+
+// NewWithheld returns the message.
+func NewWithheld(order Order) Withheld { return Withheld{order: order} }
+
+func (Withheld) hallMessage() {}
 func (Revised) hallMessage()  {}
 func (Listed) hallMessage()   {}
 func (Reported) hallMessage() {}
--- a/standin/drill/world_test.go
+++ b/standin/drill/world_test.go
@@ -240,7 +240,11 @@
 
 // order lets an engine carry out an order.
 func (w *world) order(s *side, order hall.Order) {
-	if w.now.Sub(s.proven[order.State()]) > lease || order.Fence() < s.fence {
+	if w.now.Sub(s.proven[order.State()]) > lease {
+		s.core.Handle(w.now, hall.NewWithheld(order))
+		return
+	}
+	if order.Fence() < s.fence {
 		return
 	}
 	s.fence = order.Fence()
