Serve the platform's callers through a thin lobby

Cause: the platform's callers and backend servers speak their own protocol and no side stands between them.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := commons sesamewell entry side standin
+MODULES := commons sesamewell entry side standin platform lobby
 
 .PHONY: build run test lint bench settings clean
 
@@ -8,6 +8,7 @@
 	@go build -o bin/sesamewell-entry ./entry
 	@go build -o bin/sesamewell-side ./side
 	@go build -o bin/sesamewell-standin ./standin
+	@go build -o bin/sesamewell-lobby ./lobby
 
 run:
 	@scripts/run
--- /dev/null
+++ b/commons/charter/backend.go
@@ -0,0 +1,79 @@
+package charter
+
+import (
+	"slices"
+	"time"
+)
+
+// Holding is one model that a backend server has loaded.
+type Holding struct {
+	Model    string
+	Version  int64
+	Adapters []string
+}
+
+// BackendConfig holds the construction parameters of a Backend.
+type BackendConfig struct {
+	ID        string // of this start of the backend server
+	Service   string
+	Address   string // IP:port
+	Domain    string
+	Slots     int
+	Leaving   bool
+	Remaining time.Duration // until a leaving one is gone, if it said so
+	Holdings  []Holding
+	Born      int64 // Unix milliseconds of its start
+	Orders    int64 // accepted since its start
+}
+
+// Backend is responsible for what a backend server last said of itself.
+type Backend struct {
+	config BackendConfig
+}
+
+// NewBackend returns a backend server.
+func NewBackend(config BackendConfig) Backend { return Backend{config: config} }
+
+// ID returns the name of this start of the backend server.
+func (b Backend) ID() string { return b.config.ID }
+
+// Service returns the service that it belongs to.
+func (b Backend) Service() string { return b.config.Service }
+
+// Address returns its IP and port.
+func (b Backend) Address() string { return b.config.Address }
+
+// Domain returns its failure domain.
+func (b Backend) Domain() string { return b.config.Domain }
+
+// Slots returns the number of requests that it runs at once.
+func (b Backend) Slots() int { return b.config.Slots }
+
+// Leaving reports whether it gets no new requests.
+func (b Backend) Leaving() bool { return b.config.Leaving }
+
+// Born returns the Unix millisecond of its start.
+func (b Backend) Born() int64 { return b.config.Born }
+
+// Holdings returns the models that it has loaded.
+func (b Backend) Holdings() []Holding { return b.config.Holdings }
+
+// Holds reports whether it has loaded a model and, unless it is empty, an
+// adapter of that model.
+func (b Backend) Holds(model, adapter string) bool {
+	for _, holding := range b.config.Holdings {
+		if holding.Model == model {
+			return adapter == "" || slices.Contains(holding.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+// Models returns the names of the models that it has loaded.
+func (b Backend) Models() []string {
+	names := make([]string, 0, len(b.config.Holdings))
+	for _, holding := range b.config.Holdings {
+		names = append(names, holding.Model)
+	}
+	return names
+}
--- /dev/null
+++ b/commons/charter/service.go
@@ -0,0 +1,69 @@
+package charter
+
+import "time"
+
+// ModelConfig describes one model of an engine.
+type ModelConfig struct {
+	Name     string
+	Memory   float64       // MB of weights
+	Load     time.Duration // from the weight store
+	FromDisk time.Duration
+	FromHost time.Duration // from the backend server's own memory
+	Adapters int           // named a1, a2 and so on
+	Adapter  float64       // MB of one adapter
+}
+
+// EngineConfig describes the model engines of a service.
+type EngineConfig struct {
+	Slots       int     // requests that run at once
+	Cache       int     // tokens of prompts and output that fit in memory
+	Memory      float64 // MB for weights and adapters together
+	Places      int     // adapters that fit
+	LoadsPerSec float64 // loads from the weight store over all backend servers
+	Models      []ModelConfig
+}
+
+// ServiceConfig holds the construction parameters of a Service.
+type ServiceConfig struct {
+	Name        string
+	Connections int           // that one backend server accepts from all callers
+	Engine      *EngineConfig // nil for a plain service
+}
+
+// Service is responsible for what is known of the backend servers that share a
+// name.
+type Service struct {
+	config ServiceConfig
+	models map[string]ModelConfig
+}
+
+func newService(config ServiceConfig) Service {
+	s := Service{config: config, models: make(map[string]ModelConfig)}
+	if config.Engine != nil {
+		for _, model := range config.Engine.Models {
+			s.models[model.Name] = model
+		}
+	}
+	return s
+}
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.config.Name }
+
+// Connections returns how many connections one backend server accepts.
+func (s Service) Connections() int { return s.config.Connections }
+
+// Engine returns the description of the engines and whether the service has
+// any.
+func (s Service) Engine() (EngineConfig, bool) {
+	if s.config.Engine == nil {
+		return EngineConfig{}, false
+	}
+	return *s.config.Engine, true
+}
+
+// Model returns the description of a model.
+func (s Service) Model(name string) (ModelConfig, bool) {
+	model, ok := s.models[name]
+	return model, ok
+}
--- a/commons/crew/program.go
+++ b/commons/crew/program.go
@@ -25,7 +25,7 @@
 
 // arguments are the command line of a Program.
 type arguments struct {
-	Settings string `arg:"positional,required" placeholder:"FILE" help:"settings file in INI form"`
+	Settings string `arg:"positional,required,env:SESAMEWELL_CONFIG" placeholder:"FILE" help:"settings file in INI form"`
 
 	program Program
 }
--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -96,6 +96,9 @@
 // SideOptions returns the declarations of sesamewell-side's settings.
 func SideOptions() []Setting { return declare(commons, sideOptions) }
 
+// LobbyOptions returns the declarations of sesamewell-lobby's settings.
+func LobbyOptions() []Setting { return declare(lobbyOptions) }
+
 func declare(groups ...[]SettingConfig) []Setting {
 	var settings []Setting
 	for _, group := range groups {
@@ -105,3 +108,20 @@
 	}
 	return settings
 }
+
+var lobbyOptions = []SettingConfig{
+	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance"},
+	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
+	{Section: "process", Key: "memory", Kind: Bytes, Required: true, Doc: "memory that the process may use"},
+	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
+	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
+	{Section: "platform", Key: "store", Kind: Address, Required: true, Doc: "address of the platform's store"},
+	{Section: "platform", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "30s", Doc: "limit on one call of the store, beyond the wait of a long poll"},
+	{Section: "porch", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
+	{Section: "porch", Key: "probe", Kind: Address, Required: true, Doc: "address at which the platform asks for readiness"},
+	{Section: "porch", Key: "dialers", Kind: Integer, Default: "6", Low: "1", High: "64", Doc: "connections to backend servers that are made at once"},
+	{Section: "steward", Key: "inbox", Kind: Integer, Default: "8192", Low: "16", High: "1000000", Doc: "capacity of the rings between connections and decisions, in messages"},
+	{Section: "retries", Key: "ratio", Kind: Decimal, Default: "0.2", Doc: "retries for each request of a service, over all instances"},
+	{Section: "retries", Key: "extra", Kind: Integer, Default: "20", Low: "0", High: "100000", Doc: "retries of a service beside that share, in one window, over all instances"},
+	{Section: "retries", Key: "window", Kind: Duration, Default: "10s", Low: "1s", High: "1h", Doc: "time over which retries are counted"},
+}
--- a/commons/handbook/setting.go
+++ b/commons/handbook/setting.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -21,11 +22,12 @@
 	Bytes                // whole number of bytes, with KiB, MiB or GiB if wanted
 	Switch               // yes or no
 	List                 // words separated by commas
+	Decimal              // number with a point, such as 0.25
 )
 
 var kindNames = map[Kind]string{
 	Text: "text", Address: "IP:port", Duration: "duration", Integer: "number",
-	Bytes: "bytes", Switch: "yes or no", List: "comma-separated list",
+	Bytes: "bytes", Switch: "yes or no", List: "comma-separated list", Decimal: "decimal number",
 }
 
 // SettingConfig holds the construction parameters of a Setting.
@@ -99,6 +101,9 @@
 // List returns the value of a List setting.
 func (v *Values) List(section, key string) []string { return v.values[section+"."+key].([]string) }
 
+// Decimal returns the value of a Decimal setting.
+func (v *Values) Decimal(section, key string) float64 { return v.values[section+"."+key].(float64) }
+
 // Settings checks a settings file against its declarations. It returns all
 // faults at once.
 func Settings(path string, text []byte, declared []Setting) (*Values, error) {
@@ -163,7 +168,7 @@
 
 // ParseValue reads text as a value of the given kind: a string for Text and
 // Address, an int64 for Integer, Bytes and Duration (nanoseconds), a bool for
-// Switch and a []string for List. On an error the value is the kind's zero.
+// Switch a []string for List and a float64 for Decimal. On an error the value is the kind's zero.
 func ParseValue(kind Kind, text string) (any, error) {
 	switch kind {
 	case Address:
@@ -178,6 +183,8 @@
 		return parseSwitch(text)
 	case List:
 		return parseList(text), nil
+	case Decimal:
+		return parseDecimal(text)
 	default:
 		return text, nil
 	}
@@ -215,6 +222,17 @@
 	return number, nil
 }
 
+func parseDecimal(text string) (any, error) {
+	if text == "" {
+		return 0.0, nil
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || number < 0 || math.IsInf(number, 0) || math.IsNaN(number) {
+		return 0.0, fmt.Errorf("want a number of zero or more, such as 0.25")
+	}
+	return number, nil
+}
+
 var byteUnits = map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
 
 func parseBytes(text string) (any, error) {
--- a/commons/wicket/logger.go
+++ b/commons/wicket/logger.go
@@ -1,6 +1,12 @@
 package wicket
 
-import "github.com/sirupsen/logrus"
+import (
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/sirupsen/logrus"
+)
+
+// NewLogger returns a logger for gnet that passes its lines on to log.
+func NewLogger(log *logrus.Entry) logging.Logger { return quietLogger{log: log} }
 
 // quietLogger is responsible for passing gnet's own log lines on, all but
 // errors at debug level.
--- a/commons/wicket/refusal.go
+++ b/commons/wicket/refusal.go
@@ -75,12 +75,14 @@
 		Status: fasthttp.StatusBadRequest, Code: "ambiguous_length",
 		Message: "the request has both Content-Length and Transfer-Encoding; send one of them",
 	})
-	errSlowSender = NewRefusal(RefusalConfig{
-		Status: fasthttp.StatusRequestTimeout, Code: "request_timeout",
-		Message: "the request did not arrive whole in time; send it again without a pause",
-	})
 )
 
+// ErrSlowSender refuses a request that did not arrive whole in time.
+var ErrSlowSender = NewRefusal(RefusalConfig{
+	Status: fasthttp.StatusRequestTimeout, Code: "request_timeout",
+	Message: "the request did not arrive whole in time; send it again without a pause",
+})
+
 func errMalformed(cause error) *Refusal {
 	return NewRefusal(RefusalConfig{
 		Status: fasthttp.StatusBadRequest, Code: "malformed_request",
--- a/commons/wicket/wicket.go
+++ b/commons/wicket/wicket.go
@@ -68,7 +68,7 @@
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAlive),
 		gnet.WithReadBufferCap(readBuffer),
-		gnet.WithLogger(quietLogger{log: s.config.Log}),
+		gnet.WithLogger(NewLogger(s.config.Log)),
 	)
 	if ctx.Err() != nil {
 		return ctx.Err()
--- /dev/null
+++ b/lobby/main.go
@@ -0,0 +1,23 @@
+// Command sesamewell-lobby takes callers' requests where it stands directly
+// before the backend servers.
+package main
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/handbook"
+)
+
+func main() {
+	os.Exit(crew.Main(crew.Program{
+		Name:     "sesamewell-lobby",
+		Summary:  "sesamewell-lobby takes callers' requests, checks their keys and quotas, and sends each to a backend server that can run it.",
+		Settings: handbook.LobbyOptions(),
+		Build: func(settings *handbook.Values, log *logrus.Entry) (crew.Root, error) {
+			return newHouse(settings, log), nil
+		},
+	}))
+}
--- /dev/null
+++ b/lobby/porch/answer.go
@@ -0,0 +1,90 @@
+package porch
+
+import (
+	"bufio"
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/visit"
+)
+
+var (
+	errHead    = errors.New("head of the answer is malformed or too large")
+	errTooLong = errors.New("answer is too long to be gathered")
+	headEnd    = []byte("\r\n\r\n")
+)
+
+// answer is responsible for one answer of a backend server as it arrives.
+type answer struct {
+	head   fasthttp.ResponseHeader
+	about  visit.Answer
+	begun  bool // the head has been read
+	length int  // of the body, chunkedLength or unknownLength
+	left   int  // bytes of a body of known length
+	chunks chunks
+	body   []byte // as far as it is gathered
+}
+
+// readHead takes the head out of buffered and returns the bytes that it took,
+// zero while bytes are missing. The answer to a HEAD request has no body.
+func (a *answer) readHead(buffered []byte, headOnly bool, codec Codec) (int, error) {
+	end := bytes.Index(buffered, headEnd)
+	if end < 0 {
+		if len(buffered) > maxHead {
+			return 0, errHead
+		}
+		return 0, nil
+	}
+	end += len(headEnd)
+	if err := a.head.Read(bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)); err != nil {
+		return 0, errors.Mark(err, errHead)
+	}
+	if a.head.StatusCode() < fasthttp.StatusOK {
+		a.head.Reset()
+		return end, nil
+	}
+	a.begun, a.about = true, codec.Answer(&a.head)
+	a.length = a.head.ContentLength()
+	if headOnly || a.head.StatusCode() == fasthttp.StatusNoContent || a.head.StatusCode() == fasthttp.StatusNotModified {
+		a.length = 0
+	}
+	a.left = max(a.length, 0)
+	return end, nil
+}
+
+// readBody takes the next piece of the body out of buffered.
+func (a *answer) readBody(buffered []byte) (data []byte, used int, err error) {
+	switch a.length {
+	case chunkedLength:
+		return a.chunks.next(buffered)
+	case unknownLength:
+		return buffered, len(buffered), nil
+	default:
+		n := min(a.left, len(buffered))
+		a.left -= n
+		return buffered[:n], n, nil
+	}
+}
+
+// whole reports whether the body has ended. One of unknown length ends with its
+// connection.
+func (a *answer) whole() bool {
+	if !a.begun {
+		return false
+	}
+	if a.length == chunkedLength {
+		return a.chunks.done
+	}
+	return a.length >= 0 && a.left == 0
+}
+
+// gather keeps a piece of the body.
+func (a *answer) gather(data []byte) error {
+	if len(a.body)+len(data) > maxBody {
+		return errTooLong
+	}
+	a.body = append(a.body, data...)
+	return nil
+}
--- /dev/null
+++ b/lobby/porch/chunks.go
@@ -0,0 +1,61 @@
+package porch
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+var errChunk = errors.New("chunked coding is malformed")
+
+// maxChunkLine bounds a line of chunked coding, in bytes.
+const maxChunkLine = 256
+
+// chunks is responsible for taking the data out of a body in chunked coding
+// (RFC 9112, section 7.1) as its bytes arrive.
+type chunks struct {
+	left    int  // bytes of the open chunk's data
+	ending  bool // the line end of a chunk's data comes next
+	trailer bool // the last chunk has been seen
+	done    bool
+}
+
+// next returns the data that rest begins with, if any, and the number of bytes
+// that it consumed. Zero consumed bytes mean that more have to arrive.
+func (c *chunks) next(rest []byte) (data []byte, used int, err error) {
+	if c.left > 0 {
+		n := min(c.left, len(rest))
+		c.left -= n
+		c.ending = c.left == 0
+		return rest[:n], n, nil
+	}
+	end := bytes.IndexByte(rest, '\n')
+	if end < 0 {
+		if len(rest) > maxChunkLine {
+			return nil, 0, errChunk
+		}
+		return nil, 0, nil
+	}
+	return nil, end + 1, c.line(bytes.TrimSuffix(rest[:end], []byte{'\r'}))
+}
+
+func (c *chunks) line(line []byte) error {
+	switch {
+	case c.ending:
+		c.ending = false
+		if len(line) > 0 {
+			return errChunk
+		}
+	case c.trailer:
+		c.done = len(line) == 0
+	default:
+		digits, _, _ := bytes.Cut(line, []byte{';'})
+		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
+		if err != nil {
+			return errChunk
+		}
+		c.left, c.trailer = int(size), size == 0
+	}
+	return nil
+}
--- /dev/null
+++ b/lobby/porch/exchange.go
@@ -0,0 +1,139 @@
+package porch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/visit"
+	"sesamewell.example/lobby/steward"
+)
+
+var (
+	lineEnd   = []byte("\r\n")
+	lastChunk = []byte("0\r\n\r\n")
+)
+
+// exchange is responsible for one request and its answer. It belongs to the
+// event loop.
+type exchange struct {
+	number  uint64
+	porch   *Porch
+	caller  *caller
+	request *fasthttp.Request
+	visit   *visit.Visit
+	send    steward.Send
+	pool    *pool // in which it waits for a connection
+	link    *link
+	kept    *answer // an error of the backend server's own
+	begun   bool    // a part of the answer has gone to the caller
+	chunked bool
+	gone    bool
+}
+
+// relay passes a piece of a stream on.
+func (e *exchange) relay(now time.Time, a *answer, data []byte) {
+	out := e.porch.piece[:0]
+	if !e.begun {
+		e.begun = true
+		e.porch.tell(steward.NewBegun(e.number))
+		out = e.appendHead(out, a)
+	}
+	if e.chunked {
+		out = strconv.AppendInt(out, int64(len(data)), 16)
+		out = append(out, lineEnd...)
+	}
+	out = append(out, data...)
+	if e.chunked {
+		out = append(out, lineEnd...)
+	}
+	e.porch.piece = out
+	e.caller.write(out)
+}
+
+// appendHead appends the head of a stream. A caller of HTTP/1.0 gets it without
+// chunked coding, up to the end of the connection.
+func (e *exchange) appendHead(out []byte, a *answer) []byte {
+	e.porch.config.Codec.Relay(&a.head)
+	e.chunked = e.request.Header.IsHTTP11()
+	if !e.chunked {
+		e.caller.last = true
+	}
+	a.head.SetContentLength(chunkedLength)
+	if e.caller.last {
+		a.head.SetConnectionClose()
+	}
+	if !e.chunked {
+		a.head.Del(fasthttp.HeaderTransferEncoding)
+	}
+	return a.head.AppendBytes(out)
+}
+
+// finishRelay ends a stream that has arrived whole.
+func (e *exchange) finishRelay(now time.Time, a *answer) {
+	if !e.begun { // a stream without an event
+		e.finishGathered(now, a)
+		return
+	}
+	if e.chunked {
+		e.caller.write(lastChunk)
+	}
+	e.porch.tell(steward.NewEnded(e.number, steward.Complete, a.head.StatusCode()))
+	e.porch.close(now, e)
+}
+
+// finishGathered decides by its kind where a whole answer goes.
+func (e *exchange) finishGathered(now time.Time, a *answer) {
+	status := a.head.StatusCode()
+	switch {
+	case a.about.Elsewhere:
+		e.porch.tell(steward.NewEnded(e.number, steward.Misplaced, status))
+	case a.about.NotRun:
+		e.porch.tell(steward.NewEnded(e.number, steward.Rejected, status))
+	case status >= fasthttp.StatusInternalServerError && e.send.Keep:
+		e.kept = a
+		e.porch.tell(steward.NewEnded(e.number, steward.Spoiled, status))
+	default:
+		e.porch.tell(steward.NewEnded(e.number, steward.Complete, status))
+		e.reply(now, a)
+	}
+}
+
+// reply gives the caller a gathered answer.
+func (e *exchange) reply(now time.Time, a *answer) {
+	e.porch.config.Codec.Relay(&a.head)
+	a.head.SetContentLength(len(a.body))
+	if e.caller.last {
+		a.head.SetConnectionClose()
+	}
+	out := a.head.AppendBytes(e.porch.piece[:0])
+	if !e.request.Header.IsHead() {
+		out = append(out, a.body...)
+	}
+	e.porch.piece = out
+	e.caller.write(out)
+	e.porch.close(now, e)
+}
+
+// refuse ends the request without an answer of a backend server.
+func (e *exchange) refuse(now time.Time, status int, retryAfter time.Duration) {
+	e.drop()
+	if e.begun {
+		e.caller.abort()
+		e.porch.close(now, e)
+		return
+	}
+	a := &answer{}
+	e.porch.config.Codec.Refusal(&a.head, e.visit.ID(), status, retryAfter)
+	e.reply(now, a)
+}
+
+// drop gives up a send that is under way.
+func (e *exchange) drop() {
+	e.pool = nil
+	if l := e.link; l != nil {
+		l.exchange, l.answer, e.link = nil, nil, nil
+		l.close()
+	}
+}
--- /dev/null
+++ b/lobby/steward/core.go
@@ -0,0 +1,350 @@
+// Package steward decides on the requests that callers bring: whether their key
+// and quota allow them, which backend server gets them, whether they are sent
+// again, and when they are given up.
+package steward
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/visit"
+)
+
+// Purse holds the tenants' quotas.
+type Purse interface {
+	// Spend takes cost from the tenant's quota. If there is not enough, it
+	// takes nothing and returns the time until there may be.
+	Spend(now time.Time, tenant charter.Tenant, cost float64) (time.Duration, bool)
+	// Refund gives back the cost of a request that did not run.
+	Refund(now time.Time, tenant charter.Tenant, cost float64)
+}
+
+// CoreConfig holds the construction parameters of a Core.
+type CoreConfig struct {
+	Domain string       // failure domain of this process
+	Budget BudgetConfig // of retries, for each service
+	Peers  int          // processes that share connections to a backend server
+	Purse  Purse
+	Random *rand.Rand
+}
+
+// Core is responsible for every decision of the steward. It does no input or
+// output; its duty carries out the actions that Handle and Tick return.
+type Core struct {
+	config   CoreConfig
+	charter  *charter.Charter // nil until one is known
+	hosts    map[string]*host
+	services map[string][]*host // in the order of their ids
+	calls    map[uint64]*call
+	budgets  map[string]*budget
+	listed   bool
+	draining bool
+	actions  []Action
+}
+
+// NewCore returns a core that knows no configuration.
+func NewCore(config CoreConfig) *Core {
+	return &Core{
+		config:   config,
+		hosts:    make(map[string]*host),
+		services: make(map[string][]*host),
+		calls:    make(map[uint64]*call),
+		budgets:  make(map[string]*budget),
+	}
+}
+
+// Ready reports whether the process can take callers' connections.
+func (c *Core) Ready() bool { return c.charter != nil && c.listed && !c.draining }
+
+// Open returns the number of requests whose answers have not ended.
+func (c *Core) Open() int { return len(c.calls) }
+
+// Handle processes one message.
+func (c *Core) Handle(now time.Time, message Message) []Action {
+	c.actions = nil
+	switch m := message.(type) {
+	case Arrived:
+		c.arrive(now, m)
+	case Begun:
+		c.begin(m.number)
+	case Left:
+		c.leave(m.number)
+	case Ended:
+		c.end(now, m)
+	case Chartered:
+		c.charter = m.charter
+	case Listed:
+		c.list(m.backends)
+	case Draining:
+		c.draining = true
+	}
+	return c.actions
+}
+
+// Tick gives up the requests whose time is over.
+func (c *Core) Tick(now time.Time) []Action {
+	c.actions = nil
+	for _, call := range c.calls {
+		if !now.Before(call.expires) {
+			c.giveUp(call)
+		}
+	}
+	return c.actions
+}
+
+func (c *Core) do(action Action) { c.actions = append(c.actions, action) }
+
+// giveUp ends a request that has not been answered in time.
+func (c *Core) giveUp(call *call) {
+	c.refuse(call, fasthttp.StatusGatewayTimeout, 0)
+}
+
+func (c *Core) refuse(call *call, status int, after time.Duration) {
+	c.release(call)
+	delete(c.calls, call.number)
+	c.do(Refuse{Number: call.number, Status: status, RetryAfter: after})
+}
+
+// arrive decides on a new request.
+func (c *Core) arrive(now time.Time, m Arrived) {
+	call := &call{number: m.number, visit: m.visit, tried: make(map[string]bool)}
+	if status := c.admit(call); status != 0 {
+		c.refuse(call, status, 0)
+		return
+	}
+	call.expires = m.visit.Arrived().Add(call.route.Timeout())
+	if patience := m.visit.Patience(); patience > 0 && patience < call.route.Timeout() {
+		call.expires = m.visit.Arrived().Add(patience)
+	}
+	if wait, ok := c.charge(now, call); !ok {
+		c.refuse(call, fasthttp.StatusTooManyRequests, wait)
+		return
+	}
+	c.calls[call.number] = call
+	c.budget(call.service).request()
+	c.send(now, call)
+}
+
+// admit fills in the route and tenant of a request, or returns the status that
+// refuses it.
+func (c *Core) admit(call *call) int {
+	if c.charter == nil || !c.listed {
+		return fasthttp.StatusServiceUnavailable
+	}
+	route, ok := c.charter.Route(call.visit.Host(), call.visit.Path())
+	if !ok {
+		return fasthttp.StatusNotFound
+	}
+	call.route = route
+	call.service = route.Service(c.config.Random.Float64())
+	if route.Open() || !c.charter.Tenants() {
+		return 0
+	}
+	if call.tenant, ok = c.charter.Holder(call.visit.Key()); !ok {
+		return fasthttp.StatusUnauthorized
+	}
+	return 0
+}
+
+func (c *Core) charge(now time.Time, call *call) (time.Duration, bool) {
+	if call.tenant.Name() == "" {
+		return 0, true
+	}
+	return c.config.Purse.Spend(now, call.tenant, cost(call))
+}
+
+// refund gives the quota back for a request that no backend server ran.
+func (c *Core) refund(now time.Time, call *call) {
+	if call.tenant.Name() != "" {
+		c.config.Purse.Refund(now, call.tenant, cost(call))
+	}
+}
+
+func cost(call *call) float64 { return call.tenant.Cost(call.visit.Prompt(), call.visit.Output()) }
+
+// send chooses a backend server for a request, or refuses the request when
+// none can have it. Nothing has run it so far, or it may run again.
+func (c *Core) send(now time.Time, call *call) {
+	h := c.choose(now, call)
+	if h == nil {
+		c.refund(now, call)
+		c.refuse(call, fasthttp.StatusServiceUnavailable, retryAfter)
+		return
+	}
+	call.host = h
+	call.tried[h.backend.ID()] = true
+	call.reading = h.shelf.missing(call.visit)
+	h.open++
+	h.reading += call.reading
+	h.shelf.put(call.visit)
+	service, _ := c.charter.Service(call.service)
+	c.do(Send{
+		Number:  call.number,
+		Address: h.backend.Address(),
+		Links:   max(service.Connections()/max(c.config.Peers, 1), 1),
+		Fresh:   !call.repeatable(),
+		Keep:    call.repeatable(),
+		Stream:  call.route.Kind() == charter.Stream,
+		Sheet: visit.Sheet{
+			Backend:  h.backend.ID(),
+			Tenant:   call.tenant.Name(),
+			Until:    call.expires,
+			Priority: call.tenant.Rank(call.route.Priority()),
+			Ranked:   call.route.Kind() == charter.Stream,
+		},
+	})
+}
+
+// choose returns the backend server where a request begins soonest, or nil.
+// Suspects come last.
+func (c *Core) choose(now time.Time, call *call) *host {
+	service, _ := c.charter.Service(call.service)
+	_, engine := service.Engine()
+	var best *host
+	for _, h := range c.services[call.service] {
+		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.holds(call.visit.Model(), call.visit.Adapter()) {
+			continue
+		}
+		if best == nil || c.before(now, call, engine, h, best) {
+			best = h
+		}
+	}
+	return best
+}
+
+func (c *Core) before(now time.Time, call *call, engine bool, a, b *host) bool {
+	if suspectA, suspectB := now.Before(a.suspect), now.Before(b.suspect); suspectA != suspectB {
+		return suspectB
+	}
+	return a.load(call.visit, engine, c.config.Domain) < b.load(call.visit, engine, c.config.Domain)
+}
+
+func (c *Core) begin(number uint64) {
+	call, ok := c.calls[number]
+	if !ok {
+		return
+	}
+	call.begun = true
+	if call.host != nil {
+		call.host.reading -= call.reading
+		call.reading = 0
+	}
+}
+
+func (c *Core) leave(number uint64) {
+	if call, ok := c.calls[number]; ok {
+		c.release(call)
+		delete(c.calls, number)
+	}
+}
+
+// release ends what is counted for a request at its backend server.
+func (c *Core) release(call *call) {
+	if call.host == nil {
+		return
+	}
+	call.host.open--
+	call.host.reading -= call.reading
+	call.host, call.reading = nil, 0
+}
+
+// end decides what follows a send.
+func (c *Core) end(now time.Time, m Ended) {
+	call, ok := c.calls[m.number]
+	if !ok {
+		return
+	}
+	h := call.host
+	c.release(call)
+	switch m.result {
+	case Complete:
+		h.answer()
+		delete(c.calls, m.number)
+	case Unsent:
+		h.fail(now)
+		call.unsent++
+		c.resendUnrun(now, call, call.unsent < maxUnsent)
+	case Rejected, Misplaced:
+		call.sent++
+		c.resendUnrun(now, call, call.sent < call.route.Attempts() && c.budget(call.service).spend(now))
+	case Lost:
+		h.fail(now)
+		call.sent++
+		c.resendRun(now, call, Refuse{Number: m.number, Status: fasthttp.StatusBadGateway})
+	case Spoiled:
+		call.sent++
+		c.resendRun(now, call, Pass{Number: m.number})
+	case Severed:
+		h.fail(now)
+		c.refuse(call, fasthttp.StatusBadGateway, 0)
+	}
+}
+
+// resendUnrun sends a request again that did not run, or refuses it.
+func (c *Core) resendUnrun(now time.Time, call *call, again bool) {
+	if again && now.Before(call.expires) {
+		c.send(now, call)
+		return
+	}
+	c.refund(now, call)
+	c.refuse(call, fasthttp.StatusServiceUnavailable, retryAfter)
+}
+
+// resendRun sends a request again that may have run, if that is allowed, or
+// ends it.
+func (c *Core) resendRun(now time.Time, call *call, otherwise Action) {
+	again := call.repeatable() && call.sent < call.route.Attempts() && now.Before(call.expires)
+	if again && c.choose(now, call) != nil && c.budget(call.service).spend(now) {
+		c.send(now, call)
+		return
+	}
+	delete(c.calls, call.number)
+	c.do(otherwise)
+}
+
+func (c *Core) budget(service string) *budget {
+	b, ok := c.budgets[service]
+	if !ok {
+		b = newBudget(c.config.Budget)
+		c.budgets[service] = b
+	}
+	return b
+}
+
+// list takes the platform's list over. What is no longer on it gets no new
+// requests; requests that it has go on.
+func (c *Core) list(backends []charter.Backend) {
+	c.listed = true
+	seen := make(map[string]bool, len(backends))
+	for _, backend := range backends {
+		seen[backend.ID()] = true
+		h, ok := c.hosts[backend.ID()]
+		if !ok || h.backend.Born() != backend.Born() {
+			h = newHost(backend)
+			c.hosts[backend.ID()] = h
+		}
+		if h.usable() && backend.Leaving() {
+			c.do(Retire{Backend: backend.ID()})
+		}
+		h.backend, h.listed = backend, true
+	}
+	for id, h := range c.hosts {
+		if !seen[id] {
+			h.listed = false
+			delete(c.hosts, id)
+			c.do(Retire{Backend: id})
+		}
+	}
+	clear(c.services)
+	for _, h := range c.hosts {
+		c.services[h.backend.Service()] = append(c.services[h.backend.Service()], h)
+	}
+	for _, hosts := range c.services {
+		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.backend.ID(), b.backend.ID()) })
+	}
+}
--- /dev/null
+++ b/lobby/steward/message.go
@@ -0,0 +1,117 @@
+package steward
+
+import (
+	"time"
+
+	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/visit"
+)
+
+// Message is what the core of the steward is fed with.
+type Message interface{ stewardMessage() }
+
+// Arrived brings a whole request of a caller.
+type Arrived struct {
+	number uint64
+	visit  *visit.Visit
+}
+
+// NewArrived returns the message. The number is the caller connection's own
+// name for the request.
+func NewArrived(number uint64, v *visit.Visit) Arrived { return Arrived{number: number, visit: v} }
+
+// Begun tells that the first event of a stream has reached the caller.
+type Begun struct{ number uint64 }
+
+// NewBegun returns the message.
+func NewBegun(number uint64) Begun { return Begun{number: number} }
+
+// Left tells that a caller has closed its connection before its answer ended.
+type Left struct{ number uint64 }
+
+// NewLeft returns the message.
+func NewLeft(number uint64) Left { return Left{number: number} }
+
+// Result is how sending a request to a backend server ended.
+type Result uint8
+
+// Results.
+const (
+	Complete  Result = iota // the answer has gone to the caller
+	Unsent                  // no byte reached the backend server
+	Rejected                // the backend server says that it did not run the request
+	Misplaced               // so it says, and that it is another or lacks the model
+	Lost                    // no whole answer; the request may have run
+	Spoiled                 // the answer is an error of the backend server's own; it is kept for Pass
+	Severed                 // a stream ended early; some of it has gone to the caller
+)
+
+// Ended brings the result of the send that was made last for a request.
+type Ended struct {
+	number uint64
+	result Result
+	status int
+}
+
+// NewEnded returns the message; status is that of the backend server's answer,
+// zero without one.
+func NewEnded(number uint64, result Result, status int) Ended {
+	return Ended{number: number, result: result, status: status}
+}
+
+// Chartered brings the configuration in force.
+type Chartered struct{ charter *charter.Charter }
+
+// NewChartered returns the message.
+func NewChartered(c *charter.Charter) Chartered { return Chartered{charter: c} }
+
+// Listed brings all backend servers that the platform lists.
+type Listed struct{ backends []charter.Backend }
+
+// NewListed returns the message.
+func NewListed(backends []charter.Backend) Listed { return Listed{backends: backends} }
+
+// Draining tells that the process is about to stop.
+type Draining struct{}
+
+func (Arrived) stewardMessage()   {}
+func (Begun) stewardMessage()     {}
+func (Left) stewardMessage()      {}
+func (Ended) stewardMessage()     {}
+func (Chartered) stewardMessage() {}
+func (Listed) stewardMessage()    {}
+func (Draining) stewardMessage()  {}
+
+// Action is what the core asks of the callers' connections.
+type Action interface{ stewardAction() }
+
+// Send sends a request to a backend server.
+type Send struct {
+	Number  uint64
+	Address string // IP:port
+	Links   int    // connections to it that this process may have
+	Fresh   bool   // on a connection that has not been idle for long
+	Sheet   visit.Sheet
+	Stream  bool // a success is passed on event by event
+	Keep    bool // an error of the backend server's own is kept for Pass
+}
+
+// Pass gives the caller the error that was kept.
+type Pass struct{ Number uint64 }
+
+// Refuse ends a request without an answer of a backend server, or ends a stream
+// early if some of it has gone to the caller. A send that is under way is given
+// up.
+type Refuse struct {
+	Number     uint64
+	Status     int
+	RetryAfter time.Duration
+}
+
+// Retire closes the idle connections to a backend server.
+type Retire struct{ Backend string }
+
+func (Send) stewardAction()   {}
+func (Pass) stewardAction()   {}
+func (Refuse) stewardAction() {}
+func (Retire) stewardAction() {}
--- /dev/null
+++ b/lobby/steward/steward.go
@@ -0,0 +1,84 @@
+package steward
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/ring"
+)
+
+// Porch carries out the steward's actions on the callers' connections.
+type Porch interface {
+	Put(action any) error
+}
+
+// Config holds the construction parameters of a Steward.
+type Config struct {
+	Core     CoreConfig
+	Capacity int // messages in the inbox
+	Porch    Porch
+	Log      *logrus.Entry
+}
+
+// Steward is responsible for running the core on its own thread.
+type Steward struct {
+	config Config
+	inbox  *ring.Ring
+	core   *Core
+	ready  atomic.Bool
+	open   atomic.Int64
+}
+
+// New returns a steward.
+func New(config Config) *Steward {
+	return &Steward{
+		config: config,
+		inbox:  ring.New(ring.Config{Name: "steward", Capacity: config.Capacity}),
+		core:   NewCore(config.Core),
+	}
+}
+
+// Inbox returns the ring that feeds the steward.
+func (s *Steward) Inbox() *ring.Ring { return s.inbox }
+
+// Attach sets the porch, before the steward is served.
+func (s *Steward) Attach(porch Porch) { s.config.Porch = porch }
+
+// Ready reports whether the process can take callers' connections.
+func (s *Steward) Ready() bool { return s.ready.Load() }
+
+// Open returns the number of requests whose answers have not ended.
+func (s *Steward) Open() int { return int(s.open.Load()) }
+
+// Duty returns the steward's thread, to be added to a crew.
+func (s *Steward) Duty() *crew.Duty {
+	return crew.NewDuty(crew.DutyConfig{Name: "steward", Inbox: s.inbox, Handler: s, Period: tickPeriod})
+}
+
+// Start does nothing: what is open outlives a restart of the duty.
+func (s *Steward) Start(time.Time) error { return nil }
+
+// Handle processes one message.
+func (s *Steward) Handle(now time.Time, message any) error {
+	if m, ok := message.(Message); ok {
+		return s.carryOut(s.core.Handle(now, m))
+	}
+	return nil
+}
+
+// Tick does what is due by time alone.
+func (s *Steward) Tick(now time.Time) error { return s.carryOut(s.core.Tick(now)) }
+
+func (s *Steward) carryOut(actions []Action) error {
+	s.ready.Store(s.core.Ready())
+	s.open.Store(int64(s.core.Open()))
+	for _, action := range actions {
+		if err := s.config.Porch.Put(action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
