--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := commons sesamewell entry side standin platform lobby
+MODULES := commons sesamewell entry side standin platform lobby keeper
 
 .PHONY: build run test lint bench settings clean
 
@@ -9,6 +9,7 @@
 	@go build -o bin/sesamewell-side ./side
 	@go build -o bin/sesamewell-standin ./standin
 	@go build -o bin/sesamewell-lobby ./lobby
+	@go build -o bin/sesamewell-keeper ./keeper
 
 run:
 	@scripts/run
--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -96,8 +96,11 @@
 // SideOptions returns the declarations of sesamewell-side's settings.
 func SideOptions() []Setting { return declare(commons, sideOptions) }
 
+// KeeperOptions returns the declarations of sesamewell-keeper's settings.
+func KeeperOptions() []Setting { return declare(bareProcess, keeperOptions) }
+
 // LobbyOptions returns the declarations of sesamewell-lobby's settings.
-func LobbyOptions() []Setting { return declare(lobbyOptions) }
+func LobbyOptions() []Setting { return declare(bareProcess, lobbyOptions) }
 
 func declare(groups ...[]SettingConfig) []Setting {
 	var settings []Setting
@@ -109,18 +112,37 @@
 	return settings
 }
 
-var lobbyOptions = []SettingConfig{
+// bareProcess are the settings of a process that keeps nothing of the register.
+var bareProcess = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance"},
-	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
 	{Section: "process", Key: "memory", Kind: Bytes, Required: true, Doc: "memory that the process may use"},
 	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
 	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
+	{Section: "door", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
+}
+
+var keeperOptions = []SettingConfig{
+	{Section: "engine", Key: "address", Kind: Address, Required: true, Doc: "address of the backend server beside this process"},
+	{Section: "engine", Key: "timeout", Kind: Duration, Default: "500ms", Low: "10ms", High: "30s", Doc: "limit on one call to the backend server"},
+	{Section: "engine", Key: "look", Kind: Duration, Default: "500ms", Low: "10ms", High: "30s", Doc: "time between two looks at a backend server at rest"},
+	{Section: "engine", Key: "watch", Kind: Duration, Default: "10ms", Low: "1ms", High: "10s", Doc: "time between two looks at a backend server that loads"},
+	{Section: "engine", Key: "lease", Kind: Duration, Default: "3s", Low: "100ms", High: "10m", Doc: "time for which an adapter that was asked for stays loaded"},
+	{Section: "engine", Key: "patience", Kind: Duration, Default: "400ms", Low: "10ms", High: "1s", Doc: "longest time for which a request waits for an adapter"},
+	{Section: "engine", Key: "silence", Kind: Duration, Default: "3s", Low: "500ms", High: "10m", Doc: "silence of a planner after which another one's plan is taken"},
+}
+
+var lobbyOptions = []SettingConfig{
+	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
 	{Section: "platform", Key: "store", Kind: Address, Required: true, Doc: "address of the platform's store"},
 	{Section: "platform", Key: "timeout", Kind: Duration, Default: "1s", Low: "50ms", High: "30s", Doc: "limit on one call of the store, beyond the wait of a long poll"},
 	{Section: "porch", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
 	{Section: "porch", Key: "probe", Kind: Address, Required: true, Doc: "address at which the platform asks for readiness"},
 	{Section: "porch", Key: "dialers", Kind: Integer, Default: "6", Low: "1", High: "64", Doc: "connections to backend servers that are made at once"},
 	{Section: "steward", Key: "inbox", Kind: Integer, Default: "8192", Low: "16", High: "1000000", Doc: "capacity of the rings between connections and decisions, in messages"},
+	{Section: "keeper", Key: "port", Kind: Integer, Required: true, Low: "1", High: "65535", Doc: "port of every keeper's door, on the backend server's IP"},
+	{Section: "keeper", Key: "threads", Kind: Integer, Default: "8", Low: "2", High: "64", Doc: "calls to keepers for adapters that are made at once"},
+	{Section: "planner", Key: "window", Kind: Duration, Default: "5s", Low: "1s", High: "10m", Doc: "time over which loads from the weight store are counted"},
+	{Section: "planner", Key: "excess", Kind: Decimal, Default: "1", Doc: "loads from the weight store that may begin in a window, against its rate"},
 	{Section: "retries", Key: "ratio", Kind: Decimal, Default: "0.2", Doc: "retries for each request of a service, over all instances"},
 	{Section: "retries", Key: "extra", Kind: Integer, Default: "20", Low: "0", High: "100000", Doc: "retries of a service beside that share, in one window, over all instances"},
 	{Section: "retries", Key: "window", Kind: Duration, Default: "10s", Low: "1s", High: "1h", Doc: "time over which retries are counted"},
--- /dev/null
+++ b/commons/notice/digest.go
@@ -0,0 +1,66 @@
+package notice
+
+// Name of a lobby's service for other lobbies and of its method in net/rpc.
+const (
+	LobbyService = "Lobby"
+	TellMethod   = LobbyService + ".Tell"
+)
+
+// BackendLoad is what one lobby has at one backend server.
+type BackendLoad struct {
+	Backend string
+	Open    int   // requests
+	Reading int64 // prompt tokens of those that have not begun
+}
+
+// DigestConfig holds the construction parameters of a Digest.
+type DigestConfig struct {
+	Sender      string             // door of the lobby, IP:port
+	Incarnation uint64             // of the sender's process
+	Serial      int64              // rises with each digest of an incarnation
+	Spent       map[string]float64 // by tenant, since the incarnation began
+	Asked       map[string]float64 // tokens a second asked of each model
+	Loads       []BackendLoad
+	Planner     string              // door of the lobby whose plan this is
+	Plan        map[string][]string // models by backend server; nil if the sender has no plan
+}
+
+// Digest is what a lobby tells the others of itself, several times a second.
+type Digest struct {
+	config DigestConfig
+}
+
+// NewDigest returns a digest.
+func NewDigest(config DigestConfig) Digest { return Digest{config: config} }
+
+// Sender returns the door of the lobby that sent it.
+func (d Digest) Sender() string { return d.config.Sender }
+
+// Incarnation tells the sender's process from earlier ones.
+func (d Digest) Incarnation() uint64 { return d.config.Incarnation }
+
+// Serial rises with each digest of an incarnation.
+func (d Digest) Serial() int64 { return d.config.Serial }
+
+// Spent returns what the sender has taken of each tenant's quota since its
+// incarnation began.
+func (d Digest) Spent() map[string]float64 { return d.config.Spent }
+
+// Asked returns the tokens a second that the sender's callers ask of each model.
+func (d Digest) Asked() map[string]float64 { return d.config.Asked }
+
+// Loads returns what the sender has at the backend servers.
+func (d Digest) Loads() []BackendLoad { return d.config.Loads }
+
+// Planner returns the door of the lobby that made the plan.
+func (d Digest) Planner() string { return d.config.Planner }
+
+// Plan returns the models that each backend server shall hold, nil if the
+// sender makes no plan.
+func (d Digest) Plan() map[string][]string { return d.config.Plan }
+
+// MarshalBinary encodes the message.
+func (d Digest) MarshalBinary() ([]byte, error) { return pack("digest", &d.config) }
+
+// UnmarshalBinary decodes what MarshalBinary encoded.
+func (d *Digest) UnmarshalBinary(data []byte) error { return unpack("digest", data, &d.config) }
--- /dev/null
+++ b/commons/notice/errand.go
@@ -0,0 +1,119 @@
+package notice
+
+import "time"
+
+// Name of a keeper's service and of its methods in net/rpc.
+const (
+	KeeperService = "Keeper"
+	AssignMethod  = KeeperService + ".Assign"
+	FetchMethod   = KeeperService + ".Fetch"
+)
+
+// ModelNeed is one model that a backend server shall hold.
+type ModelNeed struct {
+	Name    string
+	Memory  float64 // MB of weights
+	Adapter float64 // MB of one of its adapters
+}
+
+// AssignConfig holds the construction parameters of an Assign.
+type AssignConfig struct {
+	Planner string // door of the lobby that plans
+	Backend string // id of the backend server that is meant
+	Models  []ModelNeed
+	Others  []ModelNeed   // further models of the service, which it may still hold
+	Memory  float64       // MB for weights and adapters
+	Places  int           // adapters that fit
+	Pace    time.Duration // shortest time between two loads from the weight store
+}
+
+// Assign tells a keeper what its backend server shall hold.
+type Assign struct {
+	config AssignConfig
+}
+
+// NewAssign returns the message.
+func NewAssign(config AssignConfig) Assign { return Assign{config: config} }
+
+// Planner returns the door of the lobby that plans.
+func (a Assign) Planner() string { return a.config.Planner }
+
+// Backend returns the id of the backend server that is meant.
+func (a Assign) Backend() string { return a.config.Backend }
+
+// Models returns the models that it shall hold.
+func (a Assign) Models() []ModelNeed { return a.config.Models }
+
+// Others returns the other models of the service.
+func (a Assign) Others() []ModelNeed { return a.config.Others }
+
+// Memory returns the MB for weights and adapters.
+func (a Assign) Memory() float64 { return a.config.Memory }
+
+// Places returns the number of adapters that fit.
+func (a Assign) Places() int { return a.config.Places }
+
+// Pace returns the shortest time between two loads from the weight store.
+func (a Assign) Pace() time.Duration { return a.config.Pace }
+
+// MarshalBinary encodes the message.
+func (a Assign) MarshalBinary() ([]byte, error) { return pack("assign", &a.config) }
+
+// UnmarshalBinary decodes what MarshalBinary encoded.
+func (a *Assign) UnmarshalBinary(data []byte) error { return unpack("assign", data, &a.config) }
+
+// FetchConfig holds the construction parameters of a Fetch.
+type FetchConfig struct {
+	Backend string // id of the backend server that is meant
+	Model   string
+	Adapter string
+}
+
+// Fetch asks a keeper to have an adapter loaded and to keep it for a while.
+type Fetch struct {
+	config FetchConfig
+}
+
+// NewFetch returns the message.
+func NewFetch(config FetchConfig) Fetch { return Fetch{config: config} }
+
+// Backend returns the id of the backend server that is meant.
+func (f Fetch) Backend() string { return f.config.Backend }
+
+// Model returns the adapter's model.
+func (f Fetch) Model() string { return f.config.Model }
+
+// Adapter returns the adapter's name.
+func (f Fetch) Adapter() string { return f.config.Adapter }
+
+// MarshalBinary encodes the message.
+func (f Fetch) MarshalBinary() ([]byte, error) { return pack("fetch", &f.config) }
+
+// UnmarshalBinary decodes what MarshalBinary encoded.
+func (f *Fetch) UnmarshalBinary(data []byte) error { return unpack("fetch", data, &f.config) }
+
+// FetchedConfig holds the construction parameters of a Fetched.
+type FetchedConfig struct {
+	Kept time.Duration // for which the adapter stays; zero if it isn't there
+}
+
+// Fetched answers a Fetch.
+type Fetched struct {
+	config FetchedConfig
+}
+
+// NewFetched returns the message.
+func NewFetched(config FetchedConfig) Fetched { return Fetched{config: config} }
+
+// Kept returns the time for which the adapter stays loaded, zero if it is not
+// loaded.
+func (f Fetched) Kept() time.Duration { return f.config.Kept }
+
+// MarshalBinary encodes the message.
+func (f Fetched) MarshalBinary() ([]byte, error) { return pack("fetched", &f.config) }
+
+// UnmarshalBinary decodes what MarshalBinary encoded.
+func (f *Fetched) UnmarshalBinary(data []byte) error { return unpack("fetched", data, &f.config) }
+
+// Nothing is the answer to a call that has none.
+type Nothing struct{ Filler int8 }
--- /dev/null
+++ b/keeper/house.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/porter"
+	"sesamewell.example/keeper/warden"
+	"sesamewell.example/platform"
+)
+
+// house is responsible for the process's supervision tree:
+//
+//	keeper
+//	├── warden (decisions on orders)
+//	├── clerk  (calls to the backend server)
+//	└── door   (calls of lobbies)
+type house struct {
+	crew *crew.Crew
+}
+
+func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
+	debug.SetMemoryLimit(settings.Bytes("process", "memory") * memoryShare / 100)
+	h := &house{crew: crew.New(crew.Config{Name: "keeper", Log: log})}
+	w := warden.New(warden.Config{
+		Core: warden.CoreConfig{
+			Start:    time.Now(),
+			Look:     settings.Duration("engine", "look"),
+			Watch:    settings.Duration("engine", "watch"),
+			Lease:    settings.Duration("engine", "lease"),
+			Patience: settings.Duration("engine", "patience"),
+			Silence:  settings.Duration("engine", "silence"),
+		},
+		Engine: engine{client: platform.NewEngine(platform.EngineConfig{
+			Address: settings.Address("engine", "address"),
+			Holder:  settings.Text("process", "instance"),
+			Timeout: settings.Duration("engine", "timeout"),
+		})},
+		Log: log,
+	})
+	for _, service := range w.Services() {
+		h.crew.Add(service)
+	}
+	h.crew.Add(porter.NewDoor(porter.DoorConfig{
+		Address:  settings.Address("door", "listen"),
+		Services: []porter.Service{{Name: notice.KeeperService, Receiver: warden.NewDesk(w)}},
+		Log:      log,
+	}))
+	return h
+}
+
+// Serve runs the tree until ctx ends.
+func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
+
+// Drain has nothing to wait for: what the engine holds, it keeps.
+func (h *house) Drain(context.Context) (<-chan struct{}, error) {
+	done := make(chan struct{})
+	close(done)
+	return done, nil
+}
--- /dev/null
+++ b/keeper/warden/message.go
@@ -0,0 +1,96 @@
+package warden
+
+import (
+	"time"
+
+	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/ring"
+)
+
+// Message is what the core of the warden is fed with.
+type Message interface{ wardenMessage() }
+
+// Assigned brings what the backend server shall hold.
+type Assigned struct{ assign notice.Assign }
+
+// NewAssigned returns the message.
+func NewAssigned(assign notice.Assign) Assigned { return Assigned{assign: assign} }
+
+// Wanted brings a lobby's request for an adapter. The answer goes to reply.
+type Wanted struct {
+	fetch notice.Fetch
+	reply *ring.Ring
+}
+
+// NewWanted returns the message.
+func NewWanted(fetch notice.Fetch, reply *ring.Ring) Wanted {
+	return Wanted{fetch: fetch, reply: reply}
+}
+
+// State is what the engine reports of itself.
+type State struct {
+	Holdings []charter.Holding
+	Coming   []string // adapters on their way, beginning with MODEL/NAME
+	OnDisk   []string // models that load without the weight store
+	Busy     bool     // a model is being loaded or unloaded
+	Orders   int64    // accepted since the engine's start
+	Born     int64    // Unix milliseconds of its start
+}
+
+// Reported brings the engine's state, asked for at a time.
+type Reported struct {
+	asked time.Time
+	state State
+}
+
+// NewReported returns the message.
+func NewReported(asked time.Time, state State) Reported {
+	return Reported{asked: asked, state: state}
+}
+
+// Silent tells that the engine did not report.
+type Silent struct{}
+
+// Answered brings the engine's answer to the order that was given last.
+type Answered struct {
+	order Order
+	taken bool // it is carried out, or holds already
+	known bool // the engine did answer
+}
+
+// NewAnswered returns the message.
+func NewAnswered(order Order, taken, known bool) Answered {
+	return Answered{order: order, taken: taken, known: known}
+}
+
+func (Assigned) wardenMessage() {}
+func (Wanted) wardenMessage()   {}
+func (Reported) wardenMessage() {}
+func (Silent) wardenMessage()   {}
+func (Answered) wardenMessage() {}
+
+// Action is what the core asks its duty to do.
+type Action interface{ wardenAction() }
+
+// Look asks for the engine's state.
+type Look struct{}
+
+// Order asks the engine to load or unload a model or an adapter.
+type Order struct {
+	Backend string
+	Unload  bool
+	Model   string
+	Adapter string // empty for the model itself
+	Expect  int64  // orders that the engine has accepted
+}
+
+// Reply answers a lobby.
+type Reply struct {
+	to      *ring.Ring
+	fetched notice.Fetched
+}
+
+func (Look) wardenAction()  {}
+func (Order) wardenAction() {}
+func (Reply) wardenAction() {}
--- /dev/null
+++ b/keeper/warden/warden.go
@@ -0,0 +1,167 @@
+package warden
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/ring"
+)
+
+// Engine is the backend server beside this process.
+type Engine interface {
+	// State asks for the engine's state.
+	State() (State, error)
+	// Give gives an order and reports whether the engine carries it out. After
+	// an error it may still do so.
+	Give(order Order) (taken bool, err error)
+}
+
+// Config holds the construction parameters of a Warden.
+type Config struct {
+	Core   CoreConfig
+	Engine Engine
+	Log    *logrus.Entry
+}
+
+// Warden is responsible for running the core on its own thread.
+type Warden struct {
+	config Config
+	inbox  *ring.Ring
+	clerk  *clerk
+	core   *Core
+}
+
+// New returns a warden.
+func New(config Config) *Warden {
+	w := &Warden{config: config, inbox: ring.New(ring.Config{Name: "warden", Capacity: capacity}), core: NewCore(config.Core)}
+	w.clerk = &clerk{config: config, jobs: ring.New(ring.Config{Name: "orders", Capacity: capacity}), warden: w.inbox}
+	return w
+}
+
+// Services returns the warden's threads, to be added to a crew.
+func (w *Warden) Services() []crew.Service {
+	duty := crew.NewDuty(crew.DutyConfig{Name: "warden", Inbox: w.inbox, Handler: w, Period: tickPeriod})
+	return []crew.Service{duty, w.clerk}
+}
+
+// Inbox returns the ring that feeds the warden.
+func (w *Warden) Inbox() *ring.Ring { return w.inbox }
+
+// Start does nothing: what is known of the engine outlives a restart.
+func (w *Warden) Start(time.Time) error { return nil }
+
+// Handle processes one message.
+func (w *Warden) Handle(now time.Time, message any) error {
+	if m, ok := message.(Message); ok {
+		return w.carryOut(w.core.Handle(now, m))
+	}
+	return nil
+}
+
+// Alarm returns the time at which the core has something to do.
+func (w *Warden) Alarm() time.Time { return w.core.Due() }
+
+// Tick does what is due by time alone.
+func (w *Warden) Tick(now time.Time) error { return w.carryOut(w.core.Tick(now)) }
+
+func (w *Warden) carryOut(actions []Action) error {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Look, Order:
+			if err := w.clerk.jobs.Put(a); err != nil {
+				return err
+			}
+		case Reply:
+			// A caller that no longer waits has a full ring or none.
+			_ = a.to.Put(a.fetched)
+		}
+	}
+	return nil
+}
+
+// clerk is responsible for the calls to the engine, one after the other: a
+// thread of its own.
+type clerk struct {
+	config Config
+	jobs   *ring.Ring
+	warden *ring.Ring
+}
+
+// String returns the duty's name.
+func (*clerk) String() string { return "clerk" }
+
+// Serve carries out looks and orders until ctx ends.
+func (c *clerk) Serve(ctx context.Context) error {
+	for {
+		job, err := c.jobs.Take(ctx)
+		if err != nil {
+			return err
+		}
+
+		if err := c.warden.PutWithin(ctx, c.call(job), handOver); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *clerk) call(job any) Message {
+	order, ok := job.(Order)
+	if !ok {
+		return c.look()
+	}
+	taken, err := c.config.Engine.Give(order)
+	log := c.config.Log.WithFields(logrus.Fields{
+		"event": "order", "backend": order.Backend, "unload": order.Unload, "model": order.Model,
+		"adapter": order.Adapter, "expect": order.Expect, "taken": taken,
+	})
+	if err != nil {
+		log.WithError(err).Warn("order may not have been taken")
+	} else if order.Adapter == "" {
+		log.Info("order answered")
+	}
+	return NewAnswered(order, taken, err == nil)
+}
+
+func (c *clerk) look() Message {
+	asked := time.Now()
+	state, err := c.config.Engine.State()
+	if err != nil {
+		c.config.Log.WithField("event", "engine_state").WithError(err).Debug("engine does not report")
+		return Silent{}
+
+	}
+	return NewReported(asked, state)
+}
+
+// Desk is responsible for the calls of lobbies.
+type Desk struct {
+	inbox *ring.Ring
+}
+
+// NewDesk returns a desk before a warden.
+func NewDesk(w *Warden) *Desk { return &Desk{inbox: w.inbox} }
+
+// Assign takes a plan over.
+func (d *Desk) Assign(assign notice.Assign, _ *notice.Nothing) error {
+	return d.inbox.Put(NewAssigned(assign))
+}
+
+// Fetch has an adapter loaded.
+func (d *Desk) Fetch(fetch notice.Fetch, fetched *notice.Fetched) error {
+	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
+	if err := d.inbox.Put(NewWanted(fetch, reply)); err != nil {
+		return err
+	}
+	answer, err := reply.TakeWithin(context.Background(), answerWait)
+	if err != nil {
+		return err
+	}
+	if f, ok := answer.(notice.Fetched); ok {
+		*fetched = f
+	}
+	return nil
+}
--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -5,12 +5,20 @@
 const (
 	drainHandOver = 5 * time.Second // longest wait for room to announce a drain
 	drainPoll     = 50 * time.Millisecond
-	peers         = 4 // entries that share a backend server's connections
+	// stayAfterTerm is the time for which a leaving process goes on to take
+	// requests: until the platform has seen twice that it is not ready.
+	stayAfterTerm = 2500 * time.Millisecond
+	// peers is the number of lobbies that share the connections to a backend
+	// server and the budget of retries, unless more are known.
+	peers = 4
 	// memoryShare is the part of the process's memory beyond which the garbage
 	// collector works harder, in per cent.
 	memoryShare = 60
-)
 
-// stayAfterTerm is the time for which a leaving process goes on to take
-// requests: until the platform has seen twice that it is not ready.
-const stayAfterTerm = 2500 * time.Millisecond
+	dialLimit   = 400 * time.Millisecond  // on a new connection to another process of the system
+	peerSilence = time.Second             // of another lobby, after which its spending is assumed
+	peerAbsence = 30 * time.Second        // after which it no longer shares the quotas
+	startQuota  = 0.1                     // part of its burst that a tenant has when a lobby starts
+	planSilence = 1500 * time.Millisecond // of the lobby that plans, after which the next one does
+	planSettle  = 2 * time.Second         // from the start to the first plan, in which lobbies meet
+)
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -4,14 +4,19 @@
 	"context"
 	"math/rand/v2"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"sesamewell.example/commons/charter"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/porter"
+	"sesamewell.example/lobby/errands"
 	"sesamewell.example/lobby/herald"
+	"sesamewell.example/lobby/parley"
+	"sesamewell.example/lobby/planner"
 	"sesamewell.example/lobby/porch"
 	"sesamewell.example/lobby/purser"
 	"sesamewell.example/lobby/steward"
@@ -24,23 +29,88 @@
 //	├── porch    (connections of callers and to backend servers)
 //	├── dialers  (new connections to backend servers)
 //	├── steward  (decisions on requests)
+//	├── errands  (calls of keepers)
+//	├── planner  (placement of models)
+//	├── parley   (calls of the other lobbies, a thread each)
+//	├── door     (calls of other lobbies)
 //	├── charters (the operator's configuration)
-//	└── backends (the list of backend servers)
+//	├── backends (the list of backend servers)
+//	└── lobbies  (the list of lobbies)
 type house struct {
-	crew    *crew.Crew
-	porch   *porch.Porch
-	steward *steward.Steward
-	log     *logrus.Entry
+	crew *crew.Crew
+	news *news
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
 	debug.SetMemoryLimit(settings.Bytes("process", "memory") * memoryShare / 100)
-	h := &house{crew: crew.New(crew.Config{Name: "lobby", Log: log}), log: log}
-	h.steward = steward.New(steward.Config{
+	n := &news{self: settings.Address("door", "listen"), incarnation: rand.Uint64(), log: log}
+	h := &house{crew: crew.New(crew.Config{Name: "lobby", Log: log}), news: n}
+	n.steward = newSteward(settings, log)
+	n.porch = newPorch(settings, n.steward, log)
+	runs := errands.New(errands.Config{
+		Port:     strconv.Itoa(settings.Integer("keeper", "port")),
+		Line:     lines(settings),
+		Steward:  n.steward.Inbox(),
+		Capacity: settings.Integer("steward", "inbox"),
+		Threads:  settings.Integer("keeper", "threads"),
+		Log:      log,
+	})
+	n.parley = parley.New(parley.Config{
+		Self: n.self,
+		Dial: func(address string) parley.Line {
+			return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
+		},
+		Hearer: n,
+		Log:    log,
+	})
+	n.planner = planner.New(planner.Config{
+		Core: planner.CoreConfig{
+			Self: n.self, Silence: planSilence, Settle: planSettle,
+			Window: settings.Duration("planner", "window"), Excess: settings.Decimal("planner", "excess"),
+		},
+		Keepers:  runs,
+		Audience: n,
+		Log:      log,
+	})
+	n.steward.Attach(n.porch, runs, n)
+	h.add(n.porch.Services()...)
+	h.add(n.steward.Duty())
+	h.add(runs.Services()...)
+	h.add(n.parley, n.planner.Duty())
+	h.add(porter.NewDoor(porter.DoorConfig{
+		Address:  n.self,
+		Services: []porter.Service{{Name: notice.LobbyService, Receiver: parley.NewDesk(n.parley)}},
+		Log:      log,
+	}))
+	h.addHerald(settings, log)
+	return h
+}
+
+func (h *house) add(services ...crew.Service) {
+	for _, service := range services {
+		h.crew.Add(service)
+	}
+}
+
+// addHerald adds the threads that follow the platform's store.
+func (h *house) addHerald(settings *handbook.Values, log *logrus.Entry) {
+	register := platform.Register{
+		Store:  platform.NewStore(platform.StoreConfig{Address: settings.Address("platform", "store"), Timeout: settings.Duration("platform", "timeout")}),
+		Missed: herald.ErrMissed,
+		Log:    log,
+	}
+	config := herald.Config{Store: register, Listener: h.news, Log: log}
+	h.add(herald.NewCharters(config), herald.NewBackends(config), herald.NewLobbies(herald.LobbiesConfig{
+		Self: h.news.self, Directory: register, Members: h.news.parley, Log: log,
+	}))
+}
+
+func newSteward(settings *handbook.Values, log *logrus.Entry) *steward.Steward {
+	return steward.New(steward.Config{
 		Core: steward.CoreConfig{
 			Domain: settings.Text("process", "domain"),
 			Peers:  peers,
-			Purse:  purser.New(1.0 / peers),
+			Purse:  purser.New(purser.Config{Silence: peerSilence, Absence: peerAbsence, Unknown: peers, Start: startQuota}),
 			Budget: steward.BudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  float64(settings.Integer("retries", "extra")),
@@ -52,7 +122,10 @@
 		Capacity: settings.Integer("steward", "inbox"),
 		Log:      log,
 	})
-	h.porch = porch.New(porch.Config{
+}
+
+func newPorch(settings *handbook.Values, s *steward.Steward, log *logrus.Entry) *porch.Porch {
+	return porch.New(porch.Config{
 		Front:     settings.Address("porch", "listen"),
 		Probe:     settings.Address("porch", "probe"),
 		ReadyPath: platform.ReadyPath,
@@ -60,42 +133,18 @@
 		Dialers:   settings.Integer("porch", "dialers"),
 		Codec:     platform.Heads{},
 		Dial:      platform.Dial,
-		Steward:   h.steward.Inbox(),
-		Readiness: h.steward,
+		Steward:   s.Inbox(),
+		Readiness: s,
 		Log:       log,
 	})
-	h.steward.Attach(h.porch)
-	for _, service := range h.porch.Services() {
-		h.crew.Add(service)
-	}
-	h.crew.Add(h.steward.Duty())
-	news := herald.Config{
-		Store: platform.Register{
-			Store:  platform.NewStore(platform.StoreConfig{Address: settings.Address("platform", "store"), Timeout: settings.Duration("platform", "timeout")}),
-			Missed: herald.ErrMissed,
-			Log:    log,
-		},
-		Listener: h,
-		Log:      log,
-	}
-	h.crew.Add(herald.NewCharters(news))
-	h.crew.Add(herald.NewBackends(news))
-	return h
-}
-
-// Charter puts a configuration in force.
-func (h *house) Charter(c *charter.Charter) {
-	h.porch.SetLimits(c.Limits())
-	h.tell(steward.NewChartered(c))
 }
 
-// Backends takes a new list of backend servers over.
-func (h *house) Backends(backends []charter.Backend) { h.tell(steward.NewListed(backends)) }
-
-func (h *house) tell(message steward.Message) {
-	if err := h.steward.Inbox().PutWithin(context.Background(), message, drainHandOver); err != nil {
-		h.log.WithField("event", "steward_behind").WithError(err).Error("news lost")
-	}
+// lines returns the lines to the keepers.
+func lines(*handbook.Values) func(address string) errands.Line {
+	all := porter.NewLines(func(address string) *porter.Line {
+		return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
+	})
+	return func(address string) errands.Line { return all.To(address) }
 }
 
 // Serve runs the tree until ctx ends.
@@ -104,8 +153,8 @@
 // Drain ends each connection with its next answer; the returned channel is
 // closed when no request is open.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
-	h.porch.Drain(time.Now())
-	if err := h.steward.Inbox().PutWithin(ctx, steward.Draining{}, drainHandOver); err != nil {
+	h.news.porch.Drain(time.Now())
+	if err := h.news.steward.Inbox().PutWithin(ctx, steward.Draining{}, drainHandOver); err != nil {
 		return nil, err
 	}
 	done := make(chan struct{})
@@ -123,7 +172,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if h.steward.Open() == 0 && now.Sub(began) > stayAfterTerm {
+			if h.news.steward.Open() == 0 && now.Sub(began) > stayAfterTerm {
 				close(done)
 				return
 			}
--- /dev/null
+++ b/lobby/news.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/lobby/parley"
+	"sesamewell.example/lobby/planner"
+	"sesamewell.example/lobby/porch"
+	"sesamewell.example/lobby/steward"
+)
+
+// news is responsible for passing what one duty learns on to the others.
+type news struct {
+	self        string // door of this lobby
+	incarnation uint64
+	serial      atomic.Int64
+	porch       *porch.Porch
+	steward     *steward.Steward
+	planner     *planner.Planner
+	parley      *parley.Parley
+	log         *logrus.Entry
+}
+
+// Charter puts a configuration in force.
+func (n *news) Charter(c *charter.Charter) {
+	n.porch.SetLimits(c.Limits())
+	n.tell(steward.NewChartered(c))
+	n.plan(c)
+}
+
+// Backends takes a new list of backend servers over.
+func (n *news) Backends(backends []charter.Backend) {
+	n.tell(steward.NewListed(backends))
+	n.plan(backends)
+}
+
+// Heard takes over what another lobby says.
+func (n *news) Heard(digest notice.Digest) {
+	n.tell(steward.NewDigested(digest))
+	n.plan(digest)
+}
+
+// Planned takes this lobby's own plan over.
+func (n *news) Planned(plan map[string][]string) {
+	if plan != nil {
+		n.tell(steward.NewPlanned(maps.Clone(plan)))
+	}
+}
+
+// Tell sends this lobby's digest to the others and to its own planner.
+func (n *news) Tell(tell steward.Tell) error {
+	digest := notice.NewDigest(notice.DigestConfig{
+		Sender: n.self, Incarnation: n.incarnation, Serial: n.serial.Add(1),
+		Spent: tell.Spent, Asked: tell.Asked, Loads: tell.Loads, Plan: tell.Plan,
+	})
+	if err := n.planner.Inbox().Put(digest); err != nil {
+		return err
+	}
+	return n.parley.Send(digest)
+}
+
+func (n *news) tell(message steward.Message) {
+	if err := n.steward.Inbox().PutWithin(context.Background(), message, newsHandOver); err != nil {
+		n.log.WithField("event", "steward_behind").WithError(err).Error("news lost")
+	}
+}
+
+func (n *news) plan(message any) {
+	if err := n.planner.Put(message); err != nil {
+		n.log.WithField("event", "planner_behind").WithError(err).Error("news lost")
+	}
+}
+
+// newsHandOver is the longest wait for room in a duty's ring.
+const newsHandOver = 5 * time.Second
--- /dev/null
+++ b/lobby/parley/parley.go
@@ -0,0 +1,182 @@
+// Package parley carries what the lobbies tell each other: each sends a digest
+// of itself to all others, several times a second.
+package parley
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/ring"
+)
+
+const (
+	capacity  = 256
+	period    = time.Second            // between two looks for peers that are gone
+	callLimit = 400 * time.Millisecond // on one call of another lobby
+	absence   = 20 * time.Second       // without a sign, after which a peer that is not listed is dropped
+	handOver  = 5 * time.Second        // longest wait for room in the inbox
+)
+
+// Line calls one other lobby.
+type Line interface {
+	Call(method string, args, reply any, limit time.Duration) error
+	Close()
+}
+
+// Hearer takes what another lobby says.
+type Hearer interface {
+	Heard(digest notice.Digest)
+}
+
+// Config holds the construction parameters of a Parley.
+type Config struct {
+	Self   string // door of this lobby
+	Dial   func(address string) Line
+	Hearer Hearer
+	Log    *logrus.Entry
+}
+
+// Parley is responsible for knowing the other lobbies and for one thread that
+// calls each of them.
+type Parley struct {
+	config Config
+	inbox  *ring.Ring
+	crew   *crew.Crew
+	peers  map[string]*peer
+}
+
+// members are the lobbies that the platform's store lists.
+type members struct{ doors []string }
+
+// heard tells that a lobby has called.
+type heard struct{ door string }
+
+// New returns a parley without peers.
+func New(config Config) *Parley {
+	p := &Parley{
+		config: config,
+		inbox:  ring.New(ring.Config{Name: "parley", Capacity: capacity}),
+		crew:   crew.New(crew.Config{Name: "parley", Log: config.Log}),
+		peers:  make(map[string]*peer),
+	}
+	p.crew.Add(crew.NewDuty(crew.DutyConfig{Name: "parley", Inbox: p.inbox, Handler: p, Period: period}))
+	return p
+}
+
+// Inbox returns the ring that feeds the parley.
+func (p *Parley) Inbox() *ring.Ring { return p.inbox }
+
+// Serve runs the threads until ctx ends.
+func (p *Parley) Serve(ctx context.Context) error { return p.crew.Serve(ctx) }
+
+// String returns the supervisor's name.
+func (p *Parley) String() string { return "parley" }
+
+// Send hands a digest over for all peers, without blocking.
+func (p *Parley) Send(digest notice.Digest) error { return p.inbox.Put(digest) }
+
+// Members takes the doors of all lobbies that the store lists.
+func (p *Parley) Members(doors []string) error {
+	return p.inbox.PutWithin(context.Background(), members{doors: doors}, handOver)
+}
+
+// Start does nothing: the peers outlive a restart of the duty.
+func (p *Parley) Start(time.Time) error { return nil }
+
+// Handle processes one message.
+func (p *Parley) Handle(now time.Time, message any) error {
+	switch m := message.(type) {
+	case notice.Digest:
+		for _, peer := range p.peers {
+			// A peer that has not taken the last digest does without this one.
+			_ = peer.digests.Put(m)
+		}
+	case members:
+		for _, door := range m.doors {
+			p.meet(now, door)
+		}
+	case heard:
+		p.meet(now, m.door)
+	}
+	return nil
+}
+
+// meet notes a sign of a lobby.
+func (p *Parley) meet(now time.Time, door string) {
+	if door == p.config.Self {
+		return
+	}
+	known, ok := p.peers[door]
+	if !ok {
+		known = newPeer(p.config, door)
+		p.peers[door] = known
+		known.token = p.crew.Add(known)
+		p.config.Log.WithFields(logrus.Fields{"event": "lobby_met", "lobby": door, "lobbies": len(p.peers) + 1}).Info("another lobby is known")
+	}
+	known.seen = now
+}
+
+// Tick drops the peers that have given no sign for long.
+func (p *Parley) Tick(now time.Time) error {
+	for door, known := range p.peers {
+		if now.Sub(known.seen) < absence {
+			continue
+		}
+		delete(p.peers, door)
+		p.config.Log.WithFields(logrus.Fields{"event": "lobby_gone", "lobby": door, "lobbies": len(p.peers) + 1}).Info("another lobby is gone")
+		if err := p.crew.Remove(known.token); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peer is responsible for the calls to one other lobby: a thread of its own,
+// since one that is cut off lets its caller wait.
+type peer struct {
+	door    string
+	line    Line
+	digests *ring.Ring
+	token   crew.Token
+	seen    time.Time
+}
+
+func newPeer(config Config, door string) *peer {
+	return &peer{door: door, line: config.Dial(door), digests: ring.New(ring.Config{Name: "digests", Capacity: 1})}
+}
+
+// String returns the thread's name.
+func (p *peer) String() string { return "lobby " + p.door }
+
+// Serve sends digests until ctx ends.
+func (p *peer) Serve(ctx context.Context) error {
+	defer p.line.Close()
+	for {
+		item, err := p.digests.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if digest, ok := item.(notice.Digest); ok {
+			// A peer that cannot be reached is known by its own silence.
+			_ = p.line.Call(notice.TellMethod, digest, &notice.Nothing{}, callLimit)
+		}
+	}
+}
+
+// Desk is responsible for the calls of other lobbies.
+type Desk struct {
+	parley *Parley
+}
+
+// NewDesk returns a desk before a parley.
+func NewDesk(p *Parley) *Desk { return &Desk{parley: p} }
+
+// Tell takes the digest of another lobby.
+func (d *Desk) Tell(digest notice.Digest, _ *notice.Nothing) error {
+	d.parley.config.Hearer.Heard(digest)
+	return d.parley.inbox.Put(heard{door: digest.Sender()})
+}
--- /dev/null
+++ b/lobby/planner/draft.go
@@ -0,0 +1,215 @@
+package planner
+
+import (
+	"slices"
+
+	"sesamewell.example/commons/charter"
+)
+
+// slack is by how much a backend server's load must exceed that of another
+// before a model is copied there.
+const slack = 1.25
+
+// standby is what a model that nobody asks for counts, in tokens a second: its
+// last copy stays unless the place is worth more.
+const standby = 50
+
+// draft is responsible for improving the plan of one service step by step.
+type draft struct {
+	engine charter.EngineConfig
+	asked  map[string]float64
+	hosts  []*host
+	copies map[string]int // planned, at backend servers that stay
+	moving int            // planned models that are not held yet
+}
+
+// host is one backend server in a draft.
+type host struct {
+	backend charter.Backend
+	models  []string
+	fixed   bool // it leaves, or has not carried out its plan yet
+}
+
+func newDraft(engine charter.EngineConfig, asked map[string]float64) *draft {
+	return &draft{engine: engine, asked: asked, copies: make(map[string]int)}
+}
+
+func (d *draft) add(backend charter.Backend, models []string) {
+	h := &host{backend: backend, models: slices.Clone(models), fixed: backend.Leaving()}
+	for _, model := range models {
+		if backend.Leaving() {
+			continue
+		}
+		d.copies[model]++
+		if !backend.Holds(model, "") {
+			d.moving++
+			h.fixed = true
+		}
+	}
+	d.hosts = append(d.hosts, h)
+}
+
+// models returns the plan by backend server.
+func (d *draft) models() map[string][]string {
+	plan := make(map[string][]string, len(d.hosts))
+	for _, h := range d.hosts {
+		plan[h.backend.ID()] = h.models
+	}
+	return plan
+}
+
+// improve makes as many changes as loads may be under way.
+func (d *draft) improve() {
+	for d.moving < d.atOnce() && (d.placeMissing() || d.relieve()) {
+		d.moving++
+	}
+}
+
+// atOnce returns how many loads run at full speed beside each other.
+func (d *draft) atOnce() int {
+	longest := 0.0
+	for _, model := range d.engine.Models {
+		longest = max(longest, model.Load.Seconds())
+	}
+	return max(int(d.engine.LoadsPerSec*longest), 1)
+}
+
+// placeMissing places the most wanted model that has no copy.
+func (d *draft) placeMissing() bool {
+	best := ""
+	for _, model := range d.engine.Models {
+		if d.copies[model.Name] == 0 && (best == "" || d.asked[model.Name] > d.asked[best]) {
+			best = model.Name
+		}
+	}
+	return best != "" && d.place(best, max(d.asked[best], standby))
+}
+
+// relieve copies a model away from the most loaded backend server.
+func (d *draft) relieve() bool {
+	var busiest *host
+	for _, h := range d.hosts {
+		if !h.backend.Leaving() && (busiest == nil || d.load(h) > d.load(busiest)) {
+			busiest = h
+		}
+	}
+	if busiest == nil {
+		return false
+	}
+	models := slices.Clone(busiest.models)
+	slices.SortFunc(models, func(a, b string) int {
+		if d.part(a) > d.part(b) {
+			return -1
+		}
+		return 1
+	})
+	for _, model := range models {
+		if d.place(model, d.load(busiest)) {
+			return true
+		}
+	}
+	return false
+}
+
+// place plans a copy of a model at the backend server that is left with the
+// least load, if that is well below the load that the copy relieves.
+func (d *draft) place(model string, relieved float64) bool {
+	var best *host
+	var out []string
+	least := relieved / slack
+	for _, h := range d.hosts {
+		if h.fixed || slices.Contains(h.models, model) {
+			continue
+		}
+		gone, cost, ok := d.room(h, model)
+		if !ok {
+			continue
+		}
+		load := d.load(h) + d.asked[model]/float64(d.copies[model]+1) + cost
+		for _, name := range gone {
+			load -= d.part(name)
+		}
+		if d.copies[model] == 0 {
+			load -= d.asked[model] // it is asked for wherever it is
+		}
+		if load < least {
+			best, out, least = h, gone, load
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, name := range out {
+		d.copies[name]--
+		best.models = slices.DeleteFunc(best.models, func(m string) bool { return m == name })
+	}
+	best.models = append(best.models, model)
+	best.fixed = true
+	d.copies[model]++
+	return true
+}
+
+// room returns the models that would have to go for another one, those first
+// that are missed least, and the load that their going adds elsewhere.
+func (d *draft) room(h *host, model string) (gone []string, cost float64, ok bool) {
+	left := d.engine.Memory - d.memory(model) - d.adapters()
+	kept := slices.Clone(h.models)
+	for _, name := range kept {
+		left -= d.memory(name)
+	}
+	for left < 0 && len(kept) > 0 {
+		least := slices.MinFunc(kept, func(a, b string) int {
+			if d.loss(a) < d.loss(b) {
+				return -1
+			}
+			return 1
+		})
+		left += d.memory(least)
+		cost += d.loss(least)
+		gone = append(gone, least)
+		kept = slices.DeleteFunc(kept, func(m string) bool { return m == least })
+	}
+	return gone, cost, left >= 0
+}
+
+// loss returns what the going of one copy costs, in tokens a second.
+func (d *draft) loss(model string) float64 {
+	asked, copies := d.asked[model], float64(d.copies[model])
+	if copies <= 1 {
+		return max(4*asked, standby)
+	}
+	return asked/(copies-1) - asked/copies
+}
+
+// part returns what one copy of a model gets.
+func (d *draft) part(model string) float64 {
+	return d.asked[model] / float64(max(d.copies[model], 1))
+}
+
+func (d *draft) load(h *host) float64 {
+	sum := 0.0
+	for _, model := range h.models {
+		sum += d.part(model)
+	}
+	return sum
+}
+
+func (d *draft) memory(name string) float64 {
+	for _, model := range d.engine.Models {
+		if model.Name == name {
+			return model.Memory
+		}
+	}
+	return 0
+}
+
+// adapters returns the MB that are kept free for adapters.
+func (d *draft) adapters() float64 {
+	largest := 0.0
+	for _, model := range d.engine.Models {
+		if model.Adapters > 0 {
+			largest = max(largest, model.Adapter)
+		}
+	}
+	return largest * float64(d.engine.Places)
+}
--- a/lobby/purser/purser.go
+++ b/lobby/purser/purser.go
@@ -1,30 +1,52 @@
-// Package purser keeps the tenants' quotas over all entries: each counts what
-// it has let in and what the others say that they have.
+// Package purser keeps the tenants' quotas over all lobbies. Each counts what it
+// has let in and what the others say that they have; for one that is silent it
+// counts an even share, which that one keeps to on its own.
 package purser
 
 import (
+	"maps"
 	"time"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/notice"
 )
 
-// Purser is responsible for one entry's part of every quota. Its methods belong
+// Config holds the construction parameters of a Purser.
+type Config struct {
+	Silence time.Duration // after which another lobby counts with an even share
+	Absence time.Duration // after which it no longer counts
+	Unknown int           // lobbies that are assumed until the first is met
+	Start   float64       // part of its burst that a tenant has at the start
+}
+
+// Purser is responsible for one lobby's view of every quota. Its methods belong
 // to one thread.
 type Purser struct {
+	config Config
 	purses map[string]*purse
-	share  float64
+	spent  map[string]float64 // by tenant, of this lobby
+	peers  map[string]*peer
 }
 
-// purse is one tenant's bucket.
+// purse is one tenant's bucket over all lobbies.
 type purse struct {
 	level float64
 	at    time.Time
-	rate  float64
-	burst float64
 }
 
-// New returns a purser that may spend a share of each quota.
-func New(share float64) *Purser { return &Purser{purses: make(map[string]*purse), share: share} }
+// peer is what is known of another lobby.
+type peer struct {
+	incarnation uint64
+	serial      int64
+	spent       map[string]float64
+	assumed     map[string]float64 // counted while it was silent
+	heard       time.Time
+}
+
+// New returns a purser that has met no other lobby.
+func New(config Config) *Purser {
+	return &Purser{config: config, purses: make(map[string]*purse), spent: make(map[string]float64), peers: make(map[string]*peer)}
+}
 
 // Spend takes cost from the tenant's quota. If there is not enough, it takes
 // nothing and returns the time until there may be.
@@ -33,32 +55,91 @@
 	if rate <= 0 {
 		return 0, true
 	}
-	b := p.purse(now, tenant.Name(), rate*p.share, burst*p.share)
-	if b.level >= cost {
-		b.level -= cost
-		return 0, true
+	b := p.advance(now, tenant.Name(), rate, burst)
+	if b.level < cost {
+		return time.Duration((cost - b.level) / rate * float64(time.Second)), false
 	}
-	return time.Duration((cost - b.level) / b.rate * float64(time.Second)), false
+	b.level -= cost
+	p.spent[tenant.Name()] += cost
+	return 0, true
 }
 
 // Refund gives back the cost of a request that did not run.
 func (p *Purser) Refund(now time.Time, tenant charter.Tenant, cost float64) {
-	rate, burst := tenant.Quota()
-	if rate <= 0 {
+	if rate, burst := tenant.Quota(); rate > 0 {
+		b := p.advance(now, tenant.Name(), rate, burst)
+		b.level = min(b.level+cost, burst)
+		p.spent[tenant.Name()] -= cost
+	}
+}
+
+// Spent returns what this lobby has taken of each tenant's quota.
+func (p *Purser) Spent() map[string]float64 { return maps.Clone(p.spent) }
+
+// Heard takes over what another lobby says.
+func (p *Purser) Heard(now time.Time, digest notice.Digest) {
+	known, ok := p.peers[digest.Sender()]
+	if ok && known.incarnation == digest.Incarnation() && digest.Serial() <= known.serial {
 		return
 	}
-	b := p.purse(now, tenant.Name(), rate*p.share, burst*p.share)
-	b.level = min(b.level+cost, b.burst)
+	if !ok || known.incarnation != digest.Incarnation() {
+		known = p.met(ok, digest)
+	}
+	for tenant, spent := range digest.Spent() {
+		fresh := spent - known.spent[tenant]
+		counted := min(known.assumed[tenant], max(fresh, 0))
+		if b, ok := p.purses[tenant]; ok {
+			b.level -= fresh - counted
+		}
+	}
+	clear(known.assumed)
+	known.spent, known.serial, known.heard = digest.Spent(), digest.Serial(), now
+}
+
+// met notes a new incarnation of a lobby. What one that was running before this
+// lobby has spent so far is not counted.
+func (p *Purser) met(before bool, digest notice.Digest) *peer {
+	known := &peer{incarnation: digest.Incarnation(), spent: digest.Spent(), assumed: make(map[string]float64)}
+	if before {
+		known.spent = make(map[string]float64)
+	}
+	p.peers[digest.Sender()] = known
+	return known
 }
 
-func (p *Purser) purse(now time.Time, name string, rate, burst float64) *purse {
+// advance brings a tenant's bucket up to now.
+func (p *Purser) advance(now time.Time, name string, rate, burst float64) *purse {
 	b, ok := p.purses[name]
 	if !ok {
-		b = &purse{level: burst, at: now}
+		b = &purse{level: burst * p.config.Start, at: now}
 		p.purses[name] = b
 	}
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level+now.Sub(b.at).Seconds()*rate, burst)
+	grown := now.Sub(b.at).Seconds() * rate
 	b.at = now
+	share := grown / float64(p.lobbies(now))
+	for _, known := range p.peers {
+		if silent := now.Sub(known.heard); silent > p.config.Silence && silent < p.config.Absence {
+			known.assumed[name] += share
+			grown -= share
+		}
+	}
+	if len(p.peers) == 0 {
+		grown = share
+	}
+	b.level = min(max(b.level+grown, -burst), burst)
 	return b
 }
+
+// lobbies returns how many share a quota, this one included.
+func (p *Purser) lobbies(now time.Time) int {
+	if len(p.peers) == 0 {
+		return p.config.Unknown
+	}
+	n := 1
+	for _, known := range p.peers {
+		if now.Sub(known.heard) < p.config.Absence {
+			n++
+		}
+	}
+	return n
+}
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -7,7 +7,16 @@
 	maxUnsent    = 3 // sends of one request that may fail before a byte is sent
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
-	retryAfter   = 300 * time.Millisecond // when a refused caller is told to come back
+	retryAfter   = 300 * time.Millisecond  // when a refused caller is told to come back
+	planLife     = 3 * time.Second         // of a plan whose planner is silent
+	tellPeriod   = 200 * time.Millisecond  // between two digests
+	peerLife     = time.Second             // of what another lobby says of its load
+	leaseMargin  = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
+	renewAhead   = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
+	askedWindow  = 2 * time.Second         // over which the demand for models is averaged
+	outputWeight = 4                       // of a token to be generated against one to be read
+	// absent is what an adapter that has to be loaded counts, in tokens to be read.
+	absent = 600
 	// distance is what another failure domain counts, in tokens to be read.
 	distance = 400
 	// runningWeight is what a request that has begun counts, in tokens to be read.
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/visit"
 )
 
@@ -22,6 +23,10 @@
 	Spend(now time.Time, tenant charter.Tenant, cost float64) (time.Duration, bool)
 	// Refund gives back the cost of a request that did not run.
 	Refund(now time.Time, tenant charter.Tenant, cost float64)
+	// Spent returns what this process has taken of each tenant's quota.
+	Spent() map[string]float64
+	// Heard takes over what another lobby says.
+	Heard(now time.Time, digest notice.Digest)
 }
 
 // CoreConfig holds the construction parameters of a Core.
@@ -44,6 +49,13 @@
 	budgets  map[string]*budget
 	listed   bool
 	draining bool
+	peers    map[string]said
+	plan     map[string][]string // models by backend server
+	planner  string              // door of the lobby that made it, "" for this one
+	planned  time.Time
+	asked    map[string]float64 // tokens of each model since the last digest
+	demand   map[string]float64 // tokens a second
+	told     time.Time
 	actions  []Action
 }
 
@@ -55,6 +67,9 @@
 		services: make(map[string][]*host),
 		calls:    make(map[uint64]*call),
 		budgets:  make(map[string]*budget),
+		peers:    make(map[string]said),
+		asked:    make(map[string]float64),
+		demand:   make(map[string]float64),
 	}
 }
 
@@ -80,6 +95,12 @@
 		c.charter = m.charter
 	case Listed:
 		c.list(m.backends)
+	case Digested:
+		c.hear(now, m.digest)
+	case Planned:
+		c.follow(now, "", m.plan)
+	case Fetched:
+		c.fetched(now, m)
 	case Draining:
 		c.draining = true
 	}
@@ -94,6 +115,9 @@
 			c.giveUp(call)
 		}
 	}
+	if now.Sub(c.told) >= tellPeriod {
+		c.tell(now)
+	}
 	return c.actions
 }
 
@@ -127,6 +151,9 @@
 	}
 	c.calls[call.number] = call
 	c.budget(call.service).request()
+	if model := m.visit.Model(); model != "" {
+		c.asked[model] += float64(m.visit.Prompt() + outputWeight*m.visit.Output())
+	}
 	c.send(now, call)
 }
 
@@ -182,6 +209,17 @@
 	h.open++
 	h.reading += call.reading
 	h.shelf.put(call.visit)
+	if !h.leased(now, call.visit) {
+		c.fetch(h, call.visit, call.number)
+		return
+	}
+	c.dispatch(now, call)
+}
+
+// dispatch sends a request to the backend server that was chosen.
+func (c *Core) dispatch(now time.Time, call *call) {
+	h := call.host
+	c.renew(now, h, call.visit)
 	service, _ := c.charter.Service(call.service)
 	c.do(Send{
 		Number:  call.number,
@@ -207,7 +245,7 @@
 	_, engine := service.Engine()
 	var best *host
 	for _, h := range c.services[call.service] {
-		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.holds(call.visit.Model(), call.visit.Adapter()) {
+		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.holds(call.visit.Model()) {
 			continue
 		}
 		if best == nil || c.before(now, call, engine, h, best) {
@@ -221,7 +259,13 @@
 	if suspectA, suspectB := now.Before(a.suspect), now.Before(b.suspect); suspectA != suspectB {
 		return suspectB
 	}
-	return a.load(call.visit, engine, c.config.Domain) < b.load(call.visit, engine, c.config.Domain)
+	if engine {
+		model := call.visit.Model()
+		if plannedA, plannedB := c.keeps(a, model), c.keeps(b, model); plannedA != plannedB {
+			return plannedA
+		}
+	}
+	return a.load(now, call.visit, engine, c.config.Domain) < b.load(now, call.visit, engine, c.config.Domain)
 }
 
 func (c *Core) begin(number uint64) {
@@ -271,6 +315,9 @@
 		c.resendUnrun(now, call, call.unsent < maxUnsent)
 	case Rejected, Misplaced:
 		call.sent++
+		if m.result == Misplaced {
+			delete(h.leases, adapterKey(call.visit.Model(), call.visit.Adapter()))
+		}
 		c.resendUnrun(now, call, call.sent < call.route.Attempts() && c.budget(call.service).spend(now))
 	case Lost:
 		h.fail(now)
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -9,32 +9,46 @@
 
 // host is responsible for what this process knows of one backend server.
 type host struct {
-	backend charter.Backend
-	listed  bool
-	open    int       // requests of this process that it has
-	reading int64     // prompt tokens of those that have not begun
-	suspect time.Time // until then it is used only if no other can be
-	pause   time.Duration
-	lacks   map[string]time.Time // models and adapters that it said it lacks, and when
-	shelf   *shelf
+	backend       charter.Backend
+	listed        bool
+	open          int       // requests of this process that it has
+	reading       int64     // prompt tokens of those that have not begun
+	suspect       time.Time // until then it is used only if no other can be
+	pause         time.Duration
+	leases        map[string]time.Time // ends, by MODEL/ADAPTER
+	renewing      map[string]bool
+	others        int   // requests of other lobbies that it has
+	othersReading int64 // prompt tokens of those that have not begun
+	shelf         *shelf
 }
 
 func newHost(backend charter.Backend) *host {
-	return &host{backend: backend, lacks: make(map[string]time.Time), shelf: newShelf()}
+	return &host{backend: backend, leases: make(map[string]time.Time), renewing: make(map[string]bool), shelf: newShelf()}
 }
 
 // usable reports whether new requests may go there.
 func (h *host) usable() bool { return h.listed && !h.backend.Leaving() }
 
-// holds reports whether it can run requests for a model and adapter.
-func (h *host) holds(model, adapter string) bool { return h.backend.Holds(model, adapter) }
+// holds reports whether it has loaded a model.
+func (h *host) holds(model string) bool { return h.backend.Holds(model, "") }
+
+// leased reports whether the adapter of a request, if it has one, is loaded and
+// stays so.
+func (h *host) leased(now time.Time, v *visit.Visit) bool {
+	return v.Adapter() == "" || now.Before(h.leases[adapterKey(v.Model(), v.Adapter())])
+}
+
+func adapterKey(model, adapter string) string { return model + "/" + adapter }
 
 // load returns what waits there before a request would begin, with the
 // request's own prompt, in tokens to be read.
-func (h *host) load(v *visit.Visit, engine bool, domain string) int64 {
-	load := int64(h.open) * plainWeight
+func (h *host) load(now time.Time, v *visit.Visit, engine bool, domain string) int64 {
+	load := int64(h.open+h.others) * plainWeight
 	if engine {
-		load = h.reading + h.shelf.missing(v) + int64(h.open)*runningWeight
+		load = h.reading + h.othersReading + h.shelf.missing(v) + int64(h.open+h.others)*runningWeight
+	}
+	if !h.leased(now, v) {
+		load += absent
 	}
 	if h.backend.Domain() != domain {
 		load += distance
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/visit"
 )
 
@@ -71,6 +72,28 @@
 // NewListed returns the message.
 func NewListed(backends []charter.Backend) Listed { return Listed{backends: backends} }
 
+// Digested brings what another lobby says of itself.
+type Digested struct{ digest notice.Digest }
+
+// NewDigested returns the message.
+func NewDigested(digest notice.Digest) Digested { return Digested{digest: digest} }
+
+// Planned brings the plan of this lobby: models by backend server.
+type Planned struct{ plan map[string][]string }
+
+// NewPlanned returns the message.
+func NewPlanned(plan map[string][]string) Planned { return Planned{plan: plan} }
+
+// Fetched tells what became of a Fetch.
+type Fetched struct {
+	fetch Fetch
+	kept  time.Duration
+}
+
+// NewFetched returns the message; kept is the time for which the adapter stays,
+// zero if it is not there.
+func NewFetched(fetch Fetch, kept time.Duration) Fetched { return Fetched{fetch: fetch, kept: kept} }
+
 // Draining tells that the process is about to stop.
 type Draining struct{}
 
@@ -81,6 +104,9 @@
 func (Chartered) stewardMessage() {}
 func (Listed) stewardMessage()    {}
 func (Draining) stewardMessage()  {}
+func (Digested) stewardMessage()  {}
+func (Planned) stewardMessage()   {}
+func (Fetched) stewardMessage()   {}
 
 // Action is what the core asks of the callers' connections.
 type Action interface{ stewardAction() }
@@ -108,6 +134,23 @@
 	RetryAfter time.Duration
 }
 
+// Fetch asks for an adapter at a backend server.
+type Fetch struct {
+	Number  uint64 // zero if no request waits for it
+	Backend string
+	Address string // IP:port of the backend server
+	Model   string
+	Adapter string
+}
+
+// Tell tells the other lobbies of this one.
+type Tell struct {
+	Spent map[string]float64 // by tenant
+	Asked map[string]float64 // tokens a second, by model
+	Loads []notice.BackendLoad
+	Plan  map[string][]string
+}
+
 // Retire closes the idle connections to a backend server.
 type Retire struct{ Backend string }
 
@@ -115,3 +158,5 @@
 func (Pass) stewardAction()   {}
 func (Refuse) stewardAction() {}
 func (Retire) stewardAction() {}
+func (Fetch) stewardAction()  {}
+func (Tell) stewardAction()   {}
--- /dev/null
+++ b/lobby/steward/peers.go
@@ -0,0 +1,94 @@
+package steward
+
+import (
+	"slices"
+	"time"
+
+	"sesamewell.example/commons/notice"
+)
+
+// said is what another lobby last said of its load.
+type said struct {
+	loads []notice.BackendLoad
+	at    time.Time
+}
+
+// hear takes over what another lobby says.
+func (c *Core) hear(now time.Time, digest notice.Digest) {
+	c.config.Purse.Heard(now, digest)
+	c.peers[digest.Sender()] = said{loads: digest.Loads(), at: now}
+	c.sumLoads(now)
+	if digest.Plan() != nil {
+		c.follow(now, digest.Sender(), digest.Plan())
+	}
+}
+
+// sumLoads adds up what the other lobbies have at each backend server.
+func (c *Core) sumLoads(now time.Time) {
+	for _, h := range c.hosts {
+		h.others, h.othersReading = 0, 0
+	}
+	for door, peer := range c.peers {
+		if now.Sub(peer.at) > peerLife {
+			delete(c.peers, door)
+			continue
+		}
+		for _, load := range peer.loads {
+			if h, ok := c.hosts[load.Backend]; ok {
+				h.others += load.Open
+				h.othersReading += load.Reading
+			}
+		}
+	}
+}
+
+// follow takes a plan over. Of two lobbies that plan, the first by address goes
+// before the other until it falls silent.
+func (c *Core) follow(now time.Time, planner string, plan map[string][]string) {
+	if plan == nil || planner > c.planner && now.Sub(c.planned) < planLife {
+		return
+	}
+	c.plan, c.planner, c.planned = plan, planner, now
+}
+
+// keeps reports whether the plan leaves a model where it is.
+func (c *Core) keeps(h *host, model string) bool {
+	models, ok := c.plan[h.backend.ID()]
+	return !ok || slices.Contains(models, model)
+}
+
+// tell tells the other lobbies of this one.
+func (c *Core) tell(now time.Time) {
+	if !c.told.IsZero() {
+		c.measure(now.Sub(c.told))
+	}
+	c.told = now
+	tell := Tell{Spent: c.config.Purse.Spent(), Asked: make(map[string]float64, len(c.demand))}
+	for model, demand := range c.demand {
+		tell.Asked[model] = demand
+	}
+	for _, h := range c.hosts {
+		if h.open > 0 {
+			tell.Loads = append(tell.Loads, notice.BackendLoad{Backend: h.backend.ID(), Open: h.open, Reading: h.reading})
+		}
+	}
+	if c.planner == "" && now.Sub(c.planned) < planLife {
+		tell.Plan = c.plan
+	}
+	c.do(tell)
+}
+
+// measure averages the demand for models.
+func (c *Core) measure(span time.Duration) {
+	weight := min(span.Seconds()/askedWindow.Seconds(), 1)
+	for model := range c.asked {
+		c.demand[model] += 0
+	}
+	for model, demand := range c.demand {
+		demand += (c.asked[model]/span.Seconds() - demand) * weight
+		if c.demand[model] = demand; demand < 1 {
+			delete(c.demand, model)
+		}
+	}
+	clear(c.asked)
+}
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -15,12 +15,25 @@
 	Put(action any) error
 }
 
+// Fetcher asks keepers for adapters.
+type Fetcher interface {
+	Fetch(fetch Fetch) error
+}
+
+// Crier tells the other lobbies of this one.
+type Crier interface {
+	Tell(tell Tell) error
+}
+
 // Config holds the construction parameters of a Steward.
 type Config struct {
 	Core     CoreConfig
 	Capacity int // messages in the inbox
 	Porch    Porch
-	Log      *logrus.Entry
+	Fetcher  Fetcher
+	Crier    Crier
+
+	Log *logrus.Entry
 }
 
 // Steward is responsible for running the core on its own thread.
@@ -44,8 +57,10 @@
 // Inbox returns the ring that feeds the steward.
 func (s *Steward) Inbox() *ring.Ring { return s.inbox }
 
-// Attach sets the porch, before the steward is served.
-func (s *Steward) Attach(porch Porch) { s.config.Porch = porch }
+// Attach sets who carries out the steward's actions, before it is served.
+func (s *Steward) Attach(porch Porch, fetcher Fetcher, crier Crier) {
+	s.config.Porch, s.config.Fetcher, s.config.Crier = porch, fetcher, crier
+}
 
 // Ready reports whether the process can take callers' connections.
 func (s *Steward) Ready() bool { return s.ready.Load() }
@@ -76,9 +91,22 @@
 	s.ready.Store(s.core.Ready())
 	s.open.Store(int64(s.core.Open()))
 	for _, action := range actions {
-		if err := s.config.Porch.Put(action); err != nil {
+		if err := s.give(action); err != nil {
 			return err
 		}
+
 	}
 	return nil
 }
+
+// give hands an action to whom it concerns.
+func (s *Steward) give(action Action) error {
+	switch a := action.(type) {
+	case Fetch:
+		return s.config.Fetcher.Fetch(a)
+	case Tell:
+		return s.config.Crier.Tell(a)
+	default:
+		return s.config.Porch.Put(a)
+	}
+}
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -107,6 +107,7 @@
 		{"sesamewell-entry", handbook.EntryOptions()},
 		{"sesamewell-side", handbook.SideOptions()},
 		{"sesamewell-lobby", handbook.LobbyOptions()},
+		{"sesamewell-keeper", handbook.KeeperOptions()},
 	}
 	fmt.Fprint(out, "# Settings\n\nMade by `make settings`; each program reads one file in INI form.\n\n")
 	for _, table := range tables {
