--- a/keeper/warden/core.go
+++ b/keeper/warden/core.go
@@ -108,6 +108,7 @@
 // next report; its number is known at once.
 func (c *Core) answer(m Answered) {
 	c.pending = false
+
 	if !m.known || !m.taken || m.order.Expect != c.state.Orders || m.order.Adapter == "" {
 		c.blind, c.looked = true, time.Time{}
 		return
@@ -131,8 +132,11 @@
 func (c *Core) decide(now time.Time) {
 	c.serve(now)
 	period := c.config.Look
-	if c.state.Busy || len(c.waiting) > 0 || !c.seen {
+	switch {
+	case len(c.waiting) > 0:
 		period = c.config.Watch
+	case c.state.Busy || !c.seen || c.blind:
+		period = min(c.config.Look, busyWatch)
 	}
 	if now.Sub(c.looked) >= period && !c.looking {
 		c.looked, c.looking = now, true
@@ -156,7 +160,7 @@
 		case c.holds(w.fetch.Model(), w.fetch.Adapter()):
 			c.leases[key(w.fetch.Model(), w.fetch.Adapter())] = now.Add(c.config.Lease)
 			c.reply(w, c.config.Lease)
-		case !now.Before(w.until), c.seen && !c.holds(w.fetch.Model(), ""):
+		case !now.Before(w.until), c.seen && c.hopeless(w.fetch):
 			c.reply(w, 0)
 		default:
 			kept = append(kept, w)
@@ -165,6 +169,12 @@
 	c.waiting = kept
 }
 
+// hopeless reports whether an adapter cannot be there in time: its model is
+// missing, or the engine takes no order until it has loaded a model.
+func (c *Core) hopeless(fetch notice.Fetch) bool {
+	return !c.holds(fetch.Model(), "") || c.state.Busy && !c.coming(fetch.Model(), fetch.Adapter())
+}
+
 func (c *Core) reply(w waiter, kept time.Duration) {
 	c.actions = append(c.actions, Reply{to: w.reply, fetched: notice.NewFetched(notice.FetchedConfig{Kept: kept})})
 }
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -17,7 +17,7 @@
 type CoreConfig struct {
 	Self    string        // door of this lobby
 	Silence time.Duration // after which another lobby counts as gone
-	Settle  time.Duration // after the start, in which no plan is made
+	Settle  time.Duration // from the first request on, in which the plan stays as it is
 	Window  time.Duration // over which the weight store's loads are counted
 	Excess  float64       // of the weight store's rate that is allowed in a window
 }
@@ -29,7 +29,7 @@
 	backends map[string]charter.Backend
 	peers    map[string]*peer // by door, this lobby among them
 	plan     map[string][]string
-	started  time.Time
+	started  time.Time // of the demand; zero before the first request
 }
 
 // peer is what another lobby last said.
@@ -76,20 +76,22 @@
 // Decide returns the plan and, if this lobby is the one that plans, what each
 // backend server shall be told.
 func (c *Core) Decide(now time.Time) (plan map[string][]string, assigns map[string]notice.Assign) {
-	if c.started.IsZero() {
+	asked := c.asked(now)
+	if c.started.IsZero() && len(asked) > 0 {
 		c.started = now
 	}
-	if c.charter == nil || c.backends == nil || now.Sub(c.started) < c.config.Settle || c.leader(now) != c.config.Self {
+	if c.charter == nil || c.backends == nil || c.leader(now) != c.config.Self {
 		return nil, nil
 	}
-	asked := c.asked(now)
 	assigns = make(map[string]notice.Assign)
 	c.prune()
 	for _, name := range c.charter.Services() {
 		service, _ := c.charter.Service(name)
 		if engine, ok := service.Engine(); ok {
 			d := c.draft(name, engine, asked)
-			d.improve()
+			if !c.started.IsZero() && now.Sub(c.started) >= c.config.Settle {
+				d.improve()
+			}
 			maps.Copy(c.plan, d.models())
 			c.assign(assigns, d, engine)
 		}
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -10,6 +10,10 @@
 // before a model is copied there.
 const slack = 1.25
 
+// comfortable is the load of a backend server, in tokens a second, below which
+// copies for its sake are not worth their loads.
+const comfortable = 6000
+
 // standby is what a model that nobody asks for counts, in tokens a second: its
 // last copy stays unless the place is worth more.
 const standby = 50
@@ -82,7 +86,10 @@
 			best = model.Name
 		}
 	}
-	return best != "" && d.place(best, max(d.asked[best], standby))
+	if best == "" {
+		return false
+	}
+	return d.place(best, max(slack*d.asked[best], standby))
 }
 
 // relieve copies a model away from the most loaded backend server.
@@ -93,7 +100,7 @@
 			busiest = h
 		}
 	}
-	if busiest == nil {
+	if busiest == nil || d.load(busiest) < comfortable {
 		return false
 	}
 	models := slices.Clone(busiest.models)
@@ -130,7 +137,7 @@
 			load -= d.part(name)
 		}
 		if d.copies[model] == 0 {
-			load -= d.asked[model] // it is asked for wherever it is
+			load = cost // it is asked for wherever it is
 		}
 		if load < least {
 			best, out, least = h, gone, load
--- a/lobby/steward/adapter.go
+++ b/lobby/steward/adapter.go
@@ -31,6 +31,8 @@
 		delete(h.renewing, key)
 		if m.kept > leaseMargin {
 			h.leases[key] = now.Add(m.kept - leaseMargin)
+		} else {
+			h.closed = now.Add(closedPause)
 		}
 	}
 	call, ok := c.calls[m.fetch.Number]
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -20,6 +20,7 @@
 	sent    int   // backend servers that it has reached
 	unsent  int   // sends that failed before a byte was sent
 	begun   bool
+	parked  bool // it waits for a backend server
 	tried   map[string]bool
 }
 
--- /dev/null
+++ b/lobby/steward/cause.go
@@ -0,0 +1,33 @@
+package steward
+
+import "github.com/valyala/fasthttp"
+
+// Cause is why a request was refused or broken off, as it stands in the log.
+type Cause string
+
+// Causes.
+const (
+	noCharter  Cause = "no_configuration"  // the process knows no configuration yet
+	noRoute    Cause = "no_route"          // no route leads there
+	badKey     Cause = "unknown_key"       // no tenant holds the key
+	overQuota  Cause = "over_quota"        // the tenant has spent its rate and burst
+	noBackend  Cause = "no_backend"        // no backend server can have it
+	notTaken   Cause = "not_taken"         // backend servers did not take it, and it may not be sent again
+	answerLost Cause = "answer_lost"       // it may have run, and its answer did not arrive whole
+	answerCut  Cause = "answer_cut"        // its stream ended early
+	expired    Cause = "deadline_exceeded" // its time, or the route's, was over
+)
+
+// statuses are those with which callers are refused. 429 and 503 promise that
+// the request has not run and never will.
+var statuses = map[Cause]int{
+	noCharter:  fasthttp.StatusServiceUnavailable,
+	noRoute:    fasthttp.StatusNotFound,
+	badKey:     fasthttp.StatusUnauthorized,
+	overQuota:  fasthttp.StatusTooManyRequests,
+	noBackend:  fasthttp.StatusServiceUnavailable,
+	notTaken:   fasthttp.StatusServiceUnavailable,
+	answerLost: fasthttp.StatusBadGateway,
+	answerCut:  fasthttp.StatusBadGateway,
+	expired:    fasthttp.StatusGatewayTimeout,
+}
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -13,8 +13,18 @@
 	peerLife     = time.Second             // of what another lobby says of its load
 	leaseMargin  = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
 	renewAhead   = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
-	askedWindow  = 2 * time.Second         // over which the demand for models is averaged
-	outputWeight = 4                       // of a token to be generated against one to be read
+	closedPause  = 250 * time.Millisecond  // after a backend server could not load an adapter
+	maxParked    = 1000                    // requests that wait for a backend server
+	parkShare    = 0.5                     // of a request's time, for which it waits for one
+	// streamSilence, silentObjectives and silentGaps bound the time without an
+	// event for which callers keep a stream open: the longest of the first, so
+	// many times the objective, and so many times the route's pause.
+	streamSilence    = 2 * time.Second
+	silentObjectives = 4
+	silentGaps       = 8
+	awayRetry        = time.Second     // when a caller comes back whose model is on its way
+	askedWindow      = 2 * time.Second // over which the demand for models is averaged
+	outputWeight     = 4               // of a token to be generated against one to be read
 	// absent is what an adapter that has to be loaded counts, in tokens to be read.
 	absent = 600
 	// distance is what another failure domain counts, in tokens to be read.
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"sesamewell.example/commons/charter"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/visit"
@@ -94,7 +92,7 @@
 	case Chartered:
 		c.charter = m.charter
 	case Listed:
-		c.list(m.backends)
+		c.list(now, m.backends)
 	case Digested:
 		c.hear(now, m.digest)
 	case Planned:
@@ -113,6 +111,8 @@
 	for _, call := range c.calls {
 		if !now.Before(call.expires) {
 			c.giveUp(call)
+		} else if call.parked {
+			c.send(now, call)
 		}
 	}
 	if now.Sub(c.told) >= tellPeriod {
@@ -125,20 +125,24 @@
 
 // giveUp ends a request that has not been answered in time.
 func (c *Core) giveUp(call *call) {
-	c.refuse(call, fasthttp.StatusGatewayTimeout, 0)
+	c.refuse(call, expired, 0)
 }
 
-func (c *Core) refuse(call *call, status int, after time.Duration) {
+func (c *Core) refuse(call *call, cause Cause, after time.Duration) {
 	c.release(call)
 	delete(c.calls, call.number)
-	c.do(Refuse{Number: call.number, Status: status, RetryAfter: after})
+	c.do(refusal(call, cause, after))
+}
+
+func refusal(call *call, cause Cause, after time.Duration) Refuse {
+	return Refuse{Number: call.number, Visit: call.visit, Cause: cause, Status: statuses[cause], RetryAfter: after}
 }
 
 // arrive decides on a new request.
 func (c *Core) arrive(now time.Time, m Arrived) {
 	call := &call{number: m.number, visit: m.visit, tried: make(map[string]bool)}
-	if status := c.admit(call); status != 0 {
-		c.refuse(call, status, 0)
+	if cause := c.admit(call); cause != "" {
+		c.refuse(call, cause, 0)
 		return
 	}
 	call.expires = m.visit.Arrived().Add(call.route.Timeout())
@@ -146,7 +150,7 @@
 		call.expires = m.visit.Arrived().Add(patience)
 	}
 	if wait, ok := c.charge(now, call); !ok {
-		c.refuse(call, fasthttp.StatusTooManyRequests, wait)
+		c.refuse(call, overQuota, wait)
 		return
 	}
 	c.calls[call.number] = call
@@ -157,25 +161,25 @@
 	c.send(now, call)
 }
 
-// admit fills in the route and tenant of a request, or returns the status that
-// refuses it.
-func (c *Core) admit(call *call) int {
+// admit fills in the route and tenant of a request, or returns why it is
+// refused.
+func (c *Core) admit(call *call) Cause {
 	if c.charter == nil || !c.listed {
-		return fasthttp.StatusServiceUnavailable
+		return noCharter
 	}
 	route, ok := c.charter.Route(call.visit.Host(), call.visit.Path())
 	if !ok {
-		return fasthttp.StatusNotFound
+		return noRoute
 	}
 	call.route = route
 	call.service = route.Service(c.config.Random.Float64())
 	if route.Open() || !c.charter.Tenants() {
-		return 0
+		return ""
 	}
 	if call.tenant, ok = c.charter.Holder(call.visit.Key()); !ok {
-		return fasthttp.StatusUnauthorized
+		return badKey
 	}
-	return 0
+	return ""
 }
 
 func (c *Core) charge(now time.Time, call *call) (time.Duration, bool) {
@@ -199,12 +203,10 @@
 func (c *Core) send(now time.Time, call *call) {
 	h := c.choose(now, call)
 	if h == nil {
-		c.refund(now, call)
-		c.refuse(call, fasthttp.StatusServiceUnavailable, retryAfter)
+		c.park(now, call)
 		return
 	}
-	call.host = h
-	call.tried[h.backend.ID()] = true
+	call.host, call.parked = h, false
 	call.reading = h.shelf.missing(call.visit)
 	h.open++
 	h.reading += call.reading
@@ -219,6 +221,7 @@
 // dispatch sends a request to the backend server that was chosen.
 func (c *Core) dispatch(now time.Time, call *call) {
 	h := call.host
+	call.tried[h.backend.ID()] = true
 	c.renew(now, h, call.visit)
 	service, _ := c.charter.Service(call.service)
 	c.do(Send{
@@ -245,7 +248,7 @@
 	_, engine := service.Engine()
 	var best *host
 	for _, h := range c.services[call.service] {
-		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.holds(call.visit.Model()) {
+		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call.visit) {
 			continue
 		}
 		if best == nil || c.before(now, call, engine, h, best) {
@@ -322,13 +325,13 @@
 	case Lost:
 		h.fail(now)
 		call.sent++
-		c.resendRun(now, call, Refuse{Number: m.number, Status: fasthttp.StatusBadGateway})
+		c.resendRun(now, call, refusal(call, answerLost, 0))
 	case Spoiled:
 		call.sent++
 		c.resendRun(now, call, Pass{Number: m.number})
 	case Severed:
 		h.fail(now)
-		c.refuse(call, fasthttp.StatusBadGateway, 0)
+		c.refuse(call, answerCut, 0)
 	}
 }
 
@@ -339,7 +342,7 @@
 		return
 	}
 	c.refund(now, call)
-	c.refuse(call, fasthttp.StatusServiceUnavailable, retryAfter)
+	c.refuse(call, notTaken, retryAfter)
 }
 
 // resendRun sends a request again that may have run, if that is allowed, or
@@ -365,7 +368,7 @@
 
 // list takes the platform's list over. What is no longer on it gets no new
 // requests; requests that it has go on.
-func (c *Core) list(backends []charter.Backend) {
+func (c *Core) list(now time.Time, backends []charter.Backend) {
 	c.listed = true
 	seen := make(map[string]bool, len(backends))
 	for _, backend := range backends {
@@ -387,6 +390,7 @@
 			c.do(Retire{Backend: id})
 		}
 	}
+	defer c.unpark(now)
 	clear(c.services)
 	for _, h := range c.hosts {
 		c.services[h.backend.Service()] = append(c.services[h.backend.Service()], h)
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -17,8 +17,9 @@
 	pause         time.Duration
 	leases        map[string]time.Time // ends, by MODEL/ADAPTER
 	renewing      map[string]bool
-	others        int   // requests of other lobbies that it has
-	othersReading int64 // prompt tokens of those that have not begun
+	closed        time.Time // until then no adapter can be loaded there
+	others        int       // requests of other lobbies that it has
+	othersReading int64     // prompt tokens of those that have not begun
 	shelf         *shelf
 }
 
@@ -32,6 +33,12 @@
 // holds reports whether it has loaded a model.
 func (h *host) holds(model string) bool { return h.backend.Holds(model, "") }
 
+// takes reports whether it can run a request now: it has loaded the model, and
+// the adapter or can load it.
+func (h *host) takes(now time.Time, v *visit.Visit) bool {
+	return h.holds(v.Model()) && (!now.Before(h.closed) || h.leased(now, v))
+}
+
 // leased reports whether the adapter of a request, if it has one, is loaded and
 // stays so.
 func (h *host) leased(now time.Time, v *visit.Visit) bool {
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -130,6 +130,8 @@
 // up.
 type Refuse struct {
 	Number     uint64
+	Visit      *visit.Visit
+	Cause      Cause
 	Status     int
 	RetryAfter time.Duration
 }
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -106,7 +106,17 @@
 		return s.config.Fetcher.Fetch(a)
 	case Tell:
 		return s.config.Crier.Tell(a)
+	case Refuse:
+		s.log(a)
+		return s.config.Porch.Put(a)
 	default:
 		return s.config.Porch.Put(a)
 	}
 }
+
+func (s *Steward) log(r Refuse) {
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "refused", "request": r.Visit.ID(), "cause": r.Cause, "status": r.Status, "model": r.Visit.Model(),
+		"adapter": r.Visit.Adapter(), "retry_after": r.RetryAfter,
+	}).Info("request refused")
+}
