--- a/commons/charter/route.go
+++ b/commons/charter/route.go
@@ -53,6 +53,10 @@
 // worth most.
 func (r Route) Objective() time.Duration { return r.config.Objective }
 
+// Gap returns the longest pause between two events with which a stream is on
+// time.
+func (r Route) Gap() time.Duration { return r.config.Gap }
+
 // Priority returns the rank, zero being the most urgent.
 func (r Route) Priority() int { return r.config.Priority }
 
