Fill free room at once and from disk, reset abandoned links, leave in time

Causes: after a loss of all machines the engines come back empty and were given one load at a time, though their disks keep copies; requests reached a frozen backend server after their callers had left; lobbies outlived the grace time, since threads that wait for the store hold the exit up, and took requests up to the end.

--- a/commons/charter/backend.go
+++ b/commons/charter/backend.go
@@ -22,8 +22,9 @@
 	Leaving   bool
 	Remaining time.Duration // until a leaving one is gone, if it said so
 	Holdings  []Holding
-	Born      int64 // Unix milliseconds of its start
-	Orders    int64 // accepted since its start
+	OnHand    []string // models that load without the weight store
+	Born      int64    // Unix milliseconds of its start
+	Orders    int64    // accepted since its start
 }
 
 // Backend is responsible for what a backend server last said of itself.
@@ -58,6 +59,9 @@
 // Holdings returns the models that it has loaded.
 func (b Backend) Holdings() []Holding { return b.config.Holdings }
 
+// OnHand reports whether a model loads there without the weight store.
+func (b Backend) OnHand(model string) bool { return slices.Contains(b.config.OnHand, model) }
+
 // Holds reports whether it has loaded a model and, unless it is empty, an
 // adapter of that model.
 func (b Backend) Holds(model, adapter string) bool {
--- a/commons/crew/run.go
+++ b/commons/crew/run.go
@@ -19,6 +19,10 @@
 // lastBytes is the time that the last answers have to leave the process.
 const lastBytes = 200 * time.Millisecond
 
+// stopWait is the time that threads have to end, which may wait for an answer
+// of another process.
+const stopWait = 300 * time.Millisecond
+
 // Root is the top of a process's supervision tree.
 type Root interface {
 	Service
@@ -54,7 +58,12 @@
 	code := drain(config)
 	time.Sleep(lastBytes)
 	cancel()
-	<-stopped
+	select {
+	case <-stopped:
+	case <-time.After(stopWait):
+		config.Log.WithField("event", "stop").Warn("threads still wait for other processes")
+	}
+
 	config.Log.WithFields(logrus.Fields{"event": "stop", "code": code}).Info("process stopped")
 	return code
 }
--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -7,7 +7,10 @@
 	drainPoll     = 50 * time.Millisecond
 	// stayAfterTerm is the time for which a leaving process goes on to take
 	// requests: until the platform has seen twice that it is not ready.
-	stayAfterTerm = 2500 * time.Millisecond
+	stayAfterTerm = 2600 * time.Millisecond
+	// closeMargin is the time before the end of a drain at which what is still
+	// open is given up.
+	closeMargin = 900 * time.Millisecond
 	// peers is the number of lobbies that share the connections to a backend
 	// server and the budget of retries, unless more are known.
 	peers = 4
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -37,14 +37,18 @@
 //	├── backends (the list of backend servers)
 //	└── lobbies  (the list of lobbies)
 type house struct {
-	crew *crew.Crew
-	news *news
+	crew  *crew.Crew
+	news  *news
+	limit time.Duration // of a drain
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
 	debug.SetMemoryLimit(settings.Bytes("process", "memory") * memoryShare / 100)
 	n := &news{self: settings.Address("door", "listen"), incarnation: rand.Uint64(), log: log}
-	h := &house{crew: crew.New(crew.Config{Name: "lobby", Log: log}), news: n}
+	h := &house{
+		crew: crew.New(crew.Config{Name: "lobby", Log: log}),
+		news: n, limit: settings.Duration("process", "drain-limit") - closeMargin,
+	}
 	n.steward = newSteward(settings, log)
 	n.porch = newPorch(settings, n.steward, log)
 	runs := errands.New(errands.Config{
@@ -172,10 +176,14 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+
 			if h.news.steward.Open() == 0 && now.Sub(began) > stayAfterTerm {
 				close(done)
 				return
 			}
+			if now.Sub(began) > h.limit {
+				h.news.tell(steward.Closing{})
+			}
 		}
 	}
 }
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -17,7 +17,7 @@
 type CoreConfig struct {
 	Self    string        // door of this lobby
 	Silence time.Duration // after which another lobby counts as gone
-	Settle  time.Duration // from the first request on, in which the plan stays as it is
+	Settle  time.Duration // from the first request on, and from the first list on, in which the plan stays as it is
 	Window  time.Duration // over which the weight store's loads are counted
 	Excess  float64       // of the weight store's rate that is allowed in a window
 }
@@ -29,6 +29,7 @@
 	backends map[string]charter.Backend
 	peers    map[string]*peer // by door, this lobby among them
 	plan     map[string][]string
+	listed   time.Time // when the first backend server was seen
 	started  time.Time // of the demand; zero before the first request
 }
 
@@ -77,6 +78,9 @@
 // backend server shall be told.
 func (c *Core) Decide(now time.Time) (plan map[string][]string, assigns map[string]notice.Assign) {
 	asked := c.asked(now)
+	if c.listed.IsZero() && len(c.backends) > 0 {
+		c.listed = now
+	}
 	if c.started.IsZero() && len(asked) > 0 {
 		c.started = now
 	}
@@ -89,6 +93,9 @@
 		service, _ := c.charter.Service(name)
 		if engine, ok := service.Engine(); ok {
 			d := c.draft(name, engine, asked)
+			if !c.listed.IsZero() && now.Sub(c.listed) >= c.config.Settle {
+				d.fill()
+			}
 			if !c.started.IsZero() && now.Sub(c.started) >= c.config.Settle {
 				d.improve()
 			}
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -14,6 +14,13 @@
 // copies for its sake are not worth their loads.
 const comfortable = 6000
 
+// missing is what a model without a copy counts, in tokens a second.
+const missing = 1e6
+
+// storeCost is what a load from the weight store counts against one from the
+// backend server's own disk, in tokens a second.
+const storeCost = 500
+
 // standby is what a model that nobody asks for counts, in tokens a second: its
 // last copy stays unless the place is worth more.
 const standby = 50
@@ -62,6 +69,74 @@
 	return plan
 }
 
+// fill gives models to backend servers that have room: first those without a
+// copy, then those that are asked for most.
+func (d *draft) fill() {
+	for d.moving < d.atOnce()+len(d.hosts) {
+		model := d.neediest()
+		if model == "" || !d.settle(model) {
+			return
+		}
+		d.moving++
+	}
+}
+
+// neediest returns the model that is asked for most for each of its copies, one
+// without a copy before all others. It is empty when nothing more is wanted.
+func (d *draft) neediest() string {
+	best, most := "", 0.0
+	for _, model := range d.engine.Models {
+		need := d.asked[model.Name] / float64(d.copies[model.Name]+1)
+		if d.copies[model.Name] == 0 {
+			need += missing
+		}
+		if need > most {
+			best, most = model.Name, need
+		}
+	}
+	return best
+}
+
+// settle plans a copy of a model where there is room for it, at a backend server
+// that has it on hand if there is one, else at the least loaded.
+func (d *draft) settle(model string) bool {
+	var best *host
+	for _, h := range d.hosts {
+		if h.backend.Leaving() || slices.Contains(h.models, model) || d.free(h) < d.memory(model) {
+			continue
+		}
+		if best == nil || d.nearer(h, best, model) {
+			best = h
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.models = append(best.models, model)
+	best.fixed = true
+	d.copies[model]++
+	return true
+}
+
+func (d *draft) nearer(a, b *host, model string) bool {
+	if onA, onB := a.backend.OnHand(model), b.backend.OnHand(model); onA != onB {
+		return onA
+	}
+	if len(a.models) != len(b.models) {
+		return len(a.models) < len(b.models)
+	}
+	return d.load(a) < d.load(b)
+}
+
+// free returns the MB that a backend server has left for models.
+func (d *draft) free(h *host) float64 {
+	left := d.engine.Memory - d.adapters()
+	for _, name := range h.models {
+		left -= d.memory(name)
+	}
+	return left
+}
+
 // improve makes as many changes as loads may be under way.
 func (d *draft) improve() {
 	for d.moving < d.atOnce() && (d.placeMissing() || d.relieve()) {
@@ -89,7 +164,7 @@
 	if best == "" {
 		return false
 	}
-	return d.place(best, max(slack*d.asked[best], standby))
+	return d.place(best, max(slack*d.asked[best], standby)+slack*storeCost)
 }
 
 // relieve copies a model away from the most loaded backend server.
@@ -132,6 +207,9 @@
 		if !ok {
 			continue
 		}
+		if !h.backend.OnHand(model) {
+			cost += storeCost
+		}
 		load := d.load(h) + d.asked[model]/float64(d.copies[model]+1) + cost
 		for _, name := range gone {
 			load -= d.part(name)
@@ -159,11 +237,9 @@
 // room returns the models that would have to go for another one, those first
 // that are missed least, and the load that their going adds elsewhere.
 func (d *draft) room(h *host, model string) (gone []string, cost float64, ok bool) {
-	left := d.engine.Memory - d.memory(model) - d.adapters()
+	left := d.free(h) - d.memory(model)
 	kept := slices.Clone(h.models)
-	for _, name := range kept {
-		left -= d.memory(name)
-	}
+
 	for left < 0 && len(kept) > 0 {
 		least := slices.MinFunc(kept, func(a, b string) int {
 			if d.loss(a) < d.loss(b) {
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -134,6 +134,6 @@
 	e.pool = nil
 	if l := e.link; l != nil {
 		l.exchange, l.answer, e.link = nil, nil, nil
-		l.close()
+		l.reset()
 	}
 }
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -172,6 +172,18 @@
 	l.porch.tell(steward.NewEnded(e.number, result, 0))
 }
 
+// reset closes the connection so that a backend server that has not read the
+// request yet never does.
+func (l *link) reset() {
+	if l.closed {
+		return
+	}
+	if err := l.conn.SetLinger(0); err != nil {
+		l.porch.config.Log.WithField("event", "link_reset").WithError(err).Debug("connection cannot be reset")
+	}
+	l.close()
+}
+
 // close closes the connection without regard to what it carries.
 func (l *link) close() {
 	if l.closed {
--- a/lobby/steward/cause.go
+++ b/lobby/steward/cause.go
@@ -15,6 +15,7 @@
 	notTaken   Cause = "not_taken"         // backend servers did not take it, and it may not be sent again
 	answerLost Cause = "answer_lost"       // it may have run, and its answer did not arrive whole
 	answerCut  Cause = "answer_cut"        // its stream ended early
+	leaving    Cause = "leaving"           // the process is about to stop
 	expired    Cause = "deadline_exceeded" // its time, or the route's, was over
 )
 
@@ -29,5 +30,6 @@
 	notTaken:   fasthttp.StatusServiceUnavailable,
 	answerLost: fasthttp.StatusBadGateway,
 	answerCut:  fasthttp.StatusBadGateway,
+	leaving:    fasthttp.StatusServiceUnavailable,
 	expired:    fasthttp.StatusGatewayTimeout,
 }
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -7,15 +7,18 @@
 	maxUnsent    = 3 // sends of one request that may fail before a byte is sent
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
-	retryAfter   = 300 * time.Millisecond  // when a refused caller is told to come back
-	planLife     = 3 * time.Second         // of a plan whose planner is silent
-	tellPeriod   = 200 * time.Millisecond  // between two digests
-	peerLife     = time.Second             // of what another lobby says of its load
-	leaseMargin  = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
-	renewAhead   = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
-	closedPause  = 250 * time.Millisecond  // after a backend server could not load an adapter
-	maxParked    = 1000                    // requests that wait for a backend server
-	parkShare    = 0.5                     // of a request's time, for which it waits for one
+	retryAfter   = 300 * time.Millisecond // when a refused caller is told to come back
+	planLife     = 3 * time.Second        // of a plan whose planner is silent
+	// drainGrace is the time from the start of a drain up to which requests are
+	// taken: the platform asks for readiness once a second, twice.
+	drainGrace  = 2500 * time.Millisecond
+	tellPeriod  = 200 * time.Millisecond  // between two digests
+	peerLife    = time.Second             // of what another lobby says of its load
+	leaseMargin = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
+	renewAhead  = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
+	closedPause = 250 * time.Millisecond  // after a backend server could not load an adapter
+	maxParked   = 1000                    // requests that wait for a backend server
+	parkShare   = 0.5                     // of a request's time, for which it waits for one
 	// streamSilence, silentObjectives and silentGaps bound the time without an
 	// event for which callers keep a stream open: the longest of the first, so
 	// many times the objective, and so many times the route's pause.
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -46,7 +46,7 @@
 	calls    map[uint64]*call
 	budgets  map[string]*budget
 	listed   bool
-	draining bool
+	draining time.Time // since when the process is about to stop; zero while it stays
 	peers    map[string]said
 	plan     map[string][]string // models by backend server
 	planner  string              // door of the lobby that made it, "" for this one
@@ -72,7 +72,7 @@
 }
 
 // Ready reports whether the process can take callers' connections.
-func (c *Core) Ready() bool { return c.charter != nil && c.listed && !c.draining }
+func (c *Core) Ready() bool { return c.charter != nil && c.listed && c.draining.IsZero() }
 
 // Open returns the number of requests whose answers have not ended.
 func (c *Core) Open() int { return len(c.calls) }
@@ -100,7 +100,9 @@
 	case Fetched:
 		c.fetched(now, m)
 	case Draining:
-		c.draining = true
+		c.draining = now
+	case Closing:
+		c.closeAll()
 	}
 	return c.actions
 }
@@ -123,6 +125,24 @@
 
 func (c *Core) do(action Action) { c.actions = append(c.actions, action) }
 
+// closeAll gives up all requests. Those that no backend server has had were not
+// run.
+func (c *Core) closeAll() {
+	for _, call := range c.calls {
+		if call.sent == 0 && (call.host == nil || !call.tried[call.host.backend.ID()]) {
+			c.refuse(call, leaving, retryAfter)
+			continue
+		}
+		c.refuse(call, expired, 0)
+	}
+}
+
+// takes reports whether new requests may begin. A process that is about to stop
+// takes none once the platform should know.
+func (c *Core) takes(now time.Time) bool {
+	return c.draining.IsZero() || now.Sub(c.draining) < drainGrace
+}
+
 // giveUp ends a request that has not been answered in time.
 func (c *Core) giveUp(call *call) {
 	c.refuse(call, expired, 0)
@@ -145,6 +165,10 @@
 		c.refuse(call, cause, 0)
 		return
 	}
+	if !c.takes(now) {
+		c.refuse(call, leaving, retryAfter)
+		return
+	}
 	call.expires = m.visit.Arrived().Add(call.route.Timeout())
 	if patience := m.visit.Patience(); patience > 0 && patience < call.route.Timeout() {
 		call.expires = m.visit.Arrived().Add(patience)
@@ -226,6 +250,7 @@
 	service, _ := c.charter.Service(call.service)
 	c.do(Send{
 		Number:  call.number,
+		Visit:   call.visit,
 		Address: h.backend.Address(),
 		Links:   max(service.Connections()/max(c.config.Peers, 1), 1),
 		Fresh:   !call.repeatable(),
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -97,6 +97,9 @@
 // Draining tells that the process is about to stop.
 type Draining struct{}
 
+// Closing tells that the process stops now: what is open is given up.
+type Closing struct{}
+
 func (Arrived) stewardMessage()   {}
 func (Begun) stewardMessage()     {}
 func (Left) stewardMessage()      {}
@@ -104,6 +107,7 @@
 func (Chartered) stewardMessage() {}
 func (Listed) stewardMessage()    {}
 func (Draining) stewardMessage()  {}
+func (Closing) stewardMessage()   {}
 func (Digested) stewardMessage()  {}
 func (Planned) stewardMessage()   {}
 func (Fetched) stewardMessage()   {}
@@ -114,6 +118,7 @@
 // Send sends a request to a backend server.
 type Send struct {
 	Number  uint64
+	Visit   *visit.Visit
 	Address string // IP:port
 	Links   int    // connections to it that this process may have
 	Fresh   bool   // on a connection that has not been idle for long
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -10,7 +10,7 @@
 // on its way. What has waited for its share of time is refused, early enough to
 // come back.
 func (c *Core) park(now time.Time, call *call) {
-	if call.sent == 0 && now.Before(call.patience()) && (call.parked || c.parked() < maxParked) {
+	if c.draining.IsZero() && call.sent == 0 && now.Before(call.patience()) && (call.parked || c.parked() < maxParked) {
 		call.parked = true
 		return
 	}
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -106,6 +106,12 @@
 		return s.config.Fetcher.Fetch(a)
 	case Tell:
 		return s.config.Crier.Tell(a)
+	case Send:
+		s.config.Log.WithFields(logrus.Fields{
+			"event": "sent", "request": a.Visit.ID(), "backend": a.Sheet.Backend, "tenant": a.Sheet.Tenant, "model": a.Visit.Model(),
+			"adapter": a.Visit.Adapter(), "waited": time.Since(a.Visit.Arrived()),
+		}).Info("request sent")
+		return s.config.Porch.Put(a)
 	case Refuse:
 		s.log(a)
 		return s.config.Porch.Put(a)
