Pace loads by the planner and let lobbies hand the configuration on

Change: the planner pays for each load from a token bucket that starts empty; a plan names the start of the engine that it is for; lobbies tell the version that they have in force, and one that is behind reads the store again or asks the other.

--- a/commons/charter/backend.go
+++ b/commons/charter/backend.go
@@ -35,6 +35,9 @@
 // NewBackend returns a backend server.
 func NewBackend(config BackendConfig) Backend { return Backend{config: config} }
 
+// Config returns what the backend server was made from.
+func (b Backend) Config() BackendConfig { return b.config }
+
 // ID returns the name of this start of the backend server.
 func (b Backend) ID() string { return b.config.ID }
 
--- a/commons/charter/charter.go
+++ b/commons/charter/charter.go
@@ -37,6 +37,7 @@
 	tenants  map[string]Tenant
 	keys     map[string]string // tenant by key
 	limits   Limits
+	config   Config
 }
 
 // New returns the charter of a configuration.
@@ -48,6 +49,7 @@
 		tenants:  make(map[string]Tenant, len(config.Tenants)),
 		keys:     make(map[string]string),
 		limits:   config.Limits,
+		config:   config,
 	}
 	for _, service := range config.Services {
 		c.services[service.Name] = newService(service)
@@ -67,6 +69,9 @@
 	return c
 }
 
+// Config returns what the charter was made from.
+func (c *Charter) Config() Config { return c.config }
+
 // Version returns the operator's number of this configuration.
 func (c *Charter) Version() int64 { return c.version }
 
--- /dev/null
+++ b/commons/notice/bundle.go
@@ -0,0 +1,33 @@
+package notice
+
+import "sesamewell.example/commons/charter"
+
+// BundleMethod is the method of LobbyService that hands a Bundle out.
+const BundleMethod = LobbyService + ".Bundle"
+
+// BundleConfig holds the construction parameters of a Bundle.
+type BundleConfig struct {
+	Charter  charter.Config
+	Backends []charter.BackendConfig
+}
+
+// Bundle is what a lobby has read from the platform's store, for another one
+// that cannot read there.
+type Bundle struct {
+	config BundleConfig
+}
+
+// NewBundle returns a bundle.
+func NewBundle(config BundleConfig) Bundle { return Bundle{config: config} }
+
+// Charter returns the configuration; version zero means that none is known.
+func (b Bundle) Charter() charter.Config { return b.config.Charter }
+
+// Backends returns the backend servers.
+func (b Bundle) Backends() []charter.BackendConfig { return b.config.Backends }
+
+// MarshalBinary encodes the message.
+func (b Bundle) MarshalBinary() ([]byte, error) { return pack("bundle", &b.config) }
+
+// UnmarshalBinary decodes what MarshalBinary encoded.
+func (b *Bundle) UnmarshalBinary(data []byte) error { return unpack("bundle", data, &b.config) }
--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -18,6 +18,7 @@
 	Sender      string             // door of the lobby, IP:port
 	Incarnation uint64             // of the sender's process
 	Serial      int64              // rises with each digest of an incarnation
+	Charter     int64              // version of the configuration in force
 	Spent       map[string]float64 // by tenant, since the incarnation began
 	Asked       map[string]float64 // tokens a second asked of each model
 	Loads       []BackendLoad
@@ -42,6 +43,9 @@
 // Serial rises with each digest of an incarnation.
 func (d Digest) Serial() int64 { return d.config.Serial }
 
+// Charter returns the version of the configuration in force at the sender.
+func (d Digest) Charter() int64 { return d.config.Charter }
+
 // Spent returns what the sender has taken of each tenant's quota since its
 // incarnation began.
 func (d Digest) Spent() map[string]float64 { return d.config.Spent }
--- a/commons/notice/errand.go
+++ b/commons/notice/errand.go
@@ -20,11 +20,11 @@
 type AssignConfig struct {
 	Planner string // door of the lobby that plans
 	Backend string // id of the backend server that is meant
+	Born    int64  // Unix milliseconds of its start, which is meant
 	Models  []ModelNeed
-	Others  []ModelNeed   // further models of the service, which it may still hold
-	Memory  float64       // MB for weights and adapters
-	Places  int           // adapters that fit
-	Pace    time.Duration // shortest time between two loads from the weight store
+	Others  []ModelNeed // further models of the service, which it may still hold
+	Memory  float64     // MB for weights and adapters
+	Places  int         // adapters that fit
 }
 
 // Assign tells a keeper what its backend server shall hold.
@@ -41,6 +41,9 @@
 // Backend returns the id of the backend server that is meant.
 func (a Assign) Backend() string { return a.config.Backend }
 
+// Born returns the Unix millisecond of the start that is meant.
+func (a Assign) Born() int64 { return a.config.Born }
+
 // Models returns the models that it shall hold.
 func (a Assign) Models() []ModelNeed { return a.config.Models }
 
@@ -53,9 +56,6 @@
 // Places returns the number of adapters that fit.
 func (a Assign) Places() int { return a.config.Places }
 
-// Pace returns the shortest time between two loads from the weight store.
-func (a Assign) Pace() time.Duration { return a.config.Pace }
-
 // MarshalBinary encodes the message.
 func (a Assign) MarshalBinary() ([]byte, error) { return pack("assign", &a.config) }
 
--- a/keeper/house.go
+++ b/keeper/house.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"runtime/debug"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -30,7 +29,6 @@
 	h := &house{crew: crew.New(crew.Config{Name: "keeper", Log: log})}
 	w := warden.New(warden.Config{
 		Core: warden.CoreConfig{
-			Start:    time.Now(),
 			Look:     settings.Duration("engine", "look"),
 			Watch:    settings.Duration("engine", "watch"),
 			Lease:    settings.Duration("engine", "lease"),
--- a/keeper/warden/core.go
+++ b/keeper/warden/core.go
@@ -19,7 +19,6 @@
 
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
-	Start    time.Time     // of the process: loads of an earlier one may still count
 	Look     time.Duration // between two looks at an engine at rest
 	Watch    time.Duration // between two looks at an engine that loads
 	Lease    time.Duration // for which an adapter that was asked for stays
@@ -40,7 +39,6 @@
 	pending  bool // an order has no answer yet
 	blind    bool // the state is older than the last order
 	due      time.Time
-	loaded   time.Time            // of the last order that may load from the weight store
 	leases   map[string]time.Time // by MODEL/NAME
 	waiting  []waiter
 	actions  []Action
@@ -55,7 +53,7 @@
 
 // NewCore returns a core that knows nothing of its engine.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, loaded: config.Start, leases: make(map[string]time.Time)}
+	return &Core{config: config, leases: make(map[string]time.Time)}
 }
 
 // Handle processes one message.
@@ -143,7 +141,7 @@
 		c.actions = append(c.actions, Look{})
 	}
 	c.due = c.looked.Add(period)
-	if !c.seen || c.pending || c.blind || c.assigned.IsZero() {
+	if !c.seen || c.pending || c.blind || c.assign.Born() != c.state.Born {
 		return
 	}
 	if order, ok := c.next(now); ok {
@@ -190,7 +188,7 @@
 	if c.state.Busy {
 		return Order{}, false
 	}
-	return c.model(now)
+	return c.model()
 }
 
 // adapter returns the order that brings an adapter closer: its own, or one that
@@ -226,7 +224,7 @@
 }
 
 // model returns the order that brings the models closer to the plan.
-func (c *Core) model(now time.Time) (Order, bool) {
+func (c *Core) model() (Order, bool) {
 	for _, need := range c.assign.Models() {
 		if c.holds(need.Name, "") {
 			continue
@@ -234,12 +232,7 @@
 		if c.reserved()+need.Memory > c.assign.Memory() {
 			return c.surplus()
 		}
-		if !slices.Contains(c.state.OnDisk, need.Name) {
-			if now.Sub(c.loaded) < c.assign.Pace() {
-				continue
-			}
-			c.loaded = now
-		}
+
 		return c.order(Order{Model: need.Name}), true
 	}
 	return Order{}, false
--- a/keeper/warden/message.go
+++ b/keeper/warden/message.go
@@ -91,6 +91,9 @@
 	fetched notice.Fetched
 }
 
+// Send hands the answer over. A caller that no longer waits has no use for it.
+func (r Reply) Send() { _ = r.to.Put(r.fetched) }
+
 func (Look) wardenAction()  {}
 func (Order) wardenAction() {}
 func (Reply) wardenAction() {}
--- a/keeper/warden/warden.go
+++ b/keeper/warden/warden.go
@@ -76,8 +76,7 @@
 				return err
 			}
 		case Reply:
-			// A caller that no longer waits has a full ring or none.
-			_ = a.to.Put(a.fetched)
+			a.Send()
 		}
 	}
 	return nil
--- a/lobby/herald/herald.go
+++ b/lobby/herald/herald.go
@@ -26,14 +26,8 @@
 	Changes(from int64) (map[string]charter.Backend, int64, error)
 }
 
-// Listener is told of what changes. Its methods must not block.
-type Listener interface {
-	Charter(c *charter.Charter)
-	Backends(backends []charter.Backend)
-}
-
 const (
-	longPoll   = 10 * time.Second       // longest wait for a new configuration
+	longPoll   = 2 * time.Second        // longest wait for a new configuration: a connection may have gone silent
 	retryPause = 200 * time.Millisecond // after a read that failed
 	listPeriod = 400 * time.Millisecond // between two reads of the list
 	// wholePeriod is the time between two reads of the whole list, which mend
@@ -43,9 +37,9 @@
 
 // Config holds the construction parameters of the package's duties.
 type Config struct {
-	Store    Store
-	Listener Listener
-	Log      *logrus.Entry
+	Store Store
+	Board *Board
+	Log   *logrus.Entry
 }
 
 // ErrMissed means that records were dropped before they were read.
@@ -57,8 +51,7 @@
 	config  Config
 	offset  int64
 	known   bool
-	newest  int64 // version
-	reached bool  // the last read had an answer
+	reached bool // the last read had an answer
 }
 
 // NewCharters returns the duty.
@@ -86,7 +79,7 @@
 			return err
 		}
 		h.offset, h.known = offset, true
-		h.take(c)
+		h.config.Board.postCharter(c, "store")
 		return nil
 	}
 	c, offset, err := h.config.Store.Charters(h.offset, longPoll)
@@ -98,20 +91,10 @@
 		return err
 	}
 	h.offset = offset
-	h.take(c)
+	h.config.Board.postCharter(c, "store")
 	return nil
 }
 
-// take passes a configuration on unless it is older than one before.
-func (h *Charters) take(c *charter.Charter) {
-	if c == nil || c.Version() <= h.newest {
-		return
-	}
-	h.newest = c.Version()
-	h.config.Log.WithFields(logrus.Fields{"event": "configuration", "version": c.Version(), "offset": h.offset}).Info("configuration in force")
-	h.config.Listener.Charter(c)
-}
-
 // Backends is responsible for following the list of backend servers.
 type Backends struct {
 	config  Config
@@ -177,7 +160,7 @@
 	for _, backend := range h.known {
 		list = append(list, backend)
 	}
-	h.config.Listener.Backends(list)
+	h.config.Board.postBackends(list)
 }
 
 // report logs a dependency that is lost or regained and returns whether it is
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -33,6 +33,7 @@
 //	├── planner  (placement of models)
 //	├── parley   (calls of the other lobbies, a thread each)
 //	├── door     (calls of other lobbies)
+//	├── catch up (configurations that other lobbies know first)
 //	├── charters (the operator's configuration)
 //	├── backends (the list of backend servers)
 //	└── lobbies  (the list of lobbies)
@@ -49,11 +50,13 @@
 		crew: crew.New(crew.Config{Name: "lobby", Log: log}),
 		news: n, limit: settings.Duration("process", "drain-limit") - closeMargin,
 	}
+	n.lines = newLines()
+	n.board = herald.NewBoard(herald.BoardConfig{Listener: n, Log: log})
 	n.steward = newSteward(settings, log)
 	n.porch = newPorch(settings, n.steward, log)
 	runs := errands.New(errands.Config{
 		Port:     strconv.Itoa(settings.Integer("keeper", "port")),
-		Line:     lines(settings),
+		Line:     n.lines,
 		Steward:  n.steward.Inbox(),
 		Capacity: settings.Integer("steward", "inbox"),
 		Threads:  settings.Integer("keeper", "threads"),
@@ -70,7 +73,7 @@
 	n.planner = planner.New(planner.Config{
 		Core: planner.CoreConfig{
 			Self: n.self, Silence: planSilence, Settle: planSettle,
-			Window: settings.Duration("planner", "window"), Excess: settings.Decimal("planner", "excess"),
+			Excess: settings.Decimal("planner", "excess"),
 		},
 		Keepers:  runs,
 		Audience: n,
@@ -81,12 +84,12 @@
 	h.add(n.steward.Duty())
 	h.add(runs.Services()...)
 	h.add(n.parley, n.planner.Duty())
+	h.addHerald(settings, log)
 	h.add(porter.NewDoor(porter.DoorConfig{
 		Address:  n.self,
 		Services: []porter.Service{{Name: notice.LobbyService, Receiver: parley.NewDesk(n.parley)}},
 		Log:      log,
 	}))
-	h.addHerald(settings, log)
 	return h
 }
 
@@ -103,7 +106,10 @@
 		Missed: herald.ErrMissed,
 		Log:    log,
 	}
-	config := herald.Config{Store: register, Listener: h.news, Log: log}
+	config := herald.Config{Store: register, Board: h.news.board, Log: log}
+	h.news.catchUp = herald.NewCatchUp(herald.CatchUpConfig{Store: register, Peers: h.news, Board: h.news.board, Log: log})
+	h.add(h.news.catchUp)
+
 	h.add(herald.NewCharters(config), herald.NewBackends(config), herald.NewLobbies(herald.LobbiesConfig{
 		Self: h.news.self, Directory: register, Members: h.news.parley, Log: log,
 	}))
@@ -143,8 +149,8 @@
 	})
 }
 
-// lines returns the lines to the keepers.
-func lines(*handbook.Values) func(address string) errands.Line {
+// newLines returns the lines to keepers and lobbies.
+func newLines() func(address string) errands.Line {
 	all := porter.NewLines(func(address string) *porter.Line {
 		return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
 	})
--- a/lobby/news.go
+++ b/lobby/news.go
@@ -10,6 +10,8 @@
 
 	"sesamewell.example/commons/charter"
 	"sesamewell.example/commons/notice"
+	"sesamewell.example/lobby/errands"
+	"sesamewell.example/lobby/herald"
 	"sesamewell.example/lobby/parley"
 	"sesamewell.example/lobby/planner"
 	"sesamewell.example/lobby/porch"
@@ -25,7 +27,11 @@
 	steward     *steward.Steward
 	planner     *planner.Planner
 	parley      *parley.Parley
-	log         *logrus.Entry
+	board       *herald.Board
+	catchUp     *herald.CatchUp
+	lines       func(address string) errands.Line
+
+	log *logrus.Entry
 }
 
 // Charter puts a configuration in force.
@@ -43,6 +49,7 @@
 
 // Heard takes over what another lobby says.
 func (n *news) Heard(digest notice.Digest) {
+	n.catchUp.Hear(digest.Charter(), digest.Sender())
 	n.tell(steward.NewDigested(digest))
 	n.plan(digest)
 }
@@ -57,7 +64,8 @@
 // Tell sends this lobby's digest to the others and to its own planner.
 func (n *news) Tell(tell steward.Tell) error {
 	digest := notice.NewDigest(notice.DigestConfig{
-		Sender: n.self, Incarnation: n.incarnation, Serial: n.serial.Add(1),
+		Sender: n.self, Incarnation: n.incarnation, Serial: n.serial.Add(1), Charter: n.board.Version(),
+
 		Spent: tell.Spent, Asked: tell.Asked, Loads: tell.Loads, Plan: tell.Plan,
 	})
 	if err := n.planner.Inbox().Put(digest); err != nil {
@@ -80,3 +88,35 @@
 
 // newsHandOver is the longest wait for room in a duty's ring.
 const newsHandOver = 5 * time.Second
+
+// bundleLimit is the limit on a call for another lobby's configuration.
+const bundleLimit = 700 * time.Millisecond
+
+// Bundle asks another lobby for what it has read from the store.
+func (n *news) Bundle(door string) (*charter.Charter, []charter.Backend, error) {
+	var bundle notice.Bundle
+	if err := n.lines(door).Call(notice.BundleMethod, notice.Nothing{}, &bundle, bundleLimit); err != nil {
+		return nil, nil, err
+	}
+	var backends []charter.Backend
+	for _, config := range bundle.Backends() {
+		backends = append(backends, charter.NewBackend(config))
+	}
+	if bundle.Charter().Version == 0 {
+		return nil, backends, nil
+	}
+	return charter.New(bundle.Charter()), backends, nil
+}
+
+// Newest returns what this lobby has read from the store, for another one.
+func (n *news) Newest() notice.Bundle {
+	c, backends := n.board.Newest()
+	config := notice.BundleConfig{}
+	if c != nil {
+		config.Charter = c.Config()
+	}
+	for _, backend := range backends {
+		config.Backends = append(config.Backends, backend.Config())
+	}
+	return notice.NewBundle(config)
+}
--- a/lobby/parley/parley.go
+++ b/lobby/parley/parley.go
@@ -30,6 +30,8 @@
 // Hearer takes what another lobby says.
 type Hearer interface {
 	Heard(digest notice.Digest)
+	// Newest returns what this lobby has read from the platform's store.
+	Newest() notice.Bundle
 }
 
 // Config holds the construction parameters of a Parley.
@@ -180,3 +182,9 @@
 	d.parley.config.Hearer.Heard(digest)
 	return d.parley.inbox.Put(heard{door: digest.Sender()})
 }
+
+// Bundle hands out what this lobby has read from the platform's store.
+func (d *Desk) Bundle(_ notice.Nothing, bundle *notice.Bundle) error {
+	*bundle = d.parley.config.Hearer.Newest()
+	return nil
+}
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -18,7 +18,6 @@
 	Self    string        // door of this lobby
 	Silence time.Duration // after which another lobby counts as gone
 	Settle  time.Duration // from the first request on, and from the first list on, in which the plan stays as it is
-	Window  time.Duration // over which the weight store's loads are counted
 	Excess  float64       // of the weight store's rate that is allowed in a window
 }
 
@@ -29,8 +28,11 @@
 	backends map[string]charter.Backend
 	peers    map[string]*peer // by door, this lobby among them
 	plan     map[string][]string
-	listed   time.Time // when the first backend server was seen
-	started  time.Time // of the demand; zero before the first request
+	born     map[string]int64 // of the starts that the plan is for
+
+	stores  map[string]*bucket // of loads from the weight store, by service
+	listed  time.Time          // when the first backend server was seen
+	started time.Time          // of the demand; zero before the first request
 }
 
 // peer is what another lobby last said.
@@ -41,7 +43,7 @@
 
 // NewCore returns a core that knows nothing.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string)}
+	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), born: make(map[string]int64), stores: make(map[string]*bucket)}
 }
 
 // Chartered takes a configuration over.
@@ -92,13 +94,15 @@
 	for _, name := range c.charter.Services() {
 		service, _ := c.charter.Service(name)
 		if engine, ok := service.Engine(); ok {
-			d := c.draft(name, engine, asked)
+			b := c.bucket(now, name, engine)
+			d := c.draft(name, engine, asked, b.level)
 			if !c.listed.IsZero() && now.Sub(c.listed) >= c.config.Settle {
 				d.fill()
 			}
 			if !c.started.IsZero() && now.Sub(c.started) >= c.config.Settle {
 				d.improve()
 			}
+			b.level = d.store
 			maps.Copy(c.plan, d.models())
 			c.assign(assigns, d, engine)
 		}
@@ -120,18 +124,23 @@
 	return sum
 }
 
-// prune forgets backend servers that are gone.
+// prune forgets backend servers that are gone or have started anew.
 func (c *Core) prune() {
 	maps.DeleteFunc(c.plan, func(id string, _ []string) bool {
-		_, ok := c.backends[id]
-		return !ok
+		backend, ok := c.backends[id]
+		known, planned := c.born[id]
+		return !ok || planned && known != backend.Born()
 	})
+	clear(c.born)
+	for id, backend := range c.backends {
+		c.born[id] = backend.Born()
+	}
 }
 
 // draft returns the state from which a service's plan is improved. A backend
 // server that the plan doesn't know yet keeps what it holds.
-func (c *Core) draft(service string, engine charter.EngineConfig, asked map[string]float64) *draft {
-	d := newDraft(engine, asked)
+func (c *Core) draft(service string, engine charter.EngineConfig, asked map[string]float64, store float64) *draft {
+	d := newDraft(engine, asked, store)
 	for _, id := range slices.Sorted(maps.Keys(c.backends)) {
 		backend := c.backends[id]
 		if backend.Service() != service {
@@ -147,14 +156,13 @@
 }
 
 func (c *Core) assign(assigns map[string]notice.Assign, d *draft, engine charter.EngineConfig) {
-	pace := c.pace(engine, len(d.hosts))
 	for _, h := range d.hosts {
 		config := notice.AssignConfig{
 			Planner: c.config.Self,
 			Backend: h.backend.ID(),
+			Born:    h.backend.Born(),
 			Memory:  engine.Memory,
 			Places:  engine.Places,
-			Pace:    pace,
 		}
 		for _, model := range engine.Models {
 			need := notice.ModelNeed{Name: model.Name, Memory: model.Memory, Adapter: model.Adapter}
@@ -171,9 +179,22 @@
 	}
 }
 
-// pace returns the shortest time between two loads from the weight store at one
-// backend server with which all together keep to the store's rate.
-func (c *Core) pace(engine charter.EngineConfig, backends int) time.Duration {
-	allowed := max(engine.LoadsPerSec*c.config.Window.Seconds()*c.config.Excess, 1)
-	return time.Duration(float64(c.config.Window) * max(float64(backends)/allowed, 1))
+// bucket returns the loads from the weight store that may be planned now. It
+// starts empty, since another lobby may have planned until now.
+func (c *Core) bucket(now time.Time, service string, engine charter.EngineConfig) *bucket {
+	b, ok := c.stores[service]
+	if !ok {
+		b = &bucket{at: now}
+		c.stores[service] = b
+	}
+	rate := engine.LoadsPerSec * c.config.Excess * storeShare
+	b.level = min(b.level+rate*now.Sub(b.at).Seconds(), storeBurst)
+	b.at = now
+	return b
+}
+
+// bucket counts the loads of one weight store.
+type bucket struct {
+	level float64
+	at    time.Time
 }
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -17,6 +17,14 @@
 // missing is what a model without a copy counts, in tokens a second.
 const missing = 1e6
 
+// storeShare is the part of the weight store's rate that is planned for: orders
+// that are carried out late come on top.
+const storeShare = 0.9
+
+// storeBurst is the number of loads from the weight store that may be planned
+// at once.
+const storeBurst = 2
+
 // storeCost is what a load from the weight store counts against one from the
 // backend server's own disk, in tokens a second.
 const storeCost = 500
@@ -32,6 +40,8 @@
 	hosts  []*host
 	copies map[string]int // planned, at backend servers that stay
 	moving int            // planned models that are not held yet
+	store  float64        // loads from the weight store that may be planned now
+
 }
 
 // host is one backend server in a draft.
@@ -41,8 +51,8 @@
 	fixed   bool // it leaves, or has not carried out its plan yet
 }
 
-func newDraft(engine charter.EngineConfig, asked map[string]float64) *draft {
-	return &draft{engine: engine, asked: asked, copies: make(map[string]int)}
+func newDraft(engine charter.EngineConfig, asked map[string]float64, store float64) *draft {
+	return &draft{engine: engine, asked: asked, copies: make(map[string]int), store: store}
 }
 
 func (d *draft) add(backend charter.Backend, models []string) {
@@ -72,7 +82,7 @@
 // fill gives models to backend servers that have room: first those without a
 // copy, then those that are asked for most.
 func (d *draft) fill() {
-	for d.moving < d.atOnce()+len(d.hosts) {
+	for {
 		model := d.neediest()
 		if model == "" || !d.settle(model) {
 			return
@@ -102,7 +112,7 @@
 func (d *draft) settle(model string) bool {
 	var best *host
 	for _, h := range d.hosts {
-		if h.backend.Leaving() || slices.Contains(h.models, model) || d.free(h) < d.memory(model) {
+		if h.backend.Leaving() || slices.Contains(h.models, model) || d.free(h) < d.memory(model) || !d.loads(h, model) {
 			continue
 		}
 		if best == nil || d.nearer(h, best, model) {
@@ -112,12 +122,25 @@
 	if best == nil {
 		return false
 	}
-	best.models = append(best.models, model)
-	best.fixed = true
-	d.copies[model]++
+	d.plan(best, model)
 	return true
 }
 
+// loads reports whether a model may be loaded at a backend server now.
+func (d *draft) loads(h *host, model string) bool {
+	return d.store >= 1 || h.backend.OnHand(model)
+}
+
+// plan adds a copy of a model.
+func (d *draft) plan(h *host, model string) {
+	h.models = append(h.models, model)
+	h.fixed = true
+	d.copies[model]++
+	if !h.backend.OnHand(model) {
+		d.store--
+	}
+}
+
 func (d *draft) nearer(a, b *host, model string) bool {
 	if onA, onB := a.backend.OnHand(model), b.backend.OnHand(model); onA != onB {
 		return onA
@@ -164,7 +187,10 @@
 	if best == "" {
 		return false
 	}
-	return d.place(best, max(slack*d.asked[best], standby)+slack*storeCost)
+	if d.asked[best] > 0 {
+		return d.place(best, missing)
+	}
+	return d.place(best, standby+slack*storeCost)
 }
 
 // relieve copies a model away from the most loaded backend server.
@@ -200,7 +226,7 @@
 	var out []string
 	least := relieved / slack
 	for _, h := range d.hosts {
-		if h.fixed || slices.Contains(h.models, model) {
+		if h.fixed || slices.Contains(h.models, model) || !d.loads(h, model) {
 			continue
 		}
 		gone, cost, ok := d.room(h, model)
@@ -228,9 +254,7 @@
 		d.copies[name]--
 		best.models = slices.DeleteFunc(best.models, func(m string) bool { return m == name })
 	}
-	best.models = append(best.models, model)
-	best.fixed = true
-	d.copies[model]++
+	d.plan(best, model)
 	return true
 }
 
