--- a/commons/visit/visit.go
+++ b/commons/visit/visit.go
@@ -85,6 +85,7 @@
 	ID        string // of the request that is answered; empty if it does not say
 	NotRun    bool   // the request was not run
 	Elsewhere bool   // another backend server has the address, or it lacks the model
+	Backend   string // id of the backend server that answers, if it says so
 	Close     bool   // the connection ends with this answer
 	Idle      time.Duration
 	Signed    bool // it carries the backend server's signature
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -120,7 +120,7 @@
 		Core: steward.CoreConfig{
 			Domain: settings.Text("process", "domain"),
 			Peers:  peers,
-			Purse:  purser.New(purser.Config{Silence: peerSilence, Absence: peerAbsence, Unknown: peers, Start: startQuota}),
+			Purse:  purser.New(purser.Config{Silence: peerSilence, Absence: peerAbsence, Unknown: peers, Start: startQuota, Began: time.Now()}),
 			Budget: steward.BudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  float64(settings.Integer("retries", "extra")),
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -87,6 +87,8 @@
 func (e *exchange) finishGathered(now time.Time, a *answer) {
 	status := a.head.StatusCode()
 	switch {
+	case a.about.Elsewhere && a.about.Backend != "" && a.about.Backend != e.send.Sheet.Backend:
+		e.porch.tell(steward.NewEnded(e.number, steward.Replaced, status))
 	case a.about.Elsewhere:
 		e.porch.tell(steward.NewEnded(e.number, steward.Misplaced, status))
 	case a.about.NotRun:
--- a/lobby/purser/purser.go
+++ b/lobby/purser/purser.go
@@ -17,6 +17,7 @@
 	Absence time.Duration // after which it no longer counts
 	Unknown int           // lobbies that are assumed until the first is met
 	Start   float64       // part of its burst that a tenant has at the start
+	Began   time.Time     // start of the process, from which on quotas grow
 }
 
 // Purser is responsible for one lobby's view of every quota. Its methods belong
@@ -111,7 +112,7 @@
 func (p *Purser) advance(now time.Time, name string, rate, burst float64) *purse {
 	b, ok := p.purses[name]
 	if !ok {
-		b = &purse{level: burst * p.config.Start, at: now}
+		b = &purse{level: burst * p.config.Start, at: p.config.Began}
 		p.purses[name] = b
 	}
 	grown := now.Sub(b.at).Seconds() * rate
--- a/lobby/purser/purser_test.go
+++ b/lobby/purser/purser_test.go
@@ -41,7 +41,7 @@
 
 var (
 	noon   = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
-	config = purser.Config{Silence: time.Second, Absence: 30 * time.Second, Unknown: 4, Start: 0.1}
+	config = purser.Config{Silence: time.Second, Absence: 30 * time.Second, Unknown: 4, Start: 0.1, Began: noon}
 	tenant = charter.New(charter.Config{Tenants: []charter.TenantConfig{{Name: "t", Keys: []string{"k"}, Rate: rate, Burst: burst}}})
 )
 
@@ -66,6 +66,17 @@
 	cost float64
 }
 
+func TestQuotaGrowsFromTheStartOfTheProcess(t *testing.T) {
+	p := purser.New(config)
+	for i := range 3 {
+		p.Heard(noon, notice.NewDigest(notice.DigestConfig{Sender: fmt.Sprint("lobby-", i), Incarnation: 1, Serial: 1}))
+	}
+	holder, _ := tenant.Holder("k")
+	if _, ok := p.Spend(noon.Add(950*time.Millisecond), holder, burst); !ok {
+		t.Error("the burst of a tenant whose first request comes late was not granted")
+	}
+}
+
 func newFleet(n int) *fleet {
 	f := &fleet{now: noon}
 	for range n {
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -16,6 +16,7 @@
 	peerLife    = time.Second             // of what another lobby says of its load
 	leaseMargin = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
 	renewAhead  = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
+	lackLife    = 1500 * time.Millisecond // of a backend server's word that it lacks a model
 	closedPause = 250 * time.Millisecond  // after a backend server could not load an adapter
 	maxParked   = 1000                    // requests that wait for a backend server
 	parkShare   = 0.5                     // of a request's time, for which it waits for one
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -333,6 +333,9 @@
 	}
 	h := call.host
 	c.release(call)
+	if m.result != Complete {
+		c.do(Note{Visit: call.visit, Backend: h.backend.ID(), Result: m.result, Status: m.status, Begun: call.begun, Took: now.Sub(call.visit.Arrived())})
+	}
 	switch m.result {
 	case Complete:
 		h.answer()
@@ -341,10 +344,14 @@
 		h.fail(now)
 		call.unsent++
 		c.resendUnrun(now, call, call.unsent < maxUnsent)
+	case Replaced:
+		h.replaced = true
+		call.unsent++
+		c.resendUnrun(now, call, call.unsent < maxUnsent && c.budget(call.service).spend(now))
 	case Rejected, Misplaced:
 		call.sent++
 		if m.result == Misplaced {
-			delete(h.leases, adapterKey(call.visit.Model(), call.visit.Adapter()))
+			h.lack(now, call.visit)
 		}
 		c.resendUnrun(now, call, call.sent < call.route.Attempts() && c.budget(call.service).spend(now))
 	case Lost:
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -173,6 +173,7 @@
 		"twice, not run":         {path: "/twice/a", result: steward.Rejected, want: []string{"send p2"}},
 		"stream, lost":           {path: "/stream/a", result: steward.Lost, want: []string{"refuse 502 answer_lost"}},
 		"stream, severed":        {path: "/stream/a", result: steward.Severed, want: []string{"refuse 502 answer_cut"}},
+		"stream, other start":    {path: "/stream/a", result: steward.Replaced, want: []string{"send e2"}},
 		"stream, not run":        {path: "/stream/a", result: steward.Misplaced, want: []string{"refuse 503 not_taken"}, refund: 1},
 		"resumable, lost":        {path: "/resumable/a", result: steward.Lost, want: []string{"send e2"}},
 		"resumable, not run":     {path: "/resumable/a", result: steward.Rejected, want: []string{"send e2"}},
@@ -232,6 +233,32 @@
 	want(t, "request", []string{"send p2"}, d.arrive(visit.Config{Path: "/safe/a"}))
 }
 
+func TestReplacedOrLackingBackendServersAreNotAskedAgain(t *testing.T) {
+	cases := map[string]struct {
+		result steward.Result
+		after  string // decision 2 s later, while the list is as before
+	}{
+		"replaced": {result: steward.Replaced, after: "send e2"},
+		"lacking":  {result: steward.Misplaced, after: "send e1"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(holder("e1"), holder("e2"))
+			d.arrive(visit.Config{Path: "/stream/a", Model: "m"})
+			d.core.Handle(d.now, steward.NewEnded(1, tc.result, 421))
+			for range 3 {
+				want(t, "soon", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
+			}
+			for number := range uint64(4) {
+				d.core.Handle(d.now, steward.NewEnded(number+1, steward.Complete, 200))
+			}
+			d.now = d.now.Add(2 * time.Second)
+			d.list(holder("e1"), holder("e2"))
+			want(t, "later", []string{tc.after}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
+		})
+	}
+}
+
 func TestTimeIsOverAtTheRoutesLimitOrTheCallers(t *testing.T) {
 	cases := map[string]struct {
 		patience time.Duration
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -15,6 +15,8 @@
 	reading       int64     // prompt tokens of those that have not begun
 	suspect       time.Time // until then it is used only if no other can be
 	pause         time.Duration
+	replaced      bool                 // another one has its address
+	lacks         map[string]time.Time // until then a model that it said it lacks is not asked for
 	leases        map[string]time.Time // ends, by MODEL/ADAPTER
 	renewing      map[string]bool
 	closed        time.Time // until then no adapter can be loaded there
@@ -24,11 +26,19 @@
 }
 
 func newHost(backend charter.Backend) *host {
-	return &host{backend: backend, leases: make(map[string]time.Time), renewing: make(map[string]bool), shelf: newShelf()}
+	return &host{backend: backend, lacks: make(map[string]time.Time), leases: make(map[string]time.Time), renewing: make(map[string]bool), shelf: newShelf()}
 }
 
 // usable reports whether new requests may go there.
-func (h *host) usable() bool { return h.listed && !h.backend.Leaving() }
+func (h *host) usable() bool { return h.listed && !h.replaced && !h.backend.Leaving() }
+
+// lack notes that it says it has not loaded the model or adapter of a request.
+func (h *host) lack(now time.Time, v *visit.Visit) {
+	delete(h.leases, adapterKey(v.Model(), v.Adapter()))
+	if v.Adapter() == "" {
+		h.lacks[v.Model()] = now.Add(lackLife)
+	}
+}
 
 // holds reports whether it has loaded a model.
 func (h *host) holds(model string) bool { return h.backend.Holds(model, "") }
@@ -36,7 +46,7 @@
 // takes reports whether it can run a request now: it has loaded the model, and
 // the adapter or can load it.
 func (h *host) takes(now time.Time, v *visit.Visit) bool {
-	return h.holds(v.Model()) && (!now.Before(h.closed) || h.leased(now, v))
+	return h.holds(v.Model()) && !now.Before(h.lacks[v.Model()]) && (!now.Before(h.closed) || h.leased(now, v))
 }
 
 // leased reports whether the adapter of a request, if it has one, is loaded and
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -47,12 +47,20 @@
 	Complete  Result = iota // the answer has gone to the caller
 	Unsent                  // no byte reached the backend server
 	Rejected                // the backend server says that it did not run the request
-	Misplaced               // so it says, and that it is another or lacks the model
+	Misplaced               // so it says, and that it lacks the model or adapter
+	Replaced                // another backend server has the address; it did not run the request
 	Lost                    // no whole answer; the request may have run
 	Spoiled                 // the answer is an error of the backend server's own; it is kept for Pass
 	Severed                 // a stream ended early; some of it has gone to the caller
 )
 
+// String returns the result's name in the log.
+func (r Result) String() string { return resultNames[r] }
+
+var resultNames = map[Result]string{
+	Complete: "complete", Unsent: "unsent", Rejected: "not_run", Misplaced: "misplaced", Replaced: "replaced", Lost: "lost", Spoiled: "own_error", Severed: "severed",
+}
+
 // Ended brings the result of the send that was made last for a request.
 type Ended struct {
 	number uint64
@@ -170,6 +178,16 @@
 	Plan  map[string][]string
 }
 
+// Note tells the log of a send that did not end well.
+type Note struct {
+	Visit   *visit.Visit
+	Backend string
+	Result  Result
+	Status  int // of the backend server's answer, zero without one
+	Begun   bool
+	Took    time.Duration // since the request arrived
+}
+
 // Retire closes the idle connections to a backend server.
 type Retire struct{ Backend string }
 
@@ -177,5 +195,6 @@
 func (Pass) stewardAction()   {}
 func (Refuse) stewardAction() {}
 func (Retire) stewardAction() {}
+func (Note) stewardAction()   {}
 func (Fetch) stewardAction()  {}
 func (Tell) stewardAction()   {}
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -112,6 +112,12 @@
 			"adapter": a.Visit.Adapter(), "waited": time.Since(a.Visit.Arrived()),
 		}).Info("request sent")
 		return s.config.Porch.Put(a)
+	case Note:
+		s.config.Log.WithFields(logrus.Fields{
+			"event": "ended", "request": a.Visit.ID(), "backend": a.Backend, "result": a.Result, "status": a.Status,
+			"begun": a.Begun, "took": a.Took,
+		}).Info("send ended badly")
+		return nil
 	case Refuse:
 		s.log(a)
 		return s.config.Porch.Put(a)
