--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -1,5 +1,7 @@
 package notice
 
+import "time"
+
 // Name of a lobby's service for other lobbies and of its method in net/rpc.
 const (
 	LobbyService = "Lobby"
@@ -9,8 +11,8 @@
 // BackendLoad is what one lobby has at one backend server.
 type BackendLoad struct {
 	Backend string
-	Open    int   // requests
-	Reading int64 // prompt tokens of those that have not begun
+	Open    int           // requests
+	Reading time.Duration // of the prompts of those that have not begun
 }
 
 // DigestConfig holds the construction parameters of a Digest.
@@ -20,7 +22,7 @@
 	Serial      int64              // rises with each digest of an incarnation
 	Charter     int64              // version of the configuration in force
 	Spent       map[string]float64 // by tenant, since the incarnation began
-	Asked       map[string]float64 // tokens a second asked of each model
+	Asked       map[string]float64 // engines that the requests for each model keep busy
 	Loads       []BackendLoad
 	Planner     string              // door of the lobby whose plan this is
 	Plan        map[string][]string // models by backend server; nil if the sender has no plan
@@ -50,7 +52,8 @@
 // incarnation began.
 func (d Digest) Spent() map[string]float64 { return d.config.Spent }
 
-// Asked returns the tokens a second that the sender's callers ask of each model.
+// Asked returns the number of engines that the requests for each model of the
+// sender's callers keep busy.
 func (d Digest) Asked() map[string]float64 { return d.config.Asked }
 
 // Loads returns what the sender has at the backend servers.
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -31,8 +31,9 @@
 	born     map[string]int64 // of the starts that the plan is for
 
 	stores  map[string]*bucket // of loads from the weight store, by service
-	listed  time.Time          // when the first backend server was seen
-	started time.Time          // of the demand; zero before the first request
+	changes []Change
+	listed  time.Time // when the first backend server was seen
+	started time.Time // of the demand; zero before the first request
 }
 
 // peer is what another lobby last said.
@@ -104,13 +105,22 @@
 			}
 			b.level = d.store
 			maps.Copy(c.plan, d.models())
+			c.changes = append(c.changes, d.changes...)
 			c.assign(assigns, d, engine)
 		}
 	}
 	return maps.Clone(c.plan), assigns
 }
 
-// asked returns the tokens a second asked of each model by all lobbies.
+// Changes returns what the last decision changed, for the log.
+func (c *Core) Changes() []Change {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
+// asked returns the number of engines that each model keeps busy, by what all
+// lobbies say.
 func (c *Core) asked(now time.Time) map[string]float64 {
 	sum := make(map[string]float64)
 	for _, p := range c.peers {
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -10,12 +10,12 @@
 // before a model is copied there.
 const slack = 1.25
 
-// comfortable is the load of a backend server, in tokens a second, below which
-// copies for its sake are not worth their loads.
-const comfortable = 6000
+// comfortable is the share of its slots that a backend server may have taken
+// before copies for its sake are worth their loads.
+const comfortable = 0.5
 
-// missing is what a model without a copy counts, in tokens a second.
-const missing = 1e6
+// missing is what a model without a copy counts that is asked for, in engines.
+const missing = 1000.0
 
 // storeShare is the part of the weight store's rate that is planned for: orders
 // that are carried out late come on top.
@@ -26,22 +26,37 @@
 const storeBurst = 2
 
 // storeCost is what a load from the weight store counts against one from the
-// backend server's own disk, in tokens a second.
-const storeCost = 500
+// backend server's own disk, in engines.
+const storeCost = 0.02
 
-// standby is what a model that nobody asks for counts, in tokens a second: its
-// last copy stays unless the place is worth more.
-const standby = 50
+// standby is what the last copy of a model counts that nobody asks for, in
+// engines.
+const standby = 0.05
+
+// wanted is the demand, in engines, from which on a model without a copy is
+// loaded whatever has to go. Below it, whoever asked has left by then.
+const wanted = 0.01
 
 // draft is responsible for improving the plan of one service step by step.
 type draft struct {
-	engine charter.EngineConfig
-	asked  map[string]float64
-	hosts  []*host
-	copies map[string]int // planned, at backend servers that stay
-	moving int            // planned models that are not held yet
-	store  float64        // loads from the weight store that may be planned now
+	engine  charter.EngineConfig
+	asked   map[string]float64
+	hosts   []*host
+	copies  map[string]int // planned, at backend servers that stay
+	moving  int            // planned models that are not held yet
+	changes []Change
+	store   float64 // loads from the weight store that may be planned now
+
+}
 
+// Change is one model that was planned for a backend server.
+type Change struct {
+	Backend string
+	Model   string
+	Dropped []string
+	Asked   float64 // engines that the model keeps busy
+	Copies  int     // of the model, this one included
+	OnHand  bool    // it loads without the weight store
 }
 
 // host is one backend server in a draft.
@@ -122,7 +137,7 @@
 	if best == nil {
 		return false
 	}
-	d.plan(best, model)
+	d.plan(best, model, nil)
 	return true
 }
 
@@ -131,11 +146,14 @@
 	return d.store >= 1 || h.backend.OnHand(model)
 }
 
-// plan adds a copy of a model.
-func (d *draft) plan(h *host, model string) {
+// plan adds a copy of a model in the place of others.
+func (d *draft) plan(h *host, model string, dropped []string) {
 	h.models = append(h.models, model)
 	h.fixed = true
 	d.copies[model]++
+	d.changes = append(d.changes, Change{
+		Backend: h.backend.ID(), Model: model, Dropped: dropped, Asked: d.asked[model], Copies: d.copies[model], OnHand: h.backend.OnHand(model),
+	})
 	if !h.backend.OnHand(model) {
 		d.store--
 	}
@@ -187,10 +205,10 @@
 	if best == "" {
 		return false
 	}
-	if d.asked[best] > 0 {
+	if d.asked[best] > wanted {
 		return d.place(best, missing)
 	}
-	return d.place(best, standby+slack*storeCost)
+	return d.place(best, slack*max(d.asked[best], standby))
 }
 
 // relieve copies a model away from the most loaded backend server.
@@ -254,7 +272,7 @@
 		d.copies[name]--
 		best.models = slices.DeleteFunc(best.models, func(m string) bool { return m == name })
 	}
-	d.plan(best, model)
+	d.plan(best, model, out)
 	return true
 }
 
@@ -279,7 +297,7 @@
 	return gone, cost, left >= 0
 }
 
-// loss returns what the going of one copy costs, in tokens a second.
+// loss returns what the going of one copy costs, in engines.
 func (d *draft) loss(model string) float64 {
 	asked, copies := d.asked[model], float64(d.copies[model])
 	if copies <= 1 {
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -9,19 +9,41 @@
 
 // call is responsible for one request whose answer has not ended.
 type call struct {
-	number  uint64
-	visit   *visit.Visit
-	route   charter.Route
-	tenant  charter.Tenant
-	service string
-	expires time.Time
-	host    *host // that has it now
-	reading int64 // prompt tokens counted there
-	sent    int   // backend servers that it has reached
-	unsent  int   // sends that failed before a byte was sent
-	begun   bool
-	parked  bool // it waits for a backend server
-	tried   map[string]bool
+	number     uint64
+	visit      *visit.Visit
+	route      charter.Route
+	tenant     charter.Tenant
+	service    string
+	expires    time.Time
+	host       *host         // that has it now
+	reading    time.Duration // of the prompt, as counted there
+	tokens     int64         // to be read, if it found nothing before it
+	dispatched time.Time
+	awaited    bool // its host has given no sign of it
+	sent       int  // backend servers that it has reached
+	unsent     int  // sends that failed before a byte was sent
+	begun      bool
+	first      time.Time // event; zero without one
+	parked     bool      // it waits for a backend server
+	tried      map[string]bool
+}
+
+// settle notes that its host need give no sign of it any more.
+func (c *call) settle() {
+	if c.awaited {
+		c.awaited = false
+		c.host.settle()
+	}
+}
+
+// note returns what the log is told of the end of a send.
+func (c *call) note(now time.Time, h *host, m Ended) Note {
+	arrived := c.visit.Arrived()
+	n := Note{Visit: c.visit, Backend: h.backend.ID(), Result: m.result, Status: m.status, Waited: c.dispatched.Sub(arrived), Took: now.Sub(arrived)}
+	if !c.first.IsZero() {
+		n.First = c.first.Sub(arrived)
+	}
+	return n
 }
 
 // repeatable reports whether the request may run again after it may have run.
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -26,17 +26,21 @@
 	streamSilence    = 2 * time.Second
 	silentObjectives = 4
 	silentGaps       = 8
-	awayRetry        = time.Second     // when a caller comes back whose model is on its way
-	askedWindow      = 2 * time.Second // over which the demand for models is averaged
-	outputWeight     = 4               // of a token to be generated against one to be read
-	// absent is what an adapter that has to be loaded counts, in tokens to be read.
-	absent = 600
-	// distance is what another failure domain counts, in tokens to be read.
-	distance = 400
-	// runningWeight is what a request that has begun counts, in tokens to be read.
-	runningWeight = 30
-	// plainWeight is what a request to a plain service counts, in the same unit.
-	plainWeight = 1000
+	awayRetry        = time.Second            // when a caller comes back whose model is on its way
+	leastDemand      = 1e-4                   // engines, below which a model counts as not asked for
+	silenceLimit     = 800 * time.Millisecond // without a sign of a backend server at which requests wait
+	askedWindow      = time.Second            // over which the demand for models is averaged
+	// absent is what an adapter that has to be loaded counts.
+	absent = 27 * time.Millisecond
+	// distance is what another failure domain counts.
+	distance = 18 * time.Millisecond
+	// runningWeight is what a request that has begun counts.
+	runningWeight = 1400 * time.Microsecond
+	// waitingWeight is what each request counts beyond fullShare of the slots.
+	waitingWeight = 25 * time.Millisecond
+	fullShare     = 0.85
+	// plainWeight is what a request to a plain service counts.
+	plainWeight = 45 * time.Millisecond
 	// keptParts is the number of prompt parts that are remembered for a backend
 	// server.
 	keptParts = 512
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -51,8 +51,8 @@
 	plan     map[string][]string // models by backend server
 	planner  string              // door of the lobby that made it, "" for this one
 	planned  time.Time
-	asked    map[string]float64 // tokens of each model since the last digest
-	demand   map[string]float64 // tokens a second
+	paces    *paces
+	demand   map[string]float64 // engines that each model keeps busy
 	told     time.Time
 	actions  []Action
 }
@@ -66,7 +66,7 @@
 		calls:    make(map[uint64]*call),
 		budgets:  make(map[string]*budget),
 		peers:    make(map[string]said),
-		asked:    make(map[string]float64),
+		paces:    newPaces(),
 		demand:   make(map[string]float64),
 	}
 }
@@ -84,7 +84,7 @@
 	case Arrived:
 		c.arrive(now, m)
 	case Begun:
-		c.begin(m.number)
+		c.begin(now, m.number)
 	case Left:
 		c.leave(m.number)
 	case Ended:
@@ -179,9 +179,7 @@
 	}
 	c.calls[call.number] = call
 	c.budget(call.service).request()
-	if model := m.visit.Model(); model != "" {
-		c.asked[model] += float64(m.visit.Prompt() + outputWeight*m.visit.Output())
-	}
+
 	c.send(now, call)
 }
 
@@ -231,7 +229,12 @@
 		return
 	}
 	call.host, call.parked = h, false
-	call.reading = h.shelf.missing(call.visit)
+	call.tokens = 0
+	missing := h.shelf.missing(call.visit)
+	if h.reading+h.othersReading == 0 {
+		call.tokens = missing
+	}
+	call.reading = c.paces.read(call.visit.Model(), missing)
 	h.open++
 	h.reading += call.reading
 	h.shelf.put(call.visit)
@@ -246,6 +249,8 @@
 func (c *Core) dispatch(now time.Time, call *call) {
 	h := call.host
 	call.tried[h.backend.ID()] = true
+	call.dispatched, call.awaited = now, true
+	h.await(now)
 	c.renew(now, h, call.visit)
 	service, _ := c.charter.Service(call.service)
 	c.do(Send{
@@ -284,7 +289,7 @@
 }
 
 func (c *Core) before(now time.Time, call *call, engine bool, a, b *host) bool {
-	if suspectA, suspectB := now.Before(a.suspect), now.Before(b.suspect); suspectA != suspectB {
+	if suspectA, suspectB := a.doubtful(now), b.doubtful(now); suspectA != suspectB {
 		return suspectB
 	}
 	if engine {
@@ -293,10 +298,10 @@
 			return plannedA
 		}
 	}
-	return a.load(now, call.visit, engine, c.config.Domain) < b.load(now, call.visit, engine, c.config.Domain)
+	return a.load(now, call.visit, engine, c.config.Domain, c.paces) < b.load(now, call.visit, engine, c.config.Domain, c.paces)
 }
 
-func (c *Core) begin(number uint64) {
+func (c *Core) begin(now time.Time, number uint64) {
 	call, ok := c.calls[number]
 	if !ok {
 		return
@@ -305,6 +310,10 @@
 	if call.host != nil {
 		call.host.reading -= call.reading
 		call.reading = 0
+		call.settle()
+		call.first = now
+		call.host.sign(now)
+		c.paces.observe(call.visit.Model(), call.tokens, now.Sub(call.dispatched))
 	}
 }
 
@@ -320,7 +329,9 @@
 	if call.host == nil {
 		return
 	}
+	call.settle()
 	call.host.open--
+
 	call.host.reading -= call.reading
 	call.host, call.reading = nil, 0
 }
@@ -333,12 +344,14 @@
 	}
 	h := call.host
 	c.release(call)
-	if m.result != Complete {
-		c.do(Note{Visit: call.visit, Backend: h.backend.ID(), Result: m.result, Status: m.status, Begun: call.begun, Took: now.Sub(call.visit.Arrived())})
+	if m.status != 0 {
+		h.sign(now)
 	}
+	c.do(call.note(now, h, m))
+
 	switch m.result {
 	case Complete:
-		h.answer()
+
 		delete(c.calls, m.number)
 	case Unsent:
 		h.fail(now)
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -326,6 +326,50 @@
 	want(t, "again, x", []string{"send e1"}, d.arrive(ask("x")))
 }
 
+func TestSilentBackendServerIsUsedOnlyIfNoOtherCanBe(t *testing.T) {
+	d := newDesk(holder("e1"), holder("e2"))
+	ask := visit.Config{Path: "/stream/a", Model: "m"}
+	want(t, "first", []string{"send e1"}, d.arrive(ask))
+	want(t, "second", []string{"send e2"}, d.arrive(ask))
+	d.core.Handle(d.now, steward.NewBegun(2))
+	d.now = d.now.Add(time.Second)
+	for range 4 {
+		want(t, "while e1 is silent", []string{"send e2"}, d.arrive(ask))
+		d.core.Handle(d.now, steward.NewBegun(d.number))
+	}
+	d.core.Handle(d.now, steward.NewBegun(1))
+	want(t, "after its sign", []string{"send e1"}, d.arrive(ask))
+}
+
+func TestDemandIsWhatIsOpenAndWaits(t *testing.T) {
+	d := newDesk(holder("e1"))
+	d.core.Tick(d.now)
+	for range 16 {
+		d.arrive(visit.Config{Path: "/resumable/a", Model: "m"})
+		d.arrive(visit.Config{Path: "/resumable/a", Model: "n"})
+	}
+	d.now = d.now.Add(2 * time.Second)
+	var asked map[string]float64
+	for _, action := range d.core.Tick(d.now) {
+		if tell, ok := action.(steward.Tell); ok {
+			asked = tell.Asked
+		}
+	}
+	if diff := cmp.Diff(map[string]float64{"m": 0.25, "n": 0.25}, asked); diff != "" {
+		t.Errorf("engines asked for (-want +got):\n%s", diff)
+	}
+}
+
+func TestFullBackendServersAreAvoided(t *testing.T) {
+	far := holder("e2")
+	far.Domain = "d2"
+	d := newDesk(holder("e1"), far)
+	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
+		Sender: "10.0.0.9:7000", Loads: []notice.BackendLoad{{Backend: "e1", Open: 60}, {Backend: "e2", Open: 50}},
+	})))
+	want(t, "request", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
+}
+
 func TestLoadOfOtherLobbiesCounts(t *testing.T) {
 	d := newDesk(plain("p1"), plain("p2"))
 	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -11,17 +11,19 @@
 type host struct {
 	backend       charter.Backend
 	listed        bool
-	open          int       // requests of this process that it has
-	reading       int64     // prompt tokens of those that have not begun
-	suspect       time.Time // until then it is used only if no other can be
+	open          int           // requests of this process that it has
+	reading       time.Duration // of the prompts of those that have not begun
+	unbegun       int           // requests of this process that it has had no sign of
+	waits         time.Time     // since when requests have waited without a sign; zero if none does
+	suspect       time.Time     // until then it is used only if no other can be
 	pause         time.Duration
 	replaced      bool                 // another one has its address
 	lacks         map[string]time.Time // until then a model that it said it lacks is not asked for
 	leases        map[string]time.Time // ends, by MODEL/ADAPTER
 	renewing      map[string]bool
-	closed        time.Time // until then no adapter can be loaded there
-	others        int       // requests of other lobbies that it has
-	othersReading int64     // prompt tokens of those that have not begun
+	closed        time.Time     // until then no adapter can be loaded there
+	others        int           // requests of other lobbies that it has
+	othersReading time.Duration // of the prompts of those that have not begun
 	shelf         *shelf
 }
 
@@ -57,12 +59,12 @@
 
 func adapterKey(model, adapter string) string { return model + "/" + adapter }
 
-// load returns what waits there before a request would begin, with the
-// request's own prompt, in tokens to be read.
-func (h *host) load(now time.Time, v *visit.Visit, engine bool, domain string) int64 {
-	load := int64(h.open+h.others) * plainWeight
+// load returns the time until a request would begin there.
+func (h *host) load(now time.Time, v *visit.Visit, engine bool, domain string, p *paces) time.Duration {
+	load := time.Duration(h.open+h.others) * plainWeight
 	if engine {
-		load = h.reading + h.othersReading + h.shelf.missing(v) + int64(h.open+h.others)*runningWeight
+		load = h.reading + h.othersReading + p.read(v.Model(), h.shelf.missing(v)) + h.crowd()
+
 	}
 	if !h.leased(now, v) {
 		load += absent
@@ -73,11 +75,46 @@
 	return load
 }
 
+// await notes that a request has gone there.
+func (h *host) await(now time.Time) {
+	if h.unbegun++; h.unbegun == 1 {
+		h.waits = now
+	}
+}
+
+// settle notes that a request is no longer awaited.
+func (h *host) settle() {
+	if h.unbegun--; h.unbegun == 0 {
+		h.waits = time.Time{}
+	}
+}
+
+// crowd returns what the requests there cost another one: each makes the steps
+// longer, and those near the number of slots and beyond it make it wait.
+func (h *host) crowd() time.Duration {
+	n := h.open + h.others
+	full := int(fullShare * float64(h.backend.Slots()))
+	return time.Duration(n)*runningWeight + time.Duration(max(n-full, 0))*waitingWeight
+}
+
+// sign notes that it has answered or begun a request.
+func (h *host) sign(now time.Time) {
+	h.pause, h.suspect, h.waits = 0, time.Time{}, time.Time{}
+	if h.unbegun > 0 {
+		h.waits = now
+	}
+}
+
+// silent reports whether requests have waited there for long without a sign.
+func (h *host) silent(now time.Time) bool {
+	return !h.waits.IsZero() && now.Sub(h.waits) > silenceLimit+h.reading
+}
+
 // fail notes that a connection to it could not be made or broke.
 func (h *host) fail(now time.Time) {
 	h.pause = min(max(2*h.pause, suspectFirst), suspectMost)
 	h.suspect = now.Add(h.pause)
 }
 
-// answer notes that it answered.
-func (h *host) answer() { h.pause, h.suspect = 0, time.Time{} }
+// doubtful reports whether it is used only if no other can be.
+func (h *host) doubtful(now time.Time) bool { return now.Before(h.suspect) || h.silent(now) }
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -173,19 +173,20 @@
 // Tell tells the other lobbies of this one.
 type Tell struct {
 	Spent map[string]float64 // by tenant
-	Asked map[string]float64 // tokens a second, by model
+	Asked map[string]float64 // engines kept busy, by model
 	Loads []notice.BackendLoad
 	Plan  map[string][]string
 }
 
-// Note tells the log of a send that did not end well.
+// Note tells the log how a send ended.
 type Note struct {
 	Visit   *visit.Visit
 	Backend string
 	Result  Result
-	Status  int // of the backend server's answer, zero without one
-	Begun   bool
-	Took    time.Duration // since the request arrived
+	Status  int           // of the backend server's answer, zero without one
+	Waited  time.Duration // from the request's arrival until it was sent
+	First   time.Duration // from its arrival to its first event; zero without one
+	Took    time.Duration // from its arrival to the end
 }
 
 // Retire closes the idle connections to a backend server.
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -78,17 +78,30 @@
 	c.do(tell)
 }
 
-// measure averages the demand for models.
+// measure averages the number of requests for each model that are open, those
+// that wait for a backend server included.
 func (c *Core) measure(span time.Duration) {
+	open := make(map[string]float64)
+	for _, call := range c.calls {
+		if model := call.visit.Model(); model != "" {
+			open[model] += 1 / c.slots(call.service)
+		}
+	}
 	weight := min(span.Seconds()/askedWindow.Seconds(), 1)
-	for model := range c.asked {
+	for model := range open {
 		c.demand[model] += 0
 	}
 	for model, demand := range c.demand {
-		demand += (c.asked[model]/span.Seconds() - demand) * weight
-		if c.demand[model] = demand; demand < 1 {
+		demand += (open[model] - demand) * weight
+		if c.demand[model] = demand; demand < leastDemand {
 			delete(c.demand, model)
 		}
 	}
-	clear(c.asked)
+}
+
+// slots returns the requests that one engine of a service runs at once.
+func (c *Core) slots(service string) float64 {
+	s, _ := c.charter.Service(service)
+	engine, _ := s.Engine()
+	return float64(max(engine.Slots, 1))
 }
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -115,8 +115,8 @@
 	case Note:
 		s.config.Log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Visit.ID(), "backend": a.Backend, "result": a.Result, "status": a.Status,
-			"begun": a.Begun, "took": a.Took,
-		}).Info("send ended badly")
+			"waited": a.Waited, "first": a.First, "took": a.Took,
+		}).Info("send ended")
 		return nil
 	case Refuse:
 		s.log(a)
