--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -39,7 +39,14 @@
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
 	arrived := c.visit.Arrived()
-	n := Note{Visit: c.visit, Backend: h.backend.ID(), Result: m.result, Status: m.status, Waited: c.dispatched.Sub(arrived), Took: now.Sub(arrived)}
+	n := Note{Visit: c.visit, Result: m.result, Status: m.status, Took: now.Sub(arrived)}
+	if h != nil {
+		n.Backend = h.backend.ID()
+	}
+	if n.Waited = n.Took; !c.dispatched.IsZero() {
+		n.Waited = c.dispatched.Sub(arrived)
+	}
+
 	if !c.first.IsZero() {
 		n.First = c.first.Sub(arrived)
 	}
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -86,7 +86,7 @@
 	case Begun:
 		c.begin(now, m.number)
 	case Left:
-		c.leave(m.number)
+		c.leave(now, m.number)
 	case Ended:
 		c.end(now, m)
 	case Chartered:
@@ -317,8 +317,9 @@
 	}
 }
 
-func (c *Core) leave(number uint64) {
+func (c *Core) leave(now time.Time, number uint64) {
 	if call, ok := c.calls[number]; ok {
+		c.do(call.note(now, call.host, NewEnded(number, Abandoned, 0)))
 		c.release(call)
 		delete(c.calls, number)
 	}
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -51,6 +51,7 @@
 	Replaced                // another backend server has the address; it did not run the request
 	Lost                    // no whole answer; the request may have run
 	Spoiled                 // the answer is an error of the backend server's own; it is kept for Pass
+	Abandoned               // the caller has left
 	Severed                 // a stream ended early; some of it has gone to the caller
 )
 
@@ -58,7 +59,7 @@
 func (r Result) String() string { return resultNames[r] }
 
 var resultNames = map[Result]string{
-	Complete: "complete", Unsent: "unsent", Rejected: "not_run", Misplaced: "misplaced", Replaced: "replaced", Lost: "lost", Spoiled: "own_error", Severed: "severed",
+	Complete: "complete", Unsent: "unsent", Rejected: "not_run", Misplaced: "misplaced", Replaced: "replaced", Lost: "lost", Spoiled: "own_error", Severed: "severed", Abandoned: "caller_left",
 }
 
 // Ended brings the result of the send that was made last for a request.
