Let models in demand go before idle ones at the weight store

Change: demand first, idle models only from a full bucket; the three most loaded backend servers are looked at.

--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -97,12 +97,12 @@
 		if engine, ok := service.Engine(); ok {
 			b := c.bucket(now, name, engine)
 			d := c.draft(name, engine, asked, b.level)
-			if !c.listed.IsZero() && now.Sub(c.listed) >= c.config.Settle {
-				d.fill()
-			}
 			if !c.started.IsZero() && now.Sub(c.started) >= c.config.Settle {
 				d.improve()
 			}
+			if !c.listed.IsZero() && now.Sub(c.listed) >= c.config.Settle {
+				d.restore()
+			}
 			b.level = d.store
 			maps.Copy(c.plan, d.models())
 			c.changes = append(c.changes, d.changes...)
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 
 	"sesamewell.example/commons/charter"
@@ -17,6 +18,9 @@
 // missing is what a model without a copy counts that is asked for, in engines.
 const missing = 1000.0
 
+// relieved is the number of loaded backend servers that are looked at in turn.
+const relieved = 3
+
 // storeShare is the part of the weight store's rate that is planned for: orders
 // that are carried out late come on top.
 const storeShare = 0.9
@@ -94,32 +98,24 @@
 	return plan
 }
 
-// fill gives models to backend servers that have room: first those without a
-// copy, then those that are asked for most.
-func (d *draft) fill() {
-	for {
-		model := d.neediest()
-		if model == "" || !d.settle(model) {
-			return
-		}
-		d.moving++
-	}
-}
-
-// neediest returns the model that is asked for most for each of its copies, one
-// without a copy before all others. It is empty when nothing more is wanted.
-func (d *draft) neediest() string {
-	best, most := "", 0.0
+// restore gives models that have no copy back to backend servers: where there
+// is room, or something is held in more copies than it is asked for. The weight
+// store is used only while nothing else needs it.
+func (d *draft) restore() {
 	for _, model := range d.engine.Models {
-		need := d.asked[model.Name] / float64(d.copies[model.Name]+1)
-		if d.copies[model.Name] == 0 {
-			need += missing
+		if d.copies[model.Name] > 0 {
+			continue
+		}
+		store := d.store
+		if d.store < storeBurst || d.moving >= d.atOnce() {
+			d.store = 0
 		}
-		if need > most {
-			best, most = model.Name, need
+		spent := d.store
+		if d.settle(model.Name) || d.place(model.Name, slack*standby) {
+			d.moving++
 		}
+		d.store += store - spent
 	}
-	return best
 }
 
 // settle plans a copy of a model where there is room for it, at a backend server
@@ -178,7 +174,8 @@
 	return left
 }
 
-// improve makes as many changes as loads may be under way.
+// improve makes as many changes for the models in demand as loads may be under
+// way.
 func (d *draft) improve() {
 	for d.moving < d.atOnce() && (d.placeMissing() || d.relieve()) {
 		d.moving++
@@ -194,55 +191,40 @@
 	return max(int(d.engine.LoadsPerSec*longest), 1)
 }
 
-// placeMissing places the most wanted model that has no copy.
+// placeMissing places a model that is asked for and has no copy, the most wanted
+// first.
 func (d *draft) placeMissing() bool {
-	best := ""
+	var names []string
 	for _, model := range d.engine.Models {
-		if d.copies[model.Name] == 0 && (best == "" || d.asked[model.Name] > d.asked[best]) {
-			best = model.Name
+		if d.copies[model.Name] == 0 && d.asked[model.Name] > wanted {
+			names = append(names, model.Name)
 		}
 	}
-	if best == "" {
-		return false
-	}
-	if d.asked[best] > wanted {
-		return d.place(best, missing)
-	}
-	return d.place(best, slack*max(d.asked[best], standby))
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(d.asked[b], d.asked[a]) })
+	return slices.ContainsFunc(names, func(model string) bool { return d.place(model, missing) })
 }
 
-// relieve copies a model away from the most loaded backend server.
+// relieve copies a model away from one of the most loaded backend servers.
 func (d *draft) relieve() bool {
-	var busiest *host
-	for _, h := range d.hosts {
-		if !h.backend.Leaving() && (busiest == nil || d.load(h) > d.load(busiest)) {
-			busiest = h
-		}
-	}
-	if busiest == nil || d.load(busiest) < comfortable {
-		return false
-	}
-	models := slices.Clone(busiest.models)
-	slices.SortFunc(models, func(a, b string) int {
-		if d.part(a) > d.part(b) {
-			return -1
-		}
-		return 1
+	loaded := slices.DeleteFunc(slices.Clone(d.hosts), func(h *host) bool {
+		return h.backend.Leaving() || d.load(h) < comfortable
 	})
-	for _, model := range models {
-		if d.place(model, d.load(busiest)) {
-			return true
-		}
-	}
-	return false
+	slices.SortFunc(loaded, func(a, b *host) int { return cmp.Compare(d.load(b), d.load(a)) })
+	return slices.ContainsFunc(loaded[:min(len(loaded), relieved)], d.relieveOne)
+}
+
+func (d *draft) relieveOne(h *host) bool {
+	models := slices.Clone(h.models)
+	slices.SortFunc(models, func(a, b string) int { return cmp.Compare(d.part(b), d.part(a)) })
+	return slices.ContainsFunc(models, func(model string) bool { return d.place(model, d.load(h)) })
 }
 
 // place plans a copy of a model at the backend server that is left with the
 // least load, if that is well below the load that the copy relieves.
-func (d *draft) place(model string, relieved float64) bool {
+func (d *draft) place(model string, load float64) bool {
 	var best *host
 	var out []string
-	least := relieved / slack
+	least := load / slack
 	for _, h := range d.hosts {
 		if h.fixed || slices.Contains(h.models, model) || !d.loads(h, model) {
 			continue
@@ -283,12 +265,7 @@
 	kept := slices.Clone(h.models)
 
 	for left < 0 && len(kept) > 0 {
-		least := slices.MinFunc(kept, func(a, b string) int {
-			if d.loss(a) < d.loss(b) {
-				return -1
-			}
-			return 1
-		})
+		least := slices.MinFunc(kept, func(a, b string) int { return cmp.Compare(d.loss(a), d.loss(b)) })
 		left += d.memory(least)
 		cost += d.loss(least)
 		gone = append(gone, least)
