Queue in the lobby in place of the engines

Change: a lobby sends an engine no more than its slots hold over all lobbies, some kept for urgent ranks; what waits is ordered by whether it can still be in time, by rank, then by the end of its objective.

--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -24,8 +24,8 @@
 	unsent     int  // sends that failed before a byte was sent
 	begun      bool
 	first      time.Time // event; zero without one
-	parked     bool      // it waits for a backend server
-	tried      map[string]bool
+
+	tried map[string]bool
 }
 
 // settle notes that its host need give no sign of it any more.
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -18,8 +18,13 @@
 	renewAhead  = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
 	lackLife    = 1500 * time.Millisecond // of a backend server's word that it lacks a model
 	closedPause = 250 * time.Millisecond  // after a backend server could not load an adapter
-	maxParked   = 1000                    // requests that wait for a backend server
-	parkShare   = 0.5                     // of a request's time, for which it waits for one
+	// reserved is the number of slots of an engine that each rank leaves to the
+	// ranks before it, up to maxReserved ranks.
+	reserved    = 2
+	maxReserved = 3
+	readShare   = 100 * time.Millisecond // of an objective, for reading the prompt
+	maxParked   = 1000                   // requests that wait for a backend server
+	parkShare   = 0.5                    // of a request's time, for which it waits for one
 	// streamSilence, silentObjectives and silentGaps bound the time without an
 	// event for which callers keep a stream open: the longest of the first, so
 	// many times the objective, and so many times the route's pause.
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -44,6 +44,7 @@
 	hosts    map[string]*host
 	services map[string][]*host // in the order of their ids
 	calls    map[uint64]*call
+	waiting  map[uint64]*call // those of calls that wait for a backend server
 	budgets  map[string]*budget
 	listed   bool
 	draining time.Time // since when the process is about to stop; zero while it stays
@@ -64,6 +65,7 @@
 		hosts:    make(map[string]*host),
 		services: make(map[string][]*host),
 		calls:    make(map[uint64]*call),
+		waiting:  make(map[uint64]*call),
 		budgets:  make(map[string]*budget),
 		peers:    make(map[string]said),
 		paces:    newPaces(),
@@ -113,10 +115,10 @@
 	for _, call := range c.calls {
 		if !now.Before(call.expires) {
 			c.giveUp(call)
-		} else if call.parked {
-			c.send(now, call)
 		}
+
 	}
+	c.unpark(now)
 	if now.Sub(c.told) >= tellPeriod {
 		c.tell(now)
 	}
@@ -150,7 +152,7 @@
 
 func (c *Core) refuse(call *call, cause Cause, after time.Duration) {
 	c.release(call)
-	delete(c.calls, call.number)
+	c.forget(call)
 	c.do(refusal(call, cause, after))
 }
 
@@ -228,7 +230,8 @@
 		c.park(now, call)
 		return
 	}
-	call.host, call.parked = h, false
+	call.host = h
+	delete(c.waiting, call.number)
 	call.tokens = 0
 	missing := h.shelf.missing(call.visit)
 	if h.reading+h.othersReading == 0 {
@@ -278,7 +281,7 @@
 	_, engine := service.Engine()
 	var best *host
 	for _, h := range c.services[call.service] {
-		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call.visit) {
+		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call) {
 			continue
 		}
 		if best == nil || c.before(now, call, engine, h, best) {
@@ -319,12 +322,20 @@
 
 func (c *Core) leave(now time.Time, number uint64) {
 	if call, ok := c.calls[number]; ok {
-		c.do(call.note(now, call.host, NewEnded(number, Abandoned, 0)))
+		h := call.host
+		c.do(call.note(now, h, NewEnded(number, Abandoned, 0)))
 		c.release(call)
-		delete(c.calls, number)
+		c.forget(call)
+		c.refill(now, h)
 	}
 }
 
+// forget drops a request whose answer has ended.
+func (c *Core) forget(call *call) {
+	delete(c.calls, call.number)
+	delete(c.waiting, call.number)
+}
+
 // release ends what is counted for a request at its backend server.
 func (c *Core) release(call *call) {
 	if call.host == nil {
@@ -345,15 +356,18 @@
 	}
 	h := call.host
 	c.release(call)
+	defer c.refill(now, h)
 	if m.status != 0 {
 		h.sign(now)
 	}
+
 	c.do(call.note(now, h, m))
 
 	switch m.result {
 	case Complete:
 
-		delete(c.calls, m.number)
+		c.forget(call)
+
 	case Unsent:
 		h.fail(now)
 		call.unsent++
@@ -399,7 +413,7 @@
 		c.send(now, call)
 		return
 	}
-	delete(c.calls, call.number)
+	c.forget(call)
 	c.do(otherwise)
 }
 
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -47,8 +47,15 @@
 
 // takes reports whether it can run a request now: it has loaded the model, and
 // the adapter or can load it.
-func (h *host) takes(now time.Time, v *visit.Visit) bool {
-	return h.holds(v.Model()) && !now.Before(h.lacks[v.Model()]) && (!now.Before(h.closed) || h.leased(now, v))
+func (h *host) takes(now time.Time, call *call) bool {
+	v := call.visit
+	return h.room(call.rank()) && h.holds(v.Model()) && !now.Before(h.lacks[v.Model()]) && (!now.Before(h.closed) || h.leased(now, v))
+}
+
+// room reports whether a slot is free for a request of that rank. A few are kept
+// for more urgent ones, so that none has to wait in the engine.
+func (h *host) room(rank int) bool {
+	return h.open+h.others < h.backend.Slots()-reserved*min(rank, maxReserved)
 }
 
 // leased reports whether the adapter of a request, if it has one, is loaded and
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -1,17 +1,20 @@
 package steward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sesamewell.example/commons/charter"
 )
 
-// park lets a request wait until a backend server can have it: a model may be
-// on its way. What has waited for its share of time is refused, early enough to
-// come back.
+// park lets a request wait until a backend server can have it: its model may be
+// on its way, or all that hold it are full. What has waited for its share of
+// time is refused, early enough to come back.
 func (c *Core) park(now time.Time, call *call) {
-	if c.draining.IsZero() && call.sent == 0 && now.Before(call.patience()) && (call.parked || c.parked() < maxParked) {
-		call.parked = true
+	_, waits := c.waiting[call.number]
+	if c.draining.IsZero() && call.sent == 0 && now.Before(call.patience()) && (waits || len(c.waiting) < maxParked) {
+		c.waiting[call.number] = call
 		return
 	}
 	c.refund(now, call)
@@ -33,21 +36,60 @@
 	return min(max(streamSilence, silentObjectives*c.route.Objective(), silentGaps*c.route.Gap()), c.expires.Sub(c.visit.Arrived()))
 }
 
-func (c *Core) parked() int {
-	n := 0
-	for _, call := range c.calls {
-		if call.parked {
-			n++
+// late reports whether a request can no longer be answered within its
+// objective.
+func (c *call) late(now time.Time) bool {
+	return now.Sub(c.visit.Arrived()) > c.route.Objective()-readShare
+}
+
+// rank returns the request's rank, zero being the most urgent.
+func (c *call) rank() int { return c.tenant.Rank(c.route.Priority()) }
+
+// ahead orders the requests that wait: those that can be in time first, by rank;
+// then the one whose objective ends first.
+func ahead(now time.Time, a, b *call) int {
+	lateness := func(c *call) int {
+		if c.late(now) {
+			return 1
 		}
+		return 0
 	}
-	return n
+	return cmp.Or(
+		cmp.Compare(lateness(a), lateness(b)),
+		cmp.Compare(a.rank(), b.rank()),
+		a.visit.Arrived().Add(a.route.Objective()).Compare(b.visit.Arrived().Add(b.route.Objective())),
+		cmp.Compare(a.number, b.number),
+	)
 }
 
-// unpark tries the requests that wait once more.
+// unpark tries the requests that wait once more, the most pressing first.
 func (c *Core) unpark(now time.Time) {
-	for _, call := range c.calls {
-		if call.parked {
-			c.send(now, call)
+	for _, call := range c.queue(now, func(*call) bool { return true }) {
+		c.send(now, call)
+	}
+}
+
+// refill gives the place that came free at a backend server to the most pressing
+// request that waits for it.
+func (c *Core) refill(now time.Time, h *host) {
+	if len(c.waiting) == 0 || h == nil || !h.usable() {
+		return
+	}
+	fits := func(call *call) bool {
+		return call.service == h.backend.Service() && h.takes(now, call) && !call.tried[h.backend.ID()]
+	}
+	if queue := c.queue(now, fits); len(queue) > 0 {
+		c.send(now, queue[0])
+	}
+}
+
+func (c *Core) queue(now time.Time, fits func(*call) bool) []*call {
+	var queue []*call
+	for _, call := range c.waiting {
+		if fits(call) {
+			queue = append(queue, call)
 		}
 	}
+	slices.SortFunc(queue, func(a, b *call) int { return ahead(now, a, b) })
+	return queue
 }
