--- a/commons/crew/program.go
+++ b/commons/crew/program.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,28 @@
 	if err != nil {
 		return usage(os.Stderr, err)
 	}
-	return Run(RunConfig{Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log})
+	return Run(RunConfig{
+		Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log,
+		Reload: func() { reload(args.Settings, program, settings, log) },
+	})
+}
+
+// reload reads the settings again. The log level changes at once; other settings
+// that differ are named and take effect at the next start.
+func reload(path string, program Program, before *handbook.Values, log *logrus.Entry) {
+	log = log.WithField("event", "reload")
+	settings, err := readSettings(path, program.Settings)
+	if err != nil {
+		log.WithError(err).Error("settings are kept as they were")
+		return
+	}
+	level, err := logrus.ParseLevel(settings.Text("process", "log-level"))
+	if err != nil {
+		log.WithError(err).Error("settings are kept as they were")
+		return
+	}
+	log.Logger.SetLevel(level)
+	log.WithField("next_start", strings.Join(settings.Differences(before), ",")).Info("settings read again")
 }
 
 func readSettings(path string, declared []handbook.Setting) (*handbook.Values, error) {
--- a/commons/crew/run.go
+++ b/commons/crew/run.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/sirupsen/logrus"
 )
 
@@ -35,6 +38,7 @@
 type RunConfig struct {
 	Root       Root
 	DrainLimit time.Duration // longest time that a planned stop waits for open work
+	Reload     func()        // reads the settings again, on SIGHUP
 	Log        *logrus.Entry
 }
 
@@ -43,16 +47,17 @@
 func Run(config RunConfig) int {
 	signals, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan error, 1)
 	go func() { stopped <- config.Root.Serve(ctx) }()
 	config.Log.WithField("event", "start").Info("process started")
-	select {
-	case err := <-stopped:
+	if err := await(signals, hangups, config, stopped); err != nil {
 		config.Log.WithField("event", "stop").WithError(err).Error("process failed")
 		return ExitFailed
-	case <-signals.Done():
 	}
 	release()
 	code := drain(config)
@@ -68,6 +73,22 @@
 	return code
 }
 
+// await returns nil when the process is asked to stop, or the error of a tree
+// that has stopped by itself. SIGHUP reads the settings again.
+func await(signals context.Context, hangups <-chan os.Signal, config RunConfig, stopped <-chan error) error {
+
+	for {
+		select {
+		case err := <-stopped:
+			return errors.Wrap(err, "supervision tree stopped")
+		case <-signals.Done():
+			return nil
+		case <-hangups:
+			config.Reload()
+		}
+	}
+}
+
 func drain(config RunConfig) int {
 	ctx, cancel := context.WithTimeout(context.Background(), config.DrainLimit)
 	defer cancel()
--- a/commons/handbook/setting.go
+++ b/commons/handbook/setting.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"reflect"
+
 	"slices"
 	"strconv"
 	"strings"
@@ -104,6 +106,19 @@
 // Decimal returns the value of a Decimal setting.
 func (v *Values) Decimal(section, key string) float64 { return v.values[section+"."+key].(float64) }
 
+// Differences returns the names of the settings that differ from another set of
+// the same declarations, as section.key, sorted.
+func (v *Values) Differences(other *Values) []string {
+	var names []string
+	for name, value := range v.values {
+		if !reflect.DeepEqual(value, other.values[name]) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Settings checks a settings file against its declarations. It returns all
 // faults at once.
 func Settings(path string, text []byte, declared []Setting) (*Values, error) {
--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -71,7 +71,7 @@
 	woken     atomic.Bool
 	events    atomic.Value // gnet.EventLoop
 	limits    atomic.Pointer[charter.Limits]
-	drainFrom atomic.Int64 // Unix nanoseconds; zero while the process stays
+	drainFrom atomic.Pointer[time.Time] // nil while the process stays
 
 	engine    gnet.Engine
 	booted    chan struct{}
@@ -117,7 +117,7 @@
 func (p *Porch) SetLimits(limits charter.Limits) { p.limits.Store(&limits) }
 
 // Drain makes every answer the last of its connection.
-func (p *Porch) Drain(now time.Time) { p.drainFrom.Store(now.UnixNano()) }
+func (p *Porch) Drain(now time.Time) { p.drainFrom.Store(&now) }
 
 // String returns the duty's name.
 func (p *Porch) String() string { return "porch" }
@@ -315,7 +315,7 @@
 	p.number++
 	e := &exchange{number: p.number, porch: p, caller: c, request: request, visit: p.config.Codec.Visit(now, request)}
 	c.exchange = e
-	c.last = c.last || p.drainFrom.Load() != 0
+	c.last = c.last || p.drainFrom.Load() != nil
 	p.exchanges[e.number] = e
 	if err := p.config.Steward.Put(steward.NewArrived(e.number, e.visit)); err != nil {
 		e.refuse(now, fasthttp.StatusServiceUnavailable, 0)
@@ -345,5 +345,5 @@
 // leaving reports whether idle callers are to be closed.
 func (p *Porch) leaving(now time.Time) bool {
 	from := p.drainFrom.Load()
-	return from != 0 && now.Sub(time.Unix(0, from)) > closeLinger
+	return from != nil && now.Sub(*from) > closeLinger
 }
