Give silent sends up before their callers leave

Change: a send without a byte is given up 0.35 s before its caller would leave, sooner if the request may go elsewhere; silence is seen after 0.4 s and told to the other lobbies.

--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -13,6 +13,7 @@
 	Backend string
 	Open    int           // requests
 	Reading time.Duration // of the prompts of those that have not begun
+	Silent  bool          // requests wait there without a sign
 }
 
 // DigestConfig holds the construction parameters of a Digest.
--- a/lobby/porch/constants.go
+++ b/lobby/porch/constants.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	sweepPeriod   = 250 * time.Millisecond // time between two looks at idle connections
+	sweepPeriod   = 150 * time.Millisecond // time between two looks at idle connections
 	dialLimit     = time.Second
 	closeLinger   = time.Second      // from the start of a drain until idle callers are closed
 	freshIdle     = time.Second      // of a link that may carry what must not run twice
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/visit"
@@ -26,8 +27,9 @@
 	send    steward.Send
 	pool    *pool // in which it waits for a connection
 	link    *link
-	kept    *answer // an error of the backend server's own
-	begun   bool    // a part of the answer has gone to the caller
+	kept    *answer   // an error of the backend server's own
+	active  time.Time // of the last byte in either direction
+	begun   bool      // a part of the answer has gone to the caller
 	chunked bool
 	gone    bool
 }
@@ -139,3 +141,17 @@
 		l.reset()
 	}
 }
+
+// errSilent means that a backend server has sent nothing for too long.
+var errSilent = errors.New("backend server is silent")
+
+// sweep gives up a send whose backend server has been silent for too long.
+func (e *exchange) sweep(now time.Time) {
+	limit := e.send.First
+	if e.begun {
+		limit = e.send.Gap
+	}
+	if l := e.link; l != nil && limit > 0 && now.Sub(e.active) > limit {
+		l.forsake(errSilent)
+	}
+}
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -28,7 +28,8 @@
 // carry sends an exchange's request.
 func (l *link) carry(now time.Time, e *exchange) {
 	l.exchange, l.answer = e, &answer{}
-	e.link = l
+	e.link, e.active = l, now
+
 	l.porch.scratch = l.porch.config.Codec.Forward(now, l.porch.scratch[:0], e.request, e.send.Sheet)
 	if _, err := l.conn.Write(l.porch.scratch); err != nil {
 		l.fail(errors.Wrap(err, "send"))
@@ -67,6 +68,7 @@
 	if !l.answer.begun {
 		return l.readHead(buffered)
 	}
+	l.exchange.active = now
 	data, used, err := l.answer.readBody(buffered)
 	if err != nil || len(data) == 0 {
 		return used, err
@@ -158,6 +160,12 @@
 	l.abandon()
 }
 
+// forsake ends the connection so that what the peer has not read is dropped.
+func (l *link) forsake(cause error) {
+	l.reset()
+	l.fail(cause)
+}
+
 // abandon reports that the exchange got no whole answer.
 func (l *link) abandon() {
 	e := l.exchange
--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -308,6 +308,9 @@
 	for _, pool := range p.pools {
 		pool.sweep(now)
 	}
+	for _, e := range p.exchanges {
+		e.sweep(now)
+	}
 }
 
 // open passes a new request to the steward.
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -317,6 +317,33 @@
 	}
 }
 
+func TestSilentBackendServerIsGivenUpBeforeTheCallerLeaves(t *testing.T) {
+	cases := map[string]struct {
+		say    string
+		result steward.Result
+	}{
+		"nothing":      {result: steward.Lost},
+		"head only":    {say: streamHead("r1"), result: steward.Lost},
+		"begun stream": {say: streamHead("r1") + chunk("a"), result: steward.Severed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
+				_, _ = io.WriteString(conn, tc.say)
+				return true
+			})
+			l := newLobby(t, func(s *steward.Send) {
+				s.Address, s.Stream, s.First, s.Gap = b.address, true, 100*time.Millisecond, 100*time.Millisecond
+			})
+			_, _, _ = ask(t, l.front)
+			if diff := cmp.Diff(tc.result, (<-l.ended).Result()); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+			await(t, b.closed, "the backend server's connection was not ended")
+		})
+	}
+}
+
 func TestUnreachableBackendServerGetsNothing(t *testing.T) {
 	address := freeAddress(t)
 	l := newLobby(t, func(s *steward.Send) { s.Address = address })
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -36,6 +36,29 @@
 	}
 }
 
+// firstLimit returns the time without a byte of the answer after which a send is
+// given up: early if the request may go elsewhere, else just before its caller
+// leaves. A run whose caller has left must not go on, and a backend server that
+// stands still cannot be told; the caller still can.
+func (c *call) firstLimit() time.Duration {
+	limit := c.gapLimit()
+	if c.route.Kind() != charter.Stream && c.repeatable() {
+		return time.Duration(plainPatience * float64(c.route.Objective()))
+	}
+	if c.repeatable() && c.sent+1 < c.route.Attempts() {
+		return min(limit, resumePatience)
+	}
+	return limit
+}
+
+// gapLimit returns the same for a stream that has begun; zero for none.
+func (c *call) gapLimit() time.Duration {
+	if c.route.Kind() != charter.Stream {
+		return 0
+	}
+	return c.silence() - silenceMargin
+}
+
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
 	arrived := c.visit.Arrived()
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -31,10 +31,15 @@
 	streamSilence    = 2 * time.Second
 	silentObjectives = 4
 	silentGaps       = 8
-	awayRetry        = time.Second            // when a caller comes back whose model is on its way
-	leastDemand      = 1e-4                   // engines, below which a model counts as not asked for
-	silenceLimit     = 800 * time.Millisecond // without a sign of a backend server at which requests wait
-	askedWindow      = time.Second            // over which the demand for models is averaged
+	// silenceMargin is the time before that at which the lobby gives a silent
+	// stream up.
+	silenceMargin  = 350 * time.Millisecond
+	plainPatience  = 1.5                     // objectives that a request waits which may go elsewhere
+	resumePatience = 1500 * time.Millisecond // the same, for a stream that may be resumed
+	awayRetry      = time.Second             // when a caller comes back whose model is on its way
+	leastDemand    = 1e-4                    // engines, below which a model counts as not asked for
+	silenceLimit   = 400 * time.Millisecond  // without a sign of a backend server at which requests wait
+	askedWindow    = time.Second             // over which the demand for models is averaged
 	// absent is what an adapter that has to be loaded counts.
 	absent = 27 * time.Millisecond
 	// distance is what another failure domain counts.
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -263,6 +263,8 @@
 		Links:   max(service.Connections()/max(c.config.Peers, 1), 1),
 		Fresh:   !call.repeatable(),
 		Keep:    call.repeatable(),
+		First:   call.firstLimit(),
+		Gap:     call.gapLimit(),
 		Stream:  call.route.Kind() == charter.Stream,
 		Sheet: visit.Sheet{
 			Backend:  h.backend.ID(),
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -341,6 +341,14 @@
 	want(t, "after its sign", []string{"send e1"}, d.arrive(ask))
 }
 
+func TestSilenceThatAnotherLobbyMeetsCounts(t *testing.T) {
+	d := newDesk(holder("e1"), holder("e2"))
+	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
+		Sender: "10.0.0.9:7000", Loads: []notice.BackendLoad{{Backend: "e1", Open: 1, Silent: true}, {Backend: "e2", Open: 9}},
+	})))
+	want(t, "request", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
+}
+
 func TestDemandIsWhatIsOpenAndWaits(t *testing.T) {
 	d := newDesk(holder("e1"))
 	d.core.Tick(d.now)
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -23,6 +23,7 @@
 	renewing      map[string]bool
 	closed        time.Time     // until then no adapter can be loaded there
 	others        int           // requests of other lobbies that it has
+	othersDoubt   bool          // another lobby waits for a sign of it
 	othersReading time.Duration // of the prompts of those that have not begun
 	shelf         *shelf
 }
@@ -124,4 +125,6 @@
 }
 
 // doubtful reports whether it is used only if no other can be.
-func (h *host) doubtful(now time.Time) bool { return now.Before(h.suspect) || h.silent(now) }
+func (h *host) doubtful(now time.Time) bool {
+	return now.Before(h.suspect) || h.silent(now) || h.othersDoubt
+}
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -144,8 +144,10 @@
 	Links   int    // connections to it that this process may have
 	Fresh   bool   // on a connection that has not been idle for long
 	Sheet   visit.Sheet
-	Stream  bool // a success is passed on event by event
-	Keep    bool // an error of the backend server's own is kept for Pass
+	First   time.Duration // without a byte, after which the send is given up; zero for none
+	Gap     time.Duration // the same, once the answer has begun
+	Stream  bool          // a success is passed on event by event
+	Keep    bool          // an error of the backend server's own is kept for Pass
 }
 
 // Pass gives the caller the error that was kept.
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -26,7 +26,7 @@
 // sumLoads adds up what the other lobbies have at each backend server.
 func (c *Core) sumLoads(now time.Time) {
 	for _, h := range c.hosts {
-		h.others, h.othersReading = 0, 0
+		h.others, h.othersReading, h.othersDoubt = 0, 0, false
 	}
 	for door, peer := range c.peers {
 		if now.Sub(peer.at) > peerLife {
@@ -37,6 +37,7 @@
 			if h, ok := c.hosts[load.Backend]; ok {
 				h.others += load.Open
 				h.othersReading += load.Reading
+				h.othersDoubt = h.othersDoubt || load.Silent
 			}
 		}
 	}
@@ -69,7 +70,7 @@
 	}
 	for _, h := range c.hosts {
 		if h.open > 0 {
-			tell.Loads = append(tell.Loads, notice.BackendLoad{Backend: h.backend.ID(), Open: h.open, Reading: h.reading})
+			tell.Loads = append(tell.Loads, notice.BackendLoad{Backend: h.backend.ID(), Open: h.open, Reading: h.reading, Silent: h.silent(now)})
 		}
 	}
 	if c.planner == "" && now.Sub(c.planned) < planLife {
