Write the log on a thread of its own, to standard output, and see changed settings

Cause: a process waited for its output with each line, and wrote to standard error. Refusals and failures are warnings. The settings file is looked at every 5 s. Test: 20,000 lines before an output that nobody reads lose no warning.

--- /dev/null
+++ b/commons/chronicle/spool_test.go
@@ -0,0 +1,80 @@
+package chronicle_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/chronicle"
+)
+
+// output is an output that nobody reads until it is opened.
+type output struct {
+	open chan struct{}
+
+	mu   sync.Mutex
+	text bytes.Buffer
+	done chan struct{} // closed when the last line has been written
+}
+
+func (o *output) Write(text []byte) (int, error) {
+	<-o.open
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.text.Write(text)
+	if bytes.Contains(text, []byte("last")) {
+		close(o.done)
+	}
+	return len(text), nil
+}
+
+func TestFloodBeforeAnOutputThatNobodyReads(t *testing.T) {
+	out := &output{open: make(chan struct{}), done: make(chan struct{})}
+	spool := chronicle.NewSpool(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = spool.Serve(ctx) }()
+	const flood = 20000
+	for i := range flood {
+		level := "info"
+		if i%100 == 0 {
+			level = "warning"
+		}
+		if _, err := fmt.Fprintf(spool, "level=%s n=%d\n", level, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dropped := spool.Dropped()
+	close(out.open)
+	spool.Flush()
+	if _, err := spool.Write([]byte("level=info last\n")); err != nil {
+		t.Fatal(err)
+	}
+	<-out.done
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	text := out.text.String()
+	if diff := cmp.Diff(flood/100, strings.Count(text, "level=warning n=")); diff != "" {
+		t.Errorf("warnings (-want +got):\n%s", diff)
+	}
+	if want := fmt.Sprintf("dropped=%d", dropped); dropped == 0 || !strings.Contains(text, want) {
+		t.Errorf("no line says %s", want)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	spool := chronicle.NewSpool(&bytes.Buffer{})
+	log, err := chronicle.New(chronicle.Config{Output: spool, Level: "info", Program: "test", Instance: "i-1"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		log.WithField("event", "sent").WithField("request", "9c41d07be2a35f68").Info("request sent")
+	}
+}
--- a/commons/crew/program.go
+++ b/commons/crew/program.go
@@ -52,8 +52,9 @@
 	if err != nil {
 		return usage(os.Stderr, err)
 	}
+	spool := chronicle.NewSpool(os.Stdout)
 	log, err := chronicle.New(chronicle.Config{
-		Output:   os.Stderr,
+		Output:   spool,
 		Level:    settings.Text("process", "log-level"),
 		Program:  program.Name,
 		Instance: settings.Text("process", "instance"),
@@ -66,11 +67,31 @@
 		return usage(os.Stderr, err)
 	}
 	return Run(RunConfig{
-		Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log,
-		Reload: func() { reload(args.Settings, program, settings, log) },
+		Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log, Spool: spool,
+		Changed: fileWatch(args.Settings),
+		Reload:  func() { reload(args.Settings, program, settings, log) },
 	})
 }
 
+// fileWatch returns a function that reports whether a file has changed since it
+// was last called.
+func fileWatch(path string) func() bool {
+	var last string
+	look := func() string {
+		info, err := os.Stat(path)
+		if err != nil {
+			return last // it may be on its way; what was read before stays
+		}
+		return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+	}
+	last = look()
+	return func() bool {
+		before := last
+		last = look()
+		return last != before
+	}
+}
+
 // reload reads the settings again. The log level changes at once; other settings
 // that differ are named and take effect at the next start.
 func reload(path string, program Program, before *handbook.Values, log *logrus.Entry) {
--- a/commons/crew/run.go
+++ b/commons/crew/run.go
@@ -22,6 +22,10 @@
 // lastBytes is the time that the last answers have to leave the process.
 const lastBytes = 200 * time.Millisecond
 
+// lookPeriod is the time between two looks at the settings file, which may
+// change without a signal.
+const lookPeriod = 5 * time.Second
+
 // stopWait is the time that threads have to end, which may wait for an answer
 // of another process.
 const stopWait = 300 * time.Millisecond
@@ -38,10 +42,18 @@
 type RunConfig struct {
 	Root       Root
 	DrainLimit time.Duration // longest time that a planned stop waits for open work
-	Reload     func()        // reads the settings again, on SIGHUP
+	Changed    func() bool   // whether the settings file is another one than when last asked
+	Reload     func()        // reads the settings again, on SIGHUP and when the file has changed
+	Spool      Spool         // writes the log's lines; nil if they are written at once
 	Log        *logrus.Entry
 }
 
+// Spool writes log lines on a thread of its own, which ends after all others.
+type Spool interface {
+	Service
+	Flush()
+}
+
 // Run serves the tree until SIGTERM or SIGINT, then drains and stops it. It
 // returns the process's exit code: ExitOK when everything open was finished.
 func Run(config RunConfig) int {
@@ -50,6 +62,11 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	if config.Spool != nil {
+		// An output that cannot be written leaves nowhere to say so.
+		go func() { _ = config.Spool.Serve(context.Background()) }()
+		defer config.Spool.Flush()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopped := make(chan error, 1)
@@ -74,11 +91,18 @@
 }
 
 // await returns nil when the process is asked to stop, or the error of a tree
-// that has stopped by itself. SIGHUP reads the settings again.
+// that has stopped by itself. SIGHUP, or a change of the file, reads the settings
+// again.
 func await(signals context.Context, hangups <-chan os.Signal, config RunConfig, stopped <-chan error) error {
 
+	looks := time.NewTicker(lookPeriod)
+	defer looks.Stop()
 	for {
 		select {
+		case <-looks.C:
+			if config.Changed() {
+				config.Reload()
+			}
 		case err := <-stopped:
 			return errors.Wrap(err, "supervision tree stopped")
 		case <-signals.Done():
--- a/commons/crew/run_test.go
+++ b/commons/crew/run_test.go
@@ -51,7 +51,8 @@
 			go func() {
 				code <- crew.Run(crew.RunConfig{
 					Root: r, DrainLimit: time.Minute, Log: logrus.NewEntry(log),
-					Reload: func() { reloads <- struct{}{} },
+					Changed: func() bool { return false },
+					Reload:  func() { reloads <- struct{}{} },
 				})
 			}()
 			<-r.serving
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -116,7 +116,7 @@
 		s.config.Log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Visit.ID(), "backend": a.Backend, "result": a.Result, "status": a.Status,
 			"waited": a.Waited, "first": a.First, "took": a.Took,
-		}).Info("send ended")
+		}).Log(noteLevel(a), "send ended")
 		return nil
 	case Refuse:
 		s.log(a)
@@ -130,5 +130,14 @@
 	s.config.Log.WithFields(logrus.Fields{
 		"event": "refused", "request": r.Visit.ID(), "cause": r.Cause, "status": r.Status, "model": r.Visit.Model(),
 		"adapter": r.Visit.Adapter(), "retry_after": r.RetryAfter,
-	}).Info("request refused")
+	}).Warn("request refused")
+}
+
+// noteLevel returns the level of the line on the end of a send: what did not go
+// well is kept when lines are dropped.
+func noteLevel(n Note) logrus.Level {
+	if n.Result == Complete {
+		return logrus.InfoLevel
+	}
+	return logrus.WarnLevel
 }
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -264,8 +264,7 @@
 func (f *fleet) start(name, program string, args ...string) {
 	f.t.Helper()
 	p := &process{name: name, command: exec.Command(filepath.Join(bin, program), args...), log: &lockedBuffer{}, exited: make(chan struct{})}
-	p.command.Stderr = p.log
-	p.command.Stdout = p.log
+	p.command.Stdout, p.command.Stderr = p.log, p.log
 	if err := p.command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
