--- a/keeper/house.go
+++ b/keeper/house.go
@@ -8,8 +8,11 @@
 
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/ring"
+	"sesamewell.example/commons/trail"
 	"sesamewell.example/keeper/warden"
 	"sesamewell.example/platform"
 )
@@ -17,6 +20,7 @@
 // house is responsible for the process's supervision tree:
 //
 //	keeper
+//	├── lantern (operators' pages)
 //	├── warden (decisions on orders)
 //	├── clerk  (calls to the backend server)
 //	└── door   (calls of lobbies)
@@ -45,6 +49,13 @@
 	for _, service := range w.Services() {
 		h.crew.Add(service)
 	}
+	h.crew.Add(lantern.New(lantern.Config{
+		Address: settings.Address("process", "operator"),
+		Log:     log,
+		Status:  h,
+		Trail:   trail.New(trail.Config{Instance: settings.Text("process", "instance")}),
+		Rings:   []*ring.Ring{w.Inbox()},
+	}))
 	h.crew.Add(porter.NewDoor(porter.DoorConfig{
 		Address:  settings.Address("door", "listen"),
 		Services: []porter.Service{{Name: notice.KeeperService, Receiver: warden.NewDesk(w)}},
@@ -56,6 +67,12 @@
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
+// Ready returns nil: a keeper has no callers to be kept away.
+func (h *house) Ready() error { return nil }
+
+// Status returns what the operators' status page shows.
+func (h *house) Status() any { return struct{}{} }
+
 // Drain has nothing to wait for: what the engine holds, it keeps.
 func (h *house) Drain(context.Context) (<-chan struct{}, error) {
 	done := make(chan struct{})
--- a/keeper/warden/warden.go
+++ b/keeper/warden/warden.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/crew"
@@ -117,6 +120,7 @@
 		"event": "order", "backend": order.Backend, "unload": order.Unload, "model": order.Model,
 		"adapter": order.Adapter, "expect": order.Expect, "taken": taken,
 	})
+	countOrder(order, taken, err)
 	if err != nil {
 		log.WithError(err).Warn("order may not have been taken")
 	} else if order.Adapter == "" {
@@ -125,6 +129,17 @@
 	return NewAnswered(order, taken, err == nil)
 }
 
+func countOrder(order Order, taken bool, err error) {
+	result := "refused"
+	switch {
+	case err != nil:
+		result = "silent"
+	case taken:
+		result = "taken"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_orders_total{unload=\"%t\",adapter=\"%t\",result=%q}", order.Unload, order.Adapter != "", result)).Inc()
+}
+
 func (c *clerk) look() Message {
 	asked := time.Now()
 	state, err := c.config.Engine.State()
--- /dev/null
+++ b/lobby/herald/herald_test.go
@@ -0,0 +1,239 @@
+package herald
+
+import (
+	"context"
+	"io"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/charter"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// listener keeps what it is told.
+type listener struct {
+	versions []int64
+	backends [][]string
+}
+
+func (l *listener) Charter(c *charter.Charter) { l.versions = append(l.versions, c.Version()) }
+
+func (l *listener) Backends(backends []charter.Backend) {
+	var ids []string
+	for _, backend := range backends {
+		ids = append(ids, backend.ID())
+	}
+	l.backends = append(l.backends, ids)
+}
+
+// store is a store that answers as it is set up to.
+type store struct {
+	version int64
+	list    map[string]charter.Backend
+	changes map[string]charter.Backend
+	down    error
+	missed  bool
+	wholes  int // reads of the whole list
+}
+
+func version(n int64) *charter.Charter {
+	if n == 0 {
+		return nil
+	}
+	return charter.New(charter.Config{Version: n})
+}
+
+func backends(ids ...string) map[string]charter.Backend {
+	all := make(map[string]charter.Backend)
+	for _, id := range ids {
+		all[id] = charter.NewBackend(charter.BackendConfig{ID: id})
+	}
+	return all
+}
+
+func (s *store) Charter() (*charter.Charter, int64, error) { return version(s.version), 5, s.down }
+
+func (s *store) Charters(from int64, _ time.Duration) (*charter.Charter, int64, error) {
+	if s.missed {
+		s.missed = false
+		return nil, from, ErrMissed
+	}
+	return version(s.version), from + 1, s.down
+}
+
+func (s *store) Backends() (map[string]charter.Backend, int64, error) {
+	s.wholes++
+	return maps.Clone(s.list), 7, s.down
+}
+
+func (s *store) Changes(from int64) (map[string]charter.Backend, int64, error) {
+	if s.missed {
+		s.missed = false
+		return nil, from, ErrMissed
+	}
+	return s.changes, from + 1, s.down
+}
+
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	cases := map[string]struct {
+		versions []int64
+		missed   bool
+		want     []int64
+	}{
+		"rising":         {versions: []int64{2, 6, 8}, want: []int64{2, 6, 8}},
+		"older one read": {versions: []int64{6, 2, 8}, want: []int64{6, 8}},
+		"none yet":       {versions: []int64{0, 0, 3}, want: []int64{3}},
+		"history gone":   {versions: []int64{2, 6, 6}, missed: true, want: []int64{2, 6}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, l := &store{}, &listener{}
+			board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
+			h := NewCharters(Config{Store: s, Board: board, Log: quiet()})
+			for i, v := range tc.versions {
+				s.version, s.missed = v, tc.missed && i == 1
+				if err := h.step(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(tc.want, l.versions); diff != "" {
+				t.Errorf("versions in force (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestListFollowsChangesAndIsReadWholeWhenTheyAreMissed(t *testing.T) {
+	s, l := &store{list: backends("a", "b")}, &listener{}
+	h := NewBackends(Config{Store: s, Board: NewBoard(BoardConfig{Listener: l, Log: quiet()}), Log: quiet()})
+	steps := []struct {
+		changes map[string]charter.Backend
+		missed  bool
+		after   time.Duration
+	}{
+		{}, {changes: map[string]charter.Backend{"a": {}}}, {missed: true}, {after: wholePeriod + time.Second}, {},
+	}
+	now := noon
+	for _, step := range steps {
+		s.changes, s.missed = step.changes, step.missed
+		now = now.Add(step.after)
+		if err := h.step(now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var sizes []int
+	for _, ids := range l.backends {
+		sizes = append(sizes, len(ids))
+	}
+	if diff := cmp.Diff([]int{2, 1, 2, 2}, sizes); diff != "" {
+		t.Errorf("sizes of the lists (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(3, s.wholes); diff != "" {
+		t.Errorf("reads of the whole list (-want +got):\n%s", diff)
+	}
+}
+
+func TestStoreThatIsAwayChangesNothing(t *testing.T) {
+	s, l := &store{list: backends("a"), version: 3}, &listener{}
+	board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
+	charters := NewCharters(Config{Store: s, Board: board, Log: quiet()})
+	list := NewBackends(Config{Store: s, Board: board, Log: quiet()})
+	if err := errors.CombineErrors(charters.step(), list.step(noon)); err != nil {
+		t.Fatal(err)
+	}
+	s.down, s.version, s.list = errors.New("away"), 1, nil
+	if charters.step() == nil || list.step(noon.Add(time.Minute)) == nil {
+		t.Error("no error while the store is away")
+	}
+	if diff := cmp.Diff([]int64{3}, l.versions); diff != "" {
+		t.Errorf("versions (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([][]string{{"a"}}, l.backends); diff != "" {
+		t.Errorf("lists (-want +got):\n%s", diff)
+	}
+}
+
+// peers hand out a configuration and a list.
+type peers struct {
+	version int64
+	asked   int
+}
+
+func (p *peers) Bundle(string) (*charter.Charter, []charter.Backend, error) {
+	p.asked++
+	return version(p.version), []charter.Backend{charter.NewBackend(charter.BackendConfig{ID: "a"})}, nil
+}
+
+func TestLobbyThatIsBehindCatchesUp(t *testing.T) {
+	cases := map[string]struct {
+		store  store
+		hint   int64
+		listed bool // the list was read before
+		want   []int64
+		asked  int
+		lists  int
+	}{
+		"from the store":          {store: store{version: 6}, hint: 6, want: []int64{6}},
+		"from the other lobby":    {store: store{down: errors.New("away")}, hint: 6, want: []int64{6}, asked: 1, lists: 1},
+		"list of its own is kept": {store: store{down: errors.New("away")}, hint: 6, listed: true, want: []int64{6}, asked: 1, lists: 1},
+		"not behind":              {store: store{version: 9}, hint: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, others := &listener{}, &peers{version: 6}
+			board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
+			if tc.listed {
+				board.postBackends(nil)
+			}
+			h := NewCatchUp(CatchUpConfig{Store: &tc.store, Peers: others, Board: board, Log: quiet()})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			h.Hear(tc.hint, "10.0.0.1:7000")
+			go func() {
+				defer close(done)
+				_ = h.Serve(ctx)
+			}()
+			for tc.want != nil && board.Version() < 6 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+			<-done
+			if diff := cmp.Diff(tc.want, l.versions); diff != "" {
+				t.Errorf("versions (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]int{tc.asked, tc.lists}, []int{others.asked, len(l.backends)}); diff != "" {
+				t.Errorf("calls of the other lobby, lists (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// directory is where lobbies are listed.
+type directory struct{ offsets map[string]int64 }
+
+func (d *directory) Announce(string) error              { return nil }
+func (d *directory) Lobbies() (map[string]int64, error) { return d.offsets, nil }
+
+func TestLobbiesThatNoLongerAnnounceThemselvesAreDropped(t *testing.T) {
+	d := &directory{offsets: map[string]int64{"a": 1, "b": 2}}
+	h := NewLobbies(LobbiesConfig{Self: "a", Directory: d, Log: quiet()})
+	if diff := cmp.Diff(2, len(h.alive(noon, d.offsets))); diff != "" {
+		t.Errorf("at first (-want +got):\n%s", diff)
+	}
+	d.offsets["a"] = 3
+	if diff := cmp.Diff([]string{"a"}, h.alive(noon.Add(memberLife), d.offsets)); diff != "" {
+		t.Errorf("later (-want +got):\n%s", diff)
+	}
+}
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -7,12 +7,15 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/handbook"
+	"sesamewell.example/commons/lantern"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
+	"sesamewell.example/commons/trail"
 	"sesamewell.example/lobby/errands"
 	"sesamewell.example/lobby/herald"
 	"sesamewell.example/lobby/parley"
@@ -26,6 +29,7 @@
 // house is responsible for the process's supervision tree:
 //
 //	lobby
+//	├── lantern  (operators' pages)
 //	├── porch    (connections of callers and to backend servers)
 //	├── dialers  (new connections to backend servers)
 //	├── steward  (decisions on requests)
@@ -85,6 +89,14 @@
 	h.add(runs.Services()...)
 	h.add(n.parley, n.planner.Duty())
 	h.addHerald(settings, log)
+	h.add(lantern.New(lantern.Config{
+		Address: settings.Address("process", "operator"),
+		Log:     log,
+		Status:  h,
+		Trail:   trail.New(trail.Config{Instance: settings.Text("process", "instance")}),
+		Rings:   append(n.porch.Rings(), n.steward.Inbox(), n.planner.Inbox(), n.parley.Inbox()),
+	}))
+
 	h.add(porter.NewDoor(porter.DoorConfig{
 		Address:  n.self,
 		Services: []porter.Service{{Name: notice.LobbyService, Receiver: parley.NewDesk(n.parley)}},
@@ -160,6 +172,25 @@
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
+// Ready returns nil while the lobby takes callers' connections.
+func (h *house) Ready() error {
+	if h.news.steward.Ready() {
+		return nil
+	}
+	return errors.New("no configuration or list of backend servers yet, or about to stop")
+}
+
+// Status returns what the operators' status page shows.
+func (h *house) Status() any {
+	return status{Configuration: h.news.board.Version(), Open: h.news.steward.Open()}
+}
+
+// status is the JSON form of the status page.
+type status struct {
+	Configuration int64 `json:"configuration"`
+	Open          int   `json:"open"`
+}
+
 // Drain ends each connection with its next answer; the returned channel is
 // closed when no request is open.
 func (h *house) Drain(ctx context.Context) (<-chan struct{}, error) {
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -35,7 +35,7 @@
 
 // newBackend starts a backend server. The script gets the connection and the
 // number of its request.
-func newBackend(t *testing.T, script func(conn net.Conn, id string, n int) bool) *backend {
+func newBackend(t testing.TB, script func(conn net.Conn, id string, n int) bool) *backend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -86,7 +86,7 @@
 // Ready reports what the test has set.
 func (l *lobby) Ready() bool { return l.ready.Load() }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,7 +97,7 @@
 }
 
 // newLobby starts a porch; send completes the send of each request.
-func newLobby(t *testing.T, send func(send *steward.Send)) *lobby {
+func newLobby(t testing.TB, send func(send *steward.Send)) *lobby {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -217,7 +217,7 @@
 }
 
 // ask sends one request and reads its answer.
-func ask(t *testing.T, address string) (*http.Response, string, error) {
+func ask(t testing.TB, address string) (*http.Response, string, error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -227,7 +227,7 @@
 	return exchange(t, conn, bufio.NewReader(conn), "r1")
 }
 
-func exchange(t *testing.T, conn net.Conn, reader *bufio.Reader, id string) (*http.Response, string, error) {
+func exchange(t testing.TB, conn net.Conn, reader *bufio.Reader, id string) (*http.Response, string, error) {
 	t.Helper()
 	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
@@ -385,3 +385,27 @@
 		t.Error("the answer does not say that its connection ends")
 	}
 }
+
+// BenchmarkEvents relays streams of 1,000 events; the time and allocations are
+// those of the lobby, the scripted backend server and the caller together.
+func BenchmarkEvents(b *testing.B) {
+	const events = 1000
+	text := []byte(chunk("id: 1\ndata: 0123456789012345678901234567890\n\n"))
+	backend := newBackend(b, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, streamHead(id))
+		for range events {
+			_, _ = conn.Write(text)
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	l := newLobby(b, func(s *steward.Send) { s.Address, s.Stream = backend.address, true })
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := ask(b, l.front); err != nil {
+			b.Fatal(err)
+		}
+		<-backend.got
+		<-l.ended
+	}
+}
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -41,17 +41,21 @@
 	config Config
 	inbox  *ring.Ring
 	core   *Core
+	meters *meters
 	ready  atomic.Bool
 	open   atomic.Int64
 }
 
 // New returns a steward.
 func New(config Config) *Steward {
-	return &Steward{
+	s := &Steward{
 		config: config,
 		inbox:  ring.New(ring.Config{Name: "steward", Capacity: config.Capacity}),
 		core:   NewCore(config.Core),
+		meters: newMeters(),
 	}
+	watch(s.Open, s.Ready)
+	return s
 }
 
 // Inbox returns the ring that feeds the steward.
@@ -103,6 +107,7 @@
 func (s *Steward) give(action Action) error {
 	switch a := action.(type) {
 	case Fetch:
+		s.meters.fetches.Inc()
 		return s.config.Fetcher.Fetch(a)
 	case Tell:
 		return s.config.Crier.Tell(a)
@@ -113,12 +118,16 @@
 		}).Info("request sent")
 		return s.config.Porch.Put(a)
 	case Note:
+		s.meters.ended(a)
+
 		s.config.Log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Visit.ID(), "backend": a.Backend, "result": a.Result, "status": a.Status,
 			"waited": a.Waited, "first": a.First, "took": a.Took,
 		}).Log(noteLevel(a), "send ended")
 		return nil
 	case Refuse:
+		s.meters.refusals[a.Cause].Inc()
+
 		s.log(a)
 		return s.config.Porch.Put(a)
 	default:
