--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -47,6 +47,8 @@
 	waiting  map[uint64]*call // those of calls that wait for a backend server
 	budgets  map[string]*budget
 	listed   bool
+	listedAt time.Time
+	now      time.Time // of the message or tick that is handled
 	draining time.Time // since when the process is about to stop; zero while it stays
 	peers    map[string]said
 	plan     map[string][]string // models by backend server
@@ -81,7 +83,7 @@
 
 // Handle processes one message.
 func (c *Core) Handle(now time.Time, message Message) []Action {
-	c.actions = nil
+	c.actions, c.now = nil, now
 	switch m := message.(type) {
 	case Arrived:
 		c.arrive(now, m)
@@ -111,7 +113,7 @@
 
 // Tick gives up the requests whose time is over.
 func (c *Core) Tick(now time.Time) []Action {
-	c.actions = nil
+	c.actions, c.now = nil, now
 	for _, call := range c.calls {
 		if !now.Before(call.expires) {
 			c.giveUp(call)
@@ -153,11 +155,26 @@
 func (c *Core) refuse(call *call, cause Cause, after time.Duration) {
 	c.release(call)
 	c.forget(call)
-	c.do(refusal(call, cause, after))
+	c.do(c.refusal(call, cause, after))
 }
 
-func refusal(call *call, cause Cause, after time.Duration) Refuse {
-	return Refuse{Number: call.number, Visit: call.visit, Cause: cause, Status: statuses[cause], RetryAfter: after}
+func (c *Core) refusal(call *call, cause Cause, after time.Duration) Refuse {
+	return Refuse{
+		Number: call.number, Visit: call.visit, Cause: cause, Status: statuses[cause], RetryAfter: after,
+		Waited: c.now.Sub(call.visit.Arrived()), Holders: c.holders(call), Waiting: len(c.waiting), ListAge: c.now.Sub(c.listedAt),
+	}
+}
+
+// holders returns the number of backend servers that hold what a request needs
+// and are not leaving, full ones included.
+func (c *Core) holders(call *call) int {
+	n := 0
+	for _, h := range c.services[call.service] {
+		if model := call.visit.Model(); h.usable() && (model == "" || h.holds(model)) {
+			n++
+		}
+	}
+	return n
 }
 
 // arrive decides on a new request.
@@ -362,14 +379,10 @@
 	if m.status != 0 {
 		h.sign(now)
 	}
-
 	c.do(call.note(now, h, m))
-
 	switch m.result {
 	case Complete:
-
 		c.forget(call)
-
 	case Unsent:
 		h.fail(now)
 		call.unsent++
@@ -387,7 +400,7 @@
 	case Lost:
 		h.fail(now)
 		call.sent++
-		c.resendRun(now, call, refusal(call, answerLost, 0))
+		c.resendRun(now, call, c.refusal(call, answerLost, 0))
 	case Spoiled:
 		call.sent++
 		c.resendRun(now, call, Pass{Number: m.number})
@@ -431,7 +444,7 @@
 // list takes the platform's list over. What is no longer on it gets no new
 // requests; requests that it has go on.
 func (c *Core) list(now time.Time, backends []charter.Backend) {
-	c.listed = true
+	c.listed, c.listedAt = true, now
 	seen := make(map[string]bool, len(backends))
 	for _, backend := range backends {
 		seen[backend.ID()] = true
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -162,6 +162,10 @@
 	Cause      Cause
 	Status     int
 	RetryAfter time.Duration
+	Waited     time.Duration // since the request arrived
+	Holders    int           // backend servers that could have it by the list
+	Waiting    int           // requests that wait in this process
+	ListAge    time.Duration // of the list of backend servers
 }
 
 // Fetch asks for an adapter at a backend server.
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -139,6 +139,7 @@
 	s.config.Log.WithFields(logrus.Fields{
 		"event": "refused", "request": r.Visit.ID(), "cause": r.Cause, "status": r.Status, "model": r.Visit.Model(),
 		"adapter": r.Visit.Adapter(), "retry_after": r.RetryAfter,
+		"waited": r.Waited, "holders": r.Holders, "waiting": r.Waiting, "list_age": r.ListAge,
 	}).Warn("request refused")
 }
 
