--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -118,7 +118,7 @@
 	{Section: "process", Key: "memory", Kind: Bytes, Required: true, Doc: "memory that the process may use"},
 	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
 	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
-		{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, status)"},
+	{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, status)"},
 	{Section: "door", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
 }
 
