Share retries and connections among all lobbies that are known

Change: parley tells how many lobbies there are; four are assumed until more are known. Test: TestRetriesAndConnectionsAreSharedByAllLobbies.

--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -11,8 +11,8 @@
 	// closeMargin is the time before the end of a drain at which what is still
 	// open is given up.
 	closeMargin = 900 * time.Millisecond
-	// peers is the number of lobbies that share the connections to a backend
-	// server and the budget of retries, unless more are known.
+	// peers is the number of lobbies that share connections, retries and quotas,
+	// unless more are known.
 	peers = 4
 	// memoryShare is the part of the process's memory beyond which the garbage
 	// collector works harder, in per cent.
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -131,13 +131,12 @@
 	return steward.New(steward.Config{
 		Core: steward.CoreConfig{
 			Domain: settings.Text("process", "domain"),
-			Peers:  peers,
+			Least:  peers,
 			Purse:  purser.New(purser.Config{Silence: peerSilence, Absence: peerAbsence, Unknown: peers, Start: startQuota, Began: time.Now()}),
 			Budget: steward.BudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  float64(settings.Integer("retries", "extra")),
 				Window: settings.Duration("retries", "window"),
-				Share:  1.0 / peers,
 			},
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
--- a/lobby/news.go
+++ b/lobby/news.go
@@ -54,6 +54,9 @@
 	n.plan(digest)
 }
 
+// Peopled takes the number of lobbies over.
+func (n *news) Peopled(lobbies int) { n.tell(steward.NewPeopled(lobbies)) }
+
 // Planned takes this lobby's own plan over.
 func (n *news) Planned(plan map[string][]string) {
 	if plan != nil {
--- a/lobby/parley/parley.go
+++ b/lobby/parley/parley.go
@@ -30,6 +30,9 @@
 // Hearer takes what another lobby says.
 type Hearer interface {
 	Heard(digest notice.Digest)
+	// Peopled takes the number of lobbies, this one included.
+	Peopled(lobbies int)
+
 	// Newest returns what this lobby has read from the platform's store.
 	Newest() notice.Bundle
 }
@@ -118,6 +121,8 @@
 		p.peers[door] = known
 		known.token = p.crew.Add(known)
 		p.config.Log.WithFields(logrus.Fields{"event": "lobby_met", "lobby": door, "lobbies": len(p.peers) + 1}).Info("another lobby is known")
+		p.config.Hearer.Peopled(len(p.peers) + 1)
+
 	}
 	known.seen = now
 }
@@ -130,6 +135,8 @@
 		}
 		delete(p.peers, door)
 		p.config.Log.WithFields(logrus.Fields{"event": "lobby_gone", "lobby": door, "lobbies": len(p.peers) + 1}).Info("another lobby is gone")
+		p.config.Hearer.Peopled(len(p.peers) + 1)
+
 		if err := p.crew.Remove(known.token); err != nil {
 			return err
 		}
--- a/lobby/steward/budget.go
+++ b/lobby/steward/budget.go
@@ -7,7 +7,7 @@
 	Ratio  float64       // retries for each request
 	Extra  float64       // retries in a window besides, over all processes
 	Window time.Duration // over which requests and retries are counted
-	Share  float64       // this process's part of Extra
+
 }
 
 // budget is responsible for keeping the retries of one service below a share of
@@ -19,19 +19,26 @@
 	at     time.Time
 }
 
-func newBudget(config BudgetConfig) *budget {
-	return &budget{config: config, level: config.most()}
+func newBudget(config BudgetConfig, lobbies int) *budget {
+	return &budget{config: config, level: config.most(lobbies)}
 }
 
-func (c BudgetConfig) most() float64 { return c.Extra * c.Share / 2 }
+// most returns the most that one of so many lobbies has at once; a lobby can
+// always retry one request.
+func (c BudgetConfig) most(lobbies int) float64 {
+	return max(c.Extra/float64(max(lobbies, 1))/2, 1)
+}
 
 // request counts one request of a caller.
-func (b *budget) request() { b.level = min(b.level+b.config.Ratio/2, b.config.most()) }
+func (b *budget) request(lobbies int) {
+	b.level = min(b.level+b.config.Ratio/2, b.config.most(lobbies))
+}
 
 // spend takes one retry if there is one.
-func (b *budget) spend(now time.Time) bool {
+func (b *budget) spend(now time.Time, lobbies int) bool {
+	most := b.config.most(lobbies)
 	if !b.at.IsZero() {
-		b.level = min(b.level+now.Sub(b.at).Seconds()/b.config.Window.Seconds()*b.config.most(), b.config.most())
+		b.level = min(b.level+now.Sub(b.at).Seconds()/b.config.Window.Seconds()*most, most)
 	}
 	b.at = now
 	if b.level < 1 {
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,8 +47,8 @@
 func newDesk(backends ...charter.BackendConfig) *desk {
 	d := &desk{purse: &purse{left: 1000}, now: noon}
 	d.core = steward.NewCore(steward.CoreConfig{
-		Domain: "d1", Peers: 1, Purse: d.purse, Random: rand.New(rand.NewPCG(1, 1)),
-		Budget: steward.BudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second, Share: 1},
+		Domain: "d1", Least: 1, Purse: d.purse, Random: rand.New(rand.NewPCG(1, 1)),
+		Budget: steward.BudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	})
 	d.core.Handle(d.now, steward.NewChartered(charter.New(charter.Config{
 		Version: 1,
@@ -221,6 +222,29 @@
 	}
 }
 
+func TestRetriesAndConnectionsAreSharedByAllLobbies(t *testing.T) {
+	d := newDesk(plain("p1"), plain("p2"))
+	d.core.Handle(d.now, steward.NewPeopled(10))
+	retries, links := 0, 0
+	for range 20 {
+		actions := d.arrive(visit.Config{Path: "/safe/a"})
+		if send, ok := actions[0].(steward.Send); ok {
+			links = send.Links
+		}
+		if strings.HasPrefix(say(d.core.Handle(d.now, steward.NewEnded(d.number, steward.Lost, 0)))[0], "send") {
+			retries++
+			d.core.Handle(d.now, steward.NewEnded(d.number, steward.Complete, 200))
+		}
+	}
+	// A tenth of 20 extra retries, and a tenth of 20 requests.
+	if retries < 1 || retries > 4 {
+		t.Errorf("%d retries", retries)
+	}
+	if diff := cmp.Diff(1, links); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
 func TestLeavingBackendServersGetNothing(t *testing.T) {
 	d := newDesk(plain("p1"), plain("p2"))
 	leaving := plain("p1")
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -99,6 +99,12 @@
 // NewDigested returns the message.
 func NewDigested(digest notice.Digest) Digested { return Digested{digest: digest} }
 
+// Peopled tells how many lobbies there are, this one included.
+type Peopled struct{ lobbies int }
+
+// NewPeopled returns the message.
+func NewPeopled(lobbies int) Peopled { return Peopled{lobbies: lobbies} }
+
 // Planned brings the plan of this lobby: models by backend server.
 type Planned struct{ plan map[string][]string }
 
@@ -131,6 +137,7 @@
 func (Closing) stewardMessage()   {}
 func (Digested) stewardMessage()  {}
 func (Planned) stewardMessage()   {}
+func (Peopled) stewardMessage()   {}
 func (Fetched) stewardMessage()   {}
 
 // Action is what the core asks of the callers' connections.
