--- /dev/null
+++ b/lobby/house_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/chronicle"
+	"sesamewell.example/commons/handbook"
+)
+
+const patience = 10 * time.Second
+
+// store stands in for the platform's store: one configuration, a list of backend
+// servers, and no changes.
+func store(t *testing.T, config string, backends map[string]string) string {
+	t.Helper()
+	item := func(key, value string) string {
+		return fmt.Sprintf(`{"key":%q,"value":%q,"offset":1}`, key, base64.StdEncoding.EncodeToString([]byte(value)))
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch topic := r.URL.Query().Get("topic"); {
+		case strings.HasSuffix(r.URL.Path, "log-read"):
+			select {
+			case <-r.Context().Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+			_, _ = w.Write(make([]byte, 16))
+		case topic == "keyed.op":
+			_, _ = fmt.Fprintf(w, `{"items":[%s],"end":2}`, item("config", config))
+		case topic == "keyed.servers":
+			var items []string
+			for id, value := range backends {
+				items = append(items, item(id, value))
+			}
+			_, _ = fmt.Fprintf(w, `{"items":[%s],"end":2}`, strings.Join(items, ","))
+		default:
+			_, _ = w.Write([]byte(`{"items":[],"end":0,"offset":0}`))
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// backend stands in for a model engine. What it says to a request depends on
+// its path.
+func backend(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answer(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		head := "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: " + request.Header.Get("Request-Id") + "\r\n\r\n"
+		const event = "9\r\ndata: 1\n\n\r\n"
+		switch {
+		case strings.HasSuffix(request.URL.Path, "/cut"):
+			_, _ = io.WriteString(conn, head+event)
+			time.Sleep(20 * time.Millisecond)
+			return
+		case strings.HasSuffix(request.URL.Path, "/late"):
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(conn, head+event+"0\r\n\r\n")
+		default:
+			_, _ = io.WriteString(conn, head+event+"0\r\n\r\n")
+		}
+	}
+}
+
+// lines is a log that several threads write.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// of returns the lines of one request.
+func (l *lines) of(request string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, "request="+request+" ") {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start runs a lobby before a store and returns its callers' address and log.
+func start(t *testing.T, storeAddress string) (string, *lines) {
+	t.Helper()
+	front, probe := free(t), free(t)
+	text := fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\n[door]\nlisten = %s\n"+
+		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", free(t), free(t), storeAddress, front, probe)
+	settings, err := handbook.Settings("lobby.ini", []byte(text), handbook.LobbyOptions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := &lines{}
+	log, err := chronicle.New(chronicle.Config{Output: out, Level: "info", Program: "sesamewell-lobby", Instance: "lobby-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = newHouse(settings, log).Serve(ctx) }()
+	for range 400 {
+		if response, err := http.Get("http://" + probe + "/sesamewell/ready"); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return front, out
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the lobby is not ready")
+	return "", nil
+}
+
+const key = "key-that-must-not-show"
+
+// TestRequestsCanBeExplainedFromTheLog drives requests through a whole lobby and
+// looks for the lines that docs/OPERATIONS.md goes by.
+func TestRequestsCanBeExplainedFromTheLog(t *testing.T) {
+	config := `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/a/","route_kind":"streaming","timeout_ms":5000,"target_latency_ms":100,"service":"s","max_attempts":1,"gap_target_ms":100}],
+		"services":[{"name":"s","max_connections":10,"engine":{"slots":4,"weights_mb":100,"adapter_slots":1,"loads_per_s":1,"models":[{"name":"m","weights_mb":50,"load_time_s":1}]}}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+		"tenants":[{"name":"t","api_keys":["` + key + `"]}]}`
+	entry := `{"service":"s","address":"` + backend(t) + `","zone":"d1","version":"v1","slots":4,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
+	front, log := start(t, store(t, config, map[string]string{"i-1": entry, "forged": `{"service":7}`}))
+	cases := map[string]struct {
+		path, model string
+		status      int
+		want        []string // words of the lines, in their order
+	}{
+		"answered":      {path: "/a/ok", model: "m", status: 200, want: []string{"event=sent", "result=complete"}},
+		"no model":      {path: "/a/ok", model: "n", status: 503, want: []string{"cause=no_backend"}},
+		"broken off":    {path: "/a/cut", model: "m", status: 200, want: []string{"event=sent", "result=severed", "cause=answer_cut"}},
+		"late":          {path: "/a/late", model: "m", status: 200, want: []string{"event=sent", "result=complete"}},
+		"unknown route": {path: "/b/", model: "m", status: 404, want: []string{"cause=no_route"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			id := strings.ReplaceAll(name, " ", "-")
+			if diff := cmp.Diff(tc.status, ask(t, front, id, tc.path, tc.model)); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			var got []string
+			for end := time.Now().Add(patience); len(got) < len(tc.want) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+				got = log.of(id)
+			}
+			for i, want := range tc.want {
+				if i >= len(got) || !strings.Contains(got[i], want) {
+					t.Errorf("line %d does not say %s: %q", i, want, got)
+				}
+			}
+		})
+	}
+	if strings.Contains(log.text.String(), key) {
+		t.Error("the log shows a key")
+	}
+}
+
+// ask sends one request and returns the status of its answer.
+func ask(t *testing.T, front, id, path, model string) int {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+front+path, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", model)
+	request.Header.Set("Deadline-Ms", "5000")
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	// A stream that is broken off ends in an error.
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
