--- /dev/null
+++ b/lobby/errands/errands_test.go
@@ -0,0 +1,81 @@
+package errands_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/notice"
+	"sesamewell.example/commons/ring"
+	"sesamewell.example/lobby/errands"
+	"sesamewell.example/lobby/steward"
+)
+
+// line is a keeper that answers as it is set up to.
+type line struct {
+	kept  time.Duration
+	err   error
+	calls chan string
+}
+
+func (l *line) Call(method string, args, reply any, _ time.Duration) error {
+	if fetched, ok := reply.(*notice.Fetched); ok {
+		*fetched = notice.NewFetched(notice.FetchedConfig{Kept: l.kept})
+	}
+	l.calls <- method
+	return l.err
+}
+
+func TestKeeperIsCalledBesideItsBackendServer(t *testing.T) {
+	cases := map[string]struct {
+		keeper line
+		kept   time.Duration
+	}{
+		"adapter there": {keeper: line{kept: time.Second}, kept: time.Second},
+		"keeper silent": {keeper: line{err: errors.New("silent")}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			tc.keeper.calls = make(chan string, 8)
+			addresses := make(chan string, 8)
+			inbox := ring.New(ring.Config{Name: "test", Capacity: 8})
+			e := errands.New(errands.Config{
+				Port: "7000", Steward: inbox, Capacity: 8, Threads: 2, Log: logrus.NewEntry(log),
+				Line: func(address string) errands.Line {
+					addresses <- address
+					return &tc.keeper
+				},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for _, service := range e.Services() {
+				go func() { _ = service.Serve(ctx) }()
+			}
+			fetch := steward.Fetch{Number: 3, Backend: "e1", Address: "10.0.0.7:8400", Model: "m", Adapter: "a1"}
+			if err := e.Fetch(fetch); err != nil {
+				t.Fatal(err)
+			}
+			got, err := inbox.Take(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(steward.NewFetched(fetch, tc.kept), got, cmp.AllowUnexported(steward.Fetched{})); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if err := e.Assign("10.0.0.8:8400", notice.NewAssign(notice.AssignConfig{Backend: "e2"})); err != nil {
+				t.Fatal(err)
+			}
+			want := []string{notice.FetchMethod, notice.AssignMethod, "10.0.0.7:7000", "10.0.0.8:7000"}
+			if diff := cmp.Diff(want, []string{<-tc.keeper.calls, <-tc.keeper.calls, <-addresses, <-addresses}); diff != "" {
+				t.Errorf("calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
