Refuse as not run what no backend server had when its time is over

Cause: reading: a request that waits for an adapter up to its deadline was answered 504, which promises nothing. Test: TestRequestThatNoBackendServerHadIsRefusedAsNotRun.

--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -59,6 +59,9 @@
 	return c.silence() - silenceMargin
 }
 
+// untouched reports whether no backend server can have had the request.
+func (c *call) untouched() bool { return c.dispatched.IsZero() }
+
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
 	arrived := c.visit.Arrived()
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -316,6 +316,12 @@
 	}
 }
 
+func TestRequestThatNoBackendServerHadIsRefusedAsNotRun(t *testing.T) {
+	d := newDesk(holder("e1"))
+	want(t, "arrival", []string{"fetch e1 m/a1"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m", Adapter: "a1", Patience: time.Second}))
+	want(t, "time over", []string{"refuse 503 no_backend"}, d.core.Tick(noon.Add(time.Second)))
+}
+
 func TestAdapterIsFetchedOnceAndThenLeased(t *testing.T) {
 	d := newDesk(holder("e1"))
 	ask := visit.Config{Path: "/stream/a", Model: "m", Adapter: "a1"}
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -8,12 +8,16 @@
 // run.
 func (c *Core) closeAll() {
 	for _, call := range c.calls {
-		if call.sent == 0 && (call.host == nil || !call.tried[call.host.backend.ID()]) {
+				if call.untouched() {
 			c.refuse(call, leaving, retryAfter)
 			continue
 		}
-		c.refuse(call, expired, 0)
+			if call.untouched() {
+		c.refuse(call, noBackend, 0)
+		return
 	}
+	c.refuse(call, expired, 0)
+}
 }
 
 // giveUp ends a request that has not been answered in time.
