--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -1,27 +1,25 @@
 package steward
 
-import (
-	"time"
-)
+import "time"
 
 // closeAll gives up all requests. Those that no backend server has had were not
 // run.
 func (c *Core) closeAll() {
 	for _, call := range c.calls {
-				if call.untouched() {
+		if call.untouched() {
 			c.refuse(call, leaving, retryAfter)
 			continue
 		}
-			if call.untouched() {
-		c.refuse(call, noBackend, 0)
-		return
+		c.refuse(call, expired, 0)
 	}
-	c.refuse(call, expired, 0)
-}
 }
 
 // giveUp ends a request that has not been answered in time.
 func (c *Core) giveUp(call *call) {
+	if call.untouched() {
+		c.refuse(call, noBackend, 0)
+		return
+	}
 	c.refuse(call, expired, 0)
 }
 
