--- a/commons/charter/backend.go
+++ b/commons/charter/backend.go
@@ -1,9 +1,6 @@
 package charter
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // Holding is one model that a backend server has loaded.
 type Holding struct {
@@ -14,17 +11,15 @@
 
 // BackendConfig holds the construction parameters of a Backend.
 type BackendConfig struct {
-	ID        string // of this start of the backend server
-	Service   string
-	Address   string // IP:port
-	Domain    string
-	Slots     int
-	Leaving   bool
-	Remaining time.Duration // until a leaving one is gone, if it said so
-	Holdings  []Holding
-	OnHand    []string // models that load without the weight store
-	Born      int64    // Unix milliseconds of its start
-	Orders    int64    // accepted since its start
+	ID       string // of this start of the backend server
+	Service  string
+	Address  string // IP:port
+	Domain   string
+	Slots    int
+	Leaving  bool
+	Holdings []Holding
+	OnHand   []string // models that load without the weight store
+	Born     int64    // Unix milliseconds of its start
 }
 
 // Backend is responsible for what a backend server last said of itself.
--- a/commons/charter/charter.go
+++ b/commons/charter/charter.go
@@ -52,7 +52,7 @@
 		config:   config,
 	}
 	for _, service := range config.Services {
-		c.services[service.Name] = newService(service)
+		c.services[service.Name] = Service{config: service}
 	}
 	for _, tenant := range config.Tenants {
 		c.tenants[tenant.Name] = Tenant{config: tenant}
--- a/commons/charter/service.go
+++ b/commons/charter/service.go
@@ -7,8 +7,6 @@
 	Name     string
 	Memory   float64       // MB of weights
 	Load     time.Duration // from the weight store
-	FromDisk time.Duration
-	FromHost time.Duration // from the backend server's own memory
 	Adapters int           // named a1, a2 and so on
 	Adapter  float64       // MB of one adapter
 }
@@ -16,7 +14,6 @@
 // EngineConfig describes the model engines of a service.
 type EngineConfig struct {
 	Slots       int     // requests that run at once
-	Cache       int     // tokens of prompts and output that fit in memory
 	Memory      float64 // MB for weights and adapters together
 	Places      int     // adapters that fit
 	LoadsPerSec float64 // loads from the weight store over all backend servers
@@ -34,17 +31,6 @@
 // name.
 type Service struct {
 	config ServiceConfig
-	models map[string]ModelConfig
-}
-
-func newService(config ServiceConfig) Service {
-	s := Service{config: config, models: make(map[string]ModelConfig)}
-	if config.Engine != nil {
-		for _, model := range config.Engine.Models {
-			s.models[model.Name] = model
-		}
-	}
-	return s
 }
 
 // Name returns the service's name.
@@ -61,9 +47,3 @@
 	}
 	return *s.config.Engine, true
 }
-
-// Model returns the description of a model.
-func (s Service) Model(name string) (ModelConfig, bool) {
-	model, ok := s.models[name]
-	return model, ok
-}
--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -25,7 +25,6 @@
 	Spent       map[string]float64 // by tenant, since the incarnation began
 	Asked       map[string]float64 // engines that the requests for each model keep busy
 	Loads       []BackendLoad
-	Planner     string              // door of the lobby whose plan this is
 	Plan        map[string][]string // models by backend server; nil if the sender has no plan
 }
 
@@ -60,9 +59,6 @@
 // Loads returns what the sender has at the backend servers.
 func (d Digest) Loads() []BackendLoad { return d.config.Loads }
 
-// Planner returns the door of the lobby that made the plan.
-func (d Digest) Planner() string { return d.config.Planner }
-
 // Plan returns the models that each backend server shall hold, nil if the
 // sender makes no plan.
 func (d Digest) Plan() map[string][]string { return d.config.Plan }
--- a/commons/visit/visit.go
+++ b/commons/visit/visit.go
@@ -24,7 +24,6 @@
 	Parts    []Part
 	Patience time.Duration // for which the caller waits; zero if it does not say
 	Arrived  time.Time
-	Body     uint64 // hash of method, path, key and body, by which a repeat is known
 }
 
 // Visit is responsible for what a caller asks for. It is immutable.
@@ -68,9 +67,6 @@
 // Arrived returns the time at which the request was complete.
 func (v *Visit) Arrived() time.Time { return v.config.Arrived }
 
-// Fingerprint returns a hash by which a repeat of the request is known.
-func (v *Visit) Fingerprint() uint64 { return v.config.Body }
-
 // Sheet is what is added to a request on its way to a backend server.
 type Sheet struct {
 	Backend  string    // id that must serve it
--- a/lobby/parley/parley.go
+++ b/lobby/parley/parley.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	capacity  = 256
+	capacity  = 256                    // messages in the inbox
 	period    = time.Second            // between two looks for peers that are gone
 	callLimit = 400 * time.Millisecond // on one call of another lobby
 	absence   = 20 * time.Second       // without a sign, after which a peer that is not listed is dropped
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -35,7 +35,7 @@
 }
 
 // relay passes a piece of a stream on.
-func (e *exchange) relay(now time.Time, a *answer, data []byte) {
+func (e *exchange) relay(a *answer, data []byte) {
 	out := e.porch.piece[:0]
 	if !e.begun {
 		e.begun = true
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -76,7 +76,7 @@
 	switch {
 	case l.foreign():
 	case l.relayed():
-		l.exchange.relay(now, l.answer, data)
+		l.exchange.relay(l.answer, data)
 	default:
 		err = l.answer.gather(data)
 	}
