Run programs that have no settings file

Ruled out: load (failed alone as well, always about 5 s after the start). Change: the settings are one optional interface; reading them again has a test of its own.

--- a/commons/crew/program.go
+++ b/commons/crew/program.go
@@ -68,46 +68,52 @@
 	}
 	return Run(RunConfig{
 		Root: root, DrainLimit: settings.Duration("process", "drain-limit"), Log: log, Spool: spool,
-		Changed: fileWatch(args.Settings),
-		Reload:  func() { reload(args.Settings, program, settings, log) },
+		Settings: newFile(args.Settings, program, settings, log),
 	})
 }
 
-// fileWatch returns a function that reports whether a file has changed since it
-// was last called.
-func fileWatch(path string) func() bool {
-	var last string
-	look := func() string {
-		info, err := os.Stat(path)
-		if err != nil {
-			return last // it may be on its way; what was read before stays
-		}
-		return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
-	}
-	last = look()
-	return func() bool {
-		before := last
-		last = look()
-		return last != before
+// file is responsible for noticing that a settings file has changed and for
+// reading it again.
+type file struct {
+	path    string
+	program Program
+	before  *handbook.Values // in force
+	log     *logrus.Entry
+	seen    string // time and size of the file when it was last looked at
+}
+
+func newFile(path string, program Program, settings *handbook.Values, log *logrus.Entry) *file {
+	f := &file{path: path, program: program, before: settings, log: log.WithField("event", "reload")}
+	f.Changed()
+	return f
+}
+
+// Changed reports whether the file is another one than when last asked.
+func (f *file) Changed() bool {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		return false // it may be on its way; what was read before stays
 	}
+	before := f.seen
+	f.seen = fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+	return f.seen != before
 }
 
-// reload reads the settings again. The log level changes at once; other settings
+// Reload reads the file again. The log level changes at once; other settings
 // that differ are named and take effect at the next start.
-func reload(path string, program Program, before *handbook.Values, log *logrus.Entry) {
-	log = log.WithField("event", "reload")
-	settings, err := readSettings(path, program.Settings)
+func (f *file) Reload() {
+	settings, err := readSettings(f.path, f.program.Settings)
 	if err != nil {
-		log.WithError(err).Error("settings are kept as they were")
+		f.log.WithError(err).Error("settings are kept as they were")
 		return
 	}
 	level, err := logrus.ParseLevel(settings.Text("process", "log-level"))
 	if err != nil {
-		log.WithError(err).Error("settings are kept as they were")
+		f.log.WithError(err).Error("settings are kept as they were")
 		return
 	}
-	log.Logger.SetLevel(level)
-	log.WithField("next_start", strings.Join(settings.Differences(before), ",")).Info("settings read again")
+	f.log.Logger.SetLevel(level)
+	f.log.WithField("next_start", strings.Join(settings.Differences(f.before), ",")).Info("settings read again")
 }
 
 func readSettings(path string, declared []handbook.Setting) (*handbook.Values, error) {
--- /dev/null
+++ b/commons/crew/program_test.go
@@ -0,0 +1,68 @@
+package crew
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/handbook"
+)
+
+func TestSettingsFileIsReadAgain(t *testing.T) {
+	const before = "[process]\nlog-level = info\nname = a\n"
+	cases := map[string]struct {
+		text    string
+		changed bool
+		level   logrus.Level
+		say     string
+	}{
+		"as it was":     {text: before, level: logrus.InfoLevel, say: `next_start= `},
+		"log level":     {text: "[process]\nlog-level = debug\nname = a\n", changed: true, level: logrus.DebugLevel, say: "next_start=process.log-level"},
+		"another":       {text: "[process]\nlog-level = info\nname = other\n", changed: true, level: logrus.InfoLevel, say: "next_start=process.name"},
+		"with a fault":  {text: "[process]\nlog-level = debug\nnome = other\n", changed: true, level: logrus.InfoLevel, say: "settings are kept as they were"},
+		"unknown level": {text: "[process]\nlog-level = loud\nname = a\n", changed: true, level: logrus.InfoLevel, say: "settings are kept as they were"},
+	}
+	program := Program{Settings: []handbook.Setting{
+		handbook.NewSetting(handbook.SettingConfig{Section: "process", Key: "log-level", Kind: handbook.Text}),
+		handbook.NewSetting(handbook.SettingConfig{Section: "process", Key: "name", Kind: handbook.Text}),
+	}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "local.ini")
+			write(t, path, before)
+			settings, err := readSettings(path, program.Settings)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			log := logrus.New()
+			log.SetOutput(&out)
+			f := newFile(path, program, settings, logrus.NewEntry(log))
+			if tc.text != before {
+				write(t, path, tc.text)
+			}
+			if diff := cmp.Diff(tc.changed, f.Changed()); diff != "" {
+				t.Errorf("changed (-want +got):\n%s", diff)
+			}
+			f.Reload()
+			if diff := cmp.Diff(tc.level, log.GetLevel()); diff != "" {
+				t.Errorf("level (-want +got):\n%s", diff)
+			}
+			if !strings.Contains(out.String()+" ", tc.say) && !strings.Contains(strings.TrimSpace(out.String())+" ", tc.say) {
+				t.Errorf("the log says %q, not %q", out.String(), tc.say)
+			}
+		})
+	}
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/commons/crew/run.go
+++ b/commons/crew/run.go
@@ -1,6 +1,7 @@
 package crew
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
@@ -42,12 +43,20 @@
 type RunConfig struct {
 	Root       Root
 	DrainLimit time.Duration // longest time that a planned stop waits for open work
-	Changed    func() bool   // whether the settings file is another one than when last asked
-	Reload     func()        // reads the settings again, on SIGHUP and when the file has changed
+	Settings   Settings      // nil for a program without a settings file
+	Look       time.Duration // between two looks at the settings file; lookPeriod if zero
 	Spool      Spool         // writes the log's lines; nil if they are written at once
 	Log        *logrus.Entry
 }
 
+// Settings are the settings file of a program.
+type Settings interface {
+	// Changed reports whether the file is another one than when last asked.
+	Changed() bool
+	// Reload reads the file again.
+	Reload()
+}
+
 // Spool writes log lines on a thread of its own, which ends after all others.
 type Spool interface {
 	Service
@@ -95,20 +104,22 @@
 // again.
 func await(signals context.Context, hangups <-chan os.Signal, config RunConfig, stopped <-chan error) error {
 
-	looks := time.NewTicker(lookPeriod)
+	looks := time.NewTicker(cmp.Or(config.Look, lookPeriod))
 	defer looks.Stop()
 	for {
 		select {
 		case <-looks.C:
-			if config.Changed() {
-				config.Reload()
+			if config.Settings != nil && config.Settings.Changed() {
+				config.Settings.Reload()
 			}
 		case err := <-stopped:
 			return errors.Wrap(err, "supervision tree stopped")
 		case <-signals.Done():
 			return nil
 		case <-hangups:
-			config.Reload()
+			if config.Settings != nil {
+				config.Settings.Reload()
+			}
 		}
 	}
 }
--- a/commons/crew/run_test.go
+++ b/commons/crew/run_test.go
@@ -13,6 +13,12 @@
 	"sesamewell.example/commons/crew"
 )
 
+// settings counts how often they are read.
+type settings struct{ reloads chan struct{} }
+
+func (s settings) Changed() bool { return false }
+func (s settings) Reload()       { s.reloads <- struct{}{} }
+
 // root is a tree whose threads may ignore that they are to end.
 type root struct {
 	serving chan struct{}
@@ -35,10 +41,12 @@
 	cases := map[string]struct {
 		hangups int
 		stuck   bool
+		bare    bool // the program has no settings file
 	}{
 		"stop":            {},
 		"blocked threads": {stuck: true},
 		"hangups":         {hangups: 2},
+		"no settings":     {hangups: 2, bare: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -48,18 +56,17 @@
 			close(r.drained)
 			reloads := make(chan struct{}, tc.hangups+1)
 			code := make(chan int, 1)
-			go func() {
-				code <- crew.Run(crew.RunConfig{
-					Root: r, DrainLimit: time.Minute, Log: logrus.NewEntry(log),
-					Changed: func() bool { return false },
-					Reload:  func() { reloads <- struct{}{} },
-				})
-			}()
+			config := crew.RunConfig{Root: r, DrainLimit: time.Minute, Log: logrus.NewEntry(log), Look: time.Millisecond}
+			if !tc.bare {
+				config.Settings = settings{reloads: reloads}
+			}
+			go func() { code <- crew.Run(config) }()
 			<-r.serving
-
 			for range tc.hangups {
 				send(t, syscall.SIGHUP)
-				<-reloads
+				if !tc.bare {
+					<-reloads
+				}
 			}
 			send(t, syscall.SIGTERM)
 			if diff := cmp.Diff(crew.ExitOK, <-code); diff != "" {
