Say 'not run' exactly when no backend server can have run a request

Cause: reading: a request that had lost its first answer and found no second backend server was refused with 503; one whose sends had all been turned away got 504 at its end. Change: a request knows whether an earlier send may have run. Tests: TestRequestThatMayHaveRunIsNeverRefusedAsNotRun, TestTimeOverAfterASend.

--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -22,6 +22,7 @@
 	awaited    bool // its host has given no sign of it
 	sent       int  // backend servers that it has reached
 	unsent     int  // sends that failed before a byte was sent
+	mayHaveRun bool // an earlier send of it got no answer, or an error
 	begun      bool
 	first      time.Time // event; zero without one
 
@@ -59,8 +60,11 @@
 	return c.silence() - silenceMargin
 }
 
-// untouched reports whether no backend server can have had the request.
-func (c *call) untouched() bool { return c.dispatched.IsZero() }
+// untouched reports whether no backend server can have run the request.
+func (c *call) untouched() bool {
+	underWay := c.host != nil && c.tried[c.host.backend.ID()]
+	return !c.mayHaveRun && !underWay
+}
 
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
@@ -72,7 +76,6 @@
 	if n.Waited = n.Took; !c.dispatched.IsZero() {
 		n.Waited = c.dispatched.Sub(arrived)
 	}
-
 	if !c.first.IsZero() {
 		n.First = c.first.Sub(arrived)
 	}
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -322,6 +322,36 @@
 	want(t, "time over", []string{"refuse 503 no_backend"}, d.core.Tick(noon.Add(time.Second)))
 }
 
+func TestTimeOverAfterASend(t *testing.T) {
+	cases := map[string]struct {
+		result steward.Result
+		want   string
+	}{
+		"nothing was sent": {result: steward.Unsent, want: "refuse 503 no_backend"},
+		"it was not run":   {result: steward.Rejected, want: "refuse 503 no_backend"},
+		"it may have run":  {result: steward.Lost, want: "refuse 504 deadline_exceeded"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(holder("e1"), holder("e2"))
+			d.arrive(visit.Config{Path: "/resumable/a", Model: "m", Adapter: "a1", Patience: time.Second})
+			fetch := steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}
+			d.core.Handle(d.now, steward.NewFetched(fetch, 3*time.Second))
+			want(t, "after the send", []string{"fetch e2 m/a1"}, d.core.Handle(d.now, steward.NewEnded(1, tc.result, 0)))
+			want(t, "time over", []string{tc.want}, d.core.Tick(noon.Add(time.Second)))
+		})
+	}
+}
+
+func TestRequestThatMayHaveRunIsNeverRefusedAsNotRun(t *testing.T) {
+	d := newDesk(holder("e1"), holder("e2"))
+	d.arrive(visit.Config{Path: "/resumable/a", Model: "m", Adapter: "a1"})
+	d.core.Handle(d.now, steward.NewFetched(steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}, 3*time.Second))
+	want(t, "lost", []string{"fetch e2 m/a1"}, d.core.Handle(d.now, steward.NewEnded(1, steward.Lost, 0)))
+	fetch := steward.Fetch{Number: 1, Backend: "e2", Model: "m", Adapter: "a1"}
+	want(t, "no adapter", []string{"refuse 502 answer_lost"}, d.core.Handle(d.now, steward.NewFetched(fetch, 0)))
+}
+
 func TestAdapterIsFetchedOnceAndThenLeased(t *testing.T) {
 	d := newDesk(holder("e1"))
 	ask := visit.Config{Path: "/stream/a", Model: "m", Adapter: "a1"}
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -148,6 +148,7 @@
 // resendRun sends a request again that may have run, if that is allowed, or
 // ends it.
 func (c *Core) resendRun(now time.Time, call *call, otherwise Action) {
+	call.mayHaveRun = true
 	again := call.repeatable() && call.sent < call.route.Attempts() && now.Before(call.expires)
 	if again && c.choose(now, call) != nil && c.budget(call.service).spend(now, c.lobbies) {
 		c.send(now, call)
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -72,7 +72,6 @@
 	load := time.Duration(h.open+h.others) * plainWeight
 	if engine {
 		load = h.reading + h.othersReading + p.read(v.Model(), h.shelf.missing(v)) + h.crowd()
-
 	}
 	if !h.leased(now, v) {
 		load += absent
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -17,6 +17,10 @@
 		c.waiting[call.number] = call
 		return
 	}
+	if call.mayHaveRun {
+		c.refuse(call, answerLost, 0)
+		return
+	}
 	c.refund(now, call)
 	c.refuse(call, noBackend, awayRetry)
 }
