Mend what a last reading of the platform change found

Cause: a reading of the whole change found pieces written twice, a goroutine that was not a duty of the tree, and state that was kept though it could be derived.

Change, with no decision altered: - The entry's planner calls through porter.Lines, as the lobby does; its own copy of the same map is gone. - The end of a drain is a thread of the lobby's tree, fed by a ring, instead of a goroutine that the drain starts. Its rule has tests in virtual time. - wicket.LeadingBlank serves the lobby's porch too. - A probe passes the time on instead of a zero time that means none. Its connection is idle from the answer on; before, from the request's first byte. - restore says what it keeps back of the weight store's loads instead of working it out again afterwards. - refill looks for the first of the waiting requests instead of sorting all. - maps.Clone and a named check in place of a loop and an addition of zero. - Stray blank lines, a lost comma, and a variable named for the wrong unit.

Left as it is: messages and actions of the lobby and the keeper with exported fields, a plan sent to every keeper although it has not changed, and the same TestMain in three packages.

--- a/commons/crew/run.go
+++ b/commons/crew/run.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
 	"github.com/sirupsen/logrus"
 )
 
@@ -94,7 +93,6 @@
 	case <-time.After(stopWait):
 		config.Log.WithField("event", "stop").Warn("threads still wait for other processes")
 	}
-
 	config.Log.WithFields(logrus.Fields{"event": "stop", "code": code}).Info("process stopped")
 	return code
 }
@@ -103,7 +101,6 @@
 // that has stopped by itself. SIGHUP, or a change of the file, reads the settings
 // again.
 func await(signals context.Context, hangups <-chan os.Signal, config RunConfig, stopped <-chan error) error {
-
 	looks := time.NewTicker(cmp.Or(config.Look, lookPeriod))
 	defer looks.Stop()
 	for {
--- a/commons/wicket/conn.go
+++ b/commons/wicket/conn.go
@@ -33,7 +33,7 @@
 		}
 		return gnet.None
 	}
-	if blank := leadingBlank(buffered); blank > 0 {
+	if blank := LeadingBlank(buffered); blank > 0 {
 		_, _ = k.link.Discard(blank)
 		buffered = buffered[blank:]
 	}
@@ -113,6 +113,7 @@
 
 func closeAfterWrite(link gnet.Conn, _ error) error { return link.Close() }
 
-func leadingBlank(buffered []byte) int {
+// LeadingBlank returns the number of bytes of empty lines before a request.
+func LeadingBlank(buffered []byte) int {
 	return len(buffered) - len(bytes.TrimLeft(buffered, "\r\n"))
 }
--- a/entry/pitch/caller.go
+++ b/entry/pitch/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"sesamewell.example/commons/notice"
@@ -17,33 +16,11 @@
 	Call(method string, args, reply any, limit time.Duration) error
 }
 
-// lines is responsible for one connection to each process that is called.
-type lines struct {
-	dial func(address string) Line
-
-	mu   sync.Mutex
-	open map[string]Line
-}
-
-func newLines(dial func(address string) Line) *lines {
-	return &lines{dial: dial, open: make(map[string]Line)}
-}
-
-func (l *lines) to(address string) Line {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open[address] == nil {
-		l.open[address] = l.dial(address)
-	}
-	return l.open[address]
-}
-
 // caller is responsible for one call at a time.
 type caller struct {
 	config Config
 	calls  *ring.Ring
 	pitch  *ring.Ring
-	lines  *lines
 }
 
 // String returns the duty's name.
@@ -68,13 +45,13 @@
 	switch ask := call.(type) {
 	case AskSide:
 		var stock notice.Stock
-		if err := c.lines.to(ask.Link()).Call(notice.StockMethod, notice.StockAsk{}, &stock, c.config.Timeout); err != nil {
+		if err := c.config.Line(ask.Link()).Call(notice.StockMethod, notice.StockAsk{}, &stock, c.config.Timeout); err != nil {
 			return NewMissed(ask.Backend())
 		}
 		return NewReported(ask.Backend(), stock)
 	case AskPlanner:
 		var pulse notice.Pulse
-		if err := c.lines.to(ask.Link()).Call(notice.PulseMethod, notice.StockAsk{}, &pulse, c.config.Timeout); err != nil {
+		if err := c.config.Line(ask.Link()).Call(notice.PulseMethod, notice.StockAsk{}, &pulse, c.config.Timeout); err != nil {
 			return nil
 		}
 		return NewPulsed(pulse)
--- a/entry/pitch/pitch.go
+++ b/entry/pitch/pitch.go
@@ -29,7 +29,7 @@
 	Capacity int           // messages in each ring
 	Threads  int           // calls to other processes at once
 	Timeout  time.Duration // limit on one call
-	Dial     func(address string) Line
+	Line     func(address string) Line
 	Scribe   Scribe
 	Log      *logrus.Entry
 }
@@ -64,9 +64,8 @@
 // Services returns the planner's threads, to be added to a crew.
 func (p *Pitch) Services() []crew.Service {
 	services := []crew.Service{crew.NewDuty(crew.DutyConfig{Name: "pitch", Inbox: p.inbox, Handler: p, Period: tickPeriod})}
-	lines := newLines(p.config.Dial)
 	for range p.config.Threads {
-		services = append(services, &caller{config: p.config, calls: p.calls, pitch: p.inbox, lines: lines})
+		services = append(services, &caller{config: p.config, calls: p.calls, pitch: p.inbox})
 	}
 	return services
 }
--- a/entry/placing.go
+++ b/entry/placing.go
@@ -19,6 +19,9 @@
 // the planner's claim.
 func newPitch(settings *handbook.Values, identity *porter.Identity, scribe pitch.Scribe, log *logrus.Entry) *pitch.Pitch {
 	timeout := settings.Duration("planner", "timeout")
+	lines := porter.NewLines(func(address string) *porter.Line {
+		return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: timeout, Identity: identity})
+	})
 	return pitch.New(pitch.Config{
 		Core: pitch.CoreConfig{
 			Instance:  settings.Text("process", "instance"),
@@ -34,10 +37,8 @@
 		Capacity: settings.Integer("planner", "inbox"),
 		Threads:  settings.Integer("planner", "threads"),
 		Timeout:  timeout,
-		Dial: func(address string) pitch.Line {
-			return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: timeout, Identity: identity})
-		},
-		Scribe: scribe,
-		Log:    log,
+		Line:     func(address string) pitch.Line { return lines.To(address) },
+		Scribe:   scribe,
+		Log:      log,
 	})
 }
--- a/keeper/warden/warden.go
+++ b/keeper/warden/warden.go
@@ -146,7 +146,6 @@
 	if err != nil {
 		c.config.Log.WithField("event", "engine_state").WithError(err).Debug("engine does not report")
 		return Silent{}
-
 	}
 	return NewReported(asked, state)
 }
--- /dev/null
+++ b/lobby/farewell_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestFarewellLook(t *testing.T) {
+	type outcome struct {
+		Ended  bool
+		Closed int
+	}
+	tests := map[string]struct {
+		age  time.Duration
+		open int
+		want outcome
+	}{
+		"stays while callers may still come":  {age: time.Second, want: outcome{}},
+		"ends when nothing is open":           {age: 3 * time.Second, want: outcome{Ended: true}},
+		"waits for an open request":           {age: 3 * time.Second, open: 1, want: outcome{}},
+		"gives open requests up at the limit": {age: 11 * time.Second, open: 1, want: outcome{Closed: 1}},
+		"gives nothing up that has ended":     {age: 11 * time.Second, want: outcome{Ended: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			closed := 0
+			f := newFarewell(farewellConfig{
+				Stay: 2 * time.Second, Limit: 10 * time.Second,
+				Open: func() int { return test.open }, Close: func() { closed++ },
+			})
+			got := outcome{Ended: f.look(test.age), Closed: closed}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("look (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFarewellServesDrain(t *testing.T) {
+	f := newFarewell(farewellConfig{Limit: time.Hour, Open: func() int { return 0 }, Close: func() {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Serve(ctx) }()
+	done, err := f.begin(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Error("the drain did not end")
+	}
+	cancel()
+	<-stopped
+}
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -30,6 +30,7 @@
 //
 //	lobby
 //	├── lantern  (operators' pages)
+//	├── farewell (the end of a drain)
 //	├── porch    (connections of callers and to backend servers)
 //	├── dialers  (new connections to backend servers)
 //	├── steward  (decisions on requests)
@@ -42,9 +43,9 @@
 //	├── backends (the list of backend servers)
 //	└── lobbies  (the list of lobbies)
 type house struct {
-	crew  *crew.Crew
-	news  *news
-	limit time.Duration // of a drain
+	crew     *crew.Crew
+	news     *news
+	farewell *farewell
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
@@ -52,7 +53,7 @@
 	n := &news{self: settings.Address("door", "listen"), incarnation: rand.Uint64(), log: log}
 	h := &house{
 		crew: crew.New(crew.Config{Name: "lobby", Log: log}),
-		news: n, limit: settings.Duration("process", "drain-limit") - closeMargin,
+		news: n,
 	}
 	n.lines = newLines()
 	n.board = herald.NewBoard(herald.BoardConfig{Listener: n, Log: log})
@@ -84,6 +85,13 @@
 		Log:      log,
 	})
 	n.steward.Attach(n.porch, runs, n)
+	h.farewell = newFarewell(farewellConfig{
+		Stay:  stayAfterTerm,
+		Limit: settings.Duration("process", "drain-limit") - closeMargin,
+		Open:  n.steward.Open,
+		Close: func() { n.tell(steward.Closing{}) },
+	})
+	h.add(h.farewell)
 	h.add(n.porch.Services()...)
 	h.add(n.steward.Duty())
 	h.add(runs.Services()...)
@@ -96,7 +104,6 @@
 		Trail:   trail.New(trail.Config{Instance: settings.Text("process", "instance")}),
 		Rings:   append(n.porch.Rings(), n.steward.Inbox(), n.planner.Inbox(), n.parley.Inbox()),
 	}))
-
 	h.add(porter.NewDoor(porter.DoorConfig{
 		Address:  n.self,
 		Services: []porter.Service{{Name: notice.LobbyService, Receiver: parley.NewDesk(n.parley)}},
@@ -121,7 +128,6 @@
 	config := herald.Config{Store: register, Board: h.news.board, Log: log}
 	h.news.catchUp = herald.NewCatchUp(herald.CatchUpConfig{Store: register, Peers: h.news, Board: h.news.board, Log: log})
 	h.add(h.news.catchUp)
-
 	h.add(herald.NewCharters(config), herald.NewBackends(config), herald.NewLobbies(herald.LobbiesConfig{
 		Self: h.news.self, Directory: register, Members: h.news.parley, Log: log,
 	}))
@@ -197,29 +203,5 @@
 	if err := h.news.steward.Inbox().PutWithin(ctx, steward.Draining{}, drainHandOver); err != nil {
 		return nil, err
 	}
-	done := make(chan struct{})
-	go h.awaitEnd(ctx, done)
-	return done, nil
-}
-
-// awaitEnd closes done when the last request has ended.
-func (h *house) awaitEnd(ctx context.Context, done chan<- struct{}) {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	began := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-
-			if h.news.steward.Open() == 0 && now.Sub(began) > stayAfterTerm {
-				close(done)
-				return
-			}
-			if now.Sub(began) > h.limit {
-				h.news.tell(steward.Closing{})
-			}
-		}
-	}
+	return h.farewell.begin(time.Now())
 }
--- a/lobby/parley/parley.go
+++ b/lobby/parley/parley.go
@@ -122,7 +122,6 @@
 		known.token = p.crew.Add(known)
 		p.config.Log.WithFields(logrus.Fields{"event": "lobby_met", "lobby": door, "lobbies": len(p.peers) + 1}).Info("another lobby is known")
 		p.config.Hearer.Peopled(len(p.peers) + 1)
-
 	}
 	known.seen = now
 }
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -18,7 +18,7 @@
 	Self    string        // door of this lobby
 	Silence time.Duration // after which another lobby counts as gone
 	Settle  time.Duration // from the first request on, and from the first list on, in which the plan stays as it is
-	Excess  float64       // of the weight store's rate that is allowed in a window
+	Excess  float64       // rate of loads from the weight store that a window allows, as a multiple of the engine's
 }
 
 // Core is responsible for the plan. It does no input or output.
@@ -127,8 +127,8 @@
 		if now.Sub(p.heard) >= c.config.Silence {
 			continue
 		}
-		for model, tokens := range p.asked {
-			sum[model] += tokens
+		for model, engines := range p.asked {
+			sum[model] += engines
 		}
 	}
 	return sum
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -50,7 +50,6 @@
 	moving  int            // planned models that are not held yet
 	changes []Change
 	store   float64 // loads from the weight store that may be planned now
-
 }
 
 // Change is one model that was planned for a backend server.
@@ -106,15 +105,15 @@
 		if d.copies[model.Name] > 0 {
 			continue
 		}
-		store := d.store
+		reserve := 0.0 // loads from the store that are kept for models in demand
 		if d.store < storeBurst || d.moving >= d.atOnce() {
-			d.store = 0
+			reserve = d.store
 		}
-		spent := d.store
+		d.store -= reserve
 		if d.settle(model.Name) || d.place(model.Name, slack*standby) {
 			d.moving++
 		}
-		d.store += store - spent
+		d.store += reserve
 	}
 }
 
@@ -263,7 +262,6 @@
 func (d *draft) room(h *host, model string) (gone []string, cost float64, ok bool) {
 	left := d.free(h) - d.memory(model)
 	kept := slices.Clone(h.models)
-
 	for left < 0 && len(kept) > 0 {
 		least := slices.MinFunc(kept, func(a, b string) int { return cmp.Compare(d.loss(a), d.loss(b)) })
 		left += d.memory(least)
--- a/lobby/porch/caller.go
+++ b/lobby/porch/caller.go
@@ -1,7 +1,6 @@
 package porch
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -29,7 +28,7 @@
 func (c *caller) advance(now time.Time) {
 	for !c.closed && c.exchange == nil {
 		buffered, _ := c.conn.Peek(-1)
-		if blank := len(buffered) - len(bytes.TrimLeft(buffered, "\r\n")); blank > 0 {
+		if blank := wicket.LeadingBlank(buffered); blank > 0 {
 			_, _ = c.conn.Discard(blank)
 			buffered = buffered[blank:]
 		}
@@ -66,14 +65,14 @@
 
 func (c *caller) receive(now time.Time, request *fasthttp.Request) {
 	if c.prober {
-		c.answerProbe(request)
+		c.answerProbe(now, request)
 		return
 	}
 	c.porch.open(now, c, request)
 }
 
 // answerProbe tells the platform whether this process takes connections.
-func (c *caller) answerProbe(request *fasthttp.Request) {
+func (c *caller) answerProbe(now time.Time, request *fasthttp.Request) {
 	status := fasthttp.StatusNotFound
 	if string(request.URI().Path()) == c.porch.config.ReadyPath {
 		status = fasthttp.StatusServiceUnavailable
@@ -85,7 +84,7 @@
 	c.porch.config.Codec.Refusal(&head, "", status, 0)
 	head.SetContentLength(0)
 	c.write(head.AppendBytes(nil))
-	c.finish(time.Time{})
+	c.finish(now)
 }
 
 // reject answers a request that could not be parsed and closes the connection,
@@ -101,10 +100,7 @@
 
 // finish makes the connection free for its next request.
 func (c *caller) finish(now time.Time) {
-	c.exchange = nil
-	if !now.IsZero() {
-		c.since = now
-	}
+	c.exchange, c.since = nil, now
 	if c.last {
 		c.abort()
 	}
--- a/lobby/steward/admission.go
+++ b/lobby/steward/admission.go
@@ -1,8 +1,6 @@
 package steward
 
-import (
-	"time"
-)
+import "time"
 
 // takes reports whether new requests may begin. A process that is about to stop
 // takes none once the platform should know.
@@ -31,7 +29,6 @@
 	}
 	c.calls[call.number] = call
 	c.budget(call.service).request(c.lobbies)
-
 	c.send(now, call)
 }
 
--- a/lobby/steward/budget.go
+++ b/lobby/steward/budget.go
@@ -7,7 +7,6 @@
 	Ratio  float64       // retries for each request
 	Extra  float64       // retries in a window besides, over all processes
 	Window time.Duration // over which requests and retries are counted
-
 }
 
 // budget is responsible for keeping the retries of one service below a share of
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -87,7 +87,6 @@
 	}
 	call.settle()
 	call.host.open--
-
 	call.host.reading -= call.reading
 	call.host, call.reading = nil, 0
 }
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,7 +69,8 @@
 
 // unpark tries the requests that wait once more, the most pressing first.
 func (c *Core) unpark(now time.Time) {
-	for _, call := range c.queue(now, func(*call) bool { return true }) {
+	queue := slices.SortedFunc(maps.Values(c.waiting), func(a, b *call) int { return ahead(now, a, b) })
+	for _, call := range queue {
 		c.send(now, call)
 	}
 }
@@ -82,18 +84,13 @@
 	fits := func(call *call) bool {
 		return call.service == h.backend.Service() && h.takes(now, call) && !call.tried[h.backend.ID()]
 	}
-	if queue := c.queue(now, fits); len(queue) > 0 {
-		c.send(now, queue[0])
-	}
-}
-
-func (c *Core) queue(now time.Time, fits func(*call) bool) []*call {
-	var queue []*call
+	var first *call
 	for _, call := range c.waiting {
-		if fits(call) {
-			queue = append(queue, call)
+		if fits(call) && (first == nil || ahead(now, call, first) < 0) {
+			first = call
 		}
 	}
-	slices.SortFunc(queue, func(a, b *call) int { return ahead(now, a, b) })
-	return queue
+	if first != nil {
+		c.send(now, first)
+	}
 }
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -64,10 +65,7 @@
 		c.measure(now.Sub(c.told))
 	}
 	c.told = now
-	tell := Tell{Spent: c.config.Purse.Spent(), Asked: make(map[string]float64, len(c.demand))}
-	for model, demand := range c.demand {
-		tell.Asked[model] = demand
-	}
+	tell := Tell{Spent: c.config.Purse.Spent(), Asked: maps.Clone(c.demand)}
 	for _, h := range c.hosts {
 		if h.open > 0 {
 			tell.Loads = append(tell.Loads, notice.BackendLoad{Backend: h.backend.ID(), Open: h.open, Reading: h.reading, Silent: h.silent(now)})
@@ -90,7 +88,9 @@
 	}
 	weight := min(span.Seconds()/askedWindow.Seconds(), 1)
 	for model := range open {
-		c.demand[model] += 0
+		if _, known := c.demand[model]; !known {
+			c.demand[model] = 0
+		}
 	}
 	for model, demand := range c.demand {
 		demand += (open[model] - demand) * weight
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -98,7 +98,6 @@
 		if err := s.give(action); err != nil {
 			return err
 		}
-
 	}
 	return nil
 }
