--- a/commons/charter/backend.go
+++ b/commons/charter/backend.go
@@ -2,13 +2,42 @@
 
 import "slices"
 
-// Holding is one model that a backend server has loaded.
-type Holding struct {
+// HoldingConfig holds the construction parameters of a Holding.
+type HoldingConfig struct {
 	Model    string
 	Version  int64
 	Adapters []string
 }
 
+// Holding is one model that a backend server has loaded.
+type Holding struct{ config HoldingConfig }
+
+// NewHolding returns a holding.
+func NewHolding(config HoldingConfig) Holding { return Holding{config: config} }
+
+// Model returns the model's name.
+func (h Holding) Model() string { return h.config.Model }
+
+// Version returns the version of its weights.
+func (h Holding) Version() int64 { return h.config.Version }
+
+// Adapters returns the adapters that are loaded beside it.
+func (h Holding) Adapters() []string { return h.config.Adapters }
+
+// Without returns the holding without one of its adapters.
+func (h Holding) Without(adapter string) Holding {
+	h.config.Adapters = slices.DeleteFunc(slices.Clone(h.config.Adapters), func(a string) bool { return a == adapter })
+	return h
+}
+
+func newHoldings(configs []HoldingConfig) []Holding {
+	holdings := make([]Holding, 0, len(configs))
+	for _, config := range configs {
+		holdings = append(holdings, NewHolding(config))
+	}
+	return holdings
+}
+
 // BackendConfig holds the construction parameters of a Backend.
 type BackendConfig struct {
 	ID       string // of this start of the backend server
@@ -17,7 +46,7 @@
 	Domain   string
 	Slots    int
 	Leaving  bool
-	Holdings []Holding
+	Holdings []HoldingConfig
 	OnHand   []string // models that load without the weight store
 	Born     int64    // Unix milliseconds of its start
 }
@@ -55,7 +84,7 @@
 func (b Backend) Born() int64 { return b.config.Born }
 
 // Holdings returns the models that it has loaded.
-func (b Backend) Holdings() []Holding { return b.config.Holdings }
+func (b Backend) Holdings() []Holding { return newHoldings(b.config.Holdings) }
 
 // OnHand reports whether a model loads there without the weight store.
 func (b Backend) OnHand(model string) bool { return slices.Contains(b.config.OnHand, model) }
--- a/commons/charter/charter.go
+++ b/commons/charter/charter.go
@@ -11,21 +11,39 @@
 	"time"
 )
 
-// Limits bound what a caller may send and how long it may take.
-type Limits struct {
+// LimitsConfig holds the construction parameters of a Limits.
+type LimitsConfig struct {
 	MaxHeader  int64 // bytes
 	MaxBody    int64 // bytes
 	SlowSender time.Duration
 	Idle       time.Duration
 }
 
+// Limits bound what a caller may send and how long it may take.
+type Limits struct{ config LimitsConfig }
+
+// NewLimits returns limits.
+func NewLimits(config LimitsConfig) Limits { return Limits{config: config} }
+
+// MaxHeader returns the largest head of a request in bytes.
+func (l Limits) MaxHeader() int64 { return l.config.MaxHeader }
+
+// MaxBody returns the largest body of a request in bytes.
+func (l Limits) MaxBody() int64 { return l.config.MaxBody }
+
+// SlowSender returns the time that a caller may take to send a request.
+func (l Limits) SlowSender() time.Duration { return l.config.SlowSender }
+
+// Idle returns the time for which an idle connection is kept.
+func (l Limits) Idle() time.Duration { return l.config.Idle }
+
 // Config holds the construction parameters of a Charter.
 type Config struct {
 	Version  int64
 	Routes   []RouteConfig
 	Services []ServiceConfig
 	Tenants  []TenantConfig
-	Limits   Limits
+	Limits   LimitsConfig
 }
 
 // Charter is responsible for one complete version of the configuration. It is
@@ -48,7 +66,7 @@
 		services: make(map[string]Service, len(config.Services)),
 		tenants:  make(map[string]Tenant, len(config.Tenants)),
 		keys:     make(map[string]string),
-		limits:   config.Limits,
+		limits:   NewLimits(config.Limits),
 		config:   config,
 	}
 	for _, service := range config.Services {
--- a/commons/charter/charter_test.go
+++ b/commons/charter/charter_test.go
@@ -33,7 +33,7 @@
 }
 
 func TestSharesOfARoute(t *testing.T) {
-	c := charter.New(charter.Config{Routes: []charter.RouteConfig{{Host: "h", Prefix: "/", Shares: []charter.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}}})
+	c := charter.New(charter.Config{Routes: []charter.RouteConfig{{Host: "h", Prefix: "/", Shares: []charter.ShareConfig{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}}})
 	route, _ := c.Route("h", "/")
 	counts := make(map[string]int)
 	for i := range 1000 {
--- /dev/null
+++ b/commons/charter/engine.go
@@ -0,0 +1,65 @@
+package charter
+
+// StateConfig holds the construction parameters of a State.
+type StateConfig struct {
+	Holdings []HoldingConfig
+	Coming   []string // adapters on their way, as MODEL/NAME
+	OnDisk   []string // models that load without the weight store
+	Busy     bool     // a model is being loaded or unloaded
+	Orders   int64    // accepted since the engine's start
+	Born     int64    // Unix milliseconds of its start
+}
+
+// State is what a model engine reports of itself.
+type State struct{ config StateConfig }
+
+// NewState returns a state.
+func NewState(config StateConfig) State { return State{config: config} }
+
+// Holdings returns the models that are loaded.
+func (s State) Holdings() []Holding { return newHoldings(s.config.Holdings) }
+
+// Coming returns the adapters on their way, as MODEL/NAME.
+func (s State) Coming() []string { return s.config.Coming }
+
+// OnDisk returns the models that load without the weight store.
+func (s State) OnDisk() []string { return s.config.OnDisk }
+
+// Busy reports whether a model is being loaded or unloaded.
+func (s State) Busy() bool { return s.config.Busy }
+
+// Orders returns the number of orders accepted since the engine's start.
+func (s State) Orders() int64 { return s.config.Orders }
+
+// Born returns the Unix millisecond of the engine's start.
+func (s State) Born() int64 { return s.config.Born }
+
+// OrderConfig holds the construction parameters of an Order.
+type OrderConfig struct {
+	Backend string // id of the backend server that is meant
+	Unload  bool
+	Model   string
+	Adapter string // empty for the model itself
+	Expect  int64  // orders that the engine has accepted before; otherwise it refuses
+}
+
+// Order asks an engine to load or unload a model or an adapter.
+type Order struct{ config OrderConfig }
+
+// NewOrder returns an order.
+func NewOrder(config OrderConfig) Order { return Order{config: config} }
+
+// Backend returns the id of the backend server that is meant.
+func (o Order) Backend() string { return o.config.Backend }
+
+// Unload reports whether what the order names leaves the memory.
+func (o Order) Unload() bool { return o.config.Unload }
+
+// Model returns the model's name.
+func (o Order) Model() string { return o.config.Model }
+
+// Adapter returns the adapter's name, empty for the model itself.
+func (o Order) Adapter() string { return o.config.Adapter }
+
+// Expect returns the number of orders that the engine has accepted before.
+func (o Order) Expect() int64 { return o.config.Expect }
--- a/commons/charter/route.go
+++ b/commons/charter/route.go
@@ -12,8 +12,8 @@
 	Stream             // answered by a series of events
 )
 
-// Share is one service's part of a route's requests.
-type Share struct {
+// ShareConfig is one service's part of a route's requests.
+type ShareConfig struct {
 	Service string
 	Weight  int
 }
@@ -29,7 +29,7 @@
 	Gap       time.Duration // longest pause between two events
 	Priority  int           // zero is the most urgent
 	Attempts  int           // backend servers to which one request may be sent
-	Shares    []Share
+	Shares    []ShareConfig
 	Open      bool // needs no key
 	Resumable bool // a stream may go on at another backend server
 }
--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -8,8 +8,8 @@
 	TellMethod   = LobbyService + ".Tell"
 )
 
-// BackendLoad is what one lobby has at one backend server.
-type BackendLoad struct {
+// LoadConfig is what one lobby has at one backend server.
+type LoadConfig struct {
 	Backend string
 	Open    int           // requests
 	Reading time.Duration // of the prompts of those that have not begun
@@ -24,7 +24,7 @@
 	Charter     int64              // version of the configuration in force
 	Spent       map[string]float64 // by tenant, since the incarnation began
 	Asked       map[string]float64 // engines that the requests for each model keep busy
-	Loads       []BackendLoad
+	Loads       []LoadConfig
 	Plan        map[string][]string // models by backend server; nil if the sender has no plan
 }
 
@@ -57,7 +57,7 @@
 func (d Digest) Asked() map[string]float64 { return d.config.Asked }
 
 // Loads returns what the sender has at the backend servers.
-func (d Digest) Loads() []BackendLoad { return d.config.Loads }
+func (d Digest) Loads() []LoadConfig { return d.config.Loads }
 
 // Plan returns the models that each backend server shall hold, nil if the
 // sender makes no plan.
--- a/commons/notice/errand.go
+++ b/commons/notice/errand.go
@@ -9,8 +9,8 @@
 	FetchMethod   = KeeperService + ".Fetch"
 )
 
-// ModelNeed is one model that a backend server shall hold.
-type ModelNeed struct {
+// ModelNeedConfig is one model that a backend server shall hold.
+type ModelNeedConfig struct {
 	Name    string
 	Memory  float64 // MB of weights
 	Adapter float64 // MB of one of its adapters
@@ -21,10 +21,10 @@
 	Planner string // door of the lobby that plans
 	Backend string // id of the backend server that is meant
 	Born    int64  // Unix milliseconds of its start, which is meant
-	Models  []ModelNeed
-	Others  []ModelNeed // further models of the service, which it may still hold
-	Memory  float64     // MB for weights and adapters
-	Places  int         // adapters that fit
+	Models  []ModelNeedConfig
+	Others  []ModelNeedConfig // further models of the service, which it may still hold
+	Memory  float64           // MB for weights and adapters
+	Places  int               // adapters that fit
 }
 
 // Assign tells a keeper what its backend server shall hold.
@@ -45,10 +45,10 @@
 func (a Assign) Born() int64 { return a.config.Born }
 
 // Models returns the models that it shall hold.
-func (a Assign) Models() []ModelNeed { return a.config.Models }
+func (a Assign) Models() []ModelNeedConfig { return a.config.Models }
 
 // Others returns the other models of the service.
-func (a Assign) Others() []ModelNeed { return a.config.Others }
+func (a Assign) Others() []ModelNeedConfig { return a.config.Others }
 
 // Memory returns the MB for weights and adapters.
 func (a Assign) Memory() float64 { return a.config.Memory }
--- a/commons/visit/visit.go
+++ b/commons/visit/visit.go
@@ -5,12 +5,24 @@
 
 import "time"
 
-// Part is one piece of a prompt, which other requests may begin with too.
-type Part struct {
+// PartConfig holds the construction parameters of a Part.
+type PartConfig struct {
 	ID     string
 	Tokens int64
 }
 
+// Part is one piece of a prompt, which other requests may begin with too.
+type Part struct{ config PartConfig }
+
+// NewPart returns a part.
+func NewPart(config PartConfig) Part { return Part{config: config} }
+
+// ID returns the part's name.
+func (p Part) ID() string { return p.config.ID }
+
+// Tokens returns its length.
+func (p Part) Tokens() int64 { return p.config.Tokens }
+
 // Config holds the construction parameters of a Visit.
 type Config struct {
 	ID       string // given by the caller to this attempt
@@ -67,8 +79,8 @@
 // Arrived returns the time at which the request was complete.
 func (v *Visit) Arrived() time.Time { return v.config.Arrived }
 
-// Sheet is what is added to a request on its way to a backend server.
-type Sheet struct {
+// SheetConfig holds the construction parameters of a Sheet.
+type SheetConfig struct {
 	Backend  string    // id that must serve it
 	Tenant   string    // empty without
 	Until    time.Time // end of the caller's patience and of the route's time
@@ -76,8 +88,29 @@
 	Ranked   bool      // Priority is to be passed on
 }
 
-// Answer is what the head of a backend server's answer says.
-type Answer struct {
+// Sheet is what is added to a request on its way to a backend server.
+type Sheet struct{ config SheetConfig }
+
+// NewSheet returns a sheet.
+func NewSheet(config SheetConfig) Sheet { return Sheet{config: config} }
+
+// Backend returns the id of the backend server that must serve it.
+func (s Sheet) Backend() string { return s.config.Backend }
+
+// Tenant returns the tenant's name, empty without one.
+func (s Sheet) Tenant() string { return s.config.Tenant }
+
+// Until returns the end of the caller's patience and of the route's time.
+func (s Sheet) Until() time.Time { return s.config.Until }
+
+// Priority returns the rank, zero being the most urgent.
+func (s Sheet) Priority() int { return s.config.Priority }
+
+// Ranked reports whether Priority is passed on.
+func (s Sheet) Ranked() bool { return s.config.Ranked }
+
+// AnswerConfig holds the construction parameters of an Answer.
+type AnswerConfig struct {
 	ID        string // of the request that is answered; empty if it does not say
 	NotRun    bool   // the request was not run
 	Elsewhere bool   // another backend server has the address, or it lacks the model
@@ -86,3 +119,30 @@
 	Idle      time.Duration
 	Signed    bool // it carries the backend server's signature
 }
+
+// Answer is what the head of a backend server's answer says.
+type Answer struct{ config AnswerConfig }
+
+// NewAnswer returns an answer.
+func NewAnswer(config AnswerConfig) Answer { return Answer{config: config} }
+
+// ID returns the id of the request that is answered, empty if it does not say.
+func (a Answer) ID() string { return a.config.ID }
+
+// NotRun reports whether the request was not run.
+func (a Answer) NotRun() bool { return a.config.NotRun }
+
+// Elsewhere reports whether another backend server has the address, or it lacks the model.
+func (a Answer) Elsewhere() bool { return a.config.Elsewhere }
+
+// Backend returns the id of the backend server that answers, empty if it does not say.
+func (a Answer) Backend() string { return a.config.Backend }
+
+// Close reports whether the connection ends with this answer.
+func (a Answer) Close() bool { return a.config.Close }
+
+// Idle returns the time for which an idle connection is kept, zero if it does not say.
+func (a Answer) Idle() time.Duration { return a.config.Idle }
+
+// Signed reports whether it carries the backend server's signature.
+func (a Answer) Signed() bool { return a.config.Signed }
--- a/commons/wicket/conn.go
+++ b/commons/wicket/conn.go
@@ -47,19 +47,19 @@
 	if err != nil {
 		return k.refuse(err)
 	}
-	if parsed.Request == nil {
+	if parsed.Request() == nil {
 		k.await(parsed)
 		return gnet.None
 	}
-	_, _ = k.link.Discard(parsed.Used)
-	return k.deliver(now, parsed.Request)
+	_, _ = k.link.Discard(parsed.Used())
+	return k.deliver(now, parsed.Request())
 }
 
 // await notes how many bytes the request needs and asks a caller that waits for
 // it to send the body.
 func (k *conn) await(parsed Parsed) {
-	k.need = parsed.Need
-	if parsed.Expects && !k.proceeded {
+	k.need = parsed.Need()
+	if parsed.Expects() && !k.proceeded {
 		k.proceeded = true
 		_ = k.link.AsyncWrite(Proceed, nil)
 	}
--- a/commons/wicket/parse.go
+++ b/commons/wicket/parse.go
@@ -25,12 +25,25 @@
 
 // Parsed is what the first bytes of a connection hold.
 type Parsed struct {
-	Request *fasthttp.Request // nil while bytes are missing
-	Used    int               // bytes that the request takes
-	Need    int               // bytes without which parsing again is of no use; zero if not known
-	Expects bool              // the caller waits for Proceed
+	request *fasthttp.Request
+	used    int
+	need    int
+	expects bool
 }
 
+// Request returns the request, nil while bytes are missing.
+func (p Parsed) Request() *fasthttp.Request { return p.request }
+
+// Used returns the bytes that the request takes.
+func (p Parsed) Used() int { return p.used }
+
+// Need returns the bytes without which parsing again is of no use, zero if that
+// is not known.
+func (p Parsed) Need() int { return p.need }
+
+// Expects reports whether the caller waits for Proceed.
+func (p Parsed) Expects() bool { return p.expects }
+
 // Parse reads the request that buffered begins with. Its error is a *Refusal
 // for a request that is malformed or larger than the limits, in bytes.
 func Parse(buffered []byte, maxHeader, maxBody int) (Parsed, error) {
@@ -55,7 +68,7 @@
 		return Parsed{}, err
 	}
 	if !whole {
-		return Parsed{Need: end + max(request.Header.ContentLength(), 0), Expects: request.MayContinue()}, nil
+		return Parsed{need: end + max(request.Header.ContentLength(), 0), expects: request.MayContinue()}, nil
 	}
 	if err := request.ContinueReadBody(reader, maxBody, false); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
@@ -63,7 +76,7 @@
 		}
 		return Parsed{}, bodyError(request, err)
 	}
-	return Parsed{Request: request, Used: len(buffered) - source.Len() - reader.Buffered()}, nil
+	return Parsed{request: request, used: len(buffered) - source.Len() - reader.Buffered()}, nil
 }
 
 // bodyIsWhole reports whether the body has arrived; end is where it begins.
--- a/keeper/engine.go
+++ b/keeper/engine.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"sesamewell.example/keeper/warden"
+	"sesamewell.example/commons/charter"
 	"sesamewell.example/platform"
 )
 
@@ -11,13 +11,10 @@
 }
 
 // State asks for the engine's state.
-func (e engine) State() (warden.State, error) {
-	report, err := e.client.Report()
-	return warden.State(report), err
-}
+func (e engine) State() (charter.State, error) { return e.client.State() }
 
 // Give gives an order.
-func (e engine) Give(order warden.Order) (bool, error) {
-	outcome, err := e.client.Order(platform.Order(order))
+func (e engine) Give(order charter.Order) (bool, error) {
+	outcome, err := e.client.Order(order)
 	return err == nil && outcome != platform.Refused, err
 }
--- a/keeper/warden/core.go
+++ b/keeper/warden/core.go
@@ -32,7 +32,7 @@
 	config   CoreConfig
 	assign   notice.Assign
 	assigned time.Time // zero before the first plan
-	state    State
+	stock    stock
 	seen     bool
 	looked   time.Time
 	looking  bool // a look has no answer yet
@@ -95,36 +95,22 @@
 	c.assign, c.assigned = assign, now
 }
 
-func (c *Core) report(state State) {
-	if c.seen && state.Born != c.state.Born {
+func (c *Core) report(state charter.State) {
+	if c.seen && state.Born() != c.stock.born {
 		clear(c.leases) // a new start holds nothing of before
 	}
-	c.state, c.seen, c.blind = state, true, c.pending
+	c.stock, c.seen, c.blind = newStock(state), true, c.pending
 }
 
 // answer notes what became of an order. What the engine took is seen in its
-// next report; its number is known at once.
+// next report; what an adapter's order does is known at once.
 func (c *Core) answer(m Answered) {
 	c.pending = false
-
-	if !m.known || !m.taken || m.order.Expect != c.state.Orders || m.order.Adapter == "" {
+	if !m.known || !m.taken || m.order.Expect() != c.stock.orders || m.order.Adapter() == "" {
 		c.blind, c.looked = true, time.Time{}
 		return
 	}
-	c.state.Orders++
-	if !m.order.Unload {
-		c.state.Coming = append(c.state.Coming, key(m.order.Model, m.order.Adapter))
-		return
-	}
-	c.drop(m.order.Model, m.order.Adapter)
-}
-
-func (c *Core) drop(model, adapter string) {
-	for i, holding := range c.state.Holdings {
-		if holding.Model == model {
-			c.state.Holdings[i].Adapters = slices.DeleteFunc(slices.Clone(holding.Adapters), func(a string) bool { return a == adapter })
-		}
-	}
+	c.stock.took(m.order)
 }
 
 func (c *Core) decide(now time.Time) {
@@ -133,7 +119,7 @@
 	switch {
 	case len(c.waiting) > 0:
 		period = c.config.Watch
-	case c.state.Busy || !c.seen || c.blind:
+	case c.stock.busy || !c.seen || c.blind:
 		period = min(c.config.Look, busyWatch)
 	}
 	if now.Sub(c.looked) >= period && !c.looking {
@@ -141,12 +127,12 @@
 		c.actions = append(c.actions, Look{})
 	}
 	c.due = c.looked.Add(period)
-	if !c.seen || c.pending || c.blind || c.assign.Born() != c.state.Born {
+	if !c.seen || c.pending || c.blind || c.assign.Born() != c.stock.born {
 		return
 	}
 	if order, ok := c.next(now); ok {
 		c.pending = true
-		c.actions = append(c.actions, order)
+		c.actions = append(c.actions, Give{order: order})
 	}
 }
 
@@ -155,7 +141,7 @@
 	kept := c.waiting[:0]
 	for _, w := range c.waiting {
 		switch {
-		case c.holds(w.fetch.Model(), w.fetch.Adapter()):
+		case c.stock.holds(w.fetch.Model(), w.fetch.Adapter()):
 			c.leases[key(w.fetch.Model(), w.fetch.Adapter())] = now.Add(c.config.Lease)
 			c.reply(w, c.config.Lease)
 		case !now.Before(w.until), c.seen && c.hopeless(w.fetch):
@@ -170,7 +156,7 @@
 // hopeless reports whether an adapter cannot be there in time: its model is
 // missing, or the engine takes no order until it has loaded a model.
 func (c *Core) hopeless(fetch notice.Fetch) bool {
-	return !c.holds(fetch.Model(), "") || c.state.Busy && !c.coming(fetch.Model(), fetch.Adapter())
+	return !c.stock.holds(fetch.Model(), "") || c.stock.busy && !c.stock.awaits(fetch.Model(), fetch.Adapter())
 }
 
 func (c *Core) reply(w waiter, kept time.Duration) {
@@ -179,113 +165,93 @@
 
 // next returns the order that is due first: adapters that lobbies wait for,
 // then models.
-func (c *Core) next(now time.Time) (Order, bool) {
+func (c *Core) next(now time.Time) (charter.Order, bool) {
 	for _, w := range c.waiting {
 		if order, ok := c.adapter(now, w.fetch); ok {
 			return order, true
 		}
 	}
-	if c.state.Busy {
-		return Order{}, false
+	if c.stock.busy {
+		return charter.Order{}, false
 	}
 	return c.model()
 }
 
 // adapter returns the order that brings an adapter closer: its own, or one that
 // makes room.
-func (c *Core) adapter(now time.Time, fetch notice.Fetch) (Order, bool) {
-	if c.holds(fetch.Model(), fetch.Adapter()) || c.coming(fetch.Model(), fetch.Adapter()) || !c.holds(fetch.Model(), "") {
-		return Order{}, false
+func (c *Core) adapter(now time.Time, fetch notice.Fetch) (charter.Order, bool) {
+	if c.stock.holds(fetch.Model(), fetch.Adapter()) || c.stock.awaits(fetch.Model(), fetch.Adapter()) || !c.stock.holds(fetch.Model(), "") {
+		return charter.Order{}, false
 	}
 	need, ok := c.need(fetch.Model())
 	if !ok {
-		return Order{}, false
+		return charter.Order{}, false
 	}
-	if c.adapters() < c.assign.Places() && c.reserved()+need.Adapter <= c.assign.Memory() {
-		return c.order(Order{Model: fetch.Model(), Adapter: fetch.Adapter()}), len(c.state.Coming) < maxComing
+	if c.stock.places() < c.assign.Places() && c.reserved()+need.Adapter <= c.assign.Memory() {
+		return c.order(charter.OrderConfig{Model: fetch.Model(), Adapter: fetch.Adapter()}), len(c.stock.coming) < maxComing
 	}
 	model, name, ok := c.oldest(now)
-	return c.order(Order{Unload: true, Model: model, Adapter: name}), ok
+	return c.order(charter.OrderConfig{Unload: true, Model: model, Adapter: name}), ok
 }
 
 // oldest returns the adapter whose lease ended first.
 func (c *Core) oldest(now time.Time) (model, adapter string, found bool) {
 	var first time.Time
-	for _, holding := range c.state.Holdings {
-		for _, name := range holding.Adapters {
-			until := c.leases[key(holding.Model, name)]
+	for _, holding := range c.stock.holdings {
+		for _, name := range holding.Adapters() {
+			until := c.leases[key(holding.Model(), name)]
 			if now.Before(until) || found && !until.Before(first) {
 				continue
 			}
-			model, adapter, found, first = holding.Model, name, true, until
+			model, adapter, found, first = holding.Model(), name, true, until
 		}
 	}
 	return model, adapter, found
 }
 
 // model returns the order that brings the models closer to the plan.
-func (c *Core) model() (Order, bool) {
+func (c *Core) model() (charter.Order, bool) {
 	for _, need := range c.assign.Models() {
-		if c.holds(need.Name, "") {
+		if c.stock.holds(need.Name, "") {
 			continue
 		}
 		if c.reserved()+need.Memory > c.assign.Memory() {
 			return c.surplus()
 		}
-
-		return c.order(Order{Model: need.Name}), true
+		return c.order(charter.OrderConfig{Model: need.Name}), true
 	}
-	return Order{}, false
+	return charter.Order{}, false
 }
 
 // surplus returns the order to unload a model that the plan does not name.
-func (c *Core) surplus() (Order, bool) {
-	for _, holding := range c.state.Holdings {
-		planned := slices.ContainsFunc(c.assign.Models(), func(need notice.ModelNeed) bool { return need.Name == holding.Model })
+func (c *Core) surplus() (charter.Order, bool) {
+	for _, holding := range c.stock.holdings {
+		planned := slices.ContainsFunc(c.assign.Models(), func(need notice.ModelNeedConfig) bool { return need.Name == holding.Model() })
 		if !planned {
-			return c.order(Order{Unload: true, Model: holding.Model}), true
+			return c.order(charter.OrderConfig{Unload: true, Model: holding.Model()}), true
 		}
 	}
-	return Order{}, false
+	return charter.Order{}, false
 }
 
-func (c *Core) order(order Order) Order {
-	order.Backend, order.Expect = c.assign.Backend(), c.state.Orders
-	return order
-}
-
-func (c *Core) holds(model, adapter string) bool {
-	return charter.NewBackend(charter.BackendConfig{Holdings: c.state.Holdings}).Holds(model, adapter)
-}
-
-func (c *Core) coming(model, adapter string) bool {
-	return slices.ContainsFunc(c.state.Coming, func(name string) bool {
-		bare, _, _ := strings.Cut(name, "@")
-		return bare == key(model, adapter)
-	})
-}
-
-// adapters returns the number of places that are taken.
-func (c *Core) adapters() int {
-	n := len(c.state.Coming)
-	for _, holding := range c.state.Holdings {
-		n += len(holding.Adapters)
-	}
-	return n
+// order returns an order that the engine takes only if no other has come before.
+func (c *Core) order(config charter.OrderConfig) charter.Order {
+	config.Backend, config.Expect = c.assign.Backend(), c.stock.orders
+	return charter.NewOrder(config)
 }
 
 // reserved returns the MB that are taken, adapters on their way included. A
 // model of unknown size counts as all memory.
 func (c *Core) reserved() float64 {
 	sum := 0.0
-	for _, holding := range c.state.Holdings {
-		need, ok := c.need(holding.Model)
+	for _, holding := range c.stock.holdings {
+		need, ok := c.need(holding.Model())
 		if !ok {
 			return c.assign.Memory()
 		}
-		sum += need.Memory + float64(len(holding.Adapters))*need.Adapter
+		sum += need.Memory + float64(len(holding.Adapters()))*need.Adapter
 	}
-	for _, name := range c.state.Coming {
+	for _, name := range c.stock.coming {
 		model, _, _ := strings.Cut(name, "/")
 		need, _ := c.need(model)
 		sum += need.Adapter
@@ -293,15 +259,13 @@
 	return sum
 }
 
-func (c *Core) need(model string) (notice.ModelNeed, bool) {
-	for _, list := range [][]notice.ModelNeed{c.assign.Models(), c.assign.Others()} {
+func (c *Core) need(model string) (notice.ModelNeedConfig, bool) {
+	for _, list := range [][]notice.ModelNeedConfig{c.assign.Models(), c.assign.Others()} {
 		for _, need := range list {
 			if need.Name == model {
 				return need, true
 			}
 		}
 	}
-	return notice.ModelNeed{}, false
+	return notice.ModelNeedConfig{}, false
 }
-
-func key(model, adapter string) string { return model + "/" + adapter }
--- a/keeper/warden/core_test.go
+++ b/keeper/warden/core_test.go
@@ -46,7 +46,7 @@
 
 // delivery is an order on its way to the engine.
 type delivery struct {
-	order  warden.Order
+	order  charter.Order
 	at     time.Time
 	answer bool // the keeper gets its answer
 }
@@ -82,8 +82,8 @@
 	return w
 }
 
-func need(name string) notice.ModelNeed {
-	return notice.ModelNeed{Name: name, Memory: modelMB, Adapter: adapter}
+func need(name string) notice.ModelNeedConfig {
+	return notice.ModelNeedConfig{Name: name, Memory: modelMB, Adapter: adapter}
 }
 
 func (w *world) assign(planner string, models ...string) {
@@ -145,8 +145,8 @@
 		switch a := action.(type) {
 		case warden.Look:
 			w.obey(w.core.Handle(w.now, warden.NewReported(w.now, w.state())))
-		case warden.Order:
-			w.give(a)
+		case warden.Give:
+			w.give(a.Order())
 		case warden.Reply:
 			a.Send()
 		}
@@ -154,7 +154,7 @@
 }
 
 // give lets an order meet its fate.
-func (w *world) give(order warden.Order) {
+func (w *world) give(order charter.Order) {
 	lost, late := w.lossy()
 	switch {
 	case lost:
@@ -167,37 +167,37 @@
 	}
 }
 
-func (w *world) state() warden.State {
-	s := warden.State{OnDisk: w.onDisk, Busy: w.loading != "", Orders: w.orders, Born: w.born}
+func (w *world) state() charter.State {
+	s := charter.StateConfig{OnDisk: w.onDisk, Busy: w.loading != "", Orders: w.orders, Born: w.born}
 	for model, adapters := range w.held {
-		s.Holdings = append(s.Holdings, charter.Holding{Model: model, Adapters: slices.Clone(adapters)})
+		s.Holdings = append(s.Holdings, charter.HoldingConfig{Model: model, Adapters: slices.Clone(adapters)})
 	}
-	slices.SortFunc(s.Holdings, func(a, b charter.Holding) int { return int(a.Model[0]) - int(b.Model[0]) })
-	return s
+	slices.SortFunc(s.Holdings, func(a, b charter.HoldingConfig) int { return int(a.Model[0]) - int(b.Model[0]) })
+	return charter.NewState(s)
 }
 
 // take is the engine: it refuses an order that is out of turn, or while a model
 // loads.
-func (w *world) take(order warden.Order) bool {
-	if order.Expect != w.orders || w.loading != "" {
+func (w *world) take(order charter.Order) bool {
+	if order.Expect() != w.orders || w.loading != "" {
 		w.refused++
 		return false
 	}
-	if order.Adapter != "" && !order.Unload && slices.Contains(w.held[order.Model], order.Adapter) {
+	if order.Adapter() != "" && !order.Unload() && slices.Contains(w.held[order.Model()], order.Adapter()) {
 		return true
 	}
 	w.orders++
-	_, held := w.held[order.Model]
+	_, held := w.held[order.Model()]
 	switch {
-	case order.Unload && order.Adapter == "":
-		delete(w.held, order.Model)
-	case order.Unload:
-		w.held[order.Model] = slices.DeleteFunc(w.held[order.Model], func(a string) bool { return a == order.Adapter })
-	case order.Adapter != "" && held:
+	case order.Unload() && order.Adapter() == "":
+		delete(w.held, order.Model())
+	case order.Unload():
+		w.held[order.Model()] = slices.DeleteFunc(w.held[order.Model()], func(a string) bool { return a == order.Adapter() })
+	case order.Adapter() != "" && held:
 		w.adapters++
-		w.held[order.Model] = append(w.held[order.Model], order.Adapter)
-	case order.Adapter == "" && !held:
-		w.loading, w.ready = order.Model, w.now.Add(loadTime)
+		w.held[order.Model()] = append(w.held[order.Model()], order.Adapter())
+	case order.Adapter() == "" && !held:
+		w.loading, w.ready = order.Model(), w.now.Add(loadTime)
 	}
 	w.check()
 	return true
@@ -217,8 +217,8 @@
 
 func (w *world) models() []string {
 	var names []string
-	for _, holding := range w.state().Holdings {
-		names = append(names, holding.Model)
+	for _, holding := range w.state().Holdings() {
+		names = append(names, holding.Model())
 	}
 	return names
 }
--- a/keeper/warden/message.go
+++ b/keeper/warden/message.go
@@ -28,24 +28,14 @@
 	return Wanted{fetch: fetch, reply: reply}
 }
 
-// State is what the engine reports of itself.
-type State struct {
-	Holdings []charter.Holding
-	Coming   []string // adapters on their way, beginning with MODEL/NAME
-	OnDisk   []string // models that load without the weight store
-	Busy     bool     // a model is being loaded or unloaded
-	Orders   int64    // accepted since the engine's start
-	Born     int64    // Unix milliseconds of its start
-}
-
 // Reported brings the engine's state, asked for at a time.
 type Reported struct {
 	asked time.Time
-	state State
+	state charter.State
 }
 
 // NewReported returns the message.
-func NewReported(asked time.Time, state State) Reported {
+func NewReported(asked time.Time, state charter.State) Reported {
 	return Reported{asked: asked, state: state}
 }
 
@@ -54,13 +44,13 @@
 
 // Answered brings the engine's answer to the order that was given last.
 type Answered struct {
-	order Order
+	order charter.Order
 	taken bool // it is carried out, or holds already
 	known bool // the engine did answer
 }
 
 // NewAnswered returns the message.
-func NewAnswered(order Order, taken, known bool) Answered {
+func NewAnswered(order charter.Order, taken, known bool) Answered {
 	return Answered{order: order, taken: taken, known: known}
 }
 
@@ -76,14 +66,11 @@
 // Look asks for the engine's state.
 type Look struct{}
 
-// Order asks the engine to load or unload a model or an adapter.
-type Order struct {
-	Backend string
-	Unload  bool
-	Model   string
-	Adapter string // empty for the model itself
-	Expect  int64  // orders that the engine has accepted
-}
+// Give gives the engine an order.
+type Give struct{ order charter.Order }
+
+// Order returns the order.
+func (g Give) Order() charter.Order { return g.order }
 
 // Reply answers a lobby.
 type Reply struct {
@@ -95,5 +82,5 @@
 func (r Reply) Send() { _ = r.to.Put(r.fetched) }
 
 func (Look) wardenAction()  {}
-func (Order) wardenAction() {}
+func (Give) wardenAction()  {}
 func (Reply) wardenAction() {}
--- a/keeper/warden/warden.go
+++ b/keeper/warden/warden.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/charter"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
@@ -17,10 +17,10 @@
 // Engine is the backend server beside this process.
 type Engine interface {
 	// State asks for the engine's state.
-	State() (State, error)
+	State() (charter.State, error)
 	// Give gives an order and reports whether the engine carries it out. After
 	// an error it may still do so.
-	Give(order Order) (taken bool, err error)
+	Give(order charter.Order) (taken bool, err error)
 }
 
 // Config holds the construction parameters of a Warden.
@@ -74,7 +74,7 @@
 func (w *Warden) carryOut(actions []Action) error {
 	for _, action := range actions {
 		switch a := action.(type) {
-		case Look, Order:
+		case Look, Give:
 			if err := w.clerk.jobs.Put(a); err != nil {
 				return err
 			}
@@ -103,7 +103,6 @@
 		if err != nil {
 			return err
 		}
-
 		if err := c.warden.PutWithin(ctx, c.call(job), handOver); err != nil {
 			return err
 		}
@@ -111,25 +110,26 @@
 }
 
 func (c *clerk) call(job any) Message {
-	order, ok := job.(Order)
+	give, ok := job.(Give)
 	if !ok {
 		return c.look()
 	}
+	order := give.Order()
 	taken, err := c.config.Engine.Give(order)
 	log := c.config.Log.WithFields(logrus.Fields{
-		"event": "order", "backend": order.Backend, "unload": order.Unload, "model": order.Model,
-		"adapter": order.Adapter, "expect": order.Expect, "taken": taken,
+		"event": "order", "backend": order.Backend(), "unload": order.Unload(), "model": order.Model(),
+		"adapter": order.Adapter(), "expect": order.Expect(), "taken": taken,
 	})
 	countOrder(order, taken, err)
 	if err != nil {
 		log.WithError(err).Warn("order may not have been taken")
-	} else if order.Adapter == "" {
+	} else if order.Adapter() == "" {
 		log.Info("order answered")
 	}
 	return NewAnswered(order, taken, err == nil)
 }
 
-func countOrder(order Order, taken bool, err error) {
+func countOrder(order charter.Order, taken bool, err error) {
 	result := "refused"
 	switch {
 	case err != nil:
@@ -137,7 +137,7 @@
 	case taken:
 		result = "taken"
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_orders_total{unload=\"%t\",adapter=\"%t\",result=%q}", order.Unload, order.Adapter != "", result)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_orders_total{unload=\"%t\",adapter=\"%t\",result=%q}", order.Unload(), order.Adapter() != "", result)).Inc()
 }
 
 func (c *clerk) look() Message {
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -120,11 +120,11 @@
 
 // addHerald adds the threads that follow the platform's store.
 func (h *house) addHerald(settings *handbook.Values, log *logrus.Entry) {
-	register := platform.Register{
+	register := platform.NewRegister(platform.RegisterConfig{
 		Store:  platform.NewStore(platform.StoreConfig{Address: settings.Address("platform", "store"), Timeout: settings.Duration("platform", "timeout")}),
 		Missed: herald.ErrMissed,
 		Log:    log,
-	}
+	})
 	config := herald.Config{Store: register, Board: h.news.board, Log: log}
 	h.news.catchUp = herald.NewCatchUp(herald.CatchUpConfig{Store: register, Peers: h.news, Board: h.news.board, Log: log})
 	h.add(h.news.catchUp)
--- a/lobby/parley/parley_test.go
+++ b/lobby/parley/parley_test.go
@@ -99,7 +99,7 @@
 	config := notice.DigestConfig{
 		Sender: a.door, Incarnation: 7, Serial: 3, Charter: 9,
 		Spent: map[string]float64{"t": 12}, Asked: map[string]float64{"m": 0.5},
-		Loads: []notice.BackendLoad{{Backend: "e1", Open: 2, Reading: time.Millisecond, Silent: true}},
+		Loads: []notice.LoadConfig{{Backend: "e1", Open: 2, Reading: time.Millisecond, Silent: true}},
 		Plan:  map[string][]string{"e1": {"m"}},
 	}
 	heard := send(t, a, b, notice.NewDigest(config))
--- a/lobby/planner/core.go
+++ b/lobby/planner/core.go
@@ -175,14 +175,14 @@
 			Places:  engine.Places,
 		}
 		for _, model := range engine.Models {
-			need := notice.ModelNeed{Name: model.Name, Memory: model.Memory, Adapter: model.Adapter}
+			need := notice.ModelNeedConfig{Name: model.Name, Memory: model.Memory, Adapter: model.Adapter}
 			if slices.Contains(h.models, model.Name) {
 				config.Models = append(config.Models, need)
 			} else if h.backend.Holds(model.Name, "") {
 				config.Others = append(config.Others, need)
 			}
 		}
-		slices.SortFunc(config.Models, func(a, b notice.ModelNeed) int {
+		slices.SortFunc(config.Models, func(a, b notice.ModelNeedConfig) int {
 			return cmp.Compare(d.asked[b.Name], d.asked[a.Name])
 		})
 		assigns[h.backend.Address()] = notice.NewAssign(config)
--- a/lobby/planner/core_test.go
+++ b/lobby/planner/core_test.go
@@ -83,7 +83,7 @@
 	for id, models := range f.holds {
 		config := charter.BackendConfig{ID: id, Service: "s", Address: id + ":80", Slots: 64, Born: f.born, Leaving: f.leaving[id], OnHand: f.onHand[id]}
 		for _, model := range models {
-			config.Holdings = append(config.Holdings, charter.Holding{Model: model})
+			config.Holdings = append(config.Holdings, charter.HoldingConfig{Model: model})
 		}
 		list = append(list, charter.NewBackend(config))
 	}
--- a/lobby/planner/draft.go
+++ b/lobby/planner/draft.go
@@ -52,8 +52,8 @@
 	store   float64 // loads from the weight store that may be planned now
 }
 
-// Change is one model that was planned for a backend server.
-type Change struct {
+// ChangeConfig holds the construction parameters of a Change.
+type ChangeConfig struct {
 	Backend string
 	Model   string
 	Dropped []string
@@ -62,6 +62,30 @@
 	OnHand  bool    // it loads without the weight store
 }
 
+// Change is one model that was planned for a backend server.
+type Change struct{ config ChangeConfig }
+
+// NewChange returns a change.
+func NewChange(config ChangeConfig) Change { return Change{config: config} }
+
+// Backend returns the id of the backend server.
+func (c Change) Backend() string { return c.config.Backend }
+
+// Model returns the model that it is to load.
+func (c Change) Model() string { return c.config.Model }
+
+// Dropped returns the models that make room.
+func (c Change) Dropped() []string { return c.config.Dropped }
+
+// Asked returns the engines that the model keeps busy.
+func (c Change) Asked() float64 { return c.config.Asked }
+
+// Copies returns the number of copies of the model, this one included.
+func (c Change) Copies() int { return c.config.Copies }
+
+// OnHand reports whether the model loads without the weight store.
+func (c Change) OnHand() bool { return c.config.OnHand }
+
 // host is one backend server in a draft.
 type host struct {
 	backend charter.Backend
@@ -146,9 +170,9 @@
 	h.models = append(h.models, model)
 	h.fixed = true
 	d.copies[model]++
-	d.changes = append(d.changes, Change{
+	d.changes = append(d.changes, NewChange(ChangeConfig{
 		Backend: h.backend.ID(), Model: model, Dropped: dropped, Asked: d.asked[model], Copies: d.copies[model], OnHand: h.backend.OnHand(model),
-	})
+	}))
 	if !h.backend.OnHand(model) {
 		d.store--
 	}
--- a/lobby/planner/planner.go
+++ b/lobby/planner/planner.go
@@ -85,8 +85,8 @@
 	plan, assigns := p.core.Decide(now)
 	for _, change := range p.core.Changes() {
 		p.config.Log.WithFields(logrus.Fields{
-			"event": "planned", "backend": change.Backend, "model": change.Model, "dropped": change.Dropped,
-			"asked": change.Asked, "copies": change.Copies, "on_hand": change.OnHand,
+			"event": "planned", "backend": change.Backend(), "model": change.Model(), "dropped": change.Dropped(),
+			"asked": change.Asked(), "copies": change.Copies(), "on_hand": change.OnHand(),
 		}).Info("model planned")
 	}
 	p.config.Audience.Planned(plan)
--- a/lobby/porch/caller.go
+++ b/lobby/porch/caller.go
@@ -39,25 +39,25 @@
 			c.partial, c.since = true, now
 		}
 		limits := c.porch.limits.Load()
-		parsed, err := wicket.Parse(buffered, int(limits.MaxHeader), int(limits.MaxBody))
+		parsed, err := wicket.Parse(buffered, int(limits.MaxHeader()), int(limits.MaxBody()))
 		if err != nil {
 			c.reject(wicket.AsRefusal(err))
 			return
 		}
-		if parsed.Request == nil {
+		if parsed.Request() == nil {
 			c.await(parsed)
 			return
 		}
-		_, _ = c.conn.Discard(parsed.Used)
+		_, _ = c.conn.Discard(parsed.Used())
 		c.need, c.proceeded, c.partial = 0, false, false
-		c.last = c.last || parsed.Request.Header.ConnectionClose()
-		c.receive(now, parsed.Request)
+		c.last = c.last || parsed.Request().Header.ConnectionClose()
+		c.receive(now, parsed.Request())
 	}
 }
 
 func (c *caller) await(parsed wicket.Parsed) {
-	c.need = parsed.Need
-	if parsed.Expects && !c.proceeded {
+	c.need = parsed.Need()
+	if parsed.Expects() && !c.proceeded {
 		c.proceeded = true
 		c.write(wicket.Proceed)
 	}
@@ -133,9 +133,9 @@
 	}
 	limits, age := c.porch.limits.Load(), now.Sub(c.since)
 	switch {
-	case c.partial && age > limits.SlowSender:
+	case c.partial && age > limits.SlowSender():
 		c.reject(wicket.ErrSlowSender)
-	case !c.partial && (age > limits.Idle || c.porch.leaving(now)):
+	case !c.partial && (age > limits.Idle() || c.porch.leaving(now)):
 		c.abort()
 	}
 }
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -89,13 +89,13 @@
 func (e *exchange) finishGathered(now time.Time, a *answer) {
 	status := a.head.StatusCode()
 	switch {
-	case a.about.Elsewhere && a.about.Backend != "" && a.about.Backend != e.send.Sheet.Backend:
+	case a.about.Elsewhere() && a.about.Backend() != "" && a.about.Backend() != e.send.Sheet().Backend():
 		e.porch.tell(steward.NewEnded(e.number, steward.Replaced, status))
-	case a.about.Elsewhere:
+	case a.about.Elsewhere():
 		e.porch.tell(steward.NewEnded(e.number, steward.Misplaced, status))
-	case a.about.NotRun:
+	case a.about.NotRun():
 		e.porch.tell(steward.NewEnded(e.number, steward.Rejected, status))
-	case status >= fasthttp.StatusInternalServerError && e.send.Keep:
+	case status >= fasthttp.StatusInternalServerError && e.send.Keep():
 		e.kept = a
 		e.porch.tell(steward.NewEnded(e.number, steward.Spoiled, status))
 	default:
@@ -147,9 +147,9 @@
 
 // sweep gives up a send whose backend server has been silent for too long.
 func (e *exchange) sweep(now time.Time) {
-	limit := e.send.First
+	limit := e.send.First()
 	if e.begun {
-		limit = e.send.Gap
+		limit = e.send.Gap()
 	}
 	if l := e.link; l != nil && limit > 0 && now.Sub(e.active) > limit {
 		l.forsake(errSilent)
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -30,7 +30,7 @@
 	l.exchange, l.answer = e, &answer{}
 	e.link, e.active = l, now
 
-	l.porch.scratch = l.porch.config.Codec.Forward(now, l.porch.scratch[:0], e.request, e.send.Sheet)
+	l.porch.scratch = l.porch.config.Codec.Forward(now, l.porch.scratch[:0], e.request, e.send.Sheet())
 	if _, err := l.conn.Write(l.porch.scratch); err != nil {
 		l.fail(errors.Wrap(err, "send"))
 	}
@@ -89,7 +89,7 @@
 		return used, err
 	}
 	success := l.answer.head.StatusCode() < fasthttp.StatusMultipleChoices
-	if success && (!l.answer.about.Signed || len(l.answer.head.ContentEncoding()) > 0) {
+	if success && (!l.answer.about.Signed() || len(l.answer.head.ContentEncoding()) > 0) {
 		return used, errors.New("answer does not bear the backend server's signature")
 	}
 	return used, nil
@@ -98,13 +98,13 @@
 // foreign reports whether the answer belongs to an earlier request; the right
 // one may follow.
 func (l *link) foreign() bool {
-	id := l.answer.about.ID
+	id := l.answer.about.ID()
 	return id != "" && id != l.exchange.visit.ID()
 }
 
 // relayed reports whether the answer is passed on as it arrives.
 func (l *link) relayed() bool {
-	return l.exchange.send.Stream && l.answer.head.StatusCode() == fasthttp.StatusOK
+	return l.exchange.send.Stream() && l.answer.head.StatusCode() == fasthttp.StatusOK
 }
 
 // finish ends an answer that has arrived whole.
@@ -131,13 +131,13 @@
 	if l.closed {
 		return
 	}
-	if a.about.Close || a.length == unknownLength || l.conn.InboundBuffered() > 0 || l.conn.OutboundBuffered() > 0 {
+	if a.about.Close() || a.length == unknownLength || l.conn.InboundBuffered() > 0 || l.conn.OutboundBuffered() > 0 {
 		l.close()
 		return
 	}
 	l.idleSince, l.idleLimit = now, defaultIdle
-	if a.about.Idle > 0 {
-		l.idleLimit = max(a.about.Idle-idleMargin, a.about.Idle/2)
+	if a.about.Idle() > 0 {
+		l.idleLimit = max(a.about.Idle()-idleMargin, a.about.Idle()/2)
 	}
 	l.pool.rest(now, l)
 }
--- a/lobby/porch/pool.go
+++ b/lobby/porch/pool.go
@@ -22,7 +22,7 @@
 
 // carry sends an exchange on an idle connection, or on one that it dials.
 func (p *pool) carry(now time.Time, e *exchange) {
-	if l := p.takeIdle(now, e.send.Fresh); l != nil {
+	if l := p.takeIdle(now, e.send.Fresh()); l != nil {
 		l.carry(now, e)
 		return
 	}
--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -94,10 +94,10 @@
 		exchanges: make(map[uint64]*exchange),
 		pools:     make(map[string]*pool),
 	}
-	p.SetLimits(charter.Limits{
+	p.SetLimits(charter.NewLimits(charter.LimitsConfig{
 		MaxHeader: wicket.DefaultMaxHeader, MaxBody: wicket.DefaultMaxBody,
 		SlowSender: wicket.DefaultSlowSender, Idle: wicket.DefaultIdle,
-	})
+	}))
 	return p
 }
 
@@ -267,15 +267,15 @@
 	case steward.Send:
 		p.send(now, a)
 	case steward.Pass:
-		if e, ok := p.exchanges[a.Number]; ok {
+		if e, ok := p.exchanges[a.Number()]; ok {
 			e.reply(now, e.kept)
 		}
 	case steward.Refuse:
-		if e, ok := p.exchanges[a.Number]; ok {
-			e.refuse(now, a.Status, a.RetryAfter)
+		if e, ok := p.exchanges[a.Number()]; ok {
+			e.refuse(now, a.Status(), a.RetryAfter())
 		}
 	case steward.Retire:
-		if pool, ok := p.pools[a.Backend]; ok {
+		if pool, ok := p.pools[a.Backend()]; ok {
 			pool.retire()
 		}
 	case dialFailed:
@@ -286,18 +286,18 @@
 }
 
 func (p *Porch) send(now time.Time, send steward.Send) {
-	e, ok := p.exchanges[send.Number]
+	e, ok := p.exchanges[send.Number()]
 	if !ok {
 		return
 	}
 	e.send, e.kept = send, nil
-	id := send.Sheet.Backend
+	id := send.Sheet().Backend()
 	pl, ok := p.pools[id]
 	if !ok {
-		pl = &pool{porch: p, backend: id, address: send.Address}
+		pl = &pool{porch: p, backend: id, address: send.Address()}
 		p.pools[id] = pl
 	}
-	pl.most, e.pool = send.Links, pl
+	pl.most, e.pool = send.Links(), pl
 	pl.carry(now, e)
 }
 
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -97,7 +97,7 @@
 }
 
 // newLobby starts a porch; send completes the send of each request.
-func newLobby(t testing.TB, send func(send *steward.Send)) *lobby {
+func newLobby(t testing.TB, send func(send *steward.SendConfig)) *lobby {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -125,7 +125,7 @@
 }
 
 // decide stands in for the steward.
-func (l *lobby) decide(ctx context.Context, inbox *ring.Ring, send func(send *steward.Send)) {
+func (l *lobby) decide(ctx context.Context, inbox *ring.Ring, send func(send *steward.SendConfig)) {
 	for {
 		item, err := inbox.Take(ctx)
 		if err != nil {
@@ -133,12 +133,12 @@
 		}
 		switch m := item.(type) {
 		case steward.Arrived:
-			s := steward.Send{Number: m.Number(), Visit: m.Visit(), Links: 4, Sheet: visit.Sheet{Backend: "i-1", Until: time.Now().Add(patience)}}
+			s := steward.SendConfig{Number: m.Number(), Visit: m.Visit(), Links: 4, Sheet: visit.NewSheet(visit.SheetConfig{Backend: "i-1", Until: time.Now().Add(patience)})}
 			send(&s)
-			_ = l.porch.Put(s)
+			_ = l.porch.Put(steward.NewSend(s))
 		case steward.Ended:
 			if m.Result() != steward.Complete {
-				_ = l.porch.Put(steward.Refuse{Number: m.Number(), Visit: visit.New(visit.Config{}), Status: http.StatusBadGateway})
+				_ = l.porch.Put(steward.NewRefuse(steward.RefuseConfig{Number: m.Number(), Visit: visit.New(visit.Config{}), Status: http.StatusBadGateway}))
 			}
 			l.ended <- m
 		case steward.Left:
@@ -198,7 +198,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, tc.script)
-			l := newLobby(t, func(s *steward.Send) { s.Address, s.Stream, s.Keep = b.address, tc.stream, tc.keep })
+			l := newLobby(t, func(s *steward.SendConfig) { s.Address, s.Stream, s.Keep = b.address, tc.stream, tc.keep })
 			response, body, err := ask(t, l.front)
 			if diff := cmp.Diff(tc.cut, err != nil); diff != "" {
 				t.Fatalf("cut (-want +got):\n%s%v", diff, err)
@@ -261,7 +261,7 @@
 				_, _ = io.WriteString(conn, tc.answer(id))
 				return true
 			})
-			l := newLobby(t, func(s *steward.Send) { s.Address = b.address })
+			l := newLobby(t, func(s *steward.SendConfig) { s.Address = b.address })
 			conn, err := net.Dial("tcp", l.front)
 			if err != nil {
 				t.Fatal(err)
@@ -289,7 +289,7 @@
 		_, _ = io.WriteString(conn, streamHead(id)+chunk("a"))
 		return true
 	})
-	l := newLobby(t, func(s *steward.Send) { s.Address, s.Stream = b.address, true })
+	l := newLobby(t, func(s *steward.SendConfig) { s.Address, s.Stream = b.address, true })
 	conn, err := net.Dial("tcp", l.front)
 	if err != nil {
 		t.Fatal(err)
@@ -332,7 +332,7 @@
 				_, _ = io.WriteString(conn, tc.say)
 				return true
 			})
-			l := newLobby(t, func(s *steward.Send) {
+			l := newLobby(t, func(s *steward.SendConfig) {
 				s.Address, s.Stream, s.First, s.Gap = b.address, true, 100*time.Millisecond, 100*time.Millisecond
 			})
 			_, _, _ = ask(t, l.front)
@@ -346,7 +346,7 @@
 
 func TestUnreachableBackendServerGetsNothing(t *testing.T) {
 	address := freeAddress(t)
-	l := newLobby(t, func(s *steward.Send) { s.Address = address })
+	l := newLobby(t, func(s *steward.SendConfig) { s.Address = address })
 	if _, _, err := ask(t, l.front); err != nil {
 		t.Fatal(err)
 	}
@@ -356,7 +356,7 @@
 }
 
 func TestReadinessIsAskedAtItsOwnAddress(t *testing.T) {
-	l := newLobby(t, func(*steward.Send) {})
+	l := newLobby(t, func(*steward.SendConfig) {})
 	for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
 		l.ready.Store(want == http.StatusOK)
 		response, err := http.Get("http://" + l.probe + platform.ReadyPath)
@@ -375,7 +375,7 @@
 		_, _ = io.WriteString(conn, whole(id, "x"))
 		return true
 	})
-	l := newLobby(t, func(s *steward.Send) { s.Address = b.address })
+	l := newLobby(t, func(s *steward.SendConfig) { s.Address = b.address })
 	l.porch.Drain(time.Now())
 	response, _, err := ask(t, l.front)
 	if err != nil {
@@ -399,7 +399,7 @@
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 		return true
 	})
-	l := newLobby(b, func(s *steward.Send) { s.Address, s.Stream = backend.address, true })
+	l := newLobby(b, func(s *steward.SendConfig) { s.Address, s.Stream = backend.address, true })
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, _, err := ask(b, l.front); err != nil {
--- a/lobby/steward/adapter.go
+++ b/lobby/steward/adapter.go
@@ -8,9 +8,9 @@
 
 // fetch asks for the adapter of a request at a backend server.
 func (c *Core) fetch(h *host, v *visit.Visit, number uint64) {
-	c.do(Fetch{
+	c.do(NewFetch(FetchConfig{
 		Number: number, Backend: h.backend.ID(), Address: h.backend.Address(), Model: v.Model(), Adapter: v.Adapter(),
-	})
+	}))
 }
 
 // renew asks to keep an adapter that is in use before its lease ends.
@@ -25,9 +25,9 @@
 
 // fetched goes on with a request whose adapter was asked for.
 func (c *Core) fetched(now time.Time, m Fetched) {
-	h, ok := c.hosts[m.fetch.Backend]
+	h, ok := c.hosts[m.fetch.Backend()]
 	if ok {
-		key := adapterKey(m.fetch.Model, m.fetch.Adapter)
+		key := adapterKey(m.fetch.Model(), m.fetch.Adapter())
 		delete(h.renewing, key)
 		if m.kept > leaseMargin {
 			h.leases[key] = now.Add(m.kept - leaseMargin)
@@ -35,8 +35,8 @@
 			h.closed = now.Add(closedPause)
 		}
 	}
-	call, ok := c.calls[m.fetch.Number]
-	if !ok || call.host == nil || call.host.backend.ID() != m.fetch.Backend {
+	call, ok := c.calls[m.fetch.Number()]
+	if !ok || call.host == nil || call.host.backend.ID() != m.fetch.Backend() {
 		return
 	}
 	if m.kept > leaseMargin {
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -69,17 +69,17 @@
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
 	arrived := c.visit.Arrived()
-	n := Note{Visit: c.visit, Result: m.result, Status: m.status, Took: now.Sub(arrived)}
+	config := NoteConfig{Visit: c.visit, Result: m.result, Status: m.status, Took: now.Sub(arrived)}
 	if h != nil {
-		n.Backend = h.backend.ID()
+		config.Backend = h.backend.ID()
 	}
-	if n.Waited = n.Took; !c.dispatched.IsZero() {
-		n.Waited = c.dispatched.Sub(arrived)
+	if config.Waited = config.Took; !c.dispatched.IsZero() {
+		config.Waited = c.dispatched.Sub(arrived)
 	}
 	if !c.first.IsZero() {
-		n.First = c.first.Sub(arrived)
+		config.First = c.first.Sub(arrived)
 	}
-	return n
+	return NewNote(config)
 }
 
 // repeatable reports whether the request may run again after it may have run.
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -53,12 +53,12 @@
 	d.core.Handle(d.now, steward.NewChartered(charter.New(charter.Config{
 		Version: 1,
 		Routes: []charter.RouteConfig{
-			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: charter.Safe, Timeout: time.Second, Attempts: 2, Shares: []charter.Share{{Service: "plain", Weight: 1}}},
-			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: charter.Unsafe, Timeout: time.Second, Attempts: 1, Shares: []charter.Share{{Service: "plain", Weight: 1}}},
-			{Name: "twice", Host: "h", Prefix: "/twice/", Kind: charter.Unsafe, Timeout: time.Second, Attempts: 2, Shares: []charter.Share{{Service: "plain", Weight: 1}}},
-			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: charter.Stream, Timeout: 15 * time.Second, Objective: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 1, Shares: []charter.Share{{Service: "engine", Weight: 1}}},
-			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: charter.Stream, Timeout: 20 * time.Second, Objective: 4 * time.Second, Attempts: 2, Resumable: true, Shares: []charter.Share{{Service: "engine", Weight: 1}}},
-			{Name: "open", Host: "h", Prefix: "/open/", Kind: charter.Safe, Timeout: time.Second, Open: true, Shares: []charter.Share{{Service: "plain", Weight: 1}}},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: charter.Safe, Timeout: time.Second, Attempts: 2, Shares: []charter.ShareConfig{{Service: "plain", Weight: 1}}},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: charter.Unsafe, Timeout: time.Second, Attempts: 1, Shares: []charter.ShareConfig{{Service: "plain", Weight: 1}}},
+			{Name: "twice", Host: "h", Prefix: "/twice/", Kind: charter.Unsafe, Timeout: time.Second, Attempts: 2, Shares: []charter.ShareConfig{{Service: "plain", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: charter.Stream, Timeout: 15 * time.Second, Objective: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 1, Shares: []charter.ShareConfig{{Service: "engine", Weight: 1}}},
+			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: charter.Stream, Timeout: 20 * time.Second, Objective: 4 * time.Second, Attempts: 2, Resumable: true, Shares: []charter.ShareConfig{{Service: "engine", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: charter.Safe, Timeout: time.Second, Open: true, Shares: []charter.ShareConfig{{Service: "plain", Weight: 1}}},
 		},
 		Services: []charter.ServiceConfig{{Name: "plain", Connections: 10}, {Name: "engine", Connections: 10, Engine: engine()}},
 		Tenants:  []charter.TenantConfig{{Name: "t", Keys: []string{"k"}, Rate: 1, Burst: 1}},
@@ -82,7 +82,7 @@
 func holder(id string, adapters ...string) charter.BackendConfig {
 	return charter.BackendConfig{
 		ID: id, Service: "engine", Address: "10.0.0.2:80", Domain: "d1", Slots: 64,
-		Holdings: []charter.Holding{{Model: "m", Adapters: adapters}},
+		Holdings: []charter.HoldingConfig{{Model: "m", Adapters: adapters}},
 	}
 }
 
@@ -101,15 +101,15 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case steward.Send:
-			words = append(words, "send "+a.Sheet.Backend)
+			words = append(words, "send "+a.Sheet().Backend())
 		case steward.Refuse:
-			words = append(words, fmt.Sprintf("refuse %d %s", a.Status, a.Cause))
+			words = append(words, fmt.Sprintf("refuse %d %s", a.Status(), a.Cause()))
 		case steward.Pass:
 			words = append(words, "pass")
 		case steward.Fetch:
-			words = append(words, "fetch "+a.Backend+" "+a.Model+"/"+a.Adapter)
+			words = append(words, "fetch "+a.Backend()+" "+a.Model()+"/"+a.Adapter())
 		case steward.Retire:
-			words = append(words, "retire "+a.Backend)
+			words = append(words, "retire "+a.Backend())
 		}
 	}
 	return words
@@ -229,7 +229,7 @@
 	for range 20 {
 		actions := d.arrive(visit.Config{Path: "/safe/a"})
 		if send, ok := actions[0].(steward.Send); ok {
-			links = send.Links
+			links = send.Links()
 		}
 		if strings.HasPrefix(say(d.core.Handle(d.now, steward.NewEnded(d.number, steward.Lost, 0)))[0], "send") {
 			retries++
@@ -335,7 +335,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDesk(holder("e1"), holder("e2"))
 			d.arrive(visit.Config{Path: "/resumable/a", Model: "m", Adapter: "a1", Patience: time.Second})
-			fetch := steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}
+			fetch := steward.NewFetch(steward.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
 			d.core.Handle(d.now, steward.NewFetched(fetch, 3*time.Second))
 			want(t, "after the send", []string{"fetch e2 m/a1"}, d.core.Handle(d.now, steward.NewEnded(1, tc.result, 0)))
 			want(t, "time over", []string{tc.want}, d.core.Tick(noon.Add(time.Second)))
@@ -346,9 +346,9 @@
 func TestRequestThatMayHaveRunIsNeverRefusedAsNotRun(t *testing.T) {
 	d := newDesk(holder("e1"), holder("e2"))
 	d.arrive(visit.Config{Path: "/resumable/a", Model: "m", Adapter: "a1"})
-	d.core.Handle(d.now, steward.NewFetched(steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}, 3*time.Second))
+	d.core.Handle(d.now, steward.NewFetched(steward.NewFetch(steward.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}), 3*time.Second))
 	want(t, "lost", []string{"fetch e2 m/a1"}, d.core.Handle(d.now, steward.NewEnded(1, steward.Lost, 0)))
-	fetch := steward.Fetch{Number: 1, Backend: "e2", Model: "m", Adapter: "a1"}
+	fetch := steward.NewFetch(steward.FetchConfig{Number: 1, Backend: "e2", Model: "m", Adapter: "a1"})
 	want(t, "no adapter", []string{"refuse 502 answer_lost"}, d.core.Handle(d.now, steward.NewFetched(fetch, 0)))
 }
 
@@ -356,7 +356,7 @@
 	d := newDesk(holder("e1"))
 	ask := visit.Config{Path: "/stream/a", Model: "m", Adapter: "a1"}
 	want(t, "first", []string{"fetch e1 m/a1"}, d.arrive(ask))
-	fetch := steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}
+	fetch := steward.NewFetch(steward.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
 	want(t, "there", []string{"send e1"}, d.core.Handle(d.now, steward.NewFetched(fetch, 3*time.Second)))
 	want(t, "second", []string{"send e1"}, d.arrive(ask))
 	d.now = d.now.Add(1600 * time.Millisecond)
@@ -368,14 +368,14 @@
 func TestAdapterThatCannotComeIsFetchedElsewhere(t *testing.T) {
 	d := newDesk(holder("e1"), holder("e2"))
 	d.arrive(visit.Config{Path: "/stream/a", Model: "m", Adapter: "a1"})
-	fetch := steward.Fetch{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}
+	fetch := steward.NewFetch(steward.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
 	want(t, "decision", []string{"fetch e2 m/a1"}, d.core.Handle(d.now, steward.NewFetched(fetch, 0)))
 }
 
 func TestPromptsGoWhereTheirPartsAreKept(t *testing.T) {
 	d := newDesk(holder("e1"), holder("e2"))
 	ask := func(part string) visit.Config {
-		return visit.Config{Path: "/stream/a", Model: "m", Prompt: 1000, Parts: []visit.Part{{ID: "shared", Tokens: 300}, {ID: part, Tokens: 700}}}
+		return visit.Config{Path: "/stream/a", Model: "m", Prompt: 1000, Parts: []visit.Part{visit.NewPart(visit.PartConfig{ID: "shared", Tokens: 300}), visit.NewPart(visit.PartConfig{ID: part, Tokens: 700})}}
 	}
 	want(t, "first", []string{"send e1"}, d.arrive(ask("x")))
 	want(t, "other", []string{"send e2"}, d.arrive(ask("y")))
@@ -404,7 +404,7 @@
 func TestSilenceThatAnotherLobbyMeetsCounts(t *testing.T) {
 	d := newDesk(holder("e1"), holder("e2"))
 	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
-		Sender: "10.0.0.9:7000", Loads: []notice.BackendLoad{{Backend: "e1", Open: 1, Silent: true}, {Backend: "e2", Open: 9}},
+		Sender: "10.0.0.9:7000", Loads: []notice.LoadConfig{{Backend: "e1", Open: 1, Silent: true}, {Backend: "e2", Open: 9}},
 	})))
 	want(t, "request", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
 }
@@ -420,7 +420,7 @@
 	var asked map[string]float64
 	for _, action := range d.core.Tick(d.now) {
 		if tell, ok := action.(steward.Tell); ok {
-			asked = tell.Asked
+			asked = tell.Asked()
 		}
 	}
 	if diff := cmp.Diff(map[string]float64{"m": 0.25, "n": 0.25}, asked); diff != "" {
@@ -433,7 +433,7 @@
 	far.Domain = "d2"
 	d := newDesk(holder("e1"), far)
 	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
-		Sender: "10.0.0.9:7000", Loads: []notice.BackendLoad{{Backend: "e1", Open: 60}, {Backend: "e2", Open: 50}},
+		Sender: "10.0.0.9:7000", Loads: []notice.LoadConfig{{Backend: "e1", Open: 60}, {Backend: "e2", Open: 50}},
 	})))
 	want(t, "request", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
 }
@@ -441,7 +441,7 @@
 func TestLoadOfOtherLobbiesCounts(t *testing.T) {
 	d := newDesk(plain("p1"), plain("p2"))
 	d.core.Handle(d.now, steward.NewDigested(notice.NewDigest(notice.DigestConfig{
-		Sender: "10.0.0.9:7000", Loads: []notice.BackendLoad{{Backend: "p1", Open: 5}},
+		Sender: "10.0.0.9:7000", Loads: []notice.LoadConfig{{Backend: "p1", Open: 5}},
 	})))
 	want(t, "request", []string{"send p2"}, d.arrive(visit.Config{Path: "/safe/a"}))
 }
--- a/lobby/steward/dispatch.go
+++ b/lobby/steward/dispatch.go
@@ -41,7 +41,7 @@
 	h.await(now)
 	c.renew(now, h, call.visit)
 	service, _ := c.charter.Service(call.service)
-	c.do(Send{
+	c.do(NewSend(SendConfig{
 		Number:  call.number,
 		Visit:   call.visit,
 		Address: h.backend.Address(),
@@ -51,14 +51,14 @@
 		First:   call.firstLimit(),
 		Gap:     call.gapLimit(),
 		Stream:  call.route.Kind() == charter.Stream,
-		Sheet: visit.Sheet{
+		Sheet: visit.NewSheet(visit.SheetConfig{
 			Backend:  h.backend.ID(),
 			Tenant:   call.tenant.Name(),
 			Until:    call.expires,
 			Priority: call.tenant.Rank(call.route.Priority()),
 			Ranked:   call.route.Kind() == charter.Stream,
-		},
-	})
+		}),
+	}))
 }
 
 // choose returns the backend server where a request begins soonest, or nil.
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -30,10 +30,10 @@
 }
 
 func (c *Core) refusal(call *call, cause Cause, after time.Duration) Refuse {
-	return Refuse{
+	return NewRefuse(RefuseConfig{
 		Number: call.number, Visit: call.visit, Cause: cause, Status: statuses[cause], RetryAfter: after,
 		Waited: c.now.Sub(call.visit.Arrived()), Holders: c.holders(call), Waiting: len(c.waiting), ListAge: c.now.Sub(c.listedAt),
-	}
+	})
 }
 
 // holders returns the number of backend servers that hold what a request needs
@@ -127,7 +127,7 @@
 		c.resendRun(now, call, c.refusal(call, answerLost, 0))
 	case Spoiled:
 		call.sent++
-		c.resendRun(now, call, Pass{Number: m.number})
+		c.resendRun(now, call, NewPass(PassConfig{Number: m.number}))
 	case Severed:
 		h.fail(now)
 		c.refuse(call, answerCut, 0)
--- a/lobby/steward/listing.go
+++ b/lobby/steward/listing.go
@@ -21,7 +21,7 @@
 			c.hosts[backend.ID()] = h
 		}
 		if h.usable() && backend.Leaving() {
-			c.do(Retire{Backend: backend.ID()})
+			c.do(NewRetire(RetireConfig{Backend: backend.ID()}))
 		}
 		h.backend, h.listed = backend, true
 	}
@@ -29,7 +29,7 @@
 		if !seen[id] {
 			h.listed = false
 			delete(c.hosts, id)
-			c.do(Retire{Backend: id})
+			c.do(NewRetire(RetireConfig{Backend: id}))
 		}
 	}
 	defer c.unpark(now)
--- a/lobby/steward/meters.go
+++ b/lobby/steward/meters.go
@@ -37,13 +37,13 @@
 
 // ended counts the end of a send.
 func (m *meters) ended(n Note) {
-	m.ends[n.Result].Inc()
-	m.waited.Update(n.Waited.Seconds())
-	if n.First > 0 {
-		m.first.Update(n.First.Seconds())
+	m.ends[n.Result()].Inc()
+	m.waited.Update(n.Waited().Seconds())
+	if n.First() > 0 {
+		m.first.Update(n.First().Seconds())
 	}
-	if n.Result == Complete {
-		m.took.Update(n.Took.Seconds())
+	if n.Result() == Complete {
+		m.took.Update(n.Took().Seconds())
 	}
 }
 
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -10,7 +10,7 @@
 
 // said is what another lobby last said of its load.
 type said struct {
-	loads []notice.BackendLoad
+	loads []notice.LoadConfig
 	at    time.Time
 }
 
@@ -65,16 +65,16 @@
 		c.measure(now.Sub(c.told))
 	}
 	c.told = now
-	tell := Tell{Spent: c.config.Purse.Spent(), Asked: maps.Clone(c.demand)}
+	tell := TellConfig{Spent: c.config.Purse.Spent(), Asked: maps.Clone(c.demand)}
 	for _, h := range c.hosts {
 		if h.open > 0 {
-			tell.Loads = append(tell.Loads, notice.BackendLoad{Backend: h.backend.ID(), Open: h.open, Reading: h.reading, Silent: h.silent(now)})
+			tell.Loads = append(tell.Loads, notice.LoadConfig{Backend: h.backend.ID(), Open: h.open, Reading: h.reading, Silent: h.silent(now)})
 		}
 	}
 	if c.planner == "" && now.Sub(c.planned) < planLife {
 		tell.Plan = c.plan
 	}
-	c.do(tell)
+	c.do(NewTell(tell))
 }
 
 // measure averages the number of requests for each model that are open, those
--- a/lobby/steward/shelf.go
+++ b/lobby/steward/shelf.go
@@ -23,7 +23,7 @@
 		if _, ok := s.known[shelfKey(v, part)]; !ok {
 			break
 		}
-		left -= part.Tokens
+		left -= part.Tokens()
 	}
 	return max(left, 1)
 }
@@ -46,5 +46,5 @@
 
 // shelfKey names a part: it is kept for one model and adapter.
 func shelfKey(v *visit.Visit, part visit.Part) string {
-	return v.Model() + "/" + v.Adapter() + "/" + part.ID
+	return v.Model() + "/" + v.Adapter() + "/" + part.ID()
 }
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -112,20 +112,20 @@
 		return s.config.Crier.Tell(a)
 	case Send:
 		s.config.Log.WithFields(logrus.Fields{
-			"event": "sent", "request": a.Visit.ID(), "backend": a.Sheet.Backend, "tenant": a.Sheet.Tenant, "model": a.Visit.Model(),
-			"adapter": a.Visit.Adapter(), "waited": time.Since(a.Visit.Arrived()),
+			"event": "sent", "request": a.Visit().ID(), "backend": a.Sheet().Backend(), "tenant": a.Sheet().Tenant(), "model": a.Visit().Model(),
+			"adapter": a.Visit().Adapter(), "waited": time.Since(a.Visit().Arrived()),
 		}).Info("request sent")
 		return s.config.Porch.Put(a)
 	case Note:
 		s.meters.ended(a)
 
 		s.config.Log.WithFields(logrus.Fields{
-			"event": "ended", "request": a.Visit.ID(), "backend": a.Backend, "result": a.Result, "status": a.Status,
-			"waited": a.Waited, "first": a.First, "took": a.Took,
+			"event": "ended", "request": a.Visit().ID(), "backend": a.Backend(), "result": a.Result(), "status": a.Status(),
+			"waited": a.Waited(), "first": a.First(), "took": a.Took(),
 		}).Log(noteLevel(a), "send ended")
 		return nil
 	case Refuse:
-		s.meters.refusals[a.Cause].Inc()
+		s.meters.refusals[a.Cause()].Inc()
 
 		s.log(a)
 		return s.config.Porch.Put(a)
@@ -136,16 +136,16 @@
 
 func (s *Steward) log(r Refuse) {
 	s.config.Log.WithFields(logrus.Fields{
-		"event": "refused", "request": r.Visit.ID(), "cause": r.Cause, "status": r.Status, "model": r.Visit.Model(),
-		"adapter": r.Visit.Adapter(), "retry_after": r.RetryAfter,
-		"waited": r.Waited, "holders": r.Holders, "waiting": r.Waiting, "list_age": r.ListAge,
+		"event": "refused", "request": r.Visit().ID(), "cause": r.Cause(), "status": r.Status(), "model": r.Visit().Model(),
+		"adapter": r.Visit().Adapter(), "retry_after": r.RetryAfter(),
+		"waited": r.Waited(), "holders": r.Holders(), "waiting": r.Waiting(), "list_age": r.ListAge(),
 	}).Warn("request refused")
 }
 
 // noteLevel returns the level of the line on the end of a send: what did not go
 // well is kept when lines are dropped.
 func noteLevel(n Note) logrus.Level {
-	if n.Result == Complete {
+	if n.Result() == Complete {
 		return logrus.InfoLevel
 	}
 	return logrus.WarnLevel
