Number the roster's probes, so that a closed side opens again

Cause: a side refuses a read whose number is not above the last one of its entry, and the roster's probes all had the number zero. Since that check came no probe was ever answered: a side that an entry had closed as silent opened again only if an attempt's reads happened to go on there.

Ruled out: the hall (its own test expects the plan to be carried out after any fault; the side had given all its orders 6 s after the kill), the engine, the platform's list (there is none in that fleet).

The placement test also prints the entry's log now when it fails.

--- a/entry/roster/prober.go
+++ b/entry/roster/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,7 @@
 	config Config
 	jobs   *ring.Ring
 	inbox  *ring.Ring
+	reads  *atomic.Uint64
 	lines  map[string]*porter.Line
 }
 
@@ -52,7 +54,7 @@
 		line = porter.NewLine(porter.LineConfig{Address: probe.address, DialTimeout: probeLimit, Identity: p.config.Identity})
 		p.lines[probe.address] = line
 	}
-	query := notice.NewRead(notice.ReadConfig{Entry: p.config.Incarnation + " probe"})
+	query := notice.NewRead(notice.ReadConfig{Entry: p.config.Incarnation + " probe", Number: p.reads.Add(1)})
 	var pages notice.Pages
 	if err := line.Call(notice.ReadMethod, query, &pages, probeLimit); err != nil {
 		return NewSilent(probe.side)
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -46,6 +46,7 @@
 	jobs   *ring.Ring
 	core   *Core
 	gone   atomic.Pointer[map[string]struct{}]
+	reads  atomic.Uint64 // number of the last read, over all probers
 }
 
 // New returns a roster.
@@ -67,7 +68,7 @@
 func (r *Roster) Services() []crew.Service {
 	services := []crew.Service{crew.NewDuty(crew.DutyConfig{Name: "roster", Inbox: r.inbox, Handler: r, Period: tickPeriod})}
 	for range probers {
-		services = append(services, &prober{config: r.config, jobs: r.jobs, inbox: r.inbox, lines: make(map[string]*porter.Line)})
+		services = append(services, r.newProber())
 	}
 	if r.config.List != "" {
 		services = append(services, &lister{config: r.config, inbox: r.inbox})
@@ -75,6 +76,10 @@
 	return services
 }
 
+func (r *Roster) newProber() *prober {
+	return &prober{config: r.config, jobs: r.jobs, inbox: r.inbox, reads: &r.reads, lines: make(map[string]*porter.Line)}
+}
+
 // PutWithin passes a message of the lines on and notes what it tells about its
 // side. What finds the roster's ring full is dropped: it comes again.
 func (r *Roster) PutWithin(ctx context.Context, message usher.Message, limit time.Duration) error {
--- a/standin/proof/placement_test.go
+++ b/standin/proof/placement_test.go
@@ -77,7 +77,7 @@
 			}
 		}
 		if got.status != http.StatusOK {
-			f.t.Fatalf("model %s: status %d: %s\n%s", model, got.status, got.body, f.processes["side-engine-1"].log)
+			f.t.Fatalf("model %s: status %d: %s\n%s\n%s", model, got.status, got.body, f.processes["side-engine-1"].log, f.processes["entry-1"].log)
 		}
 	}
 }
--- a/standin/proof/serve_test.go
+++ b/standin/proof/serve_test.go
@@ -178,3 +178,29 @@
 	}
 	f.t.Fatalf("%s still takes work", name)
 }
+
+func TestRestartedSideGetsWorkAgain(t *testing.T) {
+	f := newFleet(t)
+	f.addEngine("engine-1", 16, fastStep)
+	f.addEntry("entry-1", "")
+	f.apply()
+	f.processes["side-engine-1"].signal(t, syscall.SIGKILL)
+	<-f.processes["side-engine-1"].exited
+	// The entry has noticed when it has no side left to ask.
+	f.awaitCode("no_backend_available")
+	f.startSide("side-engine-1")
+	f.awaitCode("")
+}
+
+// awaitCode calls until the answer has an error code, or none.
+func (f *fleet) awaitCode(code string) {
+	f.t.Helper()
+	var got answer
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		got = f.call(0, chat(tenantKey, 2))
+		if code == "" && wholeChat(got, 2) == nil || code != "" && strings.Contains(got.body, code) {
+			return
+		}
+	}
+	f.t.Fatalf("last answer: status %d: %s, want %q", got.status, got.body, code)
+}
