Let cut streams go on elsewhere within one answer

Cause: a stream whose backend server ended was cut for its caller though its route lets it go on; rare models have one copy, so that the caller's own retry found none either. With it a refusal was found to be untrue: a request that was lost at one backend server and not run by the next got 503, which says that it never ran, and its quota back.

Change: the porch passes on whole events only of such a stream and keeps the last id; the steward sends it on after that event, and lets it wait for a copy for half of the time for which its caller waits. What may have run is never refused as not run.

Before: TestAfterASend/resumable,_severed, TestSecondSends (safe, lost, then not run; both severed cases) failed.

--- a/commons/visit/visit.go
+++ b/commons/visit/visit.go
@@ -86,6 +86,7 @@
 	Until    time.Time // end of the caller's patience and of the route's time
 	Priority int       // zero is the most urgent
 	Ranked   bool      // Priority is to be passed on
+	After    string    // id of the last event that the caller has; empty to begin as the caller asks
 }
 
 // Sheet is what is added to a request on its way to a backend server.
@@ -109,6 +110,17 @@
 // Ranked reports whether Priority is passed on.
 func (s Sheet) Ranked() bool { return s.config.Ranked }
 
+// After returns the id of the last event that the caller has, empty to begin as
+// the caller asks.
+func (s Sheet) After() string { return s.config.After }
+
+// GoingOn returns the sheet for a stream of which the caller has the events up
+// to one.
+func (s Sheet) GoingOn(after string) Sheet {
+	s.config.After = after
+	return s
+}
+
 // AnswerConfig holds the construction parameters of an Answer.
 type AnswerConfig struct {
 	ID        string // of the request that is answered; empty if it does not say
--- a/lobby/porch/constants.go
+++ b/lobby/porch/constants.go
@@ -16,4 +16,5 @@
 	keepAlive     = 15 * time.Second // probes of callers' connections
 	chunkedLength = -1               // by which fasthttp marks chunked coding
 	unknownLength = -2               // by which it marks a body that ends with its connection
+	maxEvent      = 256 << 10        // bytes of an event that has not ended
 )
--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -30,16 +30,34 @@
 	kept    *answer   // an error of the backend server's own
 	active  time.Time // of the last byte in either direction
 	begun   bool      // a part of the answer has gone to the caller
+	told    bool      // the steward knows that the present send has brought an event
+	events  events    // of a stream that may go on at another backend server
 	chunked bool
 	gone    bool
 }
 
-// relay passes a piece of a stream on.
-func (e *exchange) relay(a *answer, data []byte) {
+// relay passes a piece of a stream on, as far as its events are whole if it may
+// go on at another backend server.
+func (e *exchange) relay(a *answer, data []byte) (err error) {
+	if e.send.Resume() {
+		data, err = e.events.take(data)
+	}
+	e.pass(a, data)
+	return err
+}
+
+// pass gives the caller a piece of a stream, after the head if it is the first.
+func (e *exchange) pass(a *answer, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if !e.told {
+		e.told = true
+		e.porch.tell(steward.NewBegun(e.number))
+	}
 	out := e.porch.piece[:0]
 	if !e.begun {
 		e.begun = true
-		e.porch.tell(steward.NewBegun(e.number))
 		out = e.appendHead(out, a)
 	}
 	if e.chunked {
@@ -74,6 +92,7 @@
 
 // finishRelay ends a stream that has arrived whole.
 func (e *exchange) finishRelay(now time.Time, a *answer) {
+	e.pass(a, e.events.rest())
 	if !e.begun { // a stream without an event
 		e.finishGathered(now, a)
 		return
@@ -95,6 +114,8 @@
 		e.porch.tell(steward.NewEnded(e.number, steward.Misplaced, status))
 	case a.about.NotRun():
 		e.porch.tell(steward.NewEnded(e.number, steward.Rejected, status))
+	case e.begun: // it does not go on here
+		e.porch.tell(steward.NewEnded(e.number, steward.Severed, status))
 	case status >= fasthttp.StatusInternalServerError && e.send.Keep():
 		e.kept = a
 		e.porch.tell(steward.NewEnded(e.number, steward.Spoiled, status))
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -30,7 +30,7 @@
 	l.exchange, l.answer = e, &answer{}
 	e.link, e.active = l, now
 
-	l.porch.scratch = l.porch.config.Codec.Forward(now, l.porch.scratch[:0], e.request, e.send.Sheet())
+	l.porch.scratch = l.porch.config.Codec.Forward(now, l.porch.scratch[:0], e.request, e.send.Sheet().GoingOn(string(e.events.last)))
 	if _, err := l.conn.Write(l.porch.scratch); err != nil {
 		l.fail(errors.Wrap(err, "send"))
 	}
@@ -76,7 +76,7 @@
 	switch {
 	case l.foreign():
 	case l.relayed():
-		l.exchange.relay(l.answer, data)
+		err = l.exchange.relay(l.answer, data)
 	default:
 		err = l.answer.gather(data)
 	}
--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -290,7 +290,8 @@
 	if !ok {
 		return
 	}
-	e.send, e.kept = send, nil
+	e.send, e.kept, e.told = send, nil, false
+	e.events.drop()
 	id := send.Sheet().Backend()
 	pl, ok := p.pools[id]
 	if !ok {
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -31,6 +31,7 @@
 	conns   atomic.Int64
 	closed  chan struct{} // a token for each connection that its peer ended
 	got     chan string   // request ids
+	after   chan string   // ids of the events after which requests go on
 }
 
 // newBackend starts a backend server. The script gets the connection and the
@@ -42,7 +43,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	b := &backend{address: listener.Addr().String(), closed: make(chan struct{}, 64), got: make(chan string, 64)}
+	b := &backend{address: listener.Addr().String(), closed: make(chan struct{}, 64), got: make(chan string, 64), after: make(chan string, 64)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -67,6 +68,7 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		b.got <- request.Header.Get("Request-Id")
+		b.after <- request.Header.Get("Last-Event-Id")
 		if !script(conn, request.Header.Get("Request-Id"), n) {
 			return
 		}
@@ -81,6 +83,7 @@
 	ready atomic.Bool
 	ended chan steward.Ended
 	left  chan steward.Left
+	sends []string // addresses that cut streams go on at
 }
 
 // Ready reports what the test has set.
@@ -97,12 +100,12 @@
 }
 
 // newLobby starts a porch; send completes the send of each request.
-func newLobby(t testing.TB, send func(send *steward.SendConfig)) *lobby {
+func newLobby(t testing.TB, send func(send *steward.SendConfig), goOn ...string) *lobby {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
-	l := &lobby{front: freeAddress(t), probe: freeAddress(t), ended: make(chan steward.Ended, 64), left: make(chan steward.Left, 64)}
+	l := &lobby{front: freeAddress(t), probe: freeAddress(t), ended: make(chan steward.Ended, 64), left: make(chan steward.Left, 64), sends: goOn}
 	l.porch = porch.New(porch.Config{
 		Front: l.front, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2,
 		Codec: platform.Heads{}, Dial: platform.Dial, Steward: inbox, Readiness: l, Log: logrus.NewEntry(log),
@@ -137,7 +140,11 @@
 			send(&s)
 			_ = l.porch.Put(steward.NewSend(s))
 		case steward.Ended:
-			if m.Result() != steward.Complete {
+			if m.Result() == steward.Severed && len(l.sends) > 0 {
+				s := steward.SendConfig{Number: m.Number(), Links: 4, Address: l.sends[0], Stream: true, Resume: true, Sheet: visit.NewSheet(visit.SheetConfig{Backend: l.sends[0], Until: time.Now().Add(patience)})}
+				l.sends = l.sends[1:]
+				_ = l.porch.Put(steward.NewSend(s))
+			} else if m.Result() != steward.Complete {
 				_ = l.porch.Put(steward.NewRefuse(steward.RefuseConfig{Number: m.Number(), Visit: visit.New(visit.Config{}), Status: http.StatusBadGateway}))
 			}
 			l.ended <- m
@@ -308,6 +315,48 @@
 	await(t, l.left, "the steward was not told")
 }
 
+func TestCutStreamsGoOnElsewhere(t *testing.T) {
+	const first = "id: 1\ndata: a\n\n"
+	const second = "id: 2\ndata: b\n\n"
+	cases := map[string]struct {
+		first  string // of the first backend server's stream
+		after  string
+		second string // the second one's answer
+		body   string
+		cut    bool
+	}{
+		"after an event":     {first: chunk(first), after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
+		"in an event":        {first: chunk(first) + chunk("id: 2\nda"), after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
+		"in a chunk":         {first: chunk(first) + "9\r\nid: 2", after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
+		"after the last":     {first: chunk(first) + chunk(second), after: "2", second: streamHead("r1") + "0\r\n\r\n", body: first + second},
+		"refused there":      {first: chunk(first), after: "1", second: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", cut: true},
+		"failed there":       {first: chunk(first), after: "1", second: "HTTP/1.1 500 Oops\r\n" + stamp + "Content-Length: 2\r\n\r\nno", cut: true},
+		"unsigned there":     {first: chunk(first), after: "1", second: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", cut: true},
+		"cut there too":      {first: chunk(first), after: "1", second: streamHead("r1") + chunk("id: 2\nda"), cut: true},
+		"other answer first": {first: chunk(first), after: "1", second: whole("r0", "x") + streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, streamHead(id)+tc.first)
+				return false
+			})
+			b := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
+				_, _ = io.WriteString(conn, tc.second)
+				return !tc.cut
+			})
+			l := newLobby(t, func(s *steward.SendConfig) { s.Address, s.Stream, s.Resume = a.address, true, true }, b.address)
+			_, body, err := ask(t, l.front)
+			if diff := cmp.Diff([]any{tc.cut, "", tc.after}, []any{err != nil, <-a.after, <-b.after}); diff != "" {
+				t.Errorf("cut, events before, events before the second (-want +got):\n%s%v", diff, err)
+			}
+			if diff := cmp.Diff(tc.body, body); !tc.cut && diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func await[T any](t *testing.T, c chan T, fault string) {
 	t.Helper()
 	select {
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -25,6 +25,7 @@
 	mayHaveRun bool // an earlier send of it got no answer, or an error
 	begun      bool
 	first      time.Time // event; zero without one
+	cut        time.Time // since when it waits to go on; zero unless it was cut
 
 	tried map[string]bool
 }
@@ -82,7 +83,15 @@
 	return NewNote(config)
 }
 
+// goesOn reports whether it is a stream that was cut and goes on elsewhere.
+func (c *call) goesOn() bool { return !c.cut.IsZero() }
+
 // repeatable reports whether the request may run again after it may have run.
 func (c *call) repeatable() bool {
-	return c.route.Repeatable() || c.route.Resumable() && !c.begun
+	return c.route.Repeatable() || c.route.Resumable()
+}
+
+// mayRepeat reports whether it may be sent once more though it may have run.
+func (c *call) mayRepeat(now time.Time) bool {
+	return c.repeatable() && c.sent < c.route.Attempts() && now.Before(c.expires)
 }
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -179,6 +179,7 @@
 		"resumable, lost":        {path: "/resumable/a", result: steward.Lost, want: []string{"send e2"}},
 		"resumable, not run":     {path: "/resumable/a", result: steward.Rejected, want: []string{"send e2"}},
 		"resumable, own failure": {path: "/resumable/a", result: steward.Spoiled, want: []string{"send e2"}},
+		"resumable, severed":     {path: "/resumable/a", result: steward.Severed, want: []string{"send e2"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -200,6 +201,61 @@
 	want(t, "second loss", []string{"refuse 502 answer_lost"}, d.core.Handle(d.now, steward.NewEnded(1, steward.Lost, 0)))
 }
 
+func TestSecondSends(t *testing.T) {
+	cases := map[string]struct {
+		path          string
+		first, second steward.Result
+		want          []string
+	}{
+		"safe, lost, then not run":          {path: "/safe/a", first: steward.Lost, second: steward.Rejected, want: []string{"refuse 502 answer_lost"}},
+		"safe, lost, then nothing sent":     {path: "/safe/a", first: steward.Lost, second: steward.Unsent, want: []string{"send p3"}},
+		"safe, not run twice":               {path: "/safe/a", first: steward.Rejected, second: steward.Rejected, want: []string{"refuse 503 not_taken"}},
+		"resumable, severed twice":          {path: "/resumable/a", first: steward.Severed, second: steward.Severed, want: []string{"refuse 502 answer_cut"}},
+		"resumable, severed, then not run":  {path: "/resumable/a", first: steward.Severed, second: steward.Rejected, want: []string{"refuse 502 answer_cut"}},
+		"resumable, severed, then answered": {path: "/resumable/a", first: steward.Severed, second: steward.Complete},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(plain("p1"), plain("p2"), plain("p3"), holder("e1"), holder("e2"), holder("e3"))
+			d.arrive(visit.Config{Path: tc.path, Model: "m"})
+			if tc.first == steward.Severed {
+				d.core.Handle(d.now, steward.NewBegun(1))
+			}
+			d.core.Handle(d.now, steward.NewEnded(1, tc.first, 0))
+			want(t, "decision", tc.want, d.core.Handle(d.now, steward.NewEnded(1, tc.second, 0)))
+			refunds := 0
+			if tc.first == steward.Rejected && tc.second == steward.Rejected {
+				refunds = 1
+			}
+			if diff := cmp.Diff(refunds, d.purse.refunded); diff != "" {
+				t.Errorf("refunds (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCutStreamWaitsForAnotherCopyOfItsModel(t *testing.T) {
+	cases := map[string]struct {
+		after time.Duration // until a copy is there
+		want  []string
+	}{
+		"soon":     {after: time.Second, want: []string{"send e2"}},
+		"too late": {after: 9 * time.Second, want: []string{"refuse 502 answer_cut"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(holder("e1"))
+			d.arrive(visit.Config{Path: "/resumable/a", Model: "m"})
+			d.core.Handle(d.now, steward.NewBegun(1))
+			d.now = d.now.Add(3 * time.Second)
+			want(t, "cut", nil, d.core.Handle(d.now, steward.NewEnded(1, steward.Severed, 0)))
+			d.now = d.now.Add(tc.after)
+			actions := d.core.Tick(d.now)
+			want(t, "decision", tc.want, append(actions, d.list(holder("e1"), holder("e2"))...))
+		})
+	}
+}
+
 func TestRetriesKeepToTheirBudget(t *testing.T) {
 	d := newDesk(plain("p1"), plain("p2"))
 	retries := 0
--- a/lobby/steward/dispatch.go
+++ b/lobby/steward/dispatch.go
@@ -51,6 +51,7 @@
 		First:   call.firstLimit(),
 		Gap:     call.gapLimit(),
 		Stream:  call.route.Kind() == charter.Stream,
+		Resume:  call.route.Resumable(),
 		Sheet: visit.NewSheet(visit.SheetConfig{
 			Backend:  h.backend.ID(),
 			Tenant:   call.tenant.Name(),
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -53,12 +53,13 @@
 	if !ok {
 		return
 	}
-	call.begun = true
+	if !call.begun {
+		call.begun, call.first = true, now
+	}
 	if call.host != nil {
 		call.host.reading -= call.reading
 		call.reading = 0
 		call.settle()
-		call.first = now
 		call.host.sign(now)
 		c.paces.observe(call.visit.Model(), call.tokens, now.Sub(call.dispatched))
 	}
@@ -130,7 +131,8 @@
 		c.resendRun(now, call, NewPass(PassConfig{Number: m.number}))
 	case Severed:
 		h.fail(now)
-		c.refuse(call, answerCut, 0)
+		call.sent++
+		c.goOn(now, call)
 	}
 }
 
@@ -140,16 +142,40 @@
 		c.send(now, call)
 		return
 	}
-	c.refund(now, call)
-	c.refuse(call, notTaken, retryAfter)
+	c.turnAway(now, call, notTaken, retryAfter)
+}
+
+// turnAway ends a request that no backend server takes. That it was not run is
+// said only if no earlier send of it may have run.
+func (c *Core) turnAway(now time.Time, call *call, cause Cause, after time.Duration) {
+	switch {
+	case call.begun:
+		c.refuse(call, answerCut, 0)
+	case call.mayHaveRun:
+		c.refuse(call, answerLost, 0)
+	default:
+		c.refund(now, call)
+		c.refuse(call, cause, after)
+	}
+}
+
+// goOn has a stream that was cut go on elsewhere, if that is allowed, at once or
+// when a backend server can have it.
+func (c *Core) goOn(now time.Time, call *call) {
+	call.mayHaveRun = true
+	if !call.mayRepeat(now) || !c.budget(call.service).spend(now, c.lobbies) {
+		c.refuse(call, answerCut, 0)
+		return
+	}
+	call.cut = now
+	c.send(now, call)
 }
 
 // resendRun sends a request again that may have run, if that is allowed, or
 // ends it.
 func (c *Core) resendRun(now time.Time, call *call, otherwise Action) {
 	call.mayHaveRun = true
-	again := call.repeatable() && call.sent < call.route.Attempts() && now.Before(call.expires)
-	if again && c.choose(now, call) != nil && c.budget(call.service).spend(now, c.lobbies) {
+	if call.mayRepeat(now) && c.choose(now, call) != nil && c.budget(call.service).spend(now, c.lobbies) {
 		c.send(now, call)
 		return
 	}
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -154,6 +154,7 @@
 	First   time.Duration // without a byte, after which the send is given up; zero for none
 	Gap     time.Duration // the same, once the answer has begun
 	Stream  bool          // a success is passed on event by event
+	Resume  bool          // it may go on at another backend server, so that only whole events are passed on
 	Keep    bool          // an error of the backend server's own is kept for Pass
 }
 
@@ -190,6 +191,10 @@
 // Stream reports whether a success is passed on event by event.
 func (s Send) Stream() bool { return s.config.Stream }
 
+// Resume reports whether a stream may go on at another backend server, so that
+// only whole events of it are passed on.
+func (s Send) Resume() bool { return s.config.Resume }
+
 // Keep reports whether an error of the backend server's own is kept for Pass.
 func (s Send) Keep() bool { return s.config.Keep }
 
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -14,21 +14,20 @@
 // time is refused, early enough to come back.
 func (c *Core) park(now time.Time, call *call) {
 	_, waits := c.waiting[call.number]
-	if c.draining.IsZero() && call.sent == 0 && now.Before(call.patience()) && (waits || len(c.waiting) < maxParked) {
+	fresh := call.sent == 0 || call.goesOn()
+	if c.draining.IsZero() && fresh && now.Before(call.patience()) && (waits || len(c.waiting) < maxParked) {
 		c.waiting[call.number] = call
 		return
 	}
-	if call.mayHaveRun {
-		c.refuse(call, answerLost, 0)
-		return
-	}
-	c.refund(now, call)
-	c.refuse(call, noBackend, awayRetry)
+	c.turnAway(now, call, noBackend, awayRetry)
 }
 
 // patience returns the time up to which the request waits for a backend server.
 func (c *call) patience() time.Time {
 	arrived := c.visit.Arrived()
+	if c.goesOn() {
+		return c.cut.Add(time.Duration(float64(c.silence()) * parkShare))
+	}
 	if c.route.Kind() == charter.Stream {
 		return arrived.Add(time.Duration(float64(c.silence()) * parkShare))
 	}
