Log and measure the longest pause of each stream

Cause: of two late streams, one late by its first event and one by a pause looked alike in the log. The line on a send's end has pause=, the metrics a histogram of it.

--- a/lobby/porch/exchange.go
+++ b/lobby/porch/exchange.go
@@ -27,11 +27,13 @@
 	send    steward.Send
 	pool    *pool // in which it waits for a connection
 	link    *link
-	kept    *answer   // an error of the backend server's own
-	active  time.Time // of the last byte in either direction
-	begun   bool      // a part of the answer has gone to the caller
-	told    bool      // the steward knows that the present send has brought an event
-	events  events    // of a stream that may go on at another backend server
+	kept    *answer       // an error of the backend server's own
+	active  time.Time     // of the last byte in either direction
+	passed  time.Time     // of the last event to the caller
+	pause   time.Duration // longest one between two events
+	begun   bool          // a part of the answer has gone to the caller
+	told    bool          // the steward knows that the present send has brought an event
+	events  events        // of a stream that may go on at another backend server
 	chunked bool
 	gone    bool
 }
@@ -55,6 +57,10 @@
 		e.told = true
 		e.porch.tell(steward.NewBegun(e.number))
 	}
+	if e.begun {
+		e.pause = max(e.pause, e.active.Sub(e.passed))
+	}
+	e.passed = e.active
 	out := e.porch.piece[:0]
 	if !e.begun {
 		e.begun = true
@@ -100,7 +106,7 @@
 	if e.chunked {
 		e.caller.write(lastChunk)
 	}
-	e.porch.tell(steward.NewEnded(e.number, steward.Complete, a.head.StatusCode()))
+	e.porch.tell(steward.NewEnded(e.number, steward.Complete, a.head.StatusCode()).WithPause(e.pause))
 	e.porch.close(now, e)
 }
 
--- a/lobby/porch/link.go
+++ b/lobby/porch/link.go
@@ -177,7 +177,7 @@
 	if e.begun {
 		result = steward.Severed
 	}
-	l.porch.tell(steward.NewEnded(e.number, result, 0))
+	l.porch.tell(steward.NewEnded(e.number, result, 0).WithPause(e.pause))
 }
 
 // reset closes the connection so that a backend server that has not read the
--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -206,7 +206,7 @@
 	if e := c.exchange; e != nil {
 		e.drop()
 		p.forget(e)
-		p.tell(steward.NewLeft(e.number))
+		p.tell(steward.NewLeft(e.number).WithPause(e.pause))
 	}
 }
 
--- a/lobby/steward/call.go
+++ b/lobby/steward/call.go
@@ -70,7 +70,7 @@
 // note returns what the log is told of the end of a send.
 func (c *call) note(now time.Time, h *host, m Ended) Note {
 	arrived := c.visit.Arrived()
-	config := NoteConfig{Visit: c.visit, Result: m.result, Status: m.status, Took: now.Sub(arrived)}
+	config := NoteConfig{Visit: c.visit, Result: m.result, Status: m.status, Took: now.Sub(arrived), Pause: m.pause}
 	if h != nil {
 		config.Backend = h.backend.ID()
 	}
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -89,7 +89,7 @@
 	case Begun:
 		c.begin(now, m.number)
 	case Left:
-		c.leave(now, m.number)
+		c.leave(now, m)
 	case Ended:
 		c.end(now, m)
 	case Chartered:
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -65,10 +65,10 @@
 	}
 }
 
-func (c *Core) leave(now time.Time, number uint64) {
-	if call, ok := c.calls[number]; ok {
+func (c *Core) leave(now time.Time, m Left) {
+	if call, ok := c.calls[m.number]; ok {
 		h := call.host
-		c.do(call.note(now, h, NewEnded(number, Abandoned, 0)))
+		c.do(call.note(now, h, NewEnded(m.number, Abandoned, 0).WithPause(m.pause)))
 		c.release(call)
 		c.forget(call)
 		c.refill(now, h)
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -34,11 +34,20 @@
 func NewBegun(number uint64) Begun { return Begun{number: number} }
 
 // Left tells that a caller has closed its connection before its answer ended.
-type Left struct{ number uint64 }
+type Left struct {
+	number uint64
+	pause  time.Duration
+}
 
 // NewLeft returns the message.
 func NewLeft(number uint64) Left { return Left{number: number} }
 
+// WithPause returns the message with the longest pause between two events.
+func (l Left) WithPause(pause time.Duration) Left {
+	l.pause = pause
+	return l
+}
+
 // Result is how sending a request to a backend server ended.
 type Result uint8
 
@@ -67,6 +76,7 @@
 	number uint64
 	result Result
 	status int
+	pause  time.Duration
 }
 
 // NewEnded returns the message; status is that of the backend server's answer,
@@ -75,6 +85,12 @@
 	return Ended{number: number, result: result, status: status}
 }
 
+// WithPause returns the message with the longest pause between two events.
+func (e Ended) WithPause(pause time.Duration) Ended {
+	e.pause = pause
+	return e
+}
+
 // Number returns the caller connection's name for the request.
 func (e Ended) Number() uint64 { return e.number }
 
@@ -325,6 +341,7 @@
 	Waited  time.Duration // from the request's arrival until it was sent
 	First   time.Duration // from its arrival to its first event; zero without one
 	Took    time.Duration // from its arrival to the end
+	Pause   time.Duration // longest one between two events
 }
 
 // Note tells the log how a send ended.
@@ -351,6 +368,9 @@
 // First returns the time from its arrival to its first event, zero without one.
 func (n Note) First() time.Duration { return n.config.First }
 
+// Pause returns the longest pause between two events.
+func (n Note) Pause() time.Duration { return n.config.Pause }
+
 // Took returns the time from its arrival to the end.
 func (n Note) Took() time.Duration { return n.config.Took }
 
--- a/lobby/steward/meters.go
+++ b/lobby/steward/meters.go
@@ -14,6 +14,7 @@
 	fetches  *metrics.Counter
 	waited   *metrics.Histogram
 	first    *metrics.Histogram
+	pause    *metrics.Histogram
 	took     *metrics.Histogram
 }
 
@@ -24,6 +25,7 @@
 		fetches:  metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
 		waited:   metrics.GetOrCreateHistogram("sesamewell_request_waited_seconds"),
 		first:    metrics.GetOrCreateHistogram("sesamewell_request_first_event_seconds"),
+		pause:    metrics.GetOrCreateHistogram("sesamewell_request_longest_pause_seconds"),
 		took:     metrics.GetOrCreateHistogram("sesamewell_request_seconds"),
 	}
 	for result, name := range resultNames {
@@ -42,6 +44,9 @@
 	if n.First() > 0 {
 		m.first.Update(n.First().Seconds())
 	}
+	if n.Pause() > 0 {
+		m.pause.Update(n.Pause().Seconds())
+	}
 	if n.Result() == Complete {
 		m.took.Update(n.Took().Seconds())
 	}
--- a/lobby/steward/steward.go
+++ b/lobby/steward/steward.go
@@ -121,7 +121,7 @@
 
 		s.config.Log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Visit().ID(), "backend": a.Backend(), "result": a.Result(), "status": a.Status(),
-			"waited": a.Waited(), "first": a.First(), "took": a.Took(),
+			"waited": a.Waited(), "first": a.First(), "pause": a.Pause(), "took": a.Took(),
 		}).Log(noteLevel(a), "send ended")
 		return nil
 	case Refuse:
