Let prompts wait in the lobby while an engine has enough to read

Cause: the engines read prompts in pieces between the steps of what runs, so that three full pieces in a row hold up all streams there for some 0.35 s, past the 0.3 s that callers take for on time.

Change: an engine gets another prompt only while what it has to read, with it, takes no more than half of the route's longest pause, or it has none to read. The rest waits in the lobby, the most pressing first; a prompt that is read brings the next.

--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -22,9 +22,12 @@
 	// ranks before it, up to maxReserved ranks.
 	reserved    = 2
 	maxReserved = 3
-	readShare   = 100 * time.Millisecond // of an objective, for reading the prompt
-	maxParked   = 1000                   // requests that wait for a backend server
-	parkShare   = 0.5                    // of a request's time, for which it waits for one
+	// readLimit is the part of a route's longest pause that the prompts which an
+	// engine has to read may take together.
+	readLimit = 0.5
+	readShare = 100 * time.Millisecond // of an objective, for reading the prompt
+	maxParked = 1000                   // requests that wait for a backend server
+	parkShare = 0.5                    // of a request's time, for which it waits for one
 	// streamSilence, silentObjectives and silentGaps bound the time without an
 	// event for which callers keep a stream open: the longest of the first, so
 	// many times the objective, and so many times the route's pause.
--- a/lobby/steward/dispatch.go
+++ b/lobby/steward/dispatch.go
@@ -69,7 +69,7 @@
 	_, engine := service.Engine()
 	var best *host
 	for _, h := range c.services[call.service] {
-		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call) {
+		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call, c.paces) {
 			continue
 		}
 		if best == nil || c.before(now, call, engine, h, best) {
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -62,6 +62,7 @@
 		call.settle()
 		call.host.sign(now)
 		c.paces.observe(call.visit.Model(), call.tokens, now.Sub(call.dispatched))
+		c.refill(now, call.host)
 	}
 }
 
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -81,7 +81,7 @@
 		return
 	}
 	fits := func(call *call) bool {
-		return call.service == h.backend.Service() && h.takes(now, call) && !call.tried[h.backend.ID()]
+		return call.service == h.backend.Service() && h.takes(now, call, c.paces) && !call.tried[h.backend.ID()]
 	}
 	var first *call
 	for _, call := range c.waiting {
