Tell the other lobbies twenty times a second

Cause: what other lobbies have at an engine decides whether it gets another prompt, and a prompt is read in some 76 ms: told five times a second, that was old by two prompts, so that lobbies held back together and sent together.

Change: a digest each 50 ms; 10 ms for each lobby where there are more than five, 400 ms at most, so that the calls do not grow with their square.

--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -11,8 +11,12 @@
 	planLife     = 3 * time.Second        // of a plan whose planner is silent
 	// drainGrace is the time from the start of a drain up to which requests are
 	// taken: the platform asks for readiness once a second, twice.
-	drainGrace  = 2500 * time.Millisecond
-	tellPeriod  = 200 * time.Millisecond  // between two digests
+	drainGrace = 2500 * time.Millisecond
+	// tellPeriod is the time between two digests; with many lobbies it is
+	// tellShare for each of them, up to tellMost.
+	tellPeriod  = 50 * time.Millisecond
+	tellShare   = 10 * time.Millisecond
+	tellMost    = 400 * time.Millisecond
 	peerLife    = time.Second             // of what another lobby says of its load
 	leaseMargin = 300 * time.Millisecond  // by which an adapter's lease is given up before its keeper does so
 	renewAhead  = 1200 * time.Millisecond // before the end of a lease in use, at which it is renewed
--- a/lobby/steward/core.go
+++ b/lobby/steward/core.go
@@ -121,7 +121,7 @@
 		}
 	}
 	c.unpark(now)
-	if now.Sub(c.told) >= tellPeriod {
+	if now.Sub(c.told) >= tellPause(c.lobbies) {
 		c.tell(now)
 	}
 	return c.actions
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -500,6 +500,33 @@
 	want(t, "request", []string{"send e2"}, d.arrive(visit.Config{Path: "/stream/a", Model: "m"}))
 }
 
+func TestDigestsComeAsOftenAsTheNumberOfLobbiesAllows(t *testing.T) {
+	cases := map[string]struct {
+		lobbies int
+		want    int // digests in two seconds
+	}{
+		"alone": {lobbies: 1, want: 40}, "four": {lobbies: 4, want: 40}, "twenty": {lobbies: 20, want: 10}, "hundred": {lobbies: 100, want: 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(holder("e1"))
+			d.core.Handle(d.now, steward.NewPeopled(tc.lobbies))
+			digests := 0
+			for range 40 {
+				d.now = d.now.Add(50 * time.Millisecond)
+				for _, action := range d.core.Tick(d.now) {
+					if _, ok := action.(steward.Tell); ok {
+						digests++
+					}
+				}
+			}
+			if diff := cmp.Diff(tc.want, digests); diff != "" {
+				t.Errorf("digests (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestDemandIsWhatIsOpenAndWaits(t *testing.T) {
 	d := newDesk(holder("e1"))
 	d.core.Tick(d.now)
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -59,6 +59,11 @@
 	return !ok || slices.Contains(models, model)
 }
 
+// tellPause returns the time between two digests of one of so many lobbies.
+func tellPause(lobbies int) time.Duration {
+	return min(max(tellPeriod, time.Duration(lobbies)*tellShare), tellMost)
+}
+
 // tell tells the other lobbies of this one.
 func (c *Core) tell(now time.Time) {
 	if !c.told.IsZero() {
