Start with one retry, and prove the budget over several lobbies

Cause: a lobby started with its whole share of the extra retries, so that lobbies that all start again within a window had it twice: 68 retries where 67.8 are allowed (TestRetriesOfAllLobbiesKeepToTheBudget, few requests and all lobbies started again).

Change: one retry at the start; the rest grows as always.

--- a/commons/nightwatch/fleet_test.go
+++ b/commons/nightwatch/fleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,19 +11,14 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/register"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 const (
 	limit   = 3 * time.Second
--- a/entry/roster/core_test.go
+++ b/entry/roster/core_test.go
@@ -1,10 +1,8 @@
 package roster
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/register"
 )
 
@@ -24,22 +23,8 @@
 	settled  = 3 * time.Second // beyond the list's lag, after which the invariant must hold
 )
 
-// TestMain fixes what rapid draws, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, "1", map[string]string{"checks": "60"}) }
 
 // process is one side as it is.
 type process struct {
--- a/entry/treasurer/rates_test.go
+++ b/entry/treasurer/rates_test.go
@@ -1,32 +1,17 @@
 package treasurer
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/draws"
 )
 
-// TestMain fixes what rapid draws, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40", "rapid.nofailfile": "true"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, "1", map[string]string{"checks": "40"}) }
 
 const (
 	testRate  = 1000
--- a/keeper/warden/core_test.go
+++ b/keeper/warden/core_test.go
@@ -1,9 +1,7 @@
 package warden_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,26 +10,14 @@
 	"pgregory.net/rapid"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/keeper/warden"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 const (
 	memory   = 230.0 // MB of an engine
--- a/lobby/steward/budget.go
+++ b/lobby/steward/budget.go
@@ -18,8 +18,10 @@
 	at     time.Time
 }
 
-func newBudget(config BudgetConfig, lobbies int) *budget {
-	return &budget{config: config, level: config.most(lobbies)}
+// newBudget returns a budget of one retry: a process that starts again must not
+// have all of them anew.
+func newBudget(config BudgetConfig) *budget {
+	return &budget{config: config, level: 1}
 }
 
 // most returns the most that one of so many lobbies has at once; a lobby can
--- /dev/null
+++ b/lobby/steward/budget_test.go
@@ -0,0 +1,73 @@
+package steward
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/draws"
+)
+
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+
+// TestRetriesOfAllLobbiesKeepToTheBudget lets requests reach lobbies unevenly,
+// and lobbies start again once in a window, together or apart. Each request is
+// sent again as soon as its lobby allows it.
+func TestRetriesOfAllLobbiesKeepToTheBudget(t *testing.T) {
+	const lobbies, window = 4, 10 * time.Second
+	config := BudgetConfig{Ratio: 0.2, Extra: 54, Window: window}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+		budgets := make([]*budget, lobbies)
+		started := make([]time.Time, lobbies)
+		for i := range budgets {
+			budgets[i] = newBudget(config)
+		}
+		most := rapid.SampledFrom([]int{1, 3, 30}).Draw(t, "most")
+		longest := rapid.SampledFrom([]int{10, 100, 600}).Draw(t, "longest")
+		var requests, retries []time.Time
+		for range rapid.IntRange(10, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, longest).Draw(t, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 49).Draw(t, "fault") == 0 {
+				all := rapid.Bool().Draw(t, "all")
+				for i := range budgets {
+					if (all || rapid.Bool().Draw(t, "starts again")) && now.Sub(started[i]) > window {
+						budgets[i], started[i] = newBudget(config), now
+					}
+				}
+			}
+			lobby := rapid.IntRange(0, lobbies-1).Draw(t, "lobby")
+			for range rapid.IntRange(1, most).Draw(t, "requests") {
+				requests = append(requests, now)
+				budgets[lobby].request(lobbies)
+				if budgets[lobby].spend(now, lobbies) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for i, first := range retries {
+			used, allowed := 0, config.Extra+config.Ratio*float64(within(requests, first, window))
+			for _, at := range retries[i:] {
+				if at.Sub(first) < window {
+					used++
+				}
+			}
+			if float64(used) > allowed {
+				t.Fatalf("%d retries within %s, %.1f are allowed", used, window, allowed)
+			}
+		}
+	})
+}
+
+// within counts the times in the window that begins at first.
+func within(times []time.Time, first time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(first) && at.Sub(first) < window {
+			n++
+		}
+	}
+	return n
+}
--- a/lobby/steward/dispatch.go
+++ b/lobby/steward/dispatch.go
@@ -95,7 +95,7 @@
 func (c *Core) budget(service string) *budget {
 	b, ok := c.budgets[service]
 	if !ok {
-		b = newBudget(c.config.Budget, c.lobbies)
+		b = newBudget(c.config.Budget)
 		c.budgets[service] = b
 	}
 	return b
--- a/sesamewell/publish/fleet_test.go
+++ b/sesamewell/publish/fleet_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"testing"
 	"time"
 
@@ -14,19 +12,14 @@
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/sesamewell/publish"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 // stubWatch stands for a process that hears of nothing.
 type stubWatch struct{}
--- a/side/foyer/grant_test.go
+++ b/side/foyer/grant_test.go
@@ -1,10 +1,8 @@
 package foyer
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,18 +10,13 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/register"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 // owners maps keys to the tenants that hold them; "" is withdrawn.
 type owners [2]string
--- a/side/hall/core_test.go
+++ b/side/hall/core_test.go
@@ -1,32 +1,18 @@
 package hall_test
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-)
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if !seedGiven() {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+	"sesamewell.example/commons/draws"
+)
 
-func seedGiven() bool {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	return given
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 // disturb applies one fault, or a change of the plan, to the world.
 type disturb func(t *rapid.T, w *world)
--- a/standin/drill/reach_test.go
+++ b/standin/drill/reach_test.go
@@ -2,33 +2,19 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	gocmp "github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/draws"
 )
 
-// TestMain fixes the seed, so that the verdict is always the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	// A saved case would change the verdict of the next run.
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what rapid draws.
+func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
 
 // settleTime is the time in which a fleet places all models at its start.
 const settleTime = 2 * time.Minute
