Tell callers when to come back while all lobbies leave

Ruled out: engines and models (holders up to 3 in the lines, cause=leaving in 202 of 235 refusals).

Change: digests say that a lobby leaves; where no other stays, the time to come back is 1.5 s, in which the first one has started again.

TestLeavingLobbyTellsWhenToComeBack.

--- a/commons/notice/digest.go
+++ b/commons/notice/digest.go
@@ -22,6 +22,7 @@
 	Incarnation uint64             // of the sender's process
 	Serial      int64              // rises with each digest of an incarnation
 	Charter     int64              // version of the configuration in force
+	Leaving     bool               // the sender takes no new requests any more, or soon
 	Spent       map[string]float64 // by tenant, since the incarnation began
 	Asked       map[string]float64 // engines that the requests for each model keep busy
 	Loads       []LoadConfig
@@ -48,6 +49,9 @@
 // Charter returns the version of the configuration in force at the sender.
 func (d Digest) Charter() int64 { return d.config.Charter }
 
+// Leaving reports whether the sender takes no new requests any more, or soon.
+func (d Digest) Leaving() bool { return d.config.Leaving }
+
 // Spent returns what the sender has taken of each tenant's quota since its
 // incarnation began.
 func (d Digest) Spent() map[string]float64 { return d.config.Spent }
--- a/lobby/news.go
+++ b/lobby/news.go
@@ -67,7 +67,7 @@
 func (n *news) Tell(tell steward.Tell) error {
 	digest := notice.NewDigest(notice.DigestConfig{
 		Sender: n.self, Incarnation: n.incarnation, Serial: n.serial.Add(1), Charter: n.board.Version(),
-		Spent: tell.Spent(), Asked: tell.Asked(), Loads: tell.Loads(), Plan: tell.Plan(),
+		Leaving: tell.Leaving(), Spent: tell.Spent(), Asked: tell.Asked(), Loads: tell.Loads(), Plan: tell.Plan(),
 	})
 	if err := n.planner.Inbox().Put(digest); err != nil {
 		return err
--- a/lobby/steward/admission.go
+++ b/lobby/steward/admission.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if !c.takes(now) {
-		c.refuse(call, leaving, retryAfter)
+		c.refuse(call, leaving, c.elsewhere(now))
 		return
 	}
 	call.expires = m.visit.Arrived().Add(call.route.Timeout())
@@ -32,6 +32,16 @@
 	c.send(now, call)
 }
 
+// elsewhere returns when a caller is told to come back that this lobby does not
+// take any more: at once if another one takes it, else when one may have started
+// again.
+func (c *Core) elsewhere(now time.Time) time.Duration {
+	if c.othersTake(now) {
+		return retryAfter
+	}
+	return startRetry
+}
+
 // admit fills in the route and tenant of a request, or returns why it is
 // refused.
 func (c *Core) admit(call *call) Cause {
--- a/lobby/steward/constants.go
+++ b/lobby/steward/constants.go
@@ -7,8 +7,9 @@
 	maxUnsent    = 3 // sends of one request that may fail before a byte is sent
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
-	retryAfter   = 300 * time.Millisecond // when a refused caller is told to come back
-	planLife     = 3 * time.Second        // of a plan whose planner is silent
+	retryAfter   = 300 * time.Millisecond  // when a refused caller is told to come back
+	startRetry   = 1500 * time.Millisecond // the same, when all lobbies stop
+	planLife     = 3 * time.Second         // of a plan whose planner is silent
 	// drainGrace is the time from the start of a drain up to which requests are
 	// taken: the platform asks for readiness once a second, twice.
 	drainGrace = 2500 * time.Millisecond
--- a/lobby/steward/core_test.go
+++ b/lobby/steward/core_test.go
@@ -572,6 +572,43 @@
 	}
 }
 
+func TestLeavingLobbyTellsWhenToComeBack(t *testing.T) {
+	others := func(leaving ...bool) []notice.Digest {
+		var digests []notice.Digest
+		for i, l := range leaving {
+			digests = append(digests, notice.NewDigest(notice.DigestConfig{Sender: fmt.Sprint("10.0.0.9:", i), Leaving: l}))
+		}
+		return digests
+	}
+	cases := map[string]struct {
+		others []notice.Digest
+		age    time.Duration // of what they said
+		want   time.Duration
+	}{
+		"another one stays":   {others: others(true, false), want: 300 * time.Millisecond},
+		"all leave":           {others: others(true, true), want: 1500 * time.Millisecond},
+		"alone":               {want: 1500 * time.Millisecond},
+		"the other is silent": {others: others(false), age: 2 * time.Second, want: 1500 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(plain("p1"))
+			d.core.Handle(d.now, steward.Draining{})
+			d.now = d.now.Add(3 * time.Second)
+			for _, digest := range tc.others {
+				d.core.Handle(d.now.Add(-tc.age), steward.NewDigested(digest))
+			}
+			actions := d.arrive(visit.Config{Path: "/safe/a"})
+			want(t, "decision", []string{"refuse 503 leaving"}, actions)
+			if refuse, ok := actions[0].(steward.Refuse); ok {
+				if diff := cmp.Diff(tc.want, refuse.RetryAfter()); diff != "" {
+					t.Errorf("time to come back (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
+
 func TestDrain(t *testing.T) {
 	d := newDesk(plain("p1"))
 	d.arrive(visit.Config{Path: "/unsafe/a"})
--- a/lobby/steward/message.go
+++ b/lobby/steward/message.go
@@ -308,10 +308,11 @@
 
 // TellConfig holds the construction parameters of a Tell.
 type TellConfig struct {
-	Spent map[string]float64 // by tenant
-	Asked map[string]float64 // engines kept busy, by model
-	Loads []notice.LoadConfig
-	Plan  map[string][]string
+	Leaving bool               // this lobby is about to stop
+	Spent   map[string]float64 // by tenant
+	Asked   map[string]float64 // engines kept busy, by model
+	Loads   []notice.LoadConfig
+	Plan    map[string][]string
 }
 
 // Tell tells the other lobbies of this one.
@@ -320,6 +321,9 @@
 // NewTell returns the action.
 func NewTell(config TellConfig) Tell { return Tell{config: config} }
 
+// Leaving reports whether this lobby is about to stop.
+func (t Tell) Leaving() bool { return t.config.Leaving }
+
 // Spent returns what was taken of the quotas, by tenant.
 func (t Tell) Spent() map[string]float64 { return t.config.Spent }
 
--- a/lobby/steward/peers.go
+++ b/lobby/steward/peers.go
@@ -10,14 +10,15 @@
 
 // said is what another lobby last said of its load.
 type said struct {
-	loads []notice.LoadConfig
-	at    time.Time
+	loads   []notice.LoadConfig
+	leaving bool
+	at      time.Time
 }
 
 // hear takes over what another lobby says.
 func (c *Core) hear(now time.Time, digest notice.Digest) {
 	c.config.Purse.Heard(now, digest)
-	c.peers[digest.Sender()] = said{loads: digest.Loads(), at: now}
+	c.peers[digest.Sender()] = said{loads: digest.Loads(), leaving: digest.Leaving(), at: now}
 	c.sumLoads(now)
 	if digest.Plan() != nil {
 		c.follow(now, digest.Sender(), digest.Plan())
@@ -44,6 +45,16 @@
 	}
 }
 
+// othersTake reports whether another lobby takes new requests.
+func (c *Core) othersTake(now time.Time) bool {
+	for _, peer := range c.peers {
+		if !peer.leaving && now.Sub(peer.at) <= peerLife {
+			return true
+		}
+	}
+	return false
+}
+
 // follow takes a plan over. Of two lobbies that plan, the first by address goes
 // before the other until it falls silent.
 func (c *Core) follow(now time.Time, planner string, plan map[string][]string) {
@@ -70,7 +81,7 @@
 		c.measure(now.Sub(c.told))
 	}
 	c.told = now
-	tell := TellConfig{Spent: c.config.Purse.Spent(), Asked: maps.Clone(c.demand)}
+	tell := TellConfig{Leaving: !c.draining.IsZero(), Spent: c.config.Purse.Spent(), Asked: maps.Clone(c.demand)}
 	for _, h := range c.hosts {
 		if h.open > 0 {
 			tell.Loads = append(tell.Loads, notice.LoadConfig{Backend: h.backend.ID(), Open: h.open, Reading: h.reading, Silent: h.silent(now)})
