--- a/keeper/warden/core_test.go
+++ b/keeper/warden/core_test.go
@@ -234,6 +234,42 @@
 	}
 }
 
+// TestOrdersNameTheStartThatThePlanIsFor holds what lets a keeper be the only one
+// that orders its engine: it orders what it sees beside it, and nothing by a plan
+// for another start of it.
+func TestOrdersNameTheStartThatThePlanIsFor(t *testing.T) {
+	cases := map[string]struct {
+		again bool // the engine starts again after the plan
+		plan  bool // and a new plan comes
+		want  []string
+	}{
+		"same start":               {want: []string{"a", "b"}},
+		"started again":            {again: true},
+		"started again, plan anew": {again: true, plan: true, want: []string{"a", "b"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			if !tc.again {
+				w.assign("l1", "a", "b")
+			} else {
+				w.born++
+				w.pass(time.Second)
+				w.born--
+				w.assign("l1", "a", "b")
+				w.born++
+			}
+			if tc.plan {
+				w.assign("l1", "a", "b")
+			}
+			w.pass(5 * time.Second)
+			if diff := cmp.Diff(tc.want, w.models()); diff != "" {
+				t.Errorf("models (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestModelThatIsNotPlannedStaysWhileThereIsRoom(t *testing.T) {
 	w := newWorld("a", "b")
 	w.assign("l1", "a")
