Do not let a stream without ids go on elsewhere

Cause (reading): events without ids leave nothing to go on after, so that the second backend server would have begun anew within the same answer. The case 'events without ids' of TestCutStreamsGoOnElsewhere failed first.

--- a/lobby/porch/porch.go
+++ b/lobby/porch/porch.go
@@ -292,6 +292,10 @@
 	}
 	e.send, e.kept, e.told = send, nil, false
 	e.events.drop()
+	if e.begun && len(e.events.last) == 0 { // nobody can say where it goes on
+		p.tell(steward.NewEnded(e.number, steward.Severed, 0))
+		return
+	}
 	id := send.Sheet().Backend()
 	pl, ok := p.pools[id]
 	if !ok {
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -324,7 +324,9 @@
 		second string // the second one's answer
 		body   string
 		cut    bool
+		alone  bool // nothing reaches the second one
 	}{
+		"events without ids": {first: chunk("data: a\n\n"), cut: true, alone: true},
 		"after an event":     {first: chunk(first), after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
 		"in an event":        {first: chunk(first) + chunk("id: 2\nda"), after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
 		"in a chunk":         {first: chunk(first) + "9\r\nid: 2", after: "1", second: streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
@@ -347,8 +349,14 @@
 			})
 			l := newLobby(t, func(s *steward.SendConfig) { s.Address, s.Stream, s.Resume = a.address, true, true }, b.address)
 			_, body, err := ask(t, l.front)
-			if diff := cmp.Diff([]any{tc.cut, "", tc.after}, []any{err != nil, <-a.after, <-b.after}); diff != "" {
-				t.Errorf("cut, events before, events before the second (-want +got):\n%s%v", diff, err)
+			if diff := cmp.Diff([]any{tc.cut, tc.alone}, []any{err != nil, b.conns.Load() == 0}); diff != "" {
+				t.Fatalf("cut, without the second (-want +got):\n%s%v", diff, err)
+			}
+			if tc.alone {
+				return
+			}
+			if diff := cmp.Diff([]string{"", tc.after}, []string{<-a.after, <-b.after}); diff != "" {
+				t.Errorf("events before the first, before the second (-want +got):\n%s", diff)
 			}
 			if diff := cmp.Diff(tc.body, body); !tc.cut && diff != "" {
 				t.Errorf("body (-want +got):\n%s", diff)
