--- a/lobby/herald/herald.go
+++ b/lobby/herald/herald.go
@@ -29,10 +29,6 @@
 const (
 	longPoll   = 2 * time.Second        // longest wait for a new configuration: a connection may have gone silent
 	retryPause = 200 * time.Millisecond // after a read that failed
-	listPeriod = 400 * time.Millisecond // between two reads of the list
-	// wholePeriod is the time between two reads of the whole list, which mend
-	// what a change that was missed left behind.
-	wholePeriod = 15 * time.Second
 )
 
 // Config holds the construction parameters of the package's duties.
@@ -95,74 +91,6 @@
 	return nil
 }
 
-// Backends is responsible for following the list of backend servers.
-type Backends struct {
-	config  Config
-	offset  int64
-	known   map[string]charter.Backend
-	whole   time.Time // of the last read of the whole list
-	reached bool
-}
-
-// NewBackends returns the duty.
-func NewBackends(config Config) *Backends { return &Backends{config: config} }
-
-// String returns the duty's name.
-func (*Backends) String() string { return "backends" }
-
-// Serve reads until ctx ends.
-func (h *Backends) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := h.step(time.Now())
-		h.reached = report(h.config.Log, "backends", h.reached, err)
-		pause(ctx, listPeriod)
-	}
-	return ctx.Err()
-}
-
-func (h *Backends) step(now time.Time) error {
-	if h.known == nil || now.Sub(h.whole) > wholePeriod {
-		return h.readAll(now)
-	}
-	changes, offset, err := h.config.Store.Changes(h.offset)
-	if errors.Is(err, ErrMissed) {
-		return h.readAll(now)
-	}
-	if err != nil {
-		return err
-	}
-	h.offset = offset
-	for id, backend := range changes {
-		if backend.ID() == "" {
-			delete(h.known, id)
-			continue
-		}
-		h.known[id] = backend
-	}
-	if len(changes) > 0 {
-		h.pass()
-	}
-	return nil
-}
-
-func (h *Backends) readAll(now time.Time) error {
-	all, offset, err := h.config.Store.Backends()
-	if err != nil {
-		return err
-	}
-	h.known, h.offset, h.whole = all, offset, now
-	h.pass()
-	return nil
-}
-
-func (h *Backends) pass() {
-	list := make([]charter.Backend, 0, len(h.known))
-	for _, backend := range h.known {
-		list = append(list, backend)
-	}
-	h.config.Board.postBackends(list)
-}
-
 // report logs a dependency that is lost or regained and returns whether it is
 // reached.
 func report(log *logrus.Entry, what string, reached bool, err error) bool {
