Let a silent instance hold up the look at no other

It asks all instances at once and looks again when all have answered; the paused one takes two seconds, which were all the time given, so that the others were judged by one look right after the change.

Change: after the time is over, those that answer are asked once more. TestSilentInstanceHoldsUpNoOther fails without it and passes with it.

--- a/sesamewell/fleet.go
+++ b/sesamewell/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -78,29 +79,51 @@
 // await asks the instances until all have the revision in force. Its error
 // names those that lag.
 func await(out io.Writer, revision int64, targets []target, deadline time.Time) error {
-	lagging := targets
-	for {
-		found := visit(lagging)
-		var rest []target
-		var reasons []string
-		for i, t := range lagging {
-			if found[i].err == nil && found[i].Revision >= revision {
-				continue
-			}
-			rest = append(rest, t)
-			reasons = append(reasons, lag(t, found[i]))
-		}
-		if lagging = rest; len(lagging) == 0 {
-			return nil
-		}
-		if time.Now().After(deadline) {
-			for _, reason := range reasons {
-				fmt.Fprintln(out, reason)
-			}
-			return errors.Wrapf(errLagging, "%d of %d", len(lagging), len(targets))
-		}
+	lagging := look(revision, targets)
+	for len(lagging) > 0 && time.Now().Before(deadline) {
 		time.Sleep(pollPause)
+		lagging = look(revision, targetsOf(lagging))
+	}
+	// A silent instance has held up the last look, and others may be further by
+	// now.
+	silent := func(l laggard) bool { return l.found.err != nil }
+	behind := slices.DeleteFunc(slices.Clone(lagging), silent)
+	lagging = slices.DeleteFunc(lagging, func(l laggard) bool { return !silent(l) })
+	lagging = append(lagging, look(revision, targetsOf(behind))...)
+	if len(lagging) == 0 {
+		return nil
+	}
+	place := func(l laggard) int { return slices.Index(targets, l.target) }
+	slices.SortFunc(lagging, func(a, b laggard) int { return cmp.Compare(place(a), place(b)) })
+	for _, l := range lagging {
+		fmt.Fprintln(out, lag(l.target, l.found))
+	}
+	return errors.Wrapf(errLagging, "%d of %d", len(lagging), len(targets))
+}
+
+// laggard is an instance that does not have a revision in force.
+type laggard struct {
+	target target
+	found  condition
+}
+
+// look returns the instances that do not have the revision in force.
+func look(revision int64, targets []target) []laggard {
+	var lagging []laggard
+	for i, found := range visit(targets) {
+		if found.err != nil || found.Revision < revision {
+			lagging = append(lagging, laggard{target: targets[i], found: found})
+		}
+	}
+	return lagging
+}
+
+func targetsOf(lagging []laggard) []target {
+	targets := make([]target, 0, len(lagging))
+	for _, l := range lagging {
+		targets = append(targets, l.target)
 	}
+	return targets
 }
 
 func lag(t target, c condition) string {
--- a/sesamewell/fleet_test.go
+++ b/sesamewell/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,14 +20,20 @@
 
 // page serves a status page with a revision, and returns its address.
 func page(t *testing.T, revision int) string {
+	t.Helper()
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"revision":%d}`, revision)
+	})
+}
+
+// serve serves a page and returns its address.
+func serve(t *testing.T, answer http.HandlerFunc) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `{"revision":%d}`, revision)
-	})}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: answer}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
@@ -68,6 +75,25 @@
 	}
 }
 
+// TestSilentInstanceHoldsUpNoOther lets one instance take a call and never answer
+// it, and another come to the revision meanwhile.
+func TestSilentInstanceHoldsUpNoOther(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var asked atomic.Int64
+	late := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"revision":%d}`, min(2+asked.Add(1), 4))
+	})
+	var out bytes.Buffer
+	err = await(&out, 4, []target{{name: "late", address: late}, {name: "silent", address: listener.Addr().String()}}, time.Now().Add(time.Second))
+	if !errors.Is(err, errLagging) || !strings.Contains(err.Error(), "1 of 2") || strings.Contains(out.String(), "late at") {
+		t.Errorf("error = %v; %s", err, out.String())
+	}
+}
+
 func TestCheckReportsWhatCannotBeHeld(t *testing.T) {
 	const engines = "[backend e1]\nkind = engine\nmemory = 80GiB\nslots = 1\n[backend e2]\nkind = engine\nmemory = 80GiB\nslots = 1\n"
 	cases := map[string]struct {
