Make HTTP calls of outside services by one client

The store's and the engine's clients in platform repeated each other, and the log's client and the hall's clerk: the same host client that sends once, the same acquire, send and copy. One Messenger serves the four; each keeps its own errors. An error of the log's client names method and path, as the others did.

--- a/commons/logbook/logbook.go
+++ b/commons/logbook/logbook.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/messenger"
 )
 
 // Errors of the log service. After ErrUnknown the record may be in the log.
@@ -72,21 +74,13 @@
 
 // Client is responsible for appends to and reads from the log service.
 type Client struct {
-	config Config
-	http   *fasthttp.HostClient
+	config  Config
+	service *messenger.Messenger
 }
 
 // New returns a client.
 func New(config Config) *Client {
-	return &Client{
-		config: config,
-		http: &fasthttp.HostClient{
-			Addr:                     config.Address,
-			MaxConns:                 maxConns,
-			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			NoDefaultUserAgentHeader: true,
-		},
-	}
+	return &Client{config: config, service: messenger.New(messenger.Config{Address: config.Address, Conns: maxConns})}
 }
 
 // maxConns bounds the open connections to the log service.
@@ -95,22 +89,17 @@
 // Append adds a JSON record and returns its offset. It returns ErrUnavailable
 // when the record was not appended, and ErrUnknown when it may have been.
 func (c *Client) Append(record []byte) (int64, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + c.config.Address + "/append")
-	request.SetBodyRaw(record)
-	if err := c.http.DoTimeout(request, response, c.config.Timeout); err != nil {
-		return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnknown)
+	status, body, err := c.service.Send(messenger.NewCall(messenger.CallConfig{Method: fasthttp.MethodPost, Path: "/append", Body: record, Limit: c.config.Timeout}))
+	if err != nil {
+		return 0, errors.Mark(err, ErrUnknown)
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return 0, errors.Wrapf(ErrUnavailable, "append: status %d", response.StatusCode())
+	if status != fasthttp.StatusOK {
+		return 0, errors.Wrapf(ErrUnavailable, "append: status %d", status)
 	}
 	var answer struct {
 		Offset int64 `json:"offset"`
 	}
-	if err := json.Unmarshal(response.Body(), &answer); err != nil {
+	if err := json.Unmarshal(body, &answer); err != nil {
 		return 0, errors.Mark(errors.Wrap(err, "append"), ErrUnknown)
 	}
 	return answer.Offset, nil
@@ -120,20 +109,17 @@
 // of them. It returns ErrTrimmed together with the log's bounds when the
 // offset lies before the oldest record kept.
 func (c *Client) Read(from int64, wait time.Duration) (Extract, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(fmt.Sprintf("http://%s/read?from=%d&wait=%s", c.config.Address, from, wait))
-	if err := c.http.DoTimeout(request, response, wait+c.config.Timeout); err != nil {
-		return Extract{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	path := fmt.Sprintf("/read?from=%d&wait=%s", from, wait)
+	status, body, err := c.service.Send(messenger.NewCall(messenger.CallConfig{Method: fasthttp.MethodGet, Path: path, Limit: wait + c.config.Timeout}))
+	if err != nil {
+		return Extract{}, errors.Mark(err, ErrUnavailable)
 	}
-	status := response.StatusCode()
 	if status != fasthttp.StatusOK && status != fasthttp.StatusGone {
 		return Extract{}, errors.Wrapf(ErrUnavailable, "read: status %d", status)
 	}
 	var extract Extract
-	if err := json.Unmarshal(response.Body(), &extract.config); err != nil {
-		return Extract{}, errors.Mark(errors.Wrap(err, "read"), ErrUnavailable)
+	if err := json.Unmarshal(body, &extract.config); err != nil {
+		return Extract{}, errors.Mark(err, ErrUnavailable)
 	}
 	if status == fasthttp.StatusGone {
 		return extract, errors.Wrapf(ErrTrimmed, "offset %d, oldest %d", from, extract.config.First)
--- /dev/null
+++ b/commons/messenger/messenger_test.go
@@ -0,0 +1,74 @@
+package messenger_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/messenger"
+)
+
+func TestCallsAreSentOnce(t *testing.T) {
+	type answer struct {
+		Status int
+		Body   string
+	}
+	cases := map[string]struct {
+		says   string
+		want   answer
+		failed bool
+	}{
+		"answer":     {says: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", want: answer{200, "hi"}},
+		"refusal":    {says: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", want: answer{Status: 503}},
+		"no answer":  {failed: true},
+		"cut answer": {says: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", failed: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			var asked atomic.Int64
+			seen := make(chan string, 8)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						asked.Add(1)
+						body, _ := io.ReadAll(request.Body)
+						seen <- request.Method + " " + request.URL.String() + " " + request.Header.Get("X-Own") + " " + string(body)
+					}
+					_, _ = io.WriteString(conn, tc.says)
+					_ = conn.Close()
+				}
+			}()
+			m := messenger.New(messenger.Config{Address: listener.Addr().String(), Conns: 1})
+			status, body, err := m.Send(messenger.NewCall(messenger.CallConfig{
+				Method: http.MethodPost, Path: "/a?b=c", Header: map[string]string{"X-Own": "1"}, Body: []byte("hello"), Limit: 5 * time.Second,
+			}))
+			if diff := cmp.Diff(tc.failed, err != nil); diff != "" {
+				t.Fatalf("failed (-want +got):\n%s%v", diff, err)
+			}
+			if diff := cmp.Diff(tc.want, answer{status, string(body)}); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff("POST /a?b=c 1 hello", <-seen); diff != "" {
+				t.Errorf("request (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(int64(1), asked.Load()); diff != "" {
+				t.Errorf("times sent (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/side/hall/clerk.go
+++ b/side/hall/clerk.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/messenger"
 	"sesamewell.example/commons/ring"
 )
 
@@ -32,7 +33,7 @@
 	config Config
 	jobs   *ring.Ring
 	hall   *ring.Ring
-	http   *fasthttp.HostClient
+	engine *messenger.Messenger
 }
 
 func newClerk(config Config, hall *ring.Ring) *clerk {
@@ -40,12 +41,7 @@
 		config: config,
 		jobs:   ring.New(ring.Config{Name: "orders", Capacity: config.Capacity}),
 		hall:   hall,
-		http: &fasthttp.HostClient{
-			Addr:                     config.Address,
-			MaxConns:                 1,
-			NoDefaultUserAgentHeader: true,
-			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+		engine: messenger.New(messenger.Config{Address: config.Address, Conns: 1}),
 	}
 }
 
@@ -112,17 +108,12 @@
 }
 
 func (c *clerk) call(method, path string, body []byte) ([]byte, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + c.config.Address + path)
-	request.SetBodyRaw(body)
-	if err := c.http.DoTimeout(request, response, c.config.Timeout); err != nil {
-		return nil, errors.Wrapf(err, "%s %s", method, path)
+	status, answer, err := c.engine.Send(messenger.NewCall(messenger.CallConfig{Method: method, Path: path, Body: body, Limit: c.config.Timeout}))
+	if err != nil {
+		return nil, err
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Newf("%s %s: status %d", method, path, response.StatusCode())
+	if status != fasthttp.StatusOK {
+		return nil, errors.Newf("%s %s: status %d", method, path, status)
 	}
-	return append([]byte(nil), response.Body()...), nil
+	return answer, nil
 }
