Wait for a time or the end by one function

The herald had written the fourth copy of a timer beside a context; registrar, appender and reader had one each. crew.Pause serves all. An entry's grace after an outage need not ask whether there was one: the zero time lies far back.

--- a/commons/registrar/registrar.go
+++ b/commons/registrar/registrar.go
@@ -223,12 +223,3 @@
 	}
 	r.unsent = refused
 }
-
-func (r *Registrar) pause(ctx context.Context) {
-	timer := time.NewTimer(r.config.Retry)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/commons/registrar/snapshot.go
+++ b/commons/registrar/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/register"
 )
@@ -193,6 +194,5 @@
 		}
 	}
 	r.show()
-	r.pause(ctx)
-	return nil
+	return crew.Pause(ctx, r.config.Retry)
 }
--- a/entry/booking/appender.go
+++ b/entry/booking/appender.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/ring"
 )
@@ -54,7 +55,7 @@
 		if err := a.append(ctx, a.gather(first)); err != nil {
 			return err
 		}
-		if err := park(ctx, time.Until(next)); err != nil {
+		if err := crew.Pause(ctx, time.Until(next)); err != nil {
 			return err
 		}
 	}
@@ -104,17 +105,3 @@
 	}
 	return a.booking.PutWithin(ctx, NewNotAppended(runs), handOver)
 }
-
-func park(ctx context.Context, pause time.Duration) error {
-	if pause <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/entry/line/reader.go
+++ b/entry/line/reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/commons/ring"
@@ -150,21 +151,10 @@
 		r.failures++
 	}
 	if r.failures < readFailures {
-		return r.pause(ctx)
+		return crew.Pause(ctx, readPause)
 	}
 	r.config.Log.WithFields(logrus.Fields{"event": "side_lost", "side": r.side, "attempts": len(r.awaited)}).WithError(cause).Warn("side cannot be read")
 	r.failures, r.confirmed = 0, nil
 	clear(r.awaited)
 	return r.config.Usher.PutWithin(ctx, usher.NewLost(r.side), handOver)
 }
-
-func (r *reader) pause(ctx context.Context) error {
-	timer := time.NewTimer(readPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/lobby/herald/backends.go
+++ b/lobby/herald/backends.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/crew"
 )
 
 const (
@@ -46,12 +47,13 @@
 
 // Serve reads until ctx ends.
 func (h *Backends) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for {
 		err := h.step(time.Now())
 		h.reached = report(h.config.Log, "backends", h.reached, err)
-		pause(ctx, listPeriod)
+		if err := crew.Pause(ctx, listPeriod); err != nil {
+			return err
+		}
 	}
-	return ctx.Err()
 }
 
 func (h *Backends) step(now time.Time) error {
@@ -123,7 +125,7 @@
 	case backend.ID() != "":
 		h.known[id] = backend
 		delete(h.lapsed, id)
-	case ok && !known.Leaving() && !h.back.IsZero() && now.Sub(h.back) < lapseGrace:
+	case ok && !known.Leaving() && now.Sub(h.back) < lapseGrace:
 		h.lapsed[id] = true
 	default:
 		delete(h.known, id)
--- a/lobby/herald/herald.go
+++ b/lobby/herald/herald.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/charter"
+	"sesamewell.example/commons/crew"
 )
 
 // Store is the platform's store, as far as it is read here.
@@ -61,8 +62,11 @@
 	for ctx.Err() == nil {
 		err := h.step()
 		h.reached = report(h.config.Log, "charter", h.reached, err)
-		if err != nil {
-			pause(ctx, retryPause)
+		if err == nil {
+			continue
+		}
+		if err := crew.Pause(ctx, retryPause); err != nil {
+			return err
 		}
 	}
 	return ctx.Err()
@@ -103,12 +107,3 @@
 	}
 	return err == nil
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/lobby/herald/lobbies.go
+++ b/lobby/herald/lobbies.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/crew"
 )
 
 // Directory is where the lobbies find each other.
@@ -24,6 +26,7 @@
 const (
 	announcePeriod = 8 * time.Second // between two announcements
 	readPeriod     = 4 * time.Second // between two reads of the directory
+	soonPeriod     = time.Second     // the same, while the store does not answer or nobody else is known
 	// memberLife is the time after which a lobby counts as gone that has not
 	// announced itself again, while the store could be read.
 	memberLife = 3 * announcePeriod
@@ -62,16 +65,17 @@
 // Serve announces and reads until ctx ends. It reads sooner while the store
 // does not answer or nobody else is known.
 func (h *Lobbies) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for {
 		err := h.step(time.Now())
 		h.reached = report(h.config.Log, "lobbies", h.reached, err)
+		span := readPeriod
 		if err != nil || len(h.signs) < 2 {
-			pause(ctx, time.Second)
-			continue
+			span = soonPeriod
+		}
+		if err := crew.Pause(ctx, span); err != nil {
+			return err
 		}
-		pause(ctx, readPeriod)
 	}
-	return ctx.Err()
 }
 
 func (h *Lobbies) step(now time.Time) error {
