--- a/commons/handbook/options.go
+++ b/commons/handbook/options.go
@@ -1,13 +1,17 @@
 package handbook
 
+// process are the settings that all programs share.
+var process = []SettingConfig{
+	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
+	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
+}
+
 // commons are the settings that entry and side share.
 var commons = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance in the inventory"},
 	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
 	{Section: "process", Key: "secret", Kind: Text, Doc: "secret that all processes of the fleet share, of 16 bytes or more; links between processes prove it and are encrypted with it; may be missing only where all links are on loopback"},
 	{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, traces)"},
-	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
-	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
 	{Section: "platform", Key: "log", Kind: Address, Required: true, Doc: "address of the append-only log service"},
 	{Section: "platform", Key: "log-timeout", Kind: Duration, Default: "2s", Low: "100ms", High: "30s", Doc: "limit on one append or one read beyond its long poll"},
 	{Section: "platform", Key: "poll", Kind: Duration, Default: "1s", Low: "50ms", High: "10s", Doc: "longest time that one read of the log waits for news"},
@@ -91,16 +95,16 @@
 }
 
 // EntryOptions returns the declarations of sesamewell-entry's settings.
-func EntryOptions() []Setting { return declare(commons, entryOptions) }
+func EntryOptions() []Setting { return declare(process, commons, entryOptions) }
 
 // SideOptions returns the declarations of sesamewell-side's settings.
-func SideOptions() []Setting { return declare(commons, sideOptions) }
+func SideOptions() []Setting { return declare(process, commons, sideOptions) }
 
 // KeeperOptions returns the declarations of sesamewell-keeper's settings.
-func KeeperOptions() []Setting { return declare(bareProcess, keeperOptions) }
+func KeeperOptions() []Setting { return declare(process, bareProcess, keeperOptions) }
 
 // LobbyOptions returns the declarations of sesamewell-lobby's settings.
-func LobbyOptions() []Setting { return declare(bareProcess, lobbyOptions) }
+func LobbyOptions() []Setting { return declare(process, bareProcess, lobbyOptions) }
 
 func declare(groups ...[]SettingConfig) []Setting {
 	var settings []Setting
@@ -116,8 +120,6 @@
 var bareProcess = []SettingConfig{
 	{Section: "process", Key: "instance", Kind: Text, Required: true, Doc: "name of this instance"},
 	{Section: "process", Key: "memory", Kind: Bytes, Required: true, Doc: "memory that the process may use"},
-	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
-	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Low: "1s", High: "1h", Doc: "longest time that a planned stop waits for open requests"},
 	{Section: "process", Key: "operator", Kind: Address, Required: true, Doc: "address of the operators' pages (metrics, health, status)"},
 	{Section: "door", Key: "listen", Kind: Address, Required: true, Doc: "address for other processes of the system"},
 }
--- a/commons/handbook/setting.go
+++ b/commons/handbook/setting.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/netip"
 	"reflect"
-
 	"slices"
 	"strconv"
 	"strings"
@@ -183,7 +182,8 @@
 
 // ParseValue reads text as a value of the given kind: a string for Text and
 // Address, an int64 for Integer, Bytes and Duration (nanoseconds), a bool for
-// Switch, a []string for List and a float64 for Decimal. On an error the value is the kind's zero.
+// Switch, a []string for List and a float64 for Decimal. On an error the value
+// is the kind's zero.
 func ParseValue(kind Kind, text string) (any, error) {
 	switch kind {
 	case Address:
--- a/entry/badge/badge.go
+++ b/entry/badge/badge.go
@@ -25,12 +25,6 @@
 
 const scheme = "bearer "
 
-// Hash returns the SHA-256 of a key in hexadecimal, the only form in which the
-// system keeps it.
-func Hash(key string) string {
-	return register.HashKey(key)
-}
-
 // Pass is the permission to run one request.
 type Pass struct {
 	tenant string
@@ -61,7 +55,7 @@
 	if len(authorization) <= len(scheme) || !strings.EqualFold(authorization[:len(scheme)], scheme) {
 		return Pass{}, ErrMissing
 	}
-	hash := Hash(strings.TrimSpace(authorization[len(scheme):]))
+	hash := register.HashKey(strings.TrimSpace(authorization[len(scheme):]))
 	key, ok := inventory.KeyByHash(hash)
 	if !ok {
 		return Pass{}, ErrUnknown
--- a/entry/badge/badge_test.go
+++ b/entry/badge/badge_test.go
@@ -28,7 +28,7 @@
 path = /hours
 open = yes
 tenant = visitors
-`, tenant, badge.Hash(key))
+`, tenant, register.HashKey(key))
 	parsed, err := register.Parse("inv.ini", []byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/sesamewell/command.go
+++ b/sesamewell/command.go
@@ -38,7 +38,7 @@
 	case args.Key != nil && args.Key.Withdraw != nil:
 		return withdraw(out, args)
 	case args.Key != nil && args.Key.Hash != nil:
-		fmt.Fprintln(out, hashOf(args.Key.Hash.Key))
+		fmt.Fprintln(out, register.HashKey(args.Key.Hash.Key))
 		return nil
 	case args.Trace != nil:
 		spans, err := inspect.Spans(args.Trace.ID, args.Trace.Operators)
@@ -76,11 +76,6 @@
 	}
 }
 
-// hashOf returns the SHA-256 of a key in hexadecimal.
-func hashOf(key string) string {
-	return register.HashKey(key)
-}
-
 func check(out io.Writer, path string) error {
 	inventory, err := readInventory(path)
 	if err != nil {
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -21,7 +21,7 @@
 	"testing"
 	"time"
 
-	"sesamewell.example/entry/badge"
+	"sesamewell.example/commons/register"
 )
 
 const (
@@ -146,7 +146,7 @@
 sha256 = %s
 [route models]
 path = /v1
-`, badge.Hash(tenantKey), badge.Hash(neighborKey))
+`, register.HashKey(tenantKey), register.HashKey(neighborKey))
 	return f
 }
 
--- a/standin/proof/rates_test.go
+++ b/standin/proof/rates_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/wicket"
-	"sesamewell.example/entry/badge"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // addFrugal describes a tenant with a small burst.
 func (f *fleet) addFrugal() {
-	fmt.Fprintf(&f.inventory, "[tenant frugal]\nrate = %d\nburst = %d\n[key frugal]\ntenant = frugal\nsha256 = %s\n", frugalRate, frugalBurst, badge.Hash(frugalKey))
+	fmt.Fprintf(&f.inventory, "[tenant frugal]\nrate = %d\nburst = %d\n[key frugal]\ntenant = frugal\nsha256 = %s\n", frugalRate, frugalBurst, register.HashKey(frugalKey))
 }
 
 // callAll makes as many calls at each of the entries at once and returns the
--- a/standin/proof/serve_test.go
+++ b/standin/proof/serve_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/wicket"
-	"sesamewell.example/entry/badge"
 )
 
 const fastStep = 2 * time.Millisecond
@@ -97,7 +97,7 @@
 		if bytes == "" {
 			t.Errorf("%s kept nothing of what it received", backend)
 		}
-		if strings.Contains(bytes, tenantKey) || strings.Contains(bytes, badge.Hash(tenantKey)) {
+		if strings.Contains(bytes, tenantKey) || strings.Contains(bytes, register.HashKey(tenantKey)) {
 			t.Errorf("%s received the caller's key", backend)
 		}
 	}
