Look up holdings in one place, and drop what nobody reads

The keeper's stock had written anew what a backend server already tells: whether a model, or an adapter of it, is loaded. Holdings.Have serves both; a backend server makes its holdings once and not on each question. Gone are accessors without a use, the engine's models on disk as the keeper was told them (the plan decides by what backend servers write), and a field of Fetch that no keeper read; keeper tests set these but asserted nothing about them.

--- a/commons/charter/backend.go
+++ b/commons/charter/backend.go
@@ -18,9 +18,6 @@
 // Model returns the model's name.
 func (h Holding) Model() string { return h.config.Model }
 
-// Version returns the version of its weights.
-func (h Holding) Version() int64 { return h.config.Version }
-
 // Adapters returns the adapters that are loaded beside it.
 func (h Holding) Adapters() []string { return h.config.Adapters }
 
@@ -30,14 +27,25 @@
 	return h
 }
 
-func newHoldings(configs []HoldingConfig) []Holding {
-	holdings := make([]Holding, 0, len(configs))
+// Holdings are the models that a backend server has loaded.
+type Holdings []Holding
+
+func newHoldings(configs []HoldingConfig) Holdings {
+	holdings := make(Holdings, 0, len(configs))
 	for _, config := range configs {
 		holdings = append(holdings, NewHolding(config))
 	}
 	return holdings
 }
 
+// Have reports whether a model and, unless it is empty, an adapter of that model
+// is among them.
+func (h Holdings) Have(model, adapter string) bool {
+	return slices.ContainsFunc(h, func(holding Holding) bool {
+		return holding.Model() == model && (adapter == "" || slices.Contains(holding.Adapters(), adapter))
+	})
+}
+
 // BackendConfig holds the construction parameters of a Backend.
 type BackendConfig struct {
 	ID       string // of this start of the backend server
@@ -53,11 +61,14 @@
 
 // Backend is responsible for what a backend server last said of itself.
 type Backend struct {
-	config BackendConfig
+	config   BackendConfig
+	holdings Holdings
 }
 
 // NewBackend returns a backend server.
-func NewBackend(config BackendConfig) Backend { return Backend{config: config} }
+func NewBackend(config BackendConfig) Backend {
+	return Backend{config: config, holdings: newHoldings(config.Holdings)}
+}
 
 // Config returns what the backend server was made from.
 func (b Backend) Config() BackendConfig { return b.config }
@@ -83,28 +94,18 @@
 // Born returns the Unix millisecond of its start.
 func (b Backend) Born() int64 { return b.config.Born }
 
-// Holdings returns the models that it has loaded.
-func (b Backend) Holdings() []Holding { return newHoldings(b.config.Holdings) }
-
 // OnHand reports whether a model loads there without the weight store.
 func (b Backend) OnHand(model string) bool { return slices.Contains(b.config.OnHand, model) }
 
 // Holds reports whether it has loaded a model and, unless it is empty, an
 // adapter of that model.
-func (b Backend) Holds(model, adapter string) bool {
-	for _, holding := range b.config.Holdings {
-		if holding.Model == model {
-			return adapter == "" || slices.Contains(holding.Adapters, adapter)
-		}
-	}
-	return false
-}
+func (b Backend) Holds(model, adapter string) bool { return b.holdings.Have(model, adapter) }
 
 // Models returns the names of the models that it has loaded.
 func (b Backend) Models() []string {
-	names := make([]string, 0, len(b.config.Holdings))
-	for _, holding := range b.config.Holdings {
-		names = append(names, holding.Model)
+	names := make([]string, 0, len(b.holdings))
+	for _, holding := range b.holdings {
+		names = append(names, holding.Model())
 	}
 	return names
 }
--- a/commons/charter/engine.go
+++ b/commons/charter/engine.go
@@ -4,7 +4,6 @@
 type StateConfig struct {
 	Holdings []HoldingConfig
 	Coming   []string // adapters on their way, as MODEL/NAME
-	OnDisk   []string // models that load without the weight store
 	Busy     bool     // a model is being loaded or unloaded
 	Orders   int64    // accepted since the engine's start
 	Born     int64    // Unix milliseconds of its start
@@ -17,14 +16,11 @@
 func NewState(config StateConfig) State { return State{config: config} }
 
 // Holdings returns the models that are loaded.
-func (s State) Holdings() []Holding { return newHoldings(s.config.Holdings) }
+func (s State) Holdings() Holdings { return newHoldings(s.config.Holdings) }
 
 // Coming returns the adapters on their way, as MODEL/NAME.
 func (s State) Coming() []string { return s.config.Coming }
 
-// OnDisk returns the models that load without the weight store.
-func (s State) OnDisk() []string { return s.config.OnDisk }
-
 // Busy reports whether a model is being loaded or unloaded.
 func (s State) Busy() bool { return s.config.Busy }
 
--- a/commons/charter/service.go
+++ b/commons/charter/service.go
@@ -33,9 +33,6 @@
 	config ServiceConfig
 }
 
-// Name returns the service's name.
-func (s Service) Name() string { return s.config.Name }
-
 // Connections returns how many connections one backend server accepts.
 func (s Service) Connections() int { return s.config.Connections }
 
--- a/commons/notice/errand.go
+++ b/commons/notice/errand.go
@@ -64,7 +64,6 @@
 
 // FetchConfig holds the construction parameters of a Fetch.
 type FetchConfig struct {
-	Backend string // id of the backend server that is meant
 	Model   string
 	Adapter string
 }
@@ -77,9 +76,6 @@
 // NewFetch returns the message.
 func NewFetch(config FetchConfig) Fetch { return Fetch{config: config} }
 
-// Backend returns the id of the backend server that is meant.
-func (f Fetch) Backend() string { return f.config.Backend }
-
 // Model returns the adapter's model.
 func (f Fetch) Model() string { return f.config.Model }
 
--- a/keeper/warden/core.go
+++ b/keeper/warden/core.go
@@ -141,7 +141,7 @@
 	kept := c.waiting[:0]
 	for _, w := range c.waiting {
 		switch {
-		case c.stock.holds(w.fetch.Model(), w.fetch.Adapter()):
+		case c.stock.holdings.Have(w.fetch.Model(), w.fetch.Adapter()):
 			c.leases[key(w.fetch.Model(), w.fetch.Adapter())] = now.Add(c.config.Lease)
 			c.reply(w, c.config.Lease)
 		case !now.Before(w.until), c.seen && c.hopeless(w.fetch):
@@ -156,7 +156,7 @@
 // hopeless reports whether an adapter cannot be there in time: its model is
 // missing, or the engine takes no order until it has loaded a model.
 func (c *Core) hopeless(fetch notice.Fetch) bool {
-	return !c.stock.holds(fetch.Model(), "") || c.stock.busy && !c.stock.awaits(fetch.Model(), fetch.Adapter())
+	return !c.stock.holdings.Have(fetch.Model(), "") || c.stock.busy && !c.stock.awaits(fetch.Model(), fetch.Adapter())
 }
 
 func (c *Core) reply(w waiter, kept time.Duration) {
@@ -180,7 +180,7 @@
 // adapter returns the order that brings an adapter closer: its own, or one that
 // makes room.
 func (c *Core) adapter(now time.Time, fetch notice.Fetch) (charter.Order, bool) {
-	if c.stock.holds(fetch.Model(), fetch.Adapter()) || c.stock.awaits(fetch.Model(), fetch.Adapter()) || !c.stock.holds(fetch.Model(), "") {
+	if c.stock.holdings.Have(fetch.Model(), fetch.Adapter()) || c.stock.awaits(fetch.Model(), fetch.Adapter()) || !c.stock.holdings.Have(fetch.Model(), "") {
 		return charter.Order{}, false
 	}
 	need, ok := c.need(fetch.Model())
@@ -212,7 +212,7 @@
 // model returns the order that brings the models closer to the plan.
 func (c *Core) model() (charter.Order, bool) {
 	for _, need := range c.assign.Models() {
-		if c.stock.holds(need.Name, "") {
+		if c.stock.holdings.Have(need.Name, "") {
 			continue
 		}
 		if c.reserved()+need.Memory > c.assign.Memory() {
--- a/keeper/warden/core_test.go
+++ b/keeper/warden/core_test.go
@@ -46,7 +46,6 @@
 	ready    time.Time
 	orders   int64
 	born     int64
-	onDisk   []string
 	late     []delivery
 	lossy    func() (lost, late bool) // fate of the next order
 	over     bool                     // the engine was ordered beyond its memory or places
@@ -86,7 +85,7 @@
 
 func (w *world) fetch(model, name string) *ring.Ring {
 	reply := ring.New(ring.Config{Name: "reply", Capacity: 1})
-	fetch := notice.NewFetch(notice.FetchConfig{Backend: "e1", Model: model, Adapter: name})
+	fetch := notice.NewFetch(notice.FetchConfig{Model: model, Adapter: name})
 	w.obey(w.core.Handle(w.now, warden.NewWanted(fetch, reply)))
 	return reply
 }
@@ -154,7 +153,7 @@
 }
 
 func (w *world) state() charter.State {
-	s := charter.StateConfig{OnDisk: w.onDisk, Busy: w.loading != "", Orders: w.orders, Born: w.born}
+	s := charter.StateConfig{Busy: w.loading != "", Orders: w.orders, Born: w.born}
 	for model, adapters := range w.held {
 		s.Holdings = append(s.Holdings, charter.HoldingConfig{Model: model, Adapters: slices.Clone(adapters)})
 	}
@@ -211,7 +210,6 @@
 
 func TestPlanIsCarriedOut(t *testing.T) {
 	w := newWorld("a", "b", "c")
-	w.onDisk = []string{"a", "b", "c", "d"}
 	w.assign("l1", "a", "b", "d")
 	w.pass(3 * time.Second)
 	if diff := cmp.Diff([]string{"a", "b", "d"}, w.models()); diff != "" {
@@ -301,7 +299,6 @@
 			w.pass(200 * time.Millisecond)
 		}, fetch: "a3", kept: 0, within: 500 * time.Millisecond, holding: []string{"a1", "a2"}},
 		"engine is busy": {before: func(w *world) {
-			w.onDisk = []string{"b"}
 			w.pass(600 * time.Millisecond)
 			w.assign("l1", "a", "b")
 			w.pass(200 * time.Millisecond)
@@ -332,7 +329,6 @@
 
 func TestOfTwoPlannersTheFirstByAddressIsObeyed(t *testing.T) {
 	w := newWorld("a", "b", "c")
-	w.onDisk = []string{"d", "e"}
 	for range 6 {
 		w.assign("l1", "a", "b", "d")
 		w.assign("l2", "a", "b", "e")
--- a/keeper/warden/stock.go
+++ b/keeper/warden/stock.go
@@ -9,7 +9,7 @@
 // stock is responsible for what the engine holds: its last report, and what has
 // become of adapters since.
 type stock struct {
-	holdings []charter.Holding
+	holdings charter.Holdings
 	coming   []string // adapters on their way, as MODEL/NAME
 	busy     bool
 	orders   int64 // accepted since the engine's start
@@ -23,13 +23,6 @@
 	}
 }
 
-// holds reports whether a model, or an adapter of it, is loaded.
-func (s *stock) holds(model, adapter string) bool {
-	return slices.ContainsFunc(s.holdings, func(holding charter.Holding) bool {
-		return holding.Model() == model && (adapter == "" || slices.Contains(holding.Adapters(), adapter))
-	})
-}
-
 // awaits reports whether an adapter is on its way.
 func (s *stock) awaits(model, adapter string) bool {
 	return slices.Contains(s.coming, key(model, adapter))
--- a/lobby/errands/errands.go
+++ b/lobby/errands/errands.go
@@ -113,7 +113,7 @@
 // be told.
 func (r *runner) fetch(ctx context.Context, f steward.Fetch) error {
 	var fetched notice.Fetched
-	message := notice.NewFetch(notice.FetchConfig{Backend: f.Backend(), Model: f.Model(), Adapter: f.Adapter()})
+	message := notice.NewFetch(notice.FetchConfig{Model: f.Model(), Adapter: f.Adapter()})
 	if err := r.line(f.Address()).Call(notice.FetchMethod, message, &fetched, fetchLimit); err != nil {
 		r.errands.config.Log.WithFields(logrus.Fields{"event": "fetch", "backend": f.Backend(), "adapter": f.Adapter()}).WithError(err).Debug("adapter not fetched")
 	}
