Work out once what a backend server offers a request

The choice of a backend server looked up a prompt's kept parts and its time to be read in the limit on prompts, again in each comparison of two backend servers, and once more when the request was sent; a request sent again was chosen for twice. Now each candidate's offer is worked out once, compared and accepted. What is chosen stays the same.

--- a/lobby/steward/dispatch.go
+++ b/lobby/steward/dispatch.go
@@ -7,22 +7,26 @@
 	"sesamewell.example/commons/visit"
 )
 
-// send chooses a backend server for a request, or refuses the request when
-// none can have it. Nothing has run it so far, or it may run again.
+// send chooses a backend server for a request, or lets the request wait when none
+// can have it. Nothing has run it so far, or it may run again.
 func (c *Core) send(now time.Time, call *call) {
-	h := c.choose(now, call)
-	if h == nil {
-		c.park(now, call)
+	if chosen, ok := c.choose(now, call); ok {
+		c.accept(now, call, chosen)
 		return
 	}
+	c.park(now, call)
+}
+
+// accept gives a request to the backend server that was chosen.
+func (c *Core) accept(now time.Time, call *call, chosen offer) {
+	h := chosen.host
 	call.host = h
 	delete(c.waiting, call.number)
 	call.tokens = 0
-	missing := h.shelf.missing(call.visit)
 	if h.reading+h.othersReading == 0 {
-		call.tokens = missing
+		call.tokens = chosen.missing
 	}
-	call.reading = c.paces.read(call.visit.Model(), missing)
+	call.reading = chosen.reading
 	h.open++
 	h.reading += call.reading
 	h.shelf.put(call.visit)
@@ -56,40 +60,62 @@
 			Backend:  h.backend.ID(),
 			Tenant:   call.tenant.Name(),
 			Until:    call.expires,
-			Priority: call.tenant.Rank(call.route.Priority()),
+			Priority: call.rank(),
 			Ranked:   call.route.Kind() == charter.Stream,
 		}),
 	}))
 }
 
-// choose returns the backend server where a request begins soonest, or nil.
-// Suspects come last.
-func (c *Core) choose(now time.Time, call *call) *host {
+// offer is what one backend server offers a request.
+type offer struct {
+	host     *host
+	missing  int64         // tokens of the prompt that it would have to read
+	reading  time.Duration // of them
+	doubtful bool          // it is used only if no other can be
+	planned  bool          // the plan leaves the request's model there
+	wait     time.Duration // until the request would begin
+}
+
+// before reports whether one offer is taken rather than another.
+func (o offer) before(other offer) bool {
+	if o.doubtful != other.doubtful {
+		return other.doubtful
+	}
+	if o.planned != other.planned {
+		return o.planned
+	}
+	return o.wait < other.wait
+}
+
+// choose returns the offer with which a request begins soonest, if any. Suspects
+// come last.
+func (c *Core) choose(now time.Time, call *call) (best offer, found bool) {
 	service, _ := c.charter.Service(call.service)
 	_, engine := service.Engine()
-	var best *host
 	for _, h := range c.services[call.service] {
-		if !h.usable() || call.tried[h.backend.ID()] || engine && !h.takes(now, call, c.paces) {
+		if !h.usable() || call.tried[h.backend.ID()] {
 			continue
 		}
-		if best == nil || c.before(now, call, engine, h, best) {
-			best = h
+		if o, ok := c.offer(now, call, h, engine); ok && (!found || o.before(best)) {
+			best, found = o, true
 		}
 	}
-	return best
+	return best, found
 }
 
-func (c *Core) before(now time.Time, call *call, engine bool, a, b *host) bool {
-	if suspectA, suspectB := a.doubtful(now), b.doubtful(now); suspectA != suspectB {
-		return suspectB
+// offer returns what a backend server offers a request, if it can run it now.
+func (c *Core) offer(now time.Time, call *call, h *host, engine bool) (offer, bool) {
+	if engine && !h.takes(now, call) {
+		return offer{}, false
 	}
-	if engine {
-		model := call.visit.Model()
-		if plannedA, plannedB := c.keeps(a, model), c.keeps(b, model); plannedA != plannedB {
-			return plannedA
-		}
+	o := offer{host: h, missing: h.shelf.missing(call.visit), doubtful: h.doubtful(now)}
+	o.reading = c.paces.read(call.visit.Model(), o.missing)
+	if engine && !h.reads(call, o.reading) {
+		return offer{}, false
 	}
-	return a.load(now, call.visit, engine, c.config.Domain, c.paces) < b.load(now, call.visit, engine, c.config.Domain, c.paces)
+	o.planned = !engine || c.keeps(h, call.visit.Model())
+	o.wait = h.load(now, call.visit, engine, c.config.Domain, o.reading)
+	return o, true
 }
 
 func (c *Core) budget(service string) *budget {
--- a/lobby/steward/ending.go
+++ b/lobby/steward/ending.go
@@ -176,9 +176,11 @@
 // ends it.
 func (c *Core) resendRun(now time.Time, call *call, otherwise Action) {
 	call.mayHaveRun = true
-	if call.mayRepeat(now) && c.choose(now, call) != nil && c.budget(call.service).spend(now, c.lobbies) {
-		c.send(now, call)
-		return
+	if call.mayRepeat(now) {
+		if chosen, ok := c.choose(now, call); ok && c.budget(call.service).spend(now, c.lobbies) {
+			c.accept(now, call, chosen)
+			return
+		}
 	}
 	c.forget(call)
 	c.do(otherwise)
--- a/lobby/steward/host.go
+++ b/lobby/steward/host.go
@@ -48,9 +48,9 @@
 
 // takes reports whether it can run a request now: it has loaded the model, and
 // the adapter or can load it.
-func (h *host) takes(now time.Time, call *call, p *paces) bool {
+func (h *host) takes(now time.Time, call *call) bool {
 	v := call.visit
-	return h.room(call.rank()) && h.reads(call, p) && h.holds(v.Model()) && !now.Before(h.lacks[v.Model()]) && (!now.Before(h.closed) || h.leased(now, v))
+	return h.room(call.rank()) && h.holds(v.Model()) && !now.Before(h.lacks[v.Model()]) && (!now.Before(h.closed) || h.leased(now, v))
 }
 
 // room reports whether a slot is free for a request of that rank. A few are kept
@@ -59,12 +59,12 @@
 	return h.open+h.others < h.backend.Slots()-reserved*min(rank, maxReserved)
 }
 
-// reads reports whether it can read the prompt of a request without a pause in
-// its streams that is too long for them.
-func (h *host) reads(call *call, p *paces) bool {
+// reads reports whether it can read the prompt of a request, which takes so long,
+// without a pause in its streams that is too long for them.
+func (h *host) reads(call *call, reading time.Duration) bool {
 	busy := h.reading + h.othersReading
 	limit := time.Duration(float64(call.route.Gap()) * readLimit)
-	return busy == 0 || limit == 0 || busy+p.read(call.visit.Model(), h.shelf.missing(call.visit)) <= limit
+	return busy == 0 || limit == 0 || busy+reading <= limit
 }
 
 // leased reports whether the adapter of a request, if it has one, is loaded and
@@ -75,11 +75,12 @@
 
 func adapterKey(model, adapter string) string { return model + "/" + adapter }
 
-// load returns the time until a request would begin there.
-func (h *host) load(now time.Time, v *visit.Visit, engine bool, domain string, p *paces) time.Duration {
+// load returns the time until a request would begin there, whose prompt takes so
+// long to read.
+func (h *host) load(now time.Time, v *visit.Visit, engine bool, domain string, reading time.Duration) time.Duration {
 	load := time.Duration(h.open+h.others) * plainWeight
 	if engine {
-		load = h.reading + h.othersReading + p.read(v.Model(), h.shelf.missing(v)) + h.crowd()
+		load = h.reading + h.othersReading + reading + h.crowd()
 	}
 	if !h.leased(now, v) {
 		load += absent
--- a/lobby/steward/park.go
+++ b/lobby/steward/park.go
@@ -81,7 +81,10 @@
 		return
 	}
 	fits := func(call *call) bool {
-		return call.service == h.backend.Service() && h.takes(now, call, c.paces) && !call.tried[h.backend.ID()]
+		if call.service != h.backend.Service() || call.tried[h.backend.ID()] || !h.takes(now, call) {
+			return false
+		}
+		return h.reads(call, c.paces.read(call.visit.Model(), h.shelf.missing(call.visit)))
 	}
 	var first *call
 	for _, call := range c.waiting {
