Make lines, memory limits and a second look once

The lobby made its lines to other processes in two places, lobby and keeper each set the same memory limit by the same constant, and the roster's probers kept a map of lines beside porter.Lines. The operators' tool asks those that answered once more in their place, without splitting and sorting them.

--- a/entry/roster/prober.go
+++ b/entry/roster/prober.go
@@ -27,7 +27,7 @@
 	jobs   *ring.Ring
 	inbox  *ring.Ring
 	reads  *atomic.Uint64
-	lines  map[string]*porter.Line
+	lines  *porter.Lines
 }
 
 // String returns the thread's name.
@@ -49,14 +49,9 @@
 
 // probe reads nothing from a side, which tells its incarnation.
 func (p *prober) probe(probe Probe) Message {
-	line, ok := p.lines[probe.address]
-	if !ok {
-		line = porter.NewLine(porter.LineConfig{Address: probe.address, DialTimeout: probeLimit, Identity: p.config.Identity})
-		p.lines[probe.address] = line
-	}
 	query := notice.NewRead(notice.ReadConfig{Entry: p.config.Incarnation + " probe", Number: p.reads.Add(1)})
 	var pages notice.Pages
-	if err := line.Call(notice.ReadMethod, query, &pages, probeLimit); err != nil {
+	if err := p.lines.To(probe.address).Call(notice.ReadMethod, query, &pages, probeLimit); err != nil {
 		return NewSilent(probe.side)
 	}
 	return NewAnswered(probe.side, pages.Side(), pages.Leaving())
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -77,7 +77,10 @@
 }
 
 func (r *Roster) newProber() *prober {
-	return &prober{config: r.config, jobs: r.jobs, inbox: r.inbox, reads: &r.reads, lines: make(map[string]*porter.Line)}
+	lines := porter.NewLines(func(address string) *porter.Line {
+		return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: probeLimit, Identity: r.config.Identity})
+	})
+	return &prober{config: r.config, jobs: r.jobs, inbox: r.inbox, reads: &r.reads, lines: lines}
 }
 
 // PutWithin passes a message of the lines on and notes what it tells about its
--- a/keeper/house.go
+++ b/keeper/house.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -29,7 +28,7 @@
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
-	debug.SetMemoryLimit(settings.Bytes("process", "memory") * memoryShare / 100)
+	crew.LimitMemory(settings.Bytes("process", "memory"))
 	h := &house{crew: crew.New(crew.Config{Name: "keeper", Log: log})}
 	w := warden.New(warden.Config{
 		Core: warden.CoreConfig{
--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -14,9 +14,6 @@
 	// peers is the number of lobbies that share connections, retries and quotas,
 	// unless more are known.
 	peers = 4
-	// memoryShare is the part of the process's memory beyond which the garbage
-	// collector works harder, in per cent.
-	memoryShare = 60
 
 	dialLimit   = 400 * time.Millisecond  // on a new connection to another process of the system
 	peerSilence = time.Second             // of another lobby, after which its spending is assumed
--- a/lobby/house.go
+++ b/lobby/house.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -49,7 +48,7 @@
 }
 
 func newHouse(settings *handbook.Values, log *logrus.Entry) *house {
-	debug.SetMemoryLimit(settings.Bytes("process", "memory") * memoryShare / 100)
+	crew.LimitMemory(settings.Bytes("process", "memory"))
 	n := &news{self: settings.Address("door", "listen"), incarnation: rand.Uint64(), log: log}
 	h := &house{
 		crew: crew.New(crew.Config{Name: "lobby", Log: log}),
@@ -68,10 +67,8 @@
 		Log:      log,
 	})
 	n.parley = parley.New(parley.Config{
-		Self: n.self,
-		Dial: func(address string) parley.Line {
-			return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
-		},
+		Self:   n.self,
+		Dial:   func(address string) parley.Line { return newLine(address) },
 		Hearer: n,
 		Log:    log,
 	})
@@ -168,12 +165,14 @@
 
 // newLines returns the lines to keepers and lobbies.
 func newLines() func(address string) errands.Line {
-	all := porter.NewLines(func(address string) *porter.Line {
-		return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
-	})
+	all := porter.NewLines(newLine)
 	return func(address string) errands.Line { return all.To(address) }
 }
 
+func newLine(address string) *porter.Line {
+	return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: dialLimit})
+}
+
 // Serve runs the tree until ctx ends.
 func (h *house) Serve(ctx context.Context) error { return h.crew.Serve(ctx) }
 
--- a/sesamewell/fleet.go
+++ b/sesamewell/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -86,15 +85,15 @@
 	}
 	// A silent instance has held up the last look, and others may be further by
 	// now.
-	silent := func(l laggard) bool { return l.found.err != nil }
-	behind := slices.DeleteFunc(slices.Clone(lagging), silent)
-	lagging = slices.DeleteFunc(lagging, func(l laggard) bool { return !silent(l) })
-	lagging = append(lagging, look(revision, targetsOf(behind))...)
+	for i, l := range lagging {
+		if l.found.err == nil {
+			lagging[i].found = visit([]target{l.target})[0]
+		}
+	}
+	lagging = slices.DeleteFunc(lagging, func(l laggard) bool { return l.found.has(revision) })
 	if len(lagging) == 0 {
 		return nil
 	}
-	place := func(l laggard) int { return slices.Index(targets, l.target) }
-	slices.SortFunc(lagging, func(a, b laggard) int { return cmp.Compare(place(a), place(b)) })
 	for _, l := range lagging {
 		fmt.Fprintln(out, lag(l.target, l.found))
 	}
@@ -111,7 +110,7 @@
 func look(revision int64, targets []target) []laggard {
 	var lagging []laggard
 	for i, found := range visit(targets) {
-		if found.err != nil || found.Revision < revision {
+		if !found.has(revision) {
 			lagging = append(lagging, laggard{target: targets[i], found: found})
 		}
 	}
@@ -144,6 +143,9 @@
 	err error // the instance gave no answer
 }
 
+// has reports whether a revision is in force there.
+func (c condition) has(revision int64) bool { return c.err == nil && c.Revision >= revision }
+
 // visit asks all instances, a few at a time, and returns their answers in the
 // same order.
 func visit(targets []target) []condition {
