Share what tests need: fixed draws, free addresses, quiet logs

Its addresses come from a chunk of ports that a test process holds, so that test processes beside each other share none. Assertions stay.

--- a/commons/draws/draws.go
+++ b/commons/backstage/draws.go
@@ -1,6 +1,4 @@
-// Package draws fixes what property tests draw (pgregory.net/rapid), so that
-// their verdict is always the same.
-package draws
+package backstage
 
 import (
 	"flag"
@@ -14,7 +12,7 @@
 // Seed is the seed of property tests that have no reason for another one.
 const Seed = "20261204"
 
-// Run runs the tests with the seed and with further flags of rapid, each by its
+// Run runs the tests of a package, which draw by pgregory.net/rapid, with the seed and with further flags of rapid, each by its
 // name after "rapid.". What the command line gives goes before them. No failed
 // case is saved, since it would change the verdict of the next run.
 func Run(m *testing.M, seed string, more map[string]string) {
--- a/commons/crew/crew_test.go
+++ b/commons/crew/crew_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/crew"
 	"sesamewell.example/commons/ring"
 )
@@ -50,11 +49,10 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			log := logrus.New()
-			log.SetOutput(io.Discard)
+			log := backstage.Quiet()
 			inbox := ring.New(ring.Config{Name: "test", Capacity: 8})
 			handler := &failing{done: make(chan struct{})}
-			root := crew.New(crew.Config{Name: "root", Log: logrus.NewEntry(log)})
+			root := crew.New(crew.Config{Name: "root", Log: log})
 			root.Add(crew.NewDuty(crew.DutyConfig{Name: "failing", Inbox: inbox, Handler: handler, Period: time.Hour}))
 			for _, message := range tc.messages {
 				if err := inbox.Put(message); err != nil {
--- a/commons/crew/run_test.go
+++ b/commons/crew/run_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/crew"
 )
 
@@ -50,13 +49,12 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			log := logrus.New()
-			log.SetOutput(io.Discard)
+			log := backstage.Quiet()
 			r := &root{serving: make(chan struct{}), stuck: tc.stuck, drained: make(chan struct{})}
 			close(r.drained)
 			reloads := make(chan struct{}, tc.hangups+1)
 			code := make(chan int, 1)
-			config := crew.RunConfig{Root: r, DrainLimit: time.Minute, Log: logrus.NewEntry(log), Look: time.Millisecond}
+			config := crew.RunConfig{Root: r, DrainLimit: time.Minute, Log: log, Look: time.Millisecond}
 			if !tc.bare {
 				config.Settings = settings{reloads: reloads}
 			}
--- a/commons/nightwatch/fleet_test.go
+++ b/commons/nightwatch/fleet_test.go
@@ -11,14 +11,14 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/nightwatch"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/register"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 const (
 	limit   = 3 * time.Second
--- a/commons/porter/porter_test.go
+++ b/commons/porter/porter_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/porter"
 )
 
@@ -41,18 +40,10 @@
 // open starts a door and returns its address.
 func open(t *testing.T, own *porter.Identity) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	address := backstage.FreeAddress(t)
+	log := backstage.Quiet()
 	door := porter.NewDoor(porter.DoorConfig{
-		Address: address, Identity: own, Log: logrus.NewEntry(log),
+		Address: address, Identity: own, Log: log,
 		Services: []porter.Service{{Name: "Echo", Receiver: Echo{}}},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/commons/wicket/wicket_test.go
+++ b/commons/wicket/wicket_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/wicket"
 )
@@ -24,19 +24,11 @@
 // serve starts a server whose requests are echoed, and returns its address.
 func serve(t *testing.T, change func(config *wicket.Config)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	address := backstage.FreeAddress(t)
+	log := backstage.Quiet()
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
 	config := wicket.Config{
-		Address: address, Inbox: inbox, Log: logrus.NewEntry(log), MaxHeader: 2048, MaxBody: 4096,
+		Address: address, Inbox: inbox, Log: log, MaxHeader: 2048, MaxBody: 4096,
 		MaxUnsent: 1 << 20, MaxConns: 64, SlowSender: patience, Idle: patience,
 	}
 	if change != nil {
--- a/entry/booking/appender_test.go
+++ b/entry/booking/appender_test.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/logbook"
 	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/ring"
@@ -33,11 +32,10 @@
 
 func TestWaitingIntentsShareOneAppend(t *testing.T) {
 	const waiting = 100
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := backstage.Quiet()
 	service := &slowLog{entered: make(chan struct{}), release: make(chan struct{}), records: make(chan []byte, 2)}
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 1})
-	a := newAppender(Config{Service: service, Log: logrus.NewEntry(log), Capacity: 2 * waiting}, inbox)
+	a := newAppender(Config{Service: service, Log: log, Capacity: 2 * waiting}, inbox)
 	ctx, cancel := context.WithCancel(t.Context())
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Serve(ctx) }()
--- a/entry/roster/core_test.go
+++ b/entry/roster/core_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/register"
 )
 
@@ -24,7 +24,7 @@
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, "1", map[string]string{"checks": "60"}) }
+func TestMain(m *testing.M) { backstage.Run(m, "1", map[string]string{"checks": "60"}) }
 
 // process is one side as it is.
 type process struct {
--- a/entry/roster/prober_test.go
+++ b/entry/roster/prober_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"testing"
@@ -10,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 )
@@ -36,25 +35,17 @@
 }
 
 func TestProbesAreAnswered(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	address := backstage.FreeAddress(t)
+	log := backstage.Quiet()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
 		_ = porter.NewDoor(porter.DoorConfig{
-			Address: address, Log: logrus.NewEntry(log),
+			Address: address, Log: log,
 			Services: []porter.Service{{Name: notice.Service, Receiver: &desk{numbers: make(map[string]uint64)}}},
 		}).Serve(ctx)
 	}()
-	r := New(Config{Incarnation: "entry-1/1", Log: logrus.NewEntry(log)})
+	r := New(Config{Incarnation: "entry-1/1", Log: log})
 	probers := []*prober{r.newProber(), r.newProber()}
 	for range 200 {
 		if conn, err := net.Dial("tcp", address); err == nil {
--- a/entry/treasurer/rates_test.go
+++ b/entry/treasurer/rates_test.go
@@ -7,11 +7,11 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, "1", map[string]string{"checks": "40"}) }
+func TestMain(m *testing.M) { backstage.Run(m, "1", map[string]string{"checks": "40"}) }
 
 const (
 	testRate  = 1000
--- a/keeper/warden/core_test.go
+++ b/keeper/warden/core_test.go
@@ -9,15 +9,15 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/charter"
-	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/keeper/warden"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 const (
 	memory   = 230.0 // MB of an engine
--- a/lobby/errands/errands_test.go
+++ b/lobby/errands/errands_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/lobby/errands"
@@ -41,13 +40,12 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			log := logrus.New()
-			log.SetOutput(io.Discard)
+			log := backstage.Quiet()
 			tc.keeper.calls = make(chan string, 8)
 			addresses := make(chan string, 8)
 			inbox := ring.New(ring.Config{Name: "test", Capacity: 8})
 			e := errands.New(errands.Config{
-				Port: "7000", Steward: inbox, Capacity: 8, Threads: 2, Log: logrus.NewEntry(log),
+				Port: "7000", Steward: inbox, Capacity: 8, Threads: 2, Log: log,
 				Line: func(address string) errands.Line {
 					addresses <- address
 					return &tc.keeper
--- a/lobby/herald/backends_test.go
+++ b/lobby/herald/backends_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/charter"
 )
 
@@ -32,7 +33,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := &store{list: backends("a", "b")}
-			h := NewBackends(Config{Store: s, Board: NewBoard(BoardConfig{Listener: &listener{}, Log: quiet()}), Log: quiet()})
+			h := NewBackends(Config{Store: s, Board: NewBoard(BoardConfig{Listener: &listener{}, Log: backstage.Quiet()}), Log: backstage.Quiet()})
 			now := noon
 			step := func(after time.Duration) {
 				for end := now.Add(after); now.Before(end); {
--- a/lobby/herald/herald_test.go
+++ b/lobby/herald/herald_test.go
@@ -2,26 +2,19 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/charter"
 )
 
 var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 
-func quiet() *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return logrus.NewEntry(log)
-}
-
 // listener keeps what it is told.
 type listener struct {
 	versions []int64
@@ -100,8 +93,8 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, l := &store{}, &listener{}
-			board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
-			h := NewCharters(Config{Store: s, Board: board, Log: quiet()})
+			board := NewBoard(BoardConfig{Listener: l, Log: backstage.Quiet()})
+			h := NewCharters(Config{Store: s, Board: board, Log: backstage.Quiet()})
 			for i, v := range tc.versions {
 				s.version, s.missed = v, tc.missed && i == 1
 				if err := h.step(); err != nil {
@@ -117,7 +110,7 @@
 
 func TestListFollowsChangesAndIsReadWholeWhenTheyAreMissed(t *testing.T) {
 	s, l := &store{list: backends("a", "b")}, &listener{}
-	h := NewBackends(Config{Store: s, Board: NewBoard(BoardConfig{Listener: l, Log: quiet()}), Log: quiet()})
+	h := NewBackends(Config{Store: s, Board: NewBoard(BoardConfig{Listener: l, Log: backstage.Quiet()}), Log: backstage.Quiet()})
 	steps := []struct {
 		changes map[string]charter.Backend
 		missed  bool
@@ -147,9 +140,9 @@
 
 func TestStoreThatIsAwayChangesNothing(t *testing.T) {
 	s, l := &store{list: backends("a"), version: 3}, &listener{}
-	board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
-	charters := NewCharters(Config{Store: s, Board: board, Log: quiet()})
-	list := NewBackends(Config{Store: s, Board: board, Log: quiet()})
+	board := NewBoard(BoardConfig{Listener: l, Log: backstage.Quiet()})
+	charters := NewCharters(Config{Store: s, Board: board, Log: backstage.Quiet()})
+	list := NewBackends(Config{Store: s, Board: board, Log: backstage.Quiet()})
 	if err := errors.CombineErrors(charters.step(), list.step(noon)); err != nil {
 		t.Fatal(err)
 	}
@@ -193,11 +186,11 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			l, others := &listener{}, &peers{version: 6}
-			board := NewBoard(BoardConfig{Listener: l, Log: quiet()})
+			board := NewBoard(BoardConfig{Listener: l, Log: backstage.Quiet()})
 			if tc.listed {
 				board.postBackends(nil)
 			}
-			h := NewCatchUp(CatchUpConfig{Store: &tc.store, Peers: others, Board: board, Log: quiet()})
+			h := NewCatchUp(CatchUpConfig{Store: &tc.store, Peers: others, Board: board, Log: backstage.Quiet()})
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
 			h.Hear(tc.hint, "10.0.0.1:7000")
@@ -228,7 +221,7 @@
 
 func TestLobbiesThatNoLongerAnnounceThemselvesAreDropped(t *testing.T) {
 	d := &directory{offsets: map[string]int64{"a": 1, "b": 2}}
-	h := NewLobbies(LobbiesConfig{Self: "a", Directory: d, Log: quiet()})
+	h := NewLobbies(LobbiesConfig{Self: "a", Directory: d, Log: backstage.Quiet()})
 	if diff := cmp.Diff(2, len(h.alive(noon, d.offsets))); diff != "" {
 		t.Errorf("at first (-want +got):\n%s", diff)
 	}
--- a/lobby/house_test.go
+++ b/lobby/house_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/chronicle"
 	"sesamewell.example/commons/handbook"
 )
@@ -125,22 +126,12 @@
 	return found
 }
 
-func free(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // start runs a lobby before a store and returns its callers' address and log.
 func start(t *testing.T, storeAddress string) (string, *lines) {
 	t.Helper()
-	front, probe := free(t), free(t)
+	front, probe := backstage.FreeAddress(t), backstage.FreeAddress(t)
 	text := fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\n[door]\nlisten = %s\n"+
-		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", free(t), free(t), storeAddress, front, probe)
+		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", backstage.FreeAddress(t), backstage.FreeAddress(t), storeAddress, front, probe)
 	settings, err := handbook.Settings("lobby.ini", []byte(text), handbook.LobbyOptions())
 	if err != nil {
 		t.Fatal(err)
--- a/lobby/parley/parley_test.go
+++ b/lobby/parley/parley_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/porter"
 	"sesamewell.example/lobby/parley"
@@ -31,19 +29,11 @@
 
 func newLobby(t *testing.T) *lobby {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	door := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	door := backstage.FreeAddress(t)
+	log := backstage.Quiet()
 	l := &lobby{door: door, heard: make(chan notice.Digest, 64), lobbies: make(chan int, 64)}
 	l.parley = parley.New(parley.Config{
-		Self: door, Hearer: l, Log: logrus.NewEntry(log),
+		Self: door, Hearer: l, Log: log,
 		Dial: func(address string) parley.Line {
 			return porter.NewLine(porter.LineConfig{Address: address, DialTimeout: time.Second})
 		},
@@ -53,21 +43,22 @@
 	go func() { _ = l.parley.Serve(ctx) }()
 	go func() {
 		_ = porter.NewDoor(porter.DoorConfig{
-			Address: door, Log: logrus.NewEntry(log),
+			Address: door, Log: log,
 			Services: []porter.Service{{Name: notice.LobbyService, Receiver: parley.NewDesk(l.parley)}},
 		}).Serve(ctx)
 	}()
 	return l
 }
 
-func receive[T any](t *testing.T, c chan T) T {
+// count returns the next number of lobbies that a lobby is told.
+func count(t *testing.T, lobbies chan int) int {
 	t.Helper()
 	select {
-	case v := <-c:
-		return v
+	case n := <-lobbies:
+		return n
 	case <-time.After(patience):
 		t.Fatal("nothing was heard")
-		panic("not reached")
+		return 0
 	}
 }
 
@@ -93,7 +84,7 @@
 	if err := a.parley.Members([]string{a.door, b.door}); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(2, receive(t, a.lobbies)); diff != "" {
+	if diff := cmp.Diff(2, count(t, a.lobbies)); diff != "" {
 		t.Errorf("lobbies (-want +got):\n%s", diff)
 	}
 	config := notice.DigestConfig{
@@ -111,7 +102,7 @@
 		t.Errorf("digest (-want +got):\n%s", diff)
 	}
 	// b has met a by its call, without a list.
-	if diff := cmp.Diff(2, receive(t, b.lobbies)); diff != "" {
+	if diff := cmp.Diff(2, count(t, b.lobbies)); diff != "" {
 		t.Errorf("lobbies (-want +got):\n%s", diff)
 	}
 	send(t, b, a, notice.NewDigest(notice.DigestConfig{Sender: b.door}))
--- a/lobby/porch/porch_test.go
+++ b/lobby/porch/porch_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/visit"
 	"sesamewell.example/lobby/porch"
@@ -82,33 +82,22 @@
 	porch *porch.Porch
 	ready atomic.Bool
 	ended chan steward.Ended
-	left  chan steward.Left
-	sends []string // addresses that cut streams go on at
+	left  chan struct{} // a token for each caller that left
+	sends []string      // addresses that cut streams go on at
 }
 
 // Ready reports what the test has set.
 func (l *lobby) Ready() bool { return l.ready.Load() }
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // newLobby starts a porch; send completes the send of each request.
 func newLobby(t testing.TB, send func(send *steward.SendConfig), goOn ...string) *lobby {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := backstage.Quiet()
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
-	l := &lobby{front: freeAddress(t), probe: freeAddress(t), ended: make(chan steward.Ended, 64), left: make(chan steward.Left, 64), sends: goOn}
+	l := &lobby{front: backstage.FreeAddress(t), probe: backstage.FreeAddress(t), ended: make(chan steward.Ended, 64), left: make(chan struct{}, 64), sends: goOn}
 	l.porch = porch.New(porch.Config{
 		Front: l.front, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2,
-		Codec: platform.Heads{}, Dial: platform.Dial, Steward: inbox, Readiness: l, Log: logrus.NewEntry(log),
+		Codec: platform.Heads{}, Dial: platform.Dial, Steward: inbox, Readiness: l, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, service := range l.porch.Services() {
@@ -149,7 +138,7 @@
 			}
 			l.ended <- m
 		case steward.Left:
-			l.left <- m
+			l.left <- struct{}{}
 		}
 	}
 }
@@ -365,7 +354,7 @@
 	}
 }
 
-func await[T any](t *testing.T, c chan T, fault string) {
+func await(t *testing.T, c chan struct{}, fault string) {
 	t.Helper()
 	select {
 	case <-c:
@@ -402,7 +391,7 @@
 }
 
 func TestUnreachableBackendServerGetsNothing(t *testing.T) {
-	address := freeAddress(t)
+	address := backstage.FreeAddress(t)
 	l := newLobby(t, func(s *steward.SendConfig) { s.Address = address })
 	if _, _, err := ask(t, l.front); err != nil {
 		t.Fatal(err)
--- a/lobby/purser/purser_test.go
+++ b/lobby/purser/purser_test.go
@@ -7,14 +7,14 @@
 
 	"pgregory.net/rapid"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/charter"
-	"sesamewell.example/commons/draws"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/lobby/purser"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 const (
 	step     = 50 * time.Millisecond
--- a/lobby/steward/budget_test.go
+++ b/lobby/steward/budget_test.go
@@ -6,11 +6,11 @@
 
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 // TestRetriesOfAllLobbiesKeepToTheBudget lets requests reach lobbies unevenly,
 // and lobbies start again once in a window, together or apart. Each request is
--- a/sesamewell/publish/fleet_test.go
+++ b/sesamewell/publish/fleet_test.go
@@ -3,23 +3,21 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/register"
 	"sesamewell.example/commons/registrar"
 	"sesamewell.example/sesamewell/publish"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 // stubWatch stands for a process that hears of nothing.
 type stubWatch struct{}
@@ -63,9 +61,8 @@
 }
 
 func (f *fleet) boot(i int) *registrar.Registrar {
-	quiet := logrus.New()
-	quiet.SetOutput(io.Discard)
-	return registrar.New(registrar.Config{Log: logrus.NewEntry(quiet), Service: f.log, Retry: time.Nanosecond, Watch: stubWatch{}, Peers: f.peers[i]})
+	quiet := backstage.Quiet()
+	return registrar.New(registrar.Config{Log: quiet, Service: f.log, Retry: time.Nanosecond, Watch: stubWatch{}, Peers: f.peers[i]})
 }
 
 // apply lets an operator change the inventory; it may read the log before, and
--- a/side/hall/core_test.go
+++ b/side/hall/core_test.go
@@ -8,11 +8,11 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"sesamewell.example/commons/draws"
+	"sesamewell.example/commons/backstage"
 )
 
 // TestMain fixes what rapid draws.
-func TestMain(m *testing.M) { draws.Run(m, draws.Seed, nil) }
+func TestMain(m *testing.M) { backstage.Run(m, backstage.Seed, nil) }
 
 // disturb applies one fault, or a change of the plan, to the world.
 type disturb func(t *rapid.T, w *world)
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/notice"
 	"sesamewell.example/commons/trail"
 	"sesamewell.example/side/foyer"
@@ -120,11 +120,10 @@
 }
 
 func newPool(address string, silence time.Duration) *Pool {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := backstage.Quiet()
 	return New(Config{
 		Address: address, Silence: silence, Threads: 1,
-		Trail: trail.New(trail.Config{Instance: "side", Kept: 16}), Log: logrus.NewEntry(log),
+		Trail: trail.New(trail.Config{Instance: "side", Kept: 16}), Log: log,
 	})
 }
 
--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -9,7 +9,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 	"testing"
 	"time"
 
+	"sesamewell.example/commons/backstage"
 	"sesamewell.example/commons/register"
 )
 
@@ -128,7 +128,7 @@
 func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, folder: t.TempDir(), log: freeAddress(t),
+		t: t, folder: t.TempDir(), log: backstage.FreeAddress(t),
 		pages: make(map[string]string), links: make(map[string]string), backends: make(map[string]string), processes: make(map[string]*process),
 	}
 	f.start("log", "sesamewell-standin", "log", "--listen", f.log)
@@ -159,7 +159,7 @@
 
 // addEngine starts an engine with its side.
 func (f *fleet) addEngine(name string, concurrency int, step time.Duration) {
-	address := freeAddress(f.t)
+	address := backstage.FreeAddress(f.t)
 	f.start(name, "sesamewell-standin", "engine", "--listen", address, "--name", name, "--step", step.String(), "--preload")
 	f.describeModel()
 	fmt.Fprintf(&f.inventory, "[backend %s]\nkind = engine\nstatic = yes\nmemory = 80GiB\nslots = %d\n", name, concurrency)
@@ -168,7 +168,7 @@
 
 // addService starts a booking service with its side.
 func (f *fleet) addService(name string) {
-	address := freeAddress(f.t)
+	address := backstage.FreeAddress(f.t)
 	f.start(name, "sesamewell-standin", "service", "--listen", address, "--name", name)
 	fmt.Fprintf(&f.inventory, `[backend %s]
 kind = service
@@ -188,7 +188,7 @@
 
 // addSideWith starts a side; more are further lines of its settings.
 func (f *fleet) addSideWith(name, backend, address string, concurrency int, more string) {
-	f.links[name], f.pages[name], f.backends[backend] = freeAddress(f.t), freeAddress(f.t), address
+	f.links[name], f.pages[name], f.backends[backend] = backstage.FreeAddress(f.t), backstage.FreeAddress(f.t), address
 	f.writeSettings(name, fmt.Sprintf("[desk]\nlisten = %s\n[backend]\nname = %s\naddress = %s\nconcurrency = %d\n%s", f.links[name], backend, address, concurrency, more))
 	f.startSide(name)
 	f.describe(name, "side", f.links[name], "backend = "+backend+"\n")
@@ -201,10 +201,10 @@
 
 // addEntry starts an entry; more are further lines of its settings.
 func (f *fleet) addEntry(name, more string) {
-	callers := freeAddress(f.t)
-	f.pages[name] = freeAddress(f.t)
+	callers := backstage.FreeAddress(f.t)
+	f.pages[name] = backstage.FreeAddress(f.t)
 	f.entries = append(f.entries, callers)
-	f.links[name] = freeAddress(f.t)
+	f.links[name] = backstage.FreeAddress(f.t)
 	f.writeSettings(name, "[gate]\nlisten = "+callers+"\n[link]\nlisten = "+f.links[name]+"\n"+more)
 	f.start(name, "sesamewell-entry", filepath.Join(f.folder, name+".ini"))
 	f.describe(name, "entry", f.links[name], "")
@@ -287,37 +287,6 @@
 	}
 }
 
-// Ports for the tests' processes lie below those that the kernel gives to
-// outgoing connections, so that no connection takes a port that was found free.
-const (
-	firstPort     = 10000
-	lastPort      = 32000
-	portsPerChunk = 500
-)
-
-var nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portsPerChunk)*portsPerChunk
-
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		if err := listener.Close(); err != nil {
-			t.Fatal(err)
-		}
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // answer is what a caller got.
 type answer struct {
 	status int
