Accept numbers with a fraction in settings and configuration

Ruled out: rounding in the template, which cannot compute; other settings that the template fills in (ports, addresses) are whole by nature.

The tests for settings failed before (decimal out of range not refused, 2.5MiB refused).

--- a/commons/deployment/route.go
+++ b/commons/deployment/route.go
@@ -16,7 +16,7 @@
 // ShareConfig is the share of a route's requests that one service gets.
 type ShareConfig struct {
 	Service string
-	Weight  int // relative to the sum of the route's weights
+	Weight  float64 // relative to the sum of the route's weights
 }
 
 // RouteConfig holds the construction parameters of a Route.
@@ -79,13 +79,13 @@
 // the route's shares, or "" if all weights are zero. point is a random number,
 // uniform in [0, 1).
 func (r Route) PickService(point float64) string {
-	total := 0
+	total := 0.0
 	for _, share := range r.config.Shares {
 		total += share.Weight
 	}
-	rest := point * float64(total)
+	rest := point * total
 	for _, share := range r.config.Shares {
-		if rest -= float64(share.Weight); rest < 0 {
+		if rest -= share.Weight; rest < 0 {
 			return share.Service
 		}
 	}
--- a/commons/inifile/setting.go
+++ b/commons/inifile/setting.go
@@ -20,7 +20,7 @@
 	Address              // IP:port
 	Duration             // time span such as 250ms, 10s or 2m
 	Integer              // whole number
-	Bytes                // whole number of bytes, optionally with the unit KiB, MiB, GiB or TiB
+	Bytes                // number of bytes, optionally with the unit KiB, MiB, GiB or TiB; fractions of a byte are dropped
 	Bool                 // yes or no
 	List                 // comma-separated list
 	Decimal              // decimal number of zero or more, such as 0.25
@@ -151,7 +151,7 @@
 		d.AddFault(line, "%s = %q: %v", config.Key, text, err)
 		return value
 	}
-	if number, isNumber := value.(int64); isNumber && !withinRange(config, number) {
+	if !withinRange(config, value) {
 		d.AddFault(line, "%s = %q is out of range; give %s", config.Key, text, setting.Range())
 	}
 	return value
@@ -170,11 +170,24 @@
 	}
 }
 
-func withinRange(config SettingConfig, number int64) bool {
-	if low, err := ParseValue(config.Kind, config.Min); config.Min != "" && err == nil && number < low.(int64) {
+// withinRange reports whether a value is in the setting's range. Values that are
+// no numbers have none.
+func withinRange(config SettingConfig, value any) bool {
+	switch number := value.(type) {
+	case int64:
+		return between(config, number)
+	case float64:
+		return between(config, number)
+	default:
+		return true
+	}
+}
+
+func between[T int64 | float64](config SettingConfig, number T) bool {
+	if low, err := ParseValue(config.Kind, config.Min); config.Min != "" && err == nil && number < low.(T) {
 		return false
 	}
-	if high, err := ParseValue(config.Kind, config.Max); config.Max != "" && err == nil && number > high.(int64) {
+	if high, err := ParseValue(config.Kind, config.Max); config.Max != "" && err == nil && number > high.(T) {
 		return false
 	}
 	return true
@@ -248,6 +261,9 @@
 	return number, nil
 }
 
+// maxBytes is the largest number of bytes that a setting can hold.
+const maxBytes = 1 << 62
+
 var byteUnits = map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40}
 
 func parseBytes(text string) (any, error) {
@@ -261,11 +277,14 @@
 	if digits == "" && text == "" {
 		return int64(0), nil
 	}
-	number, err := strconv.ParseInt(digits, 10, 64)
-	if err != nil || number < 0 || number > (1<<62)/scale {
+	if number, err := strconv.ParseInt(digits, 10, 64); err == nil && number >= 0 && number <= maxBytes/scale {
+		return number * scale, nil
+	}
+	number, err := strconv.ParseFloat(digits, 64)
+	if err != nil || !(number >= 0 && number*float64(scale) < maxBytes) {
 		return int64(0), fmt.Errorf("want a number of bytes, such as 4096, 16KiB or 80GiB")
 	}
-	return number * scale, nil
+	return int64(number * float64(scale)), nil
 }
 
 // FormatBytes formats a number of bytes in the largest unit that fits, rounded
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -140,7 +140,7 @@
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, InitialLobbies: minLobbies, InitialFill: initialFill, StartTime: time.Now()}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
-				Extra:  float64(settings.Integer("retries", "extra")),
+				Extra:  settings.Decimal("retries", "extra"),
 				Window: settings.Duration("retries", "window"),
 			},
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
