Give a hot model copies by the total cost of the plan

A copy was added only if the new host's load stayed below that of the relieved one by 1.25; from four copies to five each falls by just that factor, so no host but an empty one could get a further copy.

Ruled out: the weight store's budget (2.8 a second; two seconds passed without a single load), the readings of demand.

Change: the cost of a plan is the sum of the squares of its hosts' loads; a copy is added if it lowers the sum by minGain (placement/cost.go).

Tests: TestHotModelGetsACopyForEachEngineOfDemand failed for 6 and 12 engines of demand, TestHotModelIsLoadedFromManyDisksAtOnce holds the first plan after a restart.

--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -133,6 +133,61 @@
 	}
 }
 
+// TestHotModelGetsACopyForEachEngineOfDemand guards against a model that is hot
+// enough for many engines but stays on a few, whose requests then wait although
+// other engines are idle.
+func TestHotModelGetsACopyForEachEngineOfDemand(t *testing.T) {
+	cases := map[string]struct {
+		demand map[string]float64
+		want   int // copies of the hot model "a"
+	}{
+		"three engines":               {demand: map[string]float64{"a": 3}, want: 3},
+		"six engines":                 {demand: map[string]float64{"a": 6}, want: 6},
+		"six engines beside others":   {demand: map[string]float64{"a": 6, "b": 0.5, "c": 0.5, "d": 0.5, "e": 0.5, "f": 0.5}, want: 6},
+		"twelve engines beside a few": {demand: map[string]float64{"a": 12, "b": 0.2, "f": 0.2}, want: 12},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			loaded := make(map[string][]string)
+			for i := range 18 {
+				loaded[fmt.Sprintf("e%02d", i)] = []string{"a", "b", "c", "d", "e", "f"}[3*(i%2) : 3*(i%2)+3]
+			}
+			for i := 2; i < 18; i += 2 {
+				loaded[fmt.Sprintf("e%02d", i)] = []string{"b", "c", "d"}
+			}
+			f := newFleet(loaded)
+			f.demand = tc.demand
+			f.advance(15 * time.Second)
+			if got := f.copies("a"); got < tc.want {
+				t.Errorf("%d copies of the hot model, want %d; plan %v", got, tc.want, f.plan)
+			}
+		})
+	}
+}
+
+// TestHotModelIsLoadedFromManyDisksAtOnce guards against a slow recovery after all
+// engines have restarted empty: loads from their own disks share nothing, so a hot
+// model has to come back on several engines in one decision.
+func TestHotModelIsLoadedFromManyDisksAtOnce(t *testing.T) {
+	f := newFleet(make(map[string][]string))
+	for i := range 18 {
+		id := fmt.Sprint("e", i)
+		f.loaded[id], f.localCopies[id] = nil, []string{"a", "b", "c"}
+	}
+	f.demand = map[string]float64{"a": 14, "b": 0.3, "c": 0.1}
+	f.stuck = true
+	f.advance(2500 * time.Millisecond) // up to the first plan
+	copies := 0
+	for _, models := range f.plan {
+		if slices.Contains(models, "a") {
+			copies++
+		}
+	}
+	if copies < 14 {
+		t.Errorf("%d copies of the hot model in the first plan, want 14; plan %v", copies, f.plan)
+	}
+}
+
 func TestModelWithoutACopyIsPlaced(t *testing.T) {
 	cases := map[string]struct {
 		loaded map[string][]string
--- /dev/null
+++ b/lobby/placement/cost.go
@@ -0,0 +1,80 @@
+package placement
+
+import "slices"
+
+// The cost of a plan is the sum of the costs of its hosts' loads. It is lower the
+// more evenly the load is spread, and a copy of a model pays as long as it lowers
+// the sum, however many copies there are already.
+
+// loadCost returns the cost of a load on one host. It grows with the square of the
+// load, since every request waits for those that share its engine.
+func loadCost(load float64) float64 { return load * load }
+
+// costOf returns by how much the cost of the plan changes if a host gets a copy of
+// a model in place of the evicted ones. It includes the cost of the load itself and
+// that of evicting last copies.
+func (d *draft) costOf(target *host, model string, evicted []string) float64 {
+	demand, copies := d.demand[model], float64(d.copies[model])
+	load := d.hostLoad(target) + demand/(copies+1)
+	cost := 0.0
+	if !target.backend.HasLocalCopy(model) {
+		cost += storeLoadCost
+	}
+	for _, name := range evicted {
+		load -= d.loadPerCopy(name)
+		cost += d.evictionCost(target, name)
+	}
+	cost += loadCost(load) - loadCost(d.hostLoad(target))
+	if copies > 0 {
+		cost += d.shiftCost(target, model, demand/(copies+1)-demand/copies)
+	}
+	return cost
+}
+
+// shiftCost returns by how much the cost changes if each copy of a model outside
+// the given host gets the given load in addition.
+func (d *draft) shiftCost(except *host, model string, added float64) float64 {
+	cost := 0.0
+	for _, h := range d.hosts {
+		if h != except && !h.backend.Leaving() && slices.Contains(h.models, model) {
+			load := d.hostLoad(h)
+			cost += loadCost(load+added) - loadCost(load)
+		}
+	}
+	return cost
+}
+
+// evictionCost returns by how much the cost rises on the other hosts if a copy of a
+// model is evicted from the given one. The demand for a last copy is not served any
+// more, which counts as a multiple of it.
+func (d *draft) evictionCost(h *host, model string) float64 {
+	if d.copies[model] <= 1 {
+		return max(lastCopyFactor*d.demand[model], idleCopyCost)
+	}
+	return d.shiftCost(h, model, d.evictionLoad(model))
+}
+
+// evictionLoad returns the load that the eviction of one copy of a model adds to
+// each of its other copies; for the last copy, a multiple of its demand.
+func (d *draft) evictionLoad(model string) float64 {
+	demand, copies := d.demand[model], float64(d.copies[model])
+	if copies <= 1 {
+		return max(lastCopyFactor*demand, idleCopyCost)
+	}
+	return demand/(copies-1) - demand/copies
+}
+
+// loadPerCopy returns the demand for a model that each of its copies serves, in
+// engines.
+func (d *draft) loadPerCopy(model string) float64 {
+	return d.demand[model] / float64(max(d.copies[model], 1))
+}
+
+// hostLoad returns the load that the planned models put on a host, in engines.
+func (d *draft) hostLoad(h *host) float64 {
+	sum := 0.0
+	for _, model := range h.models {
+		sum += d.loadPerCopy(model)
+	}
+	return sum
+}
