Plan sooner after a restart and send assignments on change

Ruled out: loads (0.35 to 0.51 s each) and the list of loaded models (the first send follows a load within 0.1 s).

Change: first plan after 0.8 s (the lobbies have met each other within 0.2 s here), decisions each 0.25 s, each keeper gets its assignment when it changed and once a second instead of at every decision. Models that are loaded keep their place in an assignment, so that demand alone does not change it.

--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -20,5 +20,5 @@
 	peerExpiry       = 30 * time.Second        // silence after which a lobby gets no share of the quotas
 	initialFill      = 0.1                     // fraction of its burst that a tenant has when a lobby starts
 	planPeerTimeout  = 1500 * time.Millisecond // silence of the planning lobby after which the next one plans
-	planSettlePeriod = 2 * time.Second         // time from the start to the first plan, in which the lobbies discover each other
+	planSettlePeriod = 800 * time.Millisecond  // time from the start to the first plan, in which the lobbies discover each other
 )
--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -167,8 +168,9 @@
 	return d
 }
 
-// addAssigns adds the assignment of each backend server in the draft, with the
-// models in the order of falling demand.
+// addAssigns adds the assignment of each backend server in the draft. The models
+// that it has loaded come first, then the others in the order of falling demand,
+// which is that in which they are loaded.
 func (c *Core) addAssigns(assigns map[string]protocol.Assign, d *draft, engine deployment.EngineConfig) {
 	for _, h := range d.hosts {
 		config := protocol.AssignConfig{
@@ -186,8 +188,14 @@
 				config.Others = append(config.Others, size)
 			}
 		}
-		slices.SortFunc(config.Models, func(a, b protocol.ModelSizeConfig) int {
-			return cmp.Compare(d.demand[b.Name], d.demand[a.Name])
+		missingDemand := func(model string) float64 {
+			if h.backend.Holds(model, "") {
+				return math.Inf(1)
+			}
+			return d.demand[model]
+		}
+		slices.SortStableFunc(config.Models, func(a, b protocol.ModelSizeConfig) int {
+			return cmp.Compare(missingDemand(b.Name), missingDemand(a.Name))
 		})
 		assigns[h.backend.Address()] = protocol.NewAssign(config)
 	}
--- a/lobby/placement/planner.go
+++ b/lobby/placement/planner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,9 +15,10 @@
 )
 
 const (
-	decisionPeriod = 500 * time.Millisecond // time between two decisions
+	decisionPeriod = 250 * time.Millisecond // time between two decisions
 	inboxCapacity  = 1024                   // capacity of the inbox in messages
 	putTimeout     = 5 * time.Second        // longest wait for room in the inbox
+	assignPeriod   = time.Second            // time after which an unchanged assignment is sent again
 )
 
 // KeeperClient sends assignments to the keepers of the backend servers.
@@ -45,11 +48,24 @@
 	config Config
 	inbox  *ring.Ring
 	core   *Core
+	sent   map[string]sentAssign // by address of the backend server
+}
+
+// sentAssign is the last assignment that was sent to a keeper.
+type sentAssign struct {
+	assign protocol.Assign
+	at     time.Time
+}
+
+// due reports whether an assignment has to be sent: it differs from the last one or
+// the keeper may have lost that.
+func (s sentAssign) due(now time.Time, assign protocol.Assign) bool {
+	return now.Sub(s.at) >= assignPeriod || !reflect.DeepEqual(s.assign, assign)
 }
 
 // New returns a planner.
 func New(config Config) *Planner {
-	return &Planner{config: config, inbox: ring.New(ring.Config{Name: "planner", Capacity: inboxCapacity}), core: NewCore(config.Core)}
+	return &Planner{config: config, inbox: ring.New(ring.Config{Name: "planner", Capacity: inboxCapacity}), core: NewCore(config.Core), sent: make(map[string]sentAssign)}
 }
 
 // Inbox returns the ring from which the planner reads its messages.
@@ -83,7 +99,7 @@
 	return nil
 }
 
-// Tick makes a decision, logs its changes and sends the assignments.
+// Tick makes a decision, logs its changes and sends the assignments that are due.
 func (p *Planner) Tick(now time.Time) error {
 	plan, assigns := p.core.Decide(now)
 	for _, change := range p.core.Changes() {
@@ -93,10 +109,22 @@
 		}).Info("model planned")
 	}
 	p.config.Observer.Planned(plan)
+	maps.DeleteFunc(p.sent, func(address string, _ sentAssign) bool {
+		_, planned := assigns[address]
+		return !planned
+	})
 	for address, assign := range assigns {
-		if err := p.config.Keepers.Assign(address, assign); err != nil {
-			p.config.Log.WithFields(logrus.Fields{"event": "assign", "backend": assign.Backend()}).WithError(err).Warn("assignment not queued for the keeper")
+		if p.sent[address].due(now, assign) {
+			p.send(now, address, assign)
 		}
 	}
 	return nil
 }
+
+func (p *Planner) send(now time.Time, address string, assign protocol.Assign) {
+	if err := p.config.Keepers.Assign(address, assign); err != nil {
+		p.config.Log.WithFields(logrus.Fields{"event": "assign", "backend": assign.Backend()}).WithError(err).Warn("assignment not queued for the keeper")
+		return
+	}
+	p.sent[address] = sentAssign{assign: assign, at: now}
+}
