Pause a model at a backend server that rejects its requests

Cause: an engine that unloads a model rejects each request for it at once.

Ruled out: engines that are really full (they queue 67).

Change: after a rejection the model pauses at that backend server, for 0.1 s first and up to 1.6 s; a plain service that rejects is a last resort meanwhile. The pause after failures uses the same type (backoff.go). A caller whose request may not be sent on is told to come back in 20 ms if another backend server can run it now.

--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -108,6 +108,7 @@
 	c.emit(req.record(now, s, m))
 	switch m.result {
 	case Complete:
+		delete(s.rejections, req.request.Model())
 		c.remove(req)
 	case Unsent:
 		s.markFailed(now)
@@ -121,6 +122,8 @@
 		req.attempts++
 		if m.result == ModelMissing {
 			s.markMissing(now, req.request)
+		} else {
+			s.markRejected(now, req.request)
 		}
 		c.retryNotRun(now, req, req.attempts < req.route.MaxAttempts() && c.retryBudget(req.service).withdraw(now, c.lobbyCount))
 	case Lost:
@@ -143,7 +146,17 @@
 		c.place(now, req)
 		return
 	}
-	c.refuseUnserved(now, req, notTaken, retryAfter)
+	c.refuseUnserved(now, req, notTaken, c.rejectedRetryAfter(now, req))
+}
+
+// rejectedRetryAfter returns the retry delay for a caller whose request was
+// rejected and may not be sent again: short if another backend server can run it
+// now.
+func (c *Core) rejectedRetryAfter(now time.Time, req *openRequest) time.Duration {
+	if _, ok := c.choose(now, req); ok {
+		return promptRetryAfter
+	}
+	return retryAfter
 }
 
 // refuseUnserved ends a request that no backend server accepts. It is refused
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -240,6 +240,55 @@
 	}
 }
 
+// TestEngineThatRejectsDoesNotAttractRequests plays an engine that unloads a model
+// and rejects all requests for it at once. It has none open, so it looks idle beside
+// an engine at work.
+func TestEngineThatRejectsDoesNotAttractRequests(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		servers []deployment.BackendConfig
+		idle    string // ID of the server that rejects
+		want    int    // most requests rejected within 1 s
+	}{
+		"engine":        {path: "/stream/a", servers: []deployment.BackendConfig{engineServer("e1"), engineServer("e2")}, idle: "e1", want: 5},
+		"plain service": {path: "/unsafe/a", servers: []deployment.BackendConfig{plainServer("p1"), plainServer("p2")}, idle: "p1", want: 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(tc.servers...)
+			rejected := 0
+			for range 100 {
+				for _, action := range f.arrive(httpmeta.RequestConfig{Path: tc.path, Model: "m"}) {
+					if send, ok := action.(scheduler.Send); ok && send.Forwarding().Backend() == tc.idle {
+						rejected++
+						refusal := f.core.Handle(f.now, scheduler.NewSendEnded(send.Number(), scheduler.Rejected, 503))
+						checkRetryAfter(t, 20*time.Millisecond, refusal)
+					}
+				}
+				f.now = f.now.Add(10 * time.Millisecond)
+				if f.number > 10 { // ten requests are open at the other server
+					f.core.Handle(f.now, scheduler.NewSendEnded(f.number-10, scheduler.Complete, 200))
+				}
+			}
+			if rejected > tc.want {
+				t.Errorf("%d of 100 requests sent to the server that rejects them, want %d at most", rejected, tc.want)
+			}
+		})
+	}
+}
+
+// checkRetryAfter checks the retry delay of the refusals among actions.
+func checkRetryAfter(t *testing.T, want time.Duration, actions []scheduler.Action) {
+	t.Helper()
+	for _, action := range actions {
+		if refusal, ok := action.(scheduler.Refuse); ok {
+			if diff := cmp.Diff(want, refusal.RetryAfter()); diff != "" {
+				t.Errorf("retry delay (-want +got):\n%s", diff)
+			}
+		}
+	}
+}
+
 func TestDeadlineIsTheEarlierOfRouteAndCaller(t *testing.T) {
 	cases := map[string]struct {
 		timeout time.Duration
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -110,7 +110,7 @@
 	if engine && !s.canRun(now, req) {
 		return candidate{}, false
 	}
-	cand := candidate{server: s, uncached: s.cache.uncached(req.request), suspected: s.suspected(now)}
+	cand := candidate{server: s, uncached: s.cache.uncached(req.request), suspected: s.suspected(now) || !engine && s.rejecting(now, req.request.Model())}
 	cand.prefill = c.estimator.promptTime(req.request.Model(), cand.uncached)
 	if engine && !s.canPrefill(req, cand.prefill) {
 		return candidate{}, false
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -15,8 +15,8 @@
 	prefill           time.Duration        // pending prefill of this process
 	unanswered        int                  // requests of this process without an answer
 	unansweredSince   time.Time            // start of the wait for an answer; zero if none is awaited
-	suspectUntil      time.Time            // used only as a last resort until then
-	backoff           time.Duration        // length of the last suspicion after a failure
+	failure           backoff              // used only as a last resort during the pause
+	rejections        map[string]*backoff  // by model whose requests it rejects, "" without models
 	replaced          bool                 // another backend server has taken over its address
 	missingUntil      map[string]time.Time // by model reported missing: no requests until then
 	leases            map[string]time.Time // ends of adapter leases, by MODEL/ADAPTER
@@ -29,7 +29,7 @@
 }
 
 func newServer(backend deployment.Backend) *server {
-	return &server{backend: backend, missingUntil: make(map[string]time.Time), leases: make(map[string]time.Time), renewing: make(map[string]bool), cache: newPrefixCache()}
+	return &server{backend: backend, rejections: make(map[string]*backoff), missingUntil: make(map[string]time.Time), leases: make(map[string]time.Time), renewing: make(map[string]bool), cache: newPrefixCache()}
 }
 
 // usable reports whether the backend server may get new requests.
@@ -44,14 +44,37 @@
 	}
 }
 
+// markRejected records that the backend server has rejected a request unread. While
+// it unloads a model it rejects all requests for it at once, and would attract all
+// that wait, since it has few open.
+func (s *server) markRejected(now time.Time, request *httpmeta.Request) {
+	b, ok := s.rejections[request.Model()]
+	if !ok {
+		b = &backoff{}
+		s.rejections[request.Model()] = b
+	}
+	b.fail(now, minRejectionPause, maxRejectionPause)
+}
+
+// rejecting reports whether the backend server has lately rejected a request for
+// the model.
+func (s *server) rejecting(now time.Time, model string) bool {
+	b, ok := s.rejections[model]
+	return ok && b.active(now)
+}
+
 // hasModel reports whether a model is loaded.
 func (s *server) hasModel(model string) bool { return s.backend.Holds(model, "") }
 
 // canRun reports whether a request can run now: a slot is free, the model is
 // loaded, and the adapter is loaded or can be.
 func (s *server) canRun(now time.Time, req *openRequest) bool {
-	request := req.request
-	return s.hasSlot(req.priority()) && s.hasModel(request.Model()) && !now.Before(s.missingUntil[request.Model()]) && (!now.Before(s.fetchBlockedUntil) || s.adapterReady(now, request))
+	return s.hasSlot(req.priority()) && s.serves(now, req.request.Model()) && (!now.Before(s.fetchBlockedUntil) || s.adapterReady(now, req.request))
+}
+
+// serves reports whether requests for a model can run, apart from the load.
+func (s *server) serves(now time.Time, model string) bool {
+	return s.hasModel(model) && !now.Before(s.missingUntil[model]) && !s.rejecting(now, model)
 }
 
 // hasSlot reports whether a slot is free for a request with the given
@@ -120,7 +143,7 @@
 // responded records that the backend server has answered a request or started a
 // stream.
 func (s *server) responded(now time.Time) {
-	s.backoff, s.suspectUntil, s.unansweredSince = 0, time.Time{}, time.Time{}
+	s.failure, s.unansweredSince = backoff{}, time.Time{}
 	if s.unanswered > 0 {
 		s.unansweredSince = now
 	}
@@ -135,11 +158,10 @@
 // markFailed records a failed or broken connection. The backend server stays
 // suspected for a time that doubles with each failure.
 func (s *server) markFailed(now time.Time) {
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
-	s.suspectUntil = now.Add(s.backoff)
+	s.failure.fail(now, minBackoff, maxBackoff)
 }
 
 // suspected reports whether the backend server is used only as a last resort.
 func (s *server) suspected(now time.Time) bool {
-	return now.Before(s.suspectUntil) || s.silent(now) || s.peerSuspect
+	return s.failure.active(now) || s.silent(now) || s.peerSuspect
 }
