Evict copies by what is loaded and in use; follow a rise of demand fast

At second 4.06 a loaded copy of a hot model goes while two of its planned copies are not loaded yet. And copies that were loaded for a rise of demand are dropped a second later, when their work has drained the queue.

Change: evictions are priced by loaded copies; the last loaded copy of a model in demand costs 0.5 more, a copy in use in proportion to its load.

Tests: TestEvictionsSpareModelsInDemand; its case of last copies failed before, that of pending copies did not (a guard only).

--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -188,6 +188,46 @@
 	}
 }
 
+// TestEvictionsSpareModelsInDemand guards against evictions that leave callers
+// without a loaded copy: planned copies serve nobody before they are loaded, and a
+// model that is evicted for another one and loaded elsewhere again is away for
+// seconds.
+func TestEvictionsSpareModelsInDemand(t *testing.T) {
+	cases := map[string]struct {
+		loaded map[string][]string
+		demand map[string]float64
+		stuck  bool                // further loads do not end
+		want   map[string][]string // models that these backend servers keep
+	}{
+		"loaded copy of a hot model whose other copies are pending": {
+			loaded: map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e", "f"}, "e3": {"d", "e", "f"}},
+			demand: map[string]float64{"a": 2, "b": 0.1, "c": 0.1, "d": 0.05, "e": 0.05, "f": 0.05},
+			stuck:  true, want: map[string][]string{"e1": {"a", "b", "c"}},
+		},
+		"last copies in demand beside a warm model": {
+			loaded: map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e", "f"}},
+			demand: map[string]float64{"a": 0.8, "b": 0.02, "c": 0.02, "d": 0.02, "e": 0.02, "f": 0.02},
+			want:   map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e", "f"}},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tc.loaded)
+			f.demand, f.stuck = tc.demand, tc.stuck
+			for range 20 {
+				f.advance(500 * time.Millisecond)
+				for id, models := range tc.want {
+					for _, model := range models {
+						if f.plan != nil && !slices.Contains(f.plan[id], model) {
+							t.Fatalf("%s evicted from %s; plan %v", model, id, f.plan)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestModelWithoutACopyIsPlaced(t *testing.T) {
 	cases := map[string]struct {
 		loaded map[string][]string
--- a/lobby/placement/cost.go
+++ b/lobby/placement/cost.go
@@ -44,26 +44,45 @@
 	return cost
 }
 
-// evictionCost returns by how much the cost rises on the other hosts if a copy of a
-// model is evicted from the given one. The demand for a last copy is not served any
-// more, which counts as a multiple of it.
+// evictionCost returns by how much the cost rises if a copy of a model is evicted
+// from the given host, apart from the load that it takes off that host. Copies that
+// are planned but not loaded cannot yet take over its load.
 func (d *draft) evictionCost(h *host, model string) float64 {
-	if d.copies[model] <= 1 {
-		return max(lastCopyFactor*d.demand[model], idleCopyCost)
+	if !h.backend.Holds(model, "") {
+		return d.shiftCost(h, model, d.evictionLoad(model))
 	}
-	return d.shiftCost(h, model, d.evictionLoad(model))
+	if d.loaded[model] <= 1 {
+		return d.lastCopyCost(model)
+	}
+	return d.shiftCost(h, model, d.evictionLoad(model)) + unloadCost*d.loadPerCopy(model)
+}
+
+// lastCopyCost returns the cost of evicting the last loaded copy of a model.
+func (d *draft) lastCopyCost(model string) float64 {
+	if d.demand[model] > minDemand {
+		return demandedCopyCost + lastCopyFactor*d.demand[model]
+	}
+	return idleCopyCost
 }
 
 // evictionLoad returns the load that the eviction of one copy of a model adds to
-// each of its other copies; for the last copy, a multiple of its demand.
+// each of its other copies.
 func (d *draft) evictionLoad(model string) float64 {
-	demand, copies := d.demand[model], float64(d.copies[model])
+	demand, copies := d.demand[model], float64(d.loaded[model])
 	if copies <= 1 {
-		return max(lastCopyFactor*demand, idleCopyCost)
+		return demand
 	}
 	return demand/(copies-1) - demand/copies
 }
 
+// evictionRank orders the models of a host for eviction, the cheapest first.
+func (d *draft) evictionRank(model string) float64 {
+	if d.loaded[model] <= 1 {
+		return d.lastCopyCost(model)
+	}
+	return d.evictionLoad(model)
+}
+
 // loadPerCopy returns the demand for a model that each of its copies serves, in
 // engines.
 func (d *draft) loadPerCopy(model string) float64 {
--- a/lobby/placement/draft.go
+++ b/lobby/placement/draft.go
@@ -31,9 +31,16 @@
 // idleCopyCost is the cost of evicting the last copy of a model without demand.
 const idleCopyCost = 0.05
 
-// lastCopyFactor is the cost of evicting the last copy of a model, as a multiple of
-// the demand for it.
-const lastCopyFactor = 4
+// demandedCopyCost is the cost of evicting the last loaded copy of a model in demand,
+// and lastCopyFactor what is added to it as a multiple of the demand.
+const (
+	demandedCopyCost = 0.5
+	lastCopyFactor   = 4
+)
+
+// unloadCost is the cost of evicting a copy as a multiple of its load: an engine
+// unloads a model only when the running requests for it have ended.
+const unloadCost = 0.5
 
 // minDemand is the demand, in engines, above which a model without a copy is
 // loaded whatever has to be evicted. Below it, the callers have disconnected by
@@ -48,6 +55,7 @@
 	memory       map[string]float64 // MB of weights by model
 	reserve      float64            // MB that are kept free for adapters
 	copies       map[string]int     // planned copies by model, without those on backend servers that are leaving
+	loaded       map[string]int     // those of them that are loaded
 	pendingLoads int                // number of planned copies that are not loaded yet and come from the weight store
 	changes      []Change
 	storeTokens  float64 // number of loads from the weight store that may be planned now
@@ -61,7 +69,7 @@
 }
 
 func newDraft(engine deployment.EngineConfig, demand map[string]float64, storeTokens float64) *draft {
-	d := &draft{engine: engine, demand: demand, memory: make(map[string]float64), copies: make(map[string]int), storeTokens: storeTokens}
+	d := &draft{engine: engine, demand: demand, memory: make(map[string]float64), copies: make(map[string]int), loaded: make(map[string]int), storeTokens: storeTokens}
 	largestAdapter := 0.0
 	for _, model := range engine.Models {
 		d.memory[model.Name] = model.Memory
@@ -81,11 +89,13 @@
 			continue
 		}
 		d.copies[model]++
-		if !backend.Holds(model, "") {
-			h.loading = true
-			if !backend.HasLocalCopy(model) {
-				d.pendingLoads++
-			}
+		if backend.Holds(model, "") {
+			d.loaded[model]++
+			continue
+		}
+		h.loading = true
+		if !backend.HasLocalCopy(model) {
+			d.pendingLoads++
 		}
 	}
 	d.hosts = append(d.hosts, h)
@@ -249,6 +259,9 @@
 	}
 	for _, name := range dropped {
 		d.copies[name]--
+		if best.backend.Holds(name, "") {
+			d.loaded[name]--
+		}
 		best.models = slices.DeleteFunc(best.models, func(m string) bool { return m == name })
 	}
 	d.addCopy(best, model, dropped)
@@ -262,7 +275,7 @@
 	left := d.freeMemory(h) - d.memory[model]
 	kept := slices.Clone(h.models)
 	for left < 0 && len(kept) > 0 {
-		least := slices.MinFunc(kept, func(a, b string) int { return cmp.Compare(d.evictionLoad(a), d.evictionLoad(b)) })
+		least := slices.MinFunc(kept, func(a, b string) int { return cmp.Compare(d.evictionRank(a), d.evictionRank(b)) })
 		left += d.memory[least]
 		evicted = append(evicted, least)
 		kept = slices.DeleteFunc(kept, func(m string) bool { return m == least })
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -104,20 +104,29 @@
 			open[model] += 1 / c.engineSlots(req.service)
 		}
 	}
-	weight := min(span.Seconds()/demandWindow.Seconds(), 1)
 	for model := range open {
 		if _, known := c.demand[model]; !known {
 			c.demand[model] = 0
 		}
 	}
 	for model, demand := range c.demand {
-		demand += (open[model] - demand) * weight
+		demand += (open[model] - demand) * demandWeight(span, open[model] > demand)
 		if c.demand[model] = demand; demand < minDemand {
 			delete(c.demand, model)
 		}
 	}
 }
 
+// demandWeight returns the weight of the open requests in the average of demand,
+// after the given time since the last update.
+func demandWeight(span time.Duration, rising bool) float64 {
+	window := fallingDemandWindow
+	if rising {
+		window = risingDemandWindow
+	}
+	return min(span.Seconds()/window.Seconds(), 1)
+}
+
 // engineSlots returns the number of requests that one engine of a service runs
 // at once.
 func (c *Core) engineSlots(service string) float64 {
