Decide from the expected start whether a request waits

Requests whose model only the weight store has (1.2 to 2 s here, 4 s elsewhere) were kept for a load that could not end in time. A send that found a restarted backend server (421) was refused when the retry budget was empty, which it is after a restart.

Change: forecast.go estimates the time until a model is loaded and the rate at which queued requests start. enqueue refuses at once what cannot start before its queue deadline, with Retry-After at the expected time; late requests that too many others precede are refused early. Requests wait for 0.7 of their caller's patience instead of 0.5, retries wait for the budget instead of being refused.

--- a/commons/deployment/service.go
+++ b/commons/deployment/service.go
@@ -7,6 +7,7 @@
 	Name        string
 	Memory      float64       // MB of weights
 	LoadTime    time.Duration // time to load the model from the weight store
+	DiskTime    time.Duration // time to load it from the backend server's own disk; zero if unknown
 	Adapters    int           // number of adapters, which are named a1, a2 and so on
 	AdapterSize float64       // MB of one adapter
 }
@@ -20,6 +21,22 @@
 	Models       []ModelConfig
 }
 
+// ModelLoadTime returns the time to load a model from a backend server's own disk,
+// if that is known and onDisk is set, else from the weight store. It returns zero for
+// a model that is not configured.
+func (e EngineConfig) ModelLoadTime(name string, onDisk bool) time.Duration {
+	for _, model := range e.Models {
+		if model.Name != name {
+			continue
+		}
+		if onDisk && model.DiskTime > 0 {
+			return model.DiskTime
+		}
+		return model.LoadTime
+	}
+	return 0
+}
+
 // ServiceConfig holds the construction parameters of a Service.
 type ServiceConfig struct {
 	Name           string
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -33,6 +33,7 @@
 		}
 	}
 	defer c.placeQueued(now)
+	defer c.endAbsences()
 	clear(c.byService)
 	for _, s := range c.servers {
 		c.byService[s.backend.Service()] = append(c.byService[s.backend.Service()], s)
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -115,17 +115,18 @@
 		req.failedSends++
 		c.retryNotRun(now, req, req.failedSends < maxFailedSends)
 	case Replaced:
-		s.replaced = true
+		s.replaced, req.needsRetry = true, true
 		req.failedSends++
-		c.retryNotRun(now, req, req.failedSends < maxFailedSends && c.retryBudget(req.service).withdraw(now, c.lobbyCount))
+		c.retryNotRun(now, req, req.failedSends < maxFailedSends)
 	case Rejected, ModelMissing:
 		req.attempts++
+		req.needsRetry = true
 		if m.result == ModelMissing {
 			s.markMissing(now, req.request)
 		} else {
 			s.markRejected(now, req.request)
 		}
-		c.retryNotRun(now, req, req.attempts < req.route.MaxAttempts() && c.retryBudget(req.service).withdraw(now, c.lobbyCount))
+		c.retryNotRun(now, req, req.attempts < req.route.MaxAttempts())
 	case Lost:
 		s.markFailed(now)
 		req.attempts++
@@ -177,20 +178,20 @@
 // allowed, either now or from the queue. Otherwise it ends the stream.
 func (c *Core) resumeStream(now time.Time, req *openRequest) {
 	req.mayHaveRun = true
-	if !req.mayRetry(now) || !c.retryBudget(req.service).withdraw(now, c.lobbyCount) {
+	if !req.mayRetry(now) {
 		c.refuse(req, answerTruncated, 0)
 		return
 	}
-	req.truncatedAt = now
+	req.truncatedAt, req.needsRetry = now, true
 	c.place(now, req)
 }
 
 // retryMayHaveRun retries a request that may have run, if that is allowed and a
 // backend server can run it now. Otherwise it ends the request with an action.
 func (c *Core) retryMayHaveRun(now time.Time, req *openRequest, otherwise Action) {
-	req.mayHaveRun = true
+	req.mayHaveRun, req.needsRetry = true, true
 	if req.mayRetry(now) {
-		if chosen, ok := c.choose(now, req); ok && c.retryBudget(req.service).withdraw(now, c.lobbyCount) {
+		if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
 			c.assign(now, req, chosen)
 			return
 		}
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -36,7 +36,7 @@
 	prefillShare     = 0.5
 	prefillAllowance = 100 * time.Millisecond // part of a latency objective that is set aside for prefill
 	maxQueued        = 1000                   // requests that wait for a backend server in this process
-	queueShare       = 0.5                    // share of a request's time limit that it may spend in the queue
+	queueShare       = 0.7                    // share of a request's time limit that it may spend in the queue
 	// Callers are assumed to keep a stream without events open for the longest of
 	// minStreamTimeout, streamTimeoutObjectives times the route's objective, and
 	// streamTimeoutGaps times the route's longest pause.
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -53,6 +53,7 @@
 	planSource    string               // address of the lobby that made the plan, "" for this one
 	planTime      time.Time
 	estimator     *prefillEstimator
+	forecast      *forecast
 	demand        map[string]float64 // engines kept busy, by model
 	lastDigest    time.Time
 	actions       []Action
@@ -70,6 +71,7 @@
 		budgets:    make(map[string]*retryBudget),
 		peers:      make(map[string]peerState),
 		estimator:  newPrefillEstimator(),
+		forecast:   newForecast(),
 		demand:     make(map[string]float64),
 	}
 }
@@ -121,6 +123,7 @@
 			c.timeOut(req)
 		}
 	}
+	c.forecast.update(now, c.queueLengths())
 	c.placeQueued(now)
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -10,19 +10,32 @@
 // place assigns a request to a backend server, or queues it when none can run
 // it. The request must not have run yet, or must be retryable.
 func (c *Core) place(now time.Time, req *openRequest) {
-	if chosen, ok := c.choose(now, req); ok {
+	if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
 		c.assign(now, req, chosen)
 		return
 	}
 	c.enqueue(now, req)
 }
 
+// maySend reports whether the request may be sent now. A retry is taken from the
+// retry budget.
+func (c *Core) maySend(now time.Time, req *openRequest) bool {
+	if req.needsRetry && !c.retryBudget(req.service).withdraw(now, c.lobbyCount) {
+		return false
+	}
+	req.needsRetry = false
+	return true
+}
+
 // assign reserves capacity for a request at the chosen backend server. It then
 // sends the request, or first fetches its adapter.
 func (c *Core) assign(now time.Time, req *openRequest, chosen candidate) {
 	s := chosen.server
 	req.server = s
-	delete(c.queued, req.number)
+	if _, ok := c.queued[req.number]; ok {
+		c.forecast.requestStarted(req.queueKey())
+		delete(c.queued, req.number)
+	}
 	req.observedTokens = 0
 	if s.prefill+s.peerPrefill == 0 {
 		req.observedTokens = chosen.uncached
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -9,18 +9,40 @@
 	"sesamewell.example/commons/deployment"
 )
 
-// enqueue queues a request until a backend server can run it: its model may
-// still be loading, or all backend servers that hold it are full. Requests that
-// have waited for queueShare of their time are refused, early enough for callers
-// to retry.
+// enqueue queues a request until a backend server can run it: its model may still
+// be loading, or all backend servers that hold it are full. A request that is not
+// expected to start before its queue deadline is refused at once, with the time
+// after which its model is expected to be loaded.
 func (c *Core) enqueue(now time.Time, req *openRequest) {
 	_, alreadyQueued := c.queued[req.number]
-	mayWait := req.attempts == 0 || req.resuming()
-	if c.drainStart.IsZero() && mayWait && now.Before(req.queueDeadline()) && (alreadyQueued || len(c.queued) < maxQueued) {
-		c.queued[req.number] = req
+	mayWait := !req.mayHaveRun || req.resuming()
+	if !c.drainStart.IsZero() || !mayWait || !alreadyQueued && len(c.queued) >= maxQueued {
+		c.refuseUnserved(now, req, noBackend, noBackendRetryAfter)
 		return
 	}
-	c.refuseUnserved(now, req, noBackend, noBackendRetryAfter)
+	if alreadyQueued && now.Before(req.queueDeadline()) {
+		return
+	}
+	delay := c.loadDelay(now, req)
+	if !now.Add(delay).Before(req.queueDeadline()) {
+		c.refuseUnserved(now, req, noBackend, max(delay, retryAfter))
+		return
+	}
+	c.queued[req.number] = req
+}
+
+// queueLengths returns the number of queued requests by key.
+func (c *Core) queueLengths() map[queueKey]int {
+	lengths := make(map[queueKey]int)
+	for _, req := range c.queued {
+		lengths[req.queueKey()]++
+	}
+	return lengths
+}
+
+// queueKey returns the key of the requests that wait for the same backend servers.
+func (r *openRequest) queueKey() queueKey {
+	return queueKey{service: r.service, model: r.request.Model()}
 }
 
 // queueDeadline returns the time until which the request may stay in the queue.
@@ -67,11 +89,22 @@
 	)
 }
 
-// placeQueued tries to place the queued requests, the most urgent first.
+// placeQueued tries to place the queued requests, the most urgent first. It refuses
+// late ones that so many others precede that they would not start in time.
 func (c *Core) placeQueued(now time.Time) {
 	queue := slices.SortedFunc(maps.Values(c.queued), func(a, b *openRequest) int { return compareUrgency(now, a, b) })
+	ahead := make(map[queueKey]int)
 	for _, req := range queue {
 		c.place(now, req)
+		if _, waits := c.queued[req.number]; !waits {
+			continue
+		}
+		key := req.queueKey()
+		if delay := c.forecast.startDelay(now, key, ahead[key]); req.late(now) && !req.resuming() && now.Add(delay).After(req.queueDeadline()) {
+			c.refuseUnserved(now, req, noBackend, delay)
+			continue
+		}
+		ahead[key]++
 	}
 }
 
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -23,6 +23,7 @@
 	awaiting       bool          // the last send has no answer yet
 	attempts       int           // sends that reached a backend server
 	failedSends    int           // sends that failed before a byte was sent
+	needsRetry     bool          // an earlier send has reached a backend server, so the next one is a retry
 	mayHaveRun     bool          // an earlier send may have run: it ended in no answer or an error
 	started        bool          // the caller has got the first event
 	firstEvent     time.Time     // time at which the caller got the first event; zero before
