Count refused requests as demand for their model

Change: a refused request counts as open for as long as an answered one takes on average (demand.go, split off peers.go).

Test: TestDemandCountsRefusedRequests (no demand at all before).

--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -109,6 +109,7 @@
 	switch m.result {
 	case Complete:
 		delete(s.rejections, req.request.Model())
+		c.demand.runEnded(now.Sub(req.sentAt))
 		c.remove(req)
 	case Unsent:
 		s.markFailed(now)
@@ -170,6 +171,9 @@
 		c.refuse(req, answerLost, 0)
 	default:
 		c.refund(now, req)
+		if model := req.request.Model(); model != "" {
+			c.demand.requestRefused(model, 1/c.engineSlots(req.service))
+		}
 		c.refuse(req, cause, after)
 	}
 }
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -49,12 +49,7 @@
 	retryableObjectives       = 1.5                     // time without an answer, in latency objectives, after which a retryable request is sent elsewhere
 	resumableFirstByteTimeout = 1500 * time.Millisecond // time without a first byte after which a resumable stream is sent elsewhere
 	noBackendRetryAfter       = time.Second             // retry delay in refusals when no backend server is available; the model may be loading
-	minDemand                 = 1e-4                    // engines; models with less demand are dropped
 	silenceLimit              = 400 * time.Millisecond  // time without an answer after which a backend server with unanswered requests counts as silent
-	// Demand follows a rise faster than a fall, since the requests of a model that
-	// has too few copies wait, while a copy too many costs little.
-	risingDemandWindow  = 500 * time.Millisecond
-	fallingDemandWindow = 3 * time.Second
 	// The following costs are added to the estimated delay at a backend server.
 
 	// adapterLoadCost is added if the adapter has to be loaded first.
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -54,7 +54,7 @@
 	planTime      time.Time
 	estimator     *prefillEstimator
 	forecast      *forecast
-	demand        map[string]float64 // engines kept busy, by model
+	demand        *demand
 	lastDigest    time.Time
 	actions       []Action
 }
@@ -72,7 +72,7 @@
 		peers:      make(map[string]peerState),
 		estimator:  newPrefillEstimator(),
 		forecast:   newForecast(),
-		demand:     make(map[string]float64),
+		demand:     newDemand(),
 	}
 }
 
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -83,7 +82,7 @@
 		c.updateDemand(now.Sub(c.lastDigest))
 	}
 	c.lastDigest = now
-	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: maps.Clone(c.demand)}
+	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demand.byModel()}
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
@@ -95,8 +94,7 @@
 	c.emit(NewBroadcast(config))
 }
 
-// updateDemand updates the moving average of the engines that each model keeps
-// busy, from the open requests. Queued requests count too.
+// updateDemand updates the demand with the requests that are open or queued now.
 func (c *Core) updateDemand(span time.Duration) {
 	open := make(map[string]float64)
 	for _, req := range c.requests {
@@ -104,27 +102,7 @@
 			open[model] += 1 / c.engineSlots(req.service)
 		}
 	}
-	for model := range open {
-		if _, known := c.demand[model]; !known {
-			c.demand[model] = 0
-		}
-	}
-	for model, demand := range c.demand {
-		demand += (open[model] - demand) * demandWeight(span, open[model] > demand)
-		if c.demand[model] = demand; demand < minDemand {
-			delete(c.demand, model)
-		}
-	}
-}
-
-// demandWeight returns the weight of the open requests in the average of demand,
-// after the given time since the last update.
-func demandWeight(span time.Duration, rising bool) float64 {
-	window := fallingDemandWindow
-	if rising {
-		window = risingDemandWindow
-	}
-	return min(span.Seconds()/window.Seconds(), 1)
+	c.demand.update(span, open)
 }
 
 // engineSlots returns the number of requests that one engine of a service runs
--- a/lobby/scheduler/peers_test.go
+++ b/lobby/scheduler/peers_test.go
@@ -66,6 +66,25 @@
 	}
 }
 
+// TestDemandCountsRefusedRequests guards against a model that gets no further copies
+// because the requests that its engines have no room for are refused early.
+func TestDemandCountsRefusedRequests(t *testing.T) {
+	f := newFixture(emptyEngine("e1"))
+	var demand map[string]float64
+	for range 100 { // 20 requests a second, which would run for a second each
+		f.now = f.now.Add(50 * time.Millisecond)
+		checkActions(t, "arrival", []string{"refuse 503 no_backend"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})[:1])
+		for _, action := range f.core.Tick(f.now) {
+			if broadcast, ok := action.(scheduler.Broadcast); ok {
+				demand = broadcast.Demand()
+			}
+		}
+	}
+	if got, want := demand["m"], 20.0/64; got < 0.8*want || got > 1.2*want {
+		t.Errorf("demand of %.3f engines, want about %.3f", got, want)
+	}
+}
+
 func TestRetryAfterWhileDraining(t *testing.T) {
 	digests := func(draining ...bool) []protocol.Digest {
 		var list []protocol.Digest
