--- a/lobby/placement/cost.go
+++ b/lobby/placement/cost.go
@@ -6,9 +6,20 @@
 // more evenly the load is spread, and a copy of a model pays as long as it lowers
 // the sum, however many copies there are already.
 
+const (
+	// fullLoad is the load from which on requests have to wait for a free slot at
+	// times, and overloadFactor the weight of the load beyond it.
+	fullLoad       = 0.7
+	overloadFactor = 5
+)
+
 // loadCost returns the cost of a load on one host. It grows with the square of the
-// load, since every request waits for those that share its engine.
-func loadCost(load float64) float64 { return load * load }
+// load, since every request waits for those that share its engine, and steeply once
+// slots run short.
+func loadCost(load float64) float64 {
+	beyond := max(load-fullLoad, 0)
+	return load*load + overloadFactor*beyond*beyond
+}
 
 // costOf returns by how much the cost of the plan changes if a host gets a copy of
 // a model in place of the evicted ones. It includes the cost of the load itself and
