Hold the lobby's connections against late copies, stalled streams and panics

Change: progress of a stream is the end of an event; answers without an ID are refused on a connection in use again; tainted connections are closed; containPanic ends one connection instead of the process.

Tests, each seen failing without the change: TestStalledStreamTimesOutDespiteBytes (5 of 7 cases lasted until their backend server stopped), TestLateSecondAnswerReaches- NoOtherCaller (4 of 5 cases), TestPanicEndsItsRequestOnly (the process died). TestSlowStreamIsNotCut holds the other side.

--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -21,6 +21,8 @@
 	answer      *answer
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time after which it is not used any more
+	answers     int           // complete answers so far
+	tainted     bool          // an answer has arrived that belongs to no open request
 	closed      bool
 	removed     bool // removed from its pool
 }
@@ -28,7 +30,7 @@
 // send sends the request of an exchange.
 func (b *backendConn) send(now time.Time, e *exchange) {
 	b.exchange, b.answer = e, &answer{}
-	e.conn, e.lastByte = b, now
+	e.conn, e.lastByte, e.lastProgress, e.scanner = b, now, now, eventScanner{}
 
 	b.proxy.requestBuffer = b.proxy.config.Codec.AppendRequest(now, b.proxy.requestBuffer[:0], e.request, e.send.Forwarding().WithLastEventID(string(e.events.lastID)))
 	if _, err := b.conn.Write(b.proxy.requestBuffer); err != nil {
@@ -79,6 +81,7 @@
 	case b.streaming():
 		err = b.exchange.forwardStream(b.answer, data)
 	default:
+		b.exchange.lastProgress = now
 		err = b.answer.buffer(data)
 	}
 	return used, err
@@ -89,6 +92,9 @@
 	if err != nil || !b.answer.headRead || b.stale() {
 		return used, err
 	}
+	if b.answer.info.RequestID() == "" && b.answers > 0 {
+		return used, errors.New("answer without a request ID on a connection in use again")
+	}
 	success := b.answer.head.StatusCode() < fasthttp.StatusMultipleChoices
 	if success && (!b.answer.info.Signed() || len(b.answer.head.ContentEncoding()) > 0) {
 		return used, errors.New("answer is encoded or lacks the backend server's signature")
@@ -111,8 +117,9 @@
 // finish handles a complete answer.
 func (b *backendConn) finish(now time.Time) {
 	a := b.answer
+	b.answers++
 	if b.stale() {
-		b.answer = &answer{}
+		b.answer, b.tainted = &answer{}, true
 		return
 	}
 	e := b.exchange
@@ -127,12 +134,13 @@
 }
 
 // release returns the connection to its pool. It closes the connection instead if
-// the backend server asks for that or if unread or unsent bytes are left.
+// the backend server asks for that, if unread or unsent bytes are left, or if a byte
+// has arrived that belongs to no request.
 func (b *backendConn) release(now time.Time, a *answer) {
 	if b.closed {
 		return
 	}
-	if a.info.Close() || a.length == unknownLength || b.conn.InboundBuffered() > 0 || b.conn.OutboundBuffered() > 0 {
+	if b.tainted || a.info.Close() || a.length == unknownLength || b.conn.InboundBuffered() > 0 || b.conn.OutboundBuffered() > 0 {
 		b.close()
 		return
 	}
--- /dev/null
+++ b/lobby/proxy/eventscanner.go
@@ -0,0 +1,28 @@
+package proxy
+
+// eventScanner finds the ends of the events in a stream (server-sent events, WHATWG
+// HTML, section 9.2). Blank lines and comments alone are no event.
+type eventScanner struct {
+	lineLength int  // bytes of the current line so far
+	comment    bool // the current line is a comment
+	hasField   bool // the current event has a field
+}
+
+// scan reads the next piece of a stream and reports whether an event ends in it.
+func (s *eventScanner) scan(data []byte) (ended bool) {
+	for _, c := range data {
+		switch {
+		case c == '\r':
+		case c != '\n':
+			s.comment = s.comment || s.lineLength == 0 && c == ':'
+			s.lineLength++
+		case s.lineLength == 0:
+			ended = ended || s.hasField
+			s.hasField = false
+		default:
+			s.hasField = s.hasField || !s.comment
+			s.lineLength, s.comment = 0, false
+		}
+	}
+	return ended
+}
--- /dev/null
+++ b/lobby/proxy/eventscanner_test.go
@@ -0,0 +1,35 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestEventScanner(t *testing.T) {
+	cases := map[string]struct {
+		pieces []string
+		want   []bool // whether an event ends in each piece
+	}{
+		"whole events":           {pieces: []string{"id: 1\ndata: a\n\n", "data: b\n\n"}, want: []bool{true, true}},
+		"event in pieces":        {pieces: []string{"id: 1\nda", "ta: a\n", "\n"}, want: []bool{false, false, true}},
+		"lines end with CR LF":   {pieces: []string{"data: a\r\n", "\r\n"}, want: []bool{false, true}},
+		"comments":               {pieces: []string{": still here\n", "\n", ":\n\n"}, want: []bool{false, false, false}},
+		"blank lines":            {pieces: []string{"\n", "\n\n", "\r\n\r\n"}, want: []bool{false, false, false}},
+		"a byte now and then":    {pieces: []string{"d", "a", "t"}, want: []bool{false, false, false}},
+		"comment in an event":    {pieces: []string{"data: a\n: note\n", "\n"}, want: []bool{false, true}},
+		"colon inside of a line": {pieces: []string{"data", ": a\n\n"}, want: []bool{false, true}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var scanner eventScanner
+			var got []bool
+			for _, piece := range tc.pieces {
+				got = append(got, scanner.scan([]byte(piece)))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("ends of events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -29,10 +29,12 @@
 	conn          *backendConn
 	heldError     *answer       // server error of the backend server, kept for ForwardError
 	lastByte      time.Time     // time of the last byte in either direction
+	lastProgress  time.Time     // time of the send, of the last event of a stream or of the last bytes of another answer
 	lastEvent     time.Time     // time at which the last event was forwarded
 	longestPause  time.Duration // longest pause between two events
 	started       bool          // a part of the answer has been forwarded
 	startReported bool          // the start of the current send's stream has been reported to the scheduler
+	scanner       eventScanner  // used for streams only
 	events        eventBuffer   // used for resumable streams only
 	chunked       bool
 	ended         bool
@@ -41,6 +43,9 @@
 // forwardStream forwards a piece of a stream, of a resumable one only the complete
 // events.
 func (e *exchange) forwardStream(a *answer, data []byte) (err error) {
+	if e.scanner.scan(data) {
+		e.lastProgress = e.lastByte
+	}
 	if e.send.Resumable() {
 		data, err = e.events.add(data)
 	}
@@ -172,17 +177,18 @@
 	}
 }
 
-// errBackendSilent reports that a backend server has sent nothing within the
-// timeout.
-var errBackendSilent = errors.New("backend server sent nothing within the timeout")
+// errBackendSilent reports that a backend server has sent no event of a stream, or
+// no byte of another answer, within the timeout.
+var errBackendSilent = errors.New("backend server made no progress within the timeout")
 
-// sweep ends a send whose backend server has sent nothing within the timeout.
+// sweep ends a send whose backend server has made no progress within the timeout.
+// Comments, blank lines and answers to other requests are no progress.
 func (e *exchange) sweep(now time.Time) {
 	limit := e.send.FirstByteTimeout()
 	if e.started {
 		limit = e.send.IdleTimeout()
 	}
-	if b := e.conn; b != nil && limit > 0 && now.Sub(e.lastByte) > limit {
+	if b := e.conn; b != nil && limit > 0 && now.Sub(e.lastProgress) > limit {
 		b.resetAndFail(errBackendSilent)
 	}
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -183,6 +184,7 @@
 
 // OnTraffic handles the bytes that have arrived on a connection.
 func (p *Proxy) OnTraffic(conn gnet.Conn) gnet.Action {
+	defer p.containPanic(conn)
 	now := time.Now()
 	switch c := conn.Context().(type) {
 	case *callerConn:
@@ -195,6 +197,7 @@
 
 // OnClose handles the end of a connection.
 func (p *Proxy) OnClose(conn gnet.Conn, cause error) gnet.Action {
+	defer p.containPanic(nil)
 	now := time.Now()
 	switch c := conn.Context().(type) {
 	case *callerConn:
@@ -205,6 +208,25 @@
 	return gnet.None
 }
 
+// containPanic ends a panic, closes the connection whose bytes caused it, if any,
+// and reports its request as incomplete. The other connections go on.
+func (p *Proxy) containPanic(conn gnet.Conn) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	p.config.Log.WithFields(logrus.Fields{"event": "panic", "stack": string(debug.Stack())}).Errorf("panic on the event loop: %v", cause)
+	if conn == nil {
+		return
+	}
+	switch c := conn.Context().(type) {
+	case *callerConn:
+		c.close()
+	case *backendConn:
+		c.fail(errors.Newf("panic: %v", cause))
+	}
+}
+
 // callerClosed cancels the request of a caller that has disconnected.
 func (p *Proxy) callerClosed(c *callerConn) {
 	c.closed = true
@@ -271,6 +293,7 @@
 }
 
 func (p *Proxy) execute(now time.Time, action any) {
+	defer p.containPanic(nil)
 	switch a := action.(type) {
 	case scheduler.Send:
 		p.send(now, a)
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/ring"
@@ -92,13 +93,18 @@
 
 // newLobby starts a proxy. send fills in the send of each request.
 func newLobby(t testing.TB, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
+	t.Helper()
+	return newLobbyWithCodec(t, platform.HeaderCodec{}, send, resumeAt...)
+}
+
+func newLobbyWithCodec(t testing.TB, codec proxy.Codec, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
 	t.Helper()
 	log := testkit.DiscardLog()
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
 	l := &lobby{address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), ended: make(chan scheduler.SendEnded, 64), disconnected: make(chan struct{}, 64), resumeAddresses: resumeAt}
 	l.proxy = proxy.New(proxy.Config{
 		Listen: l.address, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2,
-		Codec: platform.HeaderCodec{}, Dial: platform.Dial, Scheduler: inbox, Readiness: l, Log: log,
+		Codec: codec, Dial: platform.Dial, Scheduler: inbox, Readiness: l, Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, service := range l.proxy.Services() {
@@ -391,6 +397,175 @@
 	}
 }
 
+// TestStalledStreamTimesOutDespiteBytes guards against streams that never end since
+// their backend server sends a byte now and then, or bytes without end, but no event.
+func TestStalledStreamTimesOutDespiteBytes(t *testing.T) {
+	cases := map[string]struct {
+		first  string // sent once
+		again  string // sent every 10 ms
+		result scheduler.Result
+	}{
+		"comments after an event":     {first: streamHead("r1") + chunk("data: a\n\n"), again: chunk(": ping\n\n"), result: scheduler.Truncated},
+		"blank lines after an event":  {first: streamHead("r1") + chunk("data: a\n\n"), again: chunk("\n"), result: scheduler.Truncated},
+		"an event that does not end":  {first: streamHead("r1") + chunk("data: a\n\n"), again: chunk("x"), result: scheduler.Truncated},
+		"trailers without end":        {first: streamHead("r1") + chunk("data: a\n\n") + "0\r\n", again: "X: y\r\n", result: scheduler.Truncated},
+		"answer to another request":   {first: streamHead("other"), again: chunk("data: a\n\n"), result: scheduler.Lost},
+		"head without end":            {first: "HTTP/1.1 200 OK\r\n", again: "X: y\r\n", result: scheduler.Lost},
+		"interim answers without end": {again: "HTTP/1.1 102 Wait\r\n\r\n", result: scheduler.Lost},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
+				_, _ = io.WriteString(conn, tc.first)
+				for range 500 {
+					if _, err := io.WriteString(conn, tc.again); err != nil {
+						return true
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				return true
+			})
+			l := newLobby(t, func(s *scheduler.SendConfig) {
+				s.Address, s.Stream, s.FirstByteTimeout, s.IdleTimeout = b.address, true, 300*time.Millisecond, 300*time.Millisecond
+			})
+			start := time.Now()
+			_, _, _ = sendRequest(t, l.address)
+			if diff := cmp.Diff(tc.result, (<-l.ended).Result()); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("ended after %v by its backend server", took)
+			}
+		})
+	}
+}
+
+// TestSlowStreamIsNotCut checks that a stream goes on whose events come one by one in
+// small pieces, each event within the timeout of the last.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	const events = 6
+	b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, streamHead(id))
+		for range events {
+			for _, piece := range []string{"id: 1\n", "data: a\n", "\n"} {
+				time.Sleep(100 * time.Millisecond)
+				_, _ = io.WriteString(conn, chunk(piece))
+			}
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return true
+	})
+	l := newLobby(t, func(s *scheduler.SendConfig) {
+		s.Address, s.Stream, s.FirstByteTimeout, s.IdleTimeout = b.address, true, 900*time.Millisecond, 900*time.Millisecond
+	})
+	_, body, err := sendRequest(t, l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(strings.Repeat("id: 1\ndata: a\n\n", events), body); diff != "" {
+		t.Errorf("body (-want +got):\n%s", diff)
+	}
+}
+
+// TestLateSecondAnswerReachesNoOtherCaller plays a backend server that sends a second
+// copy of an answer on a connection that carries the next request already.
+func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
+	withoutID := "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 5\r\n\r\nwrong"
+	cases := map[string]struct {
+		copy   string // sent before the answer to the second request
+		status int    // of the second request
+		body   string
+	}{
+		"copy with its ID":       {copy: fixedLengthAnswer("r1", "wrong"), status: 200, body: "right"},
+		"chunked copy":           {copy: streamHead("r1") + chunk("wrong") + "0\r\n\r\n", status: 200, body: "right"},
+		"copy without an ID":     {copy: withoutID, status: 502},
+		"idle timeout of a copy": {copy: "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", status: 502},
+		"half a head":            {copy: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n", status: 502},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, id string, n int) bool {
+				if n == 1 {
+					_, _ = io.WriteString(conn, tc.copy)
+				}
+				_, _ = io.WriteString(conn, fixedLengthAnswer(id, map[bool]string{true: "right", false: "first"}[id == "r2"]))
+				return true
+			})
+			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+			conn, err := net.Dial("tcp", l.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			if _, _, err := exchange(t, conn, reader, "r1"); err != nil {
+				t.Fatal(err)
+			}
+			response, body, err := exchange(t, conn, reader, "r2")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]any{tc.status, tc.body}, []any{response.StatusCode, body}); diff != "" {
+				t.Errorf("second answer (-want +got):\n%s", diff)
+			}
+			if _, _, err := exchange(t, conn, reader, "r3"); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(int64(2), b.conns.Load()); diff != "" {
+				t.Errorf("connections after a third request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// panickingCodec panics on the request and on the answer with the ID "panic".
+type panickingCodec struct{ platform.HeaderCodec }
+
+func (c panickingCodec) DecodeRequest(now time.Time, request *fasthttp.Request) *httpmeta.Request {
+	if string(request.Header.Peek("Request-Id")) == "panic" {
+		panic("made to panic")
+	}
+	return c.HeaderCodec.DecodeRequest(now, request)
+}
+
+func (c panickingCodec) DecodeAnswer(header *fasthttp.ResponseHeader) httpmeta.Answer {
+	if string(header.Peek("Request-Id")) == "panic-later" {
+		panic("made to panic")
+	}
+	return c.HeaderCodec.DecodeAnswer(header)
+}
+
+// TestPanicEndsItsRequestOnly checks that an unexpected error while one message is
+// handled leaves the process and its other requests alone.
+func TestPanicEndsItsRequestOnly(t *testing.T) {
+	cases := map[string]struct{ id string }{"request": {id: "panic"}, "answer": {id: "panic-later"}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, fixedLengthAnswer(id, "x"))
+				return true
+			})
+			l := newLobbyWithCodec(t, panickingCodec{}, func(s *scheduler.SendConfig) { s.Address = b.address })
+			conn, err := net.Dial("tcp", l.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := fmt.Fprintf(conn, "GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", tc.id); err != nil {
+				t.Fatal(err)
+			}
+			if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && response.StatusCode < 500 {
+				t.Errorf("status %d of the request that causes a panic", response.StatusCode)
+			}
+			for range 3 {
+				if _, body, err := sendRequest(t, l.address); err != nil || body != "x" {
+					t.Errorf("later request: body %q, error %v", body, err)
+				}
+			}
+		})
+	}
+}
+
 func TestUnreachableBackendServerIsReportedAsUnsent(t *testing.T) {
 	address := testkit.FreeAddress(t)
 	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = address })
