Read the store by the deployment's bounds, send demand and plan when due

Digests of 5.4 KB (half of it demand for models, which only the planner reads; 11.7 KB with the plan) go to 26 lobbies 3.7 times a second.

Ruled out: one reader that passes changes on; it needs its own proof of freshness and is left for the issue on size.

Change: [platform] drain and contact, filled in from the bounds, set the period of reads and the longest wait; a fifth of 2 s and 3 s less the limit on a call are what was fixed before. Demand goes into a digest every 0.2 s or every second one, the plan when it changes and once a second.

Tests: TestReadsFollowTheBoundsOfTheDeployment, TestDigestsCarryDemandAndPlanWhenDue (each digest carried both before), TestDigestWithoutDemandKeepsTheLast.

--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -147,6 +147,8 @@
 	{Section: "process", Key: "domain", Kind: Text, Required: true, Doc: "failure domain of this instance"},
 	{Section: "platform", Key: "store", Kind: Address, Required: true, Doc: "address of the platform's store"},
 	{Section: "platform", Key: "timeout", Kind: Duration, Default: "1s", Min: "50ms", Max: "30s", Doc: "limit on one call of the store, beyond the wait of a long poll"},
+	{Section: "platform", Key: "drain", Kind: Duration, Default: "2s", Min: "200ms", Max: "1h", Doc: "time within which a backend server that leaves must get no new requests; its list is read five times in it, but at least once a second"},
+	{Section: "platform", Key: "contact", Kind: Duration, Default: "3s", Min: "200ms", Max: "1h", Doc: "time within which a broken connection to the store has to be noticed"},
 	{Section: "porch", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
 	{Section: "porch", Key: "probe", Kind: Address, Required: true, Doc: "address at which the platform asks for readiness"},
 	{Section: "porch", Key: "dialers", Kind: Integer, Default: "6", Min: "1", Max: "64", Doc: "connections to backend servers that are made at once"},
--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -24,9 +24,9 @@
 	ConfigVersion int64              // version of the configuration that the sender uses
 	Draining      bool               // the sender accepts no new requests, or will soon stop accepting them
 	Spent         map[string]float64 // quota taken by each tenant since the incarnation began
-	Demand        map[string]float64 // by model, number of engines that its requests keep busy
+	Demand        map[string]float64 // by model, number of engines that its requests keep busy; nil if as in the last digest
 	Loads         []BackendLoadConfig
-	Plan          map[string][]string // models by backend server; nil if the sender does not plan
+	Plan          map[string][]string // models by backend server; nil if the sender does not plan or has sent the same plan lately
 }
 
 // Digest is the state that a lobby sends to the other lobbies several times a
@@ -60,14 +60,14 @@
 func (d Digest) Spent() map[string]float64 { return d.config.Spent }
 
 // Demand returns, by model, the number of engines that the sender's requests keep
-// busy.
+// busy, or nil if it is that of the sender's last digest with one.
 func (d Digest) Demand() map[string]float64 { return d.config.Demand }
 
 // Loads returns the sender's load on each backend server.
 func (d Digest) Loads() []BackendLoadConfig { return d.config.Loads }
 
 // Plan returns the models that each backend server is to hold, or nil if the
-// sender does not plan.
+// sender does not plan or has sent the same plan lately.
 func (d Digest) Plan() map[string][]string { return d.config.Plan }
 
 // MarshalBinary encodes the message.
--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -12,7 +12,11 @@
 )
 
 const (
-	pollPeriod = 400 * time.Millisecond // time between two reads of changes
+	// The list is read pollsPerDrain times within the time in which a backend server
+	// that leaves must get no new requests, which allows for a slow read.
+	pollsPerDrain = 5
+	minPollPeriod = 100 * time.Millisecond
+	maxPollPeriod = time.Second
 	// fullReadPeriod is the time between two reads of the full list, which correct
 	// the effects of missed changes.
 	fullReadPeriod = 15 * time.Second
@@ -50,7 +54,7 @@
 	for {
 		err := w.step(time.Now())
 		w.reachable = logReachability(w.config.Log, "backends", w.reachable, err)
-		if err := supervisor.Sleep(ctx, pollPeriod); err != nil {
+		if err := supervisor.Sleep(ctx, w.config.pollPeriod()); err != nil {
 			return err
 		}
 	}
--- a/lobby/discovery/backends_test.go
+++ b/lobby/discovery/backends_test.go
@@ -12,6 +12,9 @@
 	"sesamewell.example/commons/testkit"
 )
 
+// readPeriod is the time between two reads in these tests.
+const readPeriod = 400 * time.Millisecond
+
 func TestMissingBackendsAreKeptForGracePeriodAfterOutage(t *testing.T) {
 	removed := map[string]deployment.Backend{"a": {}}
 	returned := backends("a")
@@ -37,22 +40,22 @@
 			now := noon
 			step := func(after time.Duration) {
 				for end := now.Add(after); now.Before(end); {
-					now = now.Add(min(pollPeriod, end.Sub(now)))
+					now = now.Add(min(readPeriod, end.Sub(now)))
 					_ = w.step(now) // fails during the outage
 					s.changes, s.missed = nil, false
 				}
 			}
-			step(pollPeriod)
+			step(readPeriod)
 			if tc.leaving {
 				config := s.list["a"].Config()
 				config.Leaving = true
 				s.changes = map[string]deployment.Backend{"a": deployment.NewBackend(config)}
-				step(pollPeriod)
+				step(readPeriod)
 			}
 			s.err = errors.New("unreachable")
 			step(tc.outage)
 			s.err, s.changes, s.missed, s.list = nil, removed, tc.missed, backends("b")
-			step(pollPeriod)
+			step(readPeriod)
 			if diff := cmp.Diff(tc.atEnd, ids(w.backends)); diff != "" {
 				t.Errorf("list at the end of the outage (-want +got):\n%s", diff)
 			}
--- a/lobby/discovery/discovery.go
+++ b/lobby/discovery/discovery.go
@@ -35,16 +35,31 @@
 }
 
 const (
-	longPollTimeout = 2 * time.Second        // longest wait for a new configuration, since a broken connection may stay silent
-	retryDelay      = 200 * time.Millisecond // delay after a failed read
+	minLongPoll = time.Second            // shortest wait for a new configuration
+	maxLongPoll = 20 * time.Second       // longest such wait
+	retryDelay  = 200 * time.Millisecond // delay after a failed read
 )
 
 // WatcherConfig holds the construction parameters of a ConfigurationWatcher or a
 // BackendWatcher.
 type WatcherConfig struct {
-	Store Store
-	State *State
-	Log   *logrus.Entry
+	Store          Store
+	State          *State
+	DrainTime      time.Duration // time within which a backend server that leaves must get no new requests
+	ContactTime    time.Duration // time within which a broken connection to the store has to be noticed
+	RequestTimeout time.Duration // limit on one call of the store, beyond the wait of a long poll
+	Log            *logrus.Entry
+}
+
+// longPoll returns the longest wait for a new configuration. A connection may break
+// without an error, which shows when the wait and the limit on a call are over.
+func (c WatcherConfig) longPoll() time.Duration {
+	return min(max(c.ContactTime-c.RequestTimeout, minLongPoll), maxLongPoll)
+}
+
+// pollPeriod returns the time between two reads of the list of backend servers.
+func (c WatcherConfig) pollPeriod() time.Duration {
+	return min(max(c.DrainTime/pollsPerDrain, minPollPeriod), maxPollPeriod)
 }
 
 // ErrMissed reports that the store dropped records before they were read.
@@ -92,7 +107,7 @@
 		w.config.State.setConfiguration(c, "store")
 		return nil
 	}
-	c, offset, err := w.config.Store.ConfigurationSince(w.offset, longPollTimeout)
+	c, offset, err := w.config.Store.ConfigurationSince(w.offset, w.config.longPoll())
 	if errors.Is(err, ErrMissed) {
 		w.initialized = false
 		return nil
--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -83,6 +83,26 @@
 	return s.changes, from + 1, s.err
 }
 
+func TestReadsFollowTheBoundsOfTheDeployment(t *testing.T) {
+	cases := map[string]struct {
+		drain, contact time.Duration
+		poll, longPoll time.Duration
+	}{
+		"short bounds":      {drain: 2 * time.Second, contact: 3 * time.Second, poll: 400 * time.Millisecond, longPoll: 2 * time.Second},
+		"long bounds":       {drain: 4 * time.Second, contact: 5 * time.Second, poll: 800 * time.Millisecond, longPoll: 4 * time.Second},
+		"bounds of minutes": {drain: time.Minute, contact: time.Minute, poll: time.Second, longPoll: 20 * time.Second},
+		"tight bounds":      {drain: 200 * time.Millisecond, contact: 500 * time.Millisecond, poll: 100 * time.Millisecond, longPoll: time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			config := WatcherConfig{DrainTime: tc.drain, ContactTime: tc.contact, RequestTimeout: time.Second}
+			if diff := cmp.Diff([]time.Duration{tc.poll, tc.longPoll}, []time.Duration{config.pollPeriod(), config.longPoll()}); diff != "" {
+				t.Errorf("period of reads and longest wait (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	cases := map[string]struct {
 		versions []int64
--- a/lobby/discovery/lobbies.go
+++ b/lobby/discovery/lobbies.go
@@ -27,7 +27,7 @@
 
 const (
 	announcePeriod  = 8 * time.Second // time between two announcements
-	directoryPeriod = 4 * time.Second // time between two reads of the directory
+	directoryPeriod = 8 * time.Second // time between two reads of the directory; a lobby that starts calls all others before
 	retryPeriod     = time.Second     // time between two reads while the store does not answer or no other lobby is known
 	// lobbyExpiry is the time without a new announcement after which a lobby counts
 	// as stopped, provided that the store can be read.
--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -62,7 +62,11 @@
 // UpdatePeer records the digest of a lobby, which may be this one. If the sender
 // is the leader, its plan replaces this lobby's copy.
 func (c *Core) UpdatePeer(now time.Time, digest protocol.Digest) {
-	c.peers[digest.Sender()] = &peer{demand: digest.Demand(), lastSeen: now}
+	demand := digest.Demand()
+	if last, ok := c.peers[digest.Sender()]; ok && demand == nil {
+		demand = last.demand
+	}
+	c.peers[digest.Sender()] = &peer{demand: demand, lastSeen: now}
 	if digest.Plan() != nil && digest.Sender() != c.config.Self && digest.Sender() == c.leader(now) {
 		c.plan = digest.Plan()
 	}
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -276,6 +276,17 @@
 	}
 }
 
+func TestDigestWithoutDemandKeepsTheLast(t *testing.T) {
+	f := newFleet(map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e"}})
+	f.demand = map[string]float64{"f": 0.5}
+	f.advance(500 * time.Millisecond)
+	f.demand = nil
+	f.advance(4 * time.Second)
+	if got := f.copies("f"); got < 1 {
+		t.Errorf("no copy of the model in demand; plan %v", f.plan)
+	}
+}
+
 func TestOnlyOneLobbyPlans(t *testing.T) {
 	other := func(address string) func(f *fleet) {
 		return func(f *fleet) {
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -124,7 +124,10 @@
 		MissedErr: discovery.ErrMissed,
 		Log:       log,
 	})
-	config := discovery.WatcherConfig{Store: registry, State: p.mediator.state, Log: log}
+	config := discovery.WatcherConfig{
+		Store: registry, State: p.mediator.state, Log: log,
+		DrainTime: settings.Duration("platform", "drain"), ContactTime: settings.Duration("platform", "contact"), RequestTimeout: settings.Duration("platform", "timeout"),
+	}
 	p.mediator.refresher = discovery.NewRefresher(discovery.RefresherConfig{Store: registry, Peers: p.mediator, State: p.mediator.state, Log: log})
 	p.add(p.mediator.refresher)
 	p.add(discovery.NewConfigurationWatcher(config), discovery.NewBackendWatcher(config), discovery.NewLobbyWatcher(discovery.LobbyWatcherConfig{
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -22,6 +22,8 @@
 	minDigestPeriod      = 50 * time.Millisecond
 	digestPeriodPerLobby = 10 * time.Millisecond
 	maxDigestPeriod      = 400 * time.Millisecond
+	minDemandPeriod      = 200 * time.Millisecond  // time between two digests that carry the demand for models
+	planPeriod           = time.Second             // time after which an unchanged plan is sent again
 	peerLifetime         = time.Second             // time after its receipt for which another lobby's digest is valid
 	leaseMargin          = 300 * time.Millisecond  // a lease counts as ended this long before the keeper ends it
 	leaseRenewAhead      = 1200 * time.Millisecond // a lease in use is renewed when less than this is left
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -56,6 +56,9 @@
 	forecast      *forecast
 	demand        *demand
 	lastDigest    time.Time
+	lastDemand    time.Time           // time of the last digest with the demand
+	lastPlan      time.Time           // time of the last digest with the plan
+	sentPlan      map[string][]string // plan in that digest
 	actions       []Action
 }
 
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -82,18 +83,37 @@
 		c.updateDemand(now.Sub(c.lastDigest))
 	}
 	c.lastDigest = now
-	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demand.byModel()}
+	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now)}
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
 		}
 	}
-	if c.planSource == "" && now.Sub(c.planTime) < planLifetime {
-		config.Plan = c.plan
-	}
 	c.emit(NewBroadcast(config))
 }
 
+// demandToSend returns the demand for models if it is due, else nil: the planner
+// needs it less often than the lobbies need each other's loads.
+func (c *Core) demandToSend(now time.Time) map[string]float64 {
+	if now.Sub(c.lastDemand) < max(minDemandPeriod, 2*digestPeriod(c.lobbyCount)) {
+		return nil
+	}
+	c.lastDemand = now
+	return c.demand.byModel()
+}
+
+// planToSend returns this lobby's plan if it has changed or is due, else nil.
+func (c *Core) planToSend(now time.Time) map[string][]string {
+	if c.planSource != "" || now.Sub(c.planTime) >= planLifetime {
+		return nil
+	}
+	if now.Sub(c.lastPlan) < planPeriod && maps.EqualFunc(c.plan, c.sentPlan, slices.Equal[[]string]) {
+		return nil
+	}
+	c.lastPlan, c.sentPlan = now, c.plan
+	return c.plan
+}
+
 // updateDemand updates the demand with the requests that are open or queued now.
 func (c *Core) updateDemand(span time.Duration) {
 	open := make(map[string]float64)
--- a/lobby/scheduler/peers_test.go
+++ b/lobby/scheduler/peers_test.go
@@ -47,6 +47,49 @@
 	}
 }
 
+// TestDigestsCarryDemandAndPlanWhenDue guards against digests that repeat what
+// changes little: they are most of the bytes between failure domains.
+func TestDigestsCarryDemandAndPlanWhenDue(t *testing.T) {
+	cases := map[string]struct {
+		lobbies    int
+		changePlan bool // the plan changes after one second
+		demands    int  // digests with the demand in two seconds
+		plans      int  // digests with the plan
+	}{
+		"few lobbies":     {lobbies: 4, demands: 10, plans: 2},
+		"many lobbies":    {lobbies: 20, demands: 5, plans: 2},
+		"plan that moves": {lobbies: 4, changePlan: true, demands: 10, plans: 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(engineServer("e1"))
+			f.core.Handle(f.now, scheduler.NewLobbyCountChanged(tc.lobbies))
+			plan := map[string][]string{"e1": {"m"}}
+			demands, plans := 0, 0
+			for i := range 40 {
+				if tc.changePlan && i == 10 {
+					plan = map[string][]string{"e1": {"m", "n"}}
+				}
+				f.core.Handle(f.now, scheduler.NewPlanChanged(plan))
+				f.now = f.now.Add(50 * time.Millisecond)
+				for _, action := range f.core.Tick(f.now) {
+					if broadcast, ok := action.(scheduler.Broadcast); ok {
+						if broadcast.Demand() != nil {
+							demands++
+						}
+						if broadcast.Plan() != nil {
+							plans++
+						}
+					}
+				}
+			}
+			if diff := cmp.Diff([]int{tc.demands, tc.plans}, []int{demands, plans}); diff != "" {
+				t.Errorf("digests with the demand and with the plan (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestDemandCountsOpenAndQueuedRequests(t *testing.T) {
 	f := newFixture(engineServer("e1"))
 	f.core.Tick(f.now)
@@ -57,7 +100,7 @@
 	f.now = f.now.Add(2 * time.Second)
 	var demand map[string]float64
 	for _, action := range f.core.Tick(f.now) {
-		if broadcast, ok := action.(scheduler.Broadcast); ok {
+		if broadcast, ok := action.(scheduler.Broadcast); ok && broadcast.Demand() != nil {
 			demand = broadcast.Demand()
 		}
 	}
@@ -75,7 +118,7 @@
 		f.now = f.now.Add(50 * time.Millisecond)
 		checkActions(t, "arrival", []string{"refuse 503 no_backend"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})[:1])
 		for _, action := range f.core.Tick(f.now) {
-			if broadcast, ok := action.(scheduler.Broadcast); ok {
+			if broadcast, ok := action.(scheduler.Broadcast); ok && broadcast.Demand() != nil {
 				demand = broadcast.Demand()
 			}
 		}
