Send digests between failure domains through relays

Change: a digest goes to one lobby of each other domain, in turn, which passes it on there (route.go, a pure function of the members and the round). Digests of a lobby may overtake each other now, so older ones are ignored. A peer's queue holds those of several lobbies; what has waited for 0.2 s is dropped, else a lobby that answers again would get old loads as news.

--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -6,6 +6,7 @@
 const (
 	LobbyService = "Lobby"
 	DigestMethod = LobbyService + ".Tell"
+	RelayMethod  = LobbyService + ".Relay"
 )
 
 // BackendLoadConfig describes one lobby's load on one backend server.
@@ -27,6 +28,7 @@
 	Demand        map[string]float64 // by model, number of engines that its requests keep busy; nil if as in the last digest
 	Loads         []BackendLoadConfig
 	Plan          map[string][]string // models by backend server; nil if the sender does not plan or has sent the same plan lately
+	Domain        string              // failure domain of the sender
 }
 
 // Digest is the state that a lobby sends to the other lobbies several times a
@@ -41,6 +43,9 @@
 // Sender returns the IP:port of the sending lobby's listener.
 func (d Digest) Sender() string { return d.config.Sender }
 
+// Domain returns the failure domain of the sending lobby.
+func (d Digest) Domain() string { return d.config.Domain }
+
 // Incarnation returns a value that identifies the start of the sender's process.
 func (d Digest) Incarnation() uint64 { return d.config.Incarnation }
 
--- a/lobby/broadcast/broadcaster.go
+++ b/lobby/broadcast/broadcaster.go
@@ -1,6 +1,6 @@
 // Package broadcast exchanges digests between the lobbies, the processes that
 // accept callers' requests: each lobby sends a digest of its state to all others
-// several times a second.
+// several times a second, to those of other failure domains through one of them.
 package broadcast
 
 import (
@@ -15,7 +15,9 @@
 )
 
 const (
-	inboxCapacity = 256                    // capacity of the inbox in messages
+	inboxCapacity = 1024                   // capacity of the inbox in messages
+	queueCapacity = 64                     // digests that may be queued for one peer, those of this lobby and those passed on
+	queueLifetime = 200 * time.Millisecond // time after which a queued digest is dropped
 	tickPeriod    = time.Second            // time between two checks for expired peers
 	callTimeout   = 400 * time.Millisecond // limit on a call to another lobby
 	peerExpiry    = 20 * time.Second       // time after which a peer is removed that is not listed and has not called
@@ -43,6 +45,7 @@
 // Config holds the construction parameters of a Broadcaster.
 type Config struct {
 	Self    string // RPC address of this lobby
+	Domain  string // failure domain of this lobby
 	Dial    func(address string) RPCClient
 	Handler Handler
 	Log     *logrus.Entry
@@ -55,14 +58,30 @@
 	inbox      *ring.Ring
 	supervisor *supervisor.Supervisor
 	peers      map[string]*peer
+	round      int // number of digests of this lobby sent so far
 }
 
 // peersListed carries the addresses of the lobbies that the platform's store
 // lists.
 type peersListed struct{ addresses []string }
 
-// digestReceived reports that the lobby with the given address has called.
-type digestReceived struct{ address string }
+// digestReceived reports that a digest has arrived. passOn is set if this lobby is to
+// pass it on in its failure domain.
+type digestReceived struct {
+	digest protocol.Digest
+	passOn bool
+}
+
+// outgoing is a digest that is queued for a peer.
+type outgoing struct {
+	digest   protocol.Digest
+	method   string // protocol.DigestMethod, or protocol.RelayMethod if the peer is to pass it on
+	queuedAt time.Time
+}
+
+// stale reports whether the digest has waited so long, for a peer that does not answer,
+// that a later one of its sender has followed.
+func (o outgoing) stale(now time.Time) bool { return now.Sub(o.queuedAt) > queueLifetime }
 
 // New returns a broadcaster without peers.
 func New(config Config) *Broadcaster {
@@ -101,20 +120,51 @@
 func (b *Broadcaster) Handle(now time.Time, message any) error {
 	switch m := message.(type) {
 	case protocol.Digest:
-		for _, peer := range b.peers {
-			// The digest is dropped if the peer's last one is still queued.
-			_ = peer.digests.Put(m)
-		}
+		direct, relays := route(now, b.config.Domain, b.members(), b.round)
+		b.round++
+		b.send(direct, outgoing{digest: m, method: protocol.DigestMethod, queuedAt: now})
+		b.send(relays, outgoing{digest: m, method: protocol.RelayMethod, queuedAt: now})
 	case peersListed:
 		for _, address := range m.addresses {
 			b.peerSeen(now, address)
 		}
 	case digestReceived:
-		b.peerSeen(now, m.address)
+		b.peerSeen(now, m.digest.Sender())
+		if p, ok := b.peers[m.digest.Sender()]; ok {
+			p.domain, p.lastDigest = m.digest.Domain(), now
+		}
+		if m.passOn {
+			b.passOn(now, m.digest)
+		}
 	}
 	return nil
 }
 
+// passOn sends the digest of a lobby in another failure domain to the lobbies of this
+// one.
+func (b *Broadcaster) passOn(now time.Time, digest protocol.Digest) {
+	for address, p := range b.peers {
+		if p.domain == b.config.Domain && address != digest.Sender() {
+			b.send([]string{address}, outgoing{digest: digest, method: protocol.DigestMethod, queuedAt: now})
+		}
+	}
+}
+
+// send queues a digest for peers. It is dropped for a peer whose queue is full.
+func (b *Broadcaster) send(addresses []string, out outgoing) {
+	for _, address := range addresses {
+		_ = b.peers[address].digests.Put(out)
+	}
+}
+
+func (b *Broadcaster) members() []member {
+	members := make([]member, 0, len(b.peers))
+	for address, p := range b.peers {
+		members = append(members, member{address: address, domain: p.domain, lastSeen: p.lastDigest})
+	}
+	return members
+}
+
 // peerSeen records that a lobby is listed or has called, and adds it to the peers
 // if it is new.
 func (b *Broadcaster) peerSeen(now time.Time, address string) {
@@ -156,11 +206,14 @@
 	client   RPCClient
 	digests  *ring.Ring
 	token    supervisor.Token
-	lastSeen time.Time
+	lastSeen time.Time // time at which it was last listed or its last digest arrived
+
+	domain     string    // failure domain; empty until its first digest has arrived
+	lastDigest time.Time // time at which its last digest arrived
 }
 
 func newPeer(config Config, address string) *peer {
-	return &peer{address: address, client: config.Dial(address), digests: ring.New(ring.Config{Name: "digests", Capacity: 1})}
+	return &peer{address: address, client: config.Dial(address), digests: ring.New(ring.Config{Name: "digests", Capacity: queueCapacity})}
 }
 
 // String returns the thread's name, which supervision events carry.
@@ -174,10 +227,10 @@
 		if err != nil {
 			return err
 		}
-		if digest, ok := item.(protocol.Digest); ok {
+		if out, ok := item.(outgoing); ok && !out.stale(time.Now()) {
 			// An error needs no handling: other components detect an unreachable lobby
 			// by the absence of its digests.
-			_ = p.client.Call(protocol.DigestMethod, digest, &protocol.Nothing{}, callTimeout)
+			_ = p.client.Call(out.method, out.digest, &protocol.Nothing{}, callTimeout)
 		}
 	}
 }
--- a/lobby/broadcast/broadcaster_test.go
+++ b/lobby/broadcast/broadcaster_test.go
@@ -107,3 +107,39 @@
 	}
 	send(t, b, a, protocol.NewDigest(protocol.DigestConfig{Sender: b.address}))
 }
+
+// slowClient is a client of a lobby that does not answer. It counts the calls.
+type slowClient struct{ calls chan int64 }
+
+func (c *slowClient) Call(_ string, args, _ any, limit time.Duration) error {
+	if digest, ok := args.(protocol.Digest); ok {
+		c.calls <- digest.Serial()
+	}
+	time.Sleep(limit)
+	return nil
+}
+
+func (*slowClient) Close() {}
+
+// TestStaleDigestsAreDropped guards against a lobby that gets, when it answers again,
+// all digests that were queued meanwhile, and takes them for news.
+func TestStaleDigestsAreDropped(t *testing.T) {
+	client := &slowClient{calls: make(chan int64, 64)}
+	b := broadcast.New(broadcast.Config{Self: "a", Handler: &lobby{lobbyCounts: make(chan int, 64)}, Log: testkit.DiscardLog(), Dial: func(string) broadcast.RPCClient { return client }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = b.Serve(ctx) }()
+	if err := b.AddPeers([]string{"b"}); err != nil {
+		t.Fatal(err)
+	}
+	for serial := range int64(40) {
+		if err := b.Send(protocol.NewDigest(protocol.DigestConfig{Sender: "a", Serial: serial})); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	<-client.calls
+	if second := <-client.calls; second < 5 { // the first call has lasted 400 ms
+		t.Errorf("digest %d was sent after the first call had timed out", second)
+	}
+}
--- a/lobby/broadcast/rpcserver.go
+++ b/lobby/broadcast/rpcserver.go
@@ -14,7 +14,14 @@
 // full.
 func (s *RPCServer) Tell(digest protocol.Digest, _ *protocol.Nothing) error {
 	s.broadcaster.config.Handler.DigestReceived(digest)
-	return s.broadcaster.inbox.Put(digestReceived{address: digest.Sender()})
+	return s.broadcaster.inbox.Put(digestReceived{digest: digest})
+}
+
+// Relay handles the digest of a lobby in another failure domain and passes it on to
+// the lobbies of this one. It returns an error if the inbox is full.
+func (s *RPCServer) Relay(digest protocol.Digest, _ *protocol.Nothing) error {
+	s.broadcaster.config.Handler.DigestReceived(digest)
+	return s.broadcaster.inbox.Put(digestReceived{digest: digest, passOn: true})
 }
 
 // Bundle returns the configuration and the list of backend servers that this
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -21,6 +21,7 @@
 // mediator passes events and messages between the components of the lobby.
 type mediator struct {
 	self        string // RPC address of this lobby
+	domain      string // failure domain of this lobby
 	incarnation uint64
 	serial      atomic.Int64
 	proxy       *proxy.Proxy
@@ -72,7 +73,7 @@
 // planner.
 func (m *mediator) Broadcast(action scheduler.Broadcast) error {
 	digest := protocol.NewDigest(protocol.DigestConfig{
-		Sender: m.self, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
+		Sender: m.self, Domain: m.domain, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
 		Draining: action.Draining(), Spent: action.Spent(), Demand: action.Demand(), Loads: action.Loads(), Plan: action.Plan(),
 	})
 	if err := m.planner.Inbox().Put(digest); err != nil {
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -51,7 +51,7 @@
 
 func newProcess(settings *inifile.Values, log *logrus.Entry) *process {
 	supervisor.LimitMemory(settings.Bytes("process", "memory"))
-	m := &mediator{self: settings.Address("door", "listen"), incarnation: rand.Uint64(), log: log}
+	m := &mediator{self: settings.Address("door", "listen"), domain: settings.Text("process", "domain"), incarnation: rand.Uint64(), log: log}
 	p := &process{
 		supervisor: supervisor.New(supervisor.Config{Name: "lobby", Log: log}),
 		mediator:   m,
@@ -70,6 +70,7 @@
 	})
 	m.broadcaster = broadcast.New(broadcast.Config{
 		Self:    m.self,
+		Domain:  m.domain,
 		Dial:    func(address string) broadcast.RPCClient { return newRPCClient(address) },
 		Handler: m,
 		Log:     log,
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -10,15 +10,21 @@
 
 // peerState is the last reported state of another lobby.
 type peerState struct {
-	loads    []protocol.BackendLoadConfig
-	draining bool
-	lastSeen time.Time
+	incarnation uint64
+	serial      int64
+	loads       []protocol.BackendLoadConfig
+	draining    bool
+	lastSeen    time.Time
 }
 
-// updatePeer applies the digest of another lobby.
+// updatePeer applies the digest of another lobby, unless a later one of the same
+// incarnation has arrived before.
 func (c *Core) updatePeer(now time.Time, digest protocol.Digest) {
 	c.config.Limiter.UpdatePeer(now, digest)
-	c.peers[digest.Sender()] = peerState{loads: digest.Loads(), draining: digest.Draining(), lastSeen: now}
+	if last, ok := c.peers[digest.Sender()]; ok && last.incarnation == digest.Incarnation() && digest.Serial() <= last.serial {
+		return // overtaken by a later one on another path
+	}
+	c.peers[digest.Sender()] = peerState{incarnation: digest.Incarnation(), serial: digest.Serial(), loads: digest.Loads(), draining: digest.Draining(), lastSeen: now}
 	c.sumLoads(now)
 	if digest.Plan() != nil {
 		c.adoptPlan(now, digest.Sender(), digest.Plan())
