Time out stalled streams at the side too; contain panics of the entry's HTTP server

Cause, from reading the path of entry and side against the reports: the side's runner counted any byte as progress, so comments kept a stalled stream open; a panic while a caller's request is parsed ended the entry.

Change: the event scanner is now commons/eventstream; the runner ends a stream that sends bytes but no event within [backend]'s idle time; httpserver closes the connection whose bytes caused a panic. Ruled out on this path: a late second copy, since the runner opens a connection for each attempt.

--- a/lobby/proxy/eventscanner.go
+++ b/commons/eventstream/scanner.go
@@ -1,15 +1,16 @@
-package proxy
+// Package eventstream reads streams of server-sent events (WHATWG HTML, section 9.2).
+package eventstream
 
-// eventScanner finds the ends of the events in a stream (server-sent events, WHATWG
-// HTML, section 9.2). Blank lines and comments alone are no event.
-type eventScanner struct {
+// Scanner finds the ends of the events in a stream. Blank lines and comments alone are
+// no event. The zero value is ready for the start of a stream.
+type Scanner struct {
 	lineLength int  // bytes of the current line so far
 	comment    bool // the current line is a comment
 	hasField   bool // the current event has a field
 }
 
-// scan reads the next piece of a stream and reports whether an event ends in it.
-func (s *eventScanner) scan(data []byte) (ended bool) {
+// Scan reads the next piece of a stream and reports whether an event ends in it.
+func (s *Scanner) Scan(data []byte) (ended bool) {
 	for _, c := range data {
 		switch {
 		case c == '\r':
--- a/lobby/proxy/eventscanner_test.go
+++ b/commons/eventstream/scanner_test.go
@@ -1,12 +1,14 @@
-package proxy
+package eventstream_test
 
 import (
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/eventstream"
 )
 
-func TestEventScanner(t *testing.T) {
+func TestScan(t *testing.T) {
 	cases := map[string]struct {
 		pieces []string
 		want   []bool // whether an event ends in each piece
@@ -22,10 +24,10 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			var scanner eventScanner
+			var scanner eventstream.Scanner
 			var got []bool
 			for _, piece := range tc.pieces {
-				got = append(got, scanner.scan([]byte(piece)))
+				got = append(got, scanner.Scan([]byte(piece)))
 			}
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("ends of events (-want +got):\n%s", diff)
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,8 +117,14 @@
 }
 
 // OnTraffic parses the data in the connection's buffer. Requests that are pipelined
-// behind an open call stay in the buffer.
-func (s *Server) OnTraffic(socket gnet.Conn) gnet.Action {
+// behind an open call stay in the buffer. A panic closes this connection only.
+func (s *Server) OnTraffic(socket gnet.Conn) (action gnet.Action) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.config.Log.WithFields(logrus.Fields{"event": "panic", "stack": string(debug.Stack())}).Errorf("panic while a request was parsed: %v", cause)
+			action = gnet.Close
+		}
+	}()
 	c, ok := socket.Context().(*conn)
 	if !ok {
 		return gnet.Close
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/eventstream"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -30,7 +31,7 @@
 // send sends the request of an exchange.
 func (b *backendConn) send(now time.Time, e *exchange) {
 	b.exchange, b.answer = e, &answer{}
-	e.conn, e.lastByte, e.lastProgress, e.scanner = b, now, now, eventScanner{}
+	e.conn, e.lastByte, e.lastProgress, e.scanner = b, now, now, eventstream.Scanner{}
 
 	b.proxy.requestBuffer = b.proxy.config.Codec.AppendRequest(now, b.proxy.requestBuffer[:0], e.request, e.send.Forwarding().WithLastEventID(string(e.events.lastID)))
 	if _, err := b.conn.Write(b.proxy.requestBuffer); err != nil {
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/eventstream"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/lobby/scheduler"
 )
@@ -27,15 +28,15 @@
 	send          scheduler.Send
 	pool          *pool // pool in which it waits for a connection
 	conn          *backendConn
-	heldError     *answer       // server error of the backend server, kept for ForwardError
-	lastByte      time.Time     // time of the last byte in either direction
-	lastProgress  time.Time     // time of the send, of the last event of a stream or of the last bytes of another answer
-	lastEvent     time.Time     // time at which the last event was forwarded
-	longestPause  time.Duration // longest pause between two events
-	started       bool          // a part of the answer has been forwarded
-	startReported bool          // the start of the current send's stream has been reported to the scheduler
-	scanner       eventScanner  // used for streams only
-	events        eventBuffer   // used for resumable streams only
+	heldError     *answer             // server error of the backend server, kept for ForwardError
+	lastByte      time.Time           // time of the last byte in either direction
+	lastProgress  time.Time           // time of the send, of the last event of a stream or of the last bytes of another answer
+	lastEvent     time.Time           // time at which the last event was forwarded
+	longestPause  time.Duration       // longest pause between two events
+	started       bool                // a part of the answer has been forwarded
+	startReported bool                // the start of the current send's stream has been reported to the scheduler
+	scanner       eventstream.Scanner // used for streams only
+	events        eventBuffer         // used for resumable streams only
 	chunked       bool
 	ended         bool
 }
@@ -43,7 +44,7 @@
 // forwardStream forwards a piece of a stream, of a resumable one only the complete
 // events.
 func (e *exchange) forwardStream(a *answer, data []byte) (err error) {
-	if e.scanner.scan(data) {
+	if e.scanner.Scan(data) {
 		e.lastProgress = e.lastByte
 	}
 	if e.send.Resumable() {
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/eventstream"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/tracing"
@@ -40,7 +41,7 @@
 // Config holds the construction parameters of a Pool.
 type Config struct {
 	Address     string        // IP:port of the backend server
-	IdleTimeout time.Duration // longest time without a byte sent or received
+	IdleTimeout time.Duration // longest time without a byte sent or received, and without an event of a stream
 	Threads     int           // number of attempts that run at once
 	Tracer      *tracing.Tracer
 	Log         *logrus.Entry
@@ -235,12 +236,20 @@
 		return errors.Wrap(io.ErrUnexpectedEOF, "answer has neither a length nor chunked coding")
 	}
 	var tail []byte
+	var scanner eventstream.Scanner
+	progress := time.Now() // time of the last event of a stream
 	for first := true; ; first = false {
 		n, err := body.Read(r.buffer)
 		if n > 0 {
 			if first {
 				span.AddEvent(time.Now(), "first byte")
 			}
+			if scanner.Scan(r.buffer[:n]) {
+				progress = time.Now()
+			}
+			if submit.Stream() && time.Since(progress) > r.pool.config.IdleTimeout {
+				return errors.Wrap(os.ErrDeadlineExceeded, "bytes arrived, but no event")
+			}
 			tail = keepTail(tail, r.buffer[:n])
 			if err := r.putChunk(ctx, submit.Attempt(), r.buffer[:n]); err != nil {
 				return err
