--- a/commons/httpserver/server_test.go
+++ b/commons/httpserver/server_test.go
@@ -171,6 +171,34 @@
 	}
 }
 
+// panickingInbox panics on a request for /panic.
+type panickingInbox struct{ httpserver.Inbox }
+
+func (i panickingInbox) Put(item any) error {
+	if call, ok := item.(*httpserver.Call); ok && string(call.Request().URI().Path()) == "/panic" {
+		panic("made to panic")
+	}
+	return i.Inbox.Put(item)
+}
+
+// TestPanicClosesOneConnection checks that an unexpected error while one request is
+// handled leaves the process and its other callers alone.
+func TestPanicClosesOneConnection(t *testing.T) {
+	address := startServer(t, func(config *httpserver.Config) { config.Inbox = panickingInbox{config.Inbox} })
+	if response, err := http.Get("http://" + address + "/panic"); err == nil {
+		_ = response.Body.Close()
+		t.Errorf("status %d of the request that causes a panic", response.StatusCode)
+	}
+	response, err := http.Post("http://"+address+"/echo", "text/plain", strings.NewReader("hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if diff := cmp.Diff(http.StatusOK, response.StatusCode); diff != "" {
+		t.Errorf("status of the next request (-want +got):\n%s", diff)
+	}
+}
+
 func TestSlowSenderIsRefused(t *testing.T) {
 	address := startServer(t, func(config *httpserver.Config) { config.SlowSender = 50 * time.Millisecond })
 	statuses, _ := exchange(t, address, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhi", 1)
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -211,6 +211,47 @@
 	}
 }
 
+// sendRepeatedly sends text once and then again every 10 ms until the connection is
+// closed or it was sent a number of times, and last of all the end.
+func sendRepeatedly(text, again string, times int, end string) behaviour {
+	return func(conn net.Conn) {
+		_, _ = io.WriteString(conn, text)
+		for range times {
+			time.Sleep(10 * time.Millisecond)
+			if _, err := io.WriteString(conn, again); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(conn, end)
+	}
+}
+
+// TestProgressOfStreamsIsTheirEvents guards against stalled streams that never end
+// because bytes arrive now and then, and against slow ones that are cut.
+func TestProgressOfStreamsIsTheirEvents(t *testing.T) {
+	const event, comment = "b\r\ndata: tok\n\n\r\n", "8\r\n: ping\n\n\r\n"
+	const last = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+	cases := map[string]struct {
+		behaviour behaviour
+		want      string // code
+	}{
+		"comments":          {behaviour: sendRepeatedly(chunked+event, comment, 500, last), want: protocol.CodeBackendSilent},
+		"blank lines":       {behaviour: sendRepeatedly(chunked+event, "1\r\n\n\r\n", 500, last), want: protocol.CodeBackendSilent},
+		"parts of an event": {behaviour: sendRepeatedly(chunked+event, "1\r\nx\r\n", 500, last), want: protocol.CodeBackendSilent},
+		"slow events":       {behaviour: sendRepeatedly(chunked, event, 100, last), want: ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			pool := newPool(startBackend(t, tc.behaviour), 10*shortIdleTimeout)
+			messages := servePool(t, pool)
+			submitAttempt(t, pool, protocol.SubmitConfig{Attempt: "a", Model: "m", Stream: true})
+			if diff := cmp.Diff(tc.want, messages.nextResult(t).Code); diff != "" {
+				t.Errorf("code (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestRunnerRunsNextAttemptAfterFailure(t *testing.T) {
 	complete := result{Status: 200, Data: "complete", MayHaveRun: true}
 	cases := map[string]behaviour{
