Share which backend servers are gone; read the list faster while requests wait

Models loaded at 37.1 get their first requests at 37.45, after the next read.

Change: digests carry the replaced servers with their start times; scheduler and planner leave them out. While queued requests wait for a load the list is read every 0.15 s instead of 0.4 or 0.8 s.

Tests: TestReplacedServersAreSharedBetweenLobbies, TestCopiesOnServersThatAreGoneDoNotCount, TestListIsReadMoreOftenWhileRequestsWait.

--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -29,6 +29,7 @@
 	Loads         []BackendLoadConfig
 	Plan          map[string][]string // models by backend server; nil if the sender does not plan or has sent the same plan lately
 	Domain        string              // failure domain of the sender
+	Replaced      map[string]int64    // start times, in Unix milliseconds, of listed backend servers by ID that the sender has found gone: another one has their address
 }
 
 // Digest is the state that a lobby sends to the other lobbies several times a
@@ -43,6 +44,10 @@
 // Sender returns the IP:port of the sending lobby's listener.
 func (d Digest) Sender() string { return d.config.Sender }
 
+// Replaced returns the start times, by ID, of the listed backend servers that the
+// sender has found gone, since another one has their address.
+func (d Digest) Replaced() map[string]int64 { return d.config.Replaced }
+
 // Domain returns the failure domain of the sending lobby.
 func (d Digest) Domain() string { return d.config.Domain }
 
--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,7 @@
 	// that leaves must get no new requests, which allows for a slow read.
 	pollsPerDrain = 5
 	minPollPeriod = 100 * time.Millisecond
+	hurriedPeriod = 150 * time.Millisecond // time between two reads while requests wait for a change
 	maxPollPeriod = time.Second
 	// fullReadPeriod is the time between two reads of the full list, which correct
 	// the effects of missed changes.
@@ -36,9 +38,11 @@
 	backends     map[string]deployment.Backend
 	lastFullRead time.Time       // time of the last read of the full list
 	lastRead     time.Time       // time of the last successful read
+	lastAttempt  time.Time       // time of the last read
 	outageEnd    time.Time       // time at which the last outage of the store ended
 	missing      map[string]bool // IDs in backends that have not been listed since the outage
 	reachable    bool
+	hurry        atomic.Bool // requests wait for a change of the list
 }
 
 // NewBackendWatcher returns a watcher that reads the store while Serve runs.
@@ -49,17 +53,34 @@
 // String returns the thread's name, which supervision events carry.
 func (*BackendWatcher) String() string { return "backends" }
 
+// SetHurry sets whether requests wait for a change of the list, so that it is read more
+// often. It is safe to call from any thread.
+func (w *BackendWatcher) SetHurry(hurry bool) { w.hurry.Store(hurry) }
+
 // Serve reads the store until ctx ends.
 func (w *BackendWatcher) Serve(ctx context.Context) error {
 	for {
-		err := w.step(time.Now())
-		w.reachable = logReachability(w.config.Log, "backends", w.reachable, err)
-		if err := supervisor.Sleep(ctx, w.config.pollPeriod()); err != nil {
+		now := time.Now()
+		if w.untilDue(now) <= 0 {
+			w.lastAttempt = now
+			err := w.step(now)
+			w.reachable = logReachability(w.config.Log, "backends", w.reachable, err)
+		}
+		if err := supervisor.Sleep(ctx, min(hurriedPeriod, w.untilDue(now))); err != nil {
 			return err
 		}
 	}
 }
 
+// untilDue returns the time until the list is to be read, zero or less if it is now.
+func (w *BackendWatcher) untilDue(now time.Time) time.Duration {
+	period := w.config.pollPeriod()
+	if w.hurry.Load() {
+		period = min(period, hurriedPeriod)
+	}
+	return period - now.Sub(w.lastAttempt)
+}
+
 func (w *BackendWatcher) step(now time.Time) error {
 	err := w.poll(now)
 	if err == nil {
--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+func TestListIsReadMoreOftenWhileRequestsWait(t *testing.T) {
+	cases := map[string]struct {
+		hurry bool
+		since time.Duration // since the last read
+		want  time.Duration
+	}{
+		"at rest":                     {since: 100 * time.Millisecond, want: 300 * time.Millisecond},
+		"at rest, due":                {since: 400 * time.Millisecond, want: 0},
+		"while requests wait":         {hurry: true, since: 100 * time.Millisecond, want: 50 * time.Millisecond},
+		"while requests wait, due":    {hurry: true, since: 150 * time.Millisecond, want: 0},
+		"while requests wait, at all": {hurry: true, since: 250 * time.Millisecond, want: -100 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := NewBackendWatcher(WatcherConfig{DrainTime: 2 * time.Second})
+			w.lastAttempt = noon
+			w.SetHurry(tc.hurry)
+			if diff := cmp.Diff(tc.want, w.untilDue(noon.Add(tc.since))); diff != "" {
+				t.Errorf("time until the next read (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	cases := map[string]struct {
 		versions []int64
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -30,8 +30,10 @@
 	broadcaster *broadcast.Broadcaster
 	state       *discovery.State
 	refresher   *discovery.Refresher
-	rpcClient   func(address string) keeperclient.RPCClient
-	log         *logrus.Entry
+
+	backendWatcher *discovery.BackendWatcher
+	rpcClient      func(address string) keeperclient.RPCClient
+	log            *logrus.Entry
 }
 
 // ConfigurationChanged passes a new configuration to the proxy, the scheduler
@@ -74,8 +76,10 @@
 func (m *mediator) Broadcast(action scheduler.Broadcast) error {
 	digest := protocol.NewDigest(protocol.DigestConfig{
 		Sender: m.self, Domain: m.domain, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
+		Replaced: action.Replaced(),
 		Draining: action.Draining(), Spent: action.Spent(), Demand: action.Demand(), Loads: action.Loads(), Plan: action.Plan(),
 	})
+	m.backendWatcher.SetHurry(action.AwaitsLoad())
 	if err := m.planner.Inbox().Put(digest); err != nil {
 		return err
 	}
--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -29,6 +29,7 @@
 	backends      map[string]deployment.Backend
 	peers         map[string]*peer // by address, including this lobby
 	plan          map[string][]string
+	replaced      map[string]int64 // start times, by ID, of backend servers that are gone though they are listed
 	startTimes    map[string]int64 // start time of each planned backend server, Unix milliseconds
 
 	buckets       map[string]*bucket // budget for loads from the weight store, by service
@@ -45,7 +46,7 @@
 
 // NewCore returns a core without configuration, backend servers or peers.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
+	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
 }
 
 // SetConfiguration replaces the configuration.
@@ -67,6 +68,7 @@
 		demand = last.demand
 	}
 	c.peers[digest.Sender()] = &peer{demand: demand, lastSeen: now}
+	maps.Copy(c.replaced, digest.Replaced())
 	if digest.Plan() != nil && digest.Sender() != c.config.Self && digest.Sender() == c.leader(now) {
 		c.plan = digest.Plan()
 	}
@@ -141,12 +143,17 @@
 	return sum
 }
 
-// prune drops backend servers from the plan that are no longer listed or have restarted.
+// prune drops backend servers from the plan that are no longer listed, have restarted or
+// are gone.
 func (c *Core) prune() {
+	maps.DeleteFunc(c.replaced, func(id string, start int64) bool {
+		backend, ok := c.backends[id]
+		return !ok || backend.StartTime() != start
+	})
 	maps.DeleteFunc(c.plan, func(id string, _ []string) bool {
 		backend, ok := c.backends[id]
 		startTime, planned := c.startTimes[id]
-		return !ok || planned && startTime != backend.StartTime()
+		return !ok || planned && startTime != backend.StartTime() || c.gone(id)
 	})
 	clear(c.startTimes)
 	for id, backend := range c.backends {
@@ -154,13 +161,19 @@
 	}
 }
 
+// gone reports whether a lobby has found that a listed backend server is gone.
+func (c *Core) gone(id string) bool {
+	_, ok := c.replaced[id]
+	return ok
+}
+
 // newServiceDraft returns a draft of a service's current plan. A backend server
 // that is not in the plan yet is added with the models that it has loaded.
 func (c *Core) newServiceDraft(service string, engine deployment.EngineConfig, demand map[string]float64, storeTokens float64) *draft {
 	d := newDraft(engine, demand, storeTokens)
 	for _, id := range slices.Sorted(maps.Keys(c.backends)) {
 		backend := c.backends[id]
-		if backend.Service() != service {
+		if backend.Service() != service || c.gone(id) {
 			continue
 		}
 		models, ok := c.plan[id]
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -276,6 +276,35 @@
 	}
 }
 
+// TestCopiesOnServersThatAreGoneDoNotCount guards against a plan that, while all engines
+// restart, spares the models of engines that are still listed and gone.
+func TestCopiesOnServersThatAreGoneDoNotCount(t *testing.T) {
+	cases := map[string]struct {
+		start int64 // start time with which e1 was found gone
+		want  int   // copies of "f" elsewhere
+	}{
+		"this start":  {start: 0, want: 1},
+		"other start": {start: 7, want: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(map[string][]string{"e1": {"d", "e", "f"}, "e2": {"a", "b"}})
+			f.localCopies["e2"] = []string{"f"}
+			f.demand = map[string]float64{"f": 0.2}
+			f.core.SetBackends(f.list())
+			f.core.UpdatePeer(f.now, protocol.NewDigest(protocol.DigestConfig{Sender: self, Replaced: map[string]int64{"e1": tc.start}}))
+			f.advance(4 * time.Second)
+			got := 0
+			if slices.Contains(f.plan["e2"], "f") {
+				got = 1
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("copies elsewhere (-want +got):\n%s; plan %v", diff, f.plan)
+			}
+		})
+	}
+}
+
 func TestDigestWithoutDemandKeepsTheLast(t *testing.T) {
 	f := newFleet(map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e"}})
 	f.demand = map[string]float64{"f": 0.5}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -167,14 +167,17 @@
 
 // BroadcastConfig holds the construction parameters of a Broadcast.
 type BroadcastConfig struct {
-	Draining bool               // this lobby is draining
-	Spent    map[string]float64 // quota taken by this process, by tenant
-	Demand   map[string]float64 // engines kept busy, by model
-	Loads    []protocol.BackendLoadConfig
-	Plan     map[string][]string
+	Draining   bool               // this lobby is draining
+	Spent      map[string]float64 // quota taken by this process, by tenant
+	Demand     map[string]float64 // engines kept busy, by model
+	Loads      []protocol.BackendLoadConfig
+	Plan       map[string][]string
+	Replaced   map[string]int64 // start times, by ID, of the listed backend servers that are gone
+	AwaitsLoad bool             // queued requests wait until a model is loaded
 }
 
-// Broadcast sends this lobby's digest to the other lobbies.
+// Broadcast sends this lobby's digest to the other lobbies, and tells the watcher of
+// the list of backend servers whether requests wait for a load.
 type Broadcast struct{ config BroadcastConfig }
 
 // NewBroadcast returns a Broadcast.
@@ -189,6 +192,12 @@
 // Demand returns the number of engines kept busy, by model.
 func (b Broadcast) Demand() map[string]float64 { return b.config.Demand }
 
+// Replaced returns the start times, by ID, of the listed backend servers that are gone.
+func (b Broadcast) Replaced() map[string]int64 { return b.config.Replaced }
+
+// AwaitsLoad reports whether queued requests wait until a model is loaded.
+func (b Broadcast) AwaitsLoad() bool { return b.config.AwaitsLoad }
+
 // Loads returns the load of this process at each backend server.
 func (b Broadcast) Loads() []protocol.BackendLoadConfig { return b.config.Loads }
 
--- a/lobby/scheduler/forecast.go
+++ b/lobby/scheduler/forecast.go
@@ -138,6 +138,16 @@
 	return remaining(now, c.forecast.absence(now, key), planDelay+load, load)
 }
 
+// awaitsLoad reports whether queued requests wait until a model is loaded.
+func (c *Core) awaitsLoad() bool {
+	for _, req := range c.queued {
+		if _, absent := c.forecast.absences[req.queueKey()]; absent {
+			return true
+		}
+	}
+	return false
+}
+
 // endAbsences ends the absences of what a backend server has by now. The rates that
 // were observed meanwhile say nothing about the time after.
 func (c *Core) endAbsences() {
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -26,11 +26,37 @@
 	}
 	c.peers[digest.Sender()] = peerState{incarnation: digest.Incarnation(), serial: digest.Serial(), loads: digest.Loads(), draining: digest.Draining(), lastSeen: now}
 	c.sumLoads(now)
+	c.markReplaced(digest.Replaced())
 	if digest.Plan() != nil {
 		c.adoptPlan(now, digest.Sender(), digest.Plan())
 	}
 }
 
+// markReplaced records that another lobby has found backend servers gone. A server that
+// has started again under its ID is not meant.
+func (c *Core) markReplaced(starts map[string]int64) {
+	for id, start := range starts {
+		if s, ok := c.servers[id]; ok && s.backend.StartTime() == start {
+			s.replaced = true
+		}
+	}
+}
+
+// replacedServers returns the start times of the listed backend servers that are gone.
+func (c *Core) replacedServers() map[string]int64 {
+	var starts map[string]int64
+	for id, s := range c.servers {
+		if !s.replaced {
+			continue
+		}
+		if starts == nil {
+			starts = make(map[string]int64)
+		}
+		starts[id] = s.backend.StartTime()
+	}
+	return starts
+}
+
 // sumLoads sums the load of the other lobbies at each backend server and drops
 // lobbies that have sent no digest for peerLifetime.
 func (c *Core) sumLoads(now time.Time) {
@@ -89,7 +115,7 @@
 		c.updateDemand(now.Sub(c.lastDigest))
 	}
 	c.lastDigest = now
-	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now)}
+	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), Replaced: c.replacedServers(), AwaitsLoad: c.awaitsLoad()}
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
--- a/lobby/scheduler/peers_test.go
+++ b/lobby/scheduler/peers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/lobby/scheduler"
@@ -20,6 +21,37 @@
 	checkActions(t, "request", []string{"send e2"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
 }
 
+// TestReplacedServersAreSharedBetweenLobbies guards against a loss of all engines after
+// which each lobby finds out by a lost send to each listed one that it is gone.
+func TestReplacedServersAreSharedBetweenLobbies(t *testing.T) {
+	restarted := engineServer("e1")
+	restarted.StartTime = 9
+	cases := map[string]struct {
+		list []deployment.BackendConfig
+		want string
+	}{
+		"the same start":           {list: []deployment.BackendConfig{engineServer("e1"), engineServer("e2")}, want: "send e2"},
+		"a later start, same ID":   {list: []deployment.BackendConfig{restarted, engineServer("e2")}, want: "send e1"},
+		"not on this lobby's list": {list: []deployment.BackendConfig{engineServer("e2")}, want: "send e2"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			finder := newFixture(engineServer("e1"), engineServer("e2"))
+			finder.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})
+			finder.core.Handle(finder.now, scheduler.NewSendEnded(1, scheduler.Replaced, 421))
+			var replaced map[string]int64
+			for _, action := range finder.core.Tick(finder.now.Add(time.Second)) {
+				if broadcast, ok := action.(scheduler.Broadcast); ok {
+					replaced = broadcast.Replaced()
+				}
+			}
+			f := newFixture(tc.list...)
+			f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "10.0.0.9:7000", Replaced: replaced})))
+			checkActions(t, "request", []string{tc.want}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
+		})
+	}
+}
+
 func TestDigestPeriodGrowsWithLobbies(t *testing.T) {
 	cases := map[string]struct {
 		lobbies int
