Group constants by what they belong to

Constants of the cost of a plan stand beside it; restoreMissing leaves the limit of parallel loads to mayLoad, which checks it for each load from the weight store.

--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -30,10 +30,9 @@
 	broadcaster *broadcast.Broadcaster
 	state       *discovery.State
 	refresher   *discovery.Refresher
-
-	backendWatcher *discovery.BackendWatcher
-	rpcClient      func(address string) keeperclient.RPCClient
-	log            *logrus.Entry
+	watcher     *discovery.BackendWatcher
+	rpcClient   func(address string) keeperclient.RPCClient
+	log         *logrus.Entry
 }
 
 // ConfigurationChanged passes a new configuration to the proxy, the scheduler
@@ -79,7 +78,7 @@
 		Replaced: action.Replaced(),
 		Draining: action.Draining(), Spent: action.Spent(), Demand: action.Demand(), Loads: action.Loads(), Plan: action.Plan(),
 	})
-	m.backendWatcher.SetHurry(action.AwaitsLoad())
+	m.watcher.SetHurry(action.AwaitsLoad())
 	if err := m.planner.Inbox().Put(digest); err != nil {
 		return err
 	}
--- a/lobby/placement/cost.go
+++ b/lobby/placement/cost.go
@@ -6,6 +6,28 @@
 // more evenly the load is spread, and a copy of a model pays as long as it lowers
 // the sum, however many copies there are already.
 
+// minGain is the reduction of the total load cost from which on a model gets
+// another copy. Below it, the benefit does not justify the load.
+const minGain = 0.05
+
+// storeLoadCost is the extra cost of a load from the weight store over one from
+// the backend server's own disk.
+const storeLoadCost = 0.02
+
+// idleCopyCost is the cost of evicting the last copy of a model without demand.
+const idleCopyCost = 0.05
+
+// demandedCopyCost is the cost of evicting the last loaded copy of a model in demand,
+// and lastCopyFactor what is added to it as a multiple of the demand.
+const (
+	demandedCopyCost = 0.5
+	lastCopyFactor   = 4
+)
+
+// unloadCost is the cost of evicting a copy as a multiple of its load: an engine
+// unloads a model only when the running requests for it have ended.
+const unloadCost = 0.5
+
 const (
 	// fullLoad is the load from which on requests have to wait for a free slot at
 	// times, and overloadFactor the weight of the load beyond it.
--- a/lobby/placement/draft.go
+++ b/lobby/placement/draft.go
@@ -8,10 +8,6 @@
 	"sesamewell.example/commons/deployment"
 )
 
-// minGain is the reduction of the total load cost from which on a model gets
-// another copy. Below it, the benefit does not justify the load.
-const minGain = 0.05
-
 // maxRelieveCandidates limits how many of the most loaded backend servers are
 // considered for relief.
 const maxRelieveCandidates = 3
@@ -24,24 +20,6 @@
 // planned at once.
 const storeBurst = 2
 
-// storeLoadCost is the extra cost of a load from the weight store over one from
-// the backend server's own disk.
-const storeLoadCost = 0.02
-
-// idleCopyCost is the cost of evicting the last copy of a model without demand.
-const idleCopyCost = 0.05
-
-// demandedCopyCost is the cost of evicting the last loaded copy of a model in demand,
-// and lastCopyFactor what is added to it as a multiple of the demand.
-const (
-	demandedCopyCost = 0.5
-	lastCopyFactor   = 4
-)
-
-// unloadCost is the cost of evicting a copy as a multiple of its load: an engine
-// unloads a model only when the running requests for it have ended.
-const unloadCost = 0.5
-
 // minDemand is the demand, in engines, above which a model without a copy is
 // loaded whatever has to be evicted. Below it, the callers have disconnected by
 // the time the model is loaded.
@@ -112,14 +90,14 @@
 
 // restoreMissing places models without a copy, whether in demand or not, in free
 // memory or in the place of surplus copies of other models. It uses the weight
-// store only while its budget is full and another parallel load is allowed.
+// store only while its budget is full.
 func (d *draft) restoreMissing() {
 	for _, model := range d.engine.Models {
 		if d.copies[model.Name] > 0 {
 			continue
 		}
 		reserve := 0.0 // store tokens kept for models in demand
-		if d.storeTokens < storeBurst || d.pendingLoads >= d.maxParallelLoads() {
+		if d.storeTokens < storeBurst {
 			reserve = d.storeTokens
 		}
 		d.storeTokens -= reserve
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -131,8 +131,8 @@
 	}
 	p.mediator.refresher = discovery.NewRefresher(discovery.RefresherConfig{Store: registry, Peers: p.mediator, State: p.mediator.state, Log: log})
 	p.add(p.mediator.refresher)
-	p.mediator.backendWatcher = discovery.NewBackendWatcher(config)
-	p.add(discovery.NewConfigurationWatcher(config), p.mediator.backendWatcher, discovery.NewLobbyWatcher(discovery.LobbyWatcherConfig{
+	p.mediator.watcher = discovery.NewBackendWatcher(config)
+	p.add(discovery.NewConfigurationWatcher(config), p.mediator.watcher, discovery.NewLobbyWatcher(discovery.LobbyWatcherConfig{
 		Self: p.mediator.self, Directory: registry, Peers: p.mediator.broadcaster, Log: log,
 	}))
 }
