Tell callers when to come back before the first configuration; a cheaper planner

Besides, a decision of the planner looks at all hosts for each copy of a model, and at all models for each possible load.

Change: both refusals carry 0.3 s. The draft keeps the hosts of each model and the number of parallel loads.

Test: TestRefusalIsTemporaryBeforeConfiguration checks the delay (none before).

--- a/lobby/placement/cost.go
+++ b/lobby/placement/cost.go
@@ -1,7 +1,5 @@
 package placement
 
-import "slices"
-
 // The cost of a plan is the sum of the costs of its hosts' loads. It is lower the
 // more evenly the load is spread, and a copy of a model pays as long as it lowers
 // the sum, however many copies there are already.
@@ -68,8 +66,8 @@
 // the given host gets the given load in addition.
 func (d *draft) shiftCost(except *host, model string, added float64) float64 {
 	cost := 0.0
-	for _, h := range d.hosts {
-		if h != except && !h.backend.Leaving() && slices.Contains(h.models, model) {
+	for _, h := range d.holders[model] {
+		if h != except {
 			load := d.hostLoad(h)
 			cost += loadCost(load+added) - loadCost(load)
 		}
--- a/lobby/placement/draft.go
+++ b/lobby/placement/draft.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"sesamewell.example/commons/deployment"
 )
@@ -27,16 +28,18 @@
 
 // draft is a plan of one service that is improved step by step.
 type draft struct {
-	engine       deployment.EngineConfig
-	demand       map[string]float64
-	hosts        []*host
-	memory       map[string]float64 // MB of weights by model
-	reserve      float64            // MB that are kept free for adapters
-	copies       map[string]int     // planned copies by model, without those on backend servers that are leaving
-	loaded       map[string]int     // those of them that are loaded
-	pendingLoads int                // number of planned copies that are not loaded yet and come from the weight store
-	changes      []Change
-	storeTokens  float64 // number of loads from the weight store that may be planned now
+	engine        deployment.EngineConfig
+	demand        map[string]float64
+	hosts         []*host
+	holders       map[string][]*host // hosts by planned model, without those that are leaving
+	memory        map[string]float64 // MB of weights by model
+	reserve       float64            // MB that are kept free for adapters
+	copies        map[string]int     // planned copies by model, without those on backend servers that are leaving
+	loaded        map[string]int     // those of them that are loaded
+	parallelLoads int                // number of loads from the weight store that run at full speed in parallel
+	pendingLoads  int                // number of planned copies that are not loaded yet and come from the weight store
+	changes       []Change
+	storeTokens   float64 // number of loads from the weight store that may be planned now
 }
 
 // host is one backend server in a draft.
@@ -47,14 +50,16 @@
 }
 
 func newDraft(engine deployment.EngineConfig, demand map[string]float64, storeTokens float64) *draft {
-	d := &draft{engine: engine, demand: demand, memory: make(map[string]float64), copies: make(map[string]int), loaded: make(map[string]int), storeTokens: storeTokens}
-	largestAdapter := 0.0
+	d := &draft{engine: engine, demand: demand, holders: make(map[string][]*host), memory: make(map[string]float64), copies: make(map[string]int), loaded: make(map[string]int), storeTokens: storeTokens}
+	largestAdapter, longestLoad := 0.0, time.Duration(0)
 	for _, model := range engine.Models {
 		d.memory[model.Name] = model.Memory
+		longestLoad = max(longestLoad, model.LoadTime)
 		if model.Adapters > 0 {
 			largestAdapter = max(largestAdapter, model.AdapterSize)
 		}
 	}
+	d.parallelLoads = max(int(engine.LoadsPerSec*longestLoad.Seconds()), 1)
 	d.reserve = largestAdapter * float64(engine.AdapterSlots)
 	return d
 }
@@ -67,6 +72,7 @@
 			continue
 		}
 		d.copies[model]++
+		d.holders[model] = append(d.holders[model], h)
 		if backend.Holds(model, "") {
 			d.loaded[model]++
 			continue
@@ -130,7 +136,7 @@
 // mayLoad reports whether a model may be loaded on a backend server now: from
 // its own disk, or from the weight store within the budget.
 func (d *draft) mayLoad(h *host, model string) bool {
-	return h.backend.HasLocalCopy(model) || d.storeTokens >= 1 && d.pendingLoads < d.maxParallelLoads()
+	return h.backend.HasLocalCopy(model) || d.storeTokens >= 1 && d.pendingLoads < d.parallelLoads
 }
 
 // addCopy adds a copy of a model to a host and records the change. The caller
@@ -139,6 +145,7 @@
 	h.models = append(h.models, model)
 	h.loading = true
 	d.copies[model]++
+	d.holders[model] = append(d.holders[model], h)
 	d.changes = append(d.changes, NewChange(ChangeConfig{
 		Backend: h.backend.ID(), Model: model, Dropped: dropped, Demand: d.demand[model], Copies: d.copies[model], HasLocalCopy: h.backend.HasLocalCopy(model),
 	}))
@@ -176,16 +183,6 @@
 	}
 }
 
-// maxParallelLoads returns the number of loads from the weight store that run at
-// full speed in parallel.
-func (d *draft) maxParallelLoads() int {
-	longest := 0.0
-	for _, model := range d.engine.Models {
-		longest = max(longest, model.LoadTime.Seconds())
-	}
-	return max(int(d.engine.LoadsPerSec*longest), 1)
-}
-
 // placeDemanded places one model that is in demand and has no copy, trying those
 // in highest demand first.
 func (d *draft) placeDemanded() bool {
@@ -237,6 +234,7 @@
 	}
 	for _, name := range dropped {
 		d.copies[name]--
+		d.holders[name] = slices.DeleteFunc(d.holders[name], func(h *host) bool { return h == best })
 		if best.backend.Holds(name, "") {
 			d.loaded[name]--
 		}
--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -3,18 +3,21 @@
 import "time"
 
 const (
-	sweepPeriod    = 150 * time.Millisecond // time between two checks for timeouts
-	dialTimeout    = time.Second
-	idleCloseDelay = time.Second      // time from the start of a drain until idle callers' connections are closed
-	maxFreshIdle   = time.Second      // longest idle time of a connection for a request that must not run twice
-	defaultIdle    = 4 * time.Second  // idle timeout of a connection to a backend server that announces none
-	idleMargin     = time.Second      // time by which a connection is closed before the backend server would close it
-	maxUnsent      = 1 << 20          // bytes of an answer that may be buffered for a slow caller
-	maxHead        = 32 << 10         // bytes in the head of a backend server's answer
-	maxBody        = 16 << 20         // bytes in the body of a buffered answer
-	readBuffer     = 32 << 10         // bytes read from a connection at a time
-	keepAlive      = 15 * time.Second // TCP keep-alive period of callers' connections
-	chunkedLength  = -1               // content length by which fasthttp marks chunked coding
-	unknownLength  = -2               // content length by which fasthttp marks a body that ends with its connection
-	maxEventSize   = 256 << 10        // bytes in an event that has not ended
+	sweepPeriod = 150 * time.Millisecond // time between two checks for timeouts
+	dialTimeout = time.Second
+	// overloadRetryAfter is the retry delay in refusals when the scheduler's inbox is
+	// full.
+	overloadRetryAfter = 300 * time.Millisecond
+	idleCloseDelay     = time.Second      // time from the start of a drain until idle callers' connections are closed
+	maxFreshIdle       = time.Second      // longest idle time of a connection for a request that must not run twice
+	defaultIdle        = 4 * time.Second  // idle timeout of a connection to a backend server that announces none
+	idleMargin         = time.Second      // time by which a connection is closed before the backend server would close it
+	maxUnsent          = 1 << 20          // bytes of an answer that may be buffered for a slow caller
+	maxHead            = 32 << 10         // bytes in the head of a backend server's answer
+	maxBody            = 16 << 20         // bytes in the body of a buffered answer
+	readBuffer         = 32 << 10         // bytes read from a connection at a time
+	keepAlive          = 15 * time.Second // TCP keep-alive period of callers' connections
+	chunkedLength      = -1               // content length by which fasthttp marks chunked coding
+	unknownLength      = -2               // content length by which fasthttp marks a body that ends with its connection
+	maxEventSize       = 256 << 10        // bytes in an event that has not ended
 )
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -358,7 +358,7 @@
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
 	if err := p.config.Scheduler.Put(scheduler.NewArrived(e.number, e.meta)); err != nil {
-		e.refuse(now, fasthttp.StatusServiceUnavailable, 0)
+		e.refuse(now, fasthttp.StatusServiceUnavailable, overloadRetryAfter)
 	}
 }
 
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -12,7 +12,11 @@
 func (c *Core) requestArrived(now time.Time, m Arrived) {
 	req := &openRequest{number: m.number, request: m.request, tried: make(map[string]bool)}
 	if cause := c.admit(req); cause != "" {
-		c.refuse(req, cause, 0)
+		after := time.Duration(0)
+		if cause == noConfiguration {
+			after = retryAfter
+		}
+		c.refuse(req, cause, after)
 		return
 	}
 	if !c.acceptsNew(now) {
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -157,7 +157,9 @@
 func TestRefusalIsTemporaryBeforeConfiguration(t *testing.T) {
 	core := scheduler.NewCore(scheduler.CoreConfig{Limiter: &fakeLimiter{}, Random: rand.New(rand.NewPCG(1, 1))})
 	request := httpmeta.NewRequest(httpmeta.RequestConfig{Host: "h", Path: "/safe/a", Arrived: noon})
-	checkActions(t, "decision", []string{"refuse 503 no_configuration"}, core.Handle(noon, scheduler.NewArrived(1, request)))
+	actions := core.Handle(noon, scheduler.NewArrived(1, request))
+	checkActions(t, "decision", []string{"refuse 503 no_configuration"}, actions)
+	checkRetryAfter(t, 300*time.Millisecond, actions)
 	if core.Ready() {
 		t.Error("ready without a configuration")
 	}
