Hold quotas when all lobbies of a large fleet restart

A lobby that has heard from no other one took a quarter of the rate, and each started with a tenth of the burst: sound for four, nearly seven times the rate and 2.7 bursts for 27. One that has heard from a few spent the whole rate.

Change: the limiter knows how many lobbies are listed; in its first 3 s it keeps a share for each that it has not heard from, and what a tenant has at the start falls with the square of their number beyond four.

--- a/lobby/process.go
+++ b/lobby/process.go
@@ -142,7 +142,7 @@
 		Core: scheduler.CoreConfig{
 			Domain:     settings.Text("process", "domain"),
 			MinLobbies: minLobbies,
-			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, InitialLobbies: minLobbies, InitialFill: initialFill, StartTime: time.Now()}),
+			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  settings.Decimal("retries", "extra"),
--- a/lobby/ratelimit/limiter.go
+++ b/lobby/ratelimit/limiter.go
@@ -18,7 +18,8 @@
 	PeerTimeout    time.Duration // time without a digest after which another lobby is assumed to spend an even share
 	PeerExpiry     time.Duration // time without a digest after which another lobby no longer counts
 	InitialLobbies int           // number of lobbies that is assumed until the first digest arrives
-	InitialFill    float64       // fraction of its burst that a tenant has at the start
+	InitialFill    float64       // fraction of its burst that a tenant has at the start among InitialLobbies; less among more
+	DiscoveryTime  time.Duration // time from the start within which every live lobby has been heard from
 	StartTime      time.Time     // start of the process, from which on the buckets are refilled
 }
 
@@ -29,6 +30,7 @@
 	buckets map[string]*bucket
 	spent   map[string]float64 // by tenant, by this lobby only
 	peers   map[string]*peer
+	listed  int // number of lobbies that are listed, including this one
 }
 
 // bucket is the token bucket that a tenant has across all lobbies.
@@ -51,6 +53,9 @@
 	return &Limiter{config: config, buckets: make(map[string]*bucket), spent: make(map[string]float64), peers: make(map[string]*peer)}
 }
 
+// SetLobbies sets the number of lobbies that are listed, including this one.
+func (l *Limiter) SetLobbies(n int) { l.listed = n }
+
 // Spend takes cost from the tenant's quota. If the quota does not suffice, it
 // takes nothing and returns the time until it may. A tenant without a rate is not
 // limited.
@@ -117,7 +122,7 @@
 func (l *Limiter) refill(now time.Time, name string, rate, burst float64) *bucket {
 	b, ok := l.buckets[name]
 	if !ok {
-		b = &bucket{level: burst * l.config.InitialFill, updated: l.config.StartTime}
+		b = &bucket{level: burst * l.initialFill(now), updated: l.config.StartTime}
 		l.buckets[name] = b
 	}
 	refilled := now.Sub(b.updated).Seconds() * rate
@@ -129,19 +134,32 @@
 			refilled -= share
 		}
 	}
-	if len(l.peers) == 0 {
-		refilled = share
-	}
+	refilled -= share * float64(l.unheard(now))
 	b.level = min(max(b.level+refilled, -burst), burst)
 	return b
 }
 
-// lobbyCount returns the number of lobbies that share a quota, including this one.
-func (l *Limiter) lobbyCount(now time.Time) int {
-	if len(l.peers) == 0 {
-		return l.config.InitialLobbies
+// initialFill returns the fraction of its burst that a tenant has at this lobby's start.
+// The sum over all lobbies falls with their number, too: the more there are, the later
+// their digests show what the others spend.
+func (l *Limiter) initialFill(now time.Time) float64 {
+	ratio := min(float64(l.config.InitialLobbies)/float64(l.lobbyCount(now)), 1)
+	return l.config.InitialFill * ratio * ratio
+}
+
+// unheard returns the number of lobbies that share a quota and from which no digest has
+// arrived yet. After DiscoveryTime such a lobby is taken as stopped, unless there is no
+// other.
+func (l *Limiter) unheard(now time.Time) int {
+	if len(l.peers) > 0 && now.Sub(l.config.StartTime) >= l.config.DiscoveryTime {
+		return 0
 	}
-	n := 1
+	return max(l.lobbyCount(now)-1-l.heard(now), 0)
+}
+
+// heard returns the number of other lobbies from which a digest has arrived.
+func (l *Limiter) heard(now time.Time) int {
+	n := 0
 	for _, p := range l.peers {
 		if now.Sub(p.lastSeen) < l.config.PeerExpiry {
 			n++
@@ -149,3 +167,15 @@
 	}
 	return n
 }
+
+// lobbyCount returns the number of lobbies that share a quota, including this one.
+func (l *Limiter) lobbyCount(now time.Time) int {
+	n := l.heard(now) + 1
+	if len(l.peers) == 0 {
+		return max(n, l.listed, l.config.InitialLobbies)
+	}
+	if now.Sub(l.config.StartTime) < l.config.DiscoveryTime {
+		return max(n, l.listed)
+	}
+	return n
+}
--- a/lobby/ratelimit/limiter_test.go
+++ b/lobby/ratelimit/limiter_test.go
@@ -22,12 +22,13 @@
 	rate           = 1000.0
 	burst          = 1000.0
 	window         = 8 * time.Second
-	tolerance      = 0.1 // fraction by which a window may exceed the quota, since a restart loses the record of what was spent
+	slack          = 80.0 // tokens by which a window may exceed it besides, 0.08 s of the rate
+	tolerance      = 0.1  // fraction by which a window may exceed the quota, since a restart loses the record of what was spent
 )
 
 var (
 	noon          = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
-	config        = ratelimit.Config{PeerTimeout: time.Second, PeerExpiry: 30 * time.Second, InitialLobbies: 4, InitialFill: 0.1, StartTime: noon}
+	config        = ratelimit.Config{PeerTimeout: time.Second, PeerExpiry: 30 * time.Second, InitialLobbies: 4, InitialFill: 0.1, DiscoveryTime: 3 * time.Second, StartTime: noon}
 	configuration = deployment.NewConfiguration(deployment.Config{Tenants: []deployment.TenantConfig{{Name: "t", Keys: []string{"k"}, Rate: rate, Burst: burst}}})
 )
 
@@ -110,7 +111,9 @@
 
 func (f *fleet) restart(i int) {
 	l := f.lobbies[i]
-	l.limiter, l.incarnation, l.serial = ratelimit.New(config), l.incarnation+1, 0
+	started := config
+	started.StartTime = f.now
+	l.limiter, l.incarnation, l.serial = ratelimit.New(started), l.incarnation+1, 0
 }
 
 // maxInWindow returns the largest sum of spends in a window.
@@ -162,6 +165,41 @@
 	})
 }
 
+// TestQuotaHoldsWhenAllLobbiesRestart guards against an overspent quota in a large
+// fleet: restarted lobbies have heard from no other one yet, and must not each spend as
+// if they were few.
+func TestQuotaHoldsWhenAllLobbiesRestart(t *testing.T) {
+	for _, lobbies := range []int{2, 4, 10, 27, 100} {
+		t.Run(fmt.Sprint(lobbies), func(t *testing.T) {
+			f := newFleet(lobbies)
+			demand := make([]float64, lobbies)
+			f.advance(3*time.Second, demand)
+			for i := range demand {
+				demand[i] = 5 * rate / float64(lobbies)
+			}
+			f.advance(4*time.Second, demand)
+			for i, l := range f.lobbies {
+				f.restart(i)
+				l.limiter.SetLobbies(lobbies)
+				l.partitioned = true // no digest has arrived yet
+			}
+			f.advance(500*time.Millisecond, demand)
+			for _, l := range f.lobbies {
+				l.partitioned = false
+			}
+			f.advance(8*time.Second, demand)
+			bound := (rate*window.Seconds()+burst)*(1+tolerance) + slack
+			if got := f.maxInWindow(); got > bound {
+				t.Errorf("%.0f tokens in a window, more than %.0f", got, bound)
+			}
+			_, granted := f.advance(8*time.Second, demand)
+			if least := 0.9 * rate * 8; granted < least {
+				t.Errorf("%.0f tokens were granted after the restart, fewer than %.0f", granted, least)
+			}
+		})
+	}
+}
+
 func TestDemandWithinTheRateIsGranted(t *testing.T) {
 	cases := map[string]struct {
 		demand []float64 // tokens per second, by lobby
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -20,6 +20,8 @@
 	Refund(now time.Time, tenant deployment.Tenant, cost float64)
 	// Spent returns what this process has taken of each tenant's quota.
 	Spent() map[string]float64
+	// SetLobbies sets the number of lobbies that are listed, including this one.
+	SetLobbies(n int)
 	// UpdatePeer records what another lobby has taken of the quotas.
 	UpdatePeer(now time.Time, digest protocol.Digest)
 }
@@ -105,6 +107,7 @@
 		c.updatePeer(now, m.digest)
 	case LobbyCountChanged:
 		c.lobbyCount = max(m.lobbies, c.config.MinLobbies, 1)
+		c.config.Limiter.SetLobbies(m.lobbies)
 	case PlanChanged:
 		c.adoptPlan(now, "", m.plan)
 	case FetchEnded:
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -29,6 +29,7 @@
 }
 
 func (l *fakeLimiter) Refund(time.Time, deployment.Tenant, float64) { l.refunded++ }
+func (l *fakeLimiter) SetLobbies(int)                               {}
 func (l *fakeLimiter) Spent() map[string]float64                    { return nil }
 func (l *fakeLimiter) UpdatePeer(time.Time, protocol.Digest)        {}
 
