--- a/lobby/ratelimit/limiter_test.go
+++ b/lobby/ratelimit/limiter_test.go
@@ -46,6 +46,7 @@
 	now     time.Time
 	lobbies []*lobby
 	spends  []spend
+	steps   int // steps from one digest of a lobby to the next
 }
 
 type spend struct {
@@ -65,7 +66,7 @@
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: noon}
+	f := &fleet{now: noon, steps: stepsPerDigest}
 	for range n {
 		f.lobbies = append(f.lobbies, &lobby{limiter: ratelimit.New(config), incarnation: 1})
 	}
@@ -88,7 +89,7 @@
 				granted += cost
 				f.spends = append(f.spends, spend{f.now, cost})
 			}
-			if i%stepsPerDigest == 0 {
+			if i%f.steps == 0 {
 				f.sendDigest(j)
 			}
 		}
@@ -169,9 +170,13 @@
 // fleet: restarted lobbies have heard from no other one yet, and must not each spend as
 // if they were few.
 func TestQuotaHoldsWhenAllLobbiesRestart(t *testing.T) {
-	for _, lobbies := range []int{2, 4, 10, 27, 100} {
-		t.Run(fmt.Sprint(lobbies), func(t *testing.T) {
-			f := newFleet(lobbies)
+	cases := map[string]struct{ lobbies, steps int }{ // steps between two digests, as lobbies send them
+		"two-lobbies": {2, 1}, "four-lobbies": {4, 1}, "ten-lobbies": {10, 2}, "27-lobbies": {27, 6}, "100-lobbies": {100, 8},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, lobbies := newFleet(tc.lobbies), tc.lobbies
+			f.steps = tc.steps
 			demand := make([]float64, lobbies)
 			f.advance(3*time.Second, demand)
 			for i := range demand {
