Keep a reserve of each burst in large fleets

Change: beyond ten lobbies a part of the burst is kept back (0.57 at 27 lobbies), though a full bucket still grants what the burst allows, and overspending is repaid further. Up to ten lobbies nothing changes.

The reserve refuses some of a burst inside the quota; shares by demand would not, and are left for the issue on size.

--- a/lobby/ratelimit/limiter.go
+++ b/lobby/ratelimit/limiter.go
@@ -56,6 +56,14 @@
 // SetLobbies sets the number of lobbies that are listed, including this one.
 func (l *Limiter) SetLobbies(n int) { l.listed = n }
 
+// The reserve grows from reserveFreeLobbies on by one burst in lobbiesPerReserve, up to
+// maxReserve of a burst.
+const (
+	reserveFreeLobbies = 10
+	lobbiesPerReserve  = 30
+	maxReserve         = 0.75
+)
+
 // Spend takes cost from the tenant's quota. If the quota does not suffice, it
 // takes nothing and returns the time until it may. A tenant without a rate is not
 // limited.
@@ -65,8 +73,9 @@
 		return 0, true
 	}
 	b := l.refill(now, tenant.Name(), rate, burst)
-	if b.level < cost {
-		return time.Duration((cost - b.level) / rate * float64(time.Second)), false
+	needed := max(cost, min(cost+burst*l.reserveShare(now), burst)) // a full bucket grants what the burst allows
+	if b.level < needed {
+		return time.Duration((needed - b.level) / rate * float64(time.Second)), false
 	}
 	b.level -= cost
 	l.spent[tenant.Name()] += cost
@@ -135,10 +144,18 @@
 		}
 	}
 	refilled -= share * float64(l.unheard(now))
-	b.level = min(max(b.level+refilled, -burst), burst)
+	b.level = min(max(b.level+refilled, -burst*(1+2*l.reserveShare(now))), burst)
 	return b
 }
 
+// reserveShare returns the part of a burst that is not granted in a large fleet: while
+// all lobbies have requests waiting, each grants what is left before the others' digests
+// show that they have, too, the later the more lobbies there are.
+func (l *Limiter) reserveShare(now time.Time) float64 {
+	excess := l.lobbyCount(now) - reserveFreeLobbies
+	return min(max(float64(excess), 0)/lobbiesPerReserve, maxReserve)
+}
+
 // initialFill returns the fraction of its burst that a tenant has at this lobby's start.
 // The sum over all lobbies falls with their number, too: the more there are, the later
 // their digests show what the others spend.
--- a/lobby/ratelimit/limiter_test.go
+++ b/lobby/ratelimit/limiter_test.go
@@ -250,3 +250,14 @@
 		t.Errorf("granted %v, wait %s", ok, wait)
 	}
 }
+
+// TestLargeRequestsAreGrantedInALargeFleet guards against a tenant with a small quota
+// whose larger requests are never granted because of the reserve.
+func TestLargeRequestsAreGrantedInALargeFleet(t *testing.T) {
+	f := newFleet(60)
+	f.advance(5*time.Second, make([]float64, 60))
+	tenant, _ := configuration.TenantByKey("k")
+	if wait, ok := f.lobbies[0].limiter.Spend(f.now, tenant, burst); !ok {
+		t.Errorf("a request for the whole burst was refused for %v", wait)
+	}
+}
