Log what a broken-off request carried, and who closed the connection

Cause: the line of a send's end named only the caller's ID of the attempt, and did not tell a connection that the backend server closed from a timeout of the lobby. So copies of one request, and requests with a common part of their prompts, could not be recognised after a crash.

No decision changes.

--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -34,6 +34,7 @@
 	PromptTokens    int64         // zero if the caller does not state it
 	MaxOutputTokens int64         // zero if the caller does not state it
 	Parts           []Part        // parts of the prompt, in their order
+	Fingerprint     Fingerprint   // identifies the request's content
 	Timeout         time.Duration // time for which the caller waits; zero if unknown
 	Arrived         time.Time     // time at which the request was complete
 }
@@ -73,6 +74,9 @@
 // Parts returns the parts of the prompt in their order.
 func (r *Request) Parts() []Part { return r.config.Parts }
 
+// Fingerprint returns the fingerprint of the request's content.
+func (r *Request) Fingerprint() Fingerprint { return r.config.Fingerprint }
+
 // Timeout returns the time for which the caller waits, zero if it is unknown.
 func (r *Request) Timeout() time.Duration { return r.config.Timeout }
 
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -161,14 +161,14 @@
 	}
 	b.closed = true
 	b.pool.remove(b)
-	b.reportIncomplete()
+	b.reportIncomplete(true)
 }
 
 // fail closes the connection and reports its exchange as incomplete.
 func (b *backendConn) fail(cause error) {
 	b.proxy.config.Log.WithField("event", "link_failed").WithField("backend", b.pool.backend).WithError(cause).Debug("connection to the backend server failed")
 	b.close()
-	b.reportIncomplete()
+	b.reportIncomplete(false)
 }
 
 // resetAndFail does the same as fail, but resets the connection, which discards the
@@ -179,8 +179,8 @@
 }
 
 // reportIncomplete reports to the scheduler that the exchange got no complete
-// answer.
-func (b *backendConn) reportIncomplete() {
+// answer. disconnected is true if the backend server closed the connection.
+func (b *backendConn) reportIncomplete(disconnected bool) {
 	e := b.exchange
 	if e == nil {
 		return
@@ -190,7 +190,11 @@
 	if e.started {
 		result = scheduler.Truncated
 	}
-	b.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, result, 0).WithLongestPause(e.longestPause))
+	ended := scheduler.NewSendEnded(e.number, result, 0).WithLongestPause(e.longestPause)
+	if disconnected {
+		ended = ended.WithDisconnect()
+	}
+	b.proxy.notifyScheduler(ended)
 }
 
 // reset closes the connection with a TCP reset, so that a backend server that has
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -214,6 +214,7 @@
 	FirstEvent   time.Duration // time from the arrival to the first event; zero without one
 	Took         time.Duration // time from the arrival to the end
 	LongestPause time.Duration // longest pause between two events
+	Disconnected bool          // the backend server closed the connection before its answer was complete
 }
 
 // RecordSend records in log and metrics how a send ended.
@@ -244,6 +245,10 @@
 // LongestPause returns the longest pause between two events.
 func (r RecordSend) LongestPause() time.Duration { return r.config.LongestPause }
 
+// Disconnected reports whether the backend server closed the connection before its
+// answer was complete.
+func (r RecordSend) Disconnected() bool { return r.config.Disconnected }
+
 // Took returns the time from the arrival to the end.
 func (r RecordSend) Took() time.Duration { return r.config.Took }
 
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -80,6 +80,7 @@
 	result       Result
 	status       int
 	longestPause time.Duration
+	disconnected bool
 }
 
 // NewSendEnded returns the message. status is the HTTP status of the answer,
@@ -95,6 +96,17 @@
 	return s
 }
 
+// WithDisconnect returns the message with the information that the backend server
+// closed the connection before its answer was complete.
+func (s SendEnded) WithDisconnect() SendEnded {
+	s.disconnected = true
+	return s
+}
+
+// Disconnected reports whether the backend server closed the connection before its
+// answer was complete.
+func (s SendEnded) Disconnected() bool { return s.disconnected }
+
 // Number returns the request number that the proxy assigned.
 func (s SendEnded) Number() uint64 { return s.number }
 
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -74,7 +74,7 @@
 // record returns the action that logs the end of a send.
 func (r *openRequest) record(now time.Time, s *server, m SendEnded) RecordSend {
 	arrived := r.request.Arrived()
-	config := RecordSendConfig{Request: r.request, Result: m.result, Status: m.status, Took: now.Sub(arrived), LongestPause: m.longestPause}
+	config := RecordSendConfig{Request: r.request, Result: m.result, Status: m.status, Took: now.Sub(arrived), LongestPause: m.longestPause, Disconnected: m.disconnected}
 	if s != nil {
 		config.Backend = s.backend.ID()
 	}
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/supervisor"
 )
@@ -124,7 +126,11 @@
 	case RecordSend:
 		s.stats.sendEnded(a)
 
-		s.config.Log.WithFields(logrus.Fields{
+		log := s.config.Log
+		if a.Disconnected() {
+			log = log.WithFields(logrus.Fields{"fingerprint": a.Request().Fingerprint(), "parts": partIDs(a.Request())})
+		}
+		log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Request().ID(), "backend": a.Backend(), "result": a.Result(), "status": a.Status(),
 			"waited": a.Waited(), "first": a.FirstEvent(), "pause": a.LongestPause(), "took": a.Took(),
 		}).Log(recordLevel(a), "send ended")
@@ -139,6 +145,15 @@
 	}
 }
 
+// partIDs returns the IDs of a prompt's parts, separated by commas.
+func partIDs(request *httpmeta.Request) string {
+	ids := make([]string, 0, len(request.Parts()))
+	for _, part := range request.Parts() {
+		ids = append(ids, part.ID())
+	}
+	return strings.Join(ids, ",")
+}
+
 func (s *Scheduler) logRefusal(r Refuse) {
 	s.config.Log.WithFields(logrus.Fields{
 		"event": "refused", "request": r.Request().ID(), "cause": r.Cause(), "status": r.Status(), "model": r.Request().Model(),
