Hold back requests that crash the backend servers that run them

What callers saw: a request under which three backend servers had ended was sent to N more, N of which ended; all callers with a stream there lost it.

Cause: no lobby remembered what was in flight when a backend server ended; each copy of the request, at any lobby, was new. Ruled out: retries of a lobby as the cause (routes without retries fail alike), and a quarantine that is lost or not shared (the lobby had none).

Change: lobby/quarantine, a pure core. Requests under which a backend server closed its connection are suspects; an answer clears them; three crashes more than 0.25 s apart quarantine them; the evidence travels with the digests and merges in any order. Why it works: a sound request is answered sooner or later, so its crashes are cleared; one that always crashes never is. Memory (512 suspects, 16 crashes each) and digests (32 suspects) are bounded.

--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -30,6 +30,7 @@
 	Plan          map[string][]string // models by backend server; nil if the sender does not plan or has sent the same plan lately
 	Domain        string              // failure domain of the sender
 	Replaced      map[string]int64    // start times, in Unix milliseconds, of listed backend servers by ID that the sender has found gone: another one has their address
+	Suspects      []SuspectConfig     // those whose crashes have changed or are due to be sent again
 }
 
 // Digest is the state that a lobby sends to the other lobbies several times a
@@ -80,6 +81,9 @@
 // sender does not plan or has sent the same plan lately.
 func (d Digest) Plan() map[string][]string { return d.config.Plan }
 
+// Suspects returns what the sender knows of some of the suspects of crashes.
+func (d Digest) Suspects() []SuspectConfig { return d.config.Suspects }
+
 // MarshalBinary encodes the message.
 func (d Digest) MarshalBinary() ([]byte, error) { return encode("digest", &d.config) }
 
--- /dev/null
+++ b/commons/protocol/suspect.go
@@ -0,0 +1,20 @@
+package protocol
+
+import "time"
+
+// CrashConfig describes how one start of a backend server ended while requests of a
+// suspect were unanswered there.
+type CrashConfig struct {
+	Backend   string
+	StartTime int64         // Unix milliseconds
+	Age       time.Duration // time since the crash when the digest was sent
+	Cleared   bool          // a later request of the suspect has been answered
+}
+
+// SuspectConfig describes what may have crashed backend servers, and its crashes.
+type SuspectConfig struct {
+	Kind    uint8  // as lobby/quarantine numbers them
+	ID      string // differs from those of other suspects of the kind
+	Rank    int    // suspects of a higher rank are more specific
+	Crashes []CrashConfig
+}
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -20,6 +20,7 @@
 	"sesamewell.example/lobby/keeperclient"
 	"sesamewell.example/lobby/placement"
 	"sesamewell.example/lobby/proxy"
+	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/ratelimit"
 	"sesamewell.example/lobby/scheduler"
 	"sesamewell.example/platform"
@@ -143,6 +144,7 @@
 			Domain:     settings.Text("process", "domain"),
 			MinLobbies: minLobbies,
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
+			Quarantine: quarantine.New(quarantine.Config{Self: settings.Address("door", "listen")}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  settings.Decimal("retries", "extra"),
--- /dev/null
+++ b/lobby/quarantine/core.go
@@ -0,0 +1,174 @@
+// Package quarantine holds back requests that crash backend servers. All requests
+// that a backend server had not begun to answer when it ended become suspects, at
+// every lobby that had sent some there. The lobbies exchange what they know with their
+// digests. A suspect that was there at several crashes, and was never answered in
+// between, is quarantined; a suspect that was answered is cleared. After the quarantine
+// one lobby at a time tries a single request.
+package quarantine
+
+import (
+	"cmp"
+	"time"
+
+	"sesamewell.example/commons/httpmeta"
+)
+
+const (
+	maxRecords   = 512              // suspects that are remembered
+	peerLifetime = time.Second      // time after its last digest for which another lobby takes turns
+	trialTurn    = 2 * time.Second  // length of a lobby's turn; a trial may begin in its first half
+	expiryPeriod = time.Second      // time between two checks for expired suspects
+	trialTimeout = 10 * time.Second // time after which a trial without a result no longer counts
+)
+
+// Config holds the construction parameters of a Core.
+type Config struct {
+	Self string // RPC address of this lobby
+}
+
+// Core makes the decisions of the quarantine. It does no I/O and is not safe for
+// concurrent use.
+type Core struct {
+	config   Config
+	records  map[Suspect]*record
+	verdicts map[Suspect]verdict
+	changes  []Change
+	peers    map[string]peer // by RPC address
+	expired  time.Time       // time of the last check for expired suspects
+}
+
+// peer is another lobby.
+type peer struct {
+	incarnation uint64
+	heard       time.Time // time of its last digest
+}
+
+// New returns a core without suspects.
+func New(config Config) *Core {
+	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), peers: make(map[string]peer)}
+}
+
+// CrashConfig holds the parameters of Crashed.
+type CrashConfig struct {
+	Request   *httpmeta.Request
+	Backend   string
+	StartTime int64 // start of the backend server in Unix milliseconds
+}
+
+// Crashed records that a backend server closed the connection before its answer to a
+// request was complete.
+func (c *Core) Crashed(now time.Time, config CrashConfig) {
+	r := c.record(requestSuspect(config.Request), requestRank)
+	if r.add(start{backend: config.Backend, time: config.StartTime}, crash{at: now}) {
+		r.own, r.changed, r.trial = true, true, trial{}
+		c.judge()
+	}
+}
+
+// Completed records that a backend server has answered a request that it began at a
+// given time. The request is not the cause of earlier crashes.
+func (c *Core) Completed(request *httpmeta.Request, began time.Time) {
+	if r, ok := c.records[requestSuspect(request)]; ok && r.clear(began) {
+		r.own, r.changed = true, true
+		c.judge()
+	}
+}
+
+// Admit reports whether a request may be sent to a backend server. If not, it returns
+// the time after which the caller may try again. number identifies the request.
+func (c *Core) Admit(now time.Time, number uint64, request *httpmeta.Request) (time.Duration, bool) {
+	if len(c.verdicts) == 0 {
+		return 0, true
+	}
+	suspect := requestSuspect(request)
+	v, ok := c.verdicts[suspect]
+	if !ok || c.tries(now, number, c.records[suspect], v) {
+		return 0, true
+	}
+	return max(v.until().Sub(now), trialTurn), false
+}
+
+// tries reports whether a request of a quarantined suspect may run as a trial.
+func (c *Core) tries(now time.Time, number uint64, r *record, v verdict) bool {
+	if r.trial.request == number {
+		return true
+	}
+	running := r.trial.request != 0 && now.Sub(r.trial.began) < trialTimeout
+	if running || now.Before(v.until()) || !c.hasTurn(now, v.until()) {
+		return false
+	}
+	r.trial = trial{request: number, began: now}
+	return true
+}
+
+// hasTurn reports whether this lobby may begin a trial now. The live lobbies take
+// turns from the end of the quarantine on, in the order of their addresses. In the
+// second half of a turn none begins, so that its result is known to the next lobby.
+func (c *Core) hasTurn(now, until time.Time) bool {
+	live, place := 1, 0
+	for address, p := range c.peers {
+		if now.Sub(p.heard) > peerLifetime {
+			continue
+		}
+		live++
+		if address < c.config.Self {
+			place++
+		}
+	}
+	turn, within := now.Sub(until)/trialTurn, now.Sub(until)%trialTurn
+	return int(turn)%live == place && within < trialTurn/2
+}
+
+// record returns the record of a suspect, a new one if it has none.
+func (c *Core) record(suspect Suspect, rank int) *record {
+	r, ok := c.records[suspect]
+	if !ok {
+		c.makeRoom()
+		r = newRecord(rank)
+		c.records[suspect] = r
+	}
+	return r
+}
+
+// makeRoom drops the record with the fewest events, of these the one that expires
+// first, if there is no room for another.
+func (c *Core) makeRoom() {
+	if len(c.records) < maxRecords {
+		return
+	}
+	var victim Suspect
+	var fewest *record
+	for suspect, r := range c.records {
+		if fewest == nil || compareWeight(r, fewest) < 0 {
+			victim, fewest = suspect, r
+		}
+	}
+	delete(c.records, victim)
+}
+
+func compareWeight(a, b *record) int {
+	return cmp.Or(cmp.Compare(events(a.times(nil)), events(b.times(nil))), a.expiry().Compare(b.expiry()))
+}
+
+// expire drops the records and peers whose time is over, at most every expiryPeriod.
+func (c *Core) expire(now time.Time) {
+	if now.Sub(c.expired) < expiryPeriod {
+		return
+	}
+	c.expired = now
+	dropped := false
+	for suspect, r := range c.records {
+		if !now.Before(r.expiry()) {
+			delete(c.records, suspect)
+			dropped = true
+		}
+	}
+	for address, p := range c.peers {
+		if now.Sub(p.heard) > peerLifetime {
+			delete(c.peers, address)
+		}
+	}
+	if dropped {
+		c.judge()
+	}
+}
--- /dev/null
+++ b/lobby/quarantine/core_test.go
@@ -0,0 +1,276 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/quarantine"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// request returns a request with the given fingerprint and parts of its prompt.
+func request(content byte, parts ...string) *httpmeta.Request {
+	config := httpmeta.RequestConfig{Fingerprint: httpmeta.Fingerprint{content}}
+	for _, id := range parts {
+		config.Parts = append(config.Parts, httpmeta.NewPart(httpmeta.PartConfig{ID: id}))
+	}
+	return httpmeta.NewRequest(config)
+}
+
+// crashAt records that a backend server crashed under a request, a time after noon.
+func crashAt(c *quarantine.Core, at time.Duration, r *httpmeta.Request, backend string) {
+	c.Crashed(noon.Add(at), quarantine.CrashConfig{Request: r, Backend: backend})
+}
+
+func admitted(c *quarantine.Core, at time.Duration, number uint64, r *httpmeta.Request) bool {
+	_, ok := c.Admit(noon.Add(at), number, r)
+	return ok
+}
+
+func TestRequestIsQuarantinedAfterThreeCrashes(t *testing.T) {
+	type crash struct {
+		at      time.Duration
+		backend string
+	}
+	cases := map[string]struct {
+		crashes []crash
+		want    bool // quarantined
+	}{
+		"none":  {},
+		"two":   {crashes: []crash{{0, "a"}, {time.Second, "b"}}},
+		"three": {crashes: []crash{{0, "a"}, {time.Second, "b"}, {2 * time.Second, "c"}}, want: true},
+		"three connections of one backend server": {crashes: []crash{{0, "a"}, {time.Second, "a"}, {2 * time.Second, "a"}}},
+		"a rack loses power":                      {crashes: []crash{{0, "a"}, {100 * time.Millisecond, "b"}, {200 * time.Millisecond, "c"}, {220 * time.Millisecond, "d"}}},
+		"two racks lose power":                    {crashes: []crash{{0, "a"}, {time.Millisecond, "b"}, {time.Second, "c"}, {time.Second, "d"}}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: "x"})
+			for _, crash := range tc.crashes {
+				crashAt(c, crash.at, request(1), crash.backend)
+			}
+			if diff := cmp.Diff(tc.want, !admitted(c, 3*time.Second, 1, request(1))); diff != "" {
+				t.Errorf("quarantined (-want +got):\n%s", diff)
+			}
+			if !admitted(c, 3*time.Second, 2, request(2)) {
+				t.Error("another request quarantined as well")
+			}
+		})
+	}
+}
+
+// threeCrashes records three crashes of a request, the last at two seconds.
+func threeCrashes(c *quarantine.Core, r *httpmeta.Request) {
+	for n := range 3 {
+		crashAt(c, time.Duration(n)*time.Second, r, fmt.Sprint("b", n))
+	}
+}
+
+func TestAnswerClearsEarlierCrashes(t *testing.T) {
+	cases := map[string]struct {
+		began time.Duration // start of the answer
+		want  bool          // still quarantined
+	}{
+		"begun after all crashes":          {began: 3 * time.Second},
+		"begun between the crashes":        {began: 1500 * time.Millisecond},
+		"begun before them, ended later":   {began: -time.Second, want: true},
+		"begun at the moment of the first": {began: 0, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: "x"})
+			threeCrashes(c, request(1))
+			c.Completed(request(1), noon.Add(tc.began))
+			if diff := cmp.Diff(tc.want, !admitted(c, 4*time.Second, 1, request(1))); diff != "" {
+				t.Errorf("quarantined (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLobbiesTryOneRequestAtATime guards against a quarantine without an end, and
+// against lobbies that all try the suspect when it ends.
+func TestLobbiesTryOneRequestAtATime(t *testing.T) {
+	lobbies := make(map[string]*quarantine.Core)
+	for _, self := range []string{"x", "y", "z"} {
+		lobbies[self] = quarantine.New(quarantine.Config{Self: self})
+		threeCrashes(lobbies[self], request(1))
+	}
+	var tried []string
+	number := uint64(0)
+	for at := 2 * time.Second; at < 13*time.Second; at += 50 * time.Millisecond {
+		for _, self := range []string{"x", "y", "z"} {
+			for other := range lobbies {
+				if other != self {
+					lobbies[self].UpdatePeer(noon.Add(at), protocol.NewDigest(protocol.DigestConfig{Sender: other}))
+				}
+			}
+			if number++; admitted(lobbies[self], at, number, request(1)) {
+				tried = append(tried, fmt.Sprint(self, " ", at))
+				if !admitted(lobbies[self], at, number, request(1)) {
+					t.Error("the trial was not admitted when it was placed again")
+				}
+			}
+		}
+	}
+	if diff := cmp.Diff([]string{"x 7s", "y 9s", "z 11s"}, tried); diff != "" {
+		t.Errorf("trials (-want +got):\n%s", diff)
+	}
+}
+
+func TestQuarantineGrowsWithCrashesAndEnds(t *testing.T) {
+	c := quarantine.New(quarantine.Config{Self: "x"})
+	threeCrashes(c, request(1))
+	var trials []time.Duration
+	for at := 2 * time.Second; at < 5*time.Minute; at += 100 * time.Millisecond {
+		if number := uint64(at); admitted(c, at, number, request(1)) {
+			trials = append(trials, at)
+			crashAt(c, at+50*time.Millisecond, request(1), fmt.Sprint("t", at))
+		}
+	}
+	want := []time.Duration{7 * time.Second, 17100 * time.Millisecond, 37200 * time.Millisecond, 77300 * time.Millisecond, 157400 * time.Millisecond}
+	if diff := cmp.Diff(want, trials); diff != "" {
+		t.Errorf("trials (-want +got):\n%s", diff)
+	}
+	if n := len(c.Suspects(noon.Add(time.Hour))); n != 0 {
+		t.Errorf("%d suspects remembered an hour later", n)
+	}
+	if !admitted(c, time.Hour, 1, request(1)) {
+		t.Error("request not admitted an hour later")
+	}
+}
+
+// TestLobbiesAgree guards against lobbies that differ for good after digests were lost,
+// doubled, late or out of order, and against a lobby that forgets in a restart.
+func TestLobbiesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		lobbies := []*quarantine.Core{}
+		for n := range 3 {
+			lobbies = append(lobbies, quarantine.New(quarantine.Config{Self: fmt.Sprint(n)}))
+		}
+		type letter struct {
+			to     int
+			digest protocol.Digest
+		}
+		var letters []letter
+		serial := int64(0)
+		exchange := func(now time.Time, lossy bool) {
+			for from, c := range lobbies {
+				serial++
+				digest := protocol.NewDigest(protocol.DigestConfig{Sender: fmt.Sprint(from), Incarnation: 1, Serial: serial, Suspects: c.Suspects(now)})
+				for to := range lobbies {
+					if to == from || lossy && random.IntN(3) == 0 {
+						continue
+					}
+					letters = append(letters, letter{to, digest})
+					if lossy && random.IntN(3) == 0 {
+						letters = append(letters, letter{to, digest})
+					}
+				}
+			}
+			if lossy {
+				random.Shuffle(len(letters), func(a, b int) { letters[a], letters[b] = letters[b], letters[a] })
+			}
+			kept := 0
+			if lossy {
+				kept = len(letters) / 2
+			}
+			for _, l := range letters[kept:] {
+				lobbies[l.to].UpdatePeer(now, l.digest)
+			}
+			letters = letters[:kept]
+		}
+		now := noon
+		for step := range 60 {
+			now = now.Add(50 * time.Millisecond)
+			at := random.IntN(3)
+			switch random.IntN(6) {
+			case 0, 1:
+				lobbies[at].Crashed(now, quarantine.CrashConfig{Request: request(byte(random.IntN(3))), Backend: fmt.Sprint(step / 4)})
+			case 2:
+				lobbies[at].Completed(request(2), now)
+			case 3:
+				if step < 30 {
+					lobbies[at] = quarantine.New(quarantine.Config{Self: fmt.Sprint(at)})
+				}
+			}
+			exchange(now, true)
+		}
+		for range 90 {
+			now = now.Add(50 * time.Millisecond)
+			exchange(now, false)
+		}
+		for content := range byte(3) {
+			var quarantined []bool
+			for _, c := range lobbies {
+				_, ok := c.Admit(noon, 1, request(content)) // at a time at which no trial may begin
+				quarantined = append(quarantined, !ok)
+			}
+			if slices.Contains(quarantined, true) && slices.Contains(quarantined, false) {
+				t.Errorf("request %d quarantined: %v", content, quarantined)
+			}
+		}
+	})
+}
+
+func TestMemoryAndDigestsAreBounded(t *testing.T) {
+	c := quarantine.New(quarantine.Config{Self: "x"})
+	threeCrashes(c, request(1))
+	for n := range 5000 {
+		r := httpmeta.NewRequest(httpmeta.RequestConfig{Fingerprint: httpmeta.Fingerprint{2, byte(n), byte(n >> 8)}})
+		c.Crashed(noon.Add(3*time.Second), quarantine.CrashConfig{Request: r, Backend: "z"})
+	}
+	total := 0
+	for digest := range 100 {
+		sent := len(c.Suspects(noon.Add(3*time.Second + time.Duration(digest)*time.Millisecond)))
+		if sent > 32 {
+			t.Errorf("%d suspects in one digest", sent)
+		}
+		total += sent
+	}
+	if total > 512 {
+		t.Errorf("%d suspects remembered", total)
+	}
+	if admitted(c, 4*time.Second, 1, request(1)) {
+		t.Error("quarantine forgotten among many suspects")
+	}
+}
+
+func TestUnusableSuspectsAreIgnored(t *testing.T) {
+	crashes := []protocol.CrashConfig{{Backend: "a", Age: 4 * time.Second}, {Backend: "b", Age: 3 * time.Second}, {Backend: "c", Age: 2 * time.Second}}
+	old := slices.Clone(crashes)
+	for n := range old {
+		old[n].Age += 55 * time.Second
+	}
+	id := httpmeta.Fingerprint{1}.String()
+	cases := map[string]struct {
+		suspect protocol.SuspectConfig
+		want    bool // quarantined
+	}{
+		"usable":          {suspect: protocol.SuspectConfig{Kind: 1, ID: id, Crashes: crashes}, want: true},
+		"unknown kind":    {suspect: protocol.SuspectConfig{Kind: 77, ID: id, Crashes: crashes}},
+		"no crash":        {suspect: protocol.SuspectConfig{Kind: 1, ID: id}},
+		"about to expire": {suspect: protocol.SuspectConfig{Kind: 1, ID: id, Crashes: old}},
+		"absurd age":      {suspect: protocol.SuspectConfig{Kind: 1, ID: id, Crashes: []protocol.CrashConfig{{Backend: "a", Age: 1 << 62}, {Backend: "b", Age: -1 << 62}}}},
+		"far too many":    {suspect: protocol.SuspectConfig{Kind: 1, ID: id, Crashes: slices.Repeat(crashes, 1000)}, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: "x"})
+			c.UpdatePeer(noon, protocol.NewDigest(protocol.DigestConfig{Sender: "y", Suspects: []protocol.SuspectConfig{tc.suspect}}))
+			if diff := cmp.Diff(tc.want, !admitted(c, time.Millisecond, 1, request(1))); diff != "" {
+				t.Errorf("quarantined (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lobby/quarantine/exchange.go
@@ -0,0 +1,115 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesamewell.example/commons/protocol"
+)
+
+const (
+	maxSent      = 32               // suspects in one digest
+	resendPeriod = 2 * time.Second  // time after which an unchanged suspect is sent again
+	learnMargin  = 10 * time.Second // suspects that expire within it are not learnt from other lobbies
+)
+
+// Suspects drops what has expired and returns the suspects to send to the other
+// lobbies: those of which this lobby has seen something new, and those that are due
+// again. So a lost digest is made up for, and what a lobby knew outlives it. A suspect
+// known from other lobbies is due only if none of them has sent it lately (the
+// suppression of Trickle, RFC 6206), so that the volume hardly grows with the fleet.
+func (c *Core) Suspects(now time.Time) []protocol.SuspectConfig {
+	c.expire(now)
+	due := c.dueSuspects(now)
+	var sent []protocol.SuspectConfig
+	for _, suspect := range due[:min(len(due), maxSent)] {
+		r := c.records[suspect]
+		r.changed, r.shared = false, now
+		sent = append(sent, encodeRecord(now, suspect, r))
+	}
+	return sent
+}
+
+// dueSuspects returns the suspects that are due, first those that have changed, then
+// those that were shared least recently.
+func (c *Core) dueSuspects(now time.Time) []Suspect {
+	var due []Suspect
+	for suspect, r := range c.records {
+		if r.changed || now.Sub(r.shared) >= resendPeriod {
+			due = append(due, suspect)
+		}
+	}
+	slices.SortFunc(due, func(a, b Suspect) int {
+		return cmp.Or(compareDue(c.records[a], c.records[b]), cmp.Compare(a.id, b.id))
+	})
+	return due
+}
+
+func compareDue(a, b *record) int {
+	switch {
+	case a.changed == b.changed:
+		return a.shared.Compare(b.shared)
+	case a.changed:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func encodeRecord(now time.Time, suspect Suspect, r *record) protocol.SuspectConfig {
+	config := protocol.SuspectConfig{Kind: uint8(suspect.kind), ID: suspect.id, Rank: r.rank}
+	for from, c := range r.crashes {
+		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: from.backend, StartTime: from.time, Age: now.Sub(c.at), Cleared: c.cleared})
+	}
+	return config
+}
+
+// UpdatePeer merges what another lobby knows. Digests may be lost, doubled, late and
+// in any order.
+func (c *Core) UpdatePeer(now time.Time, digest protocol.Digest) {
+	if known, ok := c.peers[digest.Sender()]; !ok || known.incarnation != digest.Incarnation() {
+		c.resendAll()
+	}
+	c.peers[digest.Sender()] = peer{incarnation: digest.Incarnation(), heard: now}
+	changed := false
+	for _, config := range digest.Suspects() {
+		changed = c.merge(now, config) || changed
+	}
+	if changed {
+		c.judge()
+	}
+}
+
+// resendAll makes all suspects due, for a lobby that is new or was silent.
+func (c *Core) resendAll() {
+	for _, r := range c.records {
+		r.changed = true
+	}
+}
+
+// merge merges the crashes of one suspect and reports whether that changed anything.
+// What is about to expire is not learnt: by the time that a digest takes it seems
+// younger than it is, and lobbies could teach it to each other for ever.
+func (c *Core) merge(now time.Time, config protocol.SuspectConfig) bool {
+	incoming := newRecord(config.Rank)
+	for _, crashed := range config.Crashes[:min(len(config.Crashes), maxCrashes)] {
+		incoming.add(start{backend: crashed.Backend, time: crashed.StartTime}, crash{at: now.Add(-max(crashed.Age, 0)), cleared: crashed.Cleared})
+	}
+	suspect := Suspect{kind: Kind(config.Kind), id: config.ID}
+	if len(incoming.crashes) == 0 || suspect.kind.String() == unknownKind {
+		return false
+	}
+	if _, known := c.records[suspect]; !known && incoming.expiry().Sub(now) < learnMargin {
+		return false
+	}
+	r := c.record(suspect, config.Rank)
+	changed := false
+	for from, crashed := range incoming.crashes {
+		changed = r.add(from, crashed) || changed
+	}
+	if !r.own && incoming.covers(r) {
+		r.shared = now
+	}
+	return changed
+}
--- /dev/null
+++ b/lobby/quarantine/record.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// eventGap is the time within which crashes count as one event: a failure
+	// of several backend servers has one cause, and not their requests.
+	eventGap = 250 * time.Millisecond
+
+	timeTolerance = 25 * time.Millisecond // difference between the times of one crash that does not matter
+
+	convictionEvents  = 3               // events after which a suspect is quarantined
+	firstQuarantine   = 5 * time.Second // length of the quarantine after convictionEvents events; each further one doubles it
+	longestQuarantine = 5 * time.Minute
+	minLifetime       = time.Minute      // time after its last crash for which a suspect is remembered at least
+	lifetimeFactor    = 3                // in lengths of its quarantine
+	clearedLifetime   = 15 * time.Second // time for which a cleared crash is remembered, so that all lobbies learn of it
+	maxCrashes        = 16               // crashes that are remembered for one suspect
+)
+
+// start identifies one start of a backend server.
+type start struct {
+	backend string
+	time    int64 // Unix milliseconds
+}
+
+// crash is the end of one start of a backend server.
+type crash struct {
+	at      time.Time
+	cleared bool // the suspect has been answered since, so it is not the cause
+}
+
+// record holds the crashes of one suspect.
+type record struct {
+	rank    int
+	crashes map[start]crash
+	own     bool      // this lobby has seen a crash or an answer of the suspect itself
+	changed bool      // to be sent to the other lobbies at once
+	shared  time.Time // time at which it was last sent or, if it is not own, received
+	trial   trial
+}
+
+// trial is a request that may run in spite of the quarantine, to show whether the
+// suspect still crashes backend servers.
+type trial struct {
+	request uint64 // the request's number; zero if there was none
+	began   time.Time
+}
+
+func newRecord(rank int) *record { return &record{rank: rank, crashes: make(map[start]crash)} }
+
+// add merges a crash and reports whether that changed the record. The merge is
+// idempotent and commutative: of several reports of one crash the oldest time counts,
+// since one that is delayed seems younger, and a cleared crash stays cleared.
+func (r *record) add(from start, c crash) bool {
+	known, ok := r.crashes[from]
+	if ok {
+		c.cleared = c.cleared || known.cleared
+		if known.at.Before(c.at) {
+			c.at = known.at
+		}
+	}
+	if ok && c == known {
+		return false
+	}
+	r.crashes[from] = c
+	if len(r.crashes) > maxCrashes {
+		delete(r.crashes, r.oldest())
+	}
+	return true
+}
+
+// oldest returns the start whose crash is the oldest.
+func (r *record) oldest() start {
+	var oldest start
+	for from, c := range r.crashes {
+		if oldest == (start{}) || c.at.Before(r.crashes[oldest].at) {
+			oldest = from
+		}
+	}
+	return oldest
+}
+
+// covers reports whether the record says all that another one does.
+func (r *record) covers(other *record) bool {
+	for from, c := range other.crashes {
+		known, ok := r.crashes[from]
+		if !ok || c.cleared && !known.cleared || known.at.Sub(c.at) > timeTolerance {
+			return false
+		}
+	}
+	return true
+}
+
+// clear clears the crashes before a time at which a backend server began to answer the
+// suspect. It reports whether there were any.
+func (r *record) clear(began time.Time) bool {
+	cleared := false
+	for from, c := range r.crashes {
+		if !c.cleared && c.at.Before(began) {
+			c.cleared = true
+			r.crashes[from], cleared = c, true
+		}
+	}
+	return cleared
+}
+
+// times returns the times of the crashes that are not cleared and that skip does not
+// leave out, in order.
+func (r *record) times(skip map[start]bool) []time.Time {
+	var times []time.Time
+	for from, c := range r.crashes {
+		if !c.cleared && !skip[from] {
+			times = append(times, c.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// events counts events among ordered times: an event starts with the first crash that
+// is eventGap or more later than the start of the one before.
+func events(times []time.Time) int {
+	n := 0
+	var began time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(began) >= eventGap {
+			n, began = n+1, at
+		}
+	}
+	return n
+}
+
+// quarantineLength returns the length of the quarantine after a number of events, zero
+// if there were too few.
+func quarantineLength(events int) time.Duration {
+	if events < convictionEvents {
+		return 0
+	}
+	length := firstQuarantine
+	for range events - convictionEvents {
+		length = min(2*length, longestQuarantine)
+	}
+	return length
+}
+
+// expiry returns the time at which the record is dropped.
+func (r *record) expiry() time.Time {
+	if times := r.times(nil); len(times) > 0 {
+		lifetime := max(minLifetime, lifetimeFactor*quarantineLength(events(times)))
+		return times[len(times)-1].Add(lifetime)
+	}
+	var last time.Time
+	for _, c := range r.crashes {
+		if c.at.After(last) {
+			last = c.at
+		}
+	}
+	return last.Add(clearedLifetime)
+}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -5,6 +5,7 @@
 
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/quarantine"
 )
 
 // Action is an output of the Core, to be executed by the Scheduler.
@@ -172,8 +173,9 @@
 	Demand     map[string]float64 // engines kept busy, by model
 	Loads      []protocol.BackendLoadConfig
 	Plan       map[string][]string
-	Replaced   map[string]int64 // start times, by ID, of the listed backend servers that are gone
-	AwaitsLoad bool             // queued requests wait until a model is loaded
+	Replaced   map[string]int64         // start times, by ID, of the listed backend servers that are gone
+	AwaitsLoad bool                     // queued requests wait until a model is loaded
+	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
 }
 
 // Broadcast sends this lobby's digest to the other lobbies, and tells the watcher of
@@ -195,6 +197,9 @@
 // Replaced returns the start times, by ID, of the listed backend servers that are gone.
 func (b Broadcast) Replaced() map[string]int64 { return b.config.Replaced }
 
+// Suspects returns the suspects of crashes to tell the other lobbies of.
+func (b Broadcast) Suspects() []protocol.SuspectConfig { return b.config.Suspects }
+
 // AwaitsLoad reports whether queued requests wait until a model is loaded.
 func (b Broadcast) AwaitsLoad() bool { return b.config.AwaitsLoad }
 
@@ -252,6 +257,13 @@
 // Took returns the time from the arrival to the end.
 func (r RecordSend) Took() time.Duration { return r.config.Took }
 
+// RecordQuarantine records in log and metrics that a suspect of crashes was
+// quarantined or released.
+type RecordQuarantine struct{ change quarantine.Change }
+
+// Change returns what changed.
+func (r RecordQuarantine) Change() quarantine.Change { return r.change }
+
 // CloseIdleConfig holds the construction parameters of a CloseIdle.
 type CloseIdleConfig struct {
 	Backend string
@@ -266,10 +278,11 @@
 // Backend returns the ID of the backend server.
 func (c CloseIdle) Backend() string { return c.config.Backend }
 
-func (Send) schedulerAction()         {}
-func (ForwardError) schedulerAction() {}
-func (Refuse) schedulerAction()       {}
-func (CloseIdle) schedulerAction()    {}
-func (RecordSend) schedulerAction()   {}
-func (Fetch) schedulerAction()        {}
-func (Broadcast) schedulerAction()    {}
+func (Send) schedulerAction()             {}
+func (ForwardError) schedulerAction()     {}
+func (Refuse) schedulerAction()           {}
+func (CloseIdle) schedulerAction()        {}
+func (RecordSend) schedulerAction()       {}
+func (RecordQuarantine) schedulerAction() {}
+func (Fetch) schedulerAction()            {}
+func (Broadcast) schedulerAction()        {}
--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -41,7 +41,8 @@
 	if !ok || req.server == nil || req.server.backend.ID() != m.fetch.Backend() {
 		return
 	}
-	if m.lease > leaseMargin {
+	_, admitted := c.config.Quarantine.Admit(now, req.number, req.request)
+	if m.lease > leaseMargin && admitted {
 		c.dispatch(now, req)
 		return
 	}
--- a/lobby/scheduler/cause.go
+++ b/lobby/scheduler/cause.go
@@ -16,6 +16,7 @@
 	notTaken         Cause = "not_taken"         // backend servers rejected the request, and it may not be sent again
 	answerLost       Cause = "answer_lost"       // the request may have run, and no complete answer arrived
 	answerTruncated  Cause = "answer_cut"        // the stream ended early
+	quarantined      Cause = "quarantined"       // the request is suspected to crash backend servers
 	draining         Cause = "leaving"           // the process is draining or closing
 	deadlineExceeded Cause = "deadline_exceeded" // the caller's or the route's time limit has passed
 )
@@ -31,6 +32,7 @@
 	notTaken:         fasthttp.StatusServiceUnavailable,
 	answerLost:       fasthttp.StatusBadGateway,
 	answerTruncated:  fasthttp.StatusBadGateway,
+	quarantined:      fasthttp.StatusServiceUnavailable,
 	draining:         fasthttp.StatusServiceUnavailable,
 	deadlineExceeded: fasthttp.StatusGatewayTimeout,
 }
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"sesamewell.example/lobby/quarantine"
+)
 
 // closeAll refuses all open requests. Those that no backend server can have run
 // get a refusal with status 503, as not run.
@@ -57,6 +61,7 @@
 		req.started, req.firstEvent = true, now
 	}
 	if req.server != nil {
+		req.beganAt = now
 		req.server.prefill -= req.prefill
 		req.prefill = 0
 		req.stopAwaiting()
@@ -106,8 +111,12 @@
 		s.responded(now)
 	}
 	c.emit(req.record(now, s, m))
+	if m.disconnected {
+		c.config.Quarantine.Crashed(now, quarantine.CrashConfig{Request: req.request, Backend: s.backend.ID(), StartTime: s.backend.StartTime()})
+	}
 	switch m.result {
 	case Complete:
+		c.config.Quarantine.Completed(req.request, req.answeredFrom())
 		delete(s.rejections, req.request.Model())
 		c.demand.runEnded(now.Sub(req.sentAt))
 		c.remove(req)
@@ -161,6 +170,20 @@
 	return retryAfter
 }
 
+// refuseQuarantined ends a request that is suspected to crash backend servers. It is
+// refused as not run only if no earlier send may have run.
+func (c *Core) refuseQuarantined(now time.Time, req *openRequest, after time.Duration) {
+	switch {
+	case req.started:
+		c.refuse(req, answerTruncated, 0)
+	case req.mayHaveRun:
+		c.refuse(req, answerLost, 0)
+	default:
+		c.refund(now, req)
+		c.refuse(req, quarantined, after)
+	}
+}
+
 // refuseUnserved ends a request that no backend server accepts. It is refused
 // as not run only if no earlier send may have run.
 func (c *Core) refuseUnserved(now time.Time, req *openRequest, cause Cause, after time.Duration) {
@@ -194,7 +217,7 @@
 // backend server can run it now. Otherwise it ends the request with an action.
 func (c *Core) retryMayHaveRun(now time.Time, req *openRequest, otherwise Action) {
 	req.mayHaveRun, req.needsRetry = true, true
-	if req.mayRetry(now) {
+	if _, admitted := c.config.Quarantine.Admit(now, req.number, req.request); admitted && req.mayRetry(now) {
 		if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
 			c.assign(now, req, chosen)
 			return
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/quarantine"
 )
 
 // Limiter enforces the tenants' quotas.
@@ -26,12 +28,33 @@
 	UpdatePeer(now time.Time, digest protocol.Digest)
 }
 
+// Quarantine holds back requests that crash backend servers.
+type Quarantine interface {
+	// Admit reports whether a request may be sent. If not, it returns the time after
+	// which the caller may try again.
+	Admit(now time.Time, number uint64, request *httpmeta.Request) (time.Duration, bool)
+	// Crashed records that a backend server closed the connection before its answer
+	// to a request was complete.
+	Crashed(now time.Time, config quarantine.CrashConfig)
+	// Completed records that a backend server has answered a request that it began at
+	// a given time.
+	Completed(request *httpmeta.Request, began time.Time)
+	// Changes returns the suspects that were quarantined or released since the last
+	// call.
+	Changes() []quarantine.Change
+	// Suspects returns the suspects to send to the other lobbies now.
+	Suspects(now time.Time) []protocol.SuspectConfig
+	// UpdatePeer merges what another lobby knows.
+	UpdatePeer(now time.Time, digest protocol.Digest)
+}
+
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
 	Domain      string            // failure domain of this process
 	RetryBudget RetryBudgetConfig // for each service
 	MinLobbies  int               // lower bound of the number of lobbies that share connections and retries
 	Limiter     Limiter
+	Quarantine  Quarantine
 	Random      *rand.Rand
 }
 
@@ -117,6 +140,7 @@
 	case Closing:
 		c.closeAll()
 	}
+	c.recordQuarantines()
 	return c.actions
 }
 
@@ -134,7 +158,15 @@
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
 	}
+	c.recordQuarantines()
 	return c.actions
 }
 
+// recordQuarantines reports the suspects that were quarantined or released.
+func (c *Core) recordQuarantines() {
+	for _, change := range c.config.Quarantine.Changes() {
+		c.emit(RecordQuarantine{change: change})
+	}
+}
+
 func (c *Core) emit(action Action) { c.actions = append(c.actions, action) }
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -48,7 +49,7 @@
 func newFixture(backends ...deployment.BackendConfig) *fixture {
 	f := &fixture{limiter: &fakeLimiter{remaining: 1000}, now: noon}
 	f.core = scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: 1, Limiter: f.limiter, Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: 1, Limiter: f.limiter, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	})
 	f.core.Handle(f.now, scheduler.NewConfigurationChanged(deployment.NewConfiguration(deployment.Config{
@@ -156,7 +157,7 @@
 }
 
 func TestRefusalIsTemporaryBeforeConfiguration(t *testing.T) {
-	core := scheduler.NewCore(scheduler.CoreConfig{Limiter: &fakeLimiter{}, Random: rand.New(rand.NewPCG(1, 1))})
+	core := scheduler.NewCore(scheduler.CoreConfig{Limiter: &fakeLimiter{}, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))})
 	request := httpmeta.NewRequest(httpmeta.RequestConfig{Host: "h", Path: "/safe/a", Arrived: noon})
 	actions := core.Handle(noon, scheduler.NewArrived(1, request))
 	checkActions(t, "decision", []string{"refuse 503 no_configuration"}, actions)
--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -9,6 +9,7 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -103,7 +104,7 @@
 	l.serial, l.inbox, l.contactSince = 0, nil, f.now
 	l.deadly, l.second = make(map[uint64]bool), make(map[uint64]int)
 	l.core = scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: simLobbies, Limiter: &fakeLimiter{remaining: 1 << 30}, Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: simLobbies, Limiter: &fakeLimiter{remaining: 1 << 30}, Quarantine: quarantine.New(quarantine.Config{Self: l.address}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	})
 	for _, e := range f.engines {
@@ -135,13 +136,21 @@
 func (f *simFleet) list() []deployment.Backend {
 	var list []deployment.Backend
 	for _, e := range f.engines {
-		if e.downSince.IsZero() || f.now.Sub(e.downSince) < simListDelay {
+		if f.listed(e) != "" {
 			list = append(list, deployment.NewBackend(engineServer(e.id)))
 		}
 	}
 	return list
 }
 
+// listed returns the ID under which an engine is listed, "" if it is not.
+func (f *simFleet) listed(e *simEngine) string {
+	if !e.downSince.IsZero() && f.now.Sub(e.downSince) >= simListDelay {
+		return ""
+	}
+	return e.id
+}
+
 func (f *simFleet) handle(l *simLobby, message scheduler.Message) {
 	f.execute(l, l.core.Handle(f.now, message))
 }
@@ -182,7 +191,7 @@
 func (f *simFleet) broadcast(from *simLobby, b scheduler.Broadcast) {
 	from.serial++
 	digest := protocol.NewDigest(protocol.DigestConfig{
-		Sender: from.address, Incarnation: from.incarnation, Serial: from.serial, Loads: b.Loads(), Plan: b.Plan(), Replaced: b.Replaced(),
+		Sender: from.address, Incarnation: from.incarnation, Serial: from.serial, Loads: b.Loads(), Plan: b.Plan(), Replaced: b.Replaced(), Suspects: b.Suspects(),
 	})
 	for _, to := range f.lobbies {
 		if to == from || f.now.Before(from.cutUntil) || f.now.Before(to.cutUntil) || f.random.Float64() < f.links.lost {
@@ -221,11 +230,12 @@
 // advance moves the engines, then the lobbies that are not frozen.
 func (f *simFleet) advance(step int) {
 	f.now = f.now.Add(simStep)
-	listed := len(f.list())
+	changed := false
 	for _, e := range f.engines {
+		before := f.listed(e)
 		f.advanceEngine(e)
+		changed = changed || f.listed(e) != before
 	}
-	changed := listed != len(f.list())
 	for _, l := range f.lobbies {
 		if changed {
 			l.post(f.now, scheduler.NewBackendsChanged(f.list()))
@@ -352,6 +362,11 @@
 		"half of the digests lost": {links: simLinks{delay: 20 * time.Millisecond, lost: 0.5}},
 		"late and doubled digests": {links: simLinks{delay: 400 * time.Millisecond, doubled: 0.5}},
 		"a lobby restarts":         {at: map[time.Duration]func(f *simFleet){6 * time.Second: func(f *simFleet) { f.start(f.lobbies[2]) }}},
+		"all lobbies restart at once": {at: map[time.Duration]func(f *simFleet){8 * time.Second: func(f *simFleet) {
+			for _, l := range f.lobbies {
+				f.start(l)
+			}
+		}}},
 		"lobbies restart in turn": {at: map[time.Duration]func(f *simFleet){
 			5 * time.Second: func(f *simFleet) { f.start(f.lobbies[0]) }, 6 * time.Second: func(f *simFleet) { f.start(f.lobbies[1]) },
 			7 * time.Second: func(f *simFleet) { f.start(f.lobbies[2]) }, 8 * time.Second: func(f *simFleet) { f.start(f.lobbies[3]) },
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -10,6 +10,10 @@
 // place assigns a request to a backend server, or queues it when none can run
 // it. The request must not have run yet, or must be retryable.
 func (c *Core) place(now time.Time, req *openRequest) {
+	if wait, ok := c.config.Quarantine.Admit(now, req.number, req.request); !ok {
+		c.refuseQuarantined(now, req, wait)
+		return
+	}
 	if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
 		c.assign(now, req, chosen)
 		return
@@ -55,7 +59,7 @@
 func (c *Core) dispatch(now time.Time, req *openRequest) {
 	s := req.server
 	req.tried[s.backend.ID()] = true
-	req.sentAt, req.awaiting = now, true
+	req.sentAt, req.beganAt, req.awaiting = now, time.Time{}, true
 	s.requestSent(now)
 	c.renewLease(now, s, req.request)
 	service, _ := c.configuration.Service(req.service)
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -21,6 +21,7 @@
 // incarnation has arrived before.
 func (c *Core) updatePeer(now time.Time, digest protocol.Digest) {
 	c.config.Limiter.UpdatePeer(now, digest)
+	c.config.Quarantine.UpdatePeer(now, digest)
 	if last, ok := c.peers[digest.Sender()]; ok && last.incarnation == digest.Incarnation() && digest.Serial() <= last.serial {
 		return // overtaken by a later one on another path
 	}
@@ -115,7 +116,7 @@
 		c.updateDemand(now.Sub(c.lastDigest))
 	}
 	c.lastDigest = now
-	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), Replaced: c.replacedServers(), AwaitsLoad: c.awaitsLoad()}
+	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), Replaced: c.replacedServers(), AwaitsLoad: c.awaitsLoad(), Suspects: c.config.Quarantine.Suspects(now)}
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -20,6 +20,7 @@
 	prefill        time.Duration // prefill time counted at server
 	observedTokens int64         // uncached prompt tokens; zero if other prefill was pending at server
 	sentAt         time.Time     // time of the last send
+	beganAt        time.Time     // time of the first event of the last send; zero before
 	awaiting       bool          // the last send has no answer yet
 	attempts       int           // sends that reached a backend server
 	failedSends    int           // sends that failed before a byte was sent
@@ -65,6 +66,15 @@
 	return r.streamTimeout() - streamTimeoutMargin
 }
 
+// answeredFrom returns a time at which the backend server of the last send had not
+// finished its answer.
+func (r *openRequest) answeredFrom() time.Time {
+	if r.beganAt.IsZero() {
+		return r.sentAt
+	}
+	return r.beganAt
+}
+
 // neverRan reports whether no backend server can have run the request.
 func (r *openRequest) neverRan() bool {
 	inFlight := r.server != nil && r.tried[r.server.backend.ID()]
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/supervisor"
+	"sesamewell.example/lobby/quarantine"
 )
 
 // Proxy executes actions on the connections of callers and backend servers.
@@ -128,13 +129,16 @@
 
 		log := s.config.Log
 		if a.Disconnected() {
-			log = log.WithFields(logrus.Fields{"fingerprint": a.Request().Fingerprint(), "parts": partIDs(a.Request())})
+			log = log.WithFields(contentFields(a.Request()))
 		}
 		log.WithFields(logrus.Fields{
 			"event": "ended", "request": a.Request().ID(), "backend": a.Backend(), "result": a.Result(), "status": a.Status(),
 			"waited": a.Waited(), "first": a.FirstEvent(), "pause": a.LongestPause(), "took": a.Took(),
 		}).Log(recordLevel(a), "send ended")
 		return nil
+	case RecordQuarantine:
+		s.recordQuarantine(a.Change())
+		return nil
 	case Refuse:
 		s.stats.refusals[a.Cause()].Inc()
 
@@ -145,17 +149,36 @@
 	}
 }
 
-// partIDs returns the IDs of a prompt's parts, separated by commas.
-func partIDs(request *httpmeta.Request) string {
+// recordQuarantine logs that a suspect was quarantined or released.
+func (s *Scheduler) recordQuarantine(change quarantine.Change) {
+	fields := logrus.Fields{
+		"event": "released", "kind": change.Suspect().Kind(), "suspect": change.Suspect().ID(), "crashes": change.Events(), "last_crash": change.LastCrash(), "until": change.Until(),
+	}
+	if !change.Quarantined() {
+		s.config.Log.WithFields(fields).Info("suspect released: it was answered, or its crashes are long ago or explained by another suspect")
+		return
+	}
+	fields["event"] = "quarantined"
+	s.stats.quarantines.Inc()
+	s.config.Log.WithFields(fields).Warn("suspect quarantined: backend servers closed their connections before they answered it")
+}
+
+// contentFields returns log fields that identify a request's content: its fingerprint
+// and the IDs of its prompt's parts.
+func contentFields(request *httpmeta.Request) logrus.Fields {
 	ids := make([]string, 0, len(request.Parts()))
 	for _, part := range request.Parts() {
 		ids = append(ids, part.ID())
 	}
-	return strings.Join(ids, ",")
+	return logrus.Fields{"fingerprint": request.Fingerprint(), "parts": strings.Join(ids, ",")}
 }
 
 func (s *Scheduler) logRefusal(r Refuse) {
-	s.config.Log.WithFields(logrus.Fields{
+	log := s.config.Log
+	if r.Cause() == quarantined {
+		log = log.WithFields(contentFields(r.Request()))
+	}
+	log.WithFields(logrus.Fields{
 		"event": "refused", "request": r.Request().ID(), "cause": r.Cause(), "status": r.Status(), "model": r.Request().Model(),
 		"adapter": r.Request().Adapter(), "retry_after": r.RetryAfter(),
 		"waited": r.Waited(), "holders": r.Holders(), "waiting": r.Queued(), "list_age": r.ListAge(),
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -12,6 +12,7 @@
 	ends         map[Result]*metrics.Counter
 	refusals     map[Cause]*metrics.Counter
 	fetches      *metrics.Counter
+	quarantines  *metrics.Counter
 	waited       *metrics.Histogram
 	firstEvent   *metrics.Histogram
 	longestPause *metrics.Histogram
@@ -23,6 +24,7 @@
 		ends:         make(map[Result]*metrics.Counter),
 		refusals:     make(map[Cause]*metrics.Counter),
 		fetches:      metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
+		quarantines:  metrics.GetOrCreateCounter("sesamewell_quarantines_total"),
 		waited:       metrics.GetOrCreateHistogram("sesamewell_request_waited_seconds"),
 		firstEvent:   metrics.GetOrCreateHistogram("sesamewell_request_first_event_seconds"),
 		longestPause: metrics.GetOrCreateHistogram("sesamewell_request_longest_pause_seconds"),
