--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -403,16 +404,54 @@
 	}
 }
 
+// TestPromptPartThatCrashesBackendsIsHeldBack guards against requests that differ but
+// for one part of their prompts, and end each backend server that begins to answer them.
+func TestPromptPartThatCrashesBackendsIsHeldBack(t *testing.T) {
+	prompts := map[string][]string{
+		"second part":             {"template", "deadly"},
+		"third part":              {"template", "subject7", "deadly"},
+		"part before a sound one": {"template", "deadly", "subject7"},
+		"first part":              {"deadly", "subject7"},
+	}
+	for name, tc := range simFaults() {
+		for prompt, parts := range prompts {
+			for _, gap := range []int{10, 28, 150} { // steps between two deadly requests
+				t.Run(fmt.Sprintf("%s, %s every %v", name, prompt, time.Duration(gap)*simStep), func(t *testing.T) {
+					t.Parallel()
+					f := newSimFleet(1, tc.links)
+					for step := 1; f.now.Sub(noon) < simEnd; step++ {
+						if event, ok := tc.at[f.now.Sub(noon)]; ok {
+							event(f)
+						}
+						if f.now.Sub(noon) >= simOnset && step%gap == 0 {
+							f.arrive(promptConfig(byte(3), step, append(slices.Clone(parts), fmt.Sprint("own", -step))...), true)
+						}
+						f.arriveSound(step)
+						f.advance(step)
+					}
+					f.check(t, 5)
+				})
+			}
+		}
+	}
+}
+
+// promptConfig returns a request that differs from those of other steps, with the given
+// parts of its prompt.
+func promptConfig(kind byte, step int, parts ...string) httpmeta.RequestConfig {
+	config := httpmeta.RequestConfig{Path: "/stream/a", Fingerprint: httpmeta.Fingerprint{kind, byte(step), byte(step >> 8)}}
+	for _, id := range parts {
+		config.Parts = append(config.Parts, httpmeta.NewPart(httpmeta.PartConfig{ID: id}))
+	}
+	return config
+}
+
 // arriveSound sends sound requests that share their caller and parts of their prompts.
 func (f *simFleet) arriveSound(step int) {
 	if step%2 != 0 {
 		return
 	}
-	config := httpmeta.RequestConfig{Path: "/stream/a", Fingerprint: httpmeta.Fingerprint{2, byte(step), byte(step >> 8)}}
-	for _, id := range []string{"template", fmt.Sprint("subject", step%23), fmt.Sprint("own", step)} {
-		config.Parts = append(config.Parts, httpmeta.NewPart(httpmeta.PartConfig{ID: id}))
-	}
-	f.arrive(config, false)
+	f.arrive(promptConfig(2, step, "template", fmt.Sprint("subject", step%23), fmt.Sprint("own", step)), false)
 }
 
 // check reports deadly requests beyond the allowed ones, counted from the crash with
