Hold back requests with a part in their prompts that crashes backend servers

Cause: lobbies know a request by its whole content; the part that these share is looked at by nothing.

Change: parts of prompts are suspects too, and each crash is explained by one suspect. Why it works: a crash comes before the first event, so only the few requests without an answer count; of what they share all but the cause is answered elsewhere within a second, or explained by the cause.

--- a/commons/protocol/suspect.go
+++ b/commons/protocol/suspect.go
@@ -16,5 +16,6 @@
 	Kind    uint8  // as lobby/quarantine numbers them
 	ID      string // differs from those of other suspects of the kind
 	Rank    int    // suspects of a higher rank are more specific
+	Sound   bool   // it had been answered before one of its crashes
 	Crashes []CrashConfig
 }
--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -1,9 +1,10 @@
-// Package quarantine holds back requests that crash backend servers. All requests
-// that a backend server had not begun to answer when it ended become suspects, at
-// every lobby that had sent some there. The lobbies exchange what they know with their
-// digests. A suspect that was there at several crashes, and was never answered in
-// between, is quarantined; a suspect that was answered is cleared. After the quarantine
-// one lobby at a time tries a single request.
+// Package quarantine holds back requests that crash backend servers. When a backend
+// server ends, the requests that it ran become suspects at every lobby that had sent
+// some there, and so do the parts of the prompts that it had not begun to answer. The
+// lobbies exchange what they know with their digests. A suspect that was there at
+// several crashes, and was never answered in between, is quarantined; a suspect that
+// was answered is cleared. After the quarantine one lobby at a time tries a single
+// request.
 package quarantine
 
 import (
@@ -33,6 +34,7 @@
 	records  map[Suspect]*record
 	verdicts map[Suspect]verdict
 	changes  []Change
+	history  *history
 	peers    map[string]peer // by RPC address
 	expired  time.Time       // time of the last check for expired suspects
 }
@@ -45,7 +47,7 @@
 
 // New returns a core without suspects.
 func New(config Config) *Core {
-	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), peers: make(map[string]peer)}
+	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer)}
 }
 
 // CrashConfig holds the parameters of Crashed.
@@ -53,23 +55,59 @@
 	Request   *httpmeta.Request
 	Backend   string
 	StartTime int64 // start of the backend server in Unix milliseconds
+	Answering bool  // it had been writing the answer for a while, so the prompt is not the cause
 }
 
 // Crashed records that a backend server closed the connection before its answer to a
 // request was complete.
 func (c *Core) Crashed(now time.Time, config CrashConfig) {
-	r := c.record(requestSuspect(config.Request), requestRank)
-	if r.add(start{backend: config.Backend, time: config.StartTime}, crash{at: now}) {
-		r.own, r.changed, r.trial = true, true, trial{}
+	from := start{backend: config.Backend, time: config.StartTime}
+	changed := c.addCrash(now, requestSuspect(config.Request), requestRank, from)
+	if !config.Answering {
+		for place, suspect := range partSuspects(config.Request) {
+			changed = c.addCrash(now, suspect, place, from) || changed
+		}
+	}
+	if changed {
 		c.judge()
 	}
 }
 
-// Completed records that a backend server has answered a request that it began at a
-// given time. The request is not the cause of earlier crashes.
-func (c *Core) Completed(request *httpmeta.Request, began time.Time) {
-	if r, ok := c.records[requestSuspect(request)]; ok && r.clear(began) {
-		r.own, r.changed = true, true
+// addCrash adds a crash that this lobby has seen to the record of a suspect.
+func (c *Core) addCrash(now time.Time, suspect Suspect, rank int, from start) bool {
+	r := c.record(suspect, rank)
+	if !r.add(from, crash{at: now}) {
+		return false
+	}
+	r.own, r.changed, r.trial = true, true, trial{}
+	r.sound = r.sound || suspect.kind == PartKind && c.history.contains(suspect.id)
+	return true
+}
+
+// Completed records that a backend server has answered a request, and was writing the
+// answer at a given time. The request is not the cause of earlier crashes.
+func (c *Core) Completed(request *httpmeta.Request, answering time.Time) {
+	c.clear(suspectsOf(request), answering)
+}
+
+// Answering records that a backend server has been writing an answer for a while, from
+// a given time on. The parts of the prompt are not the cause of earlier crashes.
+func (c *Core) Answering(request *httpmeta.Request, from time.Time) {
+	c.clear(partSuspects(request), from)
+}
+
+// clear clears the crashes of suspects before a time at which they were answered.
+func (c *Core) clear(suspects []Suspect, answered time.Time) {
+	changed := false
+	for _, suspect := range suspects {
+		if suspect.kind == PartKind {
+			c.history.add(suspect.id)
+		}
+		if r, ok := c.records[suspect]; ok && r.clear(answered) {
+			r.own, r.changed, changed = true, true, true
+		}
+	}
+	if changed {
 		c.judge()
 	}
 }
@@ -80,25 +118,33 @@
 	if len(c.verdicts) == 0 {
 		return 0, true
 	}
-	suspect := requestSuspect(request)
-	v, ok := c.verdicts[suspect]
-	if !ok || c.tries(now, number, c.records[suspect], v) {
-		return 0, true
+	var tried []*record
+	for _, suspect := range suspectsOf(request) {
+		v, ok := c.verdicts[suspect]
+		if !ok {
+			continue
+		}
+		r := c.records[suspect]
+		if !c.mayTry(now, number, r, v) {
+			return max(v.until().Sub(now), trialTurn), false
+		}
+		tried = append(tried, r)
 	}
-	return max(v.until().Sub(now), trialTurn), false
+	for _, r := range tried {
+		if r.trial.request != number {
+			r.trial = trial{request: number, began: now}
+		}
+	}
+	return 0, true
 }
 
-// tries reports whether a request of a quarantined suspect may run as a trial.
-func (c *Core) tries(now time.Time, number uint64, r *record, v verdict) bool {
+// mayTry reports whether a request of a quarantined suspect may run as a trial.
+func (c *Core) mayTry(now time.Time, number uint64, r *record, v verdict) bool {
 	if r.trial.request == number {
 		return true
 	}
 	running := r.trial.request != 0 && now.Sub(r.trial.began) < trialTimeout
-	if running || now.Before(v.until()) || !c.hasTurn(now, v.until()) {
-		return false
-	}
-	r.trial = trial{request: number, began: now}
-	return true
+	return !running && !now.Before(v.until()) && c.hasTurn(now, v.until())
 }
 
 // hasTurn reports whether this lobby may begin a trial now. The live lobbies take
--- a/lobby/quarantine/core_test.go
+++ b/lobby/quarantine/core_test.go
@@ -68,6 +68,79 @@
 	}
 }
 
+func TestPartOfPromptsIsQuarantined(t *testing.T) {
+	crash := func(at time.Duration, parts ...string) func(c *quarantine.Core) {
+		return func(c *quarantine.Core) {
+			crashAt(c, at, request(byte(at/time.Millisecond%251), parts...), fmt.Sprint(at))
+		}
+	}
+	answer := func(at time.Duration, parts ...string) func(c *quarantine.Core) {
+		return func(c *quarantine.Core) { c.Answering(request(0, parts...), noon.Add(at)) }
+	}
+	cases := map[string]struct {
+		steps []func(c *quarantine.Core)
+		want  []string // quarantined parts
+	}{
+		"what is answered beside it": {
+			steps: []func(*quarantine.Core){crash(0, "t", "d", "1"), answer(100*time.Millisecond, "t", "2"), crash(time.Second, "t", "d", "3"), crash(2*time.Second, "t", "d", "4")},
+			want:  []string{"d"},
+		},
+		"the more specific of two that only occur together": {
+			steps: []func(*quarantine.Core){crash(0, "t", "s", "d", "1"), crash(time.Second, "t", "s", "d", "2"), crash(2*time.Second, "t", "s", "d", "3")},
+			want:  []string{"d"},
+		},
+		"not the one that was answered before": {
+			steps: []func(*quarantine.Core){answer(-time.Second, "t", "s", "0"), crash(0, "t", "d", "s", "1"), crash(time.Second, "t", "d", "s", "2"), crash(2*time.Second, "t", "d", "s", "3")},
+			want:  []string{"d"},
+		},
+		"the one with more crashes": {
+			steps: []func(*quarantine.Core){crash(0, "d", "s", "1"), crash(time.Second, "d", "s", "2"), crash(2*time.Second, "d", "s", "3"), crash(3*time.Second, "d", "4")},
+			want:  []string{"d"},
+		},
+		"two at the same time": {
+			steps: []func(*quarantine.Core){
+				crash(0, "t", "d", "1"), crash(300*time.Millisecond, "t", "e", "2"), crash(600*time.Millisecond, "t", "d", "3"), crash(900*time.Millisecond, "t", "e", "4"),
+				answer(time.Second, "t", "5"), crash(1200*time.Millisecond, "t", "d", "6"), crash(1500*time.Millisecond, "t", "e", "7"),
+			},
+			want: []string{"d", "e"},
+		},
+		"many crashes in two events": {
+			steps: []func(*quarantine.Core){crash(0, "d", "1"), crash(time.Millisecond, "d", "2"), crash(2*time.Millisecond, "d", "3"), crash(300*time.Millisecond, "d", "4"), crash(301*time.Millisecond, "d", "5")},
+			want:  []string{"d"},
+		},
+		"many crashes at once": {
+			steps: []func(*quarantine.Core){crash(0, "s", "1"), crash(time.Millisecond, "s", "2"), crash(2*time.Millisecond, "s", "3"), crash(100*time.Millisecond, "s", "4"), crash(101*time.Millisecond, "s", "5")},
+		},
+		"the last part": {
+			steps: []func(*quarantine.Core){crash(0, "s"), crash(time.Second, "s"), crash(2*time.Second, "s")},
+		},
+		"answers that had gone on for a while": {
+			steps: []func(*quarantine.Core){func(c *quarantine.Core) {
+				for n := range 3 {
+					c.Crashed(noon.Add(time.Duration(n)*time.Second), quarantine.CrashConfig{Request: request(byte(n), "s", "0"), Backend: fmt.Sprint(n), Answering: true})
+				}
+			}},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: "x"})
+			for _, step := range tc.steps {
+				step(c)
+			}
+			var got []string
+			for _, part := range []string{"t", "s", "d", "e"} {
+				if !admitted(c, 3100*time.Millisecond, 1, request(250, part, "own")) {
+					got = append(got, part)
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("quarantined parts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // threeCrashes records three crashes of a request, the last at two seconds.
 func threeCrashes(c *quarantine.Core, r *httpmeta.Request) {
 	for n := range 3 {
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -58,7 +58,7 @@
 }
 
 func encodeRecord(now time.Time, suspect Suspect, r *record) protocol.SuspectConfig {
-	config := protocol.SuspectConfig{Kind: uint8(suspect.kind), ID: suspect.id, Rank: r.rank}
+	config := protocol.SuspectConfig{Kind: uint8(suspect.kind), ID: suspect.id, Rank: r.rank, Sound: r.sound}
 	for from, c := range r.crashes {
 		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: from.backend, StartTime: from.time, Age: now.Sub(c.at), Cleared: c.cleared})
 	}
@@ -104,7 +104,8 @@
 		return false
 	}
 	r := c.record(suspect, config.Rank)
-	changed := false
+	changed := config.Sound && !r.sound
+	r.sound = r.sound || config.Sound
 	for from, crashed := range incoming.crashes {
 		changed = r.add(from, crashed) || changed
 	}
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -12,7 +12,9 @@
 
 	timeTolerance = 25 * time.Millisecond // difference between the times of one crash that does not matter
 
-	convictionEvents  = 3               // events after which a suspect is quarantined
+	convictionEvents  = 3 // events after which a suspect is quarantined
+	manyCrashes       = 5 // crashes after which fewestEvents events are enough
+	fewestEvents      = 2
 	firstQuarantine   = 5 * time.Second // length of the quarantine after convictionEvents events; each further one doubles it
 	longestQuarantine = 5 * time.Minute
 	minLifetime       = time.Minute      // time after its last crash for which a suspect is remembered at least
@@ -36,6 +38,7 @@
 // record holds the crashes of one suspect.
 type record struct {
 	rank    int
+	sound   bool // it had been answered before one of its crashes
 	crashes map[start]crash
 	own     bool      // this lobby has seen a crash or an answer of the suspect itself
 	changed bool      // to be sent to the other lobbies at once
@@ -134,12 +137,14 @@
 	return n
 }
 
-// quarantineLength returns the length of the quarantine after a number of events, zero
-// if there were too few.
+// isEnough reports whether ordered times of crashes are enough for a quarantine.
+func isEnough(times []time.Time) bool {
+	n := events(times)
+	return n >= convictionEvents || n >= fewestEvents && len(times) >= manyCrashes
+}
+
+// quarantineLength returns the length of the quarantine after a number of events.
 func quarantineLength(events int) time.Duration {
-	if events < convictionEvents {
-		return 0
-	}
 	length := firstQuarantine
 	for range events - convictionEvents {
 		length = min(2*length, longestQuarantine)
--- a/lobby/quarantine/suspect.go
+++ b/lobby/quarantine/suspect.go
@@ -8,16 +8,21 @@
 // Kinds of suspects. Their values are sent to other lobbies.
 const (
 	RequestKind Kind = 1 // a request with its copies; the ID is its fingerprint
+	PartKind    Kind = 2 // a part of prompts
 )
 
 const unknownKind = "unknown"
 
 // String returns the kind's name in logs.
 func (k Kind) String() string {
-	if k == RequestKind {
+	switch k {
+	case RequestKind:
 		return "request"
+	case PartKind:
+		return "part"
+	default:
+		return unknownKind
 	}
-	return unknownKind
 }
 
 // requestRank is the rank of requests: no suspect is more specific.
@@ -36,6 +41,22 @@
 // its kind. It may contain any bytes.
 func (s Suspect) ID() string { return s.id }
 
+// partSuspects returns the suspects that stand for the parts of a prompt, by their
+// order. The last part belongs to the request alone.
+func partSuspects(request *httpmeta.Request) []Suspect {
+	parts := request.Parts()
+	suspects := make([]Suspect, 0, len(parts))
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		suspects = append(suspects, Suspect{kind: PartKind, id: part.ID()})
+	}
+	return suspects
+}
+
+// suspectsOf returns all suspects that a request stands for.
+func suspectsOf(request *httpmeta.Request) []Suspect {
+	return append(partSuspects(request), requestSuspect(request))
+}
+
 // requestSuspect returns the suspect that stands for a request and its copies.
 func requestSuspect(request *httpmeta.Request) Suspect {
 	return Suspect{kind: RequestKind, id: request.Fingerprint().String()}
--- a/lobby/quarantine/verdict.go
+++ b/lobby/quarantine/verdict.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // verdict is a quarantined suspect, as the crashes known now show it.
 type verdict struct {
@@ -35,18 +38,59 @@
 // Until returns the end of the quarantine, after which single requests are tried.
 func (c Change) Until() time.Time { return c.until }
 
-// judge derives the verdicts from the records, and notes what changed.
+// judge derives the verdicts from the records, and notes what changed. Each crash has
+// one cause: the crashes of the suspect with the most evidence count for no other, so
+// that what only occurs together with it is not quarantined.
 func (c *Core) judge() {
 	verdicts := make(map[Suspect]verdict)
+	explained := make(map[start]bool)
+	for {
+		suspect, v, ok := c.leading(explained, verdicts)
+		if !ok {
+			break
+		}
+		verdicts[suspect] = v
+		for from, crashed := range c.records[suspect].crashes {
+			explained[from] = explained[from] || !crashed.cleared
+		}
+	}
+	c.noteChanges(verdicts)
+	c.verdicts = verdicts
+}
+
+// leading returns the suspect with the most evidence in the crashes that are not
+// explained, if it is enough for a quarantine.
+func (c *Core) leading(explained map[start]bool, verdicts map[Suspect]verdict) (Suspect, verdict, bool) {
+	var leader Suspect
+	var most verdict
 	for suspect, r := range c.records {
-		if len(r.crashes) < convictionEvents {
+		if _, judged := verdicts[suspect]; judged || len(r.crashes) < convictionEvents {
+			continue
+		}
+		times := r.times(explained)
+		n := events(times)
+		if !isEnough(times) || n < most.events {
 			continue
 		}
-		times := r.times(nil)
-		if n := events(times); n >= convictionEvents {
-			verdicts[suspect] = verdict{events: n, last: times[len(times)-1]}
+		if n > most.events || c.moreLikely(suspect, leader) {
+			leader, most = suspect, verdict{events: n, last: times[len(times)-1]}
 		}
 	}
+	return leader, most, most.events > 0
+}
+
+// moreLikely decides between suspects with equal evidence: one that had never been
+// answered before its crashes is more likely, then the more specific one.
+func (c *Core) moreLikely(a, b Suspect) bool {
+	left, right := c.records[a], c.records[b]
+	if left.sound != right.sound {
+		return right.sound
+	}
+	return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(a.id, b.id)) > 0
+}
+
+// noteChanges notes the suspects that are quarantined or released by new verdicts.
+func (c *Core) noteChanges(verdicts map[Suspect]verdict) {
 	for suspect, v := range verdicts {
 		if _, ok := c.verdicts[suspect]; !ok {
 			c.changes = append(c.changes, Change{suspect: suspect, quarantined: true, events: v.events, lastCrash: v.last, until: v.until()})
@@ -57,7 +101,6 @@
 			c.changes = append(c.changes, Change{suspect: suspect, events: v.events, lastCrash: v.last, until: v.until()})
 		}
 	}
-	c.verdicts = verdicts
 }
 
 // Changes returns the suspects that were quarantined or released since the last call.
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"sesamewell.example/lobby/quarantine"
 )
 
@@ -112,11 +114,15 @@
 	}
 	c.emit(req.record(now, s, m))
 	if m.disconnected {
-		c.config.Quarantine.Crashed(now, quarantine.CrashConfig{Request: req.request, Backend: s.backend.ID(), StartTime: s.backend.StartTime()})
+		c.config.Quarantine.Crashed(now, quarantine.CrashConfig{
+			Request: req.request, Backend: s.backend.ID(), StartTime: s.backend.StartTime(), Answering: req.answering(now),
+		})
 	}
 	switch m.result {
 	case Complete:
-		c.config.Quarantine.Completed(req.request, req.answeredFrom())
+		if m.status < fasthttp.StatusMultipleChoices {
+			c.config.Quarantine.Completed(req.request, req.answeredFrom())
+		}
 		delete(s.rejections, req.request.Model())
 		c.demand.runEnded(now.Sub(req.sentAt))
 		c.remove(req)
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -52,6 +52,7 @@
 	resumableFirstByteTimeout = 1500 * time.Millisecond // time without a first byte after which a resumable stream is sent elsewhere
 	noBackendRetryAfter       = time.Second             // retry delay in refusals when no backend server is available; the model may be loading
 	silenceLimit              = 400 * time.Millisecond  // time without an answer after which a backend server with unanswered requests counts as silent
+	soundAfter                = 250 * time.Millisecond  // time for which an answer must go on to show that its prompt does not crash engines
 	// The following costs are added to the estimated delay at a backend server.
 
 	// adapterLoadCost is added if the adapter has to be loaded first.
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -36,9 +36,12 @@
 	// Crashed records that a backend server closed the connection before its answer
 	// to a request was complete.
 	Crashed(now time.Time, config quarantine.CrashConfig)
-	// Completed records that a backend server has answered a request that it began at
-	// a given time.
-	Completed(request *httpmeta.Request, began time.Time)
+	// Completed records that a backend server has answered a request, and was writing
+	// the answer at a given time.
+	Completed(request *httpmeta.Request, answering time.Time)
+	// Answering records that a backend server has been writing an answer for a while,
+	// from a given time on.
+	Answering(request *httpmeta.Request, from time.Time)
 	// Changes returns the suspects that were quarantined or released since the last
 	// call.
 	Changes() []quarantine.Change
@@ -152,6 +155,10 @@
 		if !now.Before(req.expires) {
 			c.timeOut(req)
 		}
+		if !req.sound && req.answering(now) {
+			req.sound = true
+			c.config.Quarantine.Answering(req.request, req.beganAt)
+		}
 	}
 	c.forecast.update(now, c.queueLengths())
 	c.placeQueued(now)
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -59,7 +59,8 @@
 func (c *Core) dispatch(now time.Time, req *openRequest) {
 	s := req.server
 	req.tried[s.backend.ID()] = true
-	req.sentAt, req.beganAt, req.awaiting = now, time.Time{}, true
+	req.sentAt, req.awaiting = now, true
+	req.beganAt, req.sound = time.Time{}, false
 	s.requestSent(now)
 	c.renewLease(now, s, req.request)
 	service, _ := c.configuration.Service(req.service)
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -21,6 +21,7 @@
 	observedTokens int64         // uncached prompt tokens; zero if other prefill was pending at server
 	sentAt         time.Time     // time of the last send
 	beganAt        time.Time     // time of the first event of the last send; zero before
+	sound          bool          // the quarantine knows that the last send is being answered
 	awaiting       bool          // the last send has no answer yet
 	attempts       int           // sends that reached a backend server
 	failedSends    int           // sends that failed before a byte was sent
@@ -66,6 +67,12 @@
 	return r.streamTimeout() - streamTimeoutMargin
 }
 
+// answering reports whether the backend server of the last send has been writing its
+// answer for so long that the prompt does not crash it.
+func (r *openRequest) answering(now time.Time) bool {
+	return !r.beganAt.IsZero() && now.Sub(r.beganAt) >= soundAfter
+}
+
 // answeredFrom returns a time at which the backend server of the last send had not
 // finished its answer.
 func (r *openRequest) answeredFrom() time.Time {
