Take a stream without framing that ends within an event as broken off

What callers saw: a stream without length and chunks whose backend server broke off in the middle of an event looked complete, half an event at its end.

Cause: the end of the connection completed every answer of unknown length. Looked at elsewhere: the side takes no answer without framing and asks for the last event.

Change: the scanner says whether an event has begun and not ended; then the send is lost or truncated, so it is resumed where that is allowed and cut otherwise. A stream that ends with its connection after an event still counts as complete.

--- a/commons/eventstream/scanner.go
+++ b/commons/eventstream/scanner.go
@@ -9,6 +9,10 @@
 	hasField   bool // the current event has a field
 }
 
+// InEvent reports whether an event has begun and not ended. A stream that ends there was
+// broken off.
+func (s *Scanner) InEvent() bool { return s.hasField || s.lineLength > 0 && !s.comment }
+
 // Scan reads the next piece of a stream and reports whether an event ends in it.
 func (s *Scanner) Scan(data []byte) (ended bool) {
 	for _, c := range data {
--- a/commons/eventstream/scanner_test.go
+++ b/commons/eventstream/scanner_test.go
@@ -35,3 +35,28 @@
 		})
 	}
 }
+
+func TestInEvent(t *testing.T) {
+	cases := map[string]struct {
+		stream string
+		want   bool
+	}{
+		"start":                     {stream: ""},
+		"after an event":            {stream: "data: a\n\n"},
+		"after a comment":           {stream: "data: a\n\n: note\n"},
+		"in a comment":              {stream: "data: a\n\n: no"},
+		"in a line":                 {stream: "data: a\n\nda", want: true},
+		"after a field":             {stream: "data: a\n", want: true},
+		"comment after a field":     {stream: "data: a\n: note\n", want: true},
+		"in the CR LF of the event": {stream: "data: a\r\n\r", want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var scanner eventstream.Scanner
+			scanner.Scan([]byte(tc.stream))
+			if diff := cmp.Diff(tc.want, scanner.InEvent()); diff != "" {
+				t.Errorf("in an event (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -152,10 +152,9 @@
 	b.pool.release(now, b)
 }
 
-// peerClosed handles the end of the connection. EOF completes an answer of unknown
-// length.
+// peerClosed handles the end of the connection.
 func (b *backendConn) peerClosed(now time.Time, cause error) {
-	if b.exchange != nil && b.answer.headRead && b.answer.length == unknownLength && !b.stale() && errors.Is(cause, io.EOF) {
+	if b.exchange != nil && errors.Is(cause, io.EOF) && b.completeAtEOF() {
 		b.closed = true
 		b.finish(now)
 	}
@@ -164,6 +163,15 @@
 	b.reportIncomplete(true)
 }
 
+// completeAtEOF reports whether the end of the connection completes the answer. That of
+// a stream must not be within an event.
+func (b *backendConn) completeAtEOF() bool {
+	if !b.answer.headRead || b.answer.length != unknownLength || b.stale() {
+		return false
+	}
+	return !b.streaming() || !b.exchange.scanner.InEvent()
+}
+
 // fail closes the connection and reports its exchange as incomplete.
 func (b *backendConn) fail(cause error) {
 	b.proxy.config.Log.WithField("event", "link_failed").WithField("backend", b.pool.backend).WithError(cause).Debug("connection to the backend server failed")
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -361,6 +361,55 @@
 	}
 }
 
+// TestUnframedStreamThatEndsInAnEventIsBrokenOff guards against a stream without length
+// and chunks that is taken for complete when its connection ends early.
+func TestUnframedStreamThatEndsInAnEventIsBrokenOff(t *testing.T) {
+	const first = "id: 1\ndata: a\n\n"
+	const second = "id: 2\ndata: b\n\n"
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + stamp + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	cases := map[string]struct {
+		stream    string
+		resumable bool
+		body      string
+		truncated bool
+		result    scheduler.Result
+	}{
+		"ends after an event":                {stream: first + second, body: first + second, result: scheduler.Complete},
+		"ends after an event, resumable":     {stream: first + second, resumable: true, body: first + second, result: scheduler.Complete},
+		"ends after a comment":               {stream: first + second + ": bye\n", body: first + second + ": bye\n", result: scheduler.Complete},
+		"ends in a line":                     {stream: first + "id: 2\nda", truncated: true, result: scheduler.Truncated},
+		"ends before the blank line":         {stream: first + "id: 2\ndata: b\n", truncated: true, result: scheduler.Truncated},
+		"ends in a line, resumable":          {stream: first + "id: 2\nda", resumable: true, body: first + second, result: scheduler.Truncated},
+		"ends in its first event, resumable": {stream: "id: 1\nda", resumable: true, truncated: true, result: scheduler.Lost},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
+				_, _ = io.WriteString(conn, head+tc.stream)
+				return false
+			})
+			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, streamHead(id)+chunk(second)+"0\r\n\r\n")
+				return true
+			})
+			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream, s.Resumable = a.address, true, tc.resumable }, b.address)
+			if !tc.resumable {
+				l.resumeAddresses = nil
+			}
+			response, body, err := sendRequest(t, l.address)
+			if diff := cmp.Diff(tc.truncated, err != nil || response.StatusCode != http.StatusOK); diff != "" {
+				t.Errorf("truncated (-want +got):\n%s%v", diff, err)
+			}
+			if diff := cmp.Diff(tc.body, body); !tc.truncated && diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.result, (<-l.ended).Result()); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func waitFor(t *testing.T, c chan struct{}, fault string) {
 	t.Helper()
 	select {
