Continue a stream only with a stream of events

What callers would see: a stream that broke off, was resumed, and went on with a text that is no event, as a complete success.

Cause: the answer that continues a stream had to be a signed 200, of whatever type. Evidence: the case "second answers with a text" of TestTruncatedStreamsResumeOnAnotherBackendServer failed before. Answers with another status, in chunks or not, and refusals that a backend server wrote twice, held before; their cases are added.

--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"mime"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -25,6 +26,7 @@
 	remaining int // bytes of a body of known length that have not arrived
 	chunks    chunkDecoder
 	body      []byte // buffered part of the body
+	streaming bool   // the body is forwarded as it arrives
 }
 
 // readHead parses the head at the start of buffered and returns the number of
@@ -83,6 +85,12 @@
 	return a.length >= 0 && a.remaining == 0
 }
 
+// isEventStream reports whether the body consists of server-sent events.
+func (a *answer) isEventStream() bool {
+	mediaType, _, err := mime.ParseMediaType(string(a.head.ContentType()))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // buffer appends a piece to the buffered body.
 func (a *answer) buffer(data []byte) error {
 	if len(a.body)+len(data) > maxBody {
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -79,7 +79,7 @@
 	}
 	switch {
 	case b.stale():
-	case b.streaming():
+	case b.answer.streaming:
 		err = b.exchange.forwardStream(b.answer, data)
 	default:
 		b.exchange.lastProgress = now
@@ -90,9 +90,13 @@
 
 func (b *backendConn) readHead(buffered []byte) (int, error) {
 	used, err := b.answer.readHead(buffered, b.exchange.request.Header.IsHead(), b.proxy.config.Codec)
-	if err != nil || !b.answer.headRead || b.stale() {
+	if err != nil || !b.answer.headRead {
 		return used, err
 	}
+	b.answer.streaming = b.forwards()
+	if b.stale() {
+		return used, nil
+	}
 	if b.answer.info.RequestID() == "" && b.answers > 0 {
 		return used, errors.New("answer without a request ID on a connection in use again")
 	}
@@ -110,9 +114,13 @@
 	return id != "" && id != b.exchange.meta.ID()
 }
 
-// streaming reports whether the answer is forwarded as it arrives.
-func (b *backendConn) streaming() bool {
-	return b.exchange.send.Stream() && b.answer.head.StatusCode() == fasthttp.StatusOK
+// forwards reports whether the answer, whose head has arrived, is forwarded as its body
+// arrives. Only a stream of events continues one that has begun.
+func (b *backendConn) forwards() bool {
+	if !b.exchange.send.Stream() || b.answer.head.StatusCode() != fasthttp.StatusOK {
+		return false
+	}
+	return !b.exchange.started || b.answer.isEventStream()
 }
 
 // finish handles a complete answer.
@@ -124,10 +132,9 @@
 		return
 	}
 	e := b.exchange
-	streamed := b.streaming()
 	b.exchange, b.answer, e.conn = nil, nil, nil
 	b.release(now, a)
-	if streamed {
+	if a.streaming {
 		e.finishStream(now, a)
 		return
 	}
@@ -169,7 +176,7 @@
 	if !b.answer.headRead || b.answer.length != unknownLength || b.stale() {
 		return false
 	}
-	return !b.streaming() || !b.exchange.scanner.InEvent()
+	return !b.answer.streaming || !b.exchange.scanner.InEvent()
 }
 
 // fail closes the connection and reports its exchange as incomplete.
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -329,6 +329,8 @@
 		"truncated after the last event":   {first: chunk(first) + chunk(second), lastEventID: "2", second: streamHead("r1") + "0\r\n\r\n", body: first + second},
 		"rejected by the second":           {first: chunk(first), lastEventID: "1", second: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", truncated: true},
 		"server error of the second":       {first: chunk(first), lastEventID: "1", second: "HTTP/1.1 500 Oops\r\n" + stamp + "Content-Length: 2\r\n\r\nno", truncated: true},
+		"second answers with a text":       {first: chunk(first), lastEventID: "1", second: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + stamp + "Content-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"error\":\"no\"}", truncated: true},
+		"error of the second in chunks":    {first: chunk(first), lastEventID: "1", second: "HTTP/1.1 500 Oops\r\nRequest-Id: r1\r\n" + stamp + "Transfer-Encoding: chunked\r\n\r\n" + chunk("no") + "0\r\n\r\n", truncated: true},
 		"second without signature":         {first: chunk(first), lastEventID: "1", second: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", truncated: true},
 		"second truncated too":             {first: chunk(first), lastEventID: "1", second: streamHead("r1") + chunk("id: 2\nda"), truncated: true},
 		"stale answer of the second first": {first: chunk(first), lastEventID: "1", second: fixedLengthAnswer("r0", "x") + streamHead("r1") + chunk(second) + "0\r\n\r\n", body: first + second},
@@ -528,6 +530,8 @@
 		"copy with its ID":       {copy: fixedLengthAnswer("r1", "wrong"), status: 200, body: "right"},
 		"chunked copy":           {copy: streamHead("r1") + chunk("wrong") + "0\r\n\r\n", status: 200, body: "right"},
 		"copy without an ID":     {copy: withoutID, status: 502},
+		"refusal with its ID":    {copy: "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status: 200, body: "right"},
+		"refusal without an ID":  {copy: "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status: 502},
 		"idle timeout of a copy": {copy: "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", status: 502},
 		"half a head":            {copy: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n", status: 502},
 	}
