Send nothing more to a backend server that says in an answer that it leaves

What callers would see: streams that end with a backend server that had announced its end in each of its answers.

Cause: that a backend server leaves was learnt from the list alone.

Change: the head of an answer says so; the scheduler takes the server out of routing, closes its idle connections, tells the other lobbies and the planner by digests, and moves a request that waits there for an adapter. Kept by the start of the backend server, so that an older list does not undo it and another start is another server. The test of copies on leaving servers has the second source as a case; it asks for a copy in the plan of the other two servers, as before.

--- a/commons/deployment/backend.go
+++ b/commons/deployment/backend.go
@@ -91,6 +91,12 @@
 // Leaving reports whether the backend server gets no new requests.
 func (b Backend) Leaving() bool { return b.config.Leaving }
 
+// AsLeaving returns a copy that is leaving.
+func (b Backend) AsLeaving() Backend {
+	b.config.Leaving = true
+	return b
+}
+
 // StartTime returns the time of the backend server's start in Unix milliseconds.
 func (b Backend) StartTime() int64 { return b.config.StartTime }
 
--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -136,6 +136,7 @@
 	Close       bool          // the connection is closed after this answer
 	IdleTimeout time.Duration // time for which the backend server keeps an idle connection; zero if not stated
 	Signed      bool          // the answer has the backend server's signature
+	Leaving     bool          // the backend server leaves and is to get no new requests
 }
 
 // Answer is the metadata in the head of a backend server's answer.
@@ -168,3 +169,6 @@
 
 // Signed reports whether the answer has the backend server's signature.
 func (a Answer) Signed() bool { return a.config.Signed }
+
+// Leaving reports whether the backend server leaves and is to get no new requests.
+func (a Answer) Leaving() bool { return a.config.Leaving }
--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -30,6 +30,7 @@
 	Plan          map[string][]string // models by backend server; nil if the sender does not plan or has sent the same plan lately
 	Domain        string              // failure domain of the sender
 	Replaced      map[string]int64    // start times, in Unix milliseconds, of listed backend servers by ID that the sender has found gone: another one has their address
+	Leaving       map[string]int64    // start times, in Unix milliseconds, of listed backend servers by ID that have said in an answer that they leave
 	Suspects      []SuspectConfig     // those whose crashes have changed or are due to be sent again
 }
 
@@ -81,6 +82,10 @@
 // sender does not plan or has sent the same plan lately.
 func (d Digest) Plan() map[string][]string { return d.config.Plan }
 
+// Leaving returns the start times, by ID, of the listed backend servers that have said
+// in an answer to the sender or another lobby that they leave.
+func (d Digest) Leaving() map[string]int64 { return d.config.Leaving }
+
 // Suspects returns what the sender knows of some of the suspects of crashes.
 func (d Digest) Suspects() []SuspectConfig { return d.config.Suspects }
 
--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -30,6 +30,7 @@
 	peers         map[string]*peer // by address, including this lobby
 	plan          map[string][]string
 	replaced      map[string]int64 // start times, by ID, of backend servers that are gone though they are listed
+	leaving       map[string]int64 // start times, by ID, of backend servers that have said that they leave
 	startTimes    map[string]int64 // start time of each planned backend server, Unix milliseconds
 
 	buckets       map[string]*bucket // budget for loads from the weight store, by service
@@ -46,7 +47,7 @@
 
 // NewCore returns a core without configuration, backend servers or peers.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
+	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), leaving: make(map[string]int64), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
 }
 
 // SetConfiguration replaces the configuration.
@@ -69,6 +70,7 @@
 	}
 	c.peers[digest.Sender()] = &peer{demand: demand, lastSeen: now}
 	maps.Copy(c.replaced, digest.Replaced())
+	maps.Copy(c.leaving, digest.Leaving())
 	if digest.Plan() != nil && digest.Sender() != c.config.Self && digest.Sender() == c.leader(now) {
 		c.plan = digest.Plan()
 	}
@@ -146,10 +148,12 @@
 // prune drops backend servers from the plan that are no longer listed, have restarted or
 // are gone.
 func (c *Core) prune() {
-	maps.DeleteFunc(c.replaced, func(id string, start int64) bool {
+	outdated := func(id string, start int64) bool {
 		backend, ok := c.backends[id]
 		return !ok || backend.StartTime() != start
-	})
+	}
+	maps.DeleteFunc(c.replaced, outdated)
+	maps.DeleteFunc(c.leaving, outdated)
 	maps.DeleteFunc(c.plan, func(id string, _ []string) bool {
 		backend, ok := c.backends[id]
 		startTime, planned := c.startTimes[id]
@@ -173,6 +177,9 @@
 	d := newDraft(engine, demand, storeTokens)
 	for _, id := range slices.Sorted(maps.Keys(c.backends)) {
 		backend := c.backends[id]
+		if _, ok := c.leaving[id]; ok {
+			backend = backend.AsLeaving()
+		}
 		if backend.Service() != service || c.gone(id) {
 			continue
 		}
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -264,15 +264,25 @@
 }
 
 func TestCopiesOnLeavingBackendServersDoNotCount(t *testing.T) {
-	f := newFleet(map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e"}, "e3": {"f"}})
-	f.demand = map[string]float64{"a": 0.09, "b": 0.011, "c": 0.011}
-	f.advance(4 * time.Second)
-	f.leaving["e1"] = true
-	f.advance(4 * time.Second)
-	for _, model := range []string{"a", "b", "c"} {
-		if got := f.copies(model); got < 1 {
-			t.Errorf("no copy of %s other than the one on a leaving server", model)
-		}
+	cases := map[string]func(f *fleet){
+		"the list says so": func(f *fleet) { f.leaving["e1"] = true },
+		"a lobby has been told": func(f *fleet) {
+			f.core.UpdatePeer(f.now, protocol.NewDigest(protocol.DigestConfig{Sender: self, Leaving: map[string]int64{"e1": 0}}))
+		},
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(map[string][]string{"e1": {"a", "b", "c"}, "e2": {"d", "e"}, "e3": {"f"}})
+			f.demand = map[string]float64{"a": 0.09, "b": 0.011, "c": 0.011}
+			f.advance(4 * time.Second)
+			leave(f)
+			f.advance(4 * time.Second)
+			for _, model := range []string{"a", "b", "c"} {
+				if !slices.Contains(f.plan["e2"], model) && !slices.Contains(f.plan["e3"], model) {
+					t.Errorf("no copy of %s other than the one on a leaving server; plan %v", model, f.plan)
+				}
+			}
+		})
 	}
 }
 
--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,7 +58,11 @@
 
 // newBackend starts a fake model engine, whose answer depends on the path of the
 // request. It returns the address.
-func newBackend(t *testing.T) string {
+func newBackend(t *testing.T) string { return newScriptedBackend(t, serveConn) }
+
+// newScriptedBackend starts a fake backend server that serves its connections with a
+// script. It returns the address.
+func newScriptedBackend(t *testing.T, script func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -70,7 +75,7 @@
 			if err != nil {
 				return
 			}
-			go serveConn(conn)
+			go script(conn)
 		}
 	}()
 	return listener.Addr().String()
@@ -158,17 +163,70 @@
 	return "", nil
 }
 
+// leavingBackend is a fake model engine that says in each answer that it leaves, and
+// counts the requests that reach it.
+type leavingBackend struct{ arrived atomic.Int64 }
+
+func (b *leavingBackend) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		b.arrived.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nServer-Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: "+request.Header.Get("Request-Id")+"\r\n\r\n9\r\ndata: 1\n\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+// TestBackendServerThatSaysItLeavesGetsNoLoad sends load through a complete lobby, whose
+// list of backend servers does not say that one leaves.
+func TestBackendServerThatSaysItLeavesGetsNoLoad(t *testing.T) {
+	leaving := &leavingBackend{}
+	entry := func(address string) string {
+		return `{"service":"s","address":"` + address + `","zone":"d1","version":"v1","slots":64,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
+	}
+	address, _ := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": entry(newScriptedBackend(t, leaving.serve)), "i-2": entry(newBackend(t))}))
+	for n := 0; leaving.arrived.Load() == 0; n++ {
+		if n == 100 {
+			t.Fatal("no request reached the leaving backend server")
+		}
+		sendRequest(t, address, fmt.Sprint("first-", n), "/a/ok", "m")
+	}
+	before := leaving.arrived.Load()
+	var clients sync.WaitGroup
+	for client := range 8 {
+		clients.Go(func() {
+			for n := range 25 {
+				if status := sendRequest(t, address, fmt.Sprint("load-", client, "-", n), "/a/ok", "m"); status != http.StatusOK {
+					t.Errorf("status %d", status)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	if diff := cmp.Diff(before, leaving.arrived.Load()); diff != "" {
+		t.Errorf("requests that reached the leaving backend server (-want +got):\n%s", diff)
+	}
+}
+
 const key = "key-that-must-not-show"
 
+// platformConfig is the configuration of the fake store.
+const platformConfig = `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/a/","route_kind":"streaming","timeout_ms":5000,"target_latency_ms":100,"service":"s","max_attempts":1,"gap_target_ms":100}],
+	"services":[{"name":"s","max_connections":10,"engine":{"slots":4,"weights_mb":100,"adapter_slots":1,"loads_per_s":1,"models":[{"name":"m","weights_mb":50,"load_time_s":1}]}}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+	"tenants":[{"name":"t","api_keys":["` + key + `"]}]}`
+
 // TestRequestsCanBeExplainedFromTheLog sends requests through a complete lobby
 // and checks that the log has the lines that docs/OPERATIONS.md describes.
 func TestRequestsCanBeExplainedFromTheLog(t *testing.T) {
-	config := `{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/a/","route_kind":"streaming","timeout_ms":5000,"target_latency_ms":100,"service":"s","max_attempts":1,"gap_target_ms":100}],
-		"services":[{"name":"s","max_connections":10,"engine":{"slots":4,"weights_mb":100,"adapter_slots":1,"loads_per_s":1,"models":[{"name":"m","weights_mb":50,"load_time_s":1}]}}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-		"tenants":[{"name":"t","api_keys":["` + key + `"]}]}`
 	entry := `{"service":"s","address":"` + newBackend(t) + `","zone":"d1","version":"v1","slots":4,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
-	address, log := startLobby(t, newStore(t, config, map[string]string{"i-1": entry, "forged": `{"service":7}`}))
+	address, log := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": entry, "forged": `{"service":7}`}))
 	cases := map[string]struct {
 		path, model string
 		status      int
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -97,6 +97,9 @@
 	if b.stale() {
 		return used, nil
 	}
+	if b.answer.info.Leaving() {
+		b.proxy.notifyScheduler(scheduler.NewBackendLeaving(b.exchange.number))
+	}
 	if b.answer.info.RequestID() == "" && b.answers > 0 {
 		return used, errors.New("answer without a request ID on a connection in use again")
 	}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -174,6 +174,7 @@
 	Loads      []protocol.BackendLoadConfig
 	Plan       map[string][]string
 	Replaced   map[string]int64         // start times, by ID, of the listed backend servers that are gone
+	Leaving    map[string]int64         // start times, by ID, of the listed backend servers that have said that they leave
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
 }
@@ -200,6 +201,10 @@
 // Suspects returns the suspects of crashes to tell the other lobbies of.
 func (b Broadcast) Suspects() []protocol.SuspectConfig { return b.config.Suspects }
 
+// Leaving returns the start times, by ID, of the listed backend servers that have said
+// in an answer that they leave.
+func (b Broadcast) Leaving() map[string]int64 { return b.config.Leaving }
+
 // AwaitsLoad reports whether queued requests wait until a model is loaded.
 func (b Broadcast) AwaitsLoad() bool { return b.config.AwaitsLoad }
 
@@ -264,6 +269,21 @@
 // Change returns what changed.
 func (r RecordQuarantine) Change() quarantine.Change { return r.change }
 
+// leavingSource says how a lobby has learnt that a backend server leaves.
+type leavingSource string
+
+const (
+	leavingInAnswer leavingSource = "answer" // the backend server said so
+	leavingInDigest leavingSource = "digest" // another lobby was told
+)
+
+// RecordLeaving records in the log that a backend server leaves.
+type RecordLeaving struct {
+	backend string
+	source  leavingSource
+	listAge time.Duration // age of the list of backend servers, which does not say so
+}
+
 // CloseIdleConfig holds the construction parameters of a CloseIdle.
 type CloseIdleConfig struct {
 	Backend string
@@ -284,5 +304,6 @@
 func (CloseIdle) schedulerAction()        {}
 func (RecordSend) schedulerAction()       {}
 func (RecordQuarantine) schedulerAction() {}
+func (RecordLeaving) schedulerAction()    {}
 func (Fetch) schedulerAction()            {}
 func (Broadcast) schedulerAction()        {}
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -8,6 +8,24 @@
 	"sesamewell.example/commons/deployment"
 )
 
+// backendLeaving records that the backend server of a request says that it leaves. The
+// list, which may be older, does not undo that; another start of it is another server.
+func (c *Core) backendLeaving(number uint64) {
+	if req, ok := c.requests[number]; ok && req.server != nil {
+		c.markLeaving(req.server, leavingInAnswer)
+	}
+}
+
+// markLeaving takes a backend server out of routing. The requests that it runs go on.
+func (c *Core) markLeaving(s *server, source leavingSource) {
+	if s.leaving {
+		return
+	}
+	s.leaving = true
+	c.emit(RecordLeaving{backend: s.backend.ID(), source: source, listAge: c.now.Sub(c.listedAt)})
+	c.emit(NewCloseIdle(CloseIdleConfig{Backend: s.backend.ID()}))
+}
+
 // updateBackends applies a new list of backend servers. Those that are no
 // longer listed get no new requests, but keep the ones that they are running.
 func (c *Core) updateBackends(now time.Time, backends []deployment.Backend) {
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -121,6 +121,8 @@
 		c.requestArrived(now, m)
 	case StreamStarted:
 		c.streamStarted(now, m.number)
+	case BackendLeaving:
+		c.backendLeaving(m.number)
 	case Abandoned:
 		c.requestAbandoned(now, m)
 	case SendEnded:
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -225,6 +225,62 @@
 	checkActions(t, "request", []string{"send p2"}, f.arrive(httpmeta.RequestConfig{Path: "/safe/a"}))
 }
 
+// TestBackendServerThatSaysItLeavesGetsNoRequests guards against a list, older than the
+// answer, that brings a leaving backend server back.
+func TestBackendServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	restarted := engineServer("e1")
+	restarted.StartTime = 9
+	cases := map[string]struct {
+		learn func(f *fixture) []scheduler.Action
+		list  []deployment.BackendConfig
+		want  string
+	}{
+		"in an answer": {
+			learn: func(f *fixture) []scheduler.Action { return f.core.Handle(f.now, scheduler.NewBackendLeaving(1)) },
+			list:  []deployment.BackendConfig{engineServer("e1"), engineServer("e2")}, want: "send e2",
+		},
+		"from another lobby": {
+			learn: func(f *fixture) []scheduler.Action {
+				return f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "10.0.0.9:7000", Leaving: map[string]int64{"e1": 0, "e7": 0}})))
+			},
+			list: []deployment.BackendConfig{engineServer("e1"), engineServer("e2")}, want: "send e2",
+		},
+		"another start under its ID": {
+			learn: func(f *fixture) []scheduler.Action { return f.core.Handle(f.now, scheduler.NewBackendLeaving(1)) },
+			list:  []deployment.BackendConfig{restarted, engineServer("e2")}, want: "send e1",
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(engineServer("e1"), engineServer("e2"))
+			checkActions(t, "first request", []string{"send e1"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
+			checkActions(t, "leaving", []string{"close idle e1"}, tc.learn(f))
+			checkActions(t, "second request", []string{"send e2"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
+			f.now = f.now.Add(time.Second)
+			f.list(tc.list...)
+			f.core.Handle(f.now, scheduler.NewSendEnded(2, scheduler.Complete, 200))
+			checkActions(t, "after a list", []string{tc.want}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
+		})
+	}
+}
+
+func TestRequestThatWaitsForAnAdapterLeavesALeavingServer(t *testing.T) {
+	f := newFixture(engineServer("e1", "a1"), engineServer("e2", "a1"))
+	f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})
+	actions := f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m", Adapter: "a1"})
+	fetch, ok := actions[0].(scheduler.Fetch)
+	if !ok {
+		t.Fatalf("no fetch: %v", describe(actions))
+	}
+	f.list(engineServer("e1", "a1"), engineServer("e2", "a1"))
+	f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "10.0.0.9:7000", Leaving: map[string]int64{fetch.Backend(): 0}})))
+	for _, line := range describe(f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, time.Second))) {
+		if line == "send "+fetch.Backend() {
+			t.Error("sent to the backend server that leaves")
+		}
+	}
+}
+
 func TestReplacedOrUnloadedBackendServerIsAvoided(t *testing.T) {
 	cases := map[string]struct {
 		result scheduler.Result
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -35,6 +35,12 @@
 // NewStreamStarted returns the message.
 func NewStreamStarted(number uint64) StreamStarted { return StreamStarted{number: number} }
 
+// BackendLeaving reports that the backend server of a send says that it leaves.
+type BackendLeaving struct{ number uint64 }
+
+// NewBackendLeaving returns the message. number is that of the request that was sent.
+func NewBackendLeaving(number uint64) BackendLeaving { return BackendLeaving{number: number} }
+
 // Abandoned reports that a caller closed its connection before its answer ended.
 type Abandoned struct {
 	number       uint64
@@ -167,6 +173,7 @@
 
 func (Arrived) schedulerMessage()              {}
 func (StreamStarted) schedulerMessage()        {}
+func (BackendLeaving) schedulerMessage()       {}
 func (Abandoned) schedulerMessage()            {}
 func (SendEnded) schedulerMessage()            {}
 func (ConfigurationChanged) schedulerMessage() {}
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -28,6 +28,7 @@
 	c.peers[digest.Sender()] = peerState{incarnation: digest.Incarnation(), serial: digest.Serial(), loads: digest.Loads(), draining: digest.Draining(), lastSeen: now}
 	c.sumLoads(now)
 	c.markReplaced(digest.Replaced())
+	c.markPeersLeaving(digest.Leaving())
 	if digest.Plan() != nil {
 		c.adoptPlan(now, digest.Sender(), digest.Plan())
 	}
@@ -43,11 +44,22 @@
 	}
 }
 
-// replacedServers returns the start times of the listed backend servers that are gone.
-func (c *Core) replacedServers() map[string]int64 {
+// markPeersLeaving records that another lobby has been told by backend servers that they
+// leave.
+func (c *Core) markPeersLeaving(starts map[string]int64) {
+	for id, start := range starts {
+		if s, ok := c.servers[id]; ok && s.backend.StartTime() == start {
+			c.markLeaving(s, leavingInDigest)
+		}
+	}
+}
+
+// startTimes returns the start times, by ID, of the listed backend servers that are
+// selected, nil if there are none.
+func (c *Core) startTimes(selected func(s *server) bool) map[string]int64 {
 	var starts map[string]int64
 	for id, s := range c.servers {
-		if !s.replaced {
+		if !selected(s) {
 			continue
 		}
 		if starts == nil {
@@ -116,7 +128,9 @@
 		c.updateDemand(now.Sub(c.lastDigest))
 	}
 	c.lastDigest = now
-	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), Replaced: c.replacedServers(), AwaitsLoad: c.awaitsLoad(), Suspects: c.config.Quarantine.Suspects(now)}
+	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), AwaitsLoad: c.awaitsLoad(), Suspects: c.config.Quarantine.Suspects(now)}
+	config.Replaced = c.startTimes(func(s *server) bool { return s.replaced })
+	config.Leaving = c.startTimes(func(s *server) bool { return s.leaving })
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -136,6 +136,9 @@
 			"waited": a.Waited(), "first": a.FirstEvent(), "pause": a.LongestPause(), "took": a.Took(),
 		}).Log(recordLevel(a), "send ended")
 		return nil
+	case RecordLeaving:
+		s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.backend, "source": a.source, "list_age": a.listAge}).Info("backend server leaves: no new requests")
+		return nil
 	case RecordQuarantine:
 		s.recordQuarantine(a.Change())
 		return nil
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -18,6 +18,7 @@
 	failure           backoff              // used only as a last resort during the pause
 	rejections        map[string]*backoff  // by model whose requests it rejects, "" without models
 	replaced          bool                 // another backend server has taken over its address
+	leaving           bool                 // it has said in an answer that it leaves
 	missingUntil      map[string]time.Time // by model reported missing: no requests until then
 	leases            map[string]time.Time // ends of adapter leases, by MODEL/ADAPTER
 	renewing          map[string]bool      // leases that are being renewed, by MODEL/ADAPTER
@@ -33,7 +34,7 @@
 }
 
 // usable reports whether the backend server may get new requests.
-func (s *server) usable() bool { return s.listed && !s.replaced && !s.backend.Leaving() }
+func (s *server) usable() bool { return s.listed && !s.replaced && !s.leaving && !s.backend.Leaving() }
 
 // markMissing records that the backend server has reported the model or adapter
 // of a request as not loaded.
