Send nothing to a backend server for the time that its refusal states

What callers would see: requests refused again and again by a backend server that had said when to come back, and their attempts used up there.

Cause: Retry-After in a refusal of a backend server was read nowhere.

The hold ends at a random time after the stated one, then requests return one at first and twice as many every 0.25 s. Requests that wait for a connection, an adapter or a slot there move, or are refused at once with the time of the soonest copy. Values that are negative, no number or endless state nothing; long ones are shortened to ten minutes, with a log line. The cases fail when the refusal's time is ignored. Requests that wait for a connection to a backend server that leaves move as well.

--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -137,6 +137,7 @@
 	IdleTimeout time.Duration // time for which the backend server keeps an idle connection; zero if not stated
 	Signed      bool          // the answer has the backend server's signature
 	Leaving     bool          // the backend server leaves and is to get no new requests
+	RetryAfter  time.Duration // time for which the backend server, which refused the request, wants no others; zero if not stated
 }
 
 // Answer is the metadata in the head of a backend server's answer.
@@ -172,3 +173,7 @@
 
 // Leaving reports whether the backend server leaves and is to get no new requests.
 func (a Answer) Leaving() bool { return a.config.Leaving }
+
+// RetryAfter returns the time for which the backend server, which refused the request,
+// wants no others from this process. It is zero if the answer states none.
+func (a Answer) RetryAfter() time.Duration { return a.config.RetryAfter }
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -278,8 +278,8 @@
 			leave(f)
 			f.advance(4 * time.Second)
 			for _, model := range []string{"a", "b", "c"} {
-				if !slices.Contains(f.plan["e2"], model) && !slices.Contains(f.plan["e3"], model) {
-					t.Errorf("no copy of %s other than the one on a leaving server; plan %v", model, f.plan)
+				if !slices.Contains(f.loaded["e2"], model) && !slices.Contains(f.loaded["e3"], model) {
+					t.Errorf("no copy of %s other than the one on a leaving server; loaded %v", model, f.loaded)
 				}
 			}
 		})
--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -118,6 +118,13 @@
 	return l.text.Write(line)
 }
 
+// contains reports whether a line contains the text.
+func (l *logBuffer) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
 // linesOf returns the lines about the request with the given id.
 func (l *logBuffer) linesOf(request string) []string {
 	l.mu.Lock()
@@ -214,6 +221,87 @@
 	}
 }
 
+// pausingBackend is a fake model engine that refuses each request within a second of the
+// first one, and asks for a second without requests.
+type pausingBackend struct {
+	mu       sync.Mutex
+	refusals []time.Time
+	early    int // requests later than half a second after a refusal, within its second
+}
+
+func (b *pausingBackend) refuses(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.refusals) > 0 && now.Sub(b.refusals[0]) > 500*time.Millisecond && now.Sub(b.refusals[len(b.refusals)-1]) < time.Second {
+		b.early++
+	}
+	if len(b.refusals) == 0 || now.Sub(b.refusals[0]) < 950*time.Millisecond {
+		b.refusals = append(b.refusals, now)
+		return true
+	}
+	return false
+}
+
+func (b *pausingBackend) counts() (refused, early int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.refusals), b.early
+}
+
+func (b *pausingBackend) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Request-Id")
+		if b.refuses(time.Now()) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 1.0\r\nContent-Length: 0\r\nRequest-Id: "+id+"\r\n\r\n")
+			continue
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: "+id+"\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n")
+	}
+}
+
+// TestBackendServerThatAsksForPauseGetsNoLoad sends load through a complete lobby to a
+// backend server that refuses requests and states when to come back.
+func TestBackendServerThatAsksForPauseGetsNoLoad(t *testing.T) {
+	pausing := &pausingBackend{}
+	entry := func(address string) string {
+		return `{"service":"s","address":"` + address + `","zone":"d1","version":"v1","slots":64,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
+	}
+	address, log := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": entry(newScriptedBackend(t, pausing.serve)), "i-2": entry(newBackend(t))}))
+	for n := 0; ; n++ {
+		if refused, _ := pausing.counts(); refused > 0 {
+			break
+		}
+		if n == 100 {
+			t.Fatal("no request reached the backend server")
+		}
+		sendRequest(t, address, fmt.Sprint("first-", n), "/a/ok", "m")
+	}
+	var clients sync.WaitGroup
+	for client := range 8 {
+		clients.Go(func() {
+			for n := range 40 {
+				sendRequest(t, address, fmt.Sprint("load-", client, "-", n), "/a/late", "m")
+			}
+		})
+	}
+	clients.Wait()
+	if refused, early := pausing.counts(); refused > 2 || early > 2 {
+		t.Errorf("%d requests refused and %d sent within the stated time, want at most 2", refused, early)
+	}
+	for _, event := range []string{"event=hold ", "event=hold_ended "} {
+		if !log.contains(event) {
+			t.Errorf("no line with %s", event)
+		}
+	}
+}
+
 const key = "key-that-must-not-show"
 
 // platformConfig is the configuration of the fake store.
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -121,20 +121,23 @@
 // It sends the answer to the caller only if the result is scheduler.Complete.
 func (e *exchange) finishBuffered(now time.Time, a *answer) {
 	status := a.head.StatusCode()
+	report := func(result scheduler.Result) {
+		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, result, status).WithRetryAfter(a.info.RetryAfter()))
+	}
 	switch {
 	case a.info.Misdirected() && a.info.Backend() != "" && a.info.Backend() != e.send.Forwarding().Backend():
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Replaced, status))
+		report(scheduler.Replaced)
 	case a.info.Misdirected():
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.ModelMissing, status))
+		report(scheduler.ModelMissing)
 	case a.info.NotRun():
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Rejected, status))
+		report(scheduler.Rejected)
 	case e.started: // this backend server did not resume the stream
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Truncated, status))
+		report(scheduler.Truncated)
 	case status >= fasthttp.StatusInternalServerError && e.send.KeepError():
 		e.heldError = a
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.BackendError, status))
+		report(scheduler.BackendError)
 	default:
-		e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Complete, status))
+		report(scheduler.Complete)
 		e.reply(now, a)
 	}
 }
--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// returnWaiting reports the requests that wait for a connection as unsent, so that they
+// are sent elsewhere.
+func (p *pool) returnWaiting() {
+	for e := p.nextWaiting(); e != nil; e = p.nextWaiting() {
+		p.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Unsent, 0))
+	}
+}
+
 // remove removes a closed connection.
 func (p *pool) remove(b *backendConn) {
 	if b.removed {
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -305,6 +305,10 @@
 		if e, ok := p.exchanges[a.Number()]; ok {
 			e.refuse(now, a.Status(), a.RetryAfter())
 		}
+	case scheduler.ReturnWaiting:
+		if pool, ok := p.pools[a.Backend()]; ok {
+			pool.returnWaiting()
+		}
 	case scheduler.CloseIdle:
 		if pool, ok := p.pools[a.Backend()]; ok {
 			pool.retire()
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -284,6 +284,21 @@
 	listAge time.Duration // age of the list of backend servers, which does not say so
 }
 
+// ReturnWaiting takes back the requests that wait for a connection to a backend server:
+// their sends end as unsent.
+type ReturnWaiting struct{ backend string }
+
+// Backend returns the ID of the backend server.
+func (r ReturnWaiting) Backend() string { return r.backend }
+
+// RecordHold records in the log that a backend server is held, or that its hold ends.
+type RecordHold struct {
+	backend string
+	asked   time.Duration // time that the backend server stated
+	until   time.Time
+	ended   bool
+}
+
 // CloseIdleConfig holds the construction parameters of a CloseIdle.
 type CloseIdleConfig struct {
 	Backend string
@@ -304,6 +319,8 @@
 func (CloseIdle) schedulerAction()        {}
 func (RecordSend) schedulerAction()       {}
 func (RecordQuarantine) schedulerAction() {}
+func (ReturnWaiting) schedulerAction()    {}
+func (RecordHold) schedulerAction()       {}
 func (RecordLeaving) schedulerAction()    {}
 func (Fetch) schedulerAction()            {}
 func (Broadcast) schedulerAction()        {}
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -23,6 +23,7 @@
 	}
 	s.leaving = true
 	c.emit(RecordLeaving{backend: s.backend.ID(), source: source, listAge: c.now.Sub(c.listedAt)})
+	c.emit(ReturnWaiting{backend: s.backend.ID()})
 	c.emit(NewCloseIdle(CloseIdleConfig{Backend: s.backend.ID()}))
 }
 
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -118,6 +118,9 @@
 			Request: req.request, Backend: s.backend.ID(), StartTime: s.backend.StartTime(), Answering: req.answering(now),
 		})
 	}
+	if m.retryAfter > 0 {
+		c.hold(now, s, m.retryAfter)
+	}
 	switch m.result {
 	case Complete:
 		if m.status < fasthttp.StatusMultipleChoices {
@@ -168,12 +171,12 @@
 
 // rejectedRetryAfter returns the retry delay for a caller whose request was
 // rejected and may not be sent again: short if another backend server can run it
-// now.
+// now, else until one takes requests.
 func (c *Core) rejectedRetryAfter(now time.Time, req *openRequest) time.Duration {
 	if _, ok := c.choose(now, req); ok {
 		return promptRetryAfter
 	}
-	return retryAfter
+	return max(retryAfter, c.holdDelay(now, req, nil))
 }
 
 // refuseQuarantined ends a request that is suspected to crash backend servers. It is
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -163,6 +163,7 @@
 		}
 	}
 	c.forecast.update(now, c.queueLengths())
+	c.endHolds(now)
 	c.placeQueued(now)
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -45,6 +45,7 @@
 		req.observedTokens = chosen.uncached
 	}
 	req.prefill = chosen.prefill
+	s.hold.returned++
 	s.open++
 	s.prefill += req.prefill
 	s.cache.add(req.request)
@@ -112,7 +113,7 @@
 	service, _ := c.configuration.Service(req.service)
 	_, engine := service.Engine()
 	for _, s := range c.byService[req.service] {
-		if !s.usable() || req.tried[s.backend.ID()] {
+		if !s.usable() || !s.hold.admits(now) || req.tried[s.backend.ID()] {
 			continue
 		}
 		if cand, ok := c.evaluate(now, req, s, engine); ok && (!found || cand.betterThan(best)) {
--- /dev/null
+++ b/lobby/scheduler/hold_test.go
@@ -0,0 +1,135 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/lobby/scheduler"
+)
+
+// refuse ends a request's send with a refusal that asks for a time without requests.
+func (f *fixture) refuse(number uint64, wait time.Duration) []scheduler.Action {
+	return f.core.Handle(f.now, scheduler.NewSendEnded(number, scheduler.Rejected, 503).WithRetryAfter(wait))
+}
+
+// TestBackendServerThatAsksForPauseGetsNoRequests guards against requests to a backend
+// server that has refused one and stated when to come back.
+func TestBackendServerThatAsksForPauseGetsNoRequests(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		servers []deployment.BackendConfig
+		want    []string // decision on the refused request, then on another one
+		after   time.Duration
+	}{
+		"another server takes over":      {path: "/resumable/a", servers: []deployment.BackendConfig{engineServer("e1"), engineServer("e2")}, want: []string{"send e2", "send e2"}},
+		"every copy asks for it":         {path: "/stream/a", servers: []deployment.BackendConfig{engineServer("e1")}, want: []string{"refuse 503 not_taken", "refuse 503 no_backend"}, after: 4 * time.Second},
+		"a plain service":                {path: "/safe/a", servers: []deployment.BackendConfig{plainServer("p1"), plainServer("p2")}, want: []string{"send p2", "send p2"}},
+		"the only server of a plain one": {path: "/unsafe/a", servers: []deployment.BackendConfig{plainServer("p1")}, want: []string{"refuse 503 not_taken", "refuse 503 no_backend"}, after: 4 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(tc.servers...)
+			request := httpmeta.RequestConfig{Path: tc.path, Model: "m"}
+			if tc.servers[0].Service == "plain" {
+				request.Model = ""
+			}
+			f.arrive(request)
+			refused := f.refuse(1, 4*time.Second)
+			f.now = f.now.Add(500 * time.Millisecond)
+			f.list(tc.servers...)
+			next := f.arrive(request)
+			if diff := cmp.Diff(tc.want, append(describe(refused), describe(next)...)); diff != "" {
+				t.Errorf("decisions (-want +got):\n%s", diff)
+			}
+			for _, action := range append(refused, next...) {
+				if refuse, ok := action.(scheduler.Refuse); ok && (refuse.RetryAfter() < tc.after-500*time.Millisecond || refuse.RetryAfter() > tc.after+200*time.Millisecond) {
+					t.Errorf("refused until %v later, want about %v", refuse.RetryAfter(), tc.after)
+				}
+			}
+		})
+	}
+}
+
+func TestRequestsReturnAFewAtATimeAfterAPause(t *testing.T) {
+	f := newFixture(engineServer("e1"))
+	f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})
+	f.refuse(1, time.Second)
+	sent := make(map[int]int) // by quarter of a second after the refusal
+	for step := range 90 {
+		f.now = noon.Add(time.Duration(step) * 50 * time.Millisecond)
+		actions := f.core.Tick(f.now)
+		for range 3 {
+			actions = append(actions, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m"})...)
+		}
+		for _, action := range actions {
+			if send, ok := action.(scheduler.Send); ok {
+				sent[step/5]++
+				f.core.Handle(f.now, scheduler.NewSendEnded(send.Number(), scheduler.Complete, 200))
+			}
+		}
+	}
+	for quarter := range 4 {
+		if sent[quarter] > 0 {
+			t.Errorf("%d requests sent in quarter %d of the pause", sent[quarter], quarter)
+		}
+	}
+	if first := sent[4] + sent[5]; first < 1 || first > 3 {
+		t.Errorf("%d requests sent at first, want 1 to 3: %v", first, sent)
+	}
+	if sent[17] < 10 {
+		t.Errorf("%d requests sent in the last quarter: %v", sent[17], sent)
+	}
+}
+
+// TestQueuedRequestsLeaveAServerThatAsksForPause guards against requests that wait for a
+// slot at a backend server until their callers give up.
+func TestQueuedRequestsLeaveAServerThatAsksForPause(t *testing.T) {
+	cases := map[string]struct {
+		wait time.Duration
+		want int // requests refused at once
+	}{
+		"shorter than they can wait": {wait: 300 * time.Millisecond, want: 0},
+		"longer than they can wait":  {wait: time.Minute, want: 10},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(engineServer("e1"))
+			for range 74 {
+				f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})
+			}
+			f.refuse(1, tc.wait)
+			f.now = f.now.Add(50 * time.Millisecond)
+			refused := 0
+			for _, action := range f.core.Tick(f.now) {
+				if refuse, ok := action.(scheduler.Refuse); ok {
+					refused++
+					if refuse.RetryAfter() < tc.wait-100*time.Millisecond {
+						t.Errorf("told to come back after %v", refuse.RetryAfter())
+					}
+				}
+			}
+			if diff := cmp.Diff(tc.want, refused); diff != "" {
+				t.Errorf("refused (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAbsurdPausesAreShortened(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"a week": 7 * 24 * time.Hour, "longest": 1<<63 - 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(plainServer("p1"))
+			f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"})
+			f.refuse(1, wait)
+			f.now = f.now.Add(11 * time.Minute)
+			if diff := cmp.Diff(fmt.Sprint([]string{"send p1"}), fmt.Sprint(describe(f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"})))); diff != "" {
+				t.Errorf("eleven minutes later (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -87,6 +87,7 @@
 	status       int
 	longestPause time.Duration
 	disconnected bool
+	retryAfter   time.Duration
 }
 
 // NewSendEnded returns the message. status is the HTTP status of the answer,
@@ -102,6 +103,13 @@
 	return s
 }
 
+// WithRetryAfter returns the message with the time for which the backend server, which
+// refused the request, wants no others, zero if it states none.
+func (s SendEnded) WithRetryAfter(wait time.Duration) SendEnded {
+	s.retryAfter = wait
+	return s
+}
+
 // WithDisconnect returns the message with the information that the backend server
 // closed the connection before its answer was complete.
 func (s SendEnded) WithDisconnect() SendEnded {
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -23,7 +23,7 @@
 	if alreadyQueued && now.Before(req.queueDeadline()) {
 		return
 	}
-	delay := c.loadDelay(now, req)
+	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried))
 	if !now.Add(delay).Before(req.queueDeadline()) {
 		c.refuseUnserved(now, req, noBackend, max(delay, retryAfter))
 		return
@@ -99,6 +99,10 @@
 		if _, waits := c.queued[req.number]; !waits {
 			continue
 		}
+		if delay := c.holdDelay(now, req, req.tried); now.Add(delay).After(req.queueDeadline()) {
+			c.refuseUnserved(now, req, noBackend, delay)
+			continue
+		}
 		key := req.queueKey()
 		if delay := c.forecast.startDelay(now, key, ahead[key]); req.late(now) && !req.resuming() && now.Add(delay).After(req.queueDeadline()) {
 			c.refuseUnserved(now, req, noBackend, delay)
@@ -111,7 +115,7 @@
 // placeNext places the most urgent queued request that fits a backend server
 // where capacity was freed.
 func (c *Core) placeNext(now time.Time, s *server) {
-	if len(c.queued) == 0 || s == nil || !s.usable() {
+	if len(c.queued) == 0 || s == nil || !s.usable() || !s.hold.admits(now) {
 		return
 	}
 	fits := func(req *openRequest) bool {
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -136,6 +136,9 @@
 			"waited": a.Waited(), "first": a.FirstEvent(), "pause": a.LongestPause(), "took": a.Took(),
 		}).Log(recordLevel(a), "send ended")
 		return nil
+	case RecordHold:
+		s.recordHold(a)
+		return nil
 	case RecordLeaving:
 		s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.backend, "source": a.source, "list_age": a.listAge}).Info("backend server leaves: no new requests")
 		return nil
@@ -152,6 +155,19 @@
 	}
 }
 
+// recordHold logs that a backend server is held, or that its hold ends.
+func (s *Scheduler) recordHold(a RecordHold) {
+	log := s.config.Log.WithFields(logrus.Fields{"event": "hold", "backend": a.backend, "asked": a.asked, "until": a.until})
+	switch {
+	case a.ended:
+		log.WithField("event", "hold_ended").Info("requests return to the backend server a few at a time")
+	case a.asked > maxHold:
+		log.Warn("backend server refused a request and asks for an absurdly long time without others: shortened")
+	default:
+		log.Info("backend server refused a request and wants no others for a time")
+	}
+}
+
 // recordQuarantine logs that a suspect was quarantined or released.
 func (s *Scheduler) recordQuarantine(change quarantine.Change) {
 	fields := logrus.Fields{
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -11,13 +11,14 @@
 type server struct {
 	backend           deployment.Backend
 	listed            bool
-	open              int                  // open requests of this process
-	prefill           time.Duration        // pending prefill of this process
-	unanswered        int                  // requests of this process without an answer
-	unansweredSince   time.Time            // start of the wait for an answer; zero if none is awaited
-	failure           backoff              // used only as a last resort during the pause
-	rejections        map[string]*backoff  // by model whose requests it rejects, "" without models
-	replaced          bool                 // another backend server has taken over its address
+	open              int                 // open requests of this process
+	prefill           time.Duration       // pending prefill of this process
+	unanswered        int                 // requests of this process without an answer
+	unansweredSince   time.Time           // start of the wait for an answer; zero if none is awaited
+	failure           backoff             // used only as a last resort during the pause
+	rejections        map[string]*backoff // by model whose requests it rejects, "" without models
+	replaced          bool                // another backend server has taken over its address
+	hold              hold
 	leaving           bool                 // it has said in an answer that it leaves
 	missingUntil      map[string]time.Time // by model reported missing: no requests until then
 	leases            map[string]time.Time // ends of adapter leases, by MODEL/ADAPTER
