--- /dev/null
+++ b/lobby/scheduler/log.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/lobby/quarantine"
+)
+
+func (s *Scheduler) logSend(a Send) {
+	s.config.Log.WithFields(logrus.Fields{
+		"event": "sent", "request": a.Request().ID(), "backend": a.Forwarding().Backend(), "tenant": a.Forwarding().Tenant(), "model": a.Request().Model(),
+		"adapter": a.Request().Adapter(), "waited": time.Since(a.Request().Arrived()),
+	}).Info("request sent")
+}
+
+// recordSend logs how a send ended, and updates the metrics.
+func (s *Scheduler) recordSend(a RecordSend) {
+	s.stats.sendEnded(a)
+	log := s.config.Log
+	if a.Disconnected() {
+		log = log.WithFields(contentFields(a.Request()))
+	}
+	log.WithFields(logrus.Fields{
+		"event": "ended", "request": a.Request().ID(), "backend": a.Backend(), "result": a.Result(), "status": a.Status(),
+		"waited": a.Waited(), "first": a.FirstEvent(), "pause": a.LongestPause(), "took": a.Took(),
+	}).Log(recordLevel(a), "send ended")
+}
+
+// recordLeaving logs that a backend server leaves.
+func (s *Scheduler) recordLeaving(a RecordLeaving) {
+	s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.backend, "source": a.source, "list_age": a.listAge}).Info("backend server leaves: no new requests")
+}
+
+// recordHold logs that a backend server is held, or that its hold ends.
+func (s *Scheduler) recordHold(a RecordHold) {
+	log := s.config.Log.WithFields(logrus.Fields{"event": "hold", "backend": a.backend, "asked": a.asked, "until": a.until})
+	switch {
+	case a.ended:
+		log.WithField("event", "hold_ended").Info("requests return to the backend server a few at a time")
+	case a.asked > maxHold:
+		log.Warn("backend server refused a request and asks for an absurdly long time without others: shortened")
+	default:
+		log.Info("backend server refused a request and wants no others for a time")
+	}
+}
+
+// recordQuarantine logs that a suspect was quarantined or released.
+func (s *Scheduler) recordQuarantine(change quarantine.Change) {
+	fields := logrus.Fields{
+		"event": "released", "kind": change.Suspect().Kind(), "suspect": change.Suspect().ID(), "crashes": change.Events(), "last_crash": change.LastCrash(), "until": change.Until(),
+	}
+	if !change.Quarantined() {
+		s.config.Log.WithFields(fields).Info("suspect released: it was answered, or its crashes are long ago or explained by another suspect")
+		return
+	}
+	fields["event"] = "quarantined"
+	s.stats.quarantines.Inc()
+	s.config.Log.WithFields(fields).Warn("suspect quarantined: backend servers closed their connections before they answered it")
+}
+
+// contentFields returns log fields that identify a request's content: its fingerprint
+// and the IDs of its prompt's parts.
+func contentFields(request *httpmeta.Request) logrus.Fields {
+	ids := make([]string, 0, len(request.Parts()))
+	for _, part := range request.Parts() {
+		ids = append(ids, part.ID())
+	}
+	return logrus.Fields{"fingerprint": request.Fingerprint(), "parts": strings.Join(ids, ",")}
+}
+
+func (s *Scheduler) logRefusal(r Refuse) {
+	log := s.config.Log
+	if r.Cause() == quarantined {
+		log = log.WithFields(contentFields(r.Request()))
+	}
+	log.WithFields(logrus.Fields{
+		"event": "refused", "request": r.Request().ID(), "cause": r.Cause(), "status": r.Status(), "model": r.Request().Model(),
+		"adapter": r.Request().Adapter(), "retry_after": r.RetryAfter(),
+		"waited": r.Waited(), "holders": r.Holders(), "waiting": r.Queued(), "list_age": r.ListAge(),
+	}).Warn("request refused")
+}
+
+// recordLevel returns the log level for the end of a send. Failures are
+// warnings, so that they are kept when lower levels are dropped.
+func recordLevel(r RecordSend) logrus.Level {
+	if r.Result() == Complete {
+		return logrus.InfoLevel
+	}
+	return logrus.WarnLevel
+}
--- /dev/null
+++ b/lobby/scheduler/record.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"time"
+
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/lobby/quarantine"
+)
+
+// RecordSendConfig holds the construction parameters of a RecordSend.
+type RecordSendConfig struct {
+	Request      *httpmeta.Request
+	Backend      string
+	Result       Result
+	Status       int           // HTTP status of the answer; zero without one
+	Waited       time.Duration // time from the request's arrival until it was sent
+	FirstEvent   time.Duration // time from the arrival to the first event; zero without one
+	Took         time.Duration // time from the arrival to the end
+	LongestPause time.Duration // longest pause between two events
+	Disconnected bool          // the backend server closed the connection before its answer was complete
+}
+
+// RecordSend records in log and metrics how a send ended.
+type RecordSend struct{ config RecordSendConfig }
+
+// NewRecordSend returns a RecordSend.
+func NewRecordSend(config RecordSendConfig) RecordSend { return RecordSend{config: config} }
+
+// Request returns the caller's request.
+func (r RecordSend) Request() *httpmeta.Request { return r.config.Request }
+
+// Backend returns the ID of the backend server.
+func (r RecordSend) Backend() string { return r.config.Backend }
+
+// Result returns how the send ended.
+func (r RecordSend) Result() Result { return r.config.Result }
+
+// Status returns the HTTP status of the answer, zero without one.
+func (r RecordSend) Status() int { return r.config.Status }
+
+// Waited returns the time from the request's arrival until it was sent.
+func (r RecordSend) Waited() time.Duration { return r.config.Waited }
+
+// FirstEvent returns the time from the arrival to the first event, zero without
+// one.
+func (r RecordSend) FirstEvent() time.Duration { return r.config.FirstEvent }
+
+// LongestPause returns the longest pause between two events.
+func (r RecordSend) LongestPause() time.Duration { return r.config.LongestPause }
+
+// Disconnected reports whether the backend server closed the connection before its
+// answer was complete.
+func (r RecordSend) Disconnected() bool { return r.config.Disconnected }
+
+// Took returns the time from the arrival to the end.
+func (r RecordSend) Took() time.Duration { return r.config.Took }
+
+// RecordQuarantine records in log and metrics that a suspect of crashes was
+// quarantined or released.
+type RecordQuarantine struct{ change quarantine.Change }
+
+// Change returns what changed.
+func (r RecordQuarantine) Change() quarantine.Change { return r.change }
+
+// leavingSource says how a lobby has learnt that a backend server leaves.
+type leavingSource string
+
+const (
+	leavingInAnswer leavingSource = "answer" // the backend server said so
+	leavingInDigest leavingSource = "digest" // another lobby was told
+)
+
+// RecordLeaving records in the log that a backend server leaves.
+type RecordLeaving struct {
+	backend string
+	source  leavingSource
+	listAge time.Duration // age of the list of backend servers, which does not say so
+}
+
+// RecordHold records in the log that a backend server is held, or that its hold ends.
+type RecordHold struct {
+	backend string
+	asked   time.Duration // time that the backend server stated
+	until   time.Time
+	ended   bool
+}
+
+func (RecordSend) schedulerAction()       {}
+func (RecordQuarantine) schedulerAction() {}
+func (RecordHold) schedulerAction()       {}
+func (RecordLeaving) schedulerAction()    {}
