End requests that did not run in one place

The refusal of a quarantined request repeated that of an unserved one; the latter now adds only the demand for its model. No decision changes.

--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -170,6 +170,11 @@
 	return "", nil
 }
 
+// listEntry returns the entry of a backend server in the store's list.
+func listEntry(address string) string {
+	return `{"service":"s","address":"` + address + `","zone":"d1","version":"v1","slots":64,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
+}
+
 // leavingBackend is a fake model engine that says in each answer that it leaves, and
 // counts the requests that reach it.
 type leavingBackend struct{ arrived atomic.Int64 }
@@ -194,10 +199,7 @@
 // list of backend servers does not say that one leaves.
 func TestBackendServerThatSaysItLeavesGetsNoLoad(t *testing.T) {
 	leaving := &leavingBackend{}
-	entry := func(address string) string {
-		return `{"service":"s","address":"` + address + `","zone":"d1","version":"v1","slots":64,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
-	}
-	address, _ := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": entry(newScriptedBackend(t, leaving.serve)), "i-2": entry(newBackend(t))}))
+	address, _ := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": listEntry(newScriptedBackend(t, leaving.serve)), "i-2": listEntry(newBackend(t))}))
 	for n := 0; leaving.arrived.Load() == 0; n++ {
 		if n == 100 {
 			t.Fatal("no request reached the leaving backend server")
@@ -270,10 +272,7 @@
 // backend server that refuses requests and states when to come back.
 func TestBackendServerThatAsksForPauseGetsNoLoad(t *testing.T) {
 	pausing := &pausingBackend{}
-	entry := func(address string) string {
-		return `{"service":"s","address":"` + address + `","zone":"d1","version":"v1","slots":64,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}]}`
-	}
-	address, log := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": entry(newScriptedBackend(t, pausing.serve)), "i-2": entry(newBackend(t))}))
+	address, log := startLobby(t, newStore(t, platformConfig, map[string]string{"i-1": listEntry(newScriptedBackend(t, pausing.serve)), "i-2": listEntry(newBackend(t))}))
 	for n := 0; ; n++ {
 		if refused, _ := pausing.counts(); refused > 0 {
 			break
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -179,34 +179,29 @@
 	return max(retryAfter, c.holdDelay(now, req, nil))
 }
 
-// refuseQuarantined ends a request that is suspected to crash backend servers. It is
-// refused as not run only if no earlier send may have run.
-func (c *Core) refuseQuarantined(now time.Time, req *openRequest, after time.Duration) {
-	switch {
-	case req.started:
-		c.refuse(req, answerTruncated, 0)
-	case req.mayHaveRun:
-		c.refuse(req, answerLost, 0)
-	default:
-		c.refund(now, req)
-		c.refuse(req, quarantined, after)
+// refuseUnserved ends a request that no backend server accepts, and counts it as demand
+// for its model if it did not run.
+func (c *Core) refuseUnserved(now time.Time, req *openRequest, cause Cause, after time.Duration) {
+	notRun := c.refuseNotRun(now, req, cause, after)
+	if model := req.request.Model(); notRun && model != "" {
+		c.demand.requestRefused(model, 1/c.engineSlots(req.service))
 	}
 }
 
-// refuseUnserved ends a request that no backend server accepts. It is refused
-// as not run only if no earlier send may have run.
-func (c *Core) refuseUnserved(now time.Time, req *openRequest, cause Cause, after time.Duration) {
+// refuseNotRun ends a request that is not to be sent, or not again. It is refused as not
+// run only if no earlier send may have run; the result reports whether that is so.
+func (c *Core) refuseNotRun(now time.Time, req *openRequest, cause Cause, after time.Duration) bool {
 	switch {
 	case req.started:
 		c.refuse(req, answerTruncated, 0)
+		return false
 	case req.mayHaveRun:
 		c.refuse(req, answerLost, 0)
+		return false
 	default:
 		c.refund(now, req)
-		if model := req.request.Model(); model != "" {
-			c.demand.requestRefused(model, 1/c.engineSlots(req.service))
-		}
 		c.refuse(req, cause, after)
+		return true
 	}
 }
 
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -11,7 +11,7 @@
 // it. The request must not have run yet, or must be retryable.
 func (c *Core) place(now time.Time, req *openRequest) {
 	if wait, ok := c.config.Quarantine.Admit(now, req.number, req.request); !ok {
-		c.refuseQuarantined(now, req, wait)
+		c.refuseNotRun(now, req, quarantined, wait)
 		return
 	}
 	if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
