--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -394,10 +394,11 @@
 				_, _ = io.WriteString(conn, streamHead(id)+chunk(second)+"0\r\n\r\n")
 				return true
 			})
-			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream, s.Resumable = a.address, true, tc.resumable }, b.address)
-			if !tc.resumable {
-				l.resumeAddresses = nil
+			var resumeAt []string
+			if tc.resumable {
+				resumeAt = []string{b.address}
 			}
+			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream, s.Resumable = a.address, true, tc.resumable }, resumeAt...)
 			response, body, err := sendRequest(t, l.address)
 			if diff := cmp.Diff(tc.truncated, err != nil || response.StatusCode != http.StatusOK); diff != "" {
 				t.Errorf("truncated (-want +got):\n%s%v", diff, err)
