--- a/review/standin/case_uploads.go
+++ b/review/standin/case_uploads.go
@@ -57,7 +57,7 @@
 			time.Sleep(from)
 			c := &client{front: l.front}
 			for time.Since(began) < to {
-				r := c.send("POST", "/deposit/1", 1300*time.Millisecond, body)
+				r := c.send("POST", "/deposit/1", 1100*time.Millisecond, body)
 				f.record.add("a client sends %s (%d bytes) to %s and gets %v", r.id, len(body), l.name, r)
 				mu.Lock()
 				results = append(results, r)
@@ -71,11 +71,11 @@
 		play("deposit", 20*time.Millisecond, 0, length)
 	}
 	for range usual {
-		play(large, 300*time.Millisecond, 0, length)
+		play(large, 100*time.Millisecond, 0, length)
 	}
 	if trouble {
 		for range usual * (factor - 1) {
-			play(large, 300*time.Millisecond, hotFrom, hotFrom+hotFor)
+			play(large, 100*time.Millisecond, hotFrom, hotFrom+hotFor)
 		}
 	}
 	group.Wait()
