--- a/review/standin/case_uploads.go
+++ b/review/standin/case_uploads.go
@@ -15,13 +15,15 @@
 // the disruption, one tenant sends many times its usual number.
 func playUploads(f *fleet, trouble bool) (outcome, error) {
 	const (
-		bodyBytes = 4 << 20 // max_body_bytes of the configuration
-		usual     = 6       // clients of the tenant
-		factor    = 7       // in the disruption
-		steady    = 24      // clients with small requests
+		bodyBytes = 4 << 20         // max_body_bytes of the configuration
+		usual     = 8               // clients of the tenant
+		factor    = 7               // in the disruption
+		steady    = 24              // clients with small requests
+		deadline  = 8 * time.Second // of all requests
+		work      = 400 * time.Millisecond
 		hotFrom   = 4 * time.Second
 		hotFor    = 8 * time.Second
-		length    = 16 * time.Second
+		length    = 20 * time.Second
 	)
 	var mu sync.Mutex
 	runs := make(map[string]string)
@@ -34,7 +36,7 @@
 			mu.Lock()
 			runs[request.Header.Get("Request-Id")] = w.id
 			mu.Unlock()
-			time.Sleep(60 * time.Millisecond)
+			time.Sleep(work)
 			return w.answerBytes(conn, request, 800)
 		}
 		w.serve()
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -6,6 +6,7 @@
 	routes := []map[string]any{
 		route("r-deposit", "/deposit/", "unsafe", "bookings", map[string]any{"timeout_ms": 1500, "target_latency_ms": 300, "priority": 2}),
 		route("r-seat", "/seat/", "safe", "bookings", map[string]any{"timeout_ms": 1500, "target_latency_ms": 300, "priority": 2, "max_attempts": 2}),
+		route("r-photo", "/photo/", "unsafe", "bookings", map[string]any{"timeout_ms": 8000, "target_latency_ms": 2000, "priority": 2}),
 	}
 	services := []map[string]any{{"name": "bookings", "health_path": "/health", "max_connections": 100, "protocol": "h1", "tls": false}}
 	if len(models) > 0 {
