Keep lobbies and entries below their descriptors, and let them start again

What callers saw: once a lobby had no descriptor left, all its connections were closed, those with requests at backend servers too, and it refused every connection from then on, readiness probes included, while its process stayed. An entry did the same.

Cause: nothing limits the connections that callers keep. When accept fails, gnet ends its event loops for good; the supervisor starts the service again, and its OnBoot closes a channel that is closed already ("close of closed channel"), each time.

Change: commons/descriptors gives a budget from the limit on open files. At the limit a new connection closes the one that has been without a request for longest; requests beyond half of the limit get 503 as not run with a Retry-After. Each event loop accepts its own connections, one before the next is opened, so that the count is exact; httpserver.Engine can be served again, and both fronts use it. Related paths: a dial that fails for want of descriptors lowers the limit for a time; a failed dial is reported even if the event loop's inbox is full for the moment, since its pool counted it for ever; a connection that could not be registered is closed; a dial while the event loop does not run no longer panics; the operators' pages take 64 connections at most; the server for calls between processes waits instead of closing all its connections.

--- a/commons/admin/server.go
+++ b/commons/admin/server.go
@@ -23,6 +23,7 @@
 const (
 	inboxCapacity = 64 // number of requests for operators' pages that may wait
 	tickPeriod    = time.Second
+	maxConns      = 64 // connections to the operators' pages
 )
 
 // StatusSource provides the readiness and the status of the process. Its methods
@@ -67,7 +68,7 @@
 		MaxHeader:  httpserver.DefaultMaxHeader,
 		MaxBody:    httpserver.DefaultMaxBody,
 		MaxUnsent:  64 * httpserver.DefaultMaxUnsent,
-		MaxConns:   httpserver.DefaultMaxConns,
+		MaxConns:   maxConns,
 		SlowSender: httpserver.DefaultSlowSender,
 		Idle:       httpserver.DefaultIdle,
 	}))
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -20,6 +20,7 @@
 	continueSent bool
 	partial      atomic.Bool  // part of a request has been received
 	gone         atomic.Bool  // the connection is closed or the call was aborted
+	closing      atomic.Bool  // the connection is being closed to make room for others
 	waitingSince atomic.Int64 // start of the current wait in Unix nanoseconds; zero while a call is open
 }
 
@@ -107,6 +108,16 @@
 	}
 }
 
+// idleFor returns the time for which no byte of a request has arrived, zero while there
+// is one.
+func (c *conn) idleFor(now time.Time) time.Duration {
+	since := c.waitingSince.Load()
+	if since == 0 || c.partial.Load() {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
 // release makes the connection available for its next request.
 func (c *conn) release(socket gnet.Conn) error {
 	c.call = nil
--- a/commons/httpserver/constants.go
+++ b/commons/httpserver/constants.go
@@ -5,9 +5,10 @@
 const (
 	keepAlivePeriod = 30 * time.Second       // TCP keep-alive period
 	tickPeriod      = 500 * time.Millisecond // time between sweeps for expired connections
-	bootTimeout     = 5 * time.Second        // maximum time that a stop waits for the event loops to start
 	stopTimeout     = 5 * time.Second        // maximum time that a stop waits for the event loops to end
 	readBufferSize  = 16 << 10               // bytes read from a connection at once
+	minIdle         = time.Second            // shortest idle time of a connection that is closed for another one
+	closedShare     = 64                     // one connection in so many is closed at once, if as many are idle
 )
 
 // Default limits, for servers without their own settings.
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -4,14 +4,14 @@
 package httpserver
 
 import (
+	"cmp"
 	"context"
-	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 )
@@ -31,7 +31,7 @@
 	MaxHeader  int           // maximum size of the request line and header fields in bytes
 	MaxBody    int           // maximum size of a request body in bytes
 	MaxUnsent  int           // bytes of an answer that may be buffered for a slow reader
-	MaxConns   int           // maximum number of open connections
+	MaxConns   int           // maximum number of open connections; for each further one an idle one is closed
 	SlowSender time.Duration // maximum time from the first byte of a request to its last
 	Idle       time.Duration // maximum time that a connection may be open without a request
 	Loops      int           // number of event loops; one if zero
@@ -45,55 +45,36 @@
 	config    Config
 	conns     sync.Map // *conn to struct{}
 	openConns atomic.Int64
-	engine    gnet.Engine
-	booted    chan struct{}
+	makesRoom atomic.Bool // an event loop closes idle connections
 }
 
 // New returns a server that starts to listen when Serve is called.
 func New(config Config) *Server {
 	config.Loops = max(config.Loops, 1)
-	return &Server{config: config, booted: make(chan struct{})}
+	return &Server{config: config}
 }
 
-// Serve listens until ctx ends, then returns the context's error.
+// Serve listens until ctx ends, then returns the context's error. It may be called
+// again after it has returned.
 func (s *Server) Serve(ctx context.Context) error {
-	if err := checkAddressFree(s.config.Address); err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, s.stop)
-	defer stop()
-	err := gnet.Run(s, "tcp://"+s.config.Address,
-		gnet.WithNumEventLoop(s.config.Loops),
-		gnet.WithReuseAddr(true),
-		gnet.WithTicker(true),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithTCPKeepAlive(keepAlivePeriod),
-		gnet.WithReadBufferCap(readBufferSize),
-		gnet.WithLogger(NewLogger(s.config.Log)),
-	)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return errors.Wrapf(err, "listen on %s", s.config.Address)
+	engine := NewEngine(EngineConfig{
+		Addresses: []string{s.config.Address}, Loops: s.config.Loops, ReadBuffer: readBufferSize, KeepAlive: keepAlivePeriod, Handler: s, Log: s.config.Log,
+	})
+	return engine.Serve(ctx)
 }
 
 // OpenConns returns the number of open connections.
 func (s *Server) OpenConns() int { return int(s.openConns.Load()) }
 
-// OnBoot stores the engine, which stop uses to end the event loops.
-func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
-	s.engine = engine
-	close(s.booted)
-	return gnet.None
-}
-
-// OnOpen registers a connection, or refuses it if too many are open.
+// OnOpen registers a connection. If too many are open, it closes idle ones, or refuses
+// the new one if none is idle.
 func (s *Server) OnOpen(socket gnet.Conn) ([]byte, gnet.Action) {
-	if s.openConns.Add(1) > int64(s.config.MaxConns) {
+	now := time.Now()
+	if s.openConns.Add(1) > int64(s.config.MaxConns) && !s.closeIdle(now) {
 		return refusalBytes(errTooManyConns), gnet.Close
 	}
 	c := &conn{server: s, socket: socket}
-	c.waitingSince.Store(time.Now().UnixNano())
+	c.waitingSince.Store(now.UnixNano())
 	socket.SetContext(c)
 	s.conns.Store(c, struct{}{})
 	return nil, gnet.None
@@ -142,26 +123,34 @@
 	return tickPeriod, gnet.None
 }
 
-func (s *Server) stop() {
-	select {
-	case <-s.booted:
-	case <-time.After(bootTimeout):
-		return
+// closeIdle closes the connections that have been idle for longest, a few at a time,
+// since it looks at all of them. It reports whether the connections beyond the limit are
+// no more than those that are being closed.
+func (s *Server) closeIdle(now time.Time) bool {
+	if !s.makesRoom.CompareAndSwap(false, true) {
+		return true // another event loop is closing some
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if err := s.engine.Stop(ctx); err != nil {
-		s.config.Log.WithField("event", "stop").WithError(err).Warn("HTTP server did not stop within its time limit")
+	defer s.makesRoom.Store(false)
+	var idle []*conn
+	closing := 0
+	s.conns.Range(func(key, _ any) bool {
+		switch c := key.(*conn); {
+		case c.closing.Load():
+			closing++
+		case c.idleFor(now) >= minIdle:
+			idle = append(idle, c)
+		}
+		return true
+	})
+	beyond := int(s.openConns.Load()) - s.config.MaxConns
+	if beyond <= closing {
+		return true
 	}
-}
-
-// checkAddressFree binds the address once without SO_REUSEPORT. Otherwise a second
-// process on the same port would silently receive part of the connections instead
-// of failing.
-func checkAddressFree(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.waitingSince.Load(), b.waitingSince.Load()) })
+	for _, c := range idle[:min(len(idle), max(s.config.MaxConns/closedShare, beyond-closing))] {
+		c.closing.Store(true)
+		_ = c.socket.Close()
+		closing++
 	}
-	return listener.Close()
+	return beyond <= closing
 }
--- a/commons/httpserver/server_test.go
+++ b/commons/httpserver/server_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
@@ -228,6 +229,49 @@
 	}
 }
 
+// TestIdleConnectionsMakeRoom opens a connection beyond the limit while another one has
+// been idle for a while.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	address := startServer(t, func(config *httpserver.Config) { config.MaxConns = 1 })
+	first := connectAccepted(t, address)
+	defer func() { _ = first.Close() }()
+	time.Sleep(1100 * time.Millisecond)
+	statuses, _ := exchange(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1)
+	if diff := cmp.Diff([]int{200}, statuses); diff != "" {
+		t.Errorf("status on the new connection (-want +got):\n%s", diff)
+	}
+	if err := first.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("error on the idle connection: %v, want its end", err)
+	}
+}
+
+// TestServerServesAgainAfterItsEnd starts the server again, as its supervisor does after
+// a failure. The second start ended in a panic.
+func TestServerServesAgainAfterItsEnd(t *testing.T) {
+	address, inbox := testkit.FreeAddress(t), ring.New(ring.Config{Name: "test", Capacity: 64})
+	server := httpserver.New(httpserver.Config{
+		Address: address, Inbox: inbox, Log: testkit.DiscardLog(), MaxHeader: 2048, MaxBody: 4096,
+		MaxUnsent: 1 << 20, MaxConns: 64, SlowSender: timeout, Idle: timeout, Loops: 2,
+	})
+	echoes, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go echo(echoes, inbox)
+	for range 3 {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(ctx) }()
+		conn := connectAccepted(t, address)
+		_ = conn.Close()
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("end of the server: %v", err)
+		}
+	}
+}
+
 // connectAccepted returns a connection that the server has accepted. It retries
 // because the connection that startServer opened may still be counted.
 func connectAccepted(t *testing.T, address string) net.Conn {
@@ -235,7 +279,8 @@
 	for range 200 {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			time.Sleep(10 * time.Millisecond) // the server is starting
+			continue
 		}
 		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 			t.Fatal(err)
--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -3,6 +3,7 @@
 // processSettings are the settings of all programs.
 var processSettings = []SettingConfig{
 	{Section: "process", Key: "log-level", Kind: Text, Default: "info", Doc: "lowest level that is logged: debug, info, warning or error"},
+	{Section: "process", Key: "descriptors", Kind: Integer, Default: "0", Min: "0", Max: "16777216", Doc: "file descriptors that the process may open, if fewer than the operating system allows; 0 for as many as it allows"},
 	{Section: "process", Key: "drain-limit", Kind: Duration, Default: "10m", Min: "1s", Max: "1h", Doc: "longest time that a planned stop waits for open requests"},
 }
 
--- a/commons/peerrpc/server.go
+++ b/commons/peerrpc/server.go
@@ -7,9 +7,20 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"sesamewell.example/commons/descriptors"
+	"sesamewell.example/commons/supervisor"
+)
+
+// minAcceptPause and maxAcceptPause bound the pauses between two attempts to accept a
+// connection while no descriptor is left.
+const (
+	minAcceptPause = 10 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Service is a receiver whose methods peers may call.
@@ -48,7 +59,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", s.config.Address)
 	}
-	tracked := &trackedListener{Listener: listener, identity: s.config.Identity, conns: make(map[net.Conn]struct{})}
+	tracked := &trackedListener{Listener: listener, identity: s.config.Identity, log: s.config.Log, ctx: ctx, conns: make(map[net.Conn]struct{})}
 	stop := context.AfterFunc(ctx, tracked.closeAll)
 	defer stop()
 	defer tracked.closeAll()
@@ -65,15 +76,25 @@
 	net.Listener
 
 	identity *Identity
+	log      *logrus.Entry
+	ctx      context.Context // ends the pauses of Accept
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
 	closed bool
 }
 
-// Accept returns the next connection, wrapped in TLS if there is an identity.
+// Accept returns the next connection, wrapped in TLS if there is an identity. While no
+// descriptor is left it waits: net/rpc's server would end with the first error.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	for pause := minAcceptPause; descriptors.RanOut(err); pause = min(2*pause, maxAcceptPause) {
+		l.log.WithField("event", "accept").WithError(err).Warn("connection of a peer not accepted yet")
+		if err := supervisor.Sleep(l.ctx, pause); err != nil {
+			return nil, err
+		}
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/admin"
+	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/freshness"
 	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/commons/inifile"
@@ -71,6 +72,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "[process] secret")
 	}
+	limit, err := descriptors.Limit(settings.Integer("process", "descriptors"))
+	if err != nil {
+		return nil, err
+	}
+	log.WithFields(logrus.Fields{"event": "limits", "descriptors": limit}).Info("limit on open files read")
 	p := &process{
 		supervisor: supervisor.New(supervisor.Config{Name: "entry", Log: log}),
 		drained:    make(chan struct{}),
@@ -203,7 +209,7 @@
 		MaxHeader:  int(settings.Bytes("gate", "max-header")),
 		MaxBody:    int(settings.Bytes("gate", "max-body")),
 		MaxUnsent:  int(settings.Bytes("gate", "max-unsent")),
-		MaxConns:   settings.Integer("gate", "max-connections"),
+		MaxConns:   min(settings.Integer("gate", "max-connections"), descriptors.NewBudget(limit).Limit(time.Now())),
 		SlowSender: settings.Duration("gate", "slow-sender"),
 		Idle:       settings.Duration("gate", "idle"),
 		Loops:      callerEventLoops,
--- a/lobby/main.go
+++ b/lobby/main.go
@@ -17,7 +17,7 @@
 		Summary:  "sesamewell-lobby takes callers' requests, checks their keys and quotas, and sends each to a backend server that can run it.",
 		Settings: inifile.LobbySettings(),
 		Build: func(settings *inifile.Values, log *logrus.Entry) (supervisor.Root, error) {
-			return newProcess(settings, log), nil
+			return newProcess(settings, log)
 		},
 	}))
 }
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/admin"
+	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/inifile"
 	"sesamewell.example/commons/peerrpc"
 	"sesamewell.example/commons/protocol"
@@ -50,7 +51,7 @@
 	drainer    *drainer
 }
 
-func newProcess(settings *inifile.Values, log *logrus.Entry) *process {
+func newProcess(settings *inifile.Values, log *logrus.Entry) (*process, error) {
 	supervisor.LimitMemory(settings.Bytes("process", "memory"))
 	m := &mediator{self: settings.Address("door", "listen"), domain: settings.Text("process", "domain"), incarnation: rand.Uint64(), log: log}
 	p := &process{
@@ -60,7 +61,10 @@
 	m.rpcClient = newRPCClients()
 	m.state = discovery.NewState(discovery.StateConfig{Listener: m, Log: log})
 	m.scheduler = newScheduler(settings, log)
-	m.proxy = newProxy(settings, m.scheduler, log)
+	var err error
+	if m.proxy, err = newProxy(settings, m.scheduler, log); err != nil {
+		return nil, err
+	}
 	keepers := keeperclient.New(keeperclient.Config{
 		Port:      strconv.Itoa(settings.Integer("keeper", "port")),
 		RPCClient: m.rpcClient,
@@ -110,7 +114,7 @@
 		Services: []peerrpc.Service{{Name: protocol.LobbyService, Receiver: broadcast.NewRPCServer(m.broadcaster)}},
 		Log:      log,
 	}))
-	return p
+	return p, nil
 }
 
 func (p *process) add(services ...supervisor.Service) {
@@ -157,19 +161,25 @@
 	})
 }
 
-func newProxy(settings *inifile.Values, s *scheduler.Scheduler, log *logrus.Entry) *proxy.Proxy {
+func newProxy(settings *inifile.Values, s *scheduler.Scheduler, log *logrus.Entry) (*proxy.Proxy, error) {
+	limit, err := descriptors.Limit(settings.Integer("process", "descriptors"))
+	if err != nil {
+		return nil, err
+	}
+	log.WithFields(logrus.Fields{"event": "limits", "descriptors": limit}).Info("limit on open files read")
 	return proxy.New(proxy.Config{
-		Listen:    settings.Address("porch", "listen"),
-		Probe:     settings.Address("porch", "probe"),
-		ReadyPath: platform.ReadyPath,
-		Capacity:  settings.Integer("steward", "inbox"),
-		Dialers:   settings.Integer("porch", "dialers"),
-		Codec:     platform.HeaderCodec{},
-		Dial:      platform.Dial,
-		Scheduler: s.Inbox(),
-		Readiness: s,
-		Log:       log,
-	})
+		Listen:      settings.Address("porch", "listen"),
+		Probe:       settings.Address("porch", "probe"),
+		ReadyPath:   platform.ReadyPath,
+		Capacity:    settings.Integer("steward", "inbox"),
+		Dialers:     settings.Integer("porch", "dialers"),
+		Descriptors: limit,
+		Codec:       platform.HeaderCodec{},
+		Dial:        platform.Dial,
+		Scheduler:   s.Inbox(),
+		Readiness:   s,
+		Log:         log,
+	}), nil
 }
 
 // newRPCClients returns a function that returns the client for an address. The
--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -143,9 +143,7 @@
 func startLobby(t *testing.T, storeAddress string) (string, *logBuffer) {
 	t.Helper()
 	address, probe := testkit.FreeAddress(t), testkit.FreeAddress(t)
-	text := fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\n[door]\nlisten = %s\n"+
-		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", testkit.FreeAddress(t), testkit.FreeAddress(t), storeAddress, address, probe)
-	settings, err := inifile.ParseSettings("lobby.ini", []byte(text), inifile.LobbySettings())
+	settings, err := inifile.ParseSettings("lobby.ini", []byte(lobbySettings(t, storeAddress, address, probe)), inifile.LobbySettings())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,18 +154,34 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() { _ = newProcess(settings, log).Serve(ctx) }()
+	process, err := newProcess(settings, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = process.Serve(ctx) }()
+	awaitReady(t, probe)
+	return address, out
+}
+
+// lobbySettings returns the settings of a lobby.
+func lobbySettings(t *testing.T, storeAddress, address, probe string) string {
+	return fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\ndrain-limit = 8s\n[door]\nlisten = %s\n"+
+		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", testkit.FreeAddress(t), testkit.FreeAddress(t), storeAddress, address, probe)
+}
+
+// awaitReady waits until a lobby reports that it is ready.
+func awaitReady(t *testing.T, probe string) {
+	t.Helper()
 	for range 400 {
 		if response, err := http.Get("http://" + probe + "/sesamewell/ready"); err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				return address, out
+				return
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("the lobby is not ready")
-	return "", nil
 }
 
 // listEntry returns the entry of a backend server in the store's list.
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -22,6 +23,8 @@
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
 	closeAfterAnswer bool
 	closed           bool
+	waitingIn        *list.List    // list of connections without an open request in which it is; nil while it has one
+	waiting          *list.Element // its element there
 }
 
 // readRequests parses and handles buffered requests until one is being processed
@@ -38,6 +41,7 @@
 		}
 		if !c.receiving {
 			c.receiving, c.since = true, now
+			c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
 		}
 		limits := c.proxy.limits.Load()
 		parsed, err := httpserver.Parse(buffered, int(limits.MaxHeader()), int(limits.MaxBody()))
@@ -52,6 +56,7 @@
 		_, _ = c.conn.Discard(parsed.Consumed())
 		c.minBuffered, c.continueSent, c.receiving = 0, false, false
 		c.closeAfterAnswer = c.closeAfterAnswer || parsed.Request().Header.ConnectionClose()
+		c.proxy.waiting.move(c, nil)
 		c.receive(now, parsed.Request())
 	}
 }
@@ -90,12 +95,12 @@
 
 // reject answers a request that could not be parsed and closes the connection,
 // since the start of the next request cannot be found.
-func (c *callerConn) reject(refusal *httpserver.Refusal) {
-	var head fasthttp.ResponseHeader
-	c.proxy.config.Codec.EncodeRefusal(&head, "", refusal.Status(), 0)
-	head.SetContentLength(0)
-	head.SetConnectionClose()
-	c.write(head.AppendBytes(nil))
+func (c *callerConn) reject(refusal *httpserver.Refusal) { c.refuseUnread(refusal.Status(), 0) }
+
+// refuseUnread answers a request that has not been read to its end and closes the
+// connection.
+func (c *callerConn) refuseUnread(status int, retryAfter time.Duration) {
+	c.write(c.proxy.refusalHead(status, retryAfter))
 	c.close()
 }
 
@@ -105,7 +110,9 @@
 	c.exchange, c.since = nil, now
 	if c.closeAfterAnswer {
 		c.close()
+		return
 	}
+	c.proxy.waiting.move(c, &c.proxy.waiting.idle)
 }
 
 // write sends bytes. It closes the connection of a caller that does not read fast
@@ -125,6 +132,7 @@
 		return
 	}
 	c.closed = true
+	c.proxy.waiting.move(c, nil)
 	_ = c.conn.Close()
 }
 
--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -5,6 +5,7 @@
 const (
 	sweepPeriod = 150 * time.Millisecond // time between two checks for timeouts
 	dialTimeout = time.Second
+	reportWait  = time.Second // longest wait for room in the event loop's inbox, before it is logged
 	// overloadRetryAfter is the retry delay in refusals when the scheduler's inbox is
 	// full.
 	overloadRetryAfter = 300 * time.Millisecond
@@ -20,4 +21,6 @@
 	chunkedLength      = -1               // content length by which fasthttp marks chunked coding
 	unknownLength      = -2               // content length by which fasthttp marks a body that ends with its connection
 	maxEventSize       = 256 << 10        // bytes in an event that has not ended
+	minIdle            = time.Second      // idle time after which a connection is closed for another one, if there are others to choose
+	limitLogPeriod     = time.Second      // time between two log lines on connections at their limit
 )
--- a/lobby/proxy/dialer.go
+++ b/lobby/proxy/dialer.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/ring"
 )
 
@@ -18,7 +19,10 @@
 }
 
 // dialFailed reports to the event loop that a connection could not be opened.
-type dialFailed struct{ pool *pool }
+type dialFailed struct {
+	pool   *pool
+	ranOut bool // no descriptor was left
+}
 
 // Dial opens a connection to an address within a time limit.
 type Dial func(address string, limit time.Duration) (net.Conn, error)
@@ -49,22 +53,33 @@
 }
 
 // dial opens a connection and registers it with the event loop. It returns an
-// error only if a failure cannot be reported to the event loop.
+// error only if ctx ends before a failure can be reported to the event loop.
 func (d *dialer) dial(ctx context.Context, job dialRequest) error {
 	log := d.proxy.config.Log.WithFields(logrus.Fields{"event": "dial", "backend": job.pool.backend, "address": job.address})
 	conn, err := d.proxy.config.Dial(job.address, dialTimeout)
 	if err != nil {
 		log.WithError(err).Info("dialling the backend server failed")
-		return d.proxy.Put(dialFailed{pool: job.pool})
-	}
-	b := &backendConn{proxy: d.proxy, pool: job.pool}
-	result, err := d.proxy.loop().Enroll(gnet.NewContext(ctx, b), conn)
-	if err == nil {
-		err = (<-result).Err
+		return d.reportFailure(ctx, job, err)
 	}
-	if err != nil {
+	if err := d.proxy.run.Load().enroll(gnet.NewContext(ctx, &backendConn{proxy: d.proxy, pool: job.pool}), conn); err != nil {
 		log.WithError(err).Warn("connection not registered with the event loop")
-		return d.proxy.Put(dialFailed{pool: job.pool})
+		return d.reportFailure(ctx, job, err)
 	}
 	return nil
 }
+
+// reportFailure reports to the event loop that a connection could not be opened. It
+// waits for room in the inbox, since the pool would count the connection for ever.
+func (d *dialer) reportFailure(ctx context.Context, job dialRequest, cause error) error {
+	for {
+		err := d.proxy.inbox.PutWithin(ctx, dialFailed{pool: job.pool, ranOut: descriptors.RanOut(cause)}, reportWait)
+		if err == nil {
+			d.proxy.wake()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		d.proxy.config.Log.WithField("event", "dial").WithError(err).Warn("failure of a dial not reported yet: inbox of the event loop full")
+	}
+}
--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -28,6 +28,10 @@
 		return
 	}
 	p.waiting = append(p.waiting, e)
+	if p.open < p.maxOpen && !p.proxy.makeRoom(now) {
+		p.returnWaiting()
+		return
+	}
 	p.dial()
 }
 
@@ -52,7 +56,7 @@
 // dial requests a connection for each waiting request, up to the limit.
 func (p *pool) dial() {
 	for p.dialing < len(p.waiting) && p.open < p.maxOpen {
-		p.open++
+		p.count(1)
 		p.dialing++
 		if err := p.proxy.dials.Put(dialRequest{pool: p, address: p.address}); err != nil {
 			p.dialFailed()
@@ -60,6 +64,12 @@
 	}
 }
 
+// count adds a number, which may be negative, to the connections of the pool.
+func (p *pool) count(connections int) {
+	p.open += connections
+	p.proxy.backendConns += connections
+}
+
 // connected adds a new connection.
 func (p *pool) connected(now time.Time, b *backendConn) {
 	p.dialing--
@@ -71,7 +81,7 @@
 // waiting requests as unsent.
 func (p *pool) dialFailed() {
 	p.dialing--
-	p.open--
+	p.count(-1)
 	if e := p.nextWaiting(); e != nil {
 		p.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Unsent, 0))
 	}
@@ -120,7 +130,7 @@
 		return
 	}
 	b.removed = true
-	p.open--
+	p.count(-1)
 	p.idle = slices.DeleteFunc(p.idle, func(other *backendConn) bool { return other == b })
 	p.dial()
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/commons/ring"
@@ -53,16 +54,17 @@
 
 // Config holds the construction parameters of a Proxy.
 type Config struct {
-	Listen    string // IP:port for callers
-	Probe     string // IP:port for the platform's readiness probes
-	ReadyPath string // path of the readiness probes
-	Capacity  int    // number of actions, and of dial requests, that may be queued
-	Dialers   int    // number of threads that open connections
-	Codec     Codec
-	Dial      Dial
-	Scheduler Inbox
-	Readiness Readiness
-	Log       *logrus.Entry
+	Listen      string // IP:port for callers
+	Probe       string // IP:port for the platform's readiness probes
+	ReadyPath   string // path of the readiness probes
+	Capacity    int    // number of actions, and of dial requests, that may be queued
+	Dialers     int    // number of threads that open connections
+	Descriptors int    // file descriptors that the process may open
+	Codec       Codec
+	Dial        Dial
+	Scheduler   Inbox
+	Readiness   Readiness
+	Log         *logrus.Entry
 }
 
 // Proxy handles the connections of callers and to backend servers. Fields that are
@@ -74,18 +76,23 @@
 	inbox       *ring.Ring // actions for the event loop
 	dials       *ring.Ring
 	wakePending atomic.Bool
-	eventLoop   atomic.Value // gnet.EventLoop
+	run         atomic.Pointer[loopRun] // nil before the first one
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
 
-	engine        gnet.Engine
-	started       chan struct{}
 	lastNumber    uint64
 	callers       map[*callerConn]struct{}
+	waiting       waitingCallers
 	exchanges     map[uint64]*exchange
 	pools         map[string]*pool // by ID of the backend server
-	requestBuffer []byte           // reused for each request that is sent
-	answerBuffer  []byte           // reused for each answer or piece that is sent
+	backendConns  int              // connections to backend servers, including those being opened
+	budget        *descriptors.Budget
+	stats         *stats
+	limitLogged   time.Time // time of the last log line on connections at their limit
+	loggedClosed  uint64    // value of stats.closed then
+	loggedRefused uint64    // value of stats.refused then
+	requestBuffer []byte    // reused for each request that is sent
+	answerBuffer  []byte    // reused for each answer or piece that is sent
 }
 
 // New returns a proxy. It listens while its services run.
@@ -94,10 +101,11 @@
 		config:    config,
 		inbox:     ring.New(ring.Config{Name: "porch", Capacity: config.Capacity}),
 		dials:     ring.New(ring.Config{Name: "dials", Capacity: config.Capacity}),
-		started:   make(chan struct{}),
 		callers:   make(map[*callerConn]struct{}),
 		exchanges: make(map[uint64]*exchange),
 		pools:     make(map[string]*pool),
+		budget:    descriptors.NewBudget(config.Descriptors),
+		stats:     newStats(),
 	}
 	p.SetLimits(deployment.NewLimits(deployment.LimitsConfig{
 		MaxHeader: httpserver.DefaultMaxHeader, MaxBody: httpserver.DefaultMaxBody,
@@ -128,39 +136,17 @@
 // String returns the thread's name, which supervision events carry.
 func (p *Proxy) String() string { return "porch" }
 
-// Serve listens until ctx ends.
+// Serve listens until ctx ends. It may be called again after it has returned: all
+// connections are closed then, and the requests on them have ended.
 func (p *Proxy) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, p.stop)
-	defer stop()
-	err := gnet.Rotate(p, []string{"tcp://" + p.config.Listen, "tcp://" + p.config.Probe},
-		gnet.WithNumEventLoop(1),
-		gnet.WithReuseAddr(true),
-		gnet.WithTicker(true),
-		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithTCPKeepAlive(keepAlive),
-		gnet.WithReadBufferCap(readBuffer),
-		gnet.WithLogger(httpserver.NewLogger(p.config.Log)),
-	)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return errors.Wrapf(err, "listen on %s and %s", p.config.Listen, p.config.Probe)
-}
-
-func (p *Proxy) stop() {
-	<-p.started
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	if err := p.engine.Stop(ctx); err != nil {
-		p.config.Log.WithField("event", "stop").WithError(err).Warn("event loop did not stop in time")
-	}
-}
-
-// OnBoot stores the engine, which is needed to stop the event loop.
-func (p *Proxy) OnBoot(engine gnet.Engine) gnet.Action {
-	p.engine = engine
-	close(p.started)
-	return gnet.None
+	run := newLoopRun()
+	defer run.end()
+	p.run.Store(run)
+	p.wakePending.Store(false)
+	engine := httpserver.NewEngine(httpserver.EngineConfig{
+		Addresses: []string{p.config.Listen, p.config.Probe}, Loops: 1, ReadBuffer: readBuffer, KeepAlive: keepAlive, Handler: p, Log: p.config.Log,
+	})
+	return engine.Serve(ctx)
 }
 
 // OnOpen handles a new connection, either dialled to a backend server or accepted
@@ -172,16 +158,30 @@
 		b.pool.connected(now, b)
 		return nil, gnet.None
 	}
-	if p.eventLoop.Load() == nil {
-		p.eventLoop.Store(loopHolder{conn.EventLoop()})
+	if run := p.run.Load(); run.start(conn.EventLoop()) {
 		p.wake()
 	}
+	if !p.makeRoom(now) {
+		p.stats.refused.Inc()
+		return p.refusalHead(fasthttp.StatusServiceUnavailable, overloadRetryAfter), gnet.Close
+	}
 	c := &callerConn{proxy: p, conn: conn, since: now, probe: conn.LocalAddr().String() == p.config.Probe}
 	conn.SetContext(c)
 	p.callers[c] = struct{}{}
+	p.waiting.move(c, &p.waiting.idle)
 	return nil, gnet.None
 }
 
+// refusalHead returns an answer without a body for a request that was not read. The
+// connection is to be closed after it.
+func (p *Proxy) refusalHead(status int, retryAfter time.Duration) []byte {
+	var head fasthttp.ResponseHeader
+	p.config.Codec.EncodeRefusal(&head, "", status, retryAfter)
+	head.SetContentLength(0)
+	head.SetConnectionClose()
+	return head.AppendBytes(nil)
+}
+
 // OnTraffic handles the bytes that have arrived on a connection.
 func (p *Proxy) OnTraffic(conn gnet.Conn) gnet.Action {
 	defer p.containPanic(conn)
@@ -231,6 +231,7 @@
 func (p *Proxy) callerClosed(c *callerConn) {
 	c.closed = true
 	delete(p.callers, c)
+	p.waiting.move(c, nil)
 	if e := c.exchange; e != nil {
 		e.cancelSend()
 		p.removeExchange(e)
@@ -249,14 +250,6 @@
 // sweep makes the event loop check for timeouts.
 type sweep struct{}
 
-// loopHolder gives all values in an atomic.Value the same type: the concrete type
-// of the event loop is not exported by its library.
-type loopHolder struct{ gnet.EventLoop }
-
-// loop returns the event loop. It must be called only after a connection has
-// opened.
-func (p *Proxy) loop() gnet.EventLoop { return p.eventLoop.Load().(loopHolder).EventLoop }
-
 // Put queues an action for the event loop.
 func (p *Proxy) Put(action any) error {
 	if err := p.inbox.Put(action); err != nil {
@@ -267,10 +260,11 @@
 }
 
 func (p *Proxy) wake() {
-	if p.eventLoop.Load() == nil || p.wakePending.Swap(true) {
+	run := p.run.Load()
+	if run == nil || run.loop() == nil || p.wakePending.Swap(true) {
 		return
 	}
-	if err := p.loop().Execute(context.Background(), gnet.RunnableFunc(p.drainInbox)); err != nil {
+	if err := run.loop().Execute(context.Background(), gnet.RunnableFunc(p.drainInbox)); err != nil {
 		p.wakePending.Store(false)
 		p.config.Log.WithField("event", "wake").WithError(err).Warn("event loop not woken")
 	}
@@ -314,6 +308,9 @@
 			pool.retire()
 		}
 	case dialFailed:
+		if a.ranOut {
+			p.budget.Exhausted(now, p.openConnections())
+		}
 		a.pool.dialFailed()
 	case sweep:
 		p.sweep(now)
@@ -351,6 +348,10 @@
 	for _, e := range p.exchanges {
 		e.sweep(now)
 	}
+	p.stats.callers.Store(int64(len(p.callers)))
+	p.stats.backends.Store(int64(p.backendConns))
+	p.stats.limit.Store(int64(p.budget.Limit(now)))
+	p.logLimit(now)
 }
 
 // openExchange starts an exchange for a new request and passes the request to the
@@ -361,6 +362,12 @@
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
+	if len(p.exchanges) > p.budget.MaxRequests(now) {
+		p.stats.refused.Inc()
+		c.closeAfterAnswer = true
+		e.refuse(now, fasthttp.StatusServiceUnavailable, overloadRetryAfter)
+		return
+	}
 	if err := p.config.Scheduler.Put(scheduler.NewArrived(e.number, e.meta)); err != nil {
 		e.refuse(now, fasthttp.StatusServiceUnavailable, overloadRetryAfter)
 	}
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -23,7 +23,10 @@
 	"sesamewell.example/platform"
 )
 
-const testTimeout = 10 * time.Second
+const (
+	testTimeout     = 10 * time.Second
+	testDescriptors = 1024
+)
 
 // backend is a fake backend server that answers requests with a script.
 type backend struct {
@@ -94,33 +97,44 @@
 // newLobby starts a proxy. send fills in the send of each request.
 func newLobby(t testing.TB, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
 	t.Helper()
-	return newLobbyWithCodec(t, platform.HeaderCodec{}, send, resumeAt...)
+	return newLobbyWith(t, proxy.Config{}, send, resumeAt...)
 }
 
-func newLobbyWithCodec(t testing.TB, codec proxy.Codec, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
+// newLobbyWith starts a proxy with the codec and the number of descriptors of a
+// configuration, if it has them.
+func newLobbyWith(t testing.TB, config proxy.Config, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
 	t.Helper()
-	log := testkit.DiscardLog()
+	if config.Codec == nil {
+		config.Codec = platform.HeaderCodec{}
+	}
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
 	l := &lobby{address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), ended: make(chan scheduler.SendEnded, 64), disconnected: make(chan struct{}, 64), resumeAddresses: resumeAt}
-	l.proxy = proxy.New(proxy.Config{
-		Listen: l.address, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2,
-		Codec: codec, Dial: platform.Dial, Scheduler: inbox, Readiness: l, Log: log,
-	})
+	config.Listen, config.Probe, config.ReadyPath, config.Capacity, config.Dialers = l.address, l.probe, platform.ReadyPath, 64, 2
+	if config.Descriptors == 0 {
+		config.Descriptors = testDescriptors
+	}
+	config.Dial, config.Scheduler, config.Readiness, config.Log = platform.Dial, inbox, l, testkit.DiscardLog()
+	l.proxy = proxy.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, service := range l.proxy.Services() {
 		go func() { _ = service.Serve(ctx) }()
 	}
 	go l.schedule(ctx, inbox, send)
 	t.Cleanup(cancel)
+	awaitListener(t, l.probe)
+	return l
+}
+
+func awaitListener(t testing.TB, address string) {
+	t.Helper()
 	for range 200 {
-		if conn, err := net.Dial("tcp", l.probe); err == nil {
+		if conn, err := net.Dial("tcp", address); err == nil {
 			_ = conn.Close()
-			return l
+			return
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	t.Fatal("proxy did not start")
-	return nil
 }
 
 // schedule is the fake scheduler.
@@ -599,7 +613,7 @@
 				_, _ = io.WriteString(conn, fixedLengthAnswer(id, "x"))
 				return true
 			})
-			l := newLobbyWithCodec(t, panickingCodec{}, func(s *scheduler.SendConfig) { s.Address = b.address })
+			l := newLobbyWith(t, proxy.Config{Codec: panickingCodec{}}, func(s *scheduler.SendConfig) { s.Address = b.address })
 			conn, err := net.Dial("tcp", l.address)
 			if err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/lobby/proxy/stats.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// stats holds the proxy's metrics.
+type stats struct {
+	closed   *metrics.Counter // connections without a request that were closed for others
+	refused  *metrics.Counter // connections or requests refused because there were too many
+	callers  atomic.Int64     // connections of callers
+	backends atomic.Int64     // connections to backend servers
+	limit    atomic.Int64     // connections beyond which idle ones are closed
+}
+
+func newStats() *stats {
+	s := &stats{
+		closed:  metrics.GetOrCreateCounter("sesamewell_connections_closed_for_room_total"),
+		refused: metrics.GetOrCreateCounter("sesamewell_connections_refused_total"),
+	}
+	gauge := func(name string, value *atomic.Int64) {
+		metrics.GetOrCreateGauge(name, func() float64 { return float64(value.Load()) })
+	}
+	gauge(`sesamewell_connections{peer="caller"}`, &s.callers)
+	gauge(`sesamewell_connections{peer="backend"}`, &s.backends)
+	gauge("sesamewell_connections_limit", &s.limit)
+	return s
+}
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -121,6 +121,7 @@
 	linkAddresses     map[string]string // addresses for calls between processes by instance
 	backendAddresses  map[string]string // by backend server
 	processes         map[string]*process
+	descriptors       int // file descriptors of the processes that are started from then on; zero for no limit
 }
 
 // newFleet starts the log service and begins an inventory with the tenants, keys
@@ -269,7 +270,11 @@
 // start runs a program until it exits or the test ends.
 func (f *fleet) start(name, program string, args ...string) {
 	f.t.Helper()
-	p := &process{name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), log: &lockedBuffer{}, exited: make(chan struct{})}
+	command := append([]string{filepath.Join(binDir, program)}, args...)
+	if f.descriptors > 0 {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, f.descriptors)}, command...)
+	}
+	p := &process{name: name, cmd: exec.Command(command[0], command[1:]...), log: &lockedBuffer{}, exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
--- a/standin/e2e/serve_test.go
+++ b/standin/e2e/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -76,6 +77,39 @@
 	}
 }
 
+// TestEntryServesWithAllDescriptorsInUse keeps more connections of callers open than an
+// entry has descriptors. Without a limit below them its HTTP server ended for good.
+func TestEntryServesWithAllDescriptorsInUse(t *testing.T) {
+	const descriptors, callers = 256, 400
+	f := newFleet(t)
+	f.addEngine("engine-1", 16, fastStep)
+	f.descriptors = descriptors
+	f.addEntry("entry-1", "")
+	f.apply()
+	answered := 0
+	for range callers {
+		client := &http.Client{Transport: &http.Transport{}}
+		t.Cleanup(client.CloseIdleConnections)
+		request, err := http.NewRequest(http.MethodGet, "http://"+f.entryAddresses[0]+"/v1/models", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+tenantKey)
+		if response, err := client.Do(request); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			answered++
+		}
+		time.Sleep(10 * time.Millisecond) // the connections that were opened first become idle
+	}
+	if diff := cmp.Diff(callers, answered); diff != "" {
+		t.Errorf("answered requests (-want +got):\n%s", diff)
+	}
+	if got := f.call(0, chatRequest(tenantKey, 3)); got.err != nil || got.status != http.StatusOK {
+		t.Errorf("status %d, error %v after the burst", got.status, got.err)
+	}
+}
+
 func TestBackendServersReceiveNoKey(t *testing.T) {
 	f := newFleet(t)
 	f.addEngine("engine-1", 16, fastStep)
