Pass on a status that promises "not run" only with the backend server's word

What callers saw: 503 for a deposit that a backend server had run; they took it as the promise that it had not run, sent the deposit again, and a backend server ran it twice.

Cause: lobby/proxy counted an answer as a refusal only if it states that the request was not run, and passed every other one on as it was. 503, 429 and 408 promise that to callers whoever writes them. An entry passed these statuses and 421 on in the same way, and gave refusals of its own with 503 for requests that may have run (queue full at the second side after a lost answer, freshness lost, quarantine).

Change: such an answer without the statement ends the send as "unconfirmed": the request may have run. What may be repeated is sent elsewhere, the rest gets 502 of our own, without the backend server's signature. httpserver.NewRefusal replaces such a status by 502 if the request may have run, so that no refusal of our own can break this.

--- a/commons/httpserver/refusal.go
+++ b/commons/httpserver/refusal.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/httpmeta"
 )
 
 // OutcomeHeader is the header field of each refusal or failure that states whether
@@ -34,11 +36,15 @@
 	Outcome string // NotRun or MayHaveRun; NotRun if empty
 }
 
-// NewRefusal returns a refusal.
+// NewRefusal returns a refusal. If the request may have run, a status that callers take
+// to mean the contrary is replaced by 502.
 func NewRefusal(config RefusalConfig) *Refusal {
 	if config.Outcome == "" {
 		config.Outcome = NotRun
 	}
+	if config.Outcome == MayHaveRun && httpmeta.ImpliesNotRun(config.Status) {
+		config.Status = fasthttp.StatusBadGateway
+	}
 	return &Refusal{status: config.Status, code: config.Code, message: config.Message, outcome: config.Outcome}
 }
 
--- a/commons/httpserver/server_test.go
+++ b/commons/httpserver/server_test.go
@@ -117,6 +117,27 @@
 	return statuses, bodies
 }
 
+func TestRefusalOfWhatMayHaveRunPromisesNothing(t *testing.T) {
+	cases := map[string]struct {
+		config httpserver.RefusalConfig
+		want   int
+	}{
+		"503, not run":      {config: httpserver.RefusalConfig{Status: 503}, want: 503},
+		"503, may have run": {config: httpserver.RefusalConfig{Status: 503, Outcome: httpserver.MayHaveRun}, want: 502},
+		"429, may have run": {config: httpserver.RefusalConfig{Status: 429, Outcome: httpserver.MayHaveRun}, want: 502},
+		"408, may have run": {config: httpserver.RefusalConfig{Status: 408, Outcome: httpserver.MayHaveRun}, want: 502},
+		"504, may have run": {config: httpserver.RefusalConfig{Status: 504, Outcome: httpserver.MayHaveRun}, want: 504},
+		"401, may have run": {config: httpserver.RefusalConfig{Status: 401, Outcome: httpserver.MayHaveRun}, want: 401},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, httpserver.NewRefusal(tc.config).Status()); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestRequests(t *testing.T) {
 	cases := map[string]struct {
 		raw      string
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -14,6 +14,7 @@
 
 	"sesamewell.example/commons/admin"
 	"sesamewell.example/commons/fleetstate"
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/statesync"
@@ -379,6 +380,10 @@
 		f.fail(now, o, errAnswerTooLarge, 0)
 		return
 	}
+	if m.Complete() && httpmeta.ImpliesNotRun(m.Status()) {
+		f.fail(now, o, errBackendRefused, 0)
+		return
+	}
 	if m.Complete() {
 		f.refund(o, o.usage.unusedByBody(o.body))
 		f.replyBody(now, o, m.Status(), m.ContentType(), o.body)
--- a/entry/frontend/refusal.go
+++ b/entry/frontend/refusal.go
@@ -43,6 +43,10 @@
 		Status: fasthttp.StatusGatewayTimeout, Code: "deadline_exceeded", Outcome: httpserver.MayHaveRun,
 		Message: "the request's time was over before its answer was whole",
 	})
+	errBackendRefused = httpserver.NewRefusal(httpserver.RefusalConfig{
+		Status: fasthttp.StatusBadGateway, Code: "backend_refused", Outcome: httpserver.MayHaveRun,
+		Message: "the backend server refused the request, but may have run it; see " + httpserver.OutcomeHeader + " before sending it again",
+	})
 	errAnswerTooLarge = httpserver.NewRefusal(httpserver.RefusalConfig{
 		Status: fasthttp.StatusBadGateway, Code: "answer_too_large", Outcome: httpserver.MayHaveRun,
 		Message: "the answer is larger than this instance may hold; ask for a shorter or streamed answer",
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -133,6 +133,8 @@
 		report(scheduler.Rejected)
 	case e.started: // this backend server did not resume the stream
 		report(scheduler.Truncated)
+	case httpmeta.ImpliesNotRun(status): // but the backend server does not state it
+		report(scheduler.Unconfirmed)
 	case status >= fasthttp.StatusInternalServerError && e.send.KeepError():
 		e.heldError = a
 		report(scheduler.BackendError)
--- a/lobby/scheduler/cause.go
+++ b/lobby/scheduler/cause.go
@@ -15,6 +15,7 @@
 	noBackend        Cause = "no_backend"        // no backend server can run the request
 	notTaken         Cause = "not_taken"         // backend servers rejected the request, and it may not be sent again
 	answerLost       Cause = "answer_lost"       // the request may have run, and no complete answer arrived
+	backendFailed    Cause = "backend_failed"    // the backend server refused the request without stating that it did not run it
 	answerTruncated  Cause = "answer_cut"        // the stream ended early
 	quarantined      Cause = "quarantined"       // the request is suspected to crash backend servers
 	draining         Cause = "leaving"           // the process is draining or closing
@@ -31,6 +32,7 @@
 	noBackend:        fasthttp.StatusServiceUnavailable,
 	notTaken:         fasthttp.StatusServiceUnavailable,
 	answerLost:       fasthttp.StatusBadGateway,
+	backendFailed:    fasthttp.StatusBadGateway,
 	answerTruncated:  fasthttp.StatusBadGateway,
 	quarantined:      fasthttp.StatusServiceUnavailable,
 	draining:         fasthttp.StatusServiceUnavailable,
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -153,6 +153,9 @@
 	case BackendError:
 		req.attempts++
 		c.retryMayHaveRun(now, req, NewForwardError(ForwardErrorConfig{Number: m.number}))
+	case Unconfirmed:
+		req.attempts++
+		c.retryMayHaveRun(now, req, c.refusal(req, backendFailed, 0))
 	case Truncated:
 		s.markFailed(now)
 		req.attempts++
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -69,6 +69,7 @@
 	Replaced                   // another backend server has the address now; it did not run the request
 	Lost                       // no complete answer; the request may have run
 	BackendError               // server error of the backend server, kept for ForwardError
+	Unconfirmed                // the status reads as not run, but the backend server does not state that it did not run the request
 	CallerGone                 // the caller has disconnected
 	Truncated                  // a stream ended early after a part of it was forwarded
 )
@@ -77,7 +78,7 @@
 func (r Result) String() string { return resultNames[r] }
 
 var resultNames = map[Result]string{
-	Complete: "complete", Unsent: "unsent", Rejected: "not_run", ModelMissing: "misplaced", Replaced: "replaced", Lost: "lost", BackendError: "own_error", Truncated: "severed", CallerGone: "caller_left",
+	Complete: "complete", Unsent: "unsent", Rejected: "not_run", ModelMissing: "misplaced", Replaced: "replaced", Lost: "lost", BackendError: "own_error", Unconfirmed: "unconfirmed", Truncated: "severed", CallerGone: "caller_left",
 }
 
 // SendEnded reports the result of the last send of a request.
--- a/standin/bookingservice/faults.go
+++ b/standin/bookingservice/faults.go
@@ -11,7 +11,8 @@
 
 // faults is the JSON form of the faults that a test injects.
 type faults struct {
-	Hold bool `json:"hold"` // make bookings but withhold their answers until Hold is false
+	Hold   bool `json:"hold"`   // make bookings but withhold their answers until Hold is false
+	Status int  `json:"status"` // make bookings but answer with this status; zero for none
 }
 
 // heldAnswer is a booking whose answer is withheld.
@@ -45,6 +46,10 @@
 		s.heldAnswers = append(s.heldAnswers, heldAnswer{call: call, booking: booking})
 		return
 	}
+	if s.faults.Status != 0 {
+		server.ReplyStatus(call, s.faults.Status)
+		return
+	}
 	replyBooking(call, booking)
 }
 
--- a/standin/e2e/idempotency_test.go
+++ b/standin/e2e/idempotency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"syscall"
@@ -144,6 +145,48 @@
 	}
 }
 
+// TestBookingThatRanIsNotRefusedAsNotRun lets a backend server make bookings and answer
+// with statuses that callers take to mean that it made none.
+func TestBookingThatRanIsNotRefusedAsNotRun(t *testing.T) {
+	f := newBookingFleet(t, "")
+	type reply struct {
+		Status  int
+		Outcome string
+	}
+	cases := map[string]struct {
+		status int
+		key    string
+		want   reply
+	}{
+		"503":                {status: 503, want: reply{502, httpserver.MayHaveRun}},
+		"503, resent by key": {status: 503, key: "k503", want: reply{502, httpserver.MayHaveRun}},
+		"429":                {status: 429, want: reply{502, httpserver.MayHaveRun}},
+		"408":                {status: 408, want: reply{502, httpserver.MayHaveRun}},
+		"421":                {status: 421, want: reply{502, httpserver.MayHaveRun}},
+		"500":                {status: 500, want: reply{Status: 500}},
+		"409":                {status: 409, want: reply{Status: 409}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f.setFaults(f.backendAddresses["booking-1"], fmt.Sprintf(`{"status":%d}`, tc.status))
+			before := f.received("booking-1").Runs
+			for entry := range f.entryAddresses {
+				got := f.call(entry, bookingRequest("gate 4", tc.key))
+				if diff := cmp.Diff(tc.want, reply{got.status, got.header.Get(httpserver.OutcomeHeader)}); diff != "" {
+					t.Errorf("answer of entry %d (-want +got):\n%s\n%s", entry, diff, got.body)
+				}
+			}
+			want := len(f.entryAddresses)
+			if tc.key != "" {
+				want = 1
+			}
+			if diff := cmp.Diff(before+want, f.received("booking-1").Runs); diff != "" {
+				t.Errorf("bookings made (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func statusText(got answer) string {
 	text, err := json.Marshal(got.status)
 	if err != nil {
