Show that an answer cut off in its head is no success

An operator of a similar system saw callers get 200 with an empty or short body when a backend server stopped in the middle of its answer's head and closed. It can't happen here: the lobby takes a head only with its end, and the runner's client reports the end of the connection within a head as an error.

--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -211,6 +211,28 @@
 	}
 }
 
+// TestAnswerThatEndsInItsHeadFails lets a backend server close the connection after each
+// byte of its answer's head.
+func TestAnswerThatEndsInItsHeadFails(t *testing.T) {
+	heads := map[string]string{"length": sized, "chunks": chunked, "neither": unframed, "no body": "HTTP/1.1 204 No Content\r\n\r\n"}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			var behaviours []behaviour
+			for sent := range len(head) {
+				behaviours = append(behaviours, sendAndClose(head[:sent]))
+			}
+			pool := newPool(startBackend(t, behaviours...), testTimeout)
+			messages := servePool(t, pool)
+			for sent := range len(head) {
+				submitAttempt(t, pool, protocol.SubmitConfig{Attempt: "a", Model: "m"})
+				if diff := cmp.Diff(result{Code: protocol.CodeAnswerCut, MayHaveRun: true}, messages.nextResult(t)); diff != "" {
+					t.Errorf("result after %d bytes (-want +got):\n%s", sent, diff)
+				}
+			}
+		})
+	}
+}
+
 // sendRepeatedly sends text once and then again every 10 ms until the connection is
 // closed or it was sent a number of times, and last of all the end.
 func sendRepeatedly(text, again string, times int, end string) behaviour {
