Keep on draining when a signal to stop comes again

What callers saw: requests that a lobby had accepted and sent to backend servers ended with their connections when the lobby got a second SIGTERM within its grace time. Entries, sides and keepers stop by the same code.

Cause: after the first signal supervisor.Run gave up the handling of SIGTERM and SIGINT, so that the next one had its default action.

The new test sends a second signal to a process with open work: its process ended ("signal: terminated") before, and the work ends now in all four orders.

Change: the stop is a pure state machine. Signals in any order and number are events; only the end of the open work, of the time or of the tree ends the process. A drain that can't be started is tried again, where the process ended at once before.

--- a/commons/supervisor/run.go
+++ b/commons/supervisor/run.go
@@ -23,6 +23,18 @@
 // threads, in which the last responses are sent.
 const flushDelay = 200 * time.Millisecond
 
+// stopTickPeriod is the time between two looks at whether the process may end.
+const stopTickPeriod = 50 * time.Millisecond
+
+// drainTimeout is the longest time that one attempt to start the drain may take.
+const drainTimeout = 500 * time.Millisecond
+
+// signalCapacity is the number of signals that may wait to be handled.
+const signalCapacity = 16
+
+// errTreeEnded is the cause of a failure if the tree has ended without an error.
+var errTreeEnded = errors.New("it returned")
+
 // settingsPollPeriod is the time between two checks of the settings file, which
 // may change without a SIGHUP.
 const settingsPollPeriod = 5 * time.Second
@@ -35,7 +47,7 @@
 type Root interface {
 	Service
 	// Drain makes the process refuse new work. The returned channel is
-	// closed when all open work has ended.
+	// closed when all open work has ended. After an error it is called again.
 	Drain(ctx context.Context) (<-chan struct{}, error)
 }
 
@@ -64,14 +76,26 @@
 	Flush()
 }
 
+// Closer is implemented by roots that can end open requests with an answer.
+type Closer interface {
+	// Close ends all open requests with an answer that says that the process stops.
+	// It must not block, and may be called several times.
+	Close()
+}
+
+// Sender is implemented by roots that write answers to callers.
+type Sender interface {
+	// Unsent returns the number of answers that have been written but have not left
+	// the process completely.
+	Unsent() int
+}
+
 // Run serves the tree until SIGTERM or SIGINT, then drains and stops it. It
 // returns the exit code of the process: ExitOK if all open work was finished.
 func Run(config RunConfig) int {
-	signals, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer release()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	signals := make(chan os.Signal, signalCapacity)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	if config.LogWriter != nil {
 		// If the log output fails, there is nowhere left to report it.
 		go func() { _ = config.LogWriter.Serve(context.Background()) }()
@@ -79,64 +103,123 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stopped := make(chan error, 1)
-	go func() { stopped <- config.Root.Serve(ctx) }()
+	r := &runner{config: config, stop: stop{schedule: NewStopSchedule(config.DrainLimit)}, signals: signals, stopped: make(chan error, 1)}
+	go func() { r.stopped <- config.Root.Serve(ctx) }()
 	config.Log.WithField("event", "start").Info("process started")
-	if err := awaitStop(signals, hangups, config, stopped); err != nil {
-		config.Log.WithField("event", "stop").WithError(err).Error("process failed")
+	r.run(ctx)
+	if r.stop.failure != nil {
+		config.Log.WithField("event", "stop").WithError(r.stop.failure).Error("process failed")
 		return ExitFailed
 	}
-	release()
-	code := drain(config)
+	if r.stop.code != ExitOK {
+		config.Log.WithField("event", "drain").Error("drain limit exceeded with work still open")
+	}
 	time.Sleep(flushDelay)
 	cancel()
 	select {
-	case <-stopped:
+	case <-r.stopped:
 	case <-time.After(shutdownTimeout):
 		config.Log.WithField("event", "stop").Warn("threads did not stop in time")
 	}
-	config.Log.WithFields(logrus.Fields{"event": "stop", "code": code}).Info("process stopped")
-	return code
+	config.Log.WithFields(logrus.Fields{"event": "stop", "code": r.stop.code}).Info("process stopped")
+	return r.stop.code
+}
+
+// runner turns what happens to a process into events of its stop, and carries out the
+// actions.
+type runner struct {
+	config  RunConfig
+	stop    stop
+	signals <-chan os.Signal
+	stopped chan error
+	drained <-chan struct{} // nil until the drain has started, and after its end
+	tick    *time.Ticker    // nil until the first signal to stop
 }
 
-// awaitStop returns nil after a signal to stop, or an error if the tree has
-// stopped by itself. Until then it reloads the settings on SIGHUP and whenever
-// the file has changed.
-func awaitStop(signals context.Context, hangups <-chan os.Signal, config RunConfig, stopped <-chan error) error {
-	ticker := time.NewTicker(cmp.Or(config.PollPeriod, settingsPollPeriod))
-	defer ticker.Stop()
-	for {
+// run returns when the process is to exit.
+func (r *runner) run(ctx context.Context) {
+	poll := time.NewTicker(cmp.Or(r.config.PollPeriod, settingsPollPeriod))
+	defer poll.Stop()
+	defer r.stopTicking()
+	for r.stop.phase != gone {
 		select {
-		case <-ticker.C:
-			if config.SettingsFile != nil && config.SettingsFile.Changed() {
-				config.SettingsFile.Reload()
-			}
-		case err := <-stopped:
-			return errors.Wrap(err, "supervision tree stopped unexpectedly")
-		case <-signals.Done():
-			return nil
-		case <-hangups:
-			if config.SettingsFile != nil {
-				config.SettingsFile.Reload()
+		case <-poll.C:
+			if r.config.SettingsFile != nil && r.config.SettingsFile.Changed() {
+				r.config.SettingsFile.Reload()
 			}
+		case <-r.ticks():
+			r.handle(ctx, ticked{unsent: r.unsent()})
+		case err := <-r.stopped:
+			r.handle(ctx, treeEnded{errors.Wrap(cmp.Or(err, errTreeEnded), "supervision tree stopped unexpectedly")})
+		case received := <-r.signals:
+			r.handle(ctx, signalled{received.(syscall.Signal)})
+		case <-r.drained:
+			r.drained = nil
+			r.handle(ctx, drained{})
+		}
+	}
+}
+
+// ticks returns the channel of the ticker, nil until the first signal to stop.
+func (r *runner) ticks() <-chan time.Time {
+	if r.tick == nil {
+		return nil
+	}
+	return r.tick.C
+}
+
+func (r *runner) stopTicking() {
+	if r.tick != nil {
+		r.tick.Stop()
+	}
+}
+
+func (r *runner) unsent() int {
+	if sender, ok := r.config.Root.(Sender); ok {
+		return sender.Unsent()
+	}
+	return 0
+}
+
+func (r *runner) handle(ctx context.Context, event stopEvent) {
+	for _, action := range r.stop.handle(time.Now(), event) {
+		r.execute(ctx, action)
+	}
+}
+
+func (r *runner) execute(ctx context.Context, action stopAction) {
+	log := r.config.Log.WithField("event", "drain")
+	switch action {
+	case startDrain:
+		r.drain(ctx)
+	case closeOpen:
+		if closer, ok := r.config.Root.(Closer); ok {
+			closer.Close()
+		}
+	case reload:
+		if r.config.SettingsFile != nil {
+			r.config.SettingsFile.Reload()
 		}
+	case ignoreSignal:
+		log.WithField("age", time.Since(r.stop.began)).Info("signal ignored: the process stops already")
+	case exit:
 	}
 }
 
-func drain(config RunConfig) int {
-	ctx, cancel := context.WithTimeout(context.Background(), config.DrainLimit)
+// drain makes the tree refuse new work.
+func (r *runner) drain(ctx context.Context) {
+	if r.tick == nil {
+		r.tick = time.NewTicker(stopTickPeriod)
+	}
+	log := r.config.Log.WithField("event", "drain")
+	log.Info("drain started; waiting for open work")
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	config.Log.WithField("event", "drain").Info("drain started; waiting for open work")
-	done, err := config.Root.Drain(ctx)
+	done, err := r.config.Root.Drain(ctx)
 	if err != nil {
-		config.Log.WithField("event", "drain").WithError(err).Error("drain could not be started")
-		return ExitFailed
-	}
-	select {
-	case <-done:
-		return ExitOK
-	case <-ctx.Done():
-		config.Log.WithField("event", "drain").Error("drain limit exceeded with work still open")
-		return ExitFailed
+		log.WithError(err).Error("drain could not be started; tried again")
+		return
 	}
+	r.drained = done
+	r.handle(ctx, drainStarted{})
 }
--- a/commons/supervisor/run_test.go
+++ b/commons/supervisor/run_test.go
@@ -36,6 +36,41 @@
 
 func (r *fakeRoot) Drain(context.Context) (<-chan struct{}, error) { return r.drained, nil }
 
+// TestRunEndsOnlyAfterTheDrain sends further signals while open work has not ended. The
+// second one ended the process at once.
+func TestRunEndsOnlyAfterTheDrain(t *testing.T) {
+	cases := map[string][]syscall.Signal{
+		"SIGTERM twice":            {syscall.SIGTERM},
+		"SIGTERM, SIGINT":          {syscall.SIGINT},
+		"SIGTERM, SIGHUP":          {syscall.SIGHUP},
+		"many signals in a series": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGTERM},
+	}
+	for name, signals := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &fakeRoot{serving: make(chan struct{}), drained: make(chan struct{})}
+			code := make(chan int, 1)
+			go func() {
+				code <- supervisor.Run(supervisor.RunConfig{Root: r, DrainLimit: time.Minute, Log: testkit.DiscardLog()})
+			}()
+			<-r.serving
+			sendSignal(t, syscall.SIGTERM)
+			for _, signal := range signals {
+				time.Sleep(20 * time.Millisecond)
+				sendSignal(t, signal)
+			}
+			select {
+			case got := <-code:
+				t.Fatalf("exit with code %d before the end of the drain", got)
+			case <-time.After(100 * time.Millisecond):
+			}
+			close(r.drained)
+			if diff := cmp.Diff(supervisor.ExitOK, <-code); diff != "" {
+				t.Errorf("exit code (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestRunHandlesSignals(t *testing.T) {
 	cases := map[string]struct {
 		hangups    int
