Answer what was passed on before the grace time of a stop ends

What callers saw: connections closed without an answer at the end of a planned stop, for requests that the lobby had taken late in its grace time and that backend servers ran; of an entry, for every call that was still open at its drain limit.

Cause: a lobby accepted requests for 2.5 s and waited for 2.6 s, whatever [process] drain-limit says, and refused open ones 0.9 s before it. With a grace of 2 s it went on to accept requests until it was killed. An entry never ended open calls: at the limit the process exited.

Evidence: callers on kept and new connections until the process is gone. At an entry the connection of a booking whose answer was withheld was closed.

Change: the accept period and the close margin take a third of the limit each at most. Requests that a draining lobby accepts have a deadline before its close. Roots that can end open work do so when the stop says so: the lobby as before, the entry with 504 and may-have-run. The pauses at the very end shrink with the limit.

--- a/commons/supervisor/run.go
+++ b/commons/supervisor/run.go
@@ -19,9 +19,9 @@
 	ExitUsage  = 2
 )
 
-// flushDelay is the time between the end of the drain and the stop of the
+// maxFlushDelay is the longest time between the end of the drain and the stop of the
 // threads, in which the last responses are sent.
-const flushDelay = 200 * time.Millisecond
+const maxFlushDelay = 200 * time.Millisecond
 
 // stopTickPeriod is the time between two looks at whether the process may end.
 const stopTickPeriod = 50 * time.Millisecond
@@ -39,9 +39,16 @@
 // may change without a SIGHUP.
 const settingsPollPeriod = 5 * time.Second
 
-// shutdownTimeout is the longest time that Run waits for the threads to end; some
+// maxShutdownTimeout is the longest time that Run waits for the threads to end; some
 // may be blocked in a call to another process.
-const shutdownTimeout = 300 * time.Millisecond
+const maxShutdownTimeout = 300 * time.Millisecond
+
+// flushShare and shutdownShare bound these times if little is given for the stop: one part
+// of it in so many.
+const (
+	flushShare    = 20
+	shutdownShare = 10
+)
 
 // Root is the root of the supervision tree of a process.
 type Root interface {
@@ -114,11 +121,11 @@
 	if r.stop.code != ExitOK {
 		config.Log.WithField("event", "drain").Error("drain limit exceeded with work still open")
 	}
-	time.Sleep(flushDelay)
+	time.Sleep(min(maxFlushDelay, config.DrainLimit/flushShare))
 	cancel()
 	select {
 	case <-r.stopped:
-	case <-time.After(shutdownTimeout):
+	case <-time.After(min(maxShutdownTimeout, config.DrainLimit/shutdownShare)):
 		config.Log.WithField("event", "stop").Warn("threads did not stop in time")
 	}
 	config.Log.WithFields(logrus.Fields{"event": "stop", "code": r.stop.code}).Info("process stopped")
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -65,6 +65,9 @@
 // Drain makes the front end refuse new requests and report when none is open.
 type Drain struct{}
 
+// Closing makes the front end end all open calls: the process stops now.
+type Closing struct{}
+
 // Frontend handles the callers' requests on its own thread. Inbox, Revision,
 // Draining, Open, Drain and Ready are safe for concurrent use.
 type Frontend struct {
@@ -130,6 +133,21 @@
 	return f.inbox.PutWithin(ctx, Drain{}, limit)
 }
 
+// Close ends all open calls with an answer. It does not block.
+func (f *Frontend) Close() {
+	if err := f.inbox.Put(Closing{}); err != nil {
+		f.config.Log.WithField("event", "drain").WithError(err).Warn("open calls not ended yet: inbox of the front end full")
+	}
+}
+
+// closeAll ends all open calls, which may run on at their backend servers.
+func (f *Frontend) closeAll(now time.Time) {
+	for _, o := range f.calls {
+		f.abandon(o)
+		f.fail(now, o, errStopped, 0)
+	}
+}
+
 // Start does nothing, since open calls are kept when the thread is restarted.
 func (f *Frontend) Start(time.Time) error { return nil }
 
@@ -150,6 +168,8 @@
 		f.applyRevision(now, m.Revision())
 	case Drain:
 		f.draining.Store(true)
+	case Closing:
+		f.closeAll(now)
 	}
 	f.updateOpenCount()
 	return nil
--- a/entry/frontend/refusal.go
+++ b/entry/frontend/refusal.go
@@ -43,6 +43,10 @@
 		Status: fasthttp.StatusGatewayTimeout, Code: "deadline_exceeded", Outcome: httpserver.MayHaveRun,
 		Message: "the request's time was over before its answer was whole",
 	})
+	errStopped = httpserver.NewRefusal(httpserver.RefusalConfig{
+		Status: fasthttp.StatusGatewayTimeout, Code: "stopped", Outcome: httpserver.MayHaveRun,
+		Message: "this instance stopped before the answer was whole; see " + httpserver.OutcomeHeader + " before sending the request again",
+	})
 	errBackendRefused = httpserver.NewRefusal(httpserver.RefusalConfig{
 		Status: fasthttp.StatusBadGateway, Code: "backend_refused", Outcome: httpserver.MayHaveRun,
 		Message: "the backend server refused the request, but may have run it; see " + httpserver.OutcomeHeader + " before sending it again",
--- a/entry/process.go
+++ b/entry/process.go
@@ -288,6 +288,9 @@
 	return p.drained, p.limiter.Drain(ctx, drainPutTimeout)
 }
 
+// Close ends all open calls with an answer.
+func (p *process) Close() { p.frontend.Close() }
+
 // Ready returns nil while the entry accepts requests, else the reason why not.
 func (p *process) Ready() error { return p.frontend.Ready(time.Now()) }
 
--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -5,12 +5,10 @@
 const (
 	drainPutTimeout = 5 * time.Second // longest wait for room in the scheduler's inbox
 	drainPollPeriod = 50 * time.Millisecond
-	// acceptPeriod is the time for which a draining process still accepts
-	// requests: until two readiness probes of the platform have failed.
-	acceptPeriod = 2600 * time.Millisecond
-	// closeMargin is the time before the drain limit at which the remaining
-	// requests are refused.
-	closeMargin = 900 * time.Millisecond
+	// refusalMargin is the time from the end of the period in which a draining process
+	// accepts requests to the earliest end of the drain. Requests that arrive in it are
+	// refused.
+	refusalMargin = 100 * time.Millisecond
 	// minLobbies is the number of lobbies among which connections, retries and
 	// quotas are divided unless more have been found.
 	minLobbies = 4
--- a/lobby/descriptors_test.go
+++ b/lobby/descriptors_test.go
@@ -18,7 +18,7 @@
 		Answered, SteadyFailures, Ready int
 	}
 	store := newStore(t, platformConfig, map[string]string{"i-1": listEntry(newBackend(t)), "i-2": listEntry(newBackend(t))})
-	p := startProcess(t, store, descriptors)
+	p := startProcess(t, store, descriptors, testGrace)
 	steady, err := dialCaller(p.address)
 	if err != nil {
 		t.Fatal(err)
--- a/lobby/drainer.go
+++ b/lobby/drainer.go
@@ -9,10 +9,8 @@
 
 // drainerConfig holds the construction parameters of a drainer.
 type drainerConfig struct {
-	AcceptPeriod time.Duration // time for which a draining process still accepts requests
-	Timeout      time.Duration // time after which open requests are refused
-	Open         func() int    // number of open requests
-	Close        func()        // refuses all open requests
+	MinDuration time.Duration // time for which a drain goes on although no request is open
+	Open        func() int    // number of open requests
 }
 
 // drainer waits on its own thread until a drain that was begun has ended.
@@ -66,7 +64,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			if d.tryEnd(now.Sub(current.start)) {
+			if d.ended(now.Sub(current.start)) {
 				close(current.done)
 				return nil
 			}
@@ -74,14 +72,7 @@
 	}
 }
 
-// tryEnd reports whether a drain of the given age has ended. It refuses the open
-// requests if the timeout has passed.
-func (d *drainer) tryEnd(age time.Duration) bool {
-	if d.config.Open() == 0 && age > d.config.AcceptPeriod {
-		return true
-	}
-	if age > d.config.Timeout {
-		d.config.Close()
-	}
-	return false
+// ended reports whether a drain of the given age has ended.
+func (d *drainer) ended(age time.Duration) bool {
+	return age > d.config.MinDuration && d.config.Open() == 0
 }
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -91,10 +91,8 @@
 	})
 	m.scheduler.Attach(m.proxy, keepers, m)
 	p.drainer = newDrainer(drainerConfig{
-		AcceptPeriod: acceptPeriod,
-		Timeout:      settings.Duration("process", "drain-limit") - closeMargin,
-		Open:         m.scheduler.Open,
-		Close:        func() { m.notifyScheduler(scheduler.Closing{}) },
+		MinDuration: stopSchedule(settings).AcceptPeriod() + refusalMargin,
+		Open:        m.proxy.Open,
 	})
 	p.add(p.drainer)
 	p.add(m.proxy.Services()...)
@@ -147,6 +145,7 @@
 		Core: scheduler.CoreConfig{
 			Domain:     settings.Text("process", "domain"),
 			MinLobbies: minLobbies,
+			Stop:       stopSchedule(settings),
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
 			Quarantine: quarantine.New(quarantine.Config{Self: settings.Address("door", "listen")}),
 			RetryBudget: scheduler.RetryBudgetConfig{
@@ -182,6 +181,11 @@
 	}), nil
 }
 
+// stopSchedule returns the schedule of a planned stop.
+func stopSchedule(settings *inifile.Values) supervisor.StopSchedule {
+	return supervisor.NewStopSchedule(settings.Duration("process", "drain-limit"))
+}
+
 // newRPCClients returns a function that returns the client for an address. The
 // clients of keepers and lobbies are shared.
 func newRPCClients() func(address string) keeperclient.RPCClient {
@@ -215,6 +219,9 @@
 	Open          int   `json:"open"`
 }
 
+// Close ends all open requests with an answer.
+func (p *process) Close() { p.mediator.notifyScheduler(scheduler.Closing{}) }
+
 // Drain closes each caller's connection after its next answer. The returned
 // channel is closed when no request is open.
 func (p *process) Drain(ctx context.Context) (<-chan struct{}, error) {
--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -143,7 +143,7 @@
 func startLobby(t *testing.T, storeAddress string) (string, *logBuffer) {
 	t.Helper()
 	address, probe := testkit.FreeAddress(t), testkit.FreeAddress(t)
-	settings, err := inifile.ParseSettings("lobby.ini", []byte(lobbySettings(t, storeAddress, address, probe)), inifile.LobbySettings())
+	settings, err := inifile.ParseSettings("lobby.ini", []byte(lobbySettings(t, storeAddress, address, probe, 8*time.Second)), inifile.LobbySettings())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,10 +163,10 @@
 	return address, out
 }
 
-// lobbySettings returns the settings of a lobby.
-func lobbySettings(t *testing.T, storeAddress, address, probe string) string {
-	return fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\ndrain-limit = 8s\n[door]\nlisten = %s\n"+
-		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", testkit.FreeAddress(t), testkit.FreeAddress(t), storeAddress, address, probe)
+// lobbySettings returns the settings of a lobby that may take the grace time to stop.
+func lobbySettings(t *testing.T, storeAddress, address, probe string, grace time.Duration) string {
+	return fmt.Sprintf("[process]\ninstance = lobby-1\ndomain = d1\nmemory = 256MiB\noperator = %s\ndrain-limit = %s\n[door]\nlisten = %s\n"+
+		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", testkit.FreeAddress(t), grace, testkit.FreeAddress(t), storeAddress, address, probe)
 }
 
 // awaitReady waits until a lobby reports that it is ready.
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -79,6 +79,7 @@
 	run         atomic.Pointer[loopRun] // nil before the first one
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
+	open        atomic.Int64              // number of exchanges
 
 	lastNumber    uint64
 	callers       map[*callerConn]struct{}
@@ -131,7 +132,11 @@
 
 // Drain starts a drain: callers' connections are closed after their next answer,
 // and idle ones after a delay. It is safe to call from any thread.
-func (p *Proxy) Drain(now time.Time) { p.drainStart.Store(&now) }
+func (p *Proxy) Drain(now time.Time) { p.drainStart.CompareAndSwap(nil, &now) }
+
+// Open returns the number of requests whose answers have not been written. It is safe to
+// call from any thread.
+func (p *Proxy) Open() int { return int(p.open.Load()) }
 
 // String returns the thread's name, which supervision events carry.
 func (p *Proxy) String() string { return "porch" }
@@ -362,6 +367,7 @@
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
+	p.open.Add(1)
 	if len(p.exchanges) > p.budget.MaxRequests(now) {
 		p.stats.refused.Inc()
 		c.closeAfterAnswer = true
@@ -383,6 +389,7 @@
 func (p *Proxy) removeExchange(e *exchange) {
 	e.ended = true
 	delete(p.exchanges, e.number)
+	p.open.Add(-1)
 }
 
 // notifyScheduler sends a message to the scheduler. If the message is lost because
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -5,7 +5,24 @@
 // acceptsNew reports whether new requests are accepted. A draining process
 // accepts them until the platform's readiness probes have had time to fail.
 func (c *Core) acceptsNew(now time.Time) bool {
-	return c.drainStart.IsZero() || now.Sub(c.drainStart) < drainGrace
+	return c.drainStart.IsZero() || now.Sub(c.drainStart) < c.config.Stop.AcceptPeriod()
+}
+
+// expiry returns the time at which a new request ends whatever happens: at the end of its
+// caller's or its route's timeout, and before a process that drains is killed.
+func (c *Core) expiry(req *openRequest) time.Time {
+	timeout := req.route.Timeout()
+	if given := req.request.Timeout(); given > 0 {
+		timeout = min(timeout, given)
+	}
+	expires := req.request.Arrived().Add(timeout)
+	if c.drainStart.IsZero() {
+		return expires
+	}
+	if closing := c.drainStart.Add(c.config.Stop.ClosePeriod()); closing.Before(expires) {
+		return closing
+	}
+	return expires
 }
 
 // requestArrived admits or refuses a new request.
@@ -23,10 +40,7 @@
 		c.refuse(req, draining, c.drainRetryAfter(now))
 		return
 	}
-	req.expires = m.request.Arrived().Add(req.route.Timeout())
-	if timeout := m.request.Timeout(); timeout > 0 && timeout < req.route.Timeout() {
-		req.expires = m.request.Arrived().Add(timeout)
-	}
+	req.expires = c.expiry(req)
 	if wait, ok := c.charge(now, req); !ok {
 		c.refuse(req, overQuota, wait)
 		return
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -13,10 +13,6 @@
 	retryAfter        = 300 * time.Millisecond  // default retry delay in refusals
 	restartRetryAfter = 1500 * time.Millisecond // retry delay in refusals when all lobbies are draining
 	planLifetime      = 3 * time.Second         // time after its last receipt for which a plan is valid
-	// drainGrace is the time after the start of a drain during which new requests
-	// are still accepted: the platform probes readiness once a second and needs
-	// two probes to notice.
-	drainGrace = 2500 * time.Millisecond
 	// The time between two digests is the number of lobbies times
 	// digestPeriodPerLobby, within minDigestPeriod and maxDigestPeriod.
 	minDigestPeriod      = 50 * time.Millisecond
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -51,11 +51,21 @@
 	UpdatePeer(now time.Time, digest protocol.Digest)
 }
 
+// StopSchedule divides the time that a planned stop may take.
+type StopSchedule interface {
+	// AcceptPeriod returns the time from its start during which new requests are
+	// accepted.
+	AcceptPeriod() time.Duration
+	// ClosePeriod returns the time from its start after which open requests are ended.
+	ClosePeriod() time.Duration
+}
+
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
 	Domain      string            // failure domain of this process
 	RetryBudget RetryBudgetConfig // for each service
 	MinLobbies  int               // lower bound of the number of lobbies that share connections and retries
+	Stop        StopSchedule
 	Limiter     Limiter
 	Quarantine  Quarantine
 	Random      *rand.Rand
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/scheduler"
 )
@@ -49,7 +50,7 @@
 func newFixture(backends ...deployment.BackendConfig) *fixture {
 	f := &fixture{limiter: &fakeLimiter{remaining: 1000}, now: noon}
 	f.core = scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: 1, Limiter: f.limiter, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: f.limiter, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	})
 	f.core.Handle(f.now, scheduler.NewConfigurationChanged(deployment.NewConfiguration(deployment.Config{
@@ -58,6 +59,7 @@
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: deployment.Safe, Timeout: time.Second, MaxAttempts: 2, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: deployment.Unsafe, Timeout: time.Second, MaxAttempts: 1, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
 			{Name: "twice", Host: "h", Prefix: "/twice/", Kind: deployment.Unsafe, Timeout: time.Second, MaxAttempts: 2, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
+			{Name: "long", Host: "h", Prefix: "/long/", Kind: deployment.Unsafe, Timeout: time.Minute, MaxAttempts: 1, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: deployment.Stream, Timeout: 15 * time.Second, LatencyObjective: 600 * time.Millisecond, GapObjective: 300 * time.Millisecond, MaxAttempts: 1, Shares: []deployment.ShareConfig{{Service: "engine", Weight: 1}}},
 			{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: deployment.Stream, Timeout: 20 * time.Second, LatencyObjective: 4 * time.Second, MaxAttempts: 2, Resumable: true, Shares: []deployment.ShareConfig{{Service: "engine", Weight: 1}}},
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: deployment.Safe, Timeout: time.Second, Open: true, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
@@ -470,10 +472,16 @@
 		t.Error("ready while draining")
 	}
 	checkActions(t, "within the grace period", []string{"send p1"}, f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"}))
+	f.now = f.now.Add(2 * time.Second)
+	actions := f.arrive(httpmeta.RequestConfig{Path: "/long/a"})
+	checkActions(t, "request with a long timeout", []string{"send p1"}, actions)
+	if diff := cmp.Diff(noon.Add(7100*time.Millisecond), actions[0].(scheduler.Send).Forwarding().Deadline()); diff != "" {
+		t.Errorf("deadline of a request with a long timeout (-want +got):\n%s", diff)
+	}
 	checkActions(t, "no queueing", []string{"refuse 503 no_backend"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
-	f.now = f.now.Add(3 * time.Second)
+	f.now = f.now.Add(time.Second)
 	checkActions(t, "later", []string{"refuse 503 leaving"}, f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"}))
-	checkActions(t, "closing", []string{"refuse 504 deadline_exceeded", "refuse 504 deadline_exceeded"}, f.core.Handle(f.now, scheduler.Closing{}))
+	checkActions(t, "closing", []string{"refuse 504 deadline_exceeded", "refuse 504 deadline_exceeded", "refuse 504 deadline_exceeded"}, f.core.Handle(f.now, scheduler.Closing{}))
 	if diff := cmp.Diff(0, f.core.Open()); diff != "" {
 		t.Errorf("open requests (-want +got):\n%s", diff)
 	}
--- a/lobby/subprocess_test.go
+++ b/lobby/subprocess_test.go
@@ -46,13 +46,13 @@
 	exited         chan struct{}
 }
 
-// startProcess starts a lobby that may open a number of descriptors, and waits until it
-// is ready.
-func startProcess(t *testing.T, storeAddress string, descriptors int) *lobbyProcess {
+// startProcess starts a lobby that may open a number of descriptors and take the grace
+// time to stop, and waits until it is ready.
+func startProcess(t *testing.T, storeAddress string, descriptors int, grace time.Duration) *lobbyProcess {
 	t.Helper()
 	p := &lobbyProcess{address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), log: &logBuffer{}, exited: make(chan struct{})}
 	path := filepath.Join(t.TempDir(), "lobby.ini")
-	if err := os.WriteFile(path, []byte(lobbySettings(t, storeAddress, p.address, p.probe)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(lobbySettings(t, storeAddress, p.address, p.probe, grace)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command(os.Args[0], path)
@@ -73,14 +73,6 @@
 	return p
 }
 
-// signal sends a signal to the process.
-func (p *lobbyProcess) signal(t *testing.T, signal syscall.Signal) {
-	t.Helper()
-	if err := p.cmd.Process.Signal(signal); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // caller is a caller's connection, which it keeps.
 type caller struct {
 	conn   net.Conn
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -115,6 +115,7 @@
 	dir               string
 	inventory         strings.Builder
 	logAddress        string
+	processSettings   string            // further lines of the settings section [process]
 	platformSettings  string            // further lines of the settings section [platform]
 	entryAddresses    []string          // addresses that accept callers' requests
 	operatorAddresses map[string]string // addresses of the operators' pages by instance
@@ -220,7 +221,7 @@
 }
 
 func (f *fleet) writeSettings(name, settings string) {
-	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\nsecret = %s\noperator = %s\n[platform]\nlog = %s\npoll = 100ms\n%s%s", name, fleetSecret, f.operatorAddresses[name], f.logAddress, f.platformSettings, settings)
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = a\nsecret = %s\noperator = %s\n%s[platform]\nlog = %s\npoll = 100ms\n%s%s", name, fleetSecret, f.operatorAddresses[name], f.processSettings, f.logAddress, f.platformSettings, settings)
 	if err := os.WriteFile(filepath.Join(f.dir, name+".ini"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/standin/e2e/idempotency_test.go
+++ b/standin/e2e/idempotency_test.go
@@ -187,6 +187,29 @@
 	}
 }
 
+// TestStopAnswersCallsThatAreStillOpen stops an entry while a backend server withholds an
+// answer for longer than the stop may take. The connection was closed without an answer.
+func TestStopAnswersCallsThatAreStillOpen(t *testing.T) {
+	f := newFleet(t)
+	f.addService("booking-1")
+	f.processSettings = "drain-limit = 2s\n"
+	f.addEntry("entry-1", "")
+	f.apply()
+	f.setFaults(f.backendAddresses["booking-1"], `{"hold":true}`)
+	answers := make(chan answer, 1)
+	go func() { answers <- f.call(0, bookingRequest("gate 4", "")) }()
+	for f.received("booking-1").Runs == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.processes["entry-1"].signal(t, syscall.SIGTERM)
+	got := <-answers
+	want := []string{"504", httpserver.MayHaveRun, "<nil>"}
+	if diff := cmp.Diff(want, []string{statusText(got), got.header.Get(httpserver.OutcomeHeader), fmt.Sprint(got.err)}); diff != "" {
+		t.Errorf("answer (-want +got):\n%s\n%s", diff, got.body)
+	}
+	f.processes["entry-1"].wait(t)
+}
+
 func statusText(got answer) string {
 	text, err := json.Marshal(got.status)
 	if err != nil {
