Close a caller's connection once its last answer has left

What callers saw: of an answer of 400 KiB with Connection: close, and of every such answer during a planned stop, some 200 KB and then the end of the connection; of answers of 3 MiB the same on any connection of a lobby if they read a little late. At an entry answers of 3 MiB were cut off if the connection was closed after them.

Cause: gnet's close writes what is buffered once and drops what the kernel does not take; both fronts closed right after the write. A lobby closed callers with more than 1 MiB unsent. A stop counted a request as ended when its answer was written, not when it had left.

Evidence: answers of 1 KiB, 400 KiB and 3 MiB over segments as on an Ethernet link. Before: 11 of 24 cases at a lobby and 2 of 4 at an entry cut off after 202,580 to 208,391 bytes; a slow but steady reader was cut off.

Change: a close waits until no byte is unsent; then the lobby ends its own direction and waits a second for the caller's end. A caller is ended by time without a byte taken (10 s) in place of size, up to 32 MiB unsent.

--- a/commons/httpserver/call.go
+++ b/commons/httpserver/call.go
@@ -130,7 +130,7 @@
 		c.Abort()
 		return ErrCallerGone
 	}
-	return c.conn.socket.AsyncWrite(message, func(socket gnet.Conn, _ error) error {
+	return c.conn.write(message, func(socket gnet.Conn) error {
 		c.unsent.Store(int64(socket.OutboundBuffered()))
 		return nil
 	})
@@ -140,15 +140,20 @@
 	if c.Gone() {
 		return
 	}
-	afterWrite := closeAfterWrite
-	if c.keepAlive {
-		afterWrite = func(socket gnet.Conn, _ error) error { return c.conn.release(socket) }
-	}
-	if err := c.conn.socket.AsyncWrite(message, afterWrite); err != nil {
+	if err := c.conn.write(message, c.afterLastWrite); err != nil {
 		c.Abort()
 	}
 }
 
+// afterLastWrite makes the connection available for its next request, or closes it if the
+// answer was its last.
+func (c *Call) afterLastWrite(socket gnet.Conn) error {
+	if c.keepAlive {
+		return c.conn.release(socket)
+	}
+	return c.conn.closeWhenSent(socket)
+}
+
 // chunkOverhead is the number of bytes that the chunked transfer coding adds to a
 // piece.
 const chunkOverhead = 16
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 )
@@ -21,6 +22,9 @@
 	partial      atomic.Bool  // part of a request has been received
 	gone         atomic.Bool  // the connection is closed or the call was aborted
 	closing      atomic.Bool  // the connection is being closed to make room for others
+	sending      atomic.Bool  // bytes have been written that have not left the process
+	closeSent    atomic.Bool  // the connection is closed once they have left
+	progress     Progress     // used on the event loop only
 	waitingSince atomic.Int64 // start of the current wait in Unix nanoseconds; zero while a call is open
 }
 
@@ -92,6 +96,10 @@
 // expire closes a connection whose request is incomplete, or which has had no
 // request, for longer than the limit.
 func (c *conn) expire(now time.Time) {
+	if c.sending.Load() {
+		_ = c.socket.AsyncWrite(nil, func(socket gnet.Conn, _ error) error { return c.checkSent(now, socket) })
+		return
+	}
 	since := c.waitingSince.Load()
 	if since == 0 {
 		return
@@ -99,7 +107,7 @@
 	age := now.Sub(time.Unix(0, since))
 	if c.partial.Load() && age > c.server.config.SlowSender {
 		c.waitingSince.Store(0)
-		_ = c.socket.AsyncWrite(refusalBytes(ErrSlowSender), closeAfterWrite)
+		_ = c.write(refusalBytes(ErrSlowSender), c.closeWhenSent)
 		return
 	}
 	if !c.partial.Load() && age > c.server.config.Idle {
@@ -125,7 +133,64 @@
 	return socket.Wake(nil)
 }
 
-func closeAfterWrite(socket gnet.Conn, _ error) error { return socket.Close() }
+// closeWhenSent closes the connection once all bytes that were written have left the
+// process: gnet's close drops those that the kernel does not take at once.
+func (c *conn) closeWhenSent(socket gnet.Conn) error {
+	c.closeSent.Store(true)
+	if socket.OutboundBuffered() == 0 {
+		return socket.Close()
+	}
+	return nil
+}
+
+// write writes a message, and then calls a function on the event loop unless the
+// connection is closed. It is safe to call from any thread.
+func (c *conn) write(message []byte, then func(socket gnet.Conn) error) error {
+	c.setSending(true)
+	err := c.socket.AsyncWrite(message, func(socket gnet.Conn, err error) error {
+		if err != nil || c.gone.Load() {
+			c.setSending(false)
+			return err
+		}
+		c.progress.Wrote(len(message))
+		c.setSending(socket.OutboundBuffered() > 0)
+		return then(socket)
+	})
+	if err != nil {
+		c.setSending(false)
+	}
+	return err
+}
+
+// checkSent ends the wait for unsent bytes once they have left, or if the caller takes
+// none of them.
+func (c *conn) checkSent(now time.Time, socket gnet.Conn) error {
+	if c.gone.Load() {
+		return nil
+	}
+	unsent := socket.OutboundBuffered()
+	c.setSending(unsent > 0)
+	switch {
+	case unsent == 0 && c.closeSent.Load():
+		return socket.Close()
+	case c.progress.Stalled(now, unsent, c.server.config.Stall):
+		c.gone.Store(true)
+		return errors.CombineErrors(socket.SetLinger(0), socket.Close())
+	}
+	return nil
+}
+
+// setSending records whether bytes have been written that have not left the process.
+func (c *conn) setSending(sending bool) {
+	if c.sending.Swap(sending) == sending {
+		return
+	}
+	if sending {
+		c.server.unsent.Add(1)
+		return
+	}
+	c.server.unsent.Add(-1)
+}
 
 // LeadingBlank returns the number of bytes that empty lines before a request take
 // up.
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -34,6 +34,7 @@
 	MaxConns   int           // maximum number of open connections; for each further one an idle one is closed
 	SlowSender time.Duration // maximum time from the first byte of a request to its last
 	Idle       time.Duration // maximum time that a connection may be open without a request
+	Stall      time.Duration // time without a byte taken after which the connection of a caller is closed; DefaultStall if zero
 	Loops      int           // number of event loops; one if zero
 }
 
@@ -45,12 +46,14 @@
 	config    Config
 	conns     sync.Map // *conn to struct{}
 	openConns atomic.Int64
-	makesRoom atomic.Bool // an event loop closes idle connections
+	unsent    atomic.Int64 // connections with bytes that have not left the process
+	makesRoom atomic.Bool  // an event loop closes idle connections
 }
 
 // New returns a server that starts to listen when Serve is called.
 func New(config Config) *Server {
 	config.Loops = max(config.Loops, 1)
+	config.Stall = cmp.Or(config.Stall, DefaultStall)
 	return &Server{config: config}
 }
 
@@ -66,6 +69,10 @@
 // OpenConns returns the number of open connections.
 func (s *Server) OpenConns() int { return int(s.openConns.Load()) }
 
+// Unsent returns the number of connections with bytes that have been written but have not
+// left the process.
+func (s *Server) Unsent() int { return int(s.unsent.Load()) }
+
 // OnOpen registers a connection. If too many are open, it closes idle ones, or refuses
 // the new one if none is idle.
 func (s *Server) OnOpen(socket gnet.Conn) ([]byte, gnet.Action) {
@@ -90,6 +97,7 @@
 	}
 	s.conns.Delete(c)
 	c.gone.Store(true)
+	c.setSending(false)
 	if c.call != nil {
 		// If the inbox is full, the next write on the call returns ErrCallerGone.
 		_ = s.config.Inbox.Put(Disconnect{call: c.call})
--- a/commons/httpserver/server_test.go
+++ b/commons/httpserver/server_test.go
@@ -20,7 +20,10 @@
 	"sesamewell.example/commons/testkit"
 )
 
-const timeout = 10 * time.Second
+const (
+	timeout     = 10 * time.Second
+	largeAnswer = 3 << 20 // bytes
+)
 
 // startServer starts a server that echoes request bodies, and returns its address.
 func startServer(t *testing.T, change func(config *httpserver.Config)) string {
@@ -76,6 +79,9 @@
 				_ = call.Write(fmt.Appendf(nil, "piece%d ", i))
 			}
 			call.End()
+		case "/large":
+			response.SetBody(make([]byte, largeAnswer))
+			call.Reply(response)
 		case "/cut":
 			_ = call.Begin(response)
 			_ = call.Write([]byte("piece"))
@@ -316,6 +322,42 @@
 	return nil
 }
 
+// TestLargeAnswersArriveWhole gets answers that are larger than what the kernel takes at
+// once, on connections that are closed after them or not. The former were cut off.
+func TestLargeAnswersArriveWhole(t *testing.T) {
+	cases := map[string]struct {
+		headers string
+		slow    bool
+	}{
+		"kept connection":         {},
+		"kept, slow":              {slow: true},
+		"closed on request":       {headers: "Connection: close\r\n"},
+		"closed on request, slow": {headers: "Connection: close\r\n", slow: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := startServer(t, nil)
+			conn := testkit.DialEthernet(t, address)
+			if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fmt.Fprintf(conn, "GET /large HTTP/1.1\r\nHost: a\r\n%s\r\n", tc.headers); err != nil {
+				t.Fatal(err)
+			}
+			if tc.slow {
+				time.Sleep(300 * time.Millisecond)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(response.Body); err != nil || len(body) != largeAnswer {
+				t.Errorf("%d of %d bytes, %v", len(body), largeAnswer, err)
+			}
+		})
+	}
+}
+
 func TestAbortedAnswerIsNotComplete(t *testing.T) {
 	address := startServer(t, nil)
 	response, err := http.Get("http://" + address + "/cut")
--- a/commons/testkit/testkit.go
+++ b/commons/testkit/testkit.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -74,6 +75,30 @@
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
+// segmentSize is the size of a TCP segment on an Ethernet link, in bytes. With those of the
+// loopback device the kernel takes some megabytes at once.
+const segmentSize = 1460
+
+// DialEthernet opens a connection with segments as on an Ethernet link. It is closed at the
+// end of the test.
+func DialEthernet(t testing.TB, address string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentSize)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 // DiscardLog returns a logger that discards its output.
 func DiscardLog() *logrus.Entry {
 	log := logrus.New()
--- a/entry/process.go
+++ b/entry/process.go
@@ -59,6 +59,7 @@
 	monitor       *freshness.Monitor
 	syncer        *statesync.Syncer
 	frontend      *frontend.Frontend
+	server        *httpserver.Server // connections of callers
 	limiter       *ratelimit.Limiter
 	coordinator   *idempotency.Coordinator
 	router        *router.Router
@@ -202,7 +203,7 @@
 		Identity: identity,
 		Log:      log,
 	}))
-	p.supervisor.Add(httpserver.New(httpserver.Config{
+	p.server = httpserver.New(httpserver.Config{
 		Address:    settings.Address("gate", "listen"),
 		Inbox:      p.frontend.Inbox(),
 		Log:        log,
@@ -213,7 +214,8 @@
 		SlowSender: settings.Duration("gate", "slow-sender"),
 		Idle:       settings.Duration("gate", "idle"),
 		Loops:      callerEventLoops,
-	}))
+	})
+	p.supervisor.Add(p.server)
 	return p, nil
 }
 
@@ -288,6 +290,10 @@
 	return p.drained, p.limiter.Drain(ctx, drainPutTimeout)
 }
 
+// Unsent returns the number of callers' connections whose last bytes have not left the
+// process.
+func (p *process) Unsent() int { return p.server.Unsent() }
+
 // Close ends all open calls with an answer.
 func (p *process) Close() { p.frontend.Close() }
 
--- a/lobby/constants.go
+++ b/lobby/constants.go
@@ -13,6 +13,7 @@
 	// quotas are divided unless more have been found.
 	minLobbies = 4
 
+	stallTimeout     = 10 * time.Second        // time without a byte taken after which a caller's connection is closed
 	dialTimeout      = 400 * time.Millisecond  // for a new connection to another process of the system
 	peerTimeout      = time.Second             // silence of another lobby after which its token use is estimated
 	peerExpiry       = 30 * time.Second        // silence after which a lobby gets no share of the quotas
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -167,17 +167,18 @@
 	}
 	log.WithFields(logrus.Fields{"event": "limits", "descriptors": limit}).Info("limit on open files read")
 	return proxy.New(proxy.Config{
-		Listen:      settings.Address("porch", "listen"),
-		Probe:       settings.Address("porch", "probe"),
-		ReadyPath:   platform.ReadyPath,
-		Capacity:    settings.Integer("steward", "inbox"),
-		Dialers:     settings.Integer("porch", "dialers"),
-		Descriptors: limit,
-		Codec:       platform.HeaderCodec{},
-		Dial:        platform.Dial,
-		Scheduler:   s.Inbox(),
-		Readiness:   s,
-		Log:         log,
+		Listen:       settings.Address("porch", "listen"),
+		Probe:        settings.Address("porch", "probe"),
+		ReadyPath:    platform.ReadyPath,
+		Capacity:     settings.Integer("steward", "inbox"),
+		Dialers:      settings.Integer("porch", "dialers"),
+		Descriptors:  limit,
+		StallTimeout: stallTimeout,
+		Codec:        platform.HeaderCodec{},
+		Dial:         platform.Dial,
+		Scheduler:    s.Inbox(),
+		Readiness:    s,
+		Log:          log,
 	}), nil
 }
 
@@ -222,6 +223,10 @@
 // Close ends all open requests with an answer.
 func (p *process) Close() { p.mediator.notifyScheduler(scheduler.Closing{}) }
 
+// Unsent returns the number of callers' connections whose last bytes have not left the
+// process.
+func (p *process) Unsent() int { return p.mediator.proxy.Unsent() }
+
 // Drain closes each caller's connection after its next answer. The returned
 // channel is closed when no request is open.
 func (p *process) Drain(ctx context.Context) (<-chan struct{}, error) {
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -6,6 +6,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"sesamewell.example/commons/httpserver"
 )
@@ -22,7 +23,10 @@
 	receiving        bool      // a request has arrived in part
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
 	closeAfterAnswer bool
-	closed           bool
+	closed           bool      // no further request is taken
+	lingerSince      time.Time // time at which the connection ended in its own direction; zero before
+	progress         httpserver.Progress
+	unsent           bool          // a part of an answer has not left the process
 	waitingIn        *list.List    // list of connections without an open request in which it is; nil while it has one
 	waiting          *list.Element // its element there
 }
@@ -30,6 +34,10 @@
 // readRequests parses and handles buffered requests until one is being processed
 // or more bytes are needed.
 func (c *callerConn) readRequests(now time.Time) {
+	if c.closed {
+		_, _ = c.conn.Discard(-1)
+		return
+	}
 	for !c.closed && c.exchange == nil {
 		buffered, _ := c.conn.Peek(-1)
 		if blank := httpserver.LeadingBlank(buffered); blank > 0 {
@@ -108,40 +116,86 @@
 // last.
 func (c *callerConn) finish(now time.Time) {
 	c.exchange, c.since = nil, now
-	if c.closeAfterAnswer {
+	switch {
+	case c.closed:
+	case c.closeAfterAnswer:
 		c.close()
-		return
+	default:
+		c.proxy.waiting.move(c, &c.proxy.waiting.idle)
 	}
-	c.proxy.waiting.move(c, &c.proxy.waiting.idle)
 }
 
-// write sends bytes. It closes the connection of a caller that does not read fast
-// enough.
+// write sends bytes, now or as the caller takes them.
 func (c *callerConn) write(out []byte) {
 	if c.closed {
 		return
 	}
-	if _, err := c.conn.Write(out); err != nil || c.conn.OutboundBuffered() > maxUnsent {
-		c.close()
+	if _, err := c.conn.Write(out); err != nil {
+		return // the connection has been closed
+	}
+	c.progress.Wrote(len(out))
+	unsent := c.conn.OutboundBuffered()
+	c.setUnsent(unsent > 0)
+	if unsent > maxUnsent {
+		c.abort()
 	}
 }
 
-// close closes the connection after the bytes written so far have been sent.
+// setUnsent records whether a part of an answer has not left the process.
+func (c *callerConn) setUnsent(unsent bool) {
+	if c.unsent == unsent {
+		return
+	}
+	c.unsent = unsent
+	if unsent {
+		c.proxy.unsent.Add(1)
+		return
+	}
+	c.proxy.unsent.Add(-1)
+}
+
+// close takes no further request and closes the connection once all that was written has
+// been sent. If bytes are left in either direction, that happens in the next sweeps.
 func (c *callerConn) close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	c.proxy.waiting.move(c, nil)
+	if c.conn.OutboundBuffered() == 0 && c.conn.InboundBuffered() == 0 {
+		_ = c.conn.Close()
+	}
+}
+
+// abort closes the connection at once with a reset, so that nobody takes what has been
+// sent for a whole answer.
+func (c *callerConn) abort() {
+	c.closed = true
+	c.proxy.waiting.move(c, nil)
+	if err := c.conn.SetLinger(0); err != nil {
+		c.proxy.config.Log.WithField("event", "link_reset").WithError(err).Debug("connection not reset")
+	}
 	_ = c.conn.Close()
 }
 
-// sweep closes a connection that has been idle for too long or sends its request
-// too slowly.
+// sweep closes a connection whose caller takes no bytes, that has been idle for too long
+// or whose request arrives too slowly, and goes on with a close that waits.
 func (c *callerConn) sweep(now time.Time) {
-	if c.exchange != nil || c.closed {
-		return
+	unsent := c.conn.OutboundBuffered()
+	c.setUnsent(unsent > 0)
+	switch {
+	case c.progress.Stalled(now, unsent, c.proxy.config.StallTimeout):
+		c.abort()
+	case c.closed:
+		c.finishClose(now, unsent)
+	case c.exchange == nil:
+		c.sweepWaiting(now)
 	}
+}
+
+// sweepWaiting closes a connection without an open request that has been idle for too long
+// or whose request arrives too slowly.
+func (c *callerConn) sweepWaiting(now time.Time) {
 	limits, age := c.proxy.limits.Load(), now.Sub(c.since)
 	switch {
 	case c.receiving && age > limits.ReadTimeout():
@@ -150,3 +204,19 @@
 		c.close()
 	}
 }
+
+// finishClose ends the connection in its own direction once all bytes have been sent, and
+// waits for the caller's end: a close with bytes unread is a reset, which can cost the
+// caller the end of its answer.
+func (c *callerConn) finishClose(now time.Time, unsent int) {
+	switch {
+	case unsent > 0:
+	case c.lingerSince.IsZero():
+		c.lingerSince = now
+		if err := unix.Shutdown(c.conn.Fd(), unix.SHUT_WR); err != nil {
+			_ = c.conn.Close()
+		}
+	case now.Sub(c.lingerSince) > lingerTimeout:
+		_ = c.conn.Close()
+	}
+}
--- /dev/null
+++ b/lobby/proxy/callerconn_test.go
@@ -0,0 +1,156 @@
+package proxy_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/testkit"
+	"sesamewell.example/lobby/proxy"
+	"sesamewell.example/lobby/scheduler"
+)
+
+// writeRequest sends a request whose backend server answers with a body of a size.
+func writeRequest(t *testing.T, conn net.Conn, size, n int, headers string) {
+	t.Helper()
+	if _, err := fmt.Fprintf(conn, "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: %d-%d\r\n%sContent-Length: 2\r\n\r\nhi", size, n, headers); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLargeAnswersArriveWhole gets answers that are larger than what the kernel takes at
+// once. Those on connections that were closed after them were cut off, and those of more
+// than 1 MiB on any connection.
+func TestLargeAnswersArriveWhole(t *testing.T) {
+	cases := map[string]struct {
+		headers   string
+		drain     bool
+		slow      bool // the caller begins to read late
+		pipelined int  // further requests that are sent before the answer is read
+	}{
+		"kept connection":              {},
+		"kept, slow":                   {slow: true},
+		"closed on request":            {headers: "Connection: close\r\n"},
+		"closed on request, slow":      {headers: "Connection: close\r\n", slow: true},
+		"drain":                        {drain: true},
+		"drain, slow":                  {drain: true, slow: true},
+		"drain, pipelined requests":    {drain: true, slow: true, pipelined: 3},
+		"closed on request, pipelined": {headers: "Connection: close\r\n", pipelined: 3},
+	}
+	for name, tc := range cases {
+		for _, size := range []int{1 << 10, 400 << 10, 3 << 20} {
+			t.Run(fmt.Sprintf("%s, %d KiB", name, size>>10), func(t *testing.T) {
+				b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+					size, _, _ := strings.Cut(id, "-")
+					n, _ := strconv.Atoi(size)
+					_, _ = io.WriteString(conn, fixedLengthAnswer(id, strings.Repeat("x", n)))
+					return true
+				})
+				l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+				if tc.drain {
+					l.proxy.Drain(time.Now())
+				}
+				conn := testkit.DialEthernet(t, l.address)
+				for n := range tc.pipelined + 1 {
+					writeRequest(t, conn, size, n, tc.headers)
+				}
+				if tc.slow {
+					time.Sleep(300 * time.Millisecond)
+				}
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(response.Body)
+				if err != nil || len(body) != size {
+					t.Errorf("%d of %d bytes, %v", len(body), size, err)
+				}
+				if diff := cmp.Diff(tc.drain || tc.headers != "", response.Close); diff != "" {
+					t.Errorf("Connection: close (-want +got):\n%s", diff)
+				}
+				if !response.Close {
+					return
+				}
+				if n, err := conn.Read(make([]byte, 1)); err == nil {
+					t.Errorf("%d more bytes after an answer that said it was the last", n)
+				}
+			})
+		}
+	}
+}
+
+// TestUnsentAnswersAreOwed counts an answer as unsent until its caller has taken it.
+func TestUnsentAnswersAreOwed(t *testing.T) {
+	const size = 8 << 20
+	b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, fixedLengthAnswer(id, strings.Repeat("x", size)))
+		return true
+	})
+	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+	conn := testkit.DialEthernet(t, l.address)
+	writeRequest(t, conn, size, 0, "Connection: close\r\n")
+	<-l.ended
+	awaitCount(t, "unsent answers of a caller that does not read", 1, l.proxy.Unsent)
+	if diff := cmp.Diff(0, l.proxy.Open()); diff != "" {
+		t.Errorf("open requests (-want +got):\n%s", diff)
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Fatal(err)
+	}
+	awaitCount(t, "unsent answers after all was read", 0, l.proxy.Unsent)
+}
+
+// TestCallerThatTakesNothingIsClosed ends the connection of a caller that does not read
+// its answer, but of none that reads slowly.
+func TestCallerThatTakesNothingIsClosed(t *testing.T) {
+	const size, stall = 4 << 20, 700 * time.Millisecond
+	cases := map[string]struct {
+		read  int // bytes that the caller reads each tenth of a second
+		whole bool
+	}{
+		"no reader":   {},
+		"slow reader": {read: 128 << 10, whole: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, fixedLengthAnswer(id, strings.Repeat("x", size)))
+				return true
+			})
+			l := newLobbyWith(t, proxy.Config{StallTimeout: stall}, func(s *scheduler.SendConfig) { s.Address = b.address })
+			conn := testkit.DialEthernet(t, l.address)
+			writeRequest(t, conn, size, 0, "Connection: close\r\n")
+			<-l.ended
+			got := 0
+			for end := time.Now().Add(5 * stall); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				if tc.read > 0 {
+					n, _ := io.CopyN(io.Discard, conn, int64(tc.read))
+					got += int(n)
+				}
+			}
+			rest, err := io.Copy(io.Discard, conn)
+			got += int(rest)
+			if diff := cmp.Diff(tc.whole, err == nil && got > size); diff != "" {
+				t.Errorf("whole answer (-want +got):\n%s%d bytes, %v", diff, got, err)
+			}
+		})
+	}
+}
+
+// awaitCount waits until a count has the value.
+func awaitCount(t *testing.T, what string, want int, count func() int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); count() != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %d, want %d", what, count(), want)
+		}
+	}
+}
--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -13,7 +13,8 @@
 	maxFreshIdle       = time.Second      // longest idle time of a connection for a request that must not run twice
 	defaultIdle        = 4 * time.Second  // idle timeout of a connection to a backend server that announces none
 	idleMargin         = time.Second      // time by which a connection is closed before the backend server would close it
-	maxUnsent          = 1 << 20          // bytes of an answer that may be buffered for a slow caller
+	maxUnsent          = 2 * maxBody      // bytes that may be buffered for a slow caller
+	lingerTimeout      = time.Second      // time for which the caller's end of a closed connection is awaited
 	maxHead            = 32 << 10         // bytes in the head of a backend server's answer
 	maxBody            = 16 << 20         // bytes in the body of a buffered answer
 	readBuffer         = 32 << 10         // bytes read from a connection at a time
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -60,11 +60,14 @@
 	Capacity    int    // number of actions, and of dial requests, that may be queued
 	Dialers     int    // number of threads that open connections
 	Descriptors int    // file descriptors that the process may open
-	Codec       Codec
-	Dial        Dial
-	Scheduler   Inbox
-	Readiness   Readiness
-	Log         *logrus.Entry
+	// StallTimeout is the time after which the connection of a caller is closed that
+	// takes no byte of its answer.
+	StallTimeout time.Duration
+	Codec        Codec
+	Dial         Dial
+	Scheduler    Inbox
+	Readiness    Readiness
+	Log          *logrus.Entry
 }
 
 // Proxy handles the connections of callers and to backend servers. Fields that are
@@ -80,6 +83,7 @@
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
 	open        atomic.Int64              // number of exchanges
+	unsent      atomic.Int64              // callers' connections with bytes that have not left the process
 
 	lastNumber    uint64
 	callers       map[*callerConn]struct{}
@@ -138,6 +142,10 @@
 // call from any thread.
 func (p *Proxy) Open() int { return int(p.open.Load()) }
 
+// Unsent returns the number of callers' connections with bytes that have been written but
+// have not left the process. It is safe to call from any thread.
+func (p *Proxy) Unsent() int { return int(p.unsent.Load()) }
+
 // String returns the thread's name, which supervision events carry.
 func (p *Proxy) String() string { return "porch" }
 
@@ -237,6 +245,7 @@
 	c.closed = true
 	delete(p.callers, c)
 	p.waiting.move(c, nil)
+	c.setUnsent(false)
 	if e := c.exchange; e != nil {
 		e.cancelSend()
 		p.removeExchange(e)
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -113,6 +113,9 @@
 	if config.Descriptors == 0 {
 		config.Descriptors = testDescriptors
 	}
+	if config.StallTimeout == 0 {
+		config.StallTimeout = testTimeout
+	}
 	config.Dial, config.Scheduler, config.Readiness, config.Log = platform.Dial, inbox, l, testkit.DiscardLog()
 	l.proxy = proxy.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
