Cut a silent stream early only if it can be resumed

What callers saw: a stream that its engine preempts for 2.3 s was cut after 2.05 s, although its caller waits for 2.4 s; inside the grace time of a stop as at any time.

Cause: a silent stream was ended 0.35 s before its caller is expected to drop it, so that it can be resumed elsewhere in time, also if it can't be.

Two of four cases of the new test failed before.

Change: a stream that can't be resumed, or not again, is cut 0.35 s after that time, when its caller has dropped it.

--- a/lobby/scheduler/completion_test.go
+++ b/lobby/scheduler/completion_test.go
@@ -53,6 +53,39 @@
 	}
 }
 
+// TestSilentStreamIsCutEarlyOnlyToResumeIt checks the time without an event after which a
+// stream is cut. Its caller waits for 2.4 s, and for 16 s on the resumable route.
+func TestSilentStreamIsCutEarlyOnlyToResumeIt(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		sends int
+		want  time.Duration
+	}{
+		"not resumable":              {path: "/stream/a", sends: 1, want: 2750 * time.Millisecond},
+		"resumable":                  {path: "/resumable/a", sends: 1, want: 15650 * time.Millisecond},
+		"resumable, no attempt left": {path: "/resumable/a", sends: 2, want: 16350 * time.Millisecond},
+		"no stream":                  {path: "/unsafe/a", sends: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(plainServer("p1"), engineServer("e1"), engineServer("e2"))
+			actions := f.arrive(httpmeta.RequestConfig{Path: tc.path, Model: "m"})
+			for range tc.sends - 1 {
+				actions = f.core.Handle(f.now, scheduler.NewSendEnded(1, scheduler.Truncated, 0))
+			}
+			var got time.Duration
+			for _, action := range actions {
+				if send, ok := action.(scheduler.Send); ok {
+					got = send.IdleTimeout()
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("idle timeout (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestAttemptLimit(t *testing.T) {
 	f := newFixture(plainServer("p1"), plainServer("p2"), plainServer("p3"))
 	f.arrive(httpmeta.RequestConfig{Path: "/safe/a"})
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -42,7 +42,7 @@
 	streamTimeoutObjectives = 4
 	streamTimeoutGaps       = 8
 	// streamTimeoutMargin is the time by which the lobby ends a silent stream
-	// before its caller does.
+	// before its caller does, or after that if the stream can't be resumed.
 	streamTimeoutMargin       = 350 * time.Millisecond
 	retryableObjectives       = 1.5                     // time without an answer, in latency objectives, after which a retryable request is sent elsewhere
 	resumableFirstByteTimeout = 1500 * time.Millisecond // time without a first byte after which a resumable stream is sent elsewhere
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -48,23 +48,36 @@
 // disconnected. A hung backend server cannot be notified of that, but the caller
 // can still be answered.
 func (r *openRequest) firstByteTimeout() time.Duration {
-	limit := r.idleTimeout()
+	limit := time.Duration(0)
+	if r.route.Kind() == deployment.Stream {
+		limit = r.streamTimeout() - streamTimeoutMargin
+	}
 	if r.route.Kind() != deployment.Stream && r.retryable() {
 		return time.Duration(retryableObjectives * float64(r.route.LatencyObjective()))
 	}
-	if r.retryable() && r.attempts+1 < r.route.MaxAttempts() {
+	if r.anotherSendAllowed() {
 		return min(limit, resumableFirstByteTimeout)
 	}
 	return limit
 }
 
-// idleTimeout returns the time without a byte after which a started stream is
-// aborted, zero if the answer is no stream.
+// idleTimeout returns the time without an event after which a started stream is
+// aborted, zero if the answer is no stream: before its caller drops it if it can be
+// resumed elsewhere, else only after that, since its backend server may go on in time.
 func (r *openRequest) idleTimeout() time.Duration {
-	if r.route.Kind() != deployment.Stream {
+	switch {
+	case r.route.Kind() != deployment.Stream:
 		return 0
+	case r.anotherSendAllowed():
+		return r.streamTimeout() - streamTimeoutMargin
+	default:
+		return r.streamTimeout() + streamTimeoutMargin
 	}
-	return r.streamTimeout() - streamTimeoutMargin
+}
+
+// anotherSendAllowed reports whether the request may be sent again after the current send.
+func (r *openRequest) anotherSendAllowed() bool {
+	return r.retryable() && r.attempts+1 < r.route.MaxAttempts()
 }
 
 // answering reports whether the backend server of the last send has been writing its
