Account for the bytes of requests and answers, and read bodies in pieces

What callers saw: 56 callers with bodies of 4 MiB took a lobby of 284 MB beyond its memory; it was killed several times, and with it the requests of all others. A sound chunked request got 400 if a read ended between the line of its last chunk and the empty line after it.

Cause: nothing limits the sum of what connections hold, and each body was held several times: in the connection's buffer, in a copy of it for each read, in the parsed request and in the buffer to the backend server. To know where a chunked body ends, all that had arrived was parsed again whenever it ended with a line end; fasthttp reports the end of input in the trailer with an error that was taken for a malformed request.

Change: RequestReader decodes head and body as their bytes arrive, into one buffer; both fronts use it, and the decoder of chunks that the lobby had for answers. commons/memory is an account by customer with a dynamic threshold: a body is charged before it is held, and refused with 503 as not run if there is no room; small ones are refused last. Large answers are written without a copy behind their head. Requests pipelined behind an open one are limited to 1 MiB. Responses that the project's own clients read (store, reports, lists) have a limit of size.

--- a/commons/httpclient/client.go
+++ b/commons/httpclient/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net"
 	"time"
 
@@ -15,9 +16,14 @@
 type Config struct {
 	Address  string                                 // IP:port of the service
 	MaxConns int                                    // maximum number of open connections
+	MaxBody  int                                    // maximum size of a response's body in bytes; DefaultMaxBody if zero
 	Dial     func(address string) (net.Conn, error) // nil for a plain TCP connection
 }
 
+// DefaultMaxBody is the maximum size of the body of a response of a service without a limit
+// of its own, in bytes. A longer one is an error of its call.
+const DefaultMaxBody = 16 << 20
+
 // Client sends requests to one service. It connects on the first request and is
 // safe for concurrent use.
 type Client struct {
@@ -32,6 +38,7 @@
 		http: &fasthttp.HostClient{
 			Addr:                     config.Address,
 			MaxConns:                 config.MaxConns,
+			MaxResponseBodySize:      cmp.Or(config.MaxBody, DefaultMaxBody),
 			Dial:                     config.Dial,
 			NoDefaultUserAgentHeader: true,
 			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/lobby/proxy/chunkdecoder.go
+++ b/commons/httpserver/chunkdecoder.go
@@ -1,4 +1,4 @@
-package proxy
+package httpserver
 
 import (
 	"bytes"
@@ -12,18 +12,21 @@
 // maxChunkLine is the maximum length of a line of chunked coding in bytes.
 const maxChunkLine = 256
 
-// chunkDecoder decodes a body in chunked coding (RFC 9112, section 7.1) as its
-// bytes arrive.
-type chunkDecoder struct {
+// ChunkDecoder decodes a body in chunked coding (RFC 9112, section 7.1) as its
+// bytes arrive. The zero value is at the start of a body.
+type ChunkDecoder struct {
 	remaining   int  // bytes of the current chunk that have not arrived
 	lineEndNext bool // the line end after a chunk's data comes next
 	inTrailer   bool // the last chunk has been read
 	done        bool
 }
 
-// next returns the chunk data at the start of rest, if any, and the number of
+// Done reports whether the body has ended.
+func (c *ChunkDecoder) Done() bool { return c.done }
+
+// Next returns the chunk data at the start of rest, if any, and the number of
 // bytes that it consumed, zero if more bytes are needed.
-func (c *chunkDecoder) next(rest []byte) (data []byte, used int, err error) {
+func (c *ChunkDecoder) Next(rest []byte) (data []byte, used int, err error) {
 	if c.remaining > 0 {
 		n := min(c.remaining, len(rest))
 		c.remaining -= n
@@ -40,7 +43,7 @@
 	return nil, end + 1, c.parseLine(bytes.TrimSuffix(rest[:end], []byte{'\r'}))
 }
 
-func (c *chunkDecoder) parseLine(line []byte) error {
+func (c *ChunkDecoder) parseLine(line []byte) error {
 	switch {
 	case c.lineEndNext:
 		c.lineEndNext = false
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -17,7 +17,8 @@
 	server       *Server
 	socket       gnet.Conn
 	call         *Call
-	need         int // buffered bytes required before the request is parsed again
+	reader       *RequestReader // of the request that arrives, nil before its first byte
+	held         *RequestReader // of the request of the open call, whose body is charged
 	continueSent bool
 	partial      atomic.Bool  // part of a request has been received
 	gone         atomic.Bool  // the connection is closed or the call was aborted
@@ -43,38 +44,53 @@
 		_, _ = c.socket.Discard(blank)
 		buffered = buffered[blank:]
 	}
-	if len(buffered) == 0 || len(buffered) < c.need {
+	if len(buffered) == 0 {
 		return gnet.None
 	}
 	if !c.partial.Swap(true) {
 		c.waitingSince.Store(now.UnixNano())
 	}
-	parsed, err := Parse(buffered, c.server.config.MaxHeader, c.server.config.MaxBody)
+	if c.reader == nil {
+		c.reader = NewRequestReader(RequestReaderConfig{MaxHeader: c.server.config.MaxHeader, MaxBody: c.server.config.MaxBody, Account: c.server.config.Account})
+	}
+	used, err := c.reader.Read(buffered)
 	if err != nil {
 		return c.refuse(err)
 	}
-	if parsed.Request() == nil {
-		c.awaitMore(parsed)
+	if used > 0 {
+		_, _ = c.socket.Discard(used)
+	}
+	request := c.reader.Request()
+	if request == nil {
+		c.answerExpect()
 		return gnet.None
 	}
-	_, _ = c.socket.Discard(parsed.Consumed())
-	return c.deliver(now, parsed.Request())
+	c.held, c.reader = c.reader, nil
+	return c.deliver(now, request)
 }
 
-// awaitMore records how many bytes the request needs and sends an interim answer to
-// a caller that expects one before it sends the body.
-func (c *conn) awaitMore(parsed Parsed) {
-	c.need = parsed.Need()
-	if parsed.ExpectsContinue() && !c.continueSent {
+// answerExpect sends an interim answer to a caller that expects one before it sends the
+// body.
+func (c *conn) answerExpect() {
+	if c.reader.ExpectsContinue() && !c.continueSent {
 		c.continueSent = true
 		_ = c.socket.AsyncWrite(ContinueResponse, nil)
 	}
 }
 
+// releaseBodies gives back what the connection's bodies were charged with.
+func (c *conn) releaseBodies() {
+	for _, reader := range []*RequestReader{c.reader, c.held} {
+		if reader != nil {
+			reader.Release()
+		}
+	}
+	c.held = nil
+}
+
 // deliver puts a complete request into the inbox, or refuses it if the inbox is
 // full.
 func (c *conn) deliver(now time.Time, request *fasthttp.Request) gnet.Action {
-	c.need = 0
 	c.continueSent = false
 	c.partial.Store(false)
 	c.waitingSince.Store(0)
@@ -89,6 +105,7 @@
 // refuse replies to a request that could not be parsed and closes the connection,
 // since the start of the next request cannot be determined.
 func (c *conn) refuse(err error) gnet.Action {
+	c.reader.Release()
 	_, _ = c.socket.Write(refusalBytes(err))
 	return gnet.Close
 }
@@ -129,6 +146,8 @@
 // release makes the connection available for its next request.
 func (c *conn) release(socket gnet.Conn) error {
 	c.call = nil
+	c.held.Release()
+	c.held = nil
 	c.waitingSince.Store(time.Now().UnixNano())
 	return socket.Wake(nil)
 }
--- a/commons/httpserver/refusal.go
+++ b/commons/httpserver/refusal.go
@@ -83,6 +83,12 @@
 	})
 )
 
+// ErrNoRoom refuses a request for whose body the process has no room now.
+var ErrNoRoom = NewRefusal(RefusalConfig{
+	Status: fasthttp.StatusServiceUnavailable, Code: "no_room",
+	Message: "this instance holds as many bytes of requests as it may; retry after the time in Retry-After",
+})
+
 // ErrSlowSender refuses a request that was not received completely within the time
 // limit.
 var ErrSlowSender = NewRefusal(RefusalConfig{
@@ -97,16 +103,6 @@
 	})
 }
 
-func bodyError(request *fasthttp.Request, cause error) *Refusal {
-	if errors.Is(cause, fasthttp.ErrBodyTooLarge) {
-		return errBodyTooLarge
-	}
-	if request.Header.ContentLength() == chunkedLength {
-		return errMalformed(errors.Wrap(cause, "chunked body"))
-	}
-	return errMalformed(cause)
-}
-
 // errorBody is the JSON form of an error in the OpenAI API.
 type errorBody struct {
 	Error errorDetail `json:"error"`
--- /dev/null
+++ b/commons/httpserver/requestreader.go
@@ -0,0 +1,210 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	headerEnd = []byte("\r\n\r\n")
+	// lengthField is counted because fasthttp silently drops a Content-Length that
+	// is combined with the chunked transfer coding or with another Content-Length.
+	lengthField = []byte("\ncontent-length")
+)
+
+const (
+	bodyCopies   = 2       // times that a body is held while its request is open: as received, and as sent on
+	minBodyBytes = 4 << 10 // first size of the buffer of a body of unknown length
+)
+
+// ContinueResponse is the interim answer to a caller that sent Expect: 100-continue
+// and waits before it sends the body.
+var ContinueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, DefaultMaxHeader) }}
+
+// Account accounts for the bytes of bodies by customer.
+type Account interface {
+	// Admit charges a customer with bytes if there is room for them, and reports
+	// whether there is.
+	Admit(customer string, bytes int64) bool
+	// Release gives back bytes that a customer was charged with.
+	Release(customer string, bytes int64)
+}
+
+// RequestReaderConfig holds the construction parameters of a RequestReader.
+type RequestReaderConfig struct {
+	MaxHeader int     // maximum size of the request line and header fields in bytes
+	MaxBody   int     // maximum size of the body in bytes
+	Account   Account // nil for none
+}
+
+// RequestReader reads one request as its bytes arrive. A body is charged to the account
+// before it is held, and copied once. How the bytes are split makes no difference.
+type RequestReader struct {
+	config   RequestReaderConfig
+	request  *fasthttp.Request // nil until the head has been read
+	customer string            // value of the Authorization header
+	length   int               // length of the body, chunkedLength if it is in chunks
+	body     []byte
+	chunks   ChunkDecoder
+	done     bool
+	charged  int64 // bytes charged to the customer
+}
+
+// NewRequestReader returns a reader of one request.
+func NewRequestReader(config RequestReaderConfig) *RequestReader {
+	return &RequestReader{config: config}
+}
+
+// Request returns the request, nil if it has not arrived whole.
+func (r *RequestReader) Request() *fasthttp.Request {
+	if !r.done {
+		return nil
+	}
+	return r.request
+}
+
+// Customer returns the name under which the body is charged.
+func (r *RequestReader) Customer() string { return r.customer }
+
+// ExpectsContinue reports whether the caller waits for ContinueResponse.
+func (r *RequestReader) ExpectsContinue() bool {
+	return r.request != nil && !r.done && r.request.MayContinue()
+}
+
+// Release gives back what the body was charged with. It may be called several times.
+func (r *RequestReader) Release() {
+	if r.charged > 0 {
+		r.config.Account.Release(r.customer, r.charged)
+	}
+	r.charged = 0
+}
+
+// Read reads as many of the buffered bytes as belong to the request and can be understood,
+// and returns their number. It returns a *Refusal as error if the request is malformed or
+// exceeds a limit, or if there is no room for its body.
+func (r *RequestReader) Read(buffered []byte) (int, error) {
+	used := 0
+	if r.request == nil {
+		n, err := r.readHead(buffered)
+		if err != nil || n == 0 {
+			return 0, err
+		}
+		used = n
+	}
+	for !r.done && used < len(buffered) {
+		n, err := r.readBody(buffered[used:])
+		if err != nil {
+			return used, err
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+	}
+	return used, nil
+}
+
+// readHead reads the request line and the header fields. It returns zero if they have not
+// arrived whole.
+func (r *RequestReader) readHead(buffered []byte) (int, error) {
+	end := bytes.Index(buffered, headerEnd)
+	if end > r.config.MaxHeader || end < 0 && len(buffered) >= r.config.MaxHeader+len(headerEnd) {
+		return 0, errHeaderTooLarge
+	}
+	if end < 0 {
+		return 0, nil
+	}
+	end += len(headerEnd)
+	request := &fasthttp.Request{}
+	reader := readers.Get().(*bufio.Reader)
+	defer readers.Put(reader)
+	reader.Reset(bytes.NewReader(buffered[:end]))
+	if err := request.Header.Read(reader); err != nil {
+		return 0, errMalformed(err)
+	}
+	length := request.Header.ContentLength()
+	lengthCount := bytes.Count(bytes.ToLower(buffered[:end]), lengthField)
+	switch {
+	case lengthCount > 1 || length == chunkedLength && lengthCount > 0:
+		return 0, errAmbiguousLength
+	case length > r.config.MaxBody:
+		return 0, errBodyTooLarge
+	case length == chunkedLength:
+	case length > 0:
+		r.customer = string(request.Header.Peek(fasthttp.HeaderAuthorization))
+		if err := r.grow(length); err != nil {
+			return 0, err
+		}
+	default:
+		if err := request.ContinueReadBody(reader, 0, false); err != nil {
+			return 0, errMalformed(err)
+		}
+		r.done = true
+	}
+	r.customer = string(request.Header.Peek(fasthttp.HeaderAuthorization))
+	r.request, r.length = request, length
+	return end, nil
+}
+
+// readBody reads a piece of the body. It returns zero if more bytes are needed.
+func (r *RequestReader) readBody(rest []byte) (int, error) {
+	if r.length != chunkedLength {
+		n := min(r.length-len(r.body), len(rest))
+		r.body = append(r.body, rest[:n]...)
+		if len(r.body) == r.length {
+			r.end()
+		}
+		return n, nil
+	}
+	data, used, err := r.chunks.Next(rest)
+	if err != nil {
+		return 0, errMalformed(err)
+	}
+	if err := r.appendChunk(data); err != nil {
+		return 0, err
+	}
+	if r.chunks.Done() {
+		r.request.Header.SetContentLength(len(r.body))
+		r.end()
+	}
+	return used, nil
+}
+
+func (r *RequestReader) appendChunk(data []byte) error {
+	size := len(r.body) + len(data)
+	if size > r.config.MaxBody {
+		return errBodyTooLarge
+	}
+	if size > cap(r.body) {
+		if err := r.grow(min(max(2*cap(r.body), size, minBodyBytes), r.config.MaxBody)); err != nil {
+			return err
+		}
+	}
+	r.body = append(r.body, data...)
+	return nil
+}
+
+// grow charges the account for a larger buffer and allocates it.
+func (r *RequestReader) grow(size int) error {
+	more := int64(size-cap(r.body)) * bodyCopies
+	if r.config.Account != nil {
+		if !r.config.Account.Admit(r.customer, more) {
+			return ErrNoRoom
+		}
+		r.charged += more
+	}
+	body := make([]byte, len(r.body), size)
+	copy(body, r.body)
+	r.body = body
+	return nil
+}
+
+func (r *RequestReader) end() {
+	r.done = true
+	r.request.SetBodyRaw(r.body)
+}
--- /dev/null
+++ b/commons/httpserver/requestreader_test.go
@@ -0,0 +1,154 @@
+package httpserver_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/memory"
+)
+
+// verdict is what a reader makes of the bytes of a connection.
+type verdict struct {
+	Status int // of the refusal, zero if there is none
+	Whole  bool
+	Body   string
+	Used   int // bytes that belong to the request
+}
+
+// readSplit passes text to a reader in pieces of given sizes, the rest in one piece.
+func readSplit(reader *httpserver.RequestReader, text string, sizes []int) verdict {
+	var got verdict
+	var buffered []byte
+	for i := 0; len(text) > 0; i++ {
+		n := len(text)
+		if i < len(sizes) {
+			n = min(sizes[i], n)
+		}
+		buffered, text = append(buffered, text[:n]...), text[n:]
+		used, err := reader.Read(buffered)
+		if err != nil {
+			return verdict{Status: httpserver.AsRefusal(err).Status()}
+		}
+		buffered = buffered[used:]
+		got.Used += used
+		if request := reader.Request(); request != nil {
+			got.Whole, got.Body = true, string(request.Body())
+			return got
+		}
+	}
+	return got
+}
+
+func chunked(chunks ...string) string {
+	var text strings.Builder
+	text.WriteString("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, chunk := range chunks {
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(chunk), chunk)
+	}
+	return text.String()
+}
+
+// TestEveryPrefixOfRequestIsIncompleteOrWhole splits requests at each byte. A chunked body
+// that looks like its own end got 400 if a read ended there.
+func TestEveryPrefixOfRequestIsIncompleteOrWhole(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		body string
+	}{
+		"no body":                      {text: "GET / HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"fixed length":                 {text: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", body: "hello"},
+		"chunks":                       {text: chunked("hello", " you", ""), body: "hello you"},
+		"chunks that look like an end": {text: chunked("a\r\n0\r\n\r\n", "\r\n0\r\n", "0\r\n\r\n", ""), body: "a\r\n0\r\n\r\n\r\n0\r\n0\r\n\r\n"},
+		"trailer":                      {text: strings.TrimSuffix(chunked("hello", ""), "\r\n") + "Checksum: 1\r\n\r\n", body: "hello"},
+		"chunk extension":              {text: strings.Replace(chunked("hello", ""), "5\r\n", "5;a=b\r\n", 1), body: "hello"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for split := range len(tc.text) + 1 {
+				whole := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1024}), tc.text+"GET", []int{split})
+				if diff := cmp.Diff(verdict{Whole: true, Body: tc.body, Used: len(tc.text)}, whole); diff != "" {
+					t.Errorf("split at %d (-want +got):\n%s", split, diff)
+				}
+				if split == len(tc.text) {
+					continue
+				}
+				prefix := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1024}), tc.text[:split], nil)
+				if diff := cmp.Diff([]any{0, false}, []any{prefix.Status, prefix.Whole}); diff != "" {
+					t.Errorf("prefix of %d bytes (-want +got):\n%s", split, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestVerdictDoesNotDependOnSplits reads random requests, sound ones and others, in one
+// piece and in several.
+func TestVerdictDoesNotDependOnSplits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		piece := rapid.SampledFrom([]string{"\r\n", "0", "0\r\n\r\n", "\r\n0\r\n", "a", "hello", "5\r\n", "\n", ";", "z", strings.Repeat("x", 40)})
+		body := strings.Join(rapid.SliceOfN(piece, 0, 8).Draw(t, "body"), "")
+		head := "POST /a HTTP/1.1\r\nHost: a\r\n"
+		var text string
+		switch rapid.IntRange(0, 3).Draw(t, "framing") {
+		case 0:
+			text = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, rapid.IntRange(0, 120).Draw(t, "length"), body)
+		case 1:
+			text = chunked(body, "")
+		case 2:
+			text = chunked(body, body+"x", "")
+		default:
+			text = head + "Transfer-Encoding: chunked\r\n\r\n" + body
+		}
+		config := httpserver.RequestReaderConfig{MaxHeader: 80, MaxBody: 100}
+		want := readSplit(httpserver.NewRequestReader(config), text, nil)
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 20), 0, 30).Draw(t, "sizes")
+		if diff := cmp.Diff(want, readSplit(httpserver.NewRequestReader(config), text, sizes)); diff != "" {
+			t.Fatalf("%q in pieces of %v (-want +got):\n%s", text, sizes, diff)
+		}
+	})
+}
+
+// TestBodiesAreChargedBeforeTheyAreHeld reads bodies against an account with little room.
+func TestBodiesAreChargedBeforeTheyAreHeld(t *testing.T) {
+	const limit = 1 << 20
+	type outcome struct {
+		Verdict verdict
+		Charged int64 // while the request is open
+		Left    int64 // after it
+	}
+	head := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n"
+	cases := map[string]struct {
+		text string
+		held int64 // by others
+		want outcome
+	}{
+		"room":                         {text: head, want: outcome{Verdict: verdict{Used: len(head)}, Charged: 600000}},
+		"no room":                      {text: head, held: 800000, want: outcome{Verdict: verdict{Status: 503}}},
+		"chunks, room":                 {text: chunked(strings.Repeat("x", 5000), ""), want: outcome{Verdict: verdict{Whole: true, Body: strings.Repeat("x", 5000), Used: len(chunked(strings.Repeat("x", 5000), ""))}, Charged: 10000}},
+		"chunks, no room":              {text: chunked(strings.Repeat("x", 200000), ""), held: 800000, want: outcome{Verdict: verdict{Status: 503}}},
+		"no body, no room":             {text: "GET / HTTP/1.1\r\nHost: a\r\n\r\n", held: limit, want: outcome{Verdict: verdict{Whole: true, Used: 27}}},
+		"small body beside large ones": {text: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", held: 1000000, want: outcome{Verdict: verdict{Whole: true, Body: "hi", Used: 49}, Charged: 4}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			account := memory.NewBudgetOf(limit)
+			account.Charge("other", tc.held)
+			reader := httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1 << 20, Account: account})
+			got := outcome{Verdict: readSplit(reader, tc.text, nil)}
+			if got.Charged = account.Total() - tc.held; got.Verdict.Status != 0 {
+				got.Charged = 0
+			}
+			reader.Release()
+			reader.Release()
+			got.Left = account.Total() - tc.held
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -31,6 +31,7 @@
 	MaxHeader  int           // maximum size of the request line and header fields in bytes
 	MaxBody    int           // maximum size of a request body in bytes
 	MaxUnsent  int           // bytes of an answer that may be buffered for a slow reader
+	Account    Account       // of the bytes of bodies; nil for none
 	MaxConns   int           // maximum number of open connections; for each further one an idle one is closed
 	SlowSender time.Duration // maximum time from the first byte of a request to its last
 	Idle       time.Duration // maximum time that a connection may be open without a request
@@ -98,6 +99,7 @@
 	s.conns.Delete(c)
 	c.gone.Store(true)
 	c.setSending(false)
+	c.releaseBodies()
 	if c.call != nil {
 		// If the inbox is full, the next write on the call returns ErrCallerGone.
 		_ = s.config.Inbox.Put(Disconnect{call: c.call})
--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -28,6 +28,7 @@
 	{Section: "gate", Key: "listen", Kind: Address, Required: true, Doc: "address for callers"},
 	{Section: "gate", Key: "max-header", Kind: Bytes, Default: "16KiB", Min: "1KiB", Max: "16KiB", Doc: "largest request header"},
 	{Section: "gate", Key: "max-body", Kind: Bytes, Default: "4MiB", Min: "1KiB", Max: "64MiB", Doc: "largest request body"},
+	{Section: "gate", Key: "max-bodies", Kind: Bytes, Default: "256MiB", Min: "1MiB", Max: "64GiB", Doc: "bytes of request bodies that are held at once, each counted twice; beyond it requests are refused, first those of callers that hold most"},
 	{Section: "gate", Key: "max-answer", Kind: Bytes, Default: "16MiB", Min: "64KiB", Max: "256MiB", Doc: "largest answer that is not streamed"},
 	{Section: "gate", Key: "max-unsent", Kind: Bytes, Default: "1MiB", Min: "16KiB", Max: "64MiB", Doc: "bytes of answer that a slow reader may leave unsent"},
 	{Section: "gate", Key: "max-connections", Kind: Integer, Default: "8192", Min: "1", Max: "100000", Doc: "open connections of callers"},
--- a/entry/process.go
+++ b/entry/process.go
@@ -19,6 +19,7 @@
 	"sesamewell.example/commons/inifile"
 	"sesamewell.example/commons/logappender"
 	"sesamewell.example/commons/logclient"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/otlp"
 	"sesamewell.example/commons/peerrpc"
 	"sesamewell.example/commons/protocol"
@@ -210,6 +211,7 @@
 		MaxHeader:  int(settings.Bytes("gate", "max-header")),
 		MaxBody:    int(settings.Bytes("gate", "max-body")),
 		MaxUnsent:  int(settings.Bytes("gate", "max-unsent")),
+		Account:    memory.NewBudgetOf(settings.Bytes("gate", "max-bodies")),
 		MaxConns:   min(settings.Integer("gate", "max-connections"), descriptors.NewBudget(limit).Limit(time.Now())),
 		SlowSender: settings.Duration("gate", "slow-sender"),
 		Idle:       settings.Duration("gate", "idle"),
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/admin"
 	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/inifile"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/peerrpc"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
@@ -174,6 +175,7 @@
 		Dialers:      settings.Integer("porch", "dialers"),
 		Descriptors:  limit,
 		StallTimeout: stallTimeout,
+		Memory:       memory.NewBudget(settings.Bytes("process", "memory")),
 		Codec:        platform.HeaderCodec{},
 		Dial:         platform.Dial,
 		Scheduler:    s.Inbox(),
--- a/lobby/proxy/admission_test.go
+++ b/lobby/proxy/admission_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/testkit"
 	"sesamewell.example/lobby/proxy"
@@ -29,7 +30,7 @@
 	inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
 	l := &lobby{address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), ended: make(chan scheduler.SendEnded, 64), disconnected: make(chan struct{}, 64)}
 	l.proxy = proxy.New(proxy.Config{
-		Listen: l.address, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2, Descriptors: testDescriptors,
+		Listen: l.address, Probe: l.probe, ReadyPath: platform.ReadyPath, Capacity: 64, Dialers: 2, Descriptors: testDescriptors, Memory: memory.NewBudgetOf(testMemory), StallTimeout: testTimeout,
 		Codec: platform.HeaderCodec{}, Dial: platform.Dial, Scheduler: inbox, Readiness: l, Log: testkit.DiscardLog(),
 	})
 	schedules, stop := context.WithCancel(context.Background())
--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/httpserver"
 )
 
 var (
@@ -24,7 +25,7 @@
 	headRead  bool
 	length    int // length of the body in bytes, chunkedLength or unknownLength
 	remaining int // bytes of a body of known length that have not arrived
-	chunks    chunkDecoder
+	chunks    httpserver.ChunkDecoder
 	body      []byte // buffered part of the body
 	streaming bool   // the body is forwarded as it arrives
 }
@@ -63,7 +64,7 @@
 func (a *answer) readBody(buffered []byte) (data []byte, used int, err error) {
 	switch a.length {
 	case chunkedLength:
-		return a.chunks.next(buffered)
+		return a.chunks.Next(buffered)
 	case unknownLength:
 		return buffered, len(buffered), nil
 	default:
@@ -80,7 +81,7 @@
 		return false
 	}
 	if a.length == chunkedLength {
-		return a.chunks.done
+		return a.chunks.Done()
 	}
 	return a.length >= 0 && a.remaining == 0
 }
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -83,7 +83,9 @@
 		err = b.exchange.forwardStream(b.answer, data)
 	default:
 		b.exchange.lastProgress = now
-		err = b.answer.buffer(data)
+		if err = b.answer.buffer(data); err == nil {
+			b.exchange.chargeAnswer(len(data))
+		}
 	}
 	return used, err
 }
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -18,7 +18,7 @@
 	conn             gnet.Conn
 	probe            bool // accepted at the probe address, so its requests are readiness probes
 	exchange         *exchange
-	minBuffered      int // number of buffered bytes needed before the next attempt to parse
+	reader           *httpserver.RequestReader // of the request that arrives, nil before its first byte
 	continueSent     bool
 	receiving        bool      // a request has arrived in part
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
@@ -26,7 +26,8 @@
 	closed           bool      // no further request is taken
 	lingerSince      time.Time // time at which the connection ended in its own direction; zero before
 	progress         httpserver.Progress
-	unsent           bool          // a part of an answer has not left the process
+	unsent           int           // bytes written that have not left the process; charged to the customer
+	customer         string        // customer of the last request
 	waitingIn        *list.List    // list of connections without an open request in which it is; nil while it has one
 	waiting          *list.Element // its element there
 }
@@ -35,7 +36,11 @@
 // or more bytes are needed.
 func (c *callerConn) readRequests(now time.Time) {
 	if c.closed {
-		_, _ = c.conn.Discard(-1)
+		c.discard(now)
+		return
+	}
+	if c.exchange != nil && c.conn.InboundBuffered() > maxPipelined {
+		c.abort()
 		return
 	}
 	for !c.closed && c.exchange == nil {
@@ -44,45 +49,60 @@
 			_, _ = c.conn.Discard(blank)
 			buffered = buffered[blank:]
 		}
-		if len(buffered) == 0 || len(buffered) < c.minBuffered {
+		if len(buffered) == 0 {
 			return
 		}
 		if !c.receiving {
 			c.receiving, c.since = true, now
 			c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
 		}
-		limits := c.proxy.limits.Load()
-		parsed, err := httpserver.Parse(buffered, int(limits.MaxHeader()), int(limits.MaxBody()))
+		if c.reader == nil {
+			c.reader = c.proxy.newRequestReader()
+		}
+		used, err := c.reader.Read(buffered)
 		if err != nil {
 			c.reject(httpserver.AsRefusal(err))
 			return
 		}
-		if parsed.Request() == nil {
-			c.awaitRest(parsed)
+		if used > 0 {
+			_, _ = c.conn.Discard(used)
+		}
+		if c.reader.Request() == nil {
+			c.answerExpect()
 			return
 		}
-		_, _ = c.conn.Discard(parsed.Consumed())
-		c.minBuffered, c.continueSent, c.receiving = 0, false, false
-		c.closeAfterAnswer = c.closeAfterAnswer || parsed.Request().Header.ConnectionClose()
+		reader := c.reader
+		c.reader, c.continueSent, c.receiving = nil, false, false
+		c.closeAfterAnswer = c.closeAfterAnswer || reader.Request().Header.ConnectionClose()
 		c.proxy.waiting.move(c, nil)
-		c.receive(now, parsed.Request())
+		c.receive(now, reader)
 	}
 }
 
-func (c *callerConn) awaitRest(parsed httpserver.Parsed) {
-	c.minBuffered = parsed.Need()
-	if parsed.ExpectsContinue() && !c.continueSent {
+// discard drops bytes that arrive after the last request.
+func (c *callerConn) discard(now time.Time) {
+	_, _ = c.conn.Discard(-1)
+	if !c.lingerSince.IsZero() {
+		c.lingerSince = now
+	}
+}
+
+// answerExpect sends an interim answer to a caller that expects one before it sends the
+// body.
+func (c *callerConn) answerExpect() {
+	if c.reader.ExpectsContinue() && !c.continueSent {
 		c.continueSent = true
 		c.write(httpserver.ContinueResponse)
 	}
 }
 
-func (c *callerConn) receive(now time.Time, request *fasthttp.Request) {
+func (c *callerConn) receive(now time.Time, reader *httpserver.RequestReader) {
 	if c.probe {
-		c.answerProbe(now, request)
+		reader.Release()
+		c.answerProbe(now, reader.Request())
 		return
 	}
-	c.proxy.openExchange(now, c, request)
+	c.proxy.openExchange(now, c, reader)
 }
 
 // answerProbe answers a readiness probe of the platform.
@@ -103,15 +123,31 @@
 
 // reject answers a request that could not be parsed and closes the connection,
 // since the start of the next request cannot be found.
-func (c *callerConn) reject(refusal *httpserver.Refusal) { c.refuseUnread(refusal.Status(), 0) }
+func (c *callerConn) reject(refusal *httpserver.Refusal) {
+	retryAfter := time.Duration(0)
+	if refusal.Status() == fasthttp.StatusServiceUnavailable {
+		retryAfter = overloadRetryAfter
+		c.proxy.stats.noRoom.Inc()
+	}
+	c.refuseUnread(refusal.Status(), retryAfter)
+}
 
 // refuseUnread answers a request that has not been read to its end and closes the
 // connection.
 func (c *callerConn) refuseUnread(status int, retryAfter time.Duration) {
+	c.releaseReader()
 	c.write(c.proxy.refusalHead(status, retryAfter))
 	c.close()
 }
 
+// releaseReader gives up a request that has arrived in part.
+func (c *callerConn) releaseReader() {
+	if c.reader != nil {
+		c.reader.Release()
+	}
+	c.reader = nil
+}
+
 // finish ends the current request. It closes the connection if the answer was its
 // last.
 func (c *callerConn) finish(now time.Time) {
@@ -133,25 +169,47 @@
 	if _, err := c.conn.Write(out); err != nil {
 		return // the connection has been closed
 	}
-	c.progress.Wrote(len(out))
+	c.wrote(len(out))
+}
+
+// writeWithBody sends a head and a body without a copy of what the kernel takes at once.
+func (c *callerConn) writeWithBody(head, body []byte) {
+	if c.closed {
+		return
+	}
+	if _, err := c.conn.Writev([][]byte{head, body}); err != nil {
+		return // the connection has been closed
+	}
+	c.wrote(len(head) + len(body))
+}
+
+// wrote accounts for bytes that were written.
+func (c *callerConn) wrote(bytes int) {
+	c.progress.Wrote(bytes)
 	unsent := c.conn.OutboundBuffered()
-	c.setUnsent(unsent > 0)
+	c.setUnsent(unsent)
 	if unsent > maxUnsent {
 		c.abort()
 	}
 }
 
-// setUnsent records whether a part of an answer has not left the process.
-func (c *callerConn) setUnsent(unsent bool) {
-	if c.unsent == unsent {
-		return
-	}
+// setUnsent records the number of bytes that have not left the process, and charges the
+// customer for them.
+func (c *callerConn) setUnsent(unsent int) {
+	before := c.unsent
 	c.unsent = unsent
-	if unsent {
+	switch {
+	case unsent > before:
+		c.proxy.charge(c.customer, unsent-before)
+	case unsent < before:
+		c.proxy.config.Memory.Release(c.customer, int64(before-unsent))
+	}
+	switch {
+	case before == 0 && unsent > 0:
 		c.proxy.unsent.Add(1)
-		return
+	case before > 0 && unsent == 0:
+		c.proxy.unsent.Add(-1)
 	}
-	c.proxy.unsent.Add(-1)
 }
 
 // close takes no further request and closes the connection once all that was written has
@@ -182,7 +240,7 @@
 // or whose request arrives too slowly, and goes on with a close that waits.
 func (c *callerConn) sweep(now time.Time) {
 	unsent := c.conn.OutboundBuffered()
-	c.setUnsent(unsent > 0)
+	c.setUnsent(unsent)
 	switch {
 	case c.progress.Stalled(now, unsent, c.proxy.config.StallTimeout):
 		c.abort()
@@ -216,7 +274,7 @@
 		if err := unix.Shutdown(c.conn.Fd(), unix.SHUT_WR); err != nil {
 			_ = c.conn.Close()
 		}
-	case now.Sub(c.lingerSince) > lingerTimeout:
+	case now.Sub(c.lingerSince) > lingerTimeout || now.Sub(c.since) > c.proxy.limits.Load().ReadTimeout()+lingerTimeout:
 		_ = c.conn.Close()
 	}
 }
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -9,6 +9,7 @@
 
 	"sesamewell.example/commons/eventstream"
 	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -23,11 +24,13 @@
 	number        uint64
 	proxy         *Proxy
 	caller        *callerConn
+	reader        *httpserver.RequestReader // has charged the body
 	request       *fasthttp.Request
 	meta          *httpmeta.Request
 	send          scheduler.Send
 	pool          *pool // pool in which it waits for a connection
 	conn          *backendConn
+	answerBytes   int                 // bytes of the buffered answer, charged to the customer
 	heldError     *answer             // server error of the backend server, kept for ForwardError
 	lastByte      time.Time           // time of the last byte in either direction
 	lastProgress  time.Time           // time of the send, of the last event of a stream or of the last bytes of another answer
@@ -151,13 +154,36 @@
 	if e.caller.closeAfterAnswer {
 		a.head.SetConnectionClose()
 	}
+	e.writeAnswer(a)
+	e.proxy.closeExchange(now, e)
+}
+
+// writeAnswer writes the head and the body of an answer.
+func (e *exchange) writeAnswer(a *answer) {
+	body := a.body
+	if e.request.Header.IsHead() {
+		body = nil
+	}
 	out := a.head.AppendBytes(e.proxy.answerBuffer[:0])
-	if !e.request.Header.IsHead() {
-		out = append(out, a.body...)
+	if len(body) >= largeBody {
+		e.caller.writeWithBody(out, body)
+		return
 	}
+	out = append(out, body...)
 	e.proxy.answerBuffer = out
 	e.caller.write(out)
-	e.proxy.closeExchange(now, e)
+}
+
+// chargeAnswer charges the customer for bytes of the answer that are buffered.
+func (e *exchange) chargeAnswer(bytes int) {
+	e.answerBytes += bytes
+	e.proxy.charge(e.reader.Customer(), bytes)
+}
+
+// releaseAnswer gives back what the buffered answer was charged with.
+func (e *exchange) releaseAnswer() {
+	e.proxy.config.Memory.Release(e.reader.Customer(), int64(e.answerBytes))
+	e.answerBytes = 0
 }
 
 // refuse ends the request with an error answer. If a part of another answer has
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -47,6 +47,18 @@
 	Put(item any) error
 }
 
+// Memory is an account of the bytes that the process holds, by customer.
+type Memory interface {
+	httpserver.Account
+	// Charge charges a customer with bytes whatever the limit is. It reports whether the
+	// limit is exceeded so far that something has to be given up.
+	Charge(customer string, bytes int64) bool
+	// Total returns the number of bytes that are held.
+	Total() int64
+	// Limit returns the limit in bytes.
+	Limit() int64
+}
+
 // Readiness reports whether the process accepts callers' connections.
 type Readiness interface {
 	Ready() bool
@@ -60,6 +72,7 @@
 	Capacity    int    // number of actions, and of dial requests, that may be queued
 	Dialers     int    // number of threads that open connections
 	Descriptors int    // file descriptors that the process may open
+	Memory      Memory // account of the bytes of requests and answers
 	// StallTimeout is the time after which the connection of a caller is closed that
 	// takes no byte of its answer.
 	StallTimeout time.Duration
@@ -245,7 +258,8 @@
 	c.closed = true
 	delete(p.callers, c)
 	p.waiting.move(c, nil)
-	c.setUnsent(false)
+	c.setUnsent(0)
+	c.releaseReader()
 	if e := c.exchange; e != nil {
 		e.cancelSend()
 		p.removeExchange(e)
@@ -337,6 +351,7 @@
 		return
 	}
 	e.send, e.heldError, e.startReported = send, nil, false
+	e.releaseAnswer()
 	e.events.reset()
 	if e.started && len(e.events.lastID) == 0 { // without an event ID the stream cannot be resumed
 		p.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Truncated, 0))
@@ -364,16 +379,27 @@
 	}
 	p.stats.callers.Store(int64(len(p.callers)))
 	p.stats.backends.Store(int64(p.backendConns))
+	p.stats.bytes.Store(p.config.Memory.Total())
+	p.stats.bytesLimit.Store(p.config.Memory.Limit())
 	p.stats.limit.Store(int64(p.budget.Limit(now)))
 	p.logLimit(now)
 }
 
+// newRequestReader returns a reader of a request within the limits in force.
+func (p *Proxy) newRequestReader() *httpserver.RequestReader {
+	limits := p.limits.Load()
+	return httpserver.NewRequestReader(httpserver.RequestReaderConfig{
+		MaxHeader: int(limits.MaxHeader()), MaxBody: int(limits.MaxBody()), Account: p.config.Memory,
+	})
+}
+
 // openExchange starts an exchange for a new request and passes the request to the
 // scheduler.
-func (p *Proxy) openExchange(now time.Time, c *callerConn, request *fasthttp.Request) {
+func (p *Proxy) openExchange(now time.Time, c *callerConn, reader *httpserver.RequestReader) {
 	p.lastNumber++
-	e := &exchange{number: p.lastNumber, proxy: p, caller: c, request: request, meta: p.config.Codec.DecodeRequest(now, request)}
-	c.exchange = e
+	request := reader.Request()
+	e := &exchange{number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request, meta: p.config.Codec.DecodeRequest(now, request)}
+	c.exchange, c.customer = e, reader.Customer()
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
 	p.open.Add(1)
@@ -398,6 +424,8 @@
 func (p *Proxy) removeExchange(e *exchange) {
 	e.ended = true
 	delete(p.exchanges, e.number)
+	e.reader.Release()
+	e.releaseAnswer()
 	p.open.Add(-1)
 }
 
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/testkit"
 	"sesamewell.example/lobby/proxy"
@@ -26,6 +27,7 @@
 const (
 	testTimeout     = 10 * time.Second
 	testDescriptors = 1024
+	testMemory      = 64 << 20
 )
 
 // backend is a fake backend server that answers requests with a script.
@@ -113,6 +115,9 @@
 	if config.Descriptors == 0 {
 		config.Descriptors = testDescriptors
 	}
+	if config.Memory == nil {
+		config.Memory = memory.NewBudgetOf(testMemory)
+	}
 	if config.StallTimeout == 0 {
 		config.StallTimeout = testTimeout
 	}
