Dial a backend server at the address that it has now

What callers saw: answers of the old address, or 504, after a backend server had started again under its ID at another address.

Cause: a pool of connections keeps the address with which it was made, and pools are found by ID.

Evidence: the new test got both further answers from the old address.

Change: a send to another address retires the pool: its idle connections are closed, and requests that wait in it are sent again.

--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -359,6 +359,11 @@
 	}
 	id := send.Forwarding().Backend()
 	target, ok := p.pools[id]
+	if ok && target.address != send.Address() { // the backend server has started again elsewhere
+		target.returnWaiting()
+		target.retire()
+		ok = false
+	}
 	if !ok {
 		target = &pool{proxy: p, backend: id, address: send.Address()}
 		p.pools[id] = target
