Keep what a backend server asked for while its entry is away

Cause: the state of a backend server was dropped with its entry, and a new one began with the next. The number of its open requests was forgotten with it, so that it could get more than it has slots.

Evidence: 5 of the 10 cases of the new test failed before.

Change: the state is kept for two minutes, or until the hold ends, and used again for the same start of the backend server; another start is another one. At another address it no longer counts as replaced.

--- a/commons/httpserver/requestreader_test.go
+++ b/commons/httpserver/requestreader_test.go
@@ -53,8 +53,8 @@
 	return text.String()
 }
 
-// TestEveryPrefixOfRequestIsIncompleteOrWhole splits requests at each byte. A chunked body
-// that looks like its own end got 400 if a read ended there.
+// TestEveryPrefixOfRequestIsIncompleteOrWhole splits requests at each byte. A chunked
+// request got 400 if a read ended after the line of its last chunk.
 func TestEveryPrefixOfRequestIsIncompleteOrWhole(t *testing.T) {
 	cases := map[string]struct {
 		text string
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -36,7 +36,7 @@
 		seen[backend.ID()] = true
 		s, ok := c.servers[backend.ID()]
 		if !ok || s.backend.StartTime() != backend.StartTime() {
-			s = newServer(backend)
+			s = c.relisted(backend)
 			c.servers[backend.ID()] = s
 		}
 		if s.usable() && backend.Leaving() {
@@ -46,11 +46,13 @@
 	}
 	for id, s := range c.servers {
 		if !seen[id] {
-			s.listed = false
+			s.listed, s.unlistedAt = false, now
 			delete(c.servers, id)
+			c.unlisted[id] = s
 			c.emit(NewCloseIdle(CloseIdleConfig{Backend: id}))
 		}
 	}
+	c.forgetUnlisted(now)
 	defer c.placeQueued(now)
 	defer c.endAbsences()
 	clear(c.byService)
@@ -61,3 +63,28 @@
 		slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.backend.ID(), b.backend.ID()) })
 	}
 }
+
+// relisted returns the state of a backend server that is listed now: that from before its
+// entry lapsed, if it is the same start of it, else a new one. What it has asked for and
+// what it runs holds on, whatever the list says.
+func (c *Core) relisted(backend deployment.Backend) *server {
+	s, ok := c.unlisted[backend.ID()]
+	delete(c.unlisted, backend.ID())
+	if !ok || s.backend.StartTime() != backend.StartTime() {
+		return newServer(backend)
+	}
+	if s.backend.Address() != backend.Address() {
+		s.replaced = false
+	}
+	return s
+}
+
+// forgetUnlisted drops what is known of backend servers that have not been listed for
+// long, unless a time that one of them asked for has not ended.
+func (c *Core) forgetUnlisted(now time.Time) {
+	for id, s := range c.unlisted {
+		if now.Sub(s.unlistedAt) > unlistedRetention && !s.hold.active(now) {
+			delete(c.unlisted, id)
+		}
+	}
+}
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -77,6 +77,7 @@
 	config        CoreConfig
 	configuration *deployment.Configuration // nil until the first one is received
 	servers       map[string]*server
+	unlisted      map[string]*server   // by ID, those whose entries have left the list
 	byService     map[string][]*server // sorted by ID
 	requests      map[uint64]*openRequest
 	queued        map[uint64]*openRequest // subset of requests that waits for a backend server
@@ -106,6 +107,7 @@
 		lobbyCount: max(config.MinLobbies, 1),
 		config:     config,
 		servers:    make(map[string]*server),
+		unlisted:   make(map[string]*server),
 		byService:  make(map[string][]*server),
 		requests:   make(map[uint64]*openRequest),
 		queued:     make(map[uint64]*openRequest),
--- a/lobby/scheduler/hold_test.go
+++ b/lobby/scheduler/hold_test.go
@@ -133,3 +133,54 @@
 		})
 	}
 }
+
+// TestStateOfBackendServerOutlivesItsEntry lets the entry of a backend server lapse and
+// return. What it had asked for was forgotten with the entry.
+func TestStateOfBackendServerOutlivesItsEntry(t *testing.T) {
+	request := httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}
+	later := func(config deployment.BackendConfig) deployment.BackendConfig {
+		config.StartTime++
+		return config
+	}
+	moved := func(config deployment.BackendConfig) deployment.BackendConfig {
+		config.Address = "10.0.0.7:80"
+		return config
+	}
+	e1 := engineServer("e1")
+	cases := map[string]struct {
+		before func(f *fixture)
+		absent time.Duration
+		back   deployment.BackendConfig
+		want   []string
+	}{
+		"nothing asked":                     {before: func(*fixture) {}, absent: time.Second, back: e1, want: []string{"send e1"}},
+		"hold":                              {before: func(f *fixture) { f.refuse(1, 4*time.Second) }, absent: time.Second, back: e1, want: []string{"refuse 503 no_backend"}},
+		"hold, new address":                 {before: func(f *fixture) { f.refuse(1, 4*time.Second) }, absent: time.Second, back: moved(e1), want: []string{"refuse 503 no_backend"}},
+		"hold that has ended":               {before: func(f *fixture) { f.refuse(1, 4*time.Second) }, absent: 5 * time.Second, back: e1, want: []string{"send e1"}},
+		"hold, another start":               {before: func(f *fixture) { f.refuse(1, 4*time.Second) }, absent: time.Second, back: later(e1), want: []string{"send e1"}},
+		"hold beyond the retention":         {before: func(f *fixture) { f.refuse(1, 5*time.Minute) }, absent: 3 * time.Minute, back: e1, want: []string{"refuse 503 no_backend"}},
+		"leaving":                           {before: func(f *fixture) { f.core.Handle(f.now, scheduler.NewBackendLeaving(1)) }, absent: time.Second, back: e1, want: []string{"refuse 503 no_backend"}},
+		"leaving, another start":            {before: func(f *fixture) { f.core.Handle(f.now, scheduler.NewBackendLeaving(1)) }, absent: time.Second, back: later(e1), want: []string{"send e1"}},
+		"replaced at its address":           {before: func(f *fixture) { f.core.Handle(f.now, scheduler.NewSendEnded(1, scheduler.Replaced, 421)) }, absent: time.Second, back: e1, want: []string{"refuse 503 no_backend"}},
+		"replaced, then at another address": {before: func(f *fixture) { f.core.Handle(f.now, scheduler.NewSendEnded(1, scheduler.Replaced, 421)) }, absent: time.Second, back: moved(e1), want: []string{"send e1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(e1)
+			f.arrive(request)
+			tc.before(f)
+			f.list()
+			f.now = f.now.Add(tc.absent)
+			f.list()
+			f.list(tc.back)
+			got := describe(f.arrive(request))
+			if len(got) == 0 { // it waits in the queue
+				f.now = f.now.Add(3 * time.Second)
+				got = describe(f.core.Tick(f.now))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -11,6 +11,7 @@
 type server struct {
 	backend           deployment.Backend
 	listed            bool
+	unlistedAt        time.Time           // time at which its entry left the list; zero before
 	open              int                 // open requests of this process
 	prefill           time.Duration       // pending prefill of this process
 	unanswered        int                 // requests of this process without an answer
