Close an idle connection for a request that may run once

What callers saw: 504 for requests that may run once, at a backend server to which all allowed connections are open and have been idle for over a second.

Cause: such a request takes no connection that has been idle for longer than a second, and no other may be opened while these count; it waited until one expired.

Change: the connection that has been idle for longest is closed, and a new one is dialled in its place.

--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -32,6 +32,10 @@
 		p.returnWaiting()
 		return
 	}
+	if p.open >= p.maxOpen && len(p.idle) > 0 {
+		p.idle[0].close() // none that is idle may carry this request
+		return
+	}
 	p.dial()
 }
 
--- a/lobby/proxy/pool_test.go
+++ b/lobby/proxy/pool_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -44,3 +45,24 @@
 	}
 	waitFor(t, before.closed, "idle connection to the old address not closed")
 }
+
+// TestIdleConnectionsMakeRoomForRequestThatMayRunOnce fills a pool with a connection that
+// is idle for too long to carry a request that must not run twice. Such a request waited
+// until the connection expired.
+func TestIdleConnectionsMakeRoomForRequestThatMayRunOnce(t *testing.T) {
+	b := newBackend(t, answerWith("x"))
+	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Connections, s.FreshConnection = b.address, 1, true })
+	for n := range 2 {
+		start := time.Now()
+		if _, body, err := sendRequest(t, l.address); err != nil || body != "x" {
+			t.Fatalf("answer %q, %v", body, err)
+		}
+		if waited := time.Since(start); waited > time.Second {
+			t.Errorf("request %d was answered after %s", n, waited)
+		}
+		time.Sleep(1100 * time.Millisecond)
+	}
+	if diff := cmp.Diff(int64(2), b.conns.Load()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
