Lose no action of the scheduler when a ring is full

What callers saw: no answer until they left, for requests that the scheduler had refused or answered while the inbox of the event loop was full for a moment; after five such moments no decision for 2 s.

Cause: the first action that found a full ring ended the scheduler's thread; the actions behind it were lost, and the supervisor paused. The same for a full ring of calls to keepers, and for digests.

Change: actions for connections wait in their order; an adapter that can't be requested counts as not loaded; a digest is left out.

--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -44,6 +44,7 @@
 	stats  *stats
 	ready  atomic.Bool
 	open   atomic.Int64
+	queued []Action // actions for the proxy that wait for room in its inbox, in their order
 }
 
 // New returns a Scheduler. Unless config contains the proxy, the fetcher and the
@@ -86,52 +87,90 @@
 
 // Handle processes one message. It ignores values that are not a Message.
 func (s *Scheduler) Handle(now time.Time, message any) error {
+	s.deliverQueued()
 	if m, ok := message.(Message); ok {
-		return s.execute(s.core.Handle(now, m))
+		s.execute(now, s.core.Handle(now, m))
 	}
 	return nil
 }
 
 // Tick executes the actions that are due without a message.
-func (s *Scheduler) Tick(now time.Time) error { return s.execute(s.core.Tick(now)) }
+func (s *Scheduler) Tick(now time.Time) error {
+	s.deliverQueued()
+	s.execute(now, s.core.Tick(now))
+	return nil
+}
 
-func (s *Scheduler) execute(actions []Action) error {
+func (s *Scheduler) execute(now time.Time, actions []Action) {
 	s.ready.Store(s.core.Ready())
 	s.open.Store(int64(s.core.Open()))
 	for _, action := range actions {
-		if err := s.executeAction(action); err != nil {
-			return err
-		}
+		s.executeAction(now, action)
 	}
-	return nil
 }
 
 // executeAction passes an action to the component that executes it, and updates
 // log and metrics.
-func (s *Scheduler) executeAction(action Action) error {
+func (s *Scheduler) executeAction(now time.Time, action Action) {
 	switch a := action.(type) {
 	case Fetch:
-		s.stats.fetches.Inc()
-		return s.config.Fetcher.Fetch(a)
+		s.fetch(now, a)
+		return
 	case Broadcast:
-		return s.config.Broadcaster.Broadcast(a)
+		if err := s.config.Broadcaster.Broadcast(a); err != nil {
+			s.config.Log.WithField("event", "ring_full").WithError(err).Warn("digest not sent; the next one follows")
+		}
+		return
 	case RecordSend:
 		s.recordSend(a)
-		return nil
+		return
 	case RecordHold:
 		s.recordHold(a)
-		return nil
+		return
 	case RecordLeaving:
 		s.recordLeaving(a)
-		return nil
+		return
 	case RecordQuarantine:
 		s.recordQuarantine(a.Change())
-		return nil
+		return
 	case Send:
 		s.logSend(a)
 	case Refuse:
 		s.stats.refusals[a.Cause()].Inc()
 		s.logRefusal(a)
 	}
-	return s.config.Proxy.Put(action)
+	s.deliver(action)
+}
+
+// fetch requests an adapter. If the request cannot be queued, the adapter counts as not
+// loaded, so that what waits for it is placed elsewhere.
+func (s *Scheduler) fetch(now time.Time, fetch Fetch) {
+	s.stats.fetches.Inc()
+	if err := s.config.Fetcher.Fetch(fetch); err != nil {
+		s.config.Log.WithFields(logrus.Fields{"event": "ring_full", "backend": fetch.Backend()}).WithError(err).Warn("adapter not requested")
+		s.execute(now, s.core.Handle(now, NewFetchEnded(fetch, 0)))
+	}
+}
+
+// deliver passes an action to the proxy, or queues it while the proxy's inbox is full: a
+// request that the core has ended would never be answered without it.
+func (s *Scheduler) deliver(action Action) {
+	if len(s.queued) == 0 {
+		err := s.config.Proxy.Put(action)
+		if err == nil {
+			return
+		}
+		s.config.Log.WithField("event", "ring_full").WithError(err).Warn("actions wait for room in the inbox of the event loop")
+	}
+	s.queued = append(s.queued, action)
+}
+
+// deliverQueued passes the queued actions to the proxy as far as it has room for them.
+func (s *Scheduler) deliverQueued() {
+	for len(s.queued) > 0 && s.config.Proxy.Put(s.queued[0]) == nil {
+		s.queued = s.queued[1:]
+	}
+	if len(s.queued) == 0 {
+		s.queued = nil
+	}
 }
