Lower the limit on connections if accept has failed in spite of it; measure bytes held

The lowering covers a limit that others on the host have used up; before, the event loop would have ended again after each start.

--- a/commons/httpserver/engine.go
+++ b/commons/httpserver/engine.go
@@ -10,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-// errEngineEnded is returned by Engine.Serve when the event loops end although
-// nobody has stopped them. gnet logs the cause.
-var errEngineEnded = errors.New("event loops have ended by themselves")
+// ErrEngineEnded is returned by Engine.Serve when the event loops end although nobody has
+// stopped them, as when no descriptor is left for a connection. gnet logs the cause.
+var ErrEngineEnded = errors.New("event loops have ended by themselves")
 
 // EngineConfig holds the construction parameters of an Engine.
 type EngineConfig struct {
@@ -66,7 +66,7 @@
 	case err != nil:
 		return errors.Wrapf(err, "listen on %v", e.config.Addresses)
 	default:
-		return errors.Wrapf(errEngineEnded, "listen on %v", e.config.Addresses)
+		return errors.Wrapf(ErrEngineEnded, "listen on %v", e.config.Addresses)
 	}
 }
 
--- a/lobby/proxy/admission_test.go
+++ b/lobby/proxy/admission_test.go
@@ -156,7 +156,7 @@
 	}
 }
 
-func dial(t *testing.T, address string) net.Conn {
+func dial(t testing.TB, address string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/lobby/proxy/memory_test.go
+++ b/lobby/proxy/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -150,3 +151,65 @@
 
 // readPiece is the largest number of bytes that the proxy reads at once.
 const readPiece = 64 << 10
+
+// BenchmarkBytesHeld measures the memory that the proxy holds for each byte of the bodies
+// of requests that are open at a backend server.
+func BenchmarkBytesHeld(b *testing.B) {
+	const requests = 16 // in flight
+	for _, size := range []int{4 << 10, 400 << 10, 4 << 20} {
+		b.Run(fmt.Sprintf("%d KiB", size>>10), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(heldPerByte(b, size, requests), "B/B")
+			}
+		})
+	}
+}
+
+// heldPerByte returns the growth of the heap while requests of a size are open, for each
+// byte of their bodies.
+func heldPerByte(b *testing.B, size, requests int) float64 {
+	release := make(chan struct{})
+	var arrived atomic.Int64
+	backend := newBackend(b, func(conn net.Conn, id string, _ int) bool {
+		arrived.Add(1)
+		<-release
+		_, _ = io.WriteString(conn, fixedLengthAnswer(id, "x"))
+		return true
+	})
+	go func() {
+		for range backend.requestIDs {
+			<-backend.lastEventIDs
+		}
+	}()
+	l := newLobbyWith(b, proxy.Config{Descriptors: 1 << 20, Memory: memory.NewBudgetOf(1 << 30)}, func(s *scheduler.SendConfig) { s.Address, s.Connections = backend.address, requests })
+	before := heapInUse()
+	var callers sync.WaitGroup
+	for n := range requests {
+		conn, err := net.Dial("tcp", l.address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		callers.Go(func() {
+			defer func() { _ = conn.Close() }()
+			if status, _, err := upload(conn, bufio.NewReader(conn), "a", fmt.Sprint("r-", n), size); status != http.StatusOK {
+				b.Errorf("status %d, %v", status, err)
+			}
+		})
+	}
+	for arrived.Load() < int64(requests) {
+		time.Sleep(time.Millisecond)
+	}
+	held := heapInUse() - before
+	close(release)
+	callers.Wait()
+	return float64(held) / float64(size*requests)
+}
+
+// heapInUse returns the number of bytes of the heap that are in use.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse)
+}
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -104,6 +104,7 @@
 	exchanges     map[uint64]*exchange
 	pools         map[string]*pool // by ID of the backend server
 	backendConns  int              // connections to backend servers, including those being opened
+	lastOpen      int              // openConnections when the last caller connected
 	budget        *descriptors.Budget
 	stats         *stats
 	limitLogged   time.Time // time of the last log line on connections at their limit
@@ -172,7 +173,11 @@
 	engine := httpserver.NewEngine(httpserver.EngineConfig{
 		Addresses: []string{p.config.Listen, p.config.Probe}, Loops: 1, ReadBuffer: readBuffer, KeepAlive: keepAlive, Handler: p, Log: p.config.Log,
 	})
-	return engine.Serve(ctx)
+	err := engine.Serve(ctx)
+	if errors.Is(err, httpserver.ErrEngineEnded) {
+		p.budget.Exhausted(time.Now(), p.lastOpen)
+	}
+	return err
 }
 
 // OnOpen handles a new connection, either dialled to a backend server or accepted
@@ -194,6 +199,7 @@
 	c := &callerConn{proxy: p, conn: conn, since: now, probe: conn.LocalAddr().String() == p.config.Probe}
 	conn.SetContext(c)
 	p.callers[c] = struct{}{}
+	p.lastOpen = p.openConnections()
 	p.waiting.move(c, &p.waiting.idle)
 	return nil, gnet.None
 }
