Answer a request although too many bytes follow it

Change: beyond the size of the largest request what follows is dropped, and the connection is closed after the answer.

--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -23,6 +23,7 @@
 	receiving        bool      // a request has arrived in part
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
 	closeAfterAnswer bool
+	flooded          bool      // too many bytes have arrived behind the open request
 	closed           bool      // no further request is taken
 	lingerSince      time.Time // time at which the connection ended in its own direction; zero before
 	progress         httpserver.Progress
@@ -39,8 +40,8 @@
 		c.discard(now)
 		return
 	}
-	if c.exchange != nil && c.conn.InboundBuffered() > maxPipelined {
-		c.abort()
+	if c.exchange != nil {
+		c.limitPipelined()
 		return
 	}
 	for !c.closed && c.exchange == nil {
@@ -79,6 +80,17 @@
 	}
 }
 
+// limitPipelined drops what arrives behind an open request, once it is more than the
+// largest request may have. The connection is closed after the answer then.
+func (c *callerConn) limitPipelined() {
+	limits := c.proxy.limits.Load()
+	if !c.flooded && c.conn.InboundBuffered() <= int(limits.MaxHeader()+limits.MaxBody()) {
+		return
+	}
+	c.flooded, c.closeAfterAnswer = true, true
+	_, _ = c.conn.Discard(-1)
+}
+
 // discard drops bytes that arrive after the last request.
 func (c *callerConn) discard(now time.Time) {
 	_, _ = c.conn.Discard(-1)
--- a/lobby/proxy/callerconn_test.go
+++ b/lobby/proxy/callerconn_test.go
@@ -87,6 +87,35 @@
 	}
 }
 
+// TestFloodBehindAnOpenRequestCostsNoAnswer sends more bytes behind an open request than
+// any request may have.
+func TestFloodBehindAnOpenRequestCostsNoAnswer(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+		<-release
+		_, _ = io.WriteString(conn, fixedLengthAnswer(id, "x"))
+		return true
+	})
+	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+	conn := dial(t, l.address)
+	writeRequest(t, conn, 1, 0, "")
+	<-b.requestIDs
+	if _, err := conn.Write(make([]byte, 16<<20)); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "x" {
+		t.Errorf("answer %q, %v", body, err)
+	}
+	if !response.Close {
+		t.Error("answer without Connection: close")
+	}
+}
+
 // TestUnsentAnswersAreOwed counts an answer as unsent until its caller has taken it.
 func TestUnsentAnswersAreOwed(t *testing.T) {
 	const size = 8 << 20
--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -14,7 +14,6 @@
 	defaultIdle        = 4 * time.Second  // idle timeout of a connection to a backend server that announces none
 	idleMargin         = time.Second      // time by which a connection is closed before the backend server would close it
 	maxUnsent          = 2 * maxBody      // bytes that may be buffered for a slow caller
-	maxPipelined       = 1 << 20          // bytes of further requests that may arrive before the answer to the current one
 	largeBody          = 64 << 10         // size of a body in bytes from which it is not copied behind its head
 	minGivenUp         = 256 << 10        // bytes that an answer must hold to be given up for room
 	lingerTimeout      = time.Second      // time for which the caller's end of a closed connection is awaited
