Answer a call at an entry although too many bytes follow it

What callers saw: the connection closed without an answer if more bytes than the largest request may have were sent behind an open call.

Cause: the server closed such a connection at once, open call or not.

Evidence: the new test got the end of the connection before, an answer now.

Change: what follows is dropped, and the connection is closed after the answer. A reset is not set on a connection that has been closed.

--- a/commons/httpserver/call.go
+++ b/commons/httpserver/call.go
@@ -120,7 +120,10 @@
 		return
 	}
 	// The end of the connection would complete an answer without chunks.
-	reset := func(socket gnet.Conn, _ error) error {
+	reset := func(socket gnet.Conn, err error) error {
+		if err != nil {
+			return err // the connection has been closed
+		}
 		return errors.CombineErrors(socket.SetLinger(0), socket.Close())
 	}
 	if err := c.conn.socket.AsyncWrite(nil, reset); err != nil {
@@ -158,7 +161,7 @@
 // afterLastWrite makes the connection available for its next request, or closes it if the
 // answer was its last.
 func (c *Call) afterLastWrite(socket gnet.Conn) error {
-	if c.keepAlive {
+	if c.keepAlive && !c.conn.flooded {
 		return c.conn.release(socket)
 	}
 	return c.conn.closeWhenSent(socket)
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -20,6 +20,7 @@
 	reader       *RequestReader // of the request that arrives, nil before its first byte
 	held         *RequestReader // of the request of the open call, whose body is charged
 	continueSent bool
+	flooded      bool         // too many bytes have arrived behind the open call
 	partial      atomic.Bool  // part of a request has been received
 	gone         atomic.Bool  // the connection is closed or the call was aborted
 	closing      atomic.Bool  // the connection is being closed to make room for others
@@ -35,8 +36,9 @@
 	buffered, _ := c.socket.Peek(-1)
 	limit := c.server.config.MaxHeader + c.server.config.MaxBody
 	if c.call != nil {
-		if len(buffered) > limit {
-			return gnet.Close
+		if c.flooded || len(buffered) > limit { // the connection is closed after the answer
+			c.flooded = true
+			_, _ = c.socket.Discard(-1)
 		}
 		return gnet.None
 	}
--- a/commons/httpserver/server_test.go
+++ b/commons/httpserver/server_test.go
@@ -79,6 +79,9 @@
 				_ = call.Write(fmt.Appendf(nil, "piece%d ", i))
 			}
 			call.End()
+		case "/slow":
+			time.Sleep(300 * time.Millisecond)
+			call.Reply(response)
 		case "/large":
 			response.SetBody(make([]byte, largeAnswer))
 			call.Reply(response)
@@ -322,6 +325,15 @@
 	return nil
 }
 
+// TestFloodBehindAnOpenCallCostsNoAnswer sends more bytes behind an open call than any
+// request may have. The connection was closed without an answer.
+func TestFloodBehindAnOpenCallCostsNoAnswer(t *testing.T) {
+	statuses, _ := exchange(t, startServer(t, nil), "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"+strings.Repeat("x", 64<<10), 1)
+	if diff := cmp.Diff([]int{200}, statuses); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
 // TestLargeAnswersArriveWhole gets answers that are larger than what the kernel takes at
 // once, on connections that are closed after them or not. The former were cut off.
 func TestLargeAnswersArriveWhole(t *testing.T) {
