--- a/commons/testkit/testkit.go
+++ b/commons/testkit/testkit.go
@@ -83,6 +83,17 @@
 // end of the test.
 func DialEthernet(t testing.TB, address string) net.Conn {
 	t.Helper()
+	conn, err := TryDialEthernet(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// TryDialEthernet does the same as DialEthernet, but returns an error, and leaves it to its
+// caller to close the connection.
+func TryDialEthernet(address string) (net.Conn, error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		if controlErr := raw.Control(func(fd uintptr) {
 			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentSize)
@@ -91,12 +102,7 @@
 		}
 		return err
 	}}
-	conn, err := dialer.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
-	return conn
+	return dialer.Dial("tcp", address)
 }
 
 // DiscardLog returns a logger that discards its output.
--- a/lobby/stop_test.go
+++ b/lobby/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -12,7 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/testkit"
 )
 
 const (
@@ -143,3 +147,75 @@
 		})
 	}
 }
+
+// TestStopCutsNoAnswer stops a lobby at a random moment while callers of several kinds get
+// answers of 400 KiB to 3 MiB over segments as on an Ethernet link. Each answer whose
+// request was passed on arrives whole.
+func TestStopCutsNoAnswer(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, seed))
+			b := &workingBackend{ran: make(map[string]bool)}
+			p := startProcess(t, newStore(t, stopConfig, map[string]string{"i-1": listEntry(newScriptedBackend(t, b.serve)), "i-2": listEntry(newScriptedBackend(t, b.serve))}), testDescriptors, testGrace)
+			var callers sync.WaitGroup
+			for n := range 9 {
+				kind := []string{"kept", "pipelined", "slow"}[n%3]
+				path := fmt.Sprintf("/unsafe/%dms/%d", random.IntN(300), 400<<10+random.IntN(2600<<10))
+				callers.Go(func() { b.callUntilGone(t, p.address, kind, fmt.Sprint(kind, "-", n), path) })
+			}
+			time.Sleep(time.Duration(200+random.IntN(800)) * time.Millisecond)
+			if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
+			callers.Wait()
+			<-p.exited
+		})
+	}
+}
+
+// callUntilGone sends requests until the lobby accepts no connection any more. It fails the
+// test for each answer that does not arrive whole although a backend server has run the
+// request.
+func (b *workingBackend) callUntilGone(t *testing.T, address, kind, name, path string) {
+	for n := 0; ; n++ {
+		conn, err := testkit.TryDialEthernet(address)
+		if err != nil {
+			return
+		}
+		c := &caller{conn: conn, reader: bufio.NewReader(conn)}
+		for i := 0; err == nil; i++ {
+			id := fmt.Sprintf("%s-%d-%d", name, n, i)
+			err = b.call(c, kind, id, path)
+			if err != nil && b.hasRun(id) {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+// call sends a request, in the kind "pipelined" with another one behind it, and reads its
+// answer.
+func (b *workingBackend) call(c *caller, kind, id, path string) error {
+	if err := c.write(id, path); err != nil {
+		return err
+	}
+	if kind == "pipelined" {
+		if err := c.write(id+"-behind", path); err != nil {
+			return err
+		}
+	}
+	if kind == "slow" {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if _, _, err := c.read(); err != nil {
+		return err
+	}
+	if kind == "pipelined" {
+		if _, _, err := c.read(); err != nil && b.hasRun(id+"-behind") {
+			return errors.Wrap(err, "the request behind it")
+		}
+	}
+	return nil
+}
