Send pipelined requests of a test in one write

Traced: the test wrote four requests one after the other to a lobby that drains; if the second write comes late, the lobby has answered the first request and closed the connection, as its answer says, and the write fails ("broken pipe"). With pauses of 0.3, 1 and 20 ms the write failed each time, and the answer was whole in all of them. The requests go out in one write now; what is checked stays.

--- a/lobby/proxy/callerconn_test.go
+++ b/lobby/proxy/callerconn_test.go
@@ -18,10 +18,15 @@
 	"sesamewell.example/lobby/scheduler"
 )
 
-// writeRequest sends a request whose backend server answers with a body of a size.
-func writeRequest(t *testing.T, conn net.Conn, size, n int, headers string) {
+// writeRequests sends requests whose backend server answers with a body of a size, in one
+// write: the proxy may close the connection after the first one.
+func writeRequests(t *testing.T, conn net.Conn, size, requests int, headers string) {
 	t.Helper()
-	if _, err := fmt.Fprintf(conn, "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: %d-%d\r\n%sContent-Length: 2\r\n\r\nhi", size, n, headers); err != nil {
+	var text strings.Builder
+	for n := range requests {
+		fmt.Fprintf(&text, "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: %d-%d\r\n%sContent-Length: 2\r\n\r\nhi", size, n, headers)
+	}
+	if _, err := io.WriteString(conn, text.String()); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -59,9 +64,7 @@
 					l.proxy.Drain(time.Now())
 				}
 				conn := testkit.DialEthernet(t, l.address)
-				for n := range tc.pipelined + 1 {
-					writeRequest(t, conn, size, n, tc.headers)
-				}
+				writeRequests(t, conn, size, tc.pipelined+1, tc.headers)
 				if tc.slow {
 					time.Sleep(300 * time.Millisecond)
 				}
@@ -98,7 +101,7 @@
 	})
 	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
 	conn := dial(t, l.address)
-	writeRequest(t, conn, 1, 0, "")
+	writeRequests(t, conn, 1, 1, "")
 	<-b.requestIDs
 	if _, err := conn.Write(make([]byte, 16<<20)); err != nil {
 		t.Fatal(err)
@@ -125,7 +128,7 @@
 	})
 	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
 	conn := testkit.DialEthernet(t, l.address)
-	writeRequest(t, conn, size, 0, "Connection: close\r\n")
+	writeRequests(t, conn, size, 1, "Connection: close\r\n")
 	<-l.ended
 	awaitCount(t, "unsent answers of a caller that does not read", 1, l.proxy.Unsent)
 	if diff := cmp.Diff(0, l.proxy.Open()); diff != "" {
@@ -156,7 +159,7 @@
 			})
 			l := newLobbyWith(t, proxy.Config{StallTimeout: stall}, func(s *scheduler.SendConfig) { s.Address = b.address })
 			conn := testkit.DialEthernet(t, l.address)
-			writeRequest(t, conn, size, 0, "Connection: close\r\n")
+			writeRequests(t, conn, size, 1, "Connection: close\r\n")
 			<-l.ended
 			got := 0
 			for end := time.Now().Add(5 * stall); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
