--- a/lobby/proxy/stats.go
+++ b/lobby/proxy/stats.go
@@ -8,24 +8,25 @@
 
 // stats holds the proxy's metrics.
 type stats struct {
-	closed     *metrics.Counter // connections without a request that were closed for others
-	refused    *metrics.Counter // connections or requests refused because there were too many
-	noRoom     *metrics.Counter // requests refused since there was no room for their bodies
-	callers    atomic.Int64     // connections of callers
-	backends   atomic.Int64     // connections to backend servers
-	givenUp    *metrics.Counter // answers and connections given up for room
-	bytes      atomic.Int64     // bytes of requests and answers that are held
-	bytesLimit atomic.Int64
+	closed  *metrics.Counter // connections without a request that were closed for others
+	refused *metrics.Counter // connections or requests refused because there were too many
+	noRoom  *metrics.Counter // requests refused since there was no room for their bodies
+	givenUp *metrics.Counter // answers and connections given up for room
+
+	callers    atomic.Int64 // connections of callers
+	backends   atomic.Int64 // connections to backend servers
 	limit      atomic.Int64 // connections beyond which idle ones are closed
+	bytes      atomic.Int64 // bytes of requests and answers that are held
+	bytesLimit atomic.Int64
 }
 
 func newStats() *stats {
 	s := &stats{
 		closed:  metrics.GetOrCreateCounter("sesamewell_connections_closed_for_room_total"),
 		refused: metrics.GetOrCreateCounter("sesamewell_connections_refused_total"),
+		noRoom:  metrics.GetOrCreateCounter("sesamewell_bodies_refused_total"),
+		givenUp: metrics.GetOrCreateCounter("sesamewell_answers_given_up_total"),
 	}
-	s.givenUp = metrics.GetOrCreateCounter("sesamewell_answers_given_up_total")
-	s.noRoom = metrics.GetOrCreateCounter("sesamewell_bodies_refused_total")
 	gauge := func(name string, value *atomic.Int64) {
 		metrics.GetOrCreateGauge(name, func() float64 { return float64(value.Load()) })
 	}
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -47,8 +47,11 @@
 	retryableObjectives       = 1.5                     // time without an answer, in latency objectives, after which a retryable request is sent elsewhere
 	resumableFirstByteTimeout = 1500 * time.Millisecond // time without a first byte after which a resumable stream is sent elsewhere
 	noBackendRetryAfter       = time.Second             // retry delay in refusals when no backend server is available; the model may be loading
-	silenceLimit              = 400 * time.Millisecond  // time without an answer after which a backend server with unanswered requests counts as silent
-	soundAfter                = 250 * time.Millisecond  // time for which an answer must go on to show that its prompt does not crash engines
+	// unlistedRetention is the time for which the state of a backend server is kept
+	// after its entry has left the list.
+	unlistedRetention = 2 * time.Minute
+	silenceLimit      = 400 * time.Millisecond // time without an answer after which a backend server with unanswered requests counts as silent
+	soundAfter        = 250 * time.Millisecond // time for which an answer must go on to show that its prompt does not crash engines
 	// The following costs are added to the estimated delay at a backend server.
 
 	// adapterLoadCost is added if the adapter has to be loaded first.
--- a/lobby/scheduler/hold.go
+++ b/lobby/scheduler/hold.go
@@ -6,15 +6,12 @@
 )
 
 const (
-	// unlistedRetention is the time for which the state of a backend server is kept after its
-	// entry has left the list.
-	unlistedRetention = 2 * time.Minute
-	maxHold           = 10 * time.Minute       // longest time for which a backend server is held, whatever it states
-	holdSpread        = 25 * time.Millisecond  // for each lobby, the range over which the ends of their holds are spread
-	maxHoldSpread     = time.Second            // longest such range
-	returnStep        = 250 * time.Millisecond // time after which twice as many requests may return to a backend server
-	returnSteps       = 8                      // steps after which they are not counted any more
-	minHoldRetry      = 20 * time.Millisecond  // shortest retry delay in refusals while all backend servers are held
+	maxHold       = 10 * time.Minute       // longest time for which a backend server is held, whatever it states
+	holdSpread    = 25 * time.Millisecond  // for each lobby, the range over which the ends of their holds are spread
+	maxHoldSpread = time.Second            // longest such range
+	returnStep    = 250 * time.Millisecond // time after which twice as many requests may return to a backend server
+	returnSteps   = 8                      // steps after which they are not counted any more
+	minHoldRetry  = 20 * time.Millisecond  // shortest retry delay in refusals while all backend servers are held
 )
 
 // hold is the time for which a backend server, which refused a request, wants no others
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -38,13 +38,13 @@
 
 // Scheduler runs the Core on its own thread and executes its actions.
 type Scheduler struct {
-	config Config
-	inbox  *ring.Ring
-	core   *Core
-	stats  *stats
-	ready  atomic.Bool
-	open   atomic.Int64
-	queued []Action // actions for the proxy that wait for room in its inbox, in their order
+	config      Config
+	inbox       *ring.Ring
+	core        *Core
+	stats       *stats
+	ready       atomic.Bool
+	open        atomic.Int64
+	undelivered []Action // actions for the proxy that wait for room in its inbox, in their order
 }
 
 // New returns a Scheduler. Unless config contains the proxy, the fetcher and the
@@ -87,7 +87,7 @@
 
 // Handle processes one message. It ignores values that are not a Message.
 func (s *Scheduler) Handle(now time.Time, message any) error {
-	s.deliverQueued()
+	s.redeliver()
 	if m, ok := message.(Message); ok {
 		s.execute(now, s.core.Handle(now, m))
 	}
@@ -96,7 +96,7 @@
 
 // Tick executes the actions that are due without a message.
 func (s *Scheduler) Tick(now time.Time) error {
-	s.deliverQueued()
+	s.redeliver()
 	s.execute(now, s.core.Tick(now))
 	return nil
 }
@@ -152,25 +152,25 @@
 	}
 }
 
-// deliver passes an action to the proxy, or queues it while the proxy's inbox is full: a
+// deliver passes an action to the proxy, or keeps it while the proxy's inbox is full: a
 // request that the core has ended would never be answered without it.
 func (s *Scheduler) deliver(action Action) {
-	if len(s.queued) == 0 {
+	if len(s.undelivered) == 0 {
 		err := s.config.Proxy.Put(action)
 		if err == nil {
 			return
 		}
 		s.config.Log.WithField("event", "ring_full").WithError(err).Warn("actions wait for room in the inbox of the event loop")
 	}
-	s.queued = append(s.queued, action)
+	s.undelivered = append(s.undelivered, action)
 }
 
-// deliverQueued passes the queued actions to the proxy as far as it has room for them.
-func (s *Scheduler) deliverQueued() {
-	for len(s.queued) > 0 && s.config.Proxy.Put(s.queued[0]) == nil {
-		s.queued = s.queued[1:]
+// redeliver passes the undelivered actions to the proxy as far as it has room for them.
+func (s *Scheduler) redeliver() {
+	for len(s.undelivered) > 0 && s.config.Proxy.Put(s.undelivered[0]) == nil {
+		s.undelivered = s.undelivered[1:]
 	}
-	if len(s.queued) == 0 {
-		s.queued = nil
+	if len(s.undelivered) == 0 {
+		s.undelivered = nil
 	}
 }
