Log how much of a request had arrived when its sender is refused

Change: lines on requests that have not arrived whole give the bytes on the wire, those taken and those that wait; cause=unfinished counts connections that end before their request is whole. The entry does the same. Test: TestFragmentAccountsForEachByte.

--- a/commons/httpserver/causes.go
+++ b/commons/httpserver/causes.go
@@ -22,6 +22,7 @@
 	Displaced   Cause = "displaced"   // a connection without a whole request, closed for another one
 	Connections Cause = "connections" // no room for another connection
 	BadRequest  Cause = "bad_request" // a request that is malformed or exceeds a limit
+	Unfinished  Cause = "unfinished"  // a connection that ends, by either side, before its request has arrived whole
 )
 
 // logPeriod is the shortest time between two log lines for the same cause.
@@ -61,6 +62,15 @@
 
 // Record counts a client at an address that is refused or closed for a cause.
 func (c *Causes) Record(now time.Time, cause Cause, address string) {
+	c.record(now, cause, address, nil)
+}
+
+// RecordFragment counts a client whose request has not arrived whole.
+func (c *Causes) RecordFragment(now time.Time, cause Cause, address string, fragment Fragment) {
+	c.record(now, cause, address, fragment.Fields())
+}
+
+func (c *Causes) record(now time.Time, cause Cause, address string, details logrus.Fields) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_clients_refused_total{cause=%q}", string(cause))).Inc()
 	c.mu.Lock()
 	last := c.logged[cause]
@@ -73,6 +83,6 @@
 	c.logged[cause] = last
 	c.mu.Unlock()
 	if due {
-		c.log.WithFields(logrus.Fields{"event": "client_refused", "cause": string(cause), "clients": count, "last": address}).Warn("clients refused or their connections closed")
+		c.log.WithFields(details).WithFields(logrus.Fields{"event": "client_refused", "cause": string(cause), "clients": count, "last": address}).Warn("clients refused or their connections closed")
 	}
 }
--- a/commons/httpserver/causes_test.go
+++ b/commons/httpserver/causes_test.go
@@ -30,3 +30,31 @@
 		t.Errorf("lines, those of one cause and those with the count since (-want +got):\n%s\n%s", diff, out.String())
 	}
 }
+
+// TestFragmentAccountsForEachByte checks what is logged of a request that has not arrived
+// whole.
+func TestFragmentAccountsForEachByte(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: a\r\n"
+	cases := map[string]struct {
+		arrived string
+		want    logrus.Fields
+	}{
+		"nothing":           {want: logrus.Fields{"wire": int64(0), "taken": int64(0), "body": int64(0), "unread": int64(0)}},
+		"part of the head":  {arrived: head, want: logrus.Fields{"wire": int64(26), "taken": int64(0), "body": int64(0), "unread": int64(26)}},
+		"part of the body":  {arrived: head + "Content-Length: 9\r\n\r\nhi", want: logrus.Fields{"wire": int64(49), "taken": int64(49), "body": int64(2), "unread": int64(0)}},
+		"part of the chunk": {arrived: head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r", want: logrus.Fields{"wire": int64(62), "taken": int64(61), "body": int64(2), "unread": int64(1)}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			reader := httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1024})
+			used, err := reader.Read([]byte(tc.arrived))
+			if err != nil {
+				t.Fatal(err)
+			}
+			fragment := httpserver.NewFragment(httpserver.FragmentConfig{Wire: int64(len(tc.arrived)), Reader: reader, Unread: len(tc.arrived) - used})
+			if diff := cmp.Diff(tc.want, fragment.Fields()); diff != "" {
+				t.Errorf("fields (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -33,14 +33,15 @@
 	closeSent    atomic.Bool  // the connection is closed once they have left
 	progress     Progress     // used on the event loop only
 	lastByte     atomic.Int64 // arrival of the last byte of the request that arrives, in Unix nanoseconds
-	received     atomic.Int64 // bytes of its body that have arrived
 	waitingSince atomic.Int64 // start of the current wait in Unix nanoseconds; zero while a call is open
+	wire         int64        // bytes that have arrived since the first byte of the request that arrives
+	fragment     atomic.Pointer[Fragment]
 }
 
 // processBuffered parses the buffered data and delivers the next request, unless a call is
 // open or an answer has not been taken: a caller that does not read gets no further answer.
 func (c *conn) processBuffered(now time.Time) gnet.Action {
-	c.unread.Fill(c.socket)
+	c.wire += int64(c.unread.Fill(c.socket))
 	defer c.chargeBuffers()
 	defer c.unread.Keep()
 	if c.call != nil || c.socket.OutboundBuffered() > 0 {
@@ -53,6 +54,7 @@
 	}
 	if !c.partial.Swap(true) {
 		c.waitingSince.Store(now.UnixNano())
+		c.wire = int64(len(buffered))
 	}
 	c.lastByte.Store(now.UnixNano())
 	if c.reader == nil {
@@ -62,10 +64,11 @@
 	if err != nil {
 		return c.refuse(now, err)
 	}
-	c.received.Store(c.reader.Received())
 	c.unread.Discard(used)
 	request := c.reader.Request()
 	if request == nil {
+		fragment := NewFragment(FragmentConfig{Wire: c.wire, Reader: c.reader, Unread: c.unread.Len()})
+		c.fragment.Store(&fragment)
 		c.answerExpect()
 		return gnet.None
 	}
@@ -146,7 +149,7 @@
 func (c *conn) deliver(now time.Time, request *fasthttp.Request) gnet.Action {
 	c.continueSent = false
 	c.partial.Store(false)
-	c.received.Store(0)
+	c.fragment.Store(nil)
 	c.waitingSince.Store(0)
 	call := newCall(c, request, now)
 	c.call = call
@@ -160,6 +163,7 @@
 // since the start of the next request cannot be determined.
 func (c *conn) refuse(now time.Time, err error) gnet.Action {
 	c.reader.Release()
+	c.waitingSince.Store(0)
 	c.server.causes.Record(now, CauseOf(AsRefusal(err)), c.address)
 	_, _ = c.socket.Write(refusalBytes(err))
 	return gnet.Close
@@ -182,17 +186,26 @@
 		_ = c.socket.Close()
 		return
 	}
-	arrival := NewArrival(began, time.Unix(0, c.lastByte.Load()), c.received.Load())
+	arrival := NewArrival(began, time.Unix(0, c.lastByte.Load()), c.arrived().Body())
 	if c.partial.Load() && arrival.Late(now, c.server.config.SlowSender, c.server.config.MinUpload) {
 		c.refuseUnread(now, ErrSlowSender, SlowSender)
 	}
 }
 
+// arrived returns the part of the request that has arrived. It is safe to call from any
+// thread.
+func (c *conn) arrived() Fragment {
+	if fragment := c.fragment.Load(); fragment != nil {
+		return *fragment
+	}
+	return Fragment{}
+}
+
 // refuseUnread answers a request that has not been read to its end and closes the
 // connection.
 func (c *conn) refuseUnread(now time.Time, refusal *Refusal, cause Cause) {
 	c.waitingSince.Store(0)
-	c.server.causes.Record(now, cause, c.address)
+	c.server.causes.RecordFragment(now, cause, c.address, c.arrived())
 	_ = c.write(c.closeWhenSent, refusalBytes(refusal))
 }
 
--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -57,6 +57,7 @@
 	chunks   ChunkDecoder
 	done     bool
 	charged  int64 // bytes charged to the customer
+	taken    int64 // bytes of the request that have been read
 }
 
 // NewRequestReader returns a reader of one request.
@@ -83,6 +84,10 @@
 // Received returns the number of bytes of the body that have arrived.
 func (r *RequestReader) Received() int64 { return int64(len(r.body)) }
 
+// Taken returns the number of bytes of the request that have been read, with its head and
+// framing.
+func (r *RequestReader) Taken() int64 { return r.taken }
+
 // Charged returns the number of bytes that the request is charged with.
 func (r *RequestReader) Charged() int64 { return r.charged }
 
@@ -97,8 +102,8 @@
 // Read reads as many of the buffered bytes as belong to the request and can be understood,
 // and returns their number. It returns a *Refusal as error if the request is malformed or
 // exceeds a limit, or if there is no room for its body.
-func (r *RequestReader) Read(buffered []byte) (int, error) {
-	used := 0
+func (r *RequestReader) Read(buffered []byte) (used int, err error) {
+	defer func() { r.taken += int64(used) }()
 	if r.request == nil {
 		n, err := r.readHead(buffered)
 		if err != nil || n == 0 {
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -120,7 +120,9 @@
 		return gnet.None
 	}
 	s.conns.Delete(c)
-	c.gone.Store(true)
+	if !c.gone.Swap(true) && c.partial.Load() && c.waitingSince.Load() != 0 {
+		s.causes.RecordFragment(time.Now(), Unfinished, c.address, c.arrived())
+	}
 	c.setSending(false)
 	c.releaseBodies()
 	if c.call != nil {
--- a/commons/httpserver/unread.go
+++ b/commons/httpserver/unread.go
@@ -20,12 +20,12 @@
 	owned bool // rest is a buffer of its own, not the one into which the event loop reads
 }
 
-// Fill takes the bytes that have arrived from the connection. Keep must be called before
-// the event loop reads again.
-func (u *Unread) Fill(conn gnet.Conn) {
+// Fill takes the bytes that have arrived from the connection, and returns their number.
+// Keep must be called before the event loop reads again.
+func (u *Unread) Fill(conn gnet.Conn) int {
 	arrived, err := conn.Peek(-1)
 	if err != nil || len(arrived) == 0 {
-		return
+		return 0
 	}
 	if len(u.rest) == 0 {
 		u.rest, u.owned = arrived, false
@@ -37,6 +37,7 @@
 		u.rest = append(u.rest, arrived...)
 	}
 	_, _ = conn.Discard(-1) // the bytes stay valid until the event loop reads again
+	return len(arrived)
 }
 
 // Keep copies the bytes that are left out of the event loop's buffer.
--- a/lobby/proxy/admission.go
+++ b/lobby/proxy/admission.go
@@ -88,7 +88,7 @@
 		return p.closeIdle(now, 0) || p.closeUnread(now)
 	}
 	p.stats.closed.Inc()
-	p.causes.Record(now, httpserver.Displaced, partial.address)
+	p.causes.RecordFragment(now, httpserver.Displaced, partial.address, partial.fragment())
 	partial.refuseUnread(fasthttp.StatusServiceUnavailable, overloadRetryAfter)
 	return true
 }
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -22,6 +22,7 @@
 	receiving        bool      // a request has arrived in part
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
 	lastByte         time.Time // arrival of the last byte of the current request
+	wire             int       // bytes that have arrived since its first byte
 	closeAfterAnswer bool
 	flooded          bool      // too many bytes have arrived behind the open request
 	closed           bool      // no further request is taken
@@ -38,7 +39,7 @@
 
 // readRequests handles buffered requests and accounts for the bytes that stay buffered.
 func (c *callerConn) readRequests(now time.Time) {
-	c.buffer.Fill(c.conn)
+	c.wire += c.buffer.Fill(c.conn)
 	switch {
 	case c.closed:
 		c.discard(now)
@@ -73,7 +74,7 @@
 			return
 		}
 		if !c.receiving {
-			c.receiving, c.since = true, now
+			c.receiving, c.since, c.wire = true, now, len(buffered)
 			c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
 		}
 		if c.reader == nil {
@@ -170,7 +171,7 @@
 		retryAfter = overloadRetryAfter
 		c.proxy.stats.noRoom.Inc()
 	}
-	c.proxy.causes.Record(now, httpserver.CauseOf(refusal), c.address)
+	c.proxy.causes.RecordFragment(now, httpserver.CauseOf(refusal), c.address, c.fragment())
 	c.refuseUnread(refusal.Status(), retryAfter)
 }
 
@@ -182,6 +183,11 @@
 	c.close()
 }
 
+// fragment returns the part of the request that has arrived.
+func (c *callerConn) fragment() httpserver.Fragment {
+	return httpserver.NewFragment(httpserver.FragmentConfig{Wire: int64(c.wire), Reader: c.reader, Unread: c.buffer.Len()})
+}
+
 // releaseReader gives up a request that has arrived in part.
 func (c *callerConn) releaseReader() {
 	if c.reader != nil {
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -238,7 +238,7 @@
 	now := time.Now()
 	switch c := conn.Context().(type) {
 	case *callerConn:
-		p.callerClosed(c)
+		p.callerClosed(now, c)
 	case *backendConn:
 		c.peerClosed(now, cause)
 	}
@@ -265,7 +265,10 @@
 }
 
 // callerClosed cancels the request of a caller that has disconnected.
-func (p *Proxy) callerClosed(c *callerConn) {
+func (p *Proxy) callerClosed(now time.Time, c *callerConn) {
+	if c.receiving && !c.closed {
+		p.causes.RecordFragment(now, httpserver.Unfinished, c.address, c.fragment())
+	}
 	c.closed = true
 	delete(p.callers, c)
 	p.waiting.move(c, nil)
