Take bodies whole whose pieces begin with line ends

Cause: both fronts dropped CR and LF at the start of whatever bytes had arrived, to skip empty lines before a request (RFC 9112, section 2.2), also when those bytes were the rest of a body or of its chunked coding. The connection changed the bytes of a message of which only the reader knows the state. Change: the reader of the request skips empty lines, before its first byte only; connections drop nothing. The entry also records when a byte has arrived before it says that a request arrives, so that the ticker cannot judge it by the byte before.

--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"bytes"
 	"sync/atomic"
 	"time"
 
@@ -47,20 +46,15 @@
 	if c.call != nil || c.socket.OutboundBuffered() > 0 {
 		return c.limitPipelined(now)
 	}
-	c.unread.Discard(LeadingBlank(c.unread.Bytes()))
 	buffered := c.unread.Bytes()
 	if len(buffered) == 0 {
 		return gnet.None
 	}
-	if !c.partial.Swap(true) {
-		c.waitingSince.Store(now.UnixNano())
-		c.wire = int64(len(buffered))
-	}
-	c.lastByte.Store(now.UnixNano())
 	if c.reader == nil {
 		c.reader = NewRequestReader(RequestReaderConfig{MaxHeader: c.server.config.MaxHeader, MaxBody: c.server.config.MaxBody, Account: c.server.config.Account})
 	}
 	used, err := c.reader.Read(buffered)
+	c.arrivedAt(now, len(buffered)-used)
 	if err != nil {
 		return c.refuse(now, err)
 	}
@@ -76,6 +70,20 @@
 	return c.deliver(now, request)
 }
 
+// arrivedAt records that bytes of a request have arrived, of which some are left unread. The
+// first one begins the wait for the rest; the ticker reads the times once partial is set.
+func (c *conn) arrivedAt(now time.Time, unread int) {
+	if !c.reader.Begun() {
+		return
+	}
+	c.lastByte.Store(now.UnixNano())
+	if !c.partial.Load() {
+		c.waitingSince.Store(now.UnixNano())
+		c.wire = c.reader.Taken() + int64(unread)
+		c.partial.Store(true)
+	}
+}
+
 // limitPipelined drops what arrives behind an open call or an unread answer, once it is more
 // than the largest request may have, or than a head if the process holds as much as it may.
 // The connection is closed after the answer then.
@@ -347,9 +355,3 @@
 	}
 	c.server.unsent.Add(-1)
 }
-
-// LeadingBlank returns the number of bytes that empty lines before a request take
-// up.
-func LeadingBlank(buffered []byte) int {
-	return len(buffered) - len(bytes.TrimLeft(buffered, "\r\n"))
-}
--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -55,6 +55,7 @@
 	length   int               // length of the body, chunkedLength if it is in chunks
 	body     []byte
 	chunks   ChunkDecoder
+	begun    bool // a byte other than a line end has arrived
 	done     bool
 	charged  int64 // bytes charged to the customer
 	taken    int64 // bytes of the request that have been read
@@ -84,6 +85,9 @@
 // Received returns the number of bytes of the body that have arrived.
 func (r *RequestReader) Received() int64 { return int64(len(r.body)) }
 
+// Begun reports whether the first byte of the request has arrived.
+func (r *RequestReader) Begun() bool { return r.begun }
+
 // Taken returns the number of bytes of the request that have been read, with its head and
 // framing.
 func (r *RequestReader) Taken() int64 { return r.taken }
@@ -103,13 +107,15 @@
 // and returns their number. It returns a *Refusal as error if the request is malformed or
 // exceeds a limit, or if there is no room for its body.
 func (r *RequestReader) Read(buffered []byte) (used int, err error) {
-	defer func() { r.taken += int64(used) }()
+	blank := r.skipBlankLines(buffered)
+	used = blank
+	defer func() { r.taken += int64(used - blank) }()
 	if r.request == nil {
-		n, err := r.readHead(buffered)
+		n, err := r.readHead(buffered[used:])
 		if err != nil || n == 0 {
-			return 0, err
+			return used, err
 		}
-		used = n
+		used += n
 	}
 	for !r.done && used < len(buffered) {
 		n, err := r.readBody(buffered[used:])
@@ -124,6 +130,17 @@
 	return used, nil
 }
 
+// skipBlankLines returns the number of bytes that empty lines before the request line take
+// up (RFC 9112, section 2.2). Behind the first byte of the request line there are none.
+func (r *RequestReader) skipBlankLines(buffered []byte) int {
+	if r.begun {
+		return 0
+	}
+	blank := len(buffered) - len(bytes.TrimLeft(buffered, "\r\n"))
+	r.begun = blank < len(buffered)
+	return blank
+}
+
 // readHead reads the request line and the header fields. It returns zero if they have not
 // arrived whole.
 func (r *RequestReader) readHead(buffered []byte) (int, error) {
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -22,7 +22,7 @@
 	receiving        bool      // a request has arrived in part
 	since            time.Time // end of the last request, or arrival of the first byte of the current one
 	lastByte         time.Time // arrival of the last byte of the current request
-	wire             int       // bytes that have arrived since its first byte
+	wire             int64     // bytes that have arrived since its first byte
 	closeAfterAnswer bool
 	flooded          bool      // too many bytes have arrived behind the open request
 	closed           bool      // no further request is taken
@@ -39,7 +39,7 @@
 
 // readRequests handles buffered requests and accounts for the bytes that stay buffered.
 func (c *callerConn) readRequests(now time.Time) {
-	c.wire += c.buffer.Fill(c.conn)
+	c.wire += int64(c.buffer.Fill(c.conn))
 	switch {
 	case c.closed:
 		c.discard(now)
@@ -68,20 +68,15 @@
 			_ = c.conn.Wake(nil) // fails on a connection that has been closed
 			return
 		}
-		c.buffer.Discard(httpserver.LeadingBlank(c.buffer.Bytes()))
 		buffered := c.buffer.Bytes()
 		if len(buffered) == 0 {
 			return
 		}
-		if !c.receiving {
-			c.receiving, c.since, c.wire = true, now, len(buffered)
-			c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
-		}
 		if c.reader == nil {
 			c.reader = c.proxy.newRequestReader()
 		}
-		c.lastByte = now
 		used, err := c.reader.Read(buffered)
+		c.arrivedAt(now, len(buffered)-used)
 		if err != nil {
 			c.reject(now, httpserver.AsRefusal(err))
 			return
@@ -99,6 +94,19 @@
 	}
 }
 
+// arrivedAt records that bytes of a request have arrived, of which some are left unread. The
+// first one begins the wait for the rest.
+func (c *callerConn) arrivedAt(now time.Time, unread int) {
+	if !c.reader.Begun() {
+		return
+	}
+	c.lastByte = now
+	if !c.receiving {
+		c.receiving, c.since, c.wire = true, now, c.reader.Taken()+int64(unread)
+		c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
+	}
+}
+
 // limitPipelined drops what arrives behind an open request or an unread answer, once it is
 // more than the largest request may have, or than a head if the process holds as much as it
 // may. The connection is closed after the answer then.
@@ -185,7 +193,7 @@
 
 // fragment returns the part of the request that has arrived.
 func (c *callerConn) fragment() httpserver.Fragment {
-	return httpserver.NewFragment(httpserver.FragmentConfig{Wire: int64(c.wire), Reader: c.reader, Unread: c.buffer.Len()})
+	return httpserver.NewFragment(httpserver.FragmentConfig{Wire: c.wire, Reader: c.reader, Unread: c.buffer.Len()})
 }
 
 // releaseReader gives up a request that has arrived in part.
