Answer requests that arrive while a process stops

Seen by callers: a connection closed without an answer at the end of a stop, 2.9 s after SIGTERM, though the sender was within its time. Cause: a drain counted open requests and answers that had not left, not requests that had arrived in part; the process ended as soon as none of the former were left. The entry too. Change: a stop goes on while a request arrives (Pending takes the place of Unsent), until its close period; what has not arrived whole by then gets 503, and those that begin afterwards are not waited for, so that a sender that never ends cannot hold the process beyond its limit. The entry refuses on the event loop of the connection, and only what has not arrived whole meanwhile.

--- a/commons/httpserver/causes.go
+++ b/commons/httpserver/causes.go
@@ -22,6 +22,7 @@
 	Displaced   Cause = "displaced"   // a connection without a whole request, closed for another one
 	Connections Cause = "connections" // no room for another connection
 	BadRequest  Cause = "bad_request" // a request that is malformed or exceeds a limit
+	Stopping    Cause = "stopping"    // a request that has not arrived whole when the process ends
 	Unfinished  Cause = "unfinished"  // a connection that ends, by either side, before its request has arrived whole
 )
 
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -217,6 +217,23 @@
 	_ = c.write(c.closeWhenSent, refusalBytes(refusal))
 }
 
+// arriving reports whether a request has arrived in part and has not been refused. It is
+// safe to call from any thread.
+func (c *conn) arriving() bool {
+	return c.partial.Load() && c.waitingSince.Load() != 0 && !c.gone.Load() && !c.closing.Load()
+}
+
+// refuseArriving refuses a request that has arrived in part, unless it has arrived whole
+// meanwhile. It is safe to call from any thread.
+func (c *conn) refuseArriving(now time.Time, refusal *Refusal, cause Cause) {
+	_ = c.socket.AsyncWrite(nil, func(_ gnet.Conn, err error) error { // fails on a connection that has been closed
+		if err == nil && c.arriving() {
+			c.refuseUnread(now, refusal, cause)
+		}
+		return nil
+	})
+}
+
 // reset closes the connection at once, so that nobody takes what has been sent for a whole
 // answer. It is safe to call from any thread.
 func (c *conn) reset() {
--- a/commons/httpserver/refusal.go
+++ b/commons/httpserver/refusal.go
@@ -83,6 +83,12 @@
 	})
 )
 
+// errStopping refuses a request that has not arrived whole when the process ends.
+var errStopping = NewRefusal(RefusalConfig{
+	Status: fasthttp.StatusServiceUnavailable, Code: "stopping",
+	Message: "this instance stops before the request has arrived whole; retry, which reaches another instance",
+})
+
 // ErrNoRoom refuses a request for whose body the process has no room now.
 var ErrNoRoom = NewRefusal(RefusalConfig{
 	Status: fasthttp.StatusServiceUnavailable, Code: "no_room",
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -64,6 +64,7 @@
 	conns     sync.Map // *conn to struct{}
 	openConns atomic.Int64
 	unsent    atomic.Int64 // connections with bytes that have not left the process
+	closing   atomic.Bool  // requests that arrive are refused: the process stops
 	makesRoom atomic.Bool  // an event loop closes idle connections
 	sheds     atomic.Bool  // an event loop closes the connections that hold most
 	causes    *Causes
@@ -91,9 +92,36 @@
 // OpenConns returns the number of open connections.
 func (s *Server) OpenConns() int { return int(s.openConns.Load()) }
 
-// Unsent returns the number of connections with bytes that have been written but have not
-// left the process.
-func (s *Server) Unsent() int { return int(s.unsent.Load()) }
+// Pending returns the number of connections without an open call that are owed an answer: a
+// request has arrived in part, or bytes that were written have not left the process.
+func (s *Server) Pending() int {
+	pending := int(s.unsent.Load())
+	if !s.closing.Load() {
+		pending += len(s.arriving())
+	}
+	return pending
+}
+
+// Close refuses the requests that have arrived in part. It does not wait for those that
+// begin to arrive afterwards.
+func (s *Server) Close() {
+	s.closing.Store(true)
+	now := time.Now()
+	for _, c := range s.arriving() {
+		c.refuseArriving(now, errStopping, Stopping)
+	}
+}
+
+// arriving returns the connections on which a request has arrived in part.
+func (s *Server) arriving() (conns []*conn) {
+	s.conns.Range(func(key, _ any) bool {
+		if c := key.(*conn); c.arriving() {
+			conns = append(conns, c)
+		}
+		return true
+	})
+	return conns
+}
 
 // OnOpen registers a connection. If too many are open, it closes idle ones, or refuses
 // the new one if none is idle.
--- a/commons/supervisor/run.go
+++ b/commons/supervisor/run.go
@@ -85,16 +85,18 @@
 
 // Closer is implemented by roots that can end open requests with an answer.
 type Closer interface {
-	// Close ends all open requests with an answer that says that the process stops.
+	// Close ends all requests, open or arriving, with an answer that says that the process
+	// stops.
 	// It must not block, and may be called several times.
 	Close()
 }
 
-// Sender is implemented by roots that write answers to callers.
-type Sender interface {
-	// Unsent returns the number of answers that have been written but have not left
-	// the process completely.
-	Unsent() int
+// Answerer is implemented by roots that answer callers.
+type Answerer interface {
+	// Pending returns the number of callers who are owed an answer although their request
+	// is not open: it has not arrived whole, or its answer has not left the process
+	// completely.
+	Pending() int
 }
 
 // Run serves the tree until SIGTERM or SIGINT, then drains and stops it. It
@@ -155,7 +157,7 @@
 				r.config.SettingsFile.Reload()
 			}
 		case <-r.ticks():
-			r.handle(ctx, ticked{unsent: r.unsent()})
+			r.handle(ctx, ticked{pending: r.pending()})
 		case err := <-r.stopped:
 			r.handle(ctx, treeEnded{errors.Wrap(cmp.Or(err, errTreeEnded), "supervision tree stopped unexpectedly")})
 		case received := <-r.signals:
@@ -181,9 +183,9 @@
 	}
 }
 
-func (r *runner) unsent() int {
-	if sender, ok := r.config.Root.(Sender); ok {
-		return sender.Unsent()
+func (r *runner) pending() int {
+	if answerer, ok := r.config.Root.(Answerer); ok {
+		return answerer.Pending()
 	}
 	return 0
 }
--- a/commons/supervisor/stop.go
+++ b/commons/supervisor/stop.go
@@ -52,8 +52,9 @@
 	drained struct{}
 	// treeEnded reports that the supervision tree has ended by itself.
 	treeEnded struct{ cause error }
-	// ticked reports the number of answers that have not left the process completely.
-	ticked struct{ unsent int }
+	// ticked reports the number of callers who are owed an answer although their request is
+	// not open.
+	ticked struct{ pending int }
 )
 
 func (signalled) stopEvent()    {}
@@ -68,7 +69,7 @@
 // Actions. Those for open work are idempotent.
 const (
 	startDrain stopAction = iota
-	closeOpen             // end open requests with an answer
+	closeOpen             // end requests with an answer
 	reload                // read the settings again
 	ignoreSignal
 	exit
@@ -103,7 +104,7 @@
 		s.failure = e.cause
 		return s.end(ExitFailed)
 	case ticked:
-		return s.ticked(now, e.unsent)
+		return s.ticked(now, e.pending)
 	}
 	return nil
 }
@@ -119,12 +120,12 @@
 	return []stopAction{startDrain}
 }
 
-func (s *stop) ticked(now time.Time, unsent int) []stopAction {
+func (s *stop) ticked(now time.Time, pending int) []stopAction {
 	age := now.Sub(s.began)
 	switch {
 	case s.phase == serving:
 		return nil
-	case s.drained && unsent == 0:
+	case s.drained && pending == 0:
 		return s.end(ExitOK)
 	case age >= s.schedule.limit:
 		return s.end(ExitFailed)
--- a/commons/supervisor/stop_test.go
+++ b/commons/supervisor/stop_test.go
@@ -49,7 +49,7 @@
 			{event: term, want: []stopAction{startDrain}}, {event: drainStarted{}}, {event: drained{}}, {at: time.Second, event: ticked{}, want: []stopAction{exit}},
 		}},
 		"an answer that has not left": {steps: []step{
-			{event: term, want: []stopAction{startDrain}}, {event: drainStarted{}}, {event: drained{}}, {at: time.Second, event: ticked{unsent: 1}},
+			{event: term, want: []stopAction{startDrain}}, {event: drainStarted{}}, {event: drained{}}, {at: time.Second, event: ticked{pending: 1}},
 			{at: 2 * time.Second, event: ticked{}, want: []stopAction{exit}},
 		}},
 		"a second signal": {steps: []step{
@@ -68,7 +68,7 @@
 		"work that does not end": {code: ExitFailed, steps: []step{
 			{event: interrupt, want: []stopAction{startDrain}}, {event: drainStarted{}}, {at: 8 * time.Second, event: ticked{}},
 			{at: 8200 * time.Millisecond, event: ticked{}, want: []stopAction{closeOpen}}, {at: 8500 * time.Millisecond, event: ticked{}, want: []stopAction{closeOpen}},
-			{at: testLimit, event: ticked{unsent: 2}, want: []stopAction{exit}},
+			{at: testLimit, event: ticked{pending: 2}, want: []stopAction{exit}},
 		}},
 		"work that is closed": {steps: []step{
 			{event: term, want: []stopAction{startDrain}}, {event: drainStarted{}}, {at: 8200 * time.Millisecond, event: ticked{}, want: []stopAction{closeOpen}},
@@ -107,7 +107,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
 			var event stopEvent
-			unsent := rapid.IntRange(0, 2).Draw(t, "unsent")
+			pending := rapid.IntRange(0, 2).Draw(t, "pending")
 			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0:
 				event = signalled{syscall.SIGTERM}
@@ -128,7 +128,7 @@
 					event, failed = treeEnded{errors.New("failed")}, true
 				}
 			default:
-				event = ticked{unsent: unsent}
+				event = ticked{pending: pending}
 			}
 			actions := s.handle(now, event)
 			if got, ok := event.(signalled); ok && got.signal != syscall.SIGHUP && began.IsZero() {
@@ -139,7 +139,7 @@
 			}
 			_, tick := event.(ticked)
 			over := !began.IsZero() && now.Sub(began) >= testLimit
-			mayExit := failed || tick && (ended && unsent == 0 || over)
+			mayExit := failed || tick && (ended && pending == 0 || over)
 			if slices.Contains(actions, exit) != mayExit {
 				t.Fatalf("exit: %t, want %t", !mayExit, mayExit)
 			}
--- a/entry/process.go
+++ b/entry/process.go
@@ -323,12 +323,15 @@
 	return p.drained, p.limiter.Drain(ctx, drainPutTimeout)
 }
 
-// Unsent returns the number of callers' connections whose last bytes have not left the
-// process.
-func (p *process) Unsent() int { return p.server.Unsent() }
+// Pending returns the number of callers who are owed an answer although their call is not
+// open.
+func (p *process) Pending() int { return p.server.Pending() }
 
-// Close ends all open calls with an answer.
-func (p *process) Close() { p.frontend.Close() }
+// Close ends all calls, open or arriving, with an answer.
+func (p *process) Close() {
+	p.frontend.Close()
+	p.server.Close()
+}
 
 // Ready returns nil while the entry accepts requests, else the reason why not.
 func (p *process) Ready() error { return p.frontend.Ready(time.Now()) }
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -248,12 +248,15 @@
 	Open          int   `json:"open"`
 }
 
-// Close ends all open requests with an answer.
-func (p *process) Close() { p.mediator.notifyScheduler(scheduler.Closing{}) }
+// Close ends all requests, open or arriving, with an answer.
+func (p *process) Close() {
+	p.mediator.notifyScheduler(scheduler.Closing{})
+	p.mediator.proxy.Close()
+}
 
-// Unsent returns the number of callers' connections whose last bytes have not left the
-// process.
-func (p *process) Unsent() int { return p.mediator.proxy.Unsent() }
+// Pending returns the number of callers who are owed an answer although their request is
+// not open.
+func (p *process) Pending() int { return p.mediator.proxy.Pending() }
 
 // Drain closes each caller's connection after its next answer. The returned
 // channel is closed when no request is open.
--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -20,6 +22,9 @@
 // sweep makes the event loop check for timeouts.
 type sweep struct{}
 
+// closeArriving makes the event loop refuse the requests that have arrived in part.
+type closeArriving struct{}
+
 // Put queues an action for the event loop.
 func (p *Proxy) Put(action any) error {
 	if err := p.inbox.Put(action); err != nil {
@@ -82,11 +87,24 @@
 			p.budget.Exhausted(now, p.openConnections())
 		}
 		a.pool.dialFailed()
+	case closeArriving:
+		p.closeArriving(now)
 	case sweep:
 		p.sweep(now)
 	}
 }
 
+// closeArriving refuses the requests that have arrived in part: the process stops.
+func (p *Proxy) closeArriving(now time.Time) {
+	for element := p.waiting.receiving.Front(); element != nil; element = p.waiting.receiving.Front() {
+		c := element.Value.(*callerConn)
+		p.causes.RecordFragment(now, httpserver.Stopping, c.address, c.fragment())
+		c.releaseReader()
+		c.write(p.refusalHead(fasthttp.StatusServiceUnavailable, overloadRetryAfter))
+		c.halfClose()
+	}
+}
+
 func (p *Proxy) send(now time.Time, send scheduler.Send) {
 	e, ok := p.exchanges[send.Number()]
 	if !ok {
--- a/lobby/proxy/admission.go
+++ b/lobby/proxy/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,13 +14,14 @@
 // waitingCallers holds the callers' connections that have no open request, each list
 // in the order in which they began to wait.
 type waitingCallers struct {
-	idle      list.List // no byte of a request has arrived
-	receiving list.List // a request has arrived in part
+	idle      list.List    // no byte of a request has arrived
+	receiving list.List    // a request has arrived in part
+	arriving  atomic.Int64 // length of receiving, which any thread may read
 }
 
 // move puts a connection at the end of a list, nil for none. It takes the connection
 // out of the list that it was in.
-func (*waitingCallers) move(c *callerConn, to *list.List) {
+func (w *waitingCallers) move(c *callerConn, to *list.List) {
 	if c.waitingIn != nil {
 		c.waitingIn.Remove(c.waiting)
 	}
@@ -27,6 +29,7 @@
 	if to != nil {
 		c.waiting = to.PushBack(c)
 	}
+	w.arriving.Store(int64(w.receiving.Len()))
 }
 
 // longest returns the connection at the front of a list that began to wait at least
--- a/lobby/proxy/callerconn_test.go
+++ b/lobby/proxy/callerconn_test.go
@@ -130,14 +130,14 @@
 	conn := testkit.DialEthernet(t, l.address)
 	writeRequests(t, conn, size, 1, "Connection: close\r\n")
 	<-l.ended
-	awaitCount(t, "unsent answers of a caller that does not read", 1, l.proxy.Unsent)
+	awaitCount(t, "unsent answers of a caller that does not read", 1, l.proxy.Pending)
 	if diff := cmp.Diff(0, l.proxy.Open()); diff != "" {
 		t.Errorf("open requests (-want +got):\n%s", diff)
 	}
 	if _, err := io.Copy(io.Discard, conn); err != nil {
 		t.Fatal(err)
 	}
-	awaitCount(t, "unsent answers after all was read", 0, l.proxy.Unsent)
+	awaitCount(t, "unsent answers after all was read", 0, l.proxy.Pending)
 }
 
 // TestCallerThatTakesNothingIsClosed ends the connection of a caller that does not read
@@ -197,7 +197,7 @@
 	reader := bufio.NewReader(conn)
 	for n := range requests {
 		<-l.ended
-		awaitCount(t, "callers with unsent answers", 1, l.proxy.Unsent)
+		awaitCount(t, "callers with unsent answers", 1, l.proxy.Pending)
 		if diff := cmp.Diff(0, l.proxy.Open()); diff != "" {
 			t.Errorf("requests read behind unread answer %d (-want +got):\n%s", n, diff)
 		}
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -85,13 +85,19 @@
 	if c.closed {
 		return
 	}
-	c.closed = true
-	c.proxy.waiting.move(c, nil)
+	c.halfClose()
 	if c.conn.OutboundBuffered() == 0 && c.buffer.Len() == 0 {
 		_ = c.conn.Close()
 	}
 }
 
+// halfClose takes no further request and leaves the end of the connection to the next
+// sweeps, since the caller may still send.
+func (c *callerConn) halfClose() {
+	c.closed = true
+	c.proxy.waiting.move(c, nil)
+}
+
 // abort closes the connection at once with a reset, so that nobody takes what has been
 // sent for a whole answer.
 func (c *callerConn) abort() {
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -96,6 +96,7 @@
 	run         atomic.Pointer[loopRun] // nil before the first one
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
+	closing     atomic.Bool               // requests that arrive are refused: the process stops
 	open        atomic.Int64              // number of exchanges
 	unsent      atomic.Int64              // callers' connections with bytes that have not left the process
 
@@ -159,9 +160,26 @@
 // call from any thread.
 func (p *Proxy) Open() int { return int(p.open.Load()) }
 
-// Unsent returns the number of callers' connections with bytes that have been written but
-// have not left the process. It is safe to call from any thread.
-func (p *Proxy) Unsent() int { return int(p.unsent.Load()) }
+// Pending returns the number of callers' connections without an open request that are owed
+// an answer: a request has arrived in part, or bytes that were written have not left the
+// process. It is safe to call from any thread.
+func (p *Proxy) Pending() int {
+	pending := p.unsent.Load()
+	if !p.closing.Load() {
+		pending += p.waiting.arriving.Load()
+	}
+	return int(pending)
+}
+
+// Close refuses the requests that have arrived in part. It does not wait for those that
+// begin to arrive afterwards. It is safe to call from any thread, and may be called several
+// times.
+func (p *Proxy) Close() {
+	p.closing.Store(true)
+	if err := p.Put(closeArriving{}); err != nil {
+		p.config.Log.WithField("event", "drain").WithError(err).Warn("requests that arrive not refused yet: inbox of the event loop full")
+	}
+}
 
 // String returns the thread's name, which supervision events carry.
 func (p *Proxy) String() string { return "porch" }
--- a/standin/e2e/serve_test.go
+++ b/standin/e2e/serve_test.go
@@ -1,8 +1,10 @@
 package e2e
 
 import (
+	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -240,3 +242,46 @@
 	}
 	f.t.Fatalf("last answer: status %d: %s, want %q", got.status, got.body, code)
 }
+
+// TestEntryStopAnswersRequestsThatArrivedInPart guards against connections that the end of
+// the process closes while their requests arrive.
+func TestEntryStopAnswersRequestsThatArrivedInPart(t *testing.T) {
+	cases := map[string]struct{ rest string }{
+		"the rest comes during the stop": {rest: "  }"},
+		"no rest":                        {},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.addService("booking-1")
+			f.processSettings = "drain-limit = 3s\n"
+			f.addEntry("entry-1", "")
+			f.apply()
+			conn, err := net.Dial("tcp", f.entryAddresses[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if err := conn.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, "POST /bookings/today HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+otherTenantKey+"\r\nContent-Length: 4\r\n\r\n{"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond) // the entry reads it
+			f.processes["entry-1"].signal(t, syscall.SIGTERM)
+			time.Sleep(time.Second)
+			if _, err := io.WriteString(conn, tc.rest); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if diff := cmp.Diff([]any{http.StatusServiceUnavailable, httpserver.NotRun}, []any{response.StatusCode, response.Header.Get(httpserver.OutcomeHeader)}); diff != "" {
+				t.Errorf("status and outcome (-want +got):\n%s", diff)
+			}
+			f.processes["entry-1"].wait(t)
+		})
+	}
+}
