--- a/commons/httpserver/pieces_test.go
+++ b/commons/httpserver/pieces_test.go
@@ -1,12 +1,8 @@
 package httpserver_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -20,26 +16,11 @@
 	for name, request := range testkit.RequestsInPieces("POST / HTTP/1.1", "Host: a\r\n") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conn, err := net.Dial("tcp", address)
+			status, body, err := request.Exchange(address, timeout)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = conn.Close() }()
-			if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-				t.Fatal(err)
-			}
-			if err := request.Send(conn); err != nil {
-				t.Fatal(err)
-			}
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body, err := io.ReadAll(response.Body)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff([]any{http.StatusOK, request.Body()}, []any{response.StatusCode, string(body)}); diff != "" {
+			if diff := cmp.Diff([]any{http.StatusOK, request.Body()}, []any{status, body}); diff != "" {
 				t.Errorf("status and body (-want +got):\n%s", diff)
 			}
 		})
--- a/commons/testkit/pieces.go
+++ b/commons/testkit/pieces.go
@@ -1,9 +1,11 @@
 package testkit
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -46,8 +48,29 @@
 // Body returns the body of the request.
 func (r RequestInPieces) Body() string { return r.body }
 
-// Send writes the request, each piece in a segment of its own.
-func (r RequestInPieces) Send(conn net.Conn) error {
+// Exchange sends the request on a new connection, each piece in a segment of its own, and
+// returns the status and the body of the answer. It fails if that takes longer than limit.
+func (r RequestInPieces) Exchange(address string, limit time.Duration) (status int, body string, err error) {
+	conn, err := net.DialTimeout("tcp", address, limit)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(limit)); err != nil {
+		return 0, "", err
+	}
+	if err := r.send(conn); err != nil {
+		return 0, "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err
+}
+
+func (r RequestInPieces) send(conn io.Writer) error {
 	for i, piece := range r.pieces {
 		if i > 0 {
 			time.Sleep(piecePause)
--- a/lobby/proxy/pieces_test.go
+++ b/lobby/proxy/pieces_test.go
@@ -1,13 +1,10 @@
 package proxy_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -28,26 +25,11 @@
 	for name, request := range testkit.RequestsInPieces("POST /a HTTP/1.1", "Host: h\r\nRequest-Id: r1\r\n") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conn, err := net.Dial("tcp", l.address)
+			status, body, err := request.Exchange(l.address, testTimeout)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = conn.Close() }()
-			if err := conn.SetDeadline(time.Now().Add(testTimeout)); err != nil {
-				t.Fatal(err)
-			}
-			if err := request.Send(conn); err != nil {
-				t.Fatal(err)
-			}
-			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body, err := io.ReadAll(response.Body)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff([]any{http.StatusOK, request.Body()}, []any{response.StatusCode, string(body)}); diff != "" {
+			if diff := cmp.Diff([]any{http.StatusOK, request.Body()}, []any{status, body}); diff != "" {
 				t.Errorf("status and body (-want +got):\n%s", diff)
 			}
 		})
