Limit lines of chunked coding however they arrive

Seen by callers: a body in chunks with a long extension or trailer field was taken if its line arrived in one read and got 400 if it came in two. Cause: ChunkDecoder applied maxChunkLine only to a line whose end had not arrived. Both fronts and the lobby's reader of answers use it. Change: the limit holds for whole lines too. It rises from 256 bytes to 4 KiB, so that nothing that was taken in one read of ordinary size is refused now; 4 KiB is what net/http takes. TestVerdictDoesNotDependOnSplits draws longer pieces, blank lines before the request, trailers, extensions, Expect and line ends without CR; its former pieces and framings stay.

--- a/commons/httpserver/chunkdecoder.go
+++ b/commons/httpserver/chunkdecoder.go
@@ -9,8 +9,8 @@
 
 var errChunk = errors.New("malformed chunked coding")
 
-// maxChunkLine is the maximum length of a line of chunked coding in bytes.
-const maxChunkLine = 256
+// maxChunkLine is the maximum length of a line of chunked coding in bytes, without its LF.
+const maxChunkLine = 4 << 10
 
 // ChunkDecoder decodes a body in chunked coding (RFC 9112, section 7.1) as its
 // bytes arrive. The zero value is at the start of a body.
@@ -34,10 +34,10 @@
 		return rest[:n], n, nil
 	}
 	end := bytes.IndexByte(rest, '\n')
-	if end < 0 {
-		if len(rest) > maxChunkLine {
-			return nil, 0, errChunk
-		}
+	switch {
+	case end > maxChunkLine || end < 0 && len(rest) > maxChunkLine:
+		return nil, 0, errChunk
+	case end < 0:
 		return nil, 0, nil
 	}
 	return nil, end + 1, c.parseLine(bytes.TrimSuffix(rest[:end], []byte{'\r'}))
--- a/commons/httpserver/requestreader_test.go
+++ b/commons/httpserver/requestreader_test.go
@@ -12,6 +12,9 @@
 	"sesamewell.example/commons/memory"
 )
 
+// chunkLineLimit is the maximum length of a line of chunked coding in bytes.
+const chunkLineLimit = 4 << 10
+
 // verdict is what a reader makes of the bytes of a connection.
 type verdict struct {
 	Status int // of the refusal, zero if there is none
@@ -90,29 +93,74 @@
 // piece and in several.
 func TestVerdictDoesNotDependOnSplits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		piece := rapid.SampledFrom([]string{"\r\n", "0", "0\r\n\r\n", "\r\n0\r\n", "a", "hello", "5\r\n", "\n", ";", "z", strings.Repeat("x", 40)})
+		piece := rapid.SampledFrom([]string{
+			"\r\n", "0", "0\r\n\r\n", "\r\n0\r\n", "a", "hello", "5\r\n", "\n", "\r", ";", "z", strings.Repeat("x", 40), strings.Repeat("x", chunkLineLimit/2),
+			"1;" + strings.Repeat("e", chunkLineLimit), "1;" + strings.Repeat("e", chunkLineLimit-2) + "\nx\r\n", "0\r\nA: " + strings.Repeat("t", chunkLineLimit),
+		})
 		body := strings.Join(rapid.SliceOfN(piece, 0, 8).Draw(t, "body"), "")
-		head := "POST /a HTTP/1.1\r\nHost: a\r\n"
+		blank := strings.Join(rapid.SliceOfN(rapid.SampledFrom([]string{"\r\n", "\n", "\r"}), 0, 3).Draw(t, "blank lines"), "")
+		head := blank + "POST /a HTTP/1.1\r\nHost: a\r\n" + rapid.SampledFrom([]string{"", "Expect: 100-continue\r\n", "A:b\n", "A:b\n\n", "\n"}).Draw(t, "header line")
 		var text string
-		switch rapid.IntRange(0, 3).Draw(t, "framing") {
+		switch rapid.IntRange(0, 5).Draw(t, "framing") {
 		case 0:
 			text = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, rapid.IntRange(0, 120).Draw(t, "length"), body)
 		case 1:
-			text = chunked(body, "")
+			text = blank + chunked(body, "")
 		case 2:
-			text = chunked(body, body+"x", "")
+			text = blank + chunked(body, body+"x", "")
+		case 3:
+			text = strings.TrimSuffix(chunked("hello", ""), "\r\n") + "A: " + body + "\r\n\r\n"
+		case 4:
+			text = strings.Replace(chunked("hello", ""), "5\r\n", "5;"+body+"\r\n", 1)
 		default:
 			text = head + "Transfer-Encoding: chunked\r\n\r\n" + body
 		}
 		config := httpserver.RequestReaderConfig{MaxHeader: 80, MaxBody: 100}
 		want := readSplit(httpserver.NewRequestReader(config), text, nil)
-		sizes := rapid.SliceOfN(rapid.IntRange(1, 20), 0, 30).Draw(t, "sizes")
+		sizes := rapid.SliceOfN(rapid.OneOf(rapid.IntRange(1, 20), rapid.IntRange(1, 2*chunkLineLimit)), 0, 60).Draw(t, "sizes")
 		if diff := cmp.Diff(want, readSplit(httpserver.NewRequestReader(config), text, sizes)); diff != "" {
 			t.Fatalf("%q in pieces of %v (-want +got):\n%s", text, sizes, diff)
 		}
 	})
 }
 
+// TestLimitsDoNotDependOnSplits splits requests of the largest size, and of one byte more, at
+// each byte. The limit on lines of chunked coding held only for those that came in pieces.
+func TestLimitsDoNotDependOnSplits(t *testing.T) {
+	const maxHeader = 200
+	headOf := func(size int) string {
+		head := "GET /a HTTP/1.1\r\nHost: a\r\nA: "
+		return head + strings.Repeat("x", size-len(head)) + "\r\n\r\n"
+	}
+	extension := func(size int) string {
+		return strings.Replace(chunked("hello", ""), "5\r\n", "5;"+strings.Repeat("e", size-3)+"\r\n", 1)
+	}
+	trailer := func(size int) string {
+		return strings.TrimSuffix(chunked("hello", ""), "\r\n") + "A: " + strings.Repeat("t", size-4) + "\r\n\r\n"
+	}
+	cases := map[string]struct {
+		text string
+		want verdict
+	}{
+		"head":                {text: headOf(maxHeader), want: verdict{Whole: true, Used: maxHeader + 4}},
+		"head, too large":     {text: headOf(maxHeader + 1), want: verdict{Status: 431}},
+		"extension":           {text: extension(chunkLineLimit), want: verdict{Whole: true, Body: "hello", Used: len(extension(chunkLineLimit))}},
+		"extension, too long": {text: extension(chunkLineLimit + 1), want: verdict{Status: 400}},
+		"trailer":             {text: trailer(chunkLineLimit), want: verdict{Whole: true, Body: "hello", Used: len(trailer(chunkLineLimit))}},
+		"trailer, too long":   {text: trailer(chunkLineLimit + 1), want: verdict{Status: 400}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for split := range len(tc.text) + 1 {
+				got := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: maxHeader, MaxBody: 1024}), tc.text, []int{split})
+				if diff := cmp.Diff(tc.want, got); diff != "" {
+					t.Fatalf("split at %d of %d (-want +got):\n%s", split, len(tc.text), diff)
+				}
+			}
+		})
+	}
+}
+
 // TestBodiesAreChargedBeforeTheyAreHeld reads requests against an account with little room.
 // Heads were in no account: parsed, one of 16 KiB can take some hundred.
 func TestBodiesAreChargedBeforeTheyAreHeld(t *testing.T) {
