Lose no bytes between two ends of a head

Seen by callers and servers: bytes of a body, or the next request, vanished without a word; the request that lost them waited for the rest until its 408. Cause: both fronts and the lobby's reader of answers look for CR LF CR LF, the parser ends a head at the first blank line, also at one of a bare LF. What lay between was counted as read. Evidence: before, 3 of 3 cases of TestNoBytesOfHeadsAreLost failed on each side: requests "Status: 0, Whole: true, Used: 54" for two requests, of which the second was lost, and "Whole: false, Used: 53" for a body of 3 bytes that had arrived; answers "61 bytes used, error <nil>" for an interim answer and the one behind it. Change: a head that ends early for the parser is malformed: 400, or a failed connection to the server. Lines that end with a bare LF are taken as before. After: all cases pass.

--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -24,6 +25,10 @@
 	headerLineBytes = 96
 )
 
+// errHeadEnd is the cause of a refusal of a head that ends, for the parser, at a blank line
+// that is not headerEnd: the bytes between would belong to no message.
+var errHeadEnd = errors.New("blank line without CR LF in the head")
+
 // ContinueResponse is the interim answer to a caller that sent Expect: 100-continue
 // and waits before it sends the body.
 var ContinueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
@@ -159,6 +164,9 @@
 	if err := request.Header.Read(reader); err != nil {
 		return 0, errMalformed(err)
 	}
+	if reader.Buffered() > 0 {
+		return 0, errMalformed(errHeadEnd)
+	}
 	r.customer = string(request.Header.Peek(fasthttp.HeaderAuthorization))
 	if err := r.charge(headCost(buffered[:end])); err != nil {
 		return 0, err
--- a/commons/httpserver/requestreader_test.go
+++ b/commons/httpserver/requestreader_test.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// TestNoBytesOfHeadsAreLost guards against bytes between a blank line that ends with a bare LF
+// and the next one: they were taken for part of the head and dropped.
+func TestNoBytesOfHeadsAreLost(t *testing.T) {
+	cases := map[string]struct{ text string }{
+		"body behind a blank line of LF":          {text: "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\n\nabc\r\n\r\n"},
+		"request behind a blank line of LF":       {text: "GET /a HTTP/1.1\r\nHost: a\n\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"fields behind a blank line of LF and CR": {text: "GET /a HTTP/1.1\r\nHost: a\n\r\nContent-Length: 3\r\n\r\nabc"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1024}), tc.text, nil)
+			if diff := cmp.Diff(verdict{Status: 400}, got); diff != "" {
+				t.Errorf("verdict (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestBodiesAreChargedBeforeTheyAreHeld reads requests against an account with little room.
 // Heads were in no account: parsed, one of 16 KiB can take some hundred.
 func TestBodiesAreChargedBeforeTheyAreHeld(t *testing.T) {
--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -43,9 +43,13 @@
 		return 0, nil
 	}
 	end += len(headEnd)
-	if err := a.head.Read(bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)); err != nil {
+	reader := bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)
+	if err := a.head.Read(reader); err != nil {
 		return 0, errors.Mark(err, errHead)
 	}
+	if reader.Buffered() > 0 { // a blank line without CR LF: the bytes behind it would belong to no message
+		return 0, errHead
+	}
 	if a.head.StatusCode() < fasthttp.StatusOK {
 		a.head.Reset()
 		return end, nil
--- a/lobby/proxy/head_test.go
+++ b/lobby/proxy/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/platform"
@@ -42,3 +43,21 @@
 		}
 	})
 }
+
+// TestNoBytesOfHeadsAreLost guards against bytes between a blank line that ends with a bare LF
+// and the next one: they were taken for part of the head and dropped.
+func TestNoBytesOfHeadsAreLost(t *testing.T) {
+	cases := map[string]struct{ text string }{
+		"body behind a blank line of LF":          {text: "HTTP/1.1 200 OK\r\nContent-Length: 7\n\nabc\r\n\r\n"},
+		"fields behind a blank line of LF and CR": {text: "HTTP/1.1 200 OK\r\nRequest-Id: 1\n\r\nContent-Length: 3\r\n\r\nabc"},
+		"answer behind an interim one":            {text: "HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := &answer{}
+			if n, err := a.readHead([]byte(tc.text), false, platform.HeaderCodec{}); !errors.Is(err, errHead) {
+				t.Errorf("%d bytes used, error %v, want %v", n, err, errHead)
+			}
+		})
+	}
+}
