Take heads up to the limit that is set

Cause: heads are parsed from a pooled buffer of the default limit, which lacks the last four bytes, and is not larger if the limit is. Evidence: before, 2 of 3 cases of TestHeadsUpToTheLimitAreTaken got 400 (16384 bytes of 16384, 65536 of 65536). Change: a head that is larger than the pooled buffer is parsed from a larger one. After: all cases pass; one byte more gets 431.

--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -158,9 +158,8 @@
 	}
 	end += len(headerEnd)
 	request := &fasthttp.Request{}
-	reader := readers.Get().(*bufio.Reader)
+	reader := headReader(buffered[:end])
 	defer readers.Put(reader)
-	reader.Reset(bytes.NewReader(buffered[:end]))
 	if err := request.Header.Read(reader); err != nil {
 		return 0, errMalformed(err)
 	}
@@ -193,6 +192,17 @@
 	return end, nil
 }
 
+// headReader returns a reader of a head that has arrived whole, which the parser needs in one
+// buffer.
+func headReader(head []byte) *bufio.Reader {
+	reader := readers.Get().(*bufio.Reader)
+	if len(head) > reader.Size() {
+		reader = bufio.NewReaderSize(nil, len(head))
+	}
+	reader.Reset(bytes.NewReader(head))
+	return reader
+}
+
 // readBody reads a piece of the body. It returns zero if more bytes are needed.
 func (r *RequestReader) readBody(rest []byte) (int, error) {
 	if r.length != chunkedLength {
--- a/commons/httpserver/requestreader_test.go
+++ b/commons/httpserver/requestreader_test.go
@@ -161,6 +161,28 @@
 	}
 }
 
+// TestHeadsUpToTheLimitAreTaken guards against heads within the limit that get 400 because the
+// parser's buffer is smaller.
+func TestHeadsUpToTheLimitAreTaken(t *testing.T) {
+	cases := map[string]struct{ limit int }{
+		"smaller than the default": {limit: 1 << 10},
+		"the default":              {limit: httpserver.DefaultMaxHeader},
+		"larger than the default":  {limit: 4 * httpserver.DefaultMaxHeader},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			head := "GET /a HTTP/1.1\r\nHost: a\r\nA: "
+			for size, want := range map[int]int{tc.limit: 0, tc.limit + 1: 431} {
+				text := head + strings.Repeat("x", size-len(head)) + "\r\n\r\n"
+				got := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: tc.limit, MaxBody: 1024}), text, nil)
+				if diff := cmp.Diff([]any{want, want == 0}, []any{got.Status, got.Whole}); diff != "" {
+					t.Errorf("status and whole with %d bytes (-want +got):\n%s", size, diff)
+				}
+			}
+		})
+	}
+}
+
 // TestNoBytesOfHeadsAreLost guards against bytes between a blank line that ends with a bare LF
 // and the next one: they were taken for part of the head and dropped.
 func TestNoBytesOfHeadsAreLost(t *testing.T) {
