Decide on the event loop which requests are refused unread

Seen by callers: 408 or 503, which say that the request was not run, for a request that was delivered all the same (rule REFUSED); or a connection closed as idle, without an answer, under a request that had just been delivered. Cause: the entry's and the operators' pages' server refused and closed from the ticker's thread (expire) and from any event loop (displace), while the connection's own event loop read the rest; and it went on to read and deliver on a connection whose refusal was on its way, also behind the refusals of a stop (refuseArriving). The test has a connection whose event loop does one thing at a time, so that each order is played without a race. Change: other threads only look; the event loop of the connection looks again and decides. Nothing is read on a connection that was refused, closed as idle, displaced or reset. A connection that was chosen to be displaced and has got a request meanwhile stays.

--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -19,6 +19,7 @@
 	reader       *RequestReader // of the request that arrives, nil before its first byte
 	opened       *RequestReader // of the request of the open call, which is charged
 	continueSent bool
+	ended        bool   // nothing that arrives is read any more
 	flooded      bool   // too many bytes have arrived behind the open call or an unread answer
 	address      string // IP of the caller
 	unread       Unread
@@ -43,6 +44,10 @@
 	c.wire += int64(c.unread.Fill(c.socket))
 	defer c.chargeBuffers()
 	defer c.unread.Keep()
+	if c.ended || c.gone.Load() {
+		c.unread.Clear()
+		return gnet.None
+	}
 	if c.call != nil || c.socket.OutboundBuffered() > 0 {
 		return c.limitPipelined(now)
 	}
@@ -170,6 +175,7 @@
 // refuse replies to a request that could not be parsed and closes the connection,
 // since the start of the next request cannot be determined.
 func (c *conn) refuse(now time.Time, err error) gnet.Action {
+	c.ended = true
 	c.reader.Release()
 	c.waitingSince.Store(0)
 	c.server.causes.Record(now, CauseOf(AsRefusal(err)), c.address)
@@ -178,26 +184,60 @@
 }
 
 // expire closes a connection whose request is incomplete, or which has had no
-// request, for longer than the limit.
+// request, for longer than the limit. The event loop decides: a request may arrive whole
+// meanwhile. It is safe to call from any thread.
 func (c *conn) expire(now time.Time) {
-	if c.sending.Load() {
-		_ = c.socket.AsyncWrite(nil, func(socket gnet.Conn, _ error) error { return c.checkSent(now, socket) })
-		return
+	switch {
+	case c.sending.Load():
+		c.onLoop(func(socket gnet.Conn) error { return c.checkSent(now, socket) })
+	case c.expired(now):
+		c.onLoop(func(socket gnet.Conn) error { return c.closeIdle(now, socket) })
+	case c.late(now):
+		c.onLoop(func(gnet.Conn) error { return c.refuseLate(now) })
 	}
-	since := c.waitingSince.Load()
-	if since == 0 {
-		return
+}
+
+// onLoop calls a function on the connection's event loop unless the connection is closed. It
+// is safe to call from any thread.
+func (c *conn) onLoop(do func(socket gnet.Conn) error) {
+	_ = c.socket.AsyncWrite(nil, func(socket gnet.Conn, err error) error { // fails on a connection that has been closed
+		if err != nil || c.gone.Load() {
+			return err
+		}
+		return do(socket)
+	})
+}
+
+// expired reports whether the connection has had no request for longer than the limit. It is
+// safe to call from any thread.
+func (c *conn) expired(now time.Time) bool { return c.idleFor(now) > c.server.config.Idle }
+
+// closeIdle closes the connection, unless a request has arrived meanwhile.
+func (c *conn) closeIdle(now time.Time, socket gnet.Conn) error {
+	if !c.expired(now) {
+		return nil
 	}
-	began := time.Unix(0, since)
-	if !c.partial.Load() && now.Sub(began) > c.server.config.Idle {
-		c.waitingSince.Store(0)
-		_ = c.socket.Close()
-		return
+	c.ended = true
+	c.waitingSince.Store(0)
+	return socket.Close()
+}
+
+// late reports whether a request arrives too slowly. It is safe to call from any thread.
+func (c *conn) late(now time.Time) bool {
+	if !c.arriving() {
+		return false
 	}
-	arrival := NewArrival(began, time.Unix(0, c.lastByte.Load()), c.arrived().Body())
-	if c.partial.Load() && arrival.Late(now, c.server.config.SlowSender, c.server.config.MinUpload) {
+	arrival := NewArrival(time.Unix(0, c.waitingSince.Load()), time.Unix(0, c.lastByte.Load()), c.arrived().Body())
+	return arrival.Late(now, c.server.config.SlowSender, c.server.config.MinUpload)
+}
+
+// refuseLate refuses a request that arrives too slowly, unless more of it has arrived
+// meanwhile.
+func (c *conn) refuseLate(now time.Time) error {
+	if c.late(now) {
 		c.refuseUnread(now, ErrSlowSender, SlowSender)
 	}
+	return nil
 }
 
 // arrived returns the part of the request that has arrived. It is safe to call from any
@@ -210,24 +250,26 @@
 }
 
 // refuseUnread answers a request that has not been read to its end and closes the
-// connection.
+// connection. What arrives afterwards is not read: the request is not run.
 func (c *conn) refuseUnread(now time.Time, refusal *Refusal, cause Cause) {
-	c.waitingSince.Store(0)
+	c.ended = true
 	c.server.causes.RecordFragment(now, cause, c.address, c.arrived())
-	_ = c.write(c.closeWhenSent, refusalBytes(refusal))
+	_ = c.write(c.closeWhenSent, refusalBytes(refusal)) // before the request arrives no more: a stop waits for either
+	c.partial.Store(false)
+	c.waitingSince.Store(0)
 }
 
 // arriving reports whether a request has arrived in part and has not been refused. It is
 // safe to call from any thread.
 func (c *conn) arriving() bool {
-	return c.partial.Load() && c.waitingSince.Load() != 0 && !c.gone.Load() && !c.closing.Load()
+	return c.partial.Load() && c.waitingSince.Load() != 0 && !c.gone.Load()
 }
 
 // refuseArriving refuses a request that has arrived in part, unless it has arrived whole
 // meanwhile. It is safe to call from any thread.
 func (c *conn) refuseArriving(now time.Time, refusal *Refusal, cause Cause) {
-	_ = c.socket.AsyncWrite(nil, func(_ gnet.Conn, err error) error { // fails on a connection that has been closed
-		if err == nil && c.arriving() {
+	c.onLoop(func(gnet.Conn) error {
+		if c.arriving() {
 			c.refuseUnread(now, refusal, cause)
 		}
 		return nil
@@ -242,10 +284,16 @@
 		if err != nil {
 			return err // the connection has been closed
 		}
-		return errors.CombineErrors(socket.SetLinger(0), socket.Close())
+		return c.resetNow(socket)
 	})
 }
 
+// resetNow does the same as reset, on the event loop.
+func (c *conn) resetNow(socket gnet.Conn) error {
+	c.gone.Store(true)
+	return errors.CombineErrors(socket.SetLinger(0), socket.Close())
+}
+
 // removable reports whether the connection may be closed for another one: an idle one after
 // minIdle, or crowdedIdle if its address holds most connections, and one whose request or
 // answer is incomplete at once.
@@ -257,18 +305,30 @@
 	return c.partial.Load() || c.sending.Load() || c.idleFor(now) >= idle
 }
 
-// displace closes the connection to make room for another one.
+// displace closes the connection to make room for another one, unless a request has arrived
+// whole meanwhile. It is safe to call from any thread.
 func (c *conn) displace(now time.Time) {
 	c.closing.Store(true)
+	c.onLoop(func(socket gnet.Conn) error { return c.makeRoom(now, socket) })
+}
+
+// makeRoom closes the connection for another one, unless a call is open or has ended since
+// it was chosen.
+func (c *conn) makeRoom(now time.Time, socket gnet.Conn) error {
+	since := c.waitingSince.Load()
 	switch {
+	case since == 0 || since > now.UnixNano():
+		c.closing.Store(false)
 	case c.sending.Load():
 		c.server.causes.Record(now, NotReading, c.address)
-		c.reset()
+		return c.resetNow(socket)
 	case c.partial.Load():
 		c.refuseUnread(now, errTooManyConns, Displaced)
 	default:
-		_ = c.socket.Close()
+		c.ended = true
+		return socket.Close()
 	}
+	return nil
 }
 
 // idleFor returns the time for which no byte of a request has arrived, zero while there
@@ -352,8 +412,7 @@
 		return socket.Close()
 	case c.progress.Stalled(now, Untaken(socket), c.server.config.Stall):
 		c.server.causes.Record(now, NotReading, c.address)
-		c.gone.Store(true)
-		return errors.CombineErrors(socket.SetLinger(0), socket.Close())
+		return c.resetNow(socket)
 	case unsent == 0 && c.call == nil:
 		c.waitingSince.Store(now.UnixNano())
 		return socket.Wake(nil) // requests that arrived behind the answer
--- /dev/null
+++ b/commons/httpserver/conn_test.go
@@ -0,0 +1,156 @@
+package httpserver_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/panjf2000/gnet/v2"
+
+	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/testkit"
+)
+
+// fakeSocket is a connection whose event loop does only what a test tells it to.
+type fakeSocket struct {
+	gnet.Conn
+
+	context any
+	arrived []byte
+	written strings.Builder
+	closed  bool
+	queue   []func() // what the event loop has been asked to do
+}
+
+func (s *fakeSocket) Context() any             { return s.context }
+func (s *fakeSocket) SetContext(context any)   { s.context = context }
+func (s *fakeSocket) RemoteAddr() net.Addr     { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (s *fakeSocket) Peek(int) ([]byte, error) { return s.arrived, nil }
+func (s *fakeSocket) OutboundBuffered() int    { return 0 }
+func (s *fakeSocket) SetLinger(int) error      { return nil }
+
+func (s *fakeSocket) Discard(int) (int, error) {
+	n := len(s.arrived)
+	s.arrived = nil
+	return n, nil
+}
+
+func (s *fakeSocket) Close() error {
+	s.queue = append(s.queue, func() { s.closed = true })
+	return nil
+}
+
+func (s *fakeSocket) AsyncWrite(data []byte, callback gnet.AsyncCallback) error {
+	return s.AsyncWritev([][]byte{data}, callback)
+}
+
+func (s *fakeSocket) AsyncWritev(data [][]byte, callback gnet.AsyncCallback) error {
+	s.queue = append(s.queue, func() {
+		if s.closed {
+			_ = callback(s, net.ErrClosed)
+			return
+		}
+		for _, part := range data {
+			s.written.Write(part)
+		}
+		_ = callback(s, nil)
+	})
+	return nil
+}
+
+// run lets the event loop do at most a number of the things that it has been asked to do.
+func (s *fakeSocket) run(most int) {
+	for ; most > 0 && len(s.queue) > 0; most-- {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		next()
+	}
+}
+
+// countingInbox counts the calls that it is given.
+type countingInbox struct{ calls int }
+
+func (i *countingInbox) Put(item any) error {
+	if _, ok := item.(*httpserver.Call); ok {
+		i.calls++
+	}
+	return nil
+}
+
+// TestRequestIsRefusedOrDelivered guards against requests that are refused as not run while
+// the event loop delivers them, and connections that are closed as idle at that time.
+func TestRequestIsRefusedOrDelivered(t *testing.T) {
+	const all = 100
+	type outcome struct {
+		Delivered int
+		Refused   int // status, zero for none
+		Closed    bool
+	}
+	first, rest := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe", "llo"
+	delivered := outcome{Delivered: 1}
+	tick := func(s *httpserver.Server) { s.OnTick() }
+	stop := func(s *httpserver.Server) { s.Close() }
+	displace := func(s *httpserver.Server) { s.OnOpen(&fakeSocket{}) }
+	cases := map[string]struct {
+		first   string
+		end     func(s *httpserver.Server)
+		before  int // things that the event loop does before the rest arrives
+		want    outcome
+		maxIdle time.Duration
+	}{
+		"slow sender, rest read first":        {first: first, end: tick, want: delivered},
+		"slow sender, decided first":          {first: first, end: tick, before: 1, want: outcome{Refused: 408, Closed: true}},
+		"slow sender, refused first":          {first: first, end: tick, before: all, want: outcome{Refused: 408, Closed: true}},
+		"displaced, rest read first":          {first: first, end: displace, want: delivered},
+		"displaced, decided first":            {first: first, end: displace, before: 1, want: outcome{Refused: 503, Closed: true}},
+		"displaced, refused first":            {first: first, end: displace, before: all, want: outcome{Refused: 503, Closed: true}},
+		"stop, rest read first":               {first: first, end: stop, want: delivered},
+		"stop, decided first":                 {first: first, end: stop, before: 1, want: outcome{Refused: 503, Closed: true}},
+		"stop, refused first":                 {first: first, end: stop, before: all, want: outcome{Refused: 503, Closed: true}},
+		"idle, request read first":            {end: tick, maxIdle: time.Nanosecond, want: delivered},
+		"idle, decided first":                 {end: tick, maxIdle: time.Nanosecond, before: 1, want: outcome{Closed: true}},
+		"idle and displaced, read first":      {end: displace, want: delivered},
+		"idle and displaced, decided first":   {end: displace, before: 1, want: outcome{Closed: true}},
+		"nothing to end, request read at all": {first: first, end: func(*httpserver.Server) {}, want: delivered},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inbox := &countingInbox{}
+			config := httpserver.Config{
+				Inbox: inbox, Log: testkit.DiscardLog(), MaxHeader: 2048, MaxBody: 4096, MaxUnsent: 1 << 20, MaxConns: 1,
+				SlowSender: time.Nanosecond, Idle: timeout,
+			}
+			if tc.maxIdle != 0 {
+				config.Idle = tc.maxIdle
+			}
+			server, socket := httpserver.New(config), &fakeSocket{}
+			server.OnOpen(socket)
+			arrive := func(text string) {
+				if socket.arrived = []byte(text); text != "" && !socket.closed {
+					server.OnTraffic(socket)
+				}
+			}
+			arrive(tc.first)
+			if tc.first == "" {
+				time.Sleep(1100 * time.Millisecond) // the shortest idle time of a connection that is displaced
+			}
+			tc.end(server)
+			socket.run(tc.before)
+			arrive((first + rest)[len(tc.first):])
+			socket.run(all)
+			got := outcome{Delivered: inbox.calls, Closed: socket.closed}
+			switch written := socket.written.String(); {
+			case strings.HasPrefix(written, "HTTP/1.1 408"):
+				got.Refused = 408
+			case strings.HasPrefix(written, "HTTP/1.1 503"):
+				got.Refused = 503
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
