Read nothing behind bytes that were dropped

Seen by callers and services: part of a body run as a request. Cause: the entry drops what a caller sends behind an answer that it does not take, once that is too much, and closes the connection when the answer has left. Bytes that came between the two were parsed as if they began a request. The lobby reads nothing then (close sets closed). Evidence: before, TestNothingIsReadBehindDroppedBytes counted 2 requests, want 1. Change: nothing is read any more on that connection. After: 1 request; the package passes with the race detector.

--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -106,6 +106,7 @@
 	c.flooded = true
 	c.unread.Clear()
 	if c.call == nil {
+		c.ended = true
 		c.closeSent.Store(true)
 	}
 	return gnet.None
--- a/commons/httpserver/conn_test.go
+++ b/commons/httpserver/conn_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/commons/testkit"
@@ -20,16 +21,18 @@
 	context any
 	arrived []byte
 	written strings.Builder
+	unsent  int
 	closed  bool
 	queue   []func() // what the event loop has been asked to do
 }
 
-func (s *fakeSocket) Context() any             { return s.context }
-func (s *fakeSocket) SetContext(context any)   { s.context = context }
-func (s *fakeSocket) RemoteAddr() net.Addr     { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
-func (s *fakeSocket) Peek(int) ([]byte, error) { return s.arrived, nil }
-func (s *fakeSocket) OutboundBuffered() int    { return 0 }
-func (s *fakeSocket) SetLinger(int) error      { return nil }
+func (s *fakeSocket) Context() any                  { return s.context }
+func (s *fakeSocket) SetContext(context any)        { s.context = context }
+func (s *fakeSocket) RemoteAddr() net.Addr          { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (s *fakeSocket) Peek(int) ([]byte, error)      { return s.arrived, nil }
+func (s *fakeSocket) OutboundBuffered() int         { return s.unsent }
+func (s *fakeSocket) SetLinger(int) error           { return nil }
+func (s *fakeSocket) Wake(gnet.AsyncCallback) error { return nil }
 
 func (s *fakeSocket) Discard(int) (int, error) {
 	n := len(s.arrived)
@@ -69,12 +72,20 @@
 	}
 }
 
-// countingInbox counts the calls that it is given.
-type countingInbox struct{ calls int }
+// countingInbox counts the calls that it is given, and answers them if it is told to.
+type countingInbox struct {
+	calls   int
+	answers bool
+}
 
 func (i *countingInbox) Put(item any) error {
-	if _, ok := item.(*httpserver.Call); ok {
-		i.calls++
+	call, ok := item.(*httpserver.Call)
+	if !ok {
+		return nil
+	}
+	i.calls++
+	if i.answers {
+		call.Reply(&fasthttp.Response{})
 	}
 	return nil
 }
@@ -154,3 +165,25 @@
 		})
 	}
 }
+
+// TestNothingIsReadBehindDroppedBytes guards against bytes that are taken for a request
+// although those before them were dropped.
+func TestNothingIsReadBehindDroppedBytes(t *testing.T) {
+	inbox := &countingInbox{answers: true}
+	server, socket := httpserver.New(httpserver.Config{Inbox: inbox, Log: testkit.DiscardLog(), MaxHeader: 64, MaxBody: 64, MaxUnsent: 1 << 20, MaxConns: 1, SlowSender: timeout, Idle: timeout}), &fakeSocket{}
+	server.OnOpen(socket)
+	arrive := func(text string) {
+		socket.arrived = []byte(text)
+		server.OnTraffic(socket)
+	}
+	request := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	arrive(request)
+	socket.unsent = 1 // the caller does not take its answer
+	socket.run(100)
+	arrive("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n" + strings.Repeat("x", 100))
+	socket.unsent = 0
+	arrive(request) // within the body
+	if diff := cmp.Diff(1, inbox.calls); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+}
