Take streams whose lines end with CR

Seen by callers: a sound stream of events whose lines end with CR alone (WHATWG HTML, section 9.2, allows it beside LF and CR LF) was cut: none of its events counted as progress, a resumable one was held back until 256 KiB, and an unframed one counted as broken off at its end. Cause: the scanner skipped CR and ended lines at LF only; the buffer of events knew no blank line of CR. Change: a line ends at a CR that no LF follows.

--- a/lobby/proxy/eventbuffer.go
+++ b/lobby/proxy/eventbuffer.go
@@ -7,9 +7,10 @@
 )
 
 var (
-	idField  = []byte("id:")
-	nextID   = []byte("\nid:")
-	errEvent = errors.New("event of a stream too long")
+	blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")} // with the end of the line before
+	idField    = []byte("id:")
+	nextIDs    = [][]byte{[]byte("\nid:"), []byte("\rid:")}
+	errEvent   = errors.New("event of a stream too long")
 )
 
 // eventBuffer splits a resumable stream into events (server-sent events, WHATWG
@@ -38,26 +39,29 @@
 }
 
 // lastBlankLine returns the offset after the last blank line, zero if there is
-// none. Lines end with LF or CR LF.
-func lastBlankLine(data []byte) int {
-	lf := bytes.LastIndex(data, []byte("\n\n"))
-	if lf >= 0 {
-		lf += len("\n\n")
+// none. Lines end with LF, CR LF or CR, all of a stream in the same way.
+func lastBlankLine(data []byte) (end int) {
+	for _, blank := range blankLines {
+		if at := bytes.LastIndex(data, blank); at >= 0 {
+			end = max(end, at+len(blank))
+		}
 	}
-	crlf := bytes.LastIndex(data, []byte("\n\r\n"))
-	if crlf >= 0 {
-		crlf += len("\n\r\n")
-	}
-	return max(lf, crlf, 0)
+	return end
 }
 
 // recordLastID records the last ID in complete events.
 func (e *eventBuffer) recordLastID(events []byte) {
-	at := bytes.LastIndex(events, nextID) + 1
+	at := 0
+	for _, field := range nextIDs {
+		at = max(at, bytes.LastIndex(events, field)+1)
+	}
 	if !bytes.HasPrefix(events[at:], idField) {
 		return
 	}
-	line, _, _ := bytes.Cut(events[at+len(idField):], []byte{'\n'})
+	line := events[at+len(idField):]
+	if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
+		line = line[:end]
+	}
 	e.lastID = append(e.lastID[:0], bytes.TrimSpace(line)...)
 }
 
