Limit heads of answers however they arrive

Seen by nobody yet: the head of a server's answer beyond 32 KiB was taken if its end came in one read with much else, and failed its connection if it came in two. Cause: the limit held only while the end had not arrived, and was up to four bytes lower then. Evidence: before, both cases of TestLimitOfHeadsDoesNotDependOnSplits failed: the largest head at splits 32769 to 32771, one byte more at splits before the limit. Change: the same bound for both, as in the reader of requests. After: both cases pass.

--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -36,10 +36,10 @@
 // no body.
 func (a *answer) readHead(buffered []byte, headOnly bool, codec Codec) (int, error) {
 	end := bytes.Index(buffered, headEnd)
-	if end < 0 {
-		if len(buffered) > maxHead {
-			return 0, errHead
-		}
+	switch {
+	case end > maxHead || end < 0 && len(buffered) >= maxHead+len(headEnd):
+		return 0, errHead
+	case end < 0:
 		return 0, nil
 	}
 	end += len(headEnd)
--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -17,7 +17,7 @@
 	largeBody          = 64 << 10         // size of a body in bytes from which it is not copied behind its head
 	minGivenUp         = 256 << 10        // bytes that an answer must hold to be given up for room
 	lingerTimeout      = time.Second      // time for which the caller's end of a closed connection is awaited
-	maxHead            = 32 << 10         // bytes in the head of a backend server's answer
+	maxHead            = 32 << 10         // bytes in the head of a backend server's answer, without the blank line
 	maxBody            = 16 << 20         // bytes in the body of a buffered answer
 	readBuffer         = 32 << 10         // bytes read from a connection at a time
 	keepAlive          = 15 * time.Second // TCP keep-alive period of callers' connections
--- a/lobby/proxy/head_test.go
+++ b/lobby/proxy/head_test.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/platform"
@@ -61,3 +63,31 @@
 		})
 	}
 }
+
+// TestLimitOfHeadsDoesNotDependOnSplits guards against a head beyond the limit that is taken if
+// its end comes in one read with much else.
+func TestLimitOfHeadsDoesNotDependOnSplits(t *testing.T) {
+	cases := map[string]struct {
+		size  int // without the blank line
+		taken bool
+	}{
+		"largest":   {size: maxHead, taken: true},
+		"too large": {size: maxHead + 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: "
+			text += strings.Repeat("x", tc.size-len(text)) + "\r\n\r\n"
+			for _, first := range []int{0, 1, maxHead - 1, maxHead, maxHead + 1, maxHead + 2, maxHead + 3, maxHead + 4} {
+				a := &answer{}
+				n, err := a.readHead([]byte(text[:first]), false, platform.HeaderCodec{})
+				if err == nil {
+					n, err = a.readHead([]byte(text[n:]), false, platform.HeaderCodec{})
+				}
+				if diff := cmp.Diff([]any{tc.taken, tc.taken}, []any{a.headRead, err == nil}); diff != "" {
+					t.Errorf("split at %d: head read, no error (-want +got):\n%s%v", first, diff, err)
+				}
+			}
+		})
+	}
+}
