Take no late copy of a response for that of the next call

Seen by lobbies, keepers, entries and sides: the answer to an earlier call of the store, the log, a weight store or an engine, in place of that to this one, and from then on always. Cause: a kept connection on which bytes waited was used again, and they were read as the response. Evidence: before, TestLateCopyOfAResponseIsNoOther/later: "call of /second got "/first"", "call of /third got "/second"". A copy in the same segment as the first was dropped before too. Change: before the first byte of a request leaves on a connection that has been read from, the client looks whether bytes, or its end, wait; then it closes it and takes another one. No byte was sent, so that a request is still sent once at most. A copy that comes while the next call is open is still taken for its response; the call after it is right again. Beside it, TestResponsesInPiecesAreReadWhole splits responses at each byte, for all of these services: no fault was found, it passed before.

--- a/commons/httpclient/client.go
+++ b/commons/httpclient/client.go
@@ -1,5 +1,5 @@
-// Package httpclient sends HTTP requests to services outside the system. It never
-// retries: only its callers can decide whether a request may be repeated.
+// Package httpclient sends HTTP requests to services outside the system. It never sends a
+// request twice: only its callers can decide whether it may be repeated.
 package httpclient
 
 import (
@@ -39,13 +39,29 @@
 			Addr:                     config.Address,
 			MaxConns:                 config.MaxConns,
 			MaxResponseBodySize:      cmp.Or(config.MaxBody, DefaultMaxBody),
-			Dial:                     config.Dial,
+			Dial:                     dialFunc(config.Dial),
 			NoDefaultUserAgentHeader: true,
-			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			RetryIfErr: func(_ *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
+				return false, errors.Is(err, errUnusable) // nothing was sent
+			},
 		},
 	}
 }
 
+// dialFunc returns a function that opens connections which may be kept.
+func dialFunc(dial func(address string) (net.Conn, error)) fasthttp.DialFunc {
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
+	return func(address string) (net.Conn, error) {
+		conn, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		return keep(conn)
+	}
+}
+
 // RequestConfig holds the construction parameters of a Request.
 type RequestConfig struct {
 	Method  string
--- a/commons/httpclient/client_test.go
+++ b/commons/httpclient/client_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -128,3 +130,105 @@
 		})
 	}
 }
+
+// serve answers each request on each connection with the pieces that a function returns for
+// its path. It returns the address.
+func serve(t *testing.T, pause time.Duration, answer func(path string) []string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					for i, piece := range answer(request.URL.Path) {
+						if i > 0 {
+							time.Sleep(pause)
+						}
+						_, _ = io.WriteString(conn, piece)
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestResponsesInPiecesAreReadWhole splits responses at each byte, and sends them byte by byte.
+func TestResponsesInPiecesAreReadWhole(t *testing.T) {
+	cases := map[string]struct {
+		response string
+		want     string
+	}{
+		"length":                   {response: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n\r\n\nhello\n", want: "\r\n\nhello\n"},
+		"chunks":                   {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n\r\n\r\na\r\n1\r\n\n\r\n0\r\n\r\n", want: "\r\n\r\na\n"},
+		"chunks, trailer":          {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n1;a=b\r\na\r\n0\r\nA: b\r\n\r\n", want: "a"},
+		"behind an interim answer": {response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", want: "hi"},
+		"behind interim answers":   {response: "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", want: "hi"},
+		"behind a line end":        {response: "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", want: "hi"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := serve(t, time.Millisecond, func(path string) []string {
+				cut, err := strconv.Atoi(path[1:])
+				if err != nil {
+					return strings.Split(tc.response, "")
+				}
+				return []string{tc.response[:cut], tc.response[cut:]}
+			})
+			client := httpclient.New(httpclient.Config{Address: address, MaxConns: 1})
+			paths := []string{"/each"}
+			for cut := range len(tc.response) {
+				paths = append(paths, fmt.Sprint("/", cut))
+			}
+			for _, path := range paths {
+				status, body, err := client.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: http.MethodGet, Path: path, Timeout: 5 * time.Second}))
+				if diff := cmp.Diff([]any{http.StatusOK, tc.want, nil}, []any{status, string(body), err}); diff != "" {
+					t.Fatalf("split at %s: status, body and error (-want +got):\n%s%v", path[1:], diff, err)
+				}
+			}
+		})
+	}
+}
+
+// TestLateCopyOfAResponseIsNoOther lets a service write the response of the first call once
+// more: no later call may get it.
+func TestLateCopyOfAResponseIsNoOther(t *testing.T) {
+	cases := map[string]struct{ pause time.Duration }{
+		"with the first": {},
+		"later":          {pause: 20 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, tc.pause, func(path string) []string {
+				response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+				if path == "/first" {
+					return []string{response, response}
+				}
+				return []string{response}
+			})
+			client := httpclient.New(httpclient.Config{Address: address, MaxConns: 1})
+			for _, path := range []string{"/first", "/second", "/third"} {
+				_, body, err := client.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: http.MethodGet, Path: path, Timeout: 5 * time.Second}))
+				if err == nil && string(body) != path {
+					t.Errorf("call of %s got %q", path, body)
+				}
+				time.Sleep(2 * tc.pause)
+			}
+		})
+	}
+}
