Take the last event of a stream whose lines end with CR

Seen by callers of an entry: a whole stream of a model whose lines end with CR alone was answered as cut. Cause: the runner wanted an LF before the last event. Evidence: TestAnswersInPiecesArriveWhole/stream,_CR: code "answer_cut", want none. The test splits answers of a backend server at each byte and sends them byte by byte: bodies that begin with line ends, chunks with extension and trailer, interim answers, streams; its six other cases passed before. After: all cases pass, ./side/runner too.

--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -283,7 +283,7 @@
 		return nil
 	}
 	rest, ended := bytes.CutSuffix(bytes.TrimRight(tail, "\r\n"), streamEnd)
-	if ended && (len(rest) == 0 || rest[len(rest)-1] == '\n') {
+	if ended && (len(rest) == 0 || rest[len(rest)-1] == '\n' || rest[len(rest)-1] == '\r') {
 		return nil
 	}
 	return errors.Wrap(io.ErrUnexpectedEOF, "stream ended without its last event")
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -211,6 +213,50 @@
 	}
 }
 
+// TestAnswersInPiecesArriveWhole splits answers at each byte, and sends them byte by byte.
+func TestAnswersInPiecesArriveWhole(t *testing.T) {
+	const done = "data: a\r\n\r\n\ndata: [DONE]"
+	inOneChunk := func(body string) string {
+		return fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", chunked, len(body), body)
+	}
+	cases := map[string]struct {
+		text   string
+		stream bool
+		want   string
+	}{
+		"length":                   {text: sized + "\r\n\nhi\r\n\n", want: "\r\n\nhi\r\n\n"},
+		"chunks":                   {text: chunked + "4\r\n\r\nhi\r\n3;a=b\r\n\n\r\n\r\n0\r\n\r\n", want: "\r\nhi\n\r\n"},
+		"chunks, trailer":          {text: chunked + "2\r\nhi\r\n0\r\nA: b\r\n\r\n", want: "hi"},
+		"behind an interim answer": {text: "HTTP/1.1 100 Continue\r\n\r\n" + sized + "complete", want: "complete"},
+		"stream, LF":               {text: inOneChunk(done + "\n\n"), stream: true, want: done + "\n\n"},
+		"stream, CR LF":            {text: inOneChunk(done + "\r\n\r\n"), stream: true, want: done + "\r\n\r\n"},
+		"stream, CR":               {text: inOneChunk("data: a\r\rdata: [DONE]\r\r"), stream: true, want: "data: a\r\rdata: [DONE]\r\r"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := -1; cut < len(tc.text); cut++ {
+				pieces := strings.Split(tc.text, "")
+				if cut >= 0 {
+					pieces = []string{tc.text[:cut], tc.text[cut:]}
+				}
+				send := func(conn net.Conn) {
+					for _, piece := range pieces {
+						_, _ = io.WriteString(conn, piece)
+						time.Sleep(time.Millisecond) // in which the runner takes it
+					}
+				}
+				pool := newPool(startBackend(t, send), testTimeout)
+				messages := servePool(t, pool)
+				submitAttempt(t, pool, protocol.SubmitConfig{Attempt: "a", Model: "m", Stream: tc.stream})
+				if diff := cmp.Diff(result{Status: 200, Data: tc.want, MayHaveRun: true}, messages.nextResult(t)); diff != "" {
+					t.Fatalf("split at %d: result (-want +got):\n%s", cut, diff)
+				}
+			}
+		})
+	}
+}
+
 // TestAnswerThatEndsInItsHeadFails lets a backend server close the connection after each
 // byte of its answer's head.
 func TestAnswerThatEndsInItsHeadFails(t *testing.T) {
