--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -36,16 +36,20 @@
 // no body.
 func (a *answer) readHead(buffered []byte, headOnly bool, codec Codec) (int, error) {
 	end := bytes.Index(buffered, headEnd)
-	if end < 0 {
-		if len(buffered) > maxHead {
-			return 0, errHead
-		}
+	switch {
+	case end > maxHead || end < 0 && len(buffered) >= maxHead+len(headEnd):
+		return 0, errHead
+	case end < 0:
 		return 0, nil
 	}
 	end += len(headEnd)
-	if err := a.head.Read(bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)); err != nil {
+	reader := bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)
+	if err := a.head.Read(reader); err != nil {
 		return 0, errors.Mark(err, errHead)
 	}
+	if reader.Buffered() > 0 { // a blank line without CR LF: the bytes behind it would belong to no message
+		return 0, errHead
+	}
 	if a.head.StatusCode() < fasthttp.StatusOK {
 		a.head.Reset()
 		return end, nil
