Close a caller's connection once it has taken its last answer

Seen by callers of a lobby: an answer cut off with a reset, on a connection that closes after it (Connection: close, or a drain), if the caller sends anything while it reads: a stray line end, or its next request. Cause: close closed the connection at once if nothing was left in the process's own buffers. What the kernel still held was dropped when a byte arrived: bytes that arrive on a closed connection reset it. Evidence: before, TestBytesBehindTheLastRequestCostNoAnswer failed in 3 of 6 cases, twice of two: "14342 of 409600 bytes, read: connection reset by peer" (line end; request; request in a drain). Change: close ends the connection in its own direction at once, and waits for the caller's end until the caller has acknowledged all, within the bound that there was. Connections that wait so are the first to be closed for others when descriptors run out; those that are displaced are closed at once, as before.

--- a/lobby/proxy/admission.go
+++ b/lobby/proxy/admission.go
@@ -16,6 +16,7 @@
 type waitingCallers struct {
 	idle      list.List    // no byte of a request has arrived
 	receiving list.List    // a request has arrived in part
+	closing   list.List    // no request is taken any more, the caller's end is awaited
 	arriving  atomic.Int64 // length of receiving, which any thread may read
 }
 
@@ -72,7 +73,7 @@
 func (p *Proxy) closeIdle(now time.Time, age time.Duration) bool {
 	if c := longest(now, &p.waiting.idle, age); c != nil {
 		p.stats.closed.Inc()
-		c.close()
+		c.closeNow()
 		return true
 	}
 	if b := p.longestIdleBackend(now, age); b != nil {
@@ -83,16 +84,23 @@
 	return false
 }
 
-// closeLongest closes the connection that has been idle for longest, or refuses the
-// request that began to arrive even before. It reports whether there was one.
+// closeLongest closes the connection that has awaited its caller's end for longest, else
+// that which has been idle for longest, or refuses the request that began to arrive even
+// before. It reports whether there was one.
 func (p *Proxy) closeLongest(now time.Time) bool {
+	if c := longest(now, &p.waiting.closing, 0); c != nil {
+		p.stats.closed.Inc()
+		c.closeNow()
+		return true
+	}
 	partial, idle := longest(now, &p.waiting.receiving, 0), longest(now, &p.waiting.idle, 0)
 	if partial == nil || idle != nil && idle.since.Before(partial.since) {
 		return p.closeIdle(now, 0) || p.closeUnread(now)
 	}
 	p.stats.closed.Inc()
 	p.causes.RecordFragment(now, httpserver.Displaced, partial.address, partial.fragment())
-	partial.refuseUnread(fasthttp.StatusServiceUnavailable, overloadRetryAfter)
+	partial.refuseUnread(now, fasthttp.StatusServiceUnavailable, overloadRetryAfter)
+	partial.closeNow()
 	return true
 }
 
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -20,7 +20,7 @@
 	reader           *httpserver.RequestReader // of the request that arrives, nil before its first byte
 	continueSent     bool
 	receiving        bool      // a request has arrived in part
-	since            time.Time // end of the last request, or arrival of the first byte of the current one
+	since            time.Time // end of the last request, arrival of the first byte of the current one, or start of the wait for the caller's end
 	lastByte         time.Time // arrival of the last byte of the current request
 	wire             int64     // bytes that have arrived since its first byte
 	closeAfterAnswer bool
@@ -125,7 +125,7 @@
 	c.flooded, c.closeAfterAnswer = true, true
 	c.buffer.Clear()
 	if c.exchange == nil {
-		c.close()
+		c.close(now)
 	}
 }
 
@@ -180,15 +180,15 @@
 		c.proxy.stats.noRoom.Inc()
 	}
 	c.proxy.causes.RecordFragment(now, httpserver.CauseOf(refusal), c.address, c.fragment())
-	c.refuseUnread(refusal.Status(), retryAfter)
+	c.refuseUnread(now, refusal.Status(), retryAfter)
 }
 
 // refuseUnread answers a request that has not been read to its end and closes the
 // connection.
-func (c *callerConn) refuseUnread(status int, retryAfter time.Duration) {
+func (c *callerConn) refuseUnread(now time.Time, status int, retryAfter time.Duration) {
 	c.releaseReader()
 	c.write(c.proxy.refusalHead(status, retryAfter))
-	c.close()
+	c.close(now)
 }
 
 // fragment returns the part of the request that has arrived.
@@ -211,7 +211,7 @@
 	switch {
 	case c.closed:
 	case c.closeAfterAnswer:
-		c.close()
+		c.close(now)
 	default:
 		c.proxy.waiting.move(c, &c.proxy.waiting.idle)
 	}
--- a/lobby/proxy/callerconn_test.go
+++ b/lobby/proxy/callerconn_test.go
@@ -220,3 +220,57 @@
 		}
 	}
 }
+
+// TestBytesBehindTheLastRequestCostNoAnswer guards against answers that are cut off since the
+// caller sends something while it reads them: a closed connection is reset then.
+func TestBytesBehindTheLastRequestCostNoAnswer(t *testing.T) {
+	cases := map[string]struct {
+		size  int
+		drain bool
+		sent  string
+	}{
+		"line end":                 {size: 400 << 10, sent: "\r\n"},
+		"request":                  {size: 400 << 10, sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"line end, small answer":   {size: 1 << 10, sent: "\r\n"},
+		"line end, large answer":   {size: 3 << 20, sent: "\r\n"},
+		"request, drain":           {size: 400 << 10, drain: true, sent: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"nothing but a late start": {size: 400 << 10},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, fixedLengthAnswer(id, strings.Repeat("x", tc.size)))
+				return true
+			})
+			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+			headers := "Connection: close\r\n"
+			if tc.drain {
+				l.proxy.Drain(time.Now())
+				headers = ""
+			}
+			conn := testkit.DialEthernet(t, l.address)
+			if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+				t.Fatal(err)
+			}
+			writeRequests(t, conn, tc.size, 1, headers)
+			<-l.ended
+			reader := bufio.NewReader(conn)
+			if _, err := reader.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond) // the lobby closes the connection
+			if _, err := io.WriteString(conn, tc.sent); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond) // what was sent arrives
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(response.Body); err != nil || len(body) != tc.size {
+				t.Errorf("%d of %d bytes, %v", len(body), tc.size, err)
+			}
+		})
+	}
+}
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -191,7 +191,7 @@
 func (e *exchange) refuse(now time.Time, status int, retryAfter time.Duration) {
 	e.cancelSend()
 	if e.started {
-		e.breakOff()
+		e.breakOff(now)
 		e.proxy.closeExchange(now, e)
 		return
 	}
@@ -203,9 +203,9 @@
 // breakOff ends an answer of which a part has been forwarded, so that it does not look
 // complete: without the last chunk, or with a reset if the end of the connection would
 // complete it.
-func (e *exchange) breakOff() {
+func (e *exchange) breakOff(now time.Time) {
 	if e.chunked {
-		e.caller.close()
+		e.caller.close(now)
 		return
 	}
 	e.caller.abort()
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -79,23 +79,35 @@
 	}
 }
 
-// close takes no further request and closes the connection once all that was written has
-// been sent. If bytes are left in either direction, that happens in the next sweeps.
-func (c *callerConn) close() {
+// close takes no further request and closes the connection once the caller has taken all
+// that was written. If bytes are left in either direction, that happens in the next sweeps.
+func (c *callerConn) close(now time.Time) {
 	if c.closed {
 		return
 	}
 	c.halfClose()
-	if c.conn.OutboundBuffered() == 0 && c.buffer.Len() == 0 {
-		_ = c.conn.Close()
+	switch {
+	case c.conn.OutboundBuffered() > 0:
+	case c.buffer.Len() > 0 || httpserver.Unacknowledged(c.conn.Fd()) > 0:
+		c.endSending(now)
+	default:
+		c.closeNow()
 	}
 }
 
+// closeNow closes the connection, although the caller may not have taken all that was
+// written.
+func (c *callerConn) closeNow() {
+	c.closed = true
+	c.proxy.waiting.move(c, nil)
+	_ = c.conn.Close()
+}
+
 // halfClose takes no further request and leaves the end of the connection to the next
 // sweeps, since the caller may still send.
 func (c *callerConn) halfClose() {
 	c.closed = true
-	c.proxy.waiting.move(c, nil)
+	c.proxy.waiting.move(c, &c.proxy.waiting.closing)
 }
 
 // abort closes the connection at once with a reset, so that nobody takes what has been
@@ -147,7 +159,7 @@
 	case c.receiving && c.arrival().Late(now, limits.ReadTimeout(), c.proxy.config.MinUpload):
 		c.reject(now, httpserver.ErrSlowSender)
 	case !c.receiving && (age > limits.IdleTimeout() || c.proxy.closesIdle(now)):
-		c.close()
+		c.close(now)
 	}
 }
 
@@ -161,17 +173,22 @@
 }
 
 // finishClose ends the connection in its own direction once all bytes have been sent, and
-// waits for the caller's end: a close with bytes unread is a reset, which can cost the
-// caller the end of its answer.
+// waits for the caller's end, or until it has taken all: bytes that arrive on a closed
+// connection cause a reset, which can cost the caller the end of its answer.
 func (c *callerConn) finishClose(now time.Time, unsent int) {
 	switch {
 	case unsent > 0:
 	case c.lingerSince.IsZero():
-		c.lingerSince = now
-		if err := unix.Shutdown(c.conn.Fd(), unix.SHUT_WR); err != nil {
-			_ = c.conn.Close()
-		}
-	case now.Sub(c.lingerSince) > lingerTimeout || now.Sub(c.since) > c.proxy.limits.Load().ReadTimeout()+lingerTimeout:
-		_ = c.conn.Close()
+		c.endSending(now)
+	case now.Sub(c.lingerSince) > lingerTimeout && httpserver.Unacknowledged(c.conn.Fd()) == 0, now.Sub(c.since) > c.proxy.limits.Load().ReadTimeout()+lingerTimeout:
+		c.closeNow()
+	}
+}
+
+// endSending ends the connection in its own direction.
+func (c *callerConn) endSending(now time.Time) {
+	c.lingerSince, c.since = now, now
+	if err := unix.Shutdown(c.conn.Fd(), unix.SHUT_WR); err != nil {
+		c.closeNow()
 	}
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -276,7 +276,7 @@
 	}
 	switch c := conn.Context().(type) {
 	case *callerConn:
-		c.close()
+		c.close(time.Now())
 	case *backendConn:
 		c.fail(errors.Newf("panic: %v", cause))
 	}
--- a/lobby/proxy/room.go
+++ b/lobby/proxy/room.go
@@ -90,12 +90,13 @@
 		if s.proxy.config.Memory.Admit(customer, bytes) {
 			return true
 		}
-		slowest := s.proxy.slowestSender(time.Now())
+		now := time.Now()
+		slowest := s.proxy.slowestSender(now)
 		if slowest == nil {
 			return false
 		}
-		s.proxy.causes.Record(time.Now(), httpserver.SlowSender, slowest.address)
-		slowest.refuseUnread(fasthttp.StatusServiceUnavailable, overloadRetryAfter)
+		s.proxy.causes.Record(now, httpserver.SlowSender, slowest.address)
+		slowest.refuseUnread(now, fasthttp.StatusServiceUnavailable, overloadRetryAfter)
 	}
 }
 
