Refuse no request for room while it is read itself

Seen by callers of a lobby: 503 for want of room that does not end, once senders had paused for a second beside a full account; "panic on the event loop" in the log. Cause: recorded the arrival of a byte behind the read. A read that finds no room refuses the request that has arrived for longest with a pause of a second: that could be the request itself. Its reader was given up and then charged all the same, for good, and used (nil pointer). Change: the arrival is recorded before the read. After: it passes; so do the tests of bodies in pieces and slow senders.

--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -75,6 +75,7 @@
 		if c.reader == nil {
 			c.reader = c.proxy.newRequestReader()
 		}
+		c.lastByte = now // before the read, which may refuse a request that has paused
 		used, err := c.reader.Read(buffered)
 		c.arrivedAt(now, len(buffered)-used)
 		if err != nil {
@@ -97,11 +98,7 @@
 // arrivedAt records that bytes of a request have arrived, of which some are left unread. The
 // first one begins the wait for the rest.
 func (c *callerConn) arrivedAt(now time.Time, unread int) {
-	if !c.reader.Begun() {
-		return
-	}
-	c.lastByte = now
-	if !c.receiving {
+	if c.reader.Begun() && !c.receiving {
 		c.receiving, c.since, c.wire = true, now, c.reader.Taken()+int64(unread)
 		c.proxy.waiting.move(c, &c.proxy.waiting.receiving)
 	}
--- a/lobby/proxy/memory_test.go
+++ b/lobby/proxy/memory_test.go
@@ -213,3 +213,30 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapInuse)
 }
+
+// TestSenderThatGoesOnIsNotItsOwnRoom guards against a request that is refused, and its reader
+// given up, while a piece of it is read.
+func TestSenderThatGoesOnIsNotItsOwnRoom(t *testing.T) {
+	const limit = 4 << 20
+	account := memory.NewBudgetOf(limit)
+	l := newLobbyWith(t, proxy.Config{Memory: account}, func(*scheduler.SendConfig) {})
+	conn := dial(t, l.address)
+	if _, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(strings.Repeat("x", 100<<10))); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1200 * time.Millisecond) // a pause after which a request may be refused for another one
+	others := limit - account.Total() - 100<<10
+	account.Charge("other", others)
+	if _, err := io.WriteString(conn, chunk(strings.Repeat("x", 900<<10))); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if diff := cmp.Diff(http.StatusServiceUnavailable, response.StatusCode); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	_ = conn.Close()
+	awaitCount(t, "bytes held", int(others), func() int { return int(account.Total()) })
+}
