Hold no stop for requests that it refuses

Seen by operators: a stop that lasts until its close period, as long as callers send (7.53 s instead of 2.92 s at a lobby with a grace of 8 s and one caller whose requests come in two pieces; 14.58 s instead of 1.42 s at an entry with a limit of 15 s and three callers). Seen by callers: requests that begin in the last 200 ms of a stop get no answer, 5 of 5. Cause: waited for whatever request was arriving, also for those that began when none was accepted any more, and refused them only at the close period. Change: once no request is accepted, those that have arrived in part are refused, and later ones at their first part. That is a lobby's proxy by its accept period, an entry's server from the start of its drain. The refusal at the close period is gone. TestDrainWaitsForNoRequestThatItRefuses does not compile before; its cases wait 10 s for an answer that the proxy alone never gave.

--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -68,6 +68,10 @@
 	if request == nil {
 		fragment := NewFragment(FragmentConfig{Wire: c.wire, Reader: c.reader, Unread: c.unread.Len()})
 		c.fragment.Store(&fragment)
+		if c.partial.Load() && c.server.draining.Load() {
+			c.refuseUnread(now, errStopping, Stopping)
+			return gnet.None
+		}
 		c.answerExpect()
 		return gnet.None
 	}
--- a/commons/httpserver/conn_test.go
+++ b/commons/httpserver/conn_test.go
@@ -102,7 +102,7 @@
 	first, rest := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe", "llo"
 	delivered := outcome{Delivered: 1}
 	tick := func(s *httpserver.Server) { s.OnTick() }
-	stop := func(s *httpserver.Server) { s.Close() }
+	stop := func(s *httpserver.Server) { s.Drain(time.Now()) }
 	displace := func(s *httpserver.Server) { s.OnOpen(&fakeSocket{}) }
 	cases := map[string]struct {
 		first   string
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -64,7 +64,7 @@
 	conns     sync.Map // *conn to struct{}
 	openConns atomic.Int64
 	unsent    atomic.Int64 // connections with bytes that have not left the process
-	closing   atomic.Bool  // requests that arrive are refused: the process stops
+	draining  atomic.Bool  // requests are refused before they have arrived whole
 	makesRoom atomic.Bool  // an event loop closes idle connections
 	sheds     atomic.Bool  // an event loop closes the connections that hold most
 	causes    *Causes
@@ -94,19 +94,12 @@
 
 // Pending returns the number of connections without an open call that are owed an answer: a
 // request has arrived in part, or bytes that were written have not left the process.
-func (s *Server) Pending() int {
-	pending := int(s.unsent.Load())
-	if !s.closing.Load() {
-		pending += len(s.arriving())
-	}
-	return pending
-}
+func (s *Server) Pending() int { return int(s.unsent.Load()) + len(s.arriving()) }
 
-// Close refuses the requests that have arrived in part. It does not wait for those that
-// begin to arrive afterwards.
-func (s *Server) Close() {
-	s.closing.Store(true)
-	now := time.Now()
+// Drain refuses the requests that have arrived in part, and later ones as soon as a part of
+// them has arrived. Those that arrive whole are delivered.
+func (s *Server) Drain(now time.Time) {
+	s.draining.Store(true)
 	for _, c := range s.arriving() {
 		c.refuseArriving(now, errStopping, Stopping)
 	}
--- a/commons/supervisor/run.go
+++ b/commons/supervisor/run.go
@@ -85,8 +85,7 @@
 
 // Closer is implemented by roots that can end open requests with an answer.
 type Closer interface {
-	// Close ends all requests, open or arriving, with an answer that says that the process
-	// stops.
+	// Close ends all open requests with an answer that says that the process stops.
 	// It must not block, and may be called several times.
 	Close()
 }
@@ -94,8 +93,8 @@
 // Answerer is implemented by roots that answer callers.
 type Answerer interface {
 	// Pending returns the number of callers who are owed an answer although their request
-	// is not open: it has not arrived whole, or its answer has not left the process
-	// completely.
+	// is not open: it has arrived in part and has not been refused, or its answer has not
+	// left the process completely.
 	Pending() int
 }
 
--- a/commons/supervisor/stop.go
+++ b/commons/supervisor/stop.go
@@ -69,7 +69,7 @@
 // Actions. Those for open work are idempotent.
 const (
 	startDrain stopAction = iota
-	closeOpen             // end requests with an answer
+	closeOpen             // end open requests with an answer
 	reload                // read the settings again
 	ignoreSignal
 	exit
--- a/entry/process.go
+++ b/entry/process.go
@@ -320,6 +320,7 @@
 	if err := p.frontend.Drain(ctx, drainPutTimeout); err != nil {
 		return nil, err
 	}
+	p.server.Drain(time.Now())
 	return p.drained, p.limiter.Drain(ctx, drainPutTimeout)
 }
 
@@ -327,11 +328,8 @@
 // open.
 func (p *process) Pending() int { return p.server.Pending() }
 
-// Close ends all calls, open or arriving, with an answer.
-func (p *process) Close() {
-	p.frontend.Close()
-	p.server.Close()
-}
+// Close ends all open calls with an answer.
+func (p *process) Close() { p.frontend.Close() }
 
 // Ready returns nil while the entry accepts requests, else the reason why not.
 func (p *process) Ready() error { return p.frontend.Ready(time.Now()) }
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -200,6 +200,7 @@
 		Dialers:      settings.Integer("porch", "dialers"),
 		Descriptors:  limit,
 		StallTimeout: stallTimeout,
+		AcceptPeriod: stopSchedule(settings).AcceptPeriod(),
 		MinUpload:    settings.Bytes("porch", "min-upload"),
 		Memory:       memory.NewBudget(settings.Bytes("process", "memory")),
 		Codec:        platform.HeaderCodec{},
@@ -248,11 +249,8 @@
 	Open          int   `json:"open"`
 }
 
-// Close ends all requests, open or arriving, with an answer.
-func (p *process) Close() {
-	p.mediator.notifyScheduler(scheduler.Closing{})
-	p.mediator.proxy.Close()
-}
+// Close ends all open requests with an answer.
+func (p *process) Close() { p.mediator.notifyScheduler(scheduler.Closing{}) }
 
 // Pending returns the number of callers who are owed an answer although their request is
 // not open.
--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/valyala/fasthttp"
 
-	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -22,9 +20,6 @@
 // sweep makes the event loop check for timeouts.
 type sweep struct{}
 
-// closeArriving makes the event loop refuse the requests that have arrived in part.
-type closeArriving struct{}
-
 // Put queues an action for the event loop.
 func (p *Proxy) Put(action any) error {
 	if err := p.inbox.Put(action); err != nil {
@@ -87,21 +82,15 @@
 			p.budget.Exhausted(now, p.openConnections())
 		}
 		a.pool.dialFailed()
-	case closeArriving:
-		p.closeArriving(now)
 	case sweep:
 		p.sweep(now)
 	}
 }
 
-// closeArriving refuses the requests that have arrived in part: the process stops.
-func (p *Proxy) closeArriving(now time.Time) {
+// refuseArriving refuses the requests that have arrived in part.
+func (p *Proxy) refuseArriving(now time.Time) {
 	for element := p.waiting.receiving.Front(); element != nil; element = p.waiting.receiving.Front() {
-		c := element.Value.(*callerConn)
-		p.causes.RecordFragment(now, httpserver.Stopping, c.address, c.fragment())
-		c.releaseReader()
-		c.write(p.refusalHead(fasthttp.StatusServiceUnavailable, overloadRetryAfter))
-		c.halfClose()
+		element.Value.(*callerConn).refuseArriving(now)
 	}
 }
 
@@ -137,6 +126,9 @@
 }
 
 func (p *Proxy) sweep(now time.Time) {
+	if !p.accepts(now) {
+		p.refuseArriving(now)
+	}
 	for c := range p.callers {
 		c.sweep(now)
 	}
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -84,7 +84,7 @@
 		}
 		c.buffer.Discard(used)
 		if c.reader.Request() == nil {
-			c.answerExpect()
+			c.awaitRest(now)
 			return
 		}
 		reader := c.reader
@@ -134,6 +134,25 @@
 	}
 }
 
+// awaitRest waits for the rest of a request that has arrived in part, unless it would be
+// refused anyway.
+func (c *callerConn) awaitRest(now time.Time) {
+	if c.receiving && !c.proxy.accepts(now) {
+		c.refuseArriving(now)
+		return
+	}
+	c.answerExpect()
+}
+
+// refuseArriving refuses a request that has arrived in part, since the process stops. The
+// caller may still send: it closes the connection.
+func (c *callerConn) refuseArriving(now time.Time) {
+	c.proxy.causes.RecordFragment(now, httpserver.Stopping, c.address, c.fragment())
+	c.releaseReader()
+	c.write(c.proxy.refusalHead(fasthttp.StatusServiceUnavailable, overloadRetryAfter))
+	c.halfClose()
+}
+
 // answerExpect sends an interim answer to a caller that expects one before it sends the
 // body.
 func (c *callerConn) answerExpect() {
--- a/lobby/proxy/pieces_test.go
+++ b/lobby/proxy/pieces_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sesamewell.example/commons/testkit"
+	"sesamewell.example/lobby/proxy"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -111,3 +112,45 @@
 		})
 	}
 }
+
+// TestDrainWaitsForNoRequestThatItRefuses guards against a stop that is held up by requests
+// which begin to arrive when none is accepted any more.
+func TestDrainWaitsForNoRequestThatItRefuses(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+	cases := map[string]struct {
+		acceptPeriod time.Duration
+		before       string // sent before the drain
+		after        string // sent after the accept period
+	}{
+		"begun before":         {acceptPeriod: 50 * time.Millisecond, before: head + "h"},
+		"head begun before":    {acceptPeriod: 50 * time.Millisecond, before: "POST /a HTTP/1.1\r\n"},
+		"begun after":          {acceptPeriod: time.Nanosecond, after: head + "h"},
+		"head begun after":     {acceptPeriod: time.Nanosecond, after: "POST /a HTTP/1.1\r\n"},
+		"begun after a pause":  {acceptPeriod: 50 * time.Millisecond, before: "\r\n", after: head},
+		"interim answer asked": {acceptPeriod: time.Nanosecond, after: "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newLobbyWith(t, proxy.Config{AcceptPeriod: tc.acceptPeriod}, func(*scheduler.SendConfig) {})
+			conn := dial(t, l.address)
+			if _, err := io.WriteString(conn, tc.before); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond) // the lobby reads it
+			l.proxy.Drain(time.Now())
+			time.Sleep(tc.acceptPeriod + time.Millisecond)
+			if _, err := io.WriteString(conn, tc.after); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if diff := cmp.Diff(http.StatusServiceUnavailable, response.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			awaitCount(t, "callers that are owed an answer", 0, l.proxy.Pending)
+		})
+	}
+}
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -76,7 +76,8 @@
 	// StallTimeout is the time after which the connection of a caller is closed that
 	// takes no byte of its answer.
 	StallTimeout time.Duration
-	MinUpload    int64 // bytes a second at which a body has to arrive beyond the time limit of its head; none if zero
+	AcceptPeriod time.Duration // time from the start of a drain for which requests are accepted
+	MinUpload    int64         // bytes a second at which a body has to arrive beyond the time limit of its head; none if zero
 	Codec        Codec
 	Dial         Dial
 	Scheduler    Inbox
@@ -96,7 +97,6 @@
 	run         atomic.Pointer[loopRun] // nil before the first one
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
-	closing     atomic.Bool               // requests that arrive are refused: the process stops
 	open        atomic.Int64              // number of exchanges
 	unsent      atomic.Int64              // callers' connections with bytes that have not left the process
 
@@ -163,23 +163,7 @@
 // Pending returns the number of callers' connections without an open request that are owed
 // an answer: a request has arrived in part, or bytes that were written have not left the
 // process. It is safe to call from any thread.
-func (p *Proxy) Pending() int {
-	pending := p.unsent.Load()
-	if !p.closing.Load() {
-		pending += p.waiting.arriving.Load()
-	}
-	return int(pending)
-}
-
-// Close refuses the requests that have arrived in part. It does not wait for those that
-// begin to arrive afterwards. It is safe to call from any thread, and may be called several
-// times.
-func (p *Proxy) Close() {
-	p.closing.Store(true)
-	if err := p.Put(closeArriving{}); err != nil {
-		p.config.Log.WithField("event", "drain").WithError(err).Warn("requests that arrive not refused yet: inbox of the event loop full")
-	}
-}
+func (p *Proxy) Pending() int { return int(p.waiting.arriving.Load() + p.unsent.Load()) }
 
 // String returns the thread's name, which supervision events carry.
 func (p *Proxy) String() string { return "porch" }
@@ -352,6 +336,12 @@
 	}
 }
 
+// accepts reports whether a request that arrives whole now would be accepted.
+func (p *Proxy) accepts(now time.Time) bool {
+	from := p.drainStart.Load()
+	return from == nil || now.Sub(*from) < p.config.AcceptPeriod
+}
+
 // closesIdle reports whether the drain has reached the point at which idle callers'
 // connections are closed.
 func (p *Proxy) closesIdle(now time.Time) bool {
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -119,6 +119,9 @@
 	if config.Memory == nil {
 		config.Memory = memory.NewBudgetOf(testMemory)
 	}
+	if config.AcceptPeriod == 0 {
+		config.AcceptPeriod = testTimeout
+	}
 	if config.StallTimeout == 0 {
 		config.StallTimeout = testTimeout
 	}
