Serve connections that are opened while a lobby drains

Seen by callers: a connection cut within 150 ms after it was opened, in the period in which a lobby that stops still accepts requests (6 of 15 requests sent 60 ms after connecting). Cause: idle connections are closed from 1 s after the start of the drain on, whatever their own age. Evidence: TestDrainServesFreshConnections failed: unexpected EOF. Change: the idle time of the connection counts too. After: it passes.

--- a/lobby/proxy/constants.go
+++ b/lobby/proxy/constants.go
@@ -9,7 +9,7 @@
 	// overloadRetryAfter is the retry delay in refusals when the scheduler's inbox is
 	// full.
 	overloadRetryAfter = 300 * time.Millisecond
-	idleCloseDelay     = time.Second      // time from the start of a drain until idle callers' connections are closed
+	idleCloseDelay     = time.Second      // idle time in a drain after which a caller's connection is closed
 	maxFreshIdle       = time.Second      // longest idle time of a connection for a request that must not run twice
 	defaultIdle        = 4 * time.Second  // idle timeout of a connection to a backend server that announces none
 	idleMargin         = time.Second      // time by which a connection is closed before the backend server would close it
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -158,7 +158,7 @@
 	switch {
 	case c.receiving && c.arrival().Late(now, limits.ReadTimeout(), c.proxy.config.MinUpload):
 		c.reject(now, httpserver.ErrSlowSender)
-	case !c.receiving && (age > limits.IdleTimeout() || c.proxy.closesIdle(now)):
+	case !c.receiving && (age > limits.IdleTimeout() || c.proxy.closesIdle(now, c.since)):
 		c.close(now)
 	}
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -342,9 +342,9 @@
 	return from == nil || now.Sub(*from) < p.config.AcceptPeriod
 }
 
-// closesIdle reports whether the drain has reached the point at which idle callers'
-// connections are closed.
-func (p *Proxy) closesIdle(now time.Time) bool {
+// closesIdle reports whether the drain has reached the point at which a caller's connection
+// is closed that has been idle since a time.
+func (p *Proxy) closesIdle(now, since time.Time) bool {
 	from := p.drainStart.Load()
-	return from != nil && now.Sub(*from) > idleCloseDelay
+	return from != nil && min(now.Sub(*from), now.Sub(since)) > idleCloseDelay
 }
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -721,6 +721,28 @@
 
 // BenchmarkEvents forwards streams of 1,000 events. Time and allocations are those
 // of the proxy, the fake backend server and the caller together.
+// TestDrainServesFreshConnections guards against callers that are cut off just after they
+// have connected, in the period in which requests are accepted.
+func TestDrainServesFreshConnections(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+		_, _ = io.WriteString(conn, fixedLengthAnswer(id, "ok"))
+		return true
+	})
+	l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+	old := dial(t, l.address)
+	l.proxy.Drain(time.Now().Add(-2 * time.Second))
+	if _, err := old.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("idle since before the drain: %v, want its end", err)
+	}
+	for range 5 {
+		conn := dial(t, l.address)
+		time.Sleep(200 * time.Millisecond) // longer than the time between two sweeps
+		if _, _, err := exchange(t, conn, bufio.NewReader(conn), "r"); err != nil {
+			t.Errorf("request on a fresh connection: %v", err)
+		}
+	}
+}
+
 func BenchmarkEvents(b *testing.B) {
 	const events = 1000
 	text := []byte(chunk("id: 1\ndata: 0123456789012345678901234567890\n\n"))
