Limit what a process keeps of the messages of another

Seen: a process of the system that writes without end to an RPC port, or replies without end, makes the other one keep what it sends: gob reads messages of up to 1 GiB whole, and net/rpc runs as many calls of a connection as arrive, whether their replies are read or not. Change: the length of a message is looked at before it is read; beyond 4 MiB (replies too; [desk] max-message, 8 MiB, at a side; 16 MiB for the fleet state from a peer) the connection is closed, also beyond 256 KiB of definitions of types. A server runs 64 calls of a connection at once and reads the next after one of them; the bytes of calls that are not answered are in an account of two messages, shared by the hosts of the peers. An entry splits its batches at 2 MiB of bodies, so that no sound batch is too long: without that, 256 bodies of 4 MiB could have made one of 1 GiB. A side gets [process] memory, as an entry has. The cases measure memory, so that the Makefile runs them apart, by the pattern Endless. Ruled out: a decoder of our own; two versions have to understand each other. Left: an idle connection keeps the buffer of its last message (gob), of the size of one message at most.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # APART are the tests that measure memory: they run one after the other, after all others.
 # SKIP is the pattern of the tests that are skipped.
-APART := UntrustedClients
+APART := UntrustedClients|Endless
 
 test:
 	@failed=0; \
--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -76,6 +76,8 @@
 
 var sideSettings = []SettingConfig{
 	{Section: "desk", Key: "listen", Kind: Address, Required: true, Doc: "address for entries and other sides"},
+	{Section: "process", Key: "memory", Kind: Bytes, Default: "0", Min: "0", Max: "1024GiB", Doc: "memory that the process may use; 0 for as much as the machine has"},
+	{Section: "desk", Key: "max-message", Kind: Bytes, Default: "8MiB", Min: "64KiB", Max: "256MiB", Doc: "largest message of another process; more than [gate] max-body of any entry, and than 3MiB. Twice as many bytes may be in calls that have not been answered"},
 	{Section: "desk", Key: "linger", Kind: Duration, Default: "2ms", Min: "0s", Max: "100ms", Doc: "time for which answers are gathered before they are sent"},
 	{Section: "foyer", Key: "inbox", Kind: Integer, Default: "16384", Min: "16", Max: "1000000", Doc: "capacity of the foyer's ring, in messages"},
 	{Section: "foyer", Key: "queue", Kind: Integer, Default: "256", Min: "0", Max: "100000", Doc: "requests that may wait for the backend server"},
--- a/commons/peerrpc/client.go
+++ b/commons/peerrpc/client.go
@@ -21,6 +21,7 @@
 	Address     string // IP:port of the peer
 	DialTimeout time.Duration
 	Identity    *Identity // nil for a plain-text connection, on loopback only
+	MaxMessage  int64     // maximum size of a reply in bytes; DefaultMaxMessage if zero
 }
 
 // Client calls one peer process over one connection. It dials on demand and
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", c.config.Address), ErrDial)
 	}
-	c.client = rpc.NewClient(secured)
+	c.client = rpc.NewClient(limitedConn{messageReader: newMessageReader(secured, c.config.MaxMessage, nil), WriteCloser: secured})
 	return c.client, nil
 }
 
--- a/commons/peerrpc/peerrpc_test.go
+++ b/commons/peerrpc/peerrpc_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,13 +41,16 @@
 
 // startServer starts a server and returns its address.
 func startServer(t *testing.T, identity *peerrpc.Identity) string {
+	t.Helper()
+	return startServerWith(t, peerrpc.ServerConfig{Identity: identity})
+}
+
+func startServerWith(t *testing.T, config peerrpc.ServerConfig) string {
 	t.Helper()
 	address := testkit.FreeAddress(t)
-	log := testkit.DiscardLog()
-	server := peerrpc.NewServer(peerrpc.ServerConfig{
-		Address: address, Identity: identity, Log: log,
-		Services: []peerrpc.Service{{Name: "Echo", Receiver: Echo{}}},
-	})
+	config.Address, config.Log = address, testkit.DiscardLog()
+	config.Services = []peerrpc.Service{{Name: "Echo", Receiver: Echo{}}}
+	server := peerrpc.NewServer(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Serve(ctx) }()
@@ -152,3 +157,57 @@
 		client.Close()
 	}
 }
+
+// TestLongMessagesAreNotRead guards against a process that keeps what a peer sends without
+// end: a call or a reply beyond the limit ends its connection, the next call finds a new one.
+func TestLongMessagesAreNotRead(t *testing.T) {
+	const limit, overhead = 64 << 10, 64 // bytes
+	cases := map[string]struct {
+		server, client int64 // limits
+		length         int
+		want           bool
+	}{
+		"within both limits": {server: limit, client: limit, length: limit - overhead, want: true},
+		"long call":          {server: limit, client: 2 * limit, length: limit + 1},
+		"long reply":         {server: 2 * limit, client: limit, length: limit + 1},
+		"default limits":     {length: peerrpc.DefaultMaxMessage - overhead, want: true},
+		"beyond the default": {length: peerrpc.DefaultMaxMessage + 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := startServerWith(t, peerrpc.ServerConfig{MaxMessage: tc.server})
+			client := peerrpc.NewClient(peerrpc.ClientConfig{Address: address, DialTimeout: time.Second, MaxMessage: tc.client})
+			defer client.Close()
+			for length, want := range map[int]bool{tc.length: tc.want, 1: true} {
+				text, got := strings.Repeat("x", length), ""
+				err := client.Call("Echo.Say", text, &got, 5*time.Second)
+				if ok := err == nil && got == text; ok != want {
+					t.Errorf("%d bytes: %d bytes back, %v", length, len(got), err)
+				}
+			}
+		})
+	}
+}
+
+// TestMessagesThatAreNoGobEndTheConnection plays the starts of messages that a decoder
+// would wait for or keep.
+func TestMessagesThatAreNoGobEndTheConnection(t *testing.T) {
+	definition := "\xfe\x01\x04\xff\x83" + strings.Repeat("x", 0x102) // of a type, by its negative ID
+	cases := map[string]string{
+		"longest length of gob": "\xfc\x3f\xff\xff\xff",
+		"absurd length":         "\xf8\xff\xff\xff\xff\xff\xff\xff\xff",
+		"length of nine bytes":  "\xf7\x01",
+		"definitions":           strings.Repeat(definition, 2048),
+	}
+	for name, message := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", startServer(t, nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			go func() { _, _ = io.WriteString(conn, message) }()
+			_, _ = io.Copy(io.Discard, conn) // returns at the end of the connection
+		})
+	}
+}
--- a/commons/peerrpc/server.go
+++ b/commons/peerrpc/server.go
@@ -3,6 +3,7 @@
 package peerrpc
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/rpc"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/descriptors"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/supervisor"
 )
 
@@ -23,6 +25,9 @@
 	maxAcceptPause = time.Second
 )
 
+// heldMessages is the number of messages of the maximum size that calls may hold by default.
+const heldMessages = 2
+
 // Service is a receiver whose methods peers may call.
 type Service struct {
 	Name     string // service name in net/rpc
@@ -35,6 +40,9 @@
 	Services []Service
 	Identity *Identity // nil for plain-text connections, on loopback only
 	Log      *logrus.Entry
+
+	MaxMessage int64 // maximum size of a message of a peer in bytes; DefaultMaxMessage if zero
+	MaxHeld    int64 // maximum number of bytes of calls that are being read or run, over all peers; two messages if zero
 }
 
 // Server accepts connections from other processes and serves their calls.
@@ -63,13 +71,29 @@
 	stop := context.AfterFunc(ctx, tracked.closeAll)
 	defer stop()
 	defer tracked.closeAll()
-	server.Accept(tracked)
+	s.accept(server, tracked)
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	return errors.Newf("listener on %s closed", s.config.Address)
 }
 
+// accept serves connections, each on a goroutine of its own, until the listener fails.
+func (s *Server) accept(server *rpc.Server, listener net.Listener) {
+	account := memory.NewBudgetOf(cmp.Or(s.config.MaxHeld, heldMessages*cmp.Or(s.config.MaxMessage, DefaultMaxMessage)))
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			codec := newServerCodec(conn, s.config, account)
+			server.ServeCodec(codec)
+			codec.end()
+		}()
+	}
+}
+
 // trackedListener records its accepted connections, so that they can be closed
 // together with the listener; net/rpc's server does not close them.
 type trackedListener struct {
@@ -85,7 +109,7 @@
 }
 
 // Accept returns the next connection, wrapped in TLS if there is an identity. While no
-// descriptor is left it waits: net/rpc's server would end with the first error.
+// descriptor is left it waits.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	for pause := minAcceptPause; descriptors.RanOut(err); pause = min(2*pause, maxAcceptPause) {
--- a/commons/statesync/peerclient.go
+++ b/commons/statesync/peerclient.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/fleetstate"
+	"sesamewell.example/commons/httpclient"
 	"sesamewell.example/commons/peerrpc"
 )
 
@@ -61,7 +62,7 @@
 
 // fetch calls one process. The zero snapshot means that it has nothing newer.
 func (c *PeerClient) fetch(address string, from int64) (fleetstate.Snapshot, error) {
-	conn := peerrpc.NewClient(peerrpc.ClientConfig{Address: address, DialTimeout: fetchTimeout, Identity: c.config.Identity})
+	conn := peerrpc.NewClient(peerrpc.ClientConfig{Address: address, DialTimeout: fetchTimeout, Identity: c.config.Identity, MaxMessage: httpclient.DefaultMaxBody})
 	defer conn.Close()
 	var data []byte
 	if err := conn.Call(FetchMethod, from, &data, fetchTimeout); err != nil {
--- a/entry/transport/sender.go
+++ b/entry/transport/sender.go
@@ -54,10 +54,29 @@
 		}
 		items[0] = first
 		n := 1 + s.inbox.Drain(items[1:])
-		if err := s.send(ctx, items[:n]); err != nil {
-			return err
+		for rest := items[:n]; len(rest) > 0; {
+			size := batchSize(rest)
+			if err := s.send(ctx, rest[:size]); err != nil {
+				return err
+			}
+			rest = rest[size:]
+		}
+	}
+}
+
+// batchSize returns the number of items for the next batch: as many as have bodies of
+// maxBatchBytes in all, but at least one.
+func batchSize(items []any) int {
+	bytes := 0
+	for i, item := range items {
+		if submit, ok := item.(protocol.Submit); ok {
+			bytes += len(submit.Body())
+		}
+		if i > 0 && bytes > maxBatchBytes {
+			return i
 		}
 	}
+	return len(items)
 }
 
 // send submits items as one batch and passes the result to the receiver. It
@@ -177,6 +196,7 @@
 
 const (
 	maxBatch        = 256                    // items taken from a ring at once, and so in one batch
+	maxBatchBytes   = 2 << 20                // bytes of the bodies in a batch of several requests
 	maxSendTries    = 3                      // tries to send one batch
 	putTimeout      = 5 * time.Second        // longest wait for room in another thread's ring
 	inboxCapacity   = 16                     // revisions in the pool's ring
--- a/side/process.go
+++ b/side/process.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "[process] secret")
 	}
+	if bytes := settings.Bytes("process", "memory"); bytes > 0 {
+		supervisor.LimitMemory(bytes)
+	}
 	p := &process{
 		supervisor: supervisor.New(supervisor.Config{Name: "side", Log: log}),
 		drained:    make(chan struct{}),
@@ -142,8 +145,10 @@
 			{Name: freshness.Service, Receiver: freshness.NewRPCServer(p.monitor)},
 			{Name: statesync.Service, Receiver: statesync.NewRPCServer(p.syncer)},
 		},
-		Identity: identity,
-		Log:      log,
+		Identity:   identity,
+		Log:        log,
+		MaxMessage: settings.Bytes("desk", "max-message"),
+		MaxHeld:    heldMessages * settings.Bytes("desk", "max-message"),
 	}))
 	return p, nil
 }
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -124,8 +124,10 @@
 	processes         map[string]*process
 	domain            string // failure domain of the instances that are added from then on
 
-	build       string // directory of the programs that are started from then on, below binDir
-	descriptors int    // file descriptors of the processes that are started from then on; zero for no limit
+	withoutSecret bool   // the processes do not prove the fleet's secret on their links
+	keeperPort    string // port of all keepers
+	build         string // directory of the programs that are started from then on, below binDir
+	descriptors   int    // file descriptors of the processes that are started from then on; zero for no limit
 }
 
 // newFleet starts the log service and begins an inventory with the tenants, keys
@@ -224,7 +226,11 @@
 }
 
 func (f *fleet) writeSettings(name, settings string) {
-	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = %s\nsecret = %s\noperator = %s\n%s[platform]\nlog = %s\npoll = 100ms\n%s%s", name, f.domain, fleetSecret, f.operatorAddresses[name], f.processSettings, f.logAddress, f.platformSettings, settings)
+	secret := fleetSecret
+	if f.withoutSecret {
+		secret = ""
+	}
+	text := fmt.Sprintf("[process]\ninstance = %s\ndomain = %s\nsecret = %s\noperator = %s\n%s[platform]\nlog = %s\npoll = 100ms\n%s%s", name, f.domain, secret, f.operatorAddresses[name], f.processSettings, f.logAddress, f.platformSettings, settings)
 	if err := os.WriteFile(filepath.Join(f.dir, name+".ini"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/standin/e2e/untrustedclients_test.go
+++ b/standin/e2e/untrustedclients_test.go
@@ -36,7 +36,7 @@
 // buildPlain builds the programs without the race detector, which multiplies the memory
 // of a process, into a directory of their own.
 var buildPlain = sync.OnceValue(func() error {
-	for program, module := range map[string]string{"sesamewell-lobby": "lobby", "sesamewell-keeper": "keeper", "sesamewell-entry": "entry", "sesamewell-side": "side", "sesamewell-standin": "standin"} {
+	for program, module := range map[string]string{"sesamewell-lobby": "lobby", "sesamewell-keeper": "keeper", "sesamewell-entry": "entry", "sesamewell-side": "side", "sesamewell-standin": "standin", "sesamewell": "sesamewell"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(binDir, plainBuild, program), ".")
 		build.Dir = filepath.Join("..", "..", module)
 		if out, err := build.CombinedOutput(); err != nil {
@@ -138,14 +138,14 @@
 	"tenants":[{"name":"t","api_keys":["` + tenantKey + `"]}]}`
 
 // lobbyAddresses are the addresses at which a lobby is reached.
-type lobbyAddresses struct{ callers, probe, operator string }
+type lobbyAddresses struct{ callers, probe, operator, link string }
 
 // startLobby starts a lobby and waits until it is ready.
 func (f *fleet) startLobby(name, store string) (*process, lobbyAddresses) {
 	f.t.Helper()
-	a := lobbyAddresses{testkit.FreeAddress(f.t), testkit.FreeAddress(f.t), testkit.FreeAddress(f.t)}
+	a := lobbyAddresses{testkit.FreeAddress(f.t), testkit.FreeAddress(f.t), testkit.FreeAddress(f.t), testkit.FreeAddress(f.t)}
 	p := f.startPlain(name, "sesamewell-lobby", fmt.Sprintf("[process]\ninstance = %s\ndomain = a\nmemory = %dMiB\noperator = %s\ndrain-limit = 4s\n[door]\nlisten = %s\n"+
-		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = 7000\n", name, clientMemoryMB, a.operator, testkit.FreeAddress(f.t), store, a.callers, a.probe))
+		"[platform]\nstore = %s\n[porch]\nlisten = %s\nprobe = %s\n[keeper]\nport = %s\n", name, clientMemoryMB, a.operator, a.link, store, a.callers, a.probe, f.keeperPort))
 	f.awaitOK(name, "http://"+a.probe+"/sesamewell/ready")
 	return p, a
 }
@@ -161,7 +161,7 @@
 		t.Fatal(err)
 	}
 	peer := newPeer(t)
-	f := &fleet{t: t, dir: t.TempDir(), build: plainBuild, processes: make(map[string]*process)}
+	f := &fleet{t: t, dir: t.TempDir(), build: plainBuild, processes: make(map[string]*process), keeperPort: "7000"}
 	server := func(service, models string) string {
 		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":400,"state":"ready","sequence":0,"cold_remaining_ms":0,"models":[%s]}`, service, peer, models)
 	}
