Log the last refusals of a process, with the IDs of their requests

Change: what has not been logged is logged when the event loops end; a lobby's lines name the last request if its head has arrived. Test: TestLastRefusalsAreLogged.

--- a/commons/httpserver/causes.go
+++ b/commons/httpserver/causes.go
@@ -50,10 +50,12 @@
 	logged map[Cause]logged
 }
 
-// logged is what has been logged of one cause.
+// logged is what has been logged of one cause, and what has not.
 type logged struct {
-	at    time.Time
-	since int // clients that were counted since
+	at      time.Time
+	since   int           // clients that were counted since
+	last    string        // address of the last one of them
+	details logrus.Fields // of its request
 }
 
 // NewCauses returns counters that log to log.
@@ -71,19 +73,32 @@
 	c.record(now, cause, address, fragment.Fields())
 }
 
+// Flush logs the clients that were counted since the last lines. It is called when the
+// process ends.
+func (c *Causes) Flush(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for cause, l := range c.logged {
+		if l.since > 0 {
+			c.write(now, cause, l)
+		}
+	}
+}
+
 func (c *Causes) record(now time.Time, cause Cause, address string, details logrus.Fields) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_clients_refused_total{cause=%q}", string(cause))).Inc()
 	c.mu.Lock()
-	last := c.logged[cause]
-	last.since++
-	due := now.Sub(last.at) >= logPeriod
-	count := last.since
-	if due {
-		last = logged{at: now}
-	}
-	c.logged[cause] = last
-	c.mu.Unlock()
-	if due {
-		c.log.WithFields(details).WithFields(logrus.Fields{"event": "client_refused", "cause": string(cause), "clients": count, "last": address}).Warn("clients refused or their connections closed")
+	defer c.mu.Unlock()
+	l := c.logged[cause]
+	l.since, l.last, l.details = l.since+1, address, details
+	c.logged[cause] = l
+	if now.Sub(l.at) >= logPeriod {
+		c.write(now, cause, l)
 	}
 }
+
+// write logs what has not been logged of a cause. The log does not block.
+func (c *Causes) write(now time.Time, cause Cause, l logged) {
+	c.log.WithFields(l.details).WithFields(logrus.Fields{"event": "client_refused", "cause": string(cause), "clients": l.since, "last": l.last}).Warn("clients refused or their connections closed")
+	c.logged[cause] = logged{at: now}
+}
--- a/commons/httpserver/causes_test.go
+++ b/commons/httpserver/causes_test.go
@@ -31,6 +31,27 @@
 	}
 }
 
+// TestLastRefusalsAreLogged guards against clients that leave no trace because the process
+// ends before their cause is due again.
+func TestLastRefusalsAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	causes := httpserver.NewCauses(logrus.NewEntry(log))
+	now := time.Unix(1000, 0)
+	for range 3 {
+		fragment := httpserver.NewFragment(httpserver.FragmentConfig{Wire: 7, Unread: 7, ID: "r1"})
+		causes.RecordFragment(now, httpserver.Unfinished, "127.0.0.1", fragment)
+	}
+	out.Reset()
+	causes.Flush(now)
+	causes.Flush(now)
+	got := []int{strings.Count(out.String(), "\n"), strings.Count(out.String(), "clients=2"), strings.Count(out.String(), "request=r1")}
+	if diff := cmp.Diff([]int{1, 1, 1}, got); diff != "" {
+		t.Errorf("lines, those with the count and those with the request (-want +got):\n%s\n%s", diff, out.String())
+	}
+}
+
 // TestFragmentAccountsForEachByte checks what is logged of a request that has not arrived
 // whole.
 func TestFragmentAccountsForEachByte(t *testing.T) {
--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -79,6 +79,14 @@
 	return r.request
 }
 
+// Head returns the head of the request, nil if it has not arrived whole.
+func (r *RequestReader) Head() *fasthttp.RequestHeader {
+	if r.request == nil {
+		return nil
+	}
+	return &r.request.Header
+}
+
 // Customer returns the name under which the body is charged.
 func (r *RequestReader) Customer() string { return r.customer }
 
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -86,6 +86,7 @@
 	engine := NewEngine(EngineConfig{
 		Addresses: []string{s.config.Address}, Loops: s.config.Loops, ReadBuffer: readBufferSize, KeepAlive: keepAlivePeriod, Handler: s, Log: s.config.Log,
 	})
+	defer func() { s.causes.Flush(time.Now()) }()
 	return engine.Serve(ctx)
 }
 
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -209,7 +209,11 @@
 
 // fragment returns the part of the request that has arrived.
 func (c *callerConn) fragment() httpserver.Fragment {
-	return httpserver.NewFragment(httpserver.FragmentConfig{Wire: c.wire, Reader: c.reader, Unread: c.buffer.Len()})
+	config := httpserver.FragmentConfig{Wire: c.wire, Reader: c.reader, Unread: c.buffer.Len()}
+	if c.reader != nil && c.reader.Head() != nil {
+		config.ID = c.proxy.config.Codec.RequestID(c.reader.Head())
+	}
+	return httpserver.NewFragment(config)
 }
 
 // releaseReader gives up a request that has arrived in part.
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -34,6 +34,8 @@
 	AppendRequest(now time.Time, dst []byte, request *fasthttp.Request, forwarding httpmeta.Forwarding) []byte
 	// DecodeAnswer returns the metadata in the head of a backend server's answer.
 	DecodeAnswer(header *fasthttp.ResponseHeader) httpmeta.Answer
+	// RequestID returns the ID in the head of a request, empty if there is none.
+	RequestID(header *fasthttp.RequestHeader) string
 	// RewriteAnswer changes the head of a backend server's answer into the one for the
 	// caller.
 	RewriteAnswer(header *fasthttp.ResponseHeader)
@@ -173,6 +175,7 @@
 func (p *Proxy) Serve(ctx context.Context) error {
 	run := newLoopRun()
 	defer run.end()
+	defer func() { p.causes.Flush(time.Now()) }()
 	p.run.Store(run)
 	p.wakePending.Store(false)
 	engine := httpserver.NewEngine(httpserver.EngineConfig{
