Log and count the rates that backend servers name

Cause: no log line or metric tells whether a backend server has named a rate, so that the hypotheses of docs/incidents/2026-12-06-rate-named-by-a-server.md can't be told apart; the header was read nowhere (grep for it over all modules found none). Change: the head of an answer is read for Server-Limit (a positive decimal number, kept between 0.001 and 1e6; other text counts as none). The proxy reports it to the scheduler from the expected backend server only, and an answer without one where a rate was named and the answer is signed. Only an answer to a request that was sent after a rate was last named ends it, since answers overtake one another. Lines event=limit and sesamewell_limits_total{state} tell of rates begun, changed and ended. Nothing is decided by it yet, so that nothing is withheld; the counter for that comes with the fix. Existing tests: TestStateInHeadIsReported got cases and compares messages without the time of the send, which no other message has.

--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -158,6 +158,7 @@
 	Signed      bool          // the answer has the backend server's signature
 	Leaving     bool          // the backend server leaves and is to get no new requests
 	RetryAfter  time.Duration // time for which the backend server, which refused the request, wants no others; zero if not stated
+	Limit       float64       // requests per second that the backend server takes from all instances together; zero if not stated
 }
 
 // Answer is the metadata in the head of a backend server's answer.
@@ -197,3 +198,7 @@
 // RetryAfter returns the time for which the backend server, which refused the request,
 // wants no others from this process. It is zero if the answer states none.
 func (a Answer) RetryAfter() time.Duration { return a.config.RetryAfter }
+
+// Limit returns the requests per second that the backend server takes from all instances
+// together, zero if the answer does not state it.
+func (a Answer) Limit() float64 { return a.config.Limit }
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -31,7 +31,7 @@
 // send sends the request of an exchange.
 func (b *backendConn) send(now time.Time, e *exchange) {
 	b.exchange, b.answer = e, &answer{}
-	e.conn, e.lastByte, e.lastProgress, e.scanner = b, now, now, eventstream.Scanner{}
+	e.conn, e.sentAt, e.lastByte, e.lastProgress, e.scanner = b, now, now, now, eventstream.Scanner{}
 
 	b.proxy.requestBuffer = b.proxy.config.Codec.AppendRequest(now, b.proxy.requestBuffer[:0], e.request, e.send.Forwarding().WithLastEventID(string(e.events.lastID)))
 	if _, err := b.conn.Write(b.proxy.requestBuffer); err != nil {
@@ -100,6 +100,7 @@
 		return used, nil
 	}
 	b.reportLeaving()
+	b.reportLimit()
 	if b.answer.info.RequestID() == "" && b.answers > 0 {
 		return used, errors.New("answer without a request ID on a connection in use again")
 	}
@@ -127,6 +128,15 @@
 	}
 }
 
+// reportLimit reports the rate that the backend server names in the head of an answer, or
+// that a signed answer names none any more.
+func (b *backendConn) reportLimit() {
+	rate := b.answer.info.Limit()
+	if ended := b.exchange.send.Limited() && b.answer.info.Signed(); (rate > 0 || ended) && b.fromExpected() {
+		b.proxy.notifyScheduler(scheduler.NewBackendLimit(b.exchange.send.Origin(), rate, b.exchange.sentAt))
+	}
+}
+
 // fromExpected reports whether the answer is from the backend server that the request was
 // sent to, not from another one that has taken over its address.
 func (b *backendConn) fromExpected() bool {
--- a/lobby/proxy/backendstate_test.go
+++ b/lobby/proxy/backendstate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"sesamewell.example/lobby/scheduler"
 )
@@ -18,11 +19,20 @@
 	const leaving = "Server-Leaving: 1\r\n"
 	origin := scheduler.NewOrigin("i-1", 7)
 	left, refused := scheduler.Message(scheduler.NewBackendLeaving(origin)), scheduler.Message(scheduler.NewBackendRefusing(origin, 1500*time.Millisecond))
+	named, none := scheduler.Message(scheduler.NewBackendLimit(origin, 2.5, time.Time{})), scheduler.Message(scheduler.NewBackendLimit(origin, 0, time.Time{}))
+	const limit = "Server-Limit: 2.5\r\n"
 	cases := map[string]struct {
-		answer string
-		stream bool
-		want   []scheduler.Message
+		answer  string
+		stream  bool
+		limited bool // it has named a rate before
+		want    []scheduler.Message
 	}{
+		"limit":                       {answer: "HTTP/1.1 500 Oops\r\n" + limit + "Content-Length: 9\r\n\r\nhi", want: []scheduler.Message{named}},
+		"limit again":                 {answer: "HTTP/1.1 200 OK\r\n" + stamp + limit + "Content-Length: 0\r\n\r\n", limited: true, want: []scheduler.Message{named}},
+		"limit of another server":     {answer: "HTTP/1.1 421 No\r\nInstance-Id: i-9\r\n" + limit + "Content-Length: 0\r\n\r\n", limited: true},
+		"limit, another request":      {answer: "HTTP/1.1 500 Oops\r\n" + limit + "Request-Id: other\r\nContent-Length: 0\r\n\r\n" + fixedLengthAnswer("r1", "hello")},
+		"limit has ended":             {answer: "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 0\r\n\r\n", limited: true, want: []scheduler.Message{none}},
+		"no limit, unsigned":          {answer: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", limited: true},
 		"neither":                     {answer: fixedLengthAnswer("r1", "hello")},
 		"refusal":                     {answer: refusal + "Content-Length: 0\r\n\r\n", want: []scheduler.Message{refused}},
 		"refusal, cut":                {answer: refusal + "Content-Length: 9\r\n\r\nhi", want: []scheduler.Message{refused}},
@@ -46,14 +56,16 @@
 				_, _ = io.WriteString(conn, tc.answer)
 				return false
 			})
-			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.StartTime, s.Stream = b.address, 7, tc.stream })
+			l := newLobby(t, func(s *scheduler.SendConfig) {
+				s.Address, s.StartTime, s.Stream, s.Limited = b.address, 7, tc.stream, tc.limited
+			})
 			_, _, _ = sendRequest(t, l.address)
 			<-l.ended // what the head says has been reported before
 			var got []scheduler.Message
 			for len(l.states) > 0 {
 				got = append(got, <-l.states)
 			}
-			if diff := cmp.Diff(tc.want, got, cmp.AllowUnexported(scheduler.BackendLeaving{}, scheduler.BackendRefusing{}, scheduler.Origin{})); diff != "" {
+			if diff := cmp.Diff(tc.want, got, cmp.AllowUnexported(scheduler.BackendLeaving{}, scheduler.BackendRefusing{}, scheduler.BackendLimit{}, scheduler.Origin{}), cmpopts.IgnoreTypes(time.Time{})); diff != "" {
 				t.Errorf("reported (-want +got):\n%s", diff)
 			}
 		})
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -32,6 +32,7 @@
 	conn          *backendConn
 	answerBytes   int                 // bytes of the buffered answer, charged to the customer
 	heldError     *answer             // server error of the backend server, kept for ForwardError
+	sentAt        time.Time           // time of the last send
 	lastByte      time.Time           // time of the last byte in either direction
 	lastProgress  time.Time           // time of the send, of the last event of a stream or of the last bytes of another answer
 	lastEvent     time.Time           // time at which the last event was forwarded
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -171,6 +171,8 @@
 			l.states <- m
 		case scheduler.BackendRefusing:
 			l.states <- m
+		case scheduler.BackendLimit:
+			l.states <- m
 		case scheduler.Abandoned:
 			l.disconnected <- struct{}{}
 		}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -25,6 +25,7 @@
 	Stream           bool          // a successful answer is forwarded event by event
 	Resumable        bool          // the stream may be resumed at another backend server, so only whole events are forwarded
 	KeepError        bool          // a server error of the backend server is kept for ForwardError
+	Limited          bool          // the backend server has named a rate, so an answer without one is reported too
 }
 
 // Send sends a request to a backend server.
@@ -79,6 +80,10 @@
 // ForwardError.
 func (s Send) KeepError() bool { return s.config.KeepError }
 
+// Limited reports whether the backend server has named a rate in its answers, so that an
+// answer that names none is reported too.
+func (s Send) Limited() bool { return s.config.Limited }
+
 // ForwardErrorConfig holds the construction parameters of a ForwardError.
 type ForwardErrorConfig struct {
 	Number uint64
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -175,6 +175,8 @@
 		c.backendLeaving(m.origin)
 	case BackendRefusing:
 		c.backendRefusing(now, m)
+	case BackendLimit:
+		c.backendLimit(now, m)
 	case Abandoned:
 		c.requestAbandoned(now, m)
 	case SendEnded:
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -75,6 +75,7 @@
 		FreshConnection:  !req.retryable(),
 		SendBefore:       s.cold.sendBefore(now),
 		KeepError:        req.retryable(),
+		Limited:          s.limit.named(),
 		FirstByteTimeout: req.firstByteTimeout(),
 		IdleTimeout:      req.idleTimeout(),
 		Stream:           req.route.Kind() == deployment.Stream,
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -66,6 +66,19 @@
 	return BackendRefusing{origin: origin, wait: wait}
 }
 
+// BackendLimit reports the rate that a backend server names in an answer.
+type BackendLimit struct {
+	origin Origin
+	rate   float64
+	sent   time.Time
+}
+
+// NewBackendLimit returns the message. rate is in requests per second, zero if the answer
+// names none. sent is the time at which the request that is answered was sent.
+func NewBackendLimit(origin Origin, rate float64, sent time.Time) BackendLimit {
+	return BackendLimit{origin: origin, rate: rate, sent: sent}
+}
+
 // Abandoned reports that a caller closed its connection before its answer ended.
 type Abandoned struct {
 	number       uint64
@@ -224,6 +237,7 @@
 func (StreamStarted) schedulerMessage()        {}
 func (BackendLeaving) schedulerMessage()       {}
 func (BackendRefusing) schedulerMessage()      {}
+func (BackendLimit) schedulerMessage()         {}
 func (Abandoned) schedulerMessage()            {}
 func (SendEnded) schedulerMessage()            {}
 func (ConfigurationChanged) schedulerMessage() {}
--- a/lobby/scheduler/pause.go
+++ b/lobby/scheduler/pause.go
@@ -36,7 +36,7 @@
 // keepsBack reports whether a message is to be kept back, and keeps it.
 func (g *pauseGuard) keepsBack(now time.Time, message Message) bool {
 	switch message.(type) {
-	case BackendLeaving, BackendRefusing:
+	case BackendLeaving, BackendRefusing, BackendLimit:
 		return false
 	case Closing:
 		g.settled = time.Time{}
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -167,6 +167,9 @@
 	case RecordCold:
 		s.recordCold(a)
 		return
+	case RecordLimit:
+		s.recordLimit(a)
+		return
 	case RecordWithheld:
 		s.stats.withheld.Inc()
 		return
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -35,6 +35,7 @@
 	report            coldReport // last report of its cold time
 	reportSeen        bool       // there was one
 	coldRecorded      bool       // its cold time has been recorded
+	limit             limit      // rate that it names in its answers
 
 	cacheTokens int64     // tokens that running requests and cached parts share; zero if not known
 	footprint   footprint // of the requests of this process
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -17,6 +17,7 @@
 	fetches      *metrics.Counter
 	quarantines  *metrics.Counter
 	withheld     *metrics.Counter
+	limits       map[limitState]*metrics.Counter
 	waited       *metrics.Histogram
 	firstEvent   *metrics.Histogram
 	longestPause *metrics.Histogram
@@ -28,6 +29,7 @@
 func newStats() *stats {
 	s := &stats{
 		ends:         make(map[Result]*metrics.Counter),
+		limits:       make(map[limitState]*metrics.Counter),
 		refusals:     make(map[Cause]*metrics.Counter),
 		forecasts:    make(map[Cause]*metrics.Histogram),
 		queue:        &queueGauges{},
@@ -42,6 +44,9 @@
 		cacheAge:     metrics.GetOrCreateHistogram("sesamewell_prefix_estimate_age_seconds"),
 		took:         metrics.GetOrCreateHistogram("sesamewell_request_seconds"),
 	}
+	for state := range limitTexts {
+		s.limits[state] = metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_limits_total{state=%q}", state))
+	}
 	for result, name := range resultNames {
 		s.ends[result] = metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_sends_total{result=%q}", name))
 	}
