Name the division of a rate among lobbies for what it is

A change of names only, before its use for rates that backend servers name: coldshare.go to rateshare.go, coldShares to rateShares, coldShare to rateShare, also in tests and docs. go test ./lobby/scheduler -run 'Cold|Standing|Members' passes.

--- a/lobby/scheduler/cold.go
+++ b/lobby/scheduler/cold.go
@@ -25,7 +25,7 @@
 	Backend string        // ID of the backend server
 	Start   time.Duration // time from its start for which it is cold
 	Rate    float64       // requests per second that it tolerates meanwhile, from all lobbies
-	Shares  *coldShares
+	Shares  *rateShares
 }
 
 // coldGate admits this lobby's requests to one backend server that is cold after its
@@ -40,7 +40,7 @@
 	lastSent      time.Time
 	priorSent     time.Time // lastSent before the send at sentAt
 	sentAt        time.Time // time of the last send; zero if it was withdrawn
-	share         coldShare
+	share         rateShare
 	shareEpoch    int // epoch and standing for which the share was calculated
 	shareStanding standing
 }
@@ -195,7 +195,7 @@
 
 // currentShare returns this lobby's share of the rate, which changes with the members and
 // the standing.
-func (g *coldGate) currentShare(now time.Time) coldShare {
+func (g *coldGate) currentShare(now time.Time) rateShare {
 	shares := g.config.Shares
 	if standing := shares.standing(now); g.shareEpoch != shares.epoch || g.shareStanding != standing {
 		g.share = shares.share(now, g.config.Backend, g.config.Rate)
--- a/lobby/scheduler/coldserver.go
+++ b/lobby/scheduler/coldserver.go
@@ -4,7 +4,7 @@
 
 // coldServers is what the core knows of cold backend servers as a whole.
 type coldServers struct {
-	shares    *coldShares
+	shares    *rateShares
 	firstList time.Time // receipt of the first list of backend servers
 	limited   bool      // the rate of some backend server was limited at the last look
 	expected  bool      // some backend server may become cold
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -151,7 +151,7 @@
 		shares:     make(map[string]*share),
 		runTimes:   make(map[string]time.Duration),
 		demand:     newDemand(),
-		cold:       coldServers{shares: newColdShares(config.Cold)},
+		cold:       coldServers{shares: newRateShares(config.Cold)},
 
 		homeDemand: newDemand(),
 	}
--- a/lobby/scheduler/coldshare.go
+++ b/lobby/scheduler/rateshare.go
@@ -58,12 +58,12 @@
 // server in one second.
 var standingParts = map[standing]float64{joining: 0.15, established: 0.7, lapsed: 0.15}
 
-// coldShares divides the rate of cold backend servers among the lobbies without their
+// rateShares divides the rate of cold backend servers among the lobbies without their
 // agreement. The members are all lobbies that may send; each member ranks them for a
 // backend server by rendezvous hashing, and only the first ones send there. A lobby that
 // counts members which do not exist any more ranks itself too low, never too high, so the
 // sum stays within the bound as long as no list lacks a lobby that sends.
-type coldShares struct {
+type rateShares struct {
 	config   ColdConfig
 	members  map[string]bool      // addresses of the lobbies that may send, with this one
 	heard    map[string]time.Time // times of the last digests, by sender
@@ -73,13 +73,13 @@
 	epoch    int                  // increases with each change of the members
 }
 
-func newColdShares(config ColdConfig) *coldShares {
-	return &coldShares{config: config, members: map[string]bool{config.Self: true}, heard: make(map[string]time.Time)}
+func newRateShares(config ColdConfig) *rateShares {
+	return &rateShares{config: config, members: map[string]bool{config.Self: true}, heard: make(map[string]time.Time)}
 }
 
 // list takes the list of the lobbies that was read from the store. Only a list removes
 // members, so that a lobby without contact to the store keeps counting all it knew.
-func (s *coldShares) list(now time.Time, listed LobbiesListed) {
+func (s *rateShares) list(now time.Time, listed LobbiesListed) {
 	if !now.Before(s.leaseEnd) {
 		s.since = now
 	}
@@ -99,7 +99,7 @@
 }
 
 // digestArrived records that a lobby is alive.
-func (s *coldShares) digestArrived(now time.Time, sender string) {
+func (s *rateShares) digestArrived(now time.Time, sender string) {
 	s.heard[sender] = now
 	if !s.members[sender] {
 		s.members[sender] = true
@@ -108,7 +108,7 @@
 }
 
 // standing returns what the other lobbies know of this one.
-func (s *coldShares) standing(now time.Time) standing {
+func (s *rateShares) standing(now time.Time) standing {
 	age := now.Sub(s.since)
 	switch {
 	case s.since.IsZero():
@@ -125,20 +125,20 @@
 }
 
 // settles reports whether this lobby is listed, but not yet known to all others.
-func (s *coldShares) settles(now time.Time) bool {
+func (s *rateShares) settles(now time.Time) bool {
 	return !now.Before(s.leaseEnd) || now.Sub(s.since) < settleTime
 }
 
 // lobbies returns the number of lobbies that may send.
-func (s *coldShares) lobbies() int {
+func (s *rateShares) lobbies() int {
 	if s.since.IsZero() {
 		return max(len(s.members), assumedLobbies)
 	}
 	return len(s.members)
 }
 
-// coldShare is one lobby's share of a cold backend server's rate.
-type coldShare struct {
+// rateShare is one lobby's share of a cold backend server's rate.
+type rateShare struct {
 	gap    time.Duration // shortest time between two requests; zero if the lobby sends none
 	offset time.Duration // wait before the first request, different for each lobby
 	rank   int           // number of lobbies that precede this one
@@ -146,7 +146,7 @@
 
 // share returns this lobby's share of a backend server that tolerates a rate, in requests
 // per second.
-func (s *coldShares) share(now time.Time, backend string, rate float64) coldShare {
+func (s *rateShares) share(now time.Time, backend string, rate float64) rateShare {
 	standing := s.standing(now)
 	total := min(max(rate*s.config.Overshoot+s.config.Slack, 1), maxColdRequests)
 	limit := int(total * standingParts[standing])
@@ -157,14 +157,14 @@
 	}
 	senders, rank := min(len(s.members), most), s.rank(backend)
 	if rank >= senders {
-		return coldShare{rank: rank}
+		return rateShare{rank: rank}
 	}
 	gap := sendGap(senders, limit, rate)
-	return coldShare{gap: gap, offset: gap * time.Duration(rank) / time.Duration(senders), rank: rank}
+	return rateShare{gap: gap, offset: gap * time.Duration(rank) / time.Duration(senders), rank: rank}
 }
 
 // rank returns the number of members that precede this lobby at a backend server.
-func (s *coldShares) rank(backend string) int {
+func (s *rateShares) rank(backend string) int {
 	own, rank := rendezvousWeight(backend, s.config.Self), 0
 	for address := range s.members {
 		if weight := rendezvousWeight(backend, address); weight > own || weight == own && address < s.config.Self {
--- a/lobby/scheduler/coldshare_test.go
+++ b/lobby/scheduler/rateshare_test.go
@@ -40,7 +40,7 @@
 // coldLobby is one lobby of the fleet with the part of its discovery that matters here.
 type coldLobby struct {
 	address     string
-	shares      *coldShares
+	shares      *rateShares
 	gate        *coldGate
 	frozenUntil time.Time
 	dead        bool
@@ -71,7 +71,7 @@
 func (f *coldFleet) start(l *coldLobby) {
 	config := f.config
 	config.Self = l.address
-	shares := newColdShares(config)
+	shares := newRateShares(config)
 	gate := newColdGate(coldGateConfig{Backend: "b", Start: 3 * time.Second, Rate: f.rate, Shares: shares})
 	gate.reported(f.now, time.Hour)
 	*l = coldLobby{address: l.address, shares: shares, gate: gate, cutUntil: l.cutUntil, deafUntil: l.deafUntil, nextRead: f.now, seen: make(map[string]coldSeen)}
@@ -240,7 +240,7 @@
 // TestStandingOfLobby guards against a lobby that sends before the others know it, or
 // after they may have dropped it.
 func TestStandingOfLobby(t *testing.T) {
-	list := func(s *coldShares, at time.Duration) {
+	list := func(s *rateShares, at time.Duration) {
 		s.list(coldNoon.Add(at), NewLobbiesListed(coldNoon.Add(at), coldNoon.Add(at), []string{"a", "b"}))
 	}
 	cases := map[string]struct {
@@ -259,7 +259,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := newColdShares(ColdConfig{Self: "a"})
+			s := newRateShares(ColdConfig{Self: "a"})
 			for _, at := range tc.lists {
 				list(s, at)
 			}
@@ -273,7 +273,7 @@
 // TestMembersShrinkByListsOnly guards against a lobby that forgets others which it can't
 // reach.
 func TestMembersShrinkByListsOnly(t *testing.T) {
-	s := newColdShares(ColdConfig{Self: "a"})
+	s := newRateShares(ColdConfig{Self: "a"})
 	s.digestArrived(coldNoon, "c")
 	s.list(coldNoon, NewLobbiesListed(coldNoon, coldNoon, []string{"a", "b"}))
 	sizes := []int{s.lobbies()}
