Deal the requests that may arrive to the lobbies by rank

Before a second use of the division of a rate, for rates that backend servers name. Cause: each of the lobbies that sent had the same whole number of requests in a window, so that the rest of the division was lost, and a search for the number of senders had to avoid the worst cases. Change: the requests of a window are dealt in the order of the ranks; a lobby of rank k among n gets ceil((limit-k)/n), which no lobby raises by counting more members. The bound (rate, most in a window, window, parts by standing) is an argument of the division. Tests: standingParts is coldParts now; no bound changed. TestColdServerIsNeverOverrun with 1,500 draws passes. TestColdServerGetsItsRate passes with its own number of draws and fails with 300 before and after alike (one lobby, rate 40, no slack: 16.7 of 20; the steps of 20 ms of the simulation cost what a gap of 43 ms gives).

--- a/lobby/scheduler/cold.go
+++ b/lobby/scheduler/cold.go
@@ -20,6 +20,10 @@
 	coldCost = 25 * time.Millisecond
 )
 
+// coldParts are the parts, by standing, of the requests that may reach a cold backend server
+// in one second.
+var coldParts = map[standing]float64{joining: 0.15, established: 0.7, lapsed: 0.15}
+
 // coldGateConfig holds the construction parameters of a coldGate.
 type coldGateConfig struct {
 	Backend string        // ID of the backend server
@@ -198,12 +202,18 @@
 func (g *coldGate) currentShare(now time.Time) rateShare {
 	shares := g.config.Shares
 	if standing := shares.standing(now); g.shareEpoch != shares.epoch || g.shareStanding != standing {
-		g.share = shares.share(now, g.config.Backend, g.config.Rate)
+		g.share = shares.share(now, g.config.Backend, g.bound())
 		g.shareEpoch, g.shareStanding = shares.epoch, standing
 	}
 	return g.share
 }
 
+// bound returns what the backend server tolerates while it is cold.
+func (g *coldGate) bound() rateBound {
+	config := g.config.Shares.config
+	return rateBound{rate: g.config.Rate, most: g.config.Rate*config.Overshoot + config.Slack, window: time.Second + shareMargin, parts: coldParts}
+}
+
 // configure sets the cold time and the rate.
 func (g *coldGate) configure(start time.Duration, rate float64) {
 	if g.config.Start != start || g.config.Rate != rate {
--- a/lobby/scheduler/rateshare.go
+++ b/lobby/scheduler/rateshare.go
@@ -34,12 +34,10 @@
 	// maxSendDelay is the longest time that a request may wait within the process, for a
 	// connection, after its turn.
 	maxSendDelay = 150 * time.Millisecond
-	// shareWindow is the time in which a lobby sends its part of what may arrive in one
-	// second. It is longer than a second by maxSendDelay and by the difference between
-	// the times that requests take to arrive.
-	shareWindow = time.Second + maxSendDelay + 50*time.Millisecond
-	// minRateUse is the least part of the rate that the established lobbies may use.
-	minRateUse = 0.55
+	// shareMargin is the time by which the window in which a lobby sends its part is longer
+	// than that in which it may arrive: maxSendDelay and the difference between the times
+	// that requests take to arrive.
+	shareMargin = maxSendDelay + 50*time.Millisecond
 )
 
 // standing says what the other lobbies know of a lobby.
@@ -54,11 +52,7 @@
 	lapsed                      // the others may have dropped it, since it has not reached the store for long
 )
 
-// standingParts are the parts, by standing, of the requests that may reach a cold backend
-// server in one second.
-var standingParts = map[standing]float64{joining: 0.15, established: 0.7, lapsed: 0.15}
-
-// rateShares divides the rate of cold backend servers among the lobbies without their
+// rateShares divides the rates of backend servers among the lobbies without their
 // agreement. The members are all lobbies that may send; each member ranks them for a
 // backend server by rendezvous hashing, and only the first ones send there. A lobby that
 // counts members which do not exist any more ranks itself too low, never too high, so the
@@ -137,30 +131,45 @@
 	return len(s.members)
 }
 
-// rateShare is one lobby's share of a cold backend server's rate.
+// rateBound is the bound on the requests that may reach one backend server.
+type rateBound struct {
+	rate   float64              // requests per second in the long run
+	most   float64              // requests that may arrive within the window
+	window time.Duration        // longer than the stated one by the time that requests may take longer than others
+	parts  map[standing]float64 // parts of most, by standing
+}
+
+// limit returns the number of requests that the lobbies of a standing may send together
+// within the window.
+func (b rateBound) limit(standing standing) int {
+	limit := int(min(max(b.most, 1), maxBoundRequests) * b.parts[standing])
+	if standing == established {
+		limit = max(limit, 1)
+	}
+	return limit
+}
+
+// rateShare is one lobby's share of the requests that a backend server tolerates.
 type rateShare struct {
 	gap    time.Duration // shortest time between two requests; zero if the lobby sends none
 	offset time.Duration // wait before the first request, different for each lobby
 	rank   int           // number of lobbies that precede this one
 }
 
-// share returns this lobby's share of a backend server that tolerates a rate, in requests
-// per second.
-func (s *rateShares) share(now time.Time, backend string, rate float64) rateShare {
-	standing := s.standing(now)
-	total := min(max(rate*s.config.Overshoot+s.config.Slack, 1), maxColdRequests)
-	limit := int(total * standingParts[standing])
-	most := limit
-	if standing == established {
-		limit = max(limit, 1)
-		most = mostSenders(limit, rate)
-	}
-	senders, rank := min(len(s.members), most), s.rank(backend)
-	if rank >= senders {
+// share returns this lobby's share of a bound. The requests of the window are dealt to the
+// members in the order of their ranks. A lobby that counts more members than others, and so
+// ranks itself lower, has no larger share for it.
+func (s *rateShares) share(now time.Time, backend string, bound rateBound) rateShare {
+	limit, rank := bound.limit(s.standing(now)), s.rank(backend)
+	if rank >= limit {
 		return rateShare{rank: rank}
 	}
-	gap := sendGap(senders, limit, rate)
-	return rateShare{gap: gap, offset: gap * time.Duration(rank) / time.Duration(senders), rank: rank}
+	requests := (limit - rank + len(s.members) - 1) / len(s.members)
+	stretch := max(float64(limit)/(bound.window.Seconds()*bound.rate), 1)
+	gap := min(bound.window.Seconds()*stretch/float64(requests), maxShareGap.Seconds())
+	share := rateShare{gap: time.Duration(gap * float64(time.Second)), rank: rank}
+	share.offset = share.gap * time.Duration(rank) / time.Duration(min(limit, len(s.members)))
+	return share
 }
 
 // rank returns the number of members that precede this lobby at a backend server.
@@ -180,37 +189,11 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// sendGap returns the time between two requests of one lobby if a number of them send at
-// a rate together, and no more than limit requests may arrive within a second whenever
-// each of them sends.
-func sendGap(senders, limit int, rate float64) time.Duration {
-	each := limit / senders
-	even := min(float64(senders)/rate, maxColdGap.Seconds())
-	return max(time.Duration(even*float64(time.Second)), shareWindow/time.Duration(each))
-}
-
-// mostSenders returns the largest number of lobbies that send to one backend server. It
-// depends on the configuration only: all lobbies must use the same, whatever members
-// they count. No smaller number of senders uses less than minRateUse of the rate, since
-// the requests of a window are whole.
-func mostSenders(limit int, rate float64) int {
-	most := 1
-	for most < min(limit, maxColdSenders) {
-		use := float64(most+1) / (sendGap(most+1, limit, rate).Seconds() * rate)
-		if use < minRateUse {
-			break
-		}
-		most++
-	}
-	return most
-}
-
-// Limits of what a configuration may state: for a higher rate, more requests a second
-// count as this many, and for a lower one, requests are this far apart at most.
+// Limits of what a configuration or a backend server may state: for a higher rate, this many
+// requests count, and for a lower one, requests are this far apart at most.
 const (
-	maxColdSenders  = 1024
-	maxColdRequests = 1 << 20
-	maxColdGap      = 10 * time.Minute
+	maxBoundRequests = 1 << 20
+	maxShareGap      = 10 * time.Minute
 )
 
 // earlier returns the earlier of two times.
--- a/lobby/scheduler/rateshare_test.go
+++ b/lobby/scheduler/rateshare_test.go
@@ -212,7 +212,7 @@
 			t.Errorf("%d requests in one second, more than %d", most(f.arrivals), bound)
 		}
 		for _, standing := range []standing{joining, established} {
-			if limit := int((rate*config.Overshoot + config.Slack) * standingParts[standing]); most(f.sends[standing]) > limit {
+			if limit := int((rate*config.Overshoot + config.Slack) * coldParts[standing]); most(f.sends[standing]) > limit {
 				t.Errorf("%d requests in one second of the lobbies with standing %d, more than %d", most(f.sends[standing]), standing, limit)
 			}
 		}
@@ -231,7 +231,7 @@
 		if got := float64(len(f.arrivals)) / 10; got < rate/2 || got > rate*1.1 {
 			t.Errorf("%.1f requests a second, want %v to %v", got, rate/2, rate)
 		}
-		if limit := int((rate*config.Overshoot + config.Slack) * standingParts[established]); most(f.arrivals) > limit {
+		if limit := int((rate*config.Overshoot + config.Slack) * coldParts[established]); most(f.arrivals) > limit {
 			t.Errorf("%d requests of established lobbies in one second, more than %d", most(f.arrivals), limit)
 		}
 	})
