Let queueing and routing know limits of rates by an interface

What queueing, forecasting, early refusals and withdrawn sends ask of a cold gate is the interface rateGate, declared where it is used; a backend server has any number of gates, and a request passes all. The time of the last send and the share are in pacer, which a second gate can use. The decisions are the same. go test ./lobby/scheduler -skip NamedRate passes; no test was changed.

--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -56,5 +56,5 @@
 		return false
 	}
 	s := req.server
-	return !s.closed(now) && c.inHome(req.homes, s) && s.cold.admits(now)
+	return !s.closed(now) && c.inHome(req.homes, s) && s.gates.admits(now)
 }
--- a/lobby/scheduler/cold.go
+++ b/lobby/scheduler/cold.go
@@ -41,15 +41,12 @@
 	startedUntil  time.Time // end of the cold time counted from its start
 	reportedUntil time.Time // end of the cold time that it reported last
 	since         time.Time // start of the present or last cold time, as far as known
-	lastSent      time.Time
-	priorSent     time.Time // lastSent before the send at sentAt
-	sentAt        time.Time // time of the last send; zero if it was withdrawn
-	share         rateShare
-	shareEpoch    int // epoch and standing for which the share was calculated
-	shareStanding standing
+	pacer         pacer
 }
 
-func newColdGate(config coldGateConfig) *coldGate { return &coldGate{config: config, shareEpoch: -1} }
+func newColdGate(config coldGateConfig) *coldGate {
+	return &coldGate{config: config, pacer: newPacer(config.Backend, config.Shares)}
+}
 
 // started records that the backend server may have started at a given time.
 func (g *coldGate) started(now, at time.Time) {
@@ -82,10 +79,10 @@
 func (g *coldGate) cold(now time.Time) bool { return g != nil && now.Before(g.until()) }
 
 // limits reports whether the rate of requests is limited.
-func (g *coldGate) limits(now time.Time) bool { return g != nil && now.Before(g.end()) }
+func (g *coldGate) limits(now time.Time) bool { return g != nil && now.Before(g.end(now)) }
 
 // end returns the time from which on the rate is not limited.
-func (g *coldGate) end() time.Time {
+func (g *coldGate) end(time.Time) time.Time {
 	until := g.until()
 	if until.IsZero() {
 		return until
@@ -115,21 +112,18 @@
 	if g == nil {
 		return
 	}
-	g.priorSent, g.sentAt = g.lastSent, now
-	switch {
-	case g.limits(now) && !g.cold(now):
-		due := later(g.rampTurn(now), now.Add(-rampCatchUp))
-		g.lastSent = earlier(due, now)
-	default:
-		g.lastSent = now
+	turn := now
+	if g.limits(now) && !g.cold(now) {
+		turn = earlier(later(g.rampTurn(now), now.Add(-rampCatchUp)), now)
 	}
+	g.pacer.sent(now, turn)
 }
 
 // withdrawn records that the request which was sent at a given time never left this
 // process. If it was the last one, its turn is free again.
 func (g *coldGate) withdrawn(sentAt time.Time) {
-	if g != nil && g.sentAt.Equal(sentAt) {
-		g.lastSent, g.sentAt = g.priorSent, time.Time{}
+	if g != nil {
+		g.pacer.withdrawn(sentAt)
 	}
 }
 
@@ -149,7 +143,7 @@
 		return now
 	}
 	if share := g.currentShare(now); g.cold(now) && share.gap > 0 {
-		turn := later(g.lastSent.Add(share.gap), g.since.Add(share.offset))
+		turn := g.pacer.turn(share, g.since)
 		if turn.Before(g.until()) { // and so before the ramp
 			return later(now, turn)
 		}
@@ -173,9 +167,9 @@
 // have not sent lately take turns.
 func (g *coldGate) rampTurn(now time.Time) time.Time {
 	own := float64(g.currentShare(now).rank)
-	count := max(g.rampCount(g.lastSent)+float64(g.config.Shares.lobbies()), own)
+	count := max(g.rampCount(g.pacer.lastSent)+float64(g.config.Shares.lobbies()), own)
 	turn := later(g.until(), g.until().Add(g.rampTime(count)))
-	return earlier(turn, g.end())
+	return earlier(turn, g.end(now))
 }
 
 // rampCount returns the number of requests of all lobbies that the ramp allows until a
@@ -197,15 +191,9 @@
 	return time.Duration(min(past, g.config.Start.Seconds()) * float64(time.Second))
 }
 
-// currentShare returns this lobby's share of the rate, which changes with the members and
-// the standing.
+// currentShare returns this lobby's share of the rate.
 func (g *coldGate) currentShare(now time.Time) rateShare {
-	shares := g.config.Shares
-	if standing := shares.standing(now); g.shareEpoch != shares.epoch || g.shareStanding != standing {
-		g.share = shares.share(now, g.config.Backend, g.bound())
-		g.shareEpoch, g.shareStanding = shares.epoch, standing
-	}
-	return g.share
+	return g.pacer.currentShare(now, g.bound())
 }
 
 // bound returns what the backend server tolerates while it is cold.
@@ -216,8 +204,5 @@
 
 // configure sets the cold time and the rate.
 func (g *coldGate) configure(start time.Duration, rate float64) {
-	if g.config.Start != start || g.config.Rate != rate {
-		g.config.Start, g.config.Rate = start, rate
-		g.shareEpoch = -1
-	}
+	g.config.Start, g.config.Rate = start, rate
 }
--- a/lobby/scheduler/coldserver.go
+++ b/lobby/scheduler/coldserver.go
@@ -4,9 +4,7 @@
 
 // coldServers is what the core knows of cold backend servers as a whole.
 type coldServers struct {
-	shares    *rateShares
 	firstList time.Time // receipt of the first list of backend servers
-	limited   bool      // the rate of some backend server was limited at the last look
 	expected  bool      // some backend server may become cold
 }
 
@@ -21,12 +19,12 @@
 	}
 	start, rate, ok := c.coldService(s)
 	if !ok {
-		s.cold = nil
+		s.setCold(nil)
 		return
 	}
-	c.cold.expected, c.cold.limited = true, true
+	c.cold.expected, c.rateLimited = true, true
 	if s.cold == nil {
-		s.cold = newColdGate(coldGateConfig{Backend: s.backend.ID(), Start: start, Rate: rate, Shares: c.cold.shares})
+		s.setCold(newColdGate(coldGateConfig{Backend: s.backend.ID(), Start: start, Rate: rate, Shares: c.rateShares}))
 		s.reportSeen = false
 		c.startCold(now, s)
 	}
@@ -87,9 +85,7 @@
 // recordColds records the cold times that have begun or ended. Requests that wait for a
 // connection to a backend server that has become cold are taken back.
 func (c *Core) recordColds(now time.Time) {
-	c.cold.limited = false
 	for _, s := range c.servers {
-		c.cold.limited = c.cold.limited || s.cold.limits(now)
 		if cold := s.cold.cold(now); cold != s.coldRecorded {
 			s.coldRecorded = cold
 			if cold {
@@ -108,78 +104,6 @@
 	return s.cold.until()
 }
 
-// coldAdmits reports whether a request may be sent to a backend server now. A turn goes to
-// a request that waits for it before one that has just arrived.
-func (c *Core) coldAdmits(now time.Time, s *server, req *openRequest) bool {
-	if !s.cold.limits(now) {
-		return true
-	}
-	_, waits := c.queued[req.number]
-	return s.cold.admits(now) && (waits || c.queuedLike(req) == 0)
-}
-
-// coldDelay returns the estimated time until a request that a number of others precede
-// may be sent to one of the cold backend servers that could run it. It is zero if one that
-// is not limited could run it, or none at all. Those in skip are left out.
-func (c *Core) coldDelay(now time.Time, req *openRequest, skip map[string]bool, ahead int) time.Duration {
-	return c.coldTurns(now, req.queueKey(), skip).delay(now, ahead)
-}
-
-// coldTurns are the turns at the cold backend servers that could run requests of one key.
-// The zero value stands for no limit.
-type coldTurns struct {
-	first time.Time // time of the next turn
-	end   time.Time // time from which on one of them is not limited
-	rate  float64   // turns per second
-}
-
-// delay returns the time until the turn that follows a number of others.
-func (t coldTurns) delay(now time.Time, ahead int) time.Duration {
-	if t.first.IsZero() {
-		return 0
-	}
-	turn := t.first.Add(time.Duration(float64(ahead) / t.rate * float64(time.Second)))
-	return earlier(turn, t.end).Sub(now)
-}
-
-// coldTurns returns the turns at the backend servers that could run requests of a key,
-// without those in skip.
-func (c *Core) coldTurns(now time.Time, key queueKey, skip map[string]bool) coldTurns {
-	var turns coldTurns
-	if !c.cold.limited {
-		return turns
-	}
-	for _, s := range c.byService[key.service] {
-		if !s.usable() || s.hold.active(now) || skip[s.backend.ID()] || !c.inHome(key.homes, s) || key.model != "" && !s.hasModel(key.model) {
-			continue
-		}
-		if !s.cold.limits(now) {
-			return coldTurns{}
-		}
-		if next := s.cold.nextAt(now); turns.first.IsZero() || next.Before(turns.first) {
-			turns.first = next
-		}
-		if turns.end.IsZero() || s.cold.end().Before(turns.end) {
-			turns.end = s.cold.end()
-		}
-		turns.rate += s.cold.perSecond(now)
-	}
-	return turns
-}
-
-// queuedLike returns the number of queued requests that wait for the same backend servers
-// as a request.
-func (c *Core) queuedLike(req *openRequest) int {
-	if !c.cold.limited {
-		return 0
-	}
-	q, ok := c.waiting[req.queueKey()]
-	if !ok {
-		return 0
-	}
-	return q.Len()
-}
-
 // recordWithheld records a new request that waits for its turn at cold backend servers,
 // or is refused since it does not come in time.
 func (c *Core) recordWithheld(delay time.Duration) {
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -151,7 +151,7 @@
 		c.retryNotRun(now, req, req.failedSends < maxFailedSends)
 	case Deferred:
 		delete(req.tried, s.backend.ID())
-		s.cold.withdrawn(req.sentAt)
+		s.gates.withdrawn(req.sentAt)
 		c.retryNotRun(now, req, true)
 	case Replaced:
 		s.replaced, req.needsRetry = true, true
@@ -204,7 +204,7 @@
 	if chosen, ok := c.choose(now, req); ok && !chosen.suspected {
 		return promptRetryAfter
 	}
-	return max(c.slotDelay(req), c.holdDelay(now, req, nil), c.coldDelay(now, req, nil, 0))
+	return max(c.slotDelay(req), c.holdDelay(now, req, nil), c.turnDelay(now, req, nil, 0))
 }
 
 // refuseUnserved ends a request that no backend server accepts, and counts it as demand
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -113,6 +113,8 @@
 	runTimes      map[string]time.Duration // average by service
 	demand        *demand
 	cold          coldServers
+	rateShares    *rateShares
+	rateLimited   bool // the rate of some backend server was limited at the last look
 
 	homeDemand *demand // of requests with home regions, by homeKey
 	lastDigest time.Time
@@ -151,7 +153,7 @@
 		shares:     make(map[string]*share),
 		runTimes:   make(map[string]time.Duration),
 		demand:     newDemand(),
-		cold:       coldServers{shares: newRateShares(config.Cold)},
+		rateShares: newRateShares(config.Cold),
 
 		homeDemand: newDemand(),
 	}
@@ -193,7 +195,7 @@
 		c.lobbyCount = max(m.lobbies, c.config.MinLobbies, 1)
 		c.config.Limiter.SetLobbies(m.lobbies)
 	case LobbiesListed:
-		c.cold.shares.list(now, m)
+		c.rateShares.list(now, m)
 	case PlanChanged:
 		c.adoptPlan(now, "", m.plan)
 	case FetchEnded:
@@ -233,6 +235,7 @@
 	}
 	c.forecast.update(now, c.waitingWork())
 	c.endHolds(now)
+	c.updateRateLimited(now)
 	c.recordColds(now)
 	c.placeQueued(now)
 	c.returns.forget(now)
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -73,7 +73,7 @@
 		StartTime:        s.backend.StartTime(),
 		Connections:      max(service.MaxConnections()/c.lobbyCount, 1),
 		FreshConnection:  !req.retryable(),
-		SendBefore:       s.cold.sendBefore(now),
+		SendBefore:       s.gates.sendBefore(now),
 		KeepError:        req.retryable(),
 		Limited:          s.limit.named(),
 		FirstByteTimeout: req.firstByteTimeout(),
@@ -113,7 +113,7 @@
 		return best, false
 	}
 	for _, s := range c.byService[req.service] {
-		if !s.usable() || !s.hold.admits(now) || !c.coldAdmits(now, s, req) || req.tried[s.backend.ID()] || !c.inHome(req.homes, s) || s.reservedAgainst(now, req) {
+		if !s.usable() || !s.hold.admits(now) || !c.gatesAdmit(now, s, req) || req.tried[s.backend.ID()] || !c.inHome(req.homes, s) || s.reservedAgainst(now, req) {
 			continue
 		}
 		if cand, ok := c.evaluate(now, req, s, engine); ok && (!found || cand.betterThan(best)) {
--- a/lobby/scheduler/pass.go
+++ b/lobby/scheduler/pass.go
@@ -38,7 +38,7 @@
 type pass struct {
 	core  *Core
 	waits map[string]shareWait       // by service without an engine, unless a request was sent meanwhile
-	turns map[queueKey]coldTurns     // turns at cold backend servers, unless a request was sent meanwhile
+	turns map[queueKey]turns         // turns at backend servers with limited rates, unless a request was sent meanwhile
 	full  map[queueKey]int           // most urgent priority for which no slot was free
 	holds map[queueKey]time.Duration // time for which the backend servers are held
 	ahead map[queueKey]*workAhead    // work of the requests that stay in the queue
@@ -48,7 +48,7 @@
 	return &pass{
 		core:  core,
 		waits: make(map[string]shareWait),
-		turns: make(map[queueKey]coldTurns),
+		turns: make(map[queueKey]turns),
 		full:  make(map[queueKey]int),
 		holds: make(map[queueKey]time.Duration),
 		ahead: make(map[queueKey]*workAhead),
@@ -95,14 +95,14 @@
 }
 
 // delay returns the estimated time until a queued request starts: that for which its
-// backend servers are held or, as they are cold, have no turn for it, and for a late one
+// backend servers are held or, as their rates are limited, have no turn for it, and for a late one
 // that for the work ahead of it.
 func (p *pass) delay(now time.Time, req *openRequest, late bool, work float64) time.Duration {
 	var ahead workAhead
 	if a, ok := p.ahead[req.queueKey()]; ok {
 		ahead = *a
 	}
-	delay := max(p.holdDelay(now, req), p.coldDelay(now, req, ahead.requests))
+	delay := max(p.holdDelay(now, req), p.turnDelay(now, req, ahead.requests))
 	if !late || req.resuming() {
 		return delay
 	}
@@ -125,20 +125,20 @@
 	return delay
 }
 
-// coldDelay returns the time until the cold backend servers that could run a request have
-// a turn for it. Their turns are the same for all requests of a key that have not been
+// turnDelay returns the time until the backend servers with limited rates that could run a
+// request have a turn for it. Their turns are the same for all requests of a key that have not been
 // tried anywhere.
-func (p *pass) coldDelay(now time.Time, req *openRequest, ahead int) time.Duration {
+func (p *pass) turnDelay(now time.Time, req *openRequest, ahead int) time.Duration {
 	if len(req.tried) > 0 {
-		return p.core.coldDelay(now, req, req.tried, ahead)
+		return p.core.turnDelay(now, req, req.tried, ahead)
 	}
 	key := req.queueKey()
-	turns, ok := p.turns[key]
+	t, ok := p.turns[key]
 	if !ok {
-		turns = p.core.coldTurns(now, key, nil)
-		p.turns[key] = turns
+		t = p.core.turnsFor(now, key, nil)
+		p.turns[key] = t
 	}
-	return turns.delay(now, ahead)
+	return t.delay(now, ahead)
 }
 
 // add records that a request stays in the queue.
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -27,7 +27,7 @@
 	}
 	c.peers[digest.Sender()] = peerState{incarnation: digest.Incarnation(), serial: digest.Serial(), loads: digest.Loads(), draining: digest.Draining(), lastSeen: now}
 	c.sumLoads(now)
-	c.cold.shares.digestArrived(now, digest.Sender())
+	c.rateShares.digestArrived(now, digest.Sender())
 
 	c.startAverages()
 	c.markReplaced(digest.Replaced())
@@ -148,7 +148,7 @@
 	}
 	c.lastDigest = now
 	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), AwaitsLoad: c.awaitsLoad(), Suspects: c.config.Quarantine.Suspects(now)}
-	config.Joining = c.cold.expected && c.cold.shares.settles(now)
+	config.Joining = c.cold.expected && c.rateShares.settles(now)
 
 	if config.Demand != nil {
 		config.HomeDemand = c.homeDemandToSend()
--- a/lobby/scheduler/prefixroute.go
+++ b/lobby/scheduler/prefixroute.go
@@ -16,7 +16,7 @@
 func (c *Core) routeOf(now time.Time, req *openRequest, cand candidate, engine bool) prefixroute.Candidate {
 	s := cand.server
 	if !engine && len(c.peers) > 0 {
-		return prefixroute.New(prefixroute.CandidateConfig{Rank: cand.rank(), Wait: c.plainDelay(s) + s.cold.cost(now)})
+		return prefixroute.New(prefixroute.CandidateConfig{Rank: cand.rank(), Wait: c.plainDelay(s) + s.gates.cost(now)})
 	}
 	config := prefixroute.CandidateConfig{Rank: cand.rank(), Wait: time.Duration(s.open+s.peerOpen) * plainRequestCost}
 	if engine {
@@ -24,7 +24,7 @@
 		config.Load = s.model.contention(now, s.open+s.peerOpen, s.backend.Slots())
 		config.Evicted = c.evictedPrefill(now, req, cand)
 	}
-	config.Wait += s.cold.cost(now)
+	config.Wait += s.gates.cost(now)
 	if !s.adapterReady(now, req.request) {
 		config.Adapter = adapterLoadCost
 	}
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -30,9 +30,9 @@
 	if alreadyQueued && now.Before(req.queueDeadline()) {
 		return
 	}
-	coldDelay := c.coldDelay(now, req, req.tried, c.queuedLike(req))
-	c.recordWithheld(coldDelay)
-	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried), coldDelay)
+	turnDelay := c.turnDelay(now, req, req.tried, c.queuedLike(req))
+	c.recordWithheld(turnDelay)
+	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried), turnDelay)
 	if !now.Add(delay).Before(req.queueDeadline()) {
 		c.refuseUnserved(now, req, noBackend, max(delay, c.freeQueueDelay(now, req), retryAfter))
 		return
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -32,6 +32,7 @@
 	peerPrefill       time.Duration        // pending prefill of other lobbies
 	cache             *prefixCache
 	cold              *coldGate  // nil if it is never cold
+	gates             rateGates  // that limit the rate of its requests
 	report            coldReport // last report of its cold time
 	reportSeen        bool       // there was one
 	coldRecorded      bool       // its cold time has been recorded
@@ -51,15 +52,23 @@
 	return &server{backend: backend, rejections: make(map[string]*backoff), missingUntil: make(map[string]time.Time), leases: make(map[string]time.Time), renewing: make(map[string]bool), cache: newPrefixCache()}
 }
 
+// setCold sets the gate for cold times, nil for none.
+func (s *server) setCold(gate *coldGate) {
+	s.cold, s.gates = gate, nil
+	if gate != nil {
+		s.gates = append(s.gates, gate)
+	}
+}
+
 // usable reports whether the backend server may get new requests.
 func (s *server) usable() bool {
 	return s.listed && !s.replaced && !s.leaving && !s.evacuated && !s.backend.Leaving()
 }
 
 // admits reports whether the backend server may get a request now: it is usable, and
-// neither its hold nor its cold time keeps the request back.
+// neither its hold nor the limit of its rate keeps the request back.
 func (s *server) admits(now time.Time) bool {
-	return s.usable() && s.hold.admits(now) && s.cold.admits(now)
+	return s.usable() && s.hold.admits(now) && s.gates.admits(now)
 }
 
 // closed reports whether the backend server gets no requests now, new or waiting.
@@ -134,7 +143,7 @@
 
 // requestSent records that a request was sent and awaits an answer.
 func (s *server) requestSent(now time.Time) {
-	s.cold.sent(now)
+	s.gates.sent(now)
 	if s.unanswered++; s.unanswered == 1 {
 		s.unansweredSince = now
 	}
