Keep the rates that backend servers name, over all lobbies

Class: a statement of a backend server on itself that nothing heeds; since the bound is on the sum, it needs the division among lobbies that cold backend servers have. Change: limitGate, a second rateGate beside coldGate, admits a lobby's share of the rate, dealt by rank and standing as there (60% of what may arrive to established lobbies, 20% each to those that join and those whose lease has ended). Queueing, early refusals, withdrawn sends, waits for connections and explain work the same for both. Digests tell of rates and their ends, so that lobbies hold back before they hear themselves, and those without turns hear of the end. No bound changed.

--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -29,6 +29,14 @@
 	Engines float64  // number of engines that the requests keep busy
 }
 
+// LimitConfig is the rate that a backend server names in its answers, or the end of one.
+type LimitConfig struct {
+	Backend string
+	Start   int64         // start time of the backend server, in Unix milliseconds
+	Rate    float64       // requests per second that it takes from all lobbies together; zero if it names none any more
+	Age     time.Duration // time since the last answer that named the rate, or since the request was sent whose answer named none
+}
+
 // DigestConfig holds the construction parameters of a Digest.
 type DigestConfig struct {
 	Sender        string             // IP:port of the sending lobby's listener
@@ -44,6 +52,7 @@
 	Domain        string              // failure domain of the sender
 	Replaced      map[string]int64    // start times, in Unix milliseconds, of listed backend servers by ID that the sender has found gone: another one has their address
 	Leaving       map[string]int64    // start times, in Unix milliseconds, of backend servers by ID that have said in an answer that they leave
+	Limits        []LimitConfig       // rates that backend servers have named in answers to the sender lately, and those that have ended
 	Suspects      []SuspectConfig     // those whose crashes have changed or are due to be sent again
 	Hot           []HotPartsConfig    // what the sender has sent repeatedly since its last digest with them; bounded in bytes
 
@@ -106,6 +115,10 @@
 // in an answer to the sender or another lobby that they leave.
 func (d Digest) Leaving() map[string]int64 { return d.config.Leaving }
 
+// Limits returns the rates that backend servers have named in answers to the sender lately,
+// and those that have ended.
+func (d Digest) Limits() []LimitConfig { return d.config.Limits }
+
 // Suspects returns what the sender knows of some of the suspects of crashes.
 func (d Digest) Suspects() []SuspectConfig { return d.config.Suspects }
 
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -103,7 +103,7 @@
 func (m *mediator) Broadcast(action scheduler.Broadcast) error {
 	digest := protocol.NewDigest(protocol.DigestConfig{
 		Sender: m.self, Domain: m.domain, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
-		Replaced: action.Replaced(), Leaving: action.Leaving(), Suspects: action.Suspects(), Hot: action.Hot(),
+		Replaced: action.Replaced(), Leaving: action.Leaving(), Limits: action.Limits(), Suspects: action.Suspects(), Hot: action.Hot(),
 		Evacuations: m.state.Evacuations().Report(maxReportedEvacuations),
 		Draining:    action.Draining(), Spent: action.Spent(), Demand: action.Demand(), HomeDemand: action.HomeDemand(), Loads: action.Loads(), Plan: action.Plan(),
 	})
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -194,6 +194,7 @@
 	Plan       map[string][]string
 	Replaced   map[string]int64         // start times, by ID, of the listed backend servers that are gone
 	Leaving    map[string]int64         // start times, by ID, of the listed backend servers that have said that they leave
+	Limits     []protocol.LimitConfig   // rates that backend servers have named in answers lately, and those that have ended
 	Joining    bool                     // the other lobbies may not all know this one yet
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
@@ -233,6 +234,10 @@
 // in an answer that they leave.
 func (b Broadcast) Leaving() map[string]int64 { return b.config.Leaving }
 
+// Limits returns the rates that backend servers have named in answers to this lobby lately,
+// and those that have ended.
+func (b Broadcast) Limits() []protocol.LimitConfig { return b.config.Limits }
+
 // Joining reports whether the other lobbies may not all know this one yet, so that the
 // list of lobbies is to be read often.
 func (b Broadcast) Joining() bool { return b.config.Joining }
--- a/lobby/scheduler/coldserver.go
+++ b/lobby/scheduler/coldserver.go
@@ -104,14 +104,6 @@
 	return s.cold.until()
 }
 
-// recordWithheld records a new request that waits for its turn at cold backend servers,
-// or is refused since it does not come in time.
-func (c *Core) recordWithheld(delay time.Duration) {
-	if delay > 0 {
-		c.emit(RecordWithheld{})
-	}
-}
-
 // RecordCold records in the log that a cold time of a backend server has begun or ended.
 type RecordCold struct {
 	backend string
@@ -120,9 +112,4 @@
 	listAge time.Duration // age of the list of backend servers
 }
 
-// RecordWithheld records in the metrics that a request was withheld from cold backend
-// servers.
-type RecordWithheld struct{}
-
-func (RecordCold) schedulerAction()     {}
-func (RecordWithheld) schedulerAction() {}
+func (RecordCold) schedulerAction() {}
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -211,7 +211,7 @@
 // for its model if it did not run.
 func (c *Core) refuseUnserved(now time.Time, req *openRequest, cause Cause, after time.Duration) {
 	if !req.started && !req.mayHaveRun {
-		after = c.returnAfter(now, req, after)
+		after = c.returnAfter(now, req, c.turnElsewhere(now, req, after))
 	}
 	notRun := c.refuseNotRun(now, req, cause, after)
 	if model := req.request.Model(); notRun && model != "" {
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -75,7 +75,7 @@
 		FreshConnection:  !req.retryable(),
 		SendBefore:       s.gates.sendBefore(now),
 		KeepError:        req.retryable(),
-		Limited:          s.limit.named(),
+		Limited:          s.limit.named() > 0,
 		FirstByteTimeout: req.firstByteTimeout(),
 		IdleTimeout:      req.idleTimeout(),
 		Stream:           req.route.Kind() == deployment.Stream,
--- a/lobby/scheduler/explain.go
+++ b/lobby/scheduler/explain.go
@@ -22,6 +22,7 @@
 	ruleHome           Rule = "home"             // it is in no home region of the route and the customer
 	ruleHeld           Rule = "held"             // it has asked for a time without requests
 	ruleCold           Rule = "cold"             // it is cold or warms up, and this lobby has no turn now
+	ruleLimited        Rule = "limited"          // it names a rate in its answers, and this lobby has no turn now
 	ruleReserved       Rule = "reserved"         // its next slot is kept for a long prompt that was passed over
 	ruleShareUsed      Rule = "share_used"       // this lobby has used its share of the service's slots
 	ruleModelNotLoaded Rule = "model_not_loaded" // its list entry does not have the model
@@ -206,6 +207,8 @@
 		return ruleHeld
 	case !s.cold.admits(now):
 		return ruleCold
+	case !s.limit.admits(now):
+		return ruleLimited
 	case s.reservedAgainst(now, req):
 		return ruleReserved
 	case !engine: // no other rule is left
--- a/lobby/scheduler/limit_test.go
+++ b/lobby/scheduler/limit_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -48,3 +51,102 @@
 		})
 	}
 }
+
+// digestOfLimit receives a digest of a lobby that has heard what a backend server names.
+func (f *fixture) digestOfLimit(limit protocol.LimitConfig) []scheduler.Action {
+	return f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "10.0.0.9:7000", Incarnation: 1, Serial: int64(f.now.Sub(noon)) + 1, Limits: []protocol.LimitConfig{limit}})))
+}
+
+// TestLimitIsLearntFromAnotherLobby guards against a lobby that sends as ever until it hears
+// the rate itself, that believes old news, or that tells on what it has not heard itself.
+func TestLimitIsLearntFromAnotherLobby(t *testing.T) {
+	const second = time.Second
+	cases := map[string]struct {
+		own   float64       // rate named in an answer to this lobby
+		since time.Duration // time from then to the digest
+		limit protocol.LimitConfig
+		want  []string
+	}{
+		"begun":                 {limit: protocol.LimitConfig{Rate: 2}, want: []string{"begun 2 (0)"}},
+		"begun, another start":  {limit: protocol.LimitConfig{Rate: 2, Start: 1}},
+		"changed":               {own: 3, since: 3 * second, limit: protocol.LimitConfig{Rate: 2, Age: second}, want: []string{"changed 2 (3)"}},
+		"changed long ago":      {own: 3, since: 3 * second, limit: protocol.LimitConfig{Rate: 2, Age: 4 * second}},
+		"ended":                 {own: 3, since: 3 * second, limit: protocol.LimitConfig{Age: second}, want: []string{"ended 0 (3)"}},
+		"ended before":          {own: 3, since: 3 * second, limit: protocol.LimitConfig{Age: 4 * second}},
+		"ended, hardly later":   {own: 3, since: 3 * second, limit: protocol.LimitConfig{Age: 5 * second / 2}},
+		"ended, never heard of": {limit: protocol.LimitConfig{Age: second}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(plainServer("p"))
+			if tc.own > 0 {
+				f.core.Handle(f.now, scheduler.NewBackendLimit(scheduler.NewOrigin("p", 0), tc.own, f.now))
+			}
+			f.now = f.now.Add(tc.since)
+			tc.limit.Backend = "p"
+			var got []string
+			for _, action := range f.digestOfLimit(tc.limit) {
+				if record, ok := action.(scheduler.RecordLimit); ok {
+					got = append(got, fmt.Sprintf("%v %v (%v)", record.State(), record.Rate(), record.Before()))
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("recorded (-want +got):\n%s", diff)
+			}
+			f.now = f.now.Add(time.Second)
+			for _, action := range f.core.Tick(f.now) {
+				if broadcast, ok := action.(scheduler.Broadcast); ok && len(broadcast.Limits()) > 0 && tc.own == 0 {
+					t.Errorf("tells %+v, which no answer has named", broadcast.Limits())
+				}
+			}
+		})
+	}
+}
+
+// TestLimitBelongsToOneStart guards against a rate that outlives the start of the backend
+// server which named it, or that is forgotten with an entry that lapses.
+func TestLimitBelongsToOneStart(t *testing.T) {
+	restarted := plainServer("p")
+	restarted.StartTime = 9
+	cases := map[string]struct {
+		lists [][]deployment.BackendConfig
+		want  int // of ten requests sent at once
+	}{
+		"listed again":       {lists: [][]deployment.BackendConfig{{plainServer("p")}}, want: 0},
+		"lapsed for a while": {lists: [][]deployment.BackendConfig{{}, {plainServer("p")}}, want: 0},
+		"started again":      {lists: [][]deployment.BackendConfig{{restarted}}, want: 10},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(plainServer("p"))
+			f.core.Handle(f.now, scheduler.NewBackendLimit(scheduler.NewOrigin("p", 0), 2, f.now))
+			for _, list := range tc.lists {
+				f.list(list...)
+			}
+			sent := 0
+			for range 10 {
+				sent += sendsOf(f.arrive(httpmeta.RequestConfig{Path: "/open/a"}))
+			}
+			if diff := cmp.Diff(tc.want, sent); diff != "" {
+				t.Errorf("sent at once (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestServerWithANamedRateIsPassedOver guards against requests that wait for a turn, or are
+// refused, though another backend server can run them, and checks what is explained.
+func TestServerWithANamedRateIsPassedOver(t *testing.T) {
+	f := newFixture(plainServer("p"), plainServer("q"))
+	f.core.Handle(f.now, scheduler.NewBackendLimit(scheduler.NewOrigin("p", 0), 2, f.now))
+	var got []string
+	for range 3 {
+		got = append(got, describe(f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"}))...)
+	}
+	for _, report := range f.core.Explain(f.now, scheduler.NewQuery(scheduler.QueryConfig{Route: "unsafe"})).Config().Candidates {
+		got = append(got, fmt.Sprint(report.Config().Backend, " ", report.Config().Excluded))
+	}
+	if diff := cmp.Diff([]string{"send q", "send q", "send q", "p limited", "q "}, got); diff != "" {
+		t.Errorf("decisions and explanation (-want +got):\n%s", diff)
+	}
+}
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -84,7 +84,7 @@
 // recordLimit logs that a backend server has begun or ceased to name a rate, or has changed it.
 func (s *Scheduler) recordLimit(a RecordLimit) {
 	s.stats.limits[a.state].Inc()
-	s.config.Log.WithFields(logrus.Fields{"event": "limit", "backend": a.backend, "state": a.state, "rate": a.rate, "before": a.before, "age": a.age}).Info(limitTexts[a.state])
+	s.config.Log.WithFields(logrus.Fields{"event": "limit", "backend": a.backend, "state": a.state, "rate": a.rate, "before": a.before, "age": a.age, "share": a.share, "lobbies": a.lobbies, "lobby": a.peer}).Info(limitTexts[a.state])
 }
 
 // recordQuarantine logs that a suspect was quarantined or released.
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -33,6 +33,7 @@
 	c.markReplaced(digest.Replaced())
 	c.learnHot(now, digest.Hot())
 	c.markPeersLeaving(digest)
+	c.learnLimits(now, digest)
 	if digest.Plan() != nil {
 		c.adoptPlan(now, digest.Sender(), digest.Plan())
 	}
@@ -148,13 +149,14 @@
 	}
 	c.lastDigest = now
 	config := BroadcastConfig{Draining: !c.drainStart.IsZero(), Spent: c.config.Limiter.Spent(), Demand: c.demandToSend(now), Plan: c.planToSend(now), AwaitsLoad: c.awaitsLoad(), Suspects: c.config.Quarantine.Suspects(now)}
-	config.Joining = c.cold.expected && c.rateShares.settles(now)
+	config.Joining = (c.cold.expected || c.rateLimited) && c.rateShares.settles(now)
 
 	if config.Demand != nil {
 		config.HomeDemand = c.homeDemandToSend()
 	}
 	config.Replaced = c.startTimes(func(s *server) bool { return s.replaced })
 	config.Leaving = c.leavingToSend()
+	config.Limits = c.limitsToSend(now)
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -30,8 +30,9 @@
 	if alreadyQueued && now.Before(req.queueDeadline()) {
 		return
 	}
-	turnDelay := c.turnDelay(now, req, req.tried, c.queuedLike(req))
-	c.recordWithheld(turnDelay)
+	turns := c.turnsFor(now, req.queueKey(), req.tried)
+	turnDelay := turns.delay(now, c.queuedLike(req))
+	c.recordWithheld(turns, turnDelay)
 	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried), turnDelay)
 	if !now.Add(delay).Before(req.queueDeadline()) {
 		c.refuseUnserved(now, req, noBackend, max(delay, c.freeQueueDelay(now, req), retryAfter))
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -171,7 +171,7 @@
 		s.recordLimit(a)
 		return
 	case RecordWithheld:
-		s.stats.withheld.Inc()
+		s.stats.requestWithheld(a)
 		return
 	case RecordEvacuation:
 		s.recordEvacuation(a)
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -36,7 +36,7 @@
 	report            coldReport // last report of its cold time
 	reportSeen        bool       // there was one
 	coldRecorded      bool       // its cold time has been recorded
-	limit             limit      // rate that it names in its answers
+	limit             *limitGate // nil if it has named no rate in its answers
 
 	cacheTokens int64     // tokens that running requests and cached parts share; zero if not known
 	footprint   footprint // of the requests of this process
@@ -54,9 +54,23 @@
 
 // setCold sets the gate for cold times, nil for none.
 func (s *server) setCold(gate *coldGate) {
-	s.cold, s.gates = gate, nil
-	if gate != nil {
-		s.gates = append(s.gates, gate)
+	s.cold = gate
+	s.collectGates()
+}
+
+// setLimit sets the gate for the rate that the backend server names.
+func (s *server) setLimit(gate *limitGate) {
+	s.limit = gate
+	s.collectGates()
+}
+
+func (s *server) collectGates() {
+	s.gates = nil
+	if s.cold != nil {
+		s.gates = append(s.gates, s.cold)
+	}
+	if s.limit != nil {
+		s.gates = append(s.gates, s.limit)
 	}
 }
 
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -16,7 +16,8 @@
 	shares       shareGauges
 	fetches      *metrics.Counter
 	quarantines  *metrics.Counter
-	withheld     *metrics.Counter
+	withheld     *metrics.Counter // from cold backend servers
+	withheldRate *metrics.Counter // from backend servers that name a rate
 	limits       map[limitState]*metrics.Counter
 	waited       *metrics.Histogram
 	firstEvent   *metrics.Histogram
@@ -37,6 +38,7 @@
 		fetches:      metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
 		quarantines:  metrics.GetOrCreateCounter("sesamewell_quarantines_total"),
 		withheld:     metrics.GetOrCreateCounter("sesamewell_cold_withheld_total"),
+		withheldRate: metrics.GetOrCreateCounter("sesamewell_limit_withheld_total"),
 		waited:       metrics.GetOrCreateHistogram("sesamewell_request_waited_seconds"),
 		firstEvent:   metrics.GetOrCreateHistogram("sesamewell_request_first_event_seconds"),
 		longestPause: metrics.GetOrCreateHistogram("sesamewell_request_longest_pause_seconds"),
@@ -65,6 +67,15 @@
 	}
 }
 
+// requestWithheld updates the metrics with a request that was withheld.
+func (s *stats) requestWithheld(r RecordWithheld) {
+	if r.limited {
+		s.withheldRate.Inc()
+		return
+	}
+	s.withheld.Inc()
+}
+
 // sendEnded updates the metrics with the end of a send.
 func (s *stats) sendEnded(r RecordSend) {
 	s.ends[r.Result()].Inc()
--- a/lobby/scheduler/turn.go
+++ b/lobby/scheduler/turn.go
@@ -26,6 +26,7 @@
 	first time.Time // time of the next turn
 	end   time.Time // time from which on one of them is not limited
 	rate  float64   // turns per second; zero if this lobby has none
+	named float64   // sum of the rates that the backend servers name, for all lobbies
 }
 
 // delay returns the time until the turn that follows a number of others.
@@ -63,10 +64,23 @@
 			t.end = end
 		}
 		t.rate += s.gates.perSecond(now)
+		t.named += s.limit.named()
 	}
 	return t
 }
 
+// turnElsewhere returns the time after which the caller of a request that this lobby has
+// no turns for may return, to whichever lobby, in place of a longer one: the mean time
+// between two turns of a lobby.
+func (c *Core) turnElsewhere(now time.Time, req *openRequest, after time.Duration) time.Duration {
+	t := c.turnsFor(now, req.queueKey(), req.tried)
+	if t.rate > 0 || t.named == 0 {
+		return after
+	}
+	mean := float64(c.rateShares.lobbies()) / t.named
+	return min(after, max(time.Duration(min(mean, maxHold.Seconds())*float64(time.Second)), retryAfter))
+}
+
 // queuedLike returns the number of queued requests that wait for the same backend servers
 // as a request.
 func (c *Core) queuedLike(req *openRequest) int {
@@ -87,3 +101,19 @@
 		c.rateLimited = c.rateLimited || s.gates.limits(now)
 	}
 }
+
+// recordWithheld records a new request that waits for its turn, or is refused since it does
+// not come in time.
+func (c *Core) recordWithheld(t turns, delay time.Duration) {
+	if delay > 0 {
+		c.emit(RecordWithheld{limited: t.named > 0})
+	}
+}
+
+// RecordWithheld records in the metrics that a request was withheld from backend servers
+// with limited rates.
+type RecordWithheld struct {
+	limited bool // some of them name their rates, so that not all are cold
+}
+
+func (RecordWithheld) schedulerAction() {}
