--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -25,6 +25,7 @@
 	Stream           bool          // a successful answer is forwarded event by event
 	Resumable        bool          // the stream may be resumed at another backend server, so only whole events are forwarded
 	KeepError        bool          // a server error of the backend server is kept for ForwardError
+	Limited          bool          // the backend server has named a rate, so an answer without one is reported too
 }
 
 // Send sends a request to a backend server.
@@ -79,6 +80,10 @@
 // ForwardError.
 func (s Send) KeepError() bool { return s.config.KeepError }
 
+// Limited reports whether the backend server has named a rate in its answers, so that an
+// answer that names none is reported too.
+func (s Send) Limited() bool { return s.config.Limited }
+
 // ForwardErrorConfig holds the construction parameters of a ForwardError.
 type ForwardErrorConfig struct {
 	Number uint64
@@ -189,6 +194,7 @@
 	Plan       map[string][]string
 	Replaced   map[string]int64         // start times, by ID, of the listed backend servers that are gone
 	Leaving    map[string]int64         // start times, by ID, of the listed backend servers that have said that they leave
+	Limits     []protocol.LimitConfig   // rates that backend servers have named in answers lately, and those that have ended
 	Joining    bool                     // the other lobbies may not all know this one yet
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
@@ -228,6 +234,10 @@
 // in an answer that they leave.
 func (b Broadcast) Leaving() map[string]int64 { return b.config.Leaving }
 
+// Limits returns the rates that backend servers have named in answers to this lobby lately,
+// and those that have ended.
+func (b Broadcast) Limits() []protocol.LimitConfig { return b.config.Limits }
+
 // Joining reports whether the other lobbies may not all know this one yet, so that the
 // list of lobbies is to be read often.
 func (b Broadcast) Joining() bool { return b.config.Joining }
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -151,7 +151,7 @@
 		c.retryNotRun(now, req, req.failedSends < maxFailedSends)
 	case Deferred:
 		delete(req.tried, s.backend.ID())
-		s.cold.withdrawn(req.sentAt)
+		s.gates.withdrawn(req.sentAt)
 		c.retryNotRun(now, req, true)
 	case Replaced:
 		s.replaced, req.needsRetry = true, true
@@ -204,14 +204,14 @@
 	if chosen, ok := c.choose(now, req); ok && !chosen.suspected {
 		return promptRetryAfter
 	}
-	return max(c.slotDelay(req), c.holdDelay(now, req, nil), c.coldDelay(now, req, nil, 0))
+	return max(c.slotDelay(req), c.holdDelay(now, req, nil), c.turnDelay(now, req, nil, 0))
 }
 
 // refuseUnserved ends a request that no backend server accepts, and counts it as demand
 // for its model if it did not run.
 func (c *Core) refuseUnserved(now time.Time, req *openRequest, cause Cause, after time.Duration) {
 	if !req.started && !req.mayHaveRun {
-		after = c.returnAfter(now, req, after)
+		after = c.returnAfter(now, req, c.turnElsewhere(now, req, after))
 	}
 	notRun := c.refuseNotRun(now, req, cause, after)
 	if model := req.request.Model(); notRun && model != "" {
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -30,9 +30,10 @@
 	if alreadyQueued && now.Before(req.queueDeadline()) {
 		return
 	}
-	coldDelay := c.coldDelay(now, req, req.tried, c.queuedLike(req))
-	c.recordWithheld(coldDelay)
-	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried), coldDelay)
+	turns := c.turnsFor(now, req.queueKey(), req.tried)
+	turnDelay := turns.delay(now, c.queuedLike(req))
+	c.recordWithheld(turns, turnDelay)
+	delay := max(c.loadDelay(now, req), c.holdDelay(now, req, req.tried), turnDelay)
 	if !now.Add(delay).Before(req.queueDeadline()) {
 		c.refuseUnserved(now, req, noBackend, max(delay, c.freeQueueDelay(now, req), retryAfter))
 		return
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -167,8 +167,11 @@
 	case RecordCold:
 		s.recordCold(a)
 		return
+	case RecordLimit:
+		s.recordLimit(a)
+		return
 	case RecordWithheld:
-		s.stats.withheld.Inc()
+		s.stats.requestWithheld(a)
 		return
 	case RecordEvacuation:
 		s.recordEvacuation(a)
