Let the stand-ins of the review render templates whole

Seen: each `review/N/run.sh` ended with 2, "the case could not run: front-1 is not ready". Cause: the stand-in for the platform replaced `{{name}}` by values only. `platform/lobby.ini` has sections since it holds regions and figures of cold backend servers; they stayed as they were, and the lobby refused its settings ("front-1.ini:28: line is neither a section nor a setting; write key = value"). Fields are nested tables, with `zones`. Cases and bounds are as they were. After: all cases pass (`cd review/standin && GOWORK=off go test ./...`).

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -110,11 +110,15 @@
 		return nil, err
 	}
 	l := &lobby{front: ip + ":" + front, ready: ip + ":" + ready}
-	l.process, err = f.start(name, "target/sesamewell-lobby", "platform/lobby.ini", frontMemory, map[string]string{
-		"node_name": name, "zone": "zone-a", "ip": ip, "limits.memory_mb": strconv.Itoa(frontMemory), "bounds.grace_s": "8",
-		"internal_port_range.0": f.port, "platform.address": f.store.addr, "bounds.drain_ms": "2000", "bounds.contact_ms": "3000",
-		"listen_addresses.front": l.front, "listen_addresses.ready": l.ready, "bounds.origin_rate_overshoot": "1.1",
-		"bounds.retry_budget_ratio": "0.2", "bounds.budget_extra_retries": "54", "bounds.budget_window_s": "10",
+	l.process, err = f.start(name, "target/sesamewell-lobby", "platform/lobby.ini", frontMemory, map[string]any{
+		"node_name": name, "zone": "zone-a", "ip": ip, "zones": map[string]any{"zone-a": "region-a"},
+		"limits": map[string]any{"memory_mb": frontMemory}, "internal_port_range": []any{f.port, f.port},
+		"platform":         map[string]any{"address": f.store.addr},
+		"listen_addresses": map[string]any{"front": l.front, "ready": l.ready},
+		"bounds": map[string]any{
+			"grace_s": 8, "drain_ms": 2000, "contact_ms": 3000, "origin_rate_overshoot": 1.1,
+			"retry_budget_ratio": 0.2, "budget_extra_retries": 54, "budget_window_s": 10,
+		},
 	})
 	return l, err
 }
@@ -125,9 +129,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.start(name, "target/sesamewell-keeper", "platform/keeper.ini", sideMemory, map[string]string{
-		"node_name": name, "ip": ip, "limits.memory_mb": strconv.Itoa(sideMemory), "bounds.grace_s": "8",
-		"internal_port_range.0": f.port, "app": app,
+	return f.start(name, "target/sesamewell-keeper", "platform/keeper.ini", sideMemory, map[string]any{
+		"node_name": name, "ip": ip, "app": app, "limits": map[string]any{"memory_mb": sideMemory},
+		"internal_port_range": []any{f.port, f.port}, "bounds": map[string]any{"grace_s": 8},
 	})
 }
 
@@ -148,14 +152,14 @@
 	exited chan struct{}
 }
 
-func (f *fleet) start(name, program, template string, memoryMB int, values map[string]string) (*process, error) {
+func (f *fleet) start(name, program, template string, memoryMB int, fields map[string]any) (*process, error) {
 	text, err := os.ReadFile(filepath.Join(f.root, template))
 	if err != nil {
 		return nil, err
 	}
-	settings := string(text)
-	for key, value := range values {
-		settings = strings.ReplaceAll(settings, "{{"+key+"}}", value)
+	settings, err := renderTemplate(string(text), fields)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", template, err)
 	}
 	path := filepath.Join(f.dir, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
