Refuse messages whose lists are longer than the message

Seen: one message of 9 bytes between processes, whose list is said to have 2^32-1 elements, ends the process that reads it: the decoder makes room for all of them (nearly 1 TiB) before it reads the first, and the Go runtime ends with "fatal error: runtime: out of memory". Any method of a side that takes a list, and the replies that an entry reads. Evidence (sources before): TestAbsurdLengthsTakeNoMemory ended the test process with that error; TestEndlessMessagesToEntryAndSide/calls_of_a_side/absurd_batch: "side-peer ended with exit code 2". Change: before a message is decoded, its lengths are checked against the bytes that are left of it, with a walk that needs no stack, so that deep nesting is harmless too. Left: a list of very many empty elements, each of one byte, takes up to some hundred times the bytes of the message; such a list has to be sent, and the limit on messages bounds it.

--- a/commons/protocol/protocol.go
+++ b/commons/protocol/protocol.go
@@ -22,7 +22,12 @@
 	return data.Bytes(), nil
 }
 
+// decode decodes what encode wrote. A message that announces more elements than it has
+// bytes fails before room is made for them.
 func decode(name string, data []byte, config any) error {
+	if err := checkLengths(data); err != nil {
+		return errors.Wrapf(err, "decode %s", name)
+	}
 	return errors.Wrapf(msgpack.Unmarshal(data, config), "decode %s", name)
 }
 
--- a/commons/protocol/protocol_test.go
+++ b/commons/protocol/protocol_test.go
@@ -5,6 +5,8 @@
 	"encoding"
 	"encoding/gob"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +74,35 @@
 		})
 	}
 }
+
+// TestAbsurdLengthsTakeNoMemory guards against a message of a few bytes for which a process
+// makes room for a million elements.
+func TestAbsurdLengthsTakeNoMemory(t *testing.T) {
+	const limit = 64 << 10 // bytes allocated for one message
+	array, text := "\xdd\xff\xff\xff\xff", "\xdb\xff\xff\xff\xff"
+	cases := map[string]struct {
+		message encoding.BinaryUnmarshaler
+		data    string
+	}{
+		"requests of a batch": {message: &protocol.Batch{}, data: "\x95\xa1e\xa1s" + array},
+		"cancels of a batch":  {message: &protocol.Batch{}, data: "\x95\xa1e\xa1s\x90" + array},
+		"positions of a read": {message: &protocol.Read{}, data: "\x96\xa1e\x01\xc2" + array},
+		"name of an entry":    {message: &protocol.Batch{}, data: "\x95" + text},
+		"array of 16 bits":    {message: &protocol.Batch{}, data: "\x95\xa1e\xa1s\xdc\xff\xff"},
+		"map":                 {message: &protocol.Batch{}, data: "\xdf\xff\xff\xff\xff"},
+		"nested arrays":       {message: &protocol.Batch{}, data: strings.Repeat(array, 100)},
+		"length cut":          {message: &protocol.Batch{}, data: "\x95\xdd\xff"},
+		"nothing":             {message: &protocol.Batch{}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err := tc.message.UnmarshalBinary([]byte(tc.data))
+			runtime.ReadMemStats(&after)
+			if allocated := after.TotalAlloc - before.TotalAlloc; err == nil || allocated > limit {
+				t.Errorf("%d bytes allocated, error %v", allocated, err)
+			}
+		})
+	}
+}
--- a/standin/e2e/endlessmessages_test.go
+++ b/standin/e2e/endlessmessages_test.go
@@ -175,6 +175,15 @@
 	}
 }
 
+// rawMessage is an argument of a call in the encoding of the system's messages.
+type rawMessage []byte
+
+// MarshalBinary returns the message.
+func (m rawMessage) MarshalBinary() ([]byte, error) { return m, nil }
+
+// absurdBatch is the start of a batch that is said to have very many requests.
+var absurdBatch = rawMessage("\x95\xa1e\xa1s\xdd\xff\xff\xff\xff")
+
 // playMessages lets a crowd write each message to the RPC port of a process. An ordinary
 // request must be answered afterwards.
 func playMessages(t *testing.T, p *process, port string, calls map[string]answerScript, awaitOrdinary func(t *testing.T)) {
@@ -234,7 +243,8 @@
 	awaitOrdinary := func(t *testing.T) { awaitAnswer(t, entry, d) }
 	t.Run("calls of a side", func(t *testing.T) {
 		calls := map[string]answerScript{
-			"reads": endlessCalls(protocol.ReadMethod, protocol.NewRead(protocol.ReadConfig{Entry: "e", Wait: time.Second})),
+			"absurd batch": endlessCalls(protocol.SubmitMethod, absurdBatch),
+			"reads":        endlessCalls(protocol.ReadMethod, protocol.NewRead(protocol.ReadConfig{Entry: "e", Wait: time.Second})),
 		}
 		playMessages(t, side, f.linkAddresses["side-peer"], calls, awaitOrdinary)
 	})
