--- /dev/null
+++ b/standin/e2e/endlessanswers_test.go
@@ -0,0 +1,144 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sesamewell.example/commons/peerrpc"
+	"sesamewell.example/commons/protocol"
+)
+
+const (
+	okLine     = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n"
+	plainText  = okLine + "Content-Type: text/plain\r\n"
+	eventHead  = okLine + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunkedEnd = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+var (
+	largeChunk = fmt.Sprintf("%x\r\n%s\r\n", endlessPiece, strings.Repeat("x", endlessPiece))
+	jsonChunk  = fmt.Sprintf("%x\r\n%s\r\n", endlessPiece, strings.Repeat("[", endlessPiece))
+	tinyEvent  = "data: x\n\n"
+)
+
+// endlessAnswers are the HTTP answers that never end.
+var endlessAnswers = map[string]answerScript{
+	"huge length":              endlessAnswer(plainText+"Content-Length: 1099511627776\r\n\r\n", "x"),
+	"chunks":                   endlessAnswer(plainText+chunkedEnd, largeChunk),
+	"one-byte chunks":          endlessAnswer(plainText+chunkedEnd, smallChunk),
+	"one chunk of absurd size": endlessAnswer(plainText+chunkedEnd+"7fffffffffffffff\r\n", "x"),
+	"chunk extension":          endlessAnswer(plainText+chunkedEnd+"5;", "x"),
+	"trailer":                  endlessAnswer(plainText+chunkedEnd+"1\r\nx\r\n0\r\n", "A: "+strings.Repeat("x", 100)+"\r\n"),
+	"unframed body":            endlessAnswer(plainText+"\r\n", "x"),
+	"open brackets":            endlessAnswer(okLine+"Content-Type: application/json\r\n"+chunkedEnd, jsonChunk),
+	"head":                     endlessAnswer(okLine, "A: "+strings.Repeat("x", 100)+"\r\n"),
+	"line of a head":           endlessAnswer(okLine+"A: ", "x"),
+	"interim answers":          endlessAnswer("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+	"one event":                endlessAnswer(eventHead, largeChunk),
+	"tiny events":              endlessAnswer(eventHead, fmt.Sprintf("%x\r\n%s\r\n", len(tinyEvent), tinyEvent)),
+	"garbage":                  endlessAnswer("", "\x00\xff\x16\x03"),
+}
+
+// faultyServer is a stand-in that is sound, or gives each request the answer of a script.
+type faultyServer struct {
+	sound  http.Handler
+	script atomic.Pointer[answerScript]
+	hits   atomic.Int64 // answers that have begun by a script
+}
+
+// ServeHTTP answers one request.
+func (s *faultyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	script := s.script.Load()
+	if script == nil {
+		s.sound.ServeHTTP(w, r)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	s.hits.Add(1)
+	defer func() { _ = conn.Close() }()
+	_ = (*script)(conn)
+}
+
+// startFaulty starts a faulty server in front of a sound handler. It returns its address.
+func startFaulty(t testing.TB, sound http.Handler) (*faultyServer, string) {
+	s := &faultyServer{sound: sound}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.CloseClientConnections)
+	return s, strings.TrimPrefix(server.URL, "http://")
+}
+
+// proxyTo returns a handler that passes requests on.
+func proxyTo(address string) http.Handler {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	proxy.FlushInterval = -1
+	return proxy
+}
+
+// playEndless plays each answer of a faulty server on processes, while act lets them call
+// it. Then the server is sound, and awaitOrdinary waits until an ordinary request is
+// answered.
+func playEndless(t *testing.T, server *faultyServer, watched peaks, act func(ctx context.Context), awaitOrdinary func(t *testing.T)) {
+	for name, script := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			watched.reset(t)
+			before := server.hits.Load()
+			server.script.Store(&script)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				defer cancel()
+				for end := time.Now().Add(waitTimeout); server.hits.Load() == before && time.Now().Before(end); {
+					time.Sleep(samplePeriod)
+				}
+				time.Sleep(faultTime)
+			}()
+			act(ctx)
+			<-ctx.Done()
+			server.script.Store(nil)
+			awaitOrdinary(t)
+			watched.check(t)
+			if server.hits.Load() == before {
+				t.Error("the server was not called")
+			}
+		})
+	}
+}
+
+// TestEndlessAnswersOfAnEngineToItsKeeper guards against a keeper that keeps what an
+// engine sends without end.
+func TestEndlessAnswersOfAnEngineToItsKeeper(t *testing.T) {
+	f, _ := newLobbyFleet(t)
+	faulty, address := startFaulty(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"models":[{"name":"m","version":1,"adapters":[]}]}`)
+	}))
+	p, link := f.startKeeper(address)
+	client := peerrpc.NewClient(peerrpc.ClientConfig{Address: link, DialTimeout: time.Second})
+	defer client.Close()
+	playEndless(t, faulty, peaks{processes: []*process{p}}, func(ctx context.Context) { <-ctx.Done() }, func(t *testing.T) {
+		if err := client.Call(protocol.AssignMethod, protocol.NewAssign(protocol.AssignConfig{}), &protocol.Nothing{}, rpcCallLimit); err != nil {
+			t.Errorf("ordinary call of the keeper: %v", err)
+		}
+	})
+}
+
+// TestEndlessAnswersOfTheStore guards against a lobby that keeps what the platform's store
+// sends without end.
+func TestEndlessAnswersOfTheStore(t *testing.T) {
+	f, store := newLobbyFleet(t)
+	faulty, address := startFaulty(t, proxyTo(store))
+	p, addresses := f.startLobby("lobby-1", address)
+	d := callersDoor(addresses.callers)
+	playEndless(t, faulty, peaks{processes: []*process{p}}, func(ctx context.Context) { <-ctx.Done() }, func(t *testing.T) { awaitAnswer(t, p, d) })
+}
--- a/standin/e2e/endlessmessages_test.go
+++ b/standin/e2e/endlessmessages_test.go
@@ -82,7 +82,7 @@
 // startKeeper starts a keeper beside an engine. It returns its address for lobbies.
 func (f *fleet) startKeeper(engine string) (*process, string) {
 	operator, link := testkit.FreeAddress(f.t), testkit.FreeAddress(f.t)
-	p := f.startPlain("keeper-1", "sesamewell-keeper", fmt.Sprintf("[process]\ninstance = keeper-1\nmemory = %dMiB\noperator = %s\n[door]\nlisten = %s\n[engine]\naddress = %s\n",
+	p := f.startPlain("keeper-1", "sesamewell-keeper", fmt.Sprintf("[process]\ninstance = keeper-1\nmemory = %dMiB\noperator = %s\n[door]\nlisten = %s\n[engine]\naddress = %s\nlook = 20ms\ntimeout = 100ms\n",
 		clientMemoryMB, operator, link, engine))
 	f.awaitOK("keeper-1", "http://"+operator+"/healthz")
 	return p, link
