Bound the pages that the command reads

Seen: a process that answers an operator's question without end makes the command `sesamewell` keep all that it sends for 2 s. Cause: inspect.Fetch called the default client of fasthttp, which has no limit of size. Change: Fetch sends by httpclient, which reads 16 MiB at most.

--- a/sesamewell/inspect/inspect.go
+++ b/sesamewell/inspect/inspect.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"sesamewell.example/commons/httpclient"
 	"sesamewell.example/commons/tracing"
 )
 
@@ -25,7 +26,8 @@
 
 // Fetch decodes a JSON page of the instance at address (IP:port) into value.
 func Fetch(address, path string, value any) error {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, callTimeout)
+	client := httpclient.New(httpclient.Config{Address: address, MaxConns: 1})
+	status, body, err := client.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: fasthttp.MethodGet, Path: path, Timeout: callTimeout}))
 	if err != nil {
 		return errors.Wrapf(err, "ask %s", address)
 	}
--- a/standin/e2e/endlessanswers_test.go
+++ b/standin/e2e/endlessanswers_test.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -142,3 +144,53 @@
 	d := callersDoor(addresses.callers)
 	playEndless(t, faulty, peaks{processes: []*process{p}}, func(ctx context.Context) { <-ctx.Done() }, func(t *testing.T) { awaitAnswer(t, p, d) })
 }
+
+// TestEndlessAnswersOfTheLog guards against an entry or a side that keeps what the log
+// sends without end.
+func TestEndlessAnswersOfTheLog(t *testing.T) {
+	var faulty *faultyServer
+	f, d := newPeerFleet(t, func(log string) (address string) {
+		faulty, address = startFaulty(t, proxyTo(log))
+		return address
+	})
+	watched := peaks{processes: []*process{f.processes["entry-1"], f.processes["side-peer"]}}
+	playEndless(t, faulty, watched, func(ctx context.Context) { <-ctx.Done() }, func(t *testing.T) { awaitAnswer(t, f.processes["entry-1"], d) })
+}
+
+// TestEndlessAnswersToACommand guards against a command that keeps what a process sends
+// without end as a page for operators, or the log as its records.
+func TestEndlessAnswersToACommand(t *testing.T) {
+	if err := buildPlain(); err != nil {
+		t.Fatal(err)
+	}
+	faulty, address := startFaulty(t, http.NotFoundHandler())
+	for _, name := range []string{"chunks", "unframed body", "head"} {
+		t.Run(name, func(t *testing.T) {
+			script := endlessAnswers[name]
+			faulty.script.Store(&script)
+			runCommand(t, "trace", "1", "--from", address)
+			runCommand(t, "--log", address, "--timeout", "1s", "status")
+		})
+	}
+}
+
+// runCommand runs a command of an operator, which must fail within its memory.
+func runCommand(t *testing.T, args ...string) {
+	t.Helper()
+	command := exec.Command(filepath.Join(binDir, plainBuild, "sesamewell"), args...)
+	p := &process{name: "sesamewell", cmd: command, log: &lockedBuffer{}, exited: make(chan struct{})}
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	peak := sample(p)
+	if err := command.Wait(); err == nil {
+		t.Errorf("the command succeeded:\n%s", p.log)
+	}
+	close(p.exited)
+	got := peak.await()
+	t.Logf("sesamewell: %d MB at most of %d", got.residentKB>>10, clientMemoryMB)
+	if got.residentKB > clientMemoryMB<<10 {
+		t.Errorf("sesamewell: %d MB resident, more than %d", got.residentKB>>10, clientMemoryMB)
+	}
+}
