Fit the limit of a body into its buffer

Cause: fasthttp rounds the buffer of a body up to a power of two and keeps the line end of the last chunk in it, so that a limit of 16 MiB took 32 MiB, copied from 16 MiB. And answers to appends, of some 20 bytes, had the same limit as reads. Change: limits are two bytes below the power of two; an answer to an append has 4 KiB at most, so that only the thread that follows the log can hold a large answer.

--- a/commons/httpclient/client.go
+++ b/commons/httpclient/client.go
@@ -22,7 +22,11 @@
 
 // DefaultMaxBody is the maximum size of the body of a response of a service without a limit
 // of its own, in bytes. A longer one is an error of its call.
-const DefaultMaxBody = 16 << 20
+const DefaultMaxBody = 16<<20 - chunkEnd
+
+// chunkEnd is the number of bytes of the line end after the last chunk of a body. fasthttp
+// keeps it in the buffer of the body, whose size it rounds up to a power of two.
+const chunkEnd = 2
 
 // Client sends requests to one service. It connects on the first request and is
 // safe for concurrent use.
--- a/commons/logclient/client.go
+++ b/commons/logclient/client.go
@@ -76,22 +76,30 @@
 
 // Client appends records to the log service and reads them.
 type Client struct {
-	config Config
-	http   *httpclient.Client
+	config  Config
+	reads   *httpclient.Client
+	appends *httpclient.Client
 }
 
 // New returns a client of the log service.
 func New(config Config) *Client {
-	return &Client{config: config, http: httpclient.New(httpclient.Config{Address: config.Address, MaxConns: maxConnections})}
+	return &Client{
+		config:  config,
+		reads:   httpclient.New(httpclient.Config{Address: config.Address, MaxConns: maxReads}),
+		appends: httpclient.New(httpclient.Config{Address: config.Address, MaxConns: maxAppends, MaxBody: maxReceipt}),
+	}
 }
 
-// maxConnections is the maximum number of open connections to the log service.
-const maxConnections = 4
+const (
+	maxReads   = 2       // open connections for reads: one thread of a process follows the log
+	maxAppends = 3       // open connections for appends
+	maxReceipt = 4 << 10 // bytes in the answer to an append
+)
 
 // Append appends a JSON record and returns its offset. It returns ErrUnavailable
 // if the record was not appended, and ErrOutcomeUnknown if it may have been.
 func (c *Client) Append(record []byte) (int64, error) {
-	status, body, err := c.http.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: fasthttp.MethodPost, Path: "/append", Body: record, Timeout: c.config.Timeout}))
+	status, body, err := c.appends.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: fasthttp.MethodPost, Path: "/append", Body: record, Timeout: c.config.Timeout}))
 	if err != nil {
 		return 0, errors.Mark(err, ErrOutcomeUnknown)
 	}
@@ -112,7 +120,7 @@
 // and a result with the bounds of the log.
 func (c *Client) Read(from int64, wait time.Duration) (ReadResult, error) {
 	path := fmt.Sprintf("/read?from=%d&wait=%s", from, wait)
-	status, body, err := c.http.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: fasthttp.MethodGet, Path: path, Timeout: wait + c.config.Timeout}))
+	status, body, err := c.reads.Send(httpclient.NewRequest(httpclient.RequestConfig{Method: fasthttp.MethodGet, Path: path, Timeout: wait + c.config.Timeout}))
 	if err != nil {
 		return ReadResult{}, errors.Mark(err, ErrUnavailable)
 	}
