Count the periods of a drain from its start

Seen by callers of a lobby that stops, if its scheduler is delayed: a request accepted at the very end of the stop, passed on, and cut without an answer (rule LOST). Cause: the accept period and the end of new requests counted from the moment at which the scheduler handled the message of the drain, the rest of the stop from the signal. A scheduler that was late by 600 ms, with a grace of 1 s, accepted until 933 ms and offered them the time until 1267 ms. Before, TestPeriodsOfADrainCountFromItsStart/behind_it: "send p1", want "refuse 503 leaving". Change: the message carries the start of the drain, the same for proxy, scheduler and drainer. In four tests Drain{} becomes NewDrain(f.now), the time at which it took effect before: same checks.

--- a/lobby/process.go
+++ b/lobby/process.go
@@ -261,9 +261,10 @@
 // Drain closes each caller's connection after its next answer. The returned
 // channel is closed when no request is open.
 func (p *process) Drain(ctx context.Context) (<-chan struct{}, error) {
-	p.mediator.proxy.Drain(time.Now())
-	if err := p.mediator.scheduler.Inbox().PutWithin(ctx, scheduler.Drain{}, drainPutTimeout); err != nil {
+	now := time.Now()
+	p.mediator.proxy.Drain(now)
+	if err := p.mediator.scheduler.Inbox().PutWithin(ctx, scheduler.NewDrain(now), drainPutTimeout); err != nil {
 		return nil, err
 	}
-	return p.drainer.begin(time.Now())
+	return p.drainer.begin(now)
 }
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -197,7 +197,7 @@
 	case FetchEnded:
 		c.fetchEnded(now, m)
 	case Drain:
-		c.drainStart = now
+		c.drainStart = m.start
 	case Closing:
 		c.closeAll()
 	}
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -486,10 +486,31 @@
 	}
 }
 
+// TestPeriodsOfADrainCountFromItsStart guards against requests that a delayed scheduler accepts
+// when the process is about to end.
+func TestPeriodsOfADrainCountFromItsStart(t *testing.T) {
+	cases := map[string]struct {
+		delay time.Duration // from the start of the drain until the scheduler learns of it
+		want  []string
+	}{
+		"within the accept period": {delay: 2400 * time.Millisecond, want: []string{"send p1"}},
+		"behind it":                {delay: 2600 * time.Millisecond, want: []string{"refuse 503 leaving"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(plainServer("p1"))
+			drain := scheduler.NewDrain(f.now)
+			f.now = f.now.Add(tc.delay)
+			f.core.Handle(f.now, drain)
+			checkActions(t, "request", tc.want, f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"}))
+		})
+	}
+}
+
 func TestDrain(t *testing.T) {
 	f := newFixture(plainServer("p1"))
 	f.arrive(httpmeta.RequestConfig{Path: "/unsafe/a"})
-	f.core.Handle(f.now, scheduler.Drain{})
+	f.core.Handle(f.now, scheduler.NewDrain(f.now))
 	if f.core.Ready() {
 		t.Error("ready while draining")
 	}
--- a/lobby/scheduler/explain_test.go
+++ b/lobby/scheduler/explain_test.go
@@ -138,7 +138,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(engineServer("e1"))
 			if tc.draining {
-				f.core.Handle(f.now, scheduler.Drain{})
+				f.core.Handle(f.now, scheduler.NewDrain(f.now))
 				f.now = f.now.Add(5 * time.Second)
 			}
 			got := f.core.Explain(f.now, scheduler.NewQuery(tc.query)).Config()
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -214,8 +214,12 @@
 	return FetchEnded{fetch: fetch, lease: lease}
 }
 
-// Drain starts a drain: new requests are refused after a grace period.
-type Drain struct{}
+// Drain reports that the process drains: new requests are refused after a grace period.
+type Drain struct{ start time.Time }
+
+// NewDrain returns the message of a drain that began at start, from which its periods count
+// whenever the message is handled.
+func NewDrain(start time.Time) Drain { return Drain{start: start} }
 
 // Closing reports that the process stops now. All open requests are refused.
 type Closing struct{}
--- a/lobby/scheduler/peers_test.go
+++ b/lobby/scheduler/peers_test.go
@@ -181,7 +181,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(plainServer("p1"))
-			f.core.Handle(f.now, scheduler.Drain{})
+			f.core.Handle(f.now, scheduler.NewDrain(f.now))
 			f.now = f.now.Add(3 * time.Second)
 			for _, digest := range tc.peers {
 				f.core.Handle(f.now.Add(-tc.age), scheduler.NewDigestReceived(digest))
--- a/lobby/scheduler/returns_test.go
+++ b/lobby/scheduler/returns_test.go
@@ -132,7 +132,7 @@
 // during a stop whose last callers are told to return after minutes.
 func TestDrainingLobbyTellsCallersATimeThatTheyCanWait(t *testing.T) {
 	f := newFixture(engineServer("e1"))
-	f.core.Handle(f.now, scheduler.Drain{})
+	f.core.Handle(f.now, scheduler.NewDrain(f.now))
 	f.now = f.now.Add(f.config.Stop.AcceptPeriod())
 	delays := retryDelays(t, f, 500, func() []scheduler.Action {
 		return f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"})
