Let lobbies without turns ask one by one after a lull

Seen in a test of ours, not by callers yet: a backend server that names 2 requests a second got 27 within 4 s (17 allowed), and one that names 0.3 got 10 (6 allowed), when requests came back after a lull of 170 s. Cause: a lobby without turns asks by one request whether the rate still holds, some time after it was last named; after a lull that time had passed for all of them. A deadline bounds nothing once it has passed. Change: such lobbies take turns to ask, by rank and the time since the rate was last named; a turn that is not used passes. They begin after 15 s, not 30. Before: 2 of 3 cases of TestNamedRateIsKeptAfterALull failed as above.

--- a/lobby/scheduler/limitfleet_test.go
+++ b/lobby/scheduler/limitfleet_test.go
@@ -33,11 +33,12 @@
 	lobbies      int
 	rate         float64 // named by the first backend server from named on
 	named, ended time.Duration
-	load         float64  // requests a second, of all callers
-	paths        []string // of the requests
-	lost         float64  // fraction of digests that are lost
-	faults       float64  // fraction of requests that are refused as not run, or of streams that break off
-	spare        bool     // another backend server names no rate
+	load         float64       // requests a second, of all callers
+	paths        []string      // of the requests
+	lost         float64       // fraction of digests that are lost
+	faults       float64       // fraction of requests that are refused as not run, or of streams that break off
+	spare        bool          // another backend server names no rate
+	quiet, loud  time.Duration // no requests arrive from quiet to loud
 }
 
 // limitFleet plays lobbies, which read a list of themselves and exchange delayed digests,
@@ -199,6 +200,9 @@
 // arrive lets a request arrive at a lobby, and the next one later.
 func (f *limitFleet) arrive() {
 	f.after(time.Duration(f.random.ExpFloat64()/f.config.load*float64(time.Second)), f.arrive)
+	if f.now >= f.config.quiet && f.now < f.config.loud {
+		return
+	}
 	l := f.lobbies[f.random.IntN(len(f.lobbies))]
 	l.numbers++
 	request := httpmeta.NewRequest(httpmeta.RequestConfig{
@@ -363,6 +367,24 @@
 	})
 }
 
+// TestNamedRateIsKeptAfterALull guards against lobbies without turns that ask all at once
+// whether a rate still holds.
+func TestNamedRateIsKeptAfterALull(t *testing.T) {
+	for name, tc := range map[string]struct{ rate, lost float64 }{
+		"a low rate":                   {rate: 2},
+		"a low rate, digests are lost": {rate: 2, lost: 1},
+		"a tiny rate":                  {rate: 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLimitFleet(limitFleetConfig{seed: 1, lobbies: 27, rate: tc.rate, named: 20 * time.Second, ended: time.Hour, load: 60, paths: []string{"/stream/a"}, lost: tc.lost, quiet: 30 * time.Second, loud: 200 * time.Second})
+			f.advance(220 * time.Second)
+			if bound := int(tc.rate*limitExcess*limitWindow.Seconds() + limitSlack); f.most() > bound {
+				t.Errorf("%d requests within %v, more than %d", f.most(), limitWindow, bound)
+			}
+		})
+	}
+}
+
 // TestNamedRateIsUsed guards against lobbies that leave a backend server idle which names a
 // rate, and against refusals that name no time or an absurd one.
 func TestNamedRateIsUsed(t *testing.T) {
--- a/lobby/scheduler/limitgate.go
+++ b/lobby/scheduler/limitgate.go
@@ -17,7 +17,7 @@
 	limitCatchUp = 2 * tickPeriod
 	// limitRetention is the time after the last answer that named the rate from which on
 	// a lobby without turns asks, by a request, whether that still holds.
-	limitRetention = 30 * time.Second
+	limitRetention = 15 * time.Second
 	// maxLimitTransit is the longest time that a digest is taken to be on its way.
 	maxLimitTransit = time.Second
 	// limitCost is added to the estimated delay at a backend server that names a rate:
@@ -127,16 +127,31 @@
 	return later(now, g.turn(now))
 }
 
-// turn returns the time of this lobby's next request. A lobby without turns, which would
-// not hear that the limit has ended, has one after a while without an answer, in the order
-// of the ranks.
+// turn returns the time of this lobby's next request. It may have passed.
 func (g *limitGate) turn(now time.Time) time.Time {
 	share := g.pacer.currentShare(now, g.bound())
 	if share.gap > 0 {
 		return g.pacer.turn(share, g.since)
 	}
-	spacing := limitWindow / time.Duration(max(g.bound().limit(lapsed), 1))
-	return later(g.heard, g.pacer.lastSent).Add(limitRetention + time.Duration(share.rank)*spacing)
+	return g.probeTurn(now, share.rank)
+}
+
+// probeTurn returns the time of the next request of a lobby without turns, which would not
+// hear that the limit has ended. After a while without an answer that names the rate, such
+// lobbies take turns in the order of their ranks; a turn that is not used passes.
+func (g *limitGate) probeTurn(now time.Time, rank int) time.Time {
+	length := limitWindow / time.Duration(max(g.bound().limit(lapsed), 1))
+	probers := max(g.pacer.shares.lobbies()-g.bound().limit(established), 1)
+	first := g.heard.Add(limitRetention + time.Duration(rank%probers)*length)
+	if now.Before(first) {
+		return first
+	}
+	round := time.Duration(probers) * length
+	turn := now.Add(-(now.Sub(first) % round))
+	if now.Sub(turn) < length && g.pacer.lastSent.Before(turn) {
+		return turn
+	}
+	return turn.Add(round)
 }
 
 func (g *limitGate) perSecond(now time.Time) float64 {
