Start attempts at the rate that a side's backend server names

No division is needed: a side is the only one before its backend server. Only an answer to an attempt that started after the rate was last named ends it. The wait for a turn is in the estimates for probes, admissions and refusals. The alarm wakes the thread for a turn only while a slot is free, so that nothing spins. Line event=limit.

--- /dev/null
+++ b/commons/httpmeta/rate.go
@@ -0,0 +1,32 @@
+package httpmeta
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// LimitHeader is the header in which a backend server names the requests per second that it
+// takes from all instances together.
+const LimitHeader = "Server-Limit"
+
+// Range of the rates that a backend server is taken to name, in requests per second.
+const (
+	minRate = 1e-3
+	maxRate = 1e6
+)
+
+// ParseRate returns the rate that a backend server names, zero if the text is not a positive
+// decimal number.
+func ParseRate(text string) float64 {
+	text = strings.TrimSpace(text)
+	if strings.Trim(text, ".0123456789") != "" {
+		return 0
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || rate <= 0 {
+		return 0
+	}
+	return min(max(rate, minRate), maxRate)
+}
--- a/side/dispatcher/accessors.go
+++ b/side/dispatcher/accessors.go
@@ -15,6 +15,9 @@
 // Status returns the HTTP status code of the backend server's answer.
 func (h HeaderReceived) Status() int { return h.status }
 
+// Limit returns the requests per second that the backend server takes, zero if it names none.
+func (h HeaderReceived) Limit() float64 { return h.limit }
+
 // Data returns the bytes of the chunk.
 func (c ChunkReceived) Data() []byte { return c.data }
 
--- a/side/dispatcher/core.go
+++ b/side/dispatcher/core.go
@@ -42,6 +42,8 @@
 	running          int
 	waitingExclusive []*attempt // at most one attempt, which runs next once no other runs
 	runningExclusive bool       // the running attempt has to run alone
+	limit            limit
+	limitAlarm       time.Time // time of the turn that queued attempts wait for; zero if they wait for none
 	readers          map[string]*entryReader
 	readerOrder      []*entryReader       // in order of arrival, so that the order of actions is deterministic
 	tombstones       map[string]tombstone // ended and refused attempts, so that a delayed copy is not run
@@ -101,9 +103,9 @@
 	case ReadRequested:
 		actions = c.handleRead(now, m)
 	case ProbeRequested:
-		actions = append(actions, c.answerProbe(m))
+		actions = append(actions, c.answerProbe(now, m))
 	case HeaderReceived:
-		c.handleHeader(m)
+		actions = c.handleHeader(now, m)
 	case ChunkReceived:
 		actions = c.appendChunk(now, m)
 	case AttemptEnded:
@@ -139,10 +141,10 @@
 	return c.emitDue(now, actions)
 }
 
-// Alarm returns the time at which the next open read must be answered, or the zero
-// time if no read is open.
+// Alarm returns the time at which the next open read must be answered or the next turn
+// comes, or the zero time if nothing waits for either.
 func (c *Core) Alarm() time.Time {
-	var alarm time.Time
+	alarm := c.limitAlarm
 	for _, reader := range c.readerOrder {
 		if reader.reply == nil {
 			continue
@@ -172,7 +174,7 @@
 		}
 		config := protocol.ReceiptConfig{Attempt: submit.Attempt(), Accepted: code == "", Code: code}
 		if code == protocol.CodeQueueFull || code == protocol.CodeWouldExpire {
-			config.RetryAfter = c.estimateWait(submit.Tenant(), submit.Urgent())
+			config.RetryAfter = c.estimateWait(now, submit.Tenant(), submit.Urgent())
 		}
 		receipts = append(receipts, protocol.NewReceipt(config))
 	}
@@ -212,7 +214,7 @@
 	if !c.resident(submit.Model()) {
 		return protocol.CodeNotResident
 	}
-	if c.estimateWait(submit.Tenant(), submit.Urgent()) > submit.Remaining() {
+	if c.estimateWait(now, submit.Tenant(), submit.Urgent()) > submit.Remaining() {
 		return protocol.CodeWouldExpire
 	}
 	if c.full() && !c.makeRoom(now, submit) {
@@ -242,7 +244,7 @@
 		return false
 	}
 	c.queue.remove(victim)
-	victim.retryAfter = c.estimateWait(victim.submit.Tenant(), victim.submit.Urgent())
+	victim.retryAfter = c.estimateWait(now, victim.submit.Tenant(), victim.submit.Urgent())
 	c.drop(now, victim, protocol.CodeQueueFull)
 	return true
 }
@@ -253,24 +255,25 @@
 	c.markPending(now, a)
 }
 
-// estimateWait estimates how long a new attempt would wait for a slot.
-func (c *Core) estimateWait(tenant string, urgent bool) time.Duration {
+// estimateWait estimates how long a new attempt would wait for a slot and a turn.
+func (c *Core) estimateWait(now time.Time, tenant string, urgent bool) time.Duration {
+	turn := c.limit.wait(now, c.Queued())
 	if c.running < c.config.Concurrency && c.Queued() == 0 {
-		return 0
+		return turn
 	}
-	return c.latency.wait(c.queue.countAhead(tenant, urgent), c.config.Concurrency)
+	return max(c.latency.wait(c.queue.countAhead(tenant, urgent), c.config.Concurrency), turn)
 }
 
 // answerProbe returns the reply to a probe: the load of the side and an estimate
 // for each request.
-func (c *Core) answerProbe(m ProbeRequested) Action {
+func (c *Core) answerProbe(now time.Time, m ProbeRequested) Action {
 	estimates := make([]protocol.Estimate, 0, len(m.probe.Queries()))
 	for _, query := range m.probe.Queries() {
 		estimates = append(estimates, protocol.NewEstimate(protocol.EstimateConfig{
 			Request:       query.Request(),
 			Resident:      c.resident(query.Model()),
 			MatchedBlocks: c.prefixes.match(query.PrefixHashes()),
-			FirstToken:    c.estimateWait(query.Tenant(), query.Urgent()) + c.latency.firstByte.value,
+			FirstToken:    c.estimateWait(now, query.Tenant(), query.Urgent()) + c.latency.firstByte.value,
 		}))
 	}
 	return AnswerProbe{reply: m.reply, report: protocol.NewReport(protocol.ReportConfig{
@@ -326,10 +329,17 @@
 	}
 }
 
-func (c *Core) handleHeader(m HeaderReceived) {
-	if a, ok := c.attempts[m.attempt]; ok {
-		a.status, a.contentType = m.status, m.contentType
+func (c *Core) handleHeader(now time.Time, m HeaderReceived) []Action {
+	a, ok := c.attempts[m.attempt]
+	if !ok {
+		return nil
 	}
+	a.status, a.contentType = m.status, m.contentType
+	before := c.limit.rate
+	if !c.limit.hear(now, m.limit, a.startedAt) {
+		return nil
+	}
+	return []Action{RecordLimit{rate: m.limit, before: before}}
 }
 
 func (c *Core) appendChunk(now time.Time, m ChunkReceived) []Action {
@@ -451,6 +461,7 @@
 // dispatch hands attempts to the runners while there are free slots, and drops
 // those that have expired or whose model is no longer resident.
 func (c *Core) dispatch(now time.Time, actions []Action) []Action {
+	c.limitAlarm = time.Time{}
 	if c.queue.Len() == 0 && len(c.waitingExclusive) == 0 {
 		return actions
 	}
@@ -458,6 +469,10 @@
 		c.drop(now, a, protocol.CodeDeadlineExceeded)
 	}
 	for c.running < c.config.Concurrency && !c.runningExclusive {
+		if !c.limit.admits(now) {
+			c.limitAlarm = c.limit.next
+			break
+		}
 		a := c.next(now)
 		if a == nil {
 			break
@@ -479,6 +494,7 @@
 		c.runningExclusive = a.submit.Exclusive()
 		a.phase, a.startedAt = phaseRunning, now
 		c.running++
+		c.limit.started(now)
 		c.prefixes.add(a.submit.PrefixHashes())
 		actions = append(actions, Run{submit: a.submit, queued: now.Sub(a.arrivedAt)})
 	}
--- a/side/dispatcher/dispatcher.go
+++ b/side/dispatcher/dispatcher.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// Alarm returns the time at which the next open read must be answered, or the zero
-// time if no read is open.
+// Alarm returns the time at which the next open read must be answered or the next turn
+// comes, or the zero time if nothing waits for either.
 func (d *Dispatcher) Alarm() time.Time { return d.core.Alarm() }
 
 func (d *Dispatcher) execute(now time.Time, actions []Action) {
@@ -142,6 +142,8 @@
 			d.startRun(now, a)
 		case Stop:
 			d.config.Runners.Stop(a.attempt)
+		case RecordLimit:
+			d.config.Log.WithFields(logrus.Fields{"event": "limit", "rate": a.rate, "before": a.before}).Info("backend server names another rate in its answers, or none any more")
 		case Drained:
 			d.config.OnDrained()
 		}
--- a/side/dispatcher/message.go
+++ b/side/dispatcher/message.go
@@ -61,6 +61,7 @@
 	attempt     string
 	status      int
 	contentType string
+	limit       float64
 }
 
 // NewHeaderReceived returns a message with the header of an attempt's answer.
@@ -68,6 +69,13 @@
 	return HeaderReceived{attempt: attempt, status: status, contentType: contentType}
 }
 
+// WithLimit returns the message with the requests per second that the backend server takes,
+// zero if it names none.
+func (h HeaderReceived) WithLimit(rate float64) HeaderReceived {
+	h.limit = rate
+	return h
+}
+
 // ChunkReceived carries the next bytes of a backend server's answer.
 type ChunkReceived struct {
 	attempt string
@@ -163,6 +171,13 @@
 	attempt string
 }
 
+// RecordLimit records in the log that the backend server has begun or ceased to name a rate
+// in its answers, or has changed it.
+type RecordLimit struct {
+	rate   float64 // requests per second; zero if it names none any more
+	before float64 // rate named before
+}
+
 // Drained reports the end of a drain: no attempt is left.
 type Drained struct{}
 
@@ -199,3 +214,4 @@
 func (Run) dispatcherAction()         {}
 func (Stop) dispatcherAction()        {}
 func (Drained) dispatcherAction()     {}
+func (RecordLimit) dispatcherAction() {}
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/eventstream"
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/tracing"
@@ -206,7 +207,8 @@
 		return r.failureCode(err), r.dialed()
 	}
 	defer func() { _ = response.CloseBodyStream() }()
-	header := dispatcher.NewHeaderReceived(submit.Attempt(), response.StatusCode(), string(response.Header.ContentType()))
+	header := dispatcher.NewHeaderReceived(submit.Attempt(), response.StatusCode(), string(response.Header.ContentType())).
+		WithLimit(httpmeta.ParseRate(string(response.Header.Peek(httpmeta.LimitHeader))))
 	if err := r.dispatcher.PutWithin(ctx, header, putTimeout); err != nil {
 		return protocol.CodeSideOverloaded, true
 	}
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -248,6 +248,31 @@
 	}
 }
 
+// TestNamedRateIsReported guards against a rate in the head of an answer, of whatever status,
+// that the dispatcher does not hear.
+func TestNamedRateIsReported(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		want   float64
+	}{
+		"success": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: 2.5\r\nContent-Length: 0\r\n\r\n", want: 2.5},
+		"failure": {answer: "HTTP/1.1 503 Busy\r\nserver-limit: 3\r\nContent-Length: 0\r\n\r\n", want: 3},
+		"none":    {answer: sized + "whole  8"},
+		"no rate": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: soon\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			pool := newPool(startBackend(t, sendAndClose(tc.answer)), time.Second)
+			messages := servePool(t, pool)
+			submitAttempt(t, pool, protocol.SubmitConfig{Attempt: "a"})
+			header, ok := (<-messages).(dispatcher.HeaderReceived)
+			if diff := cmp.Diff(tc.want, header.Limit()); diff != "" || !ok {
+				t.Errorf("rate in %v (-want +got):\n%s", header, diff)
+			}
+		})
+	}
+}
+
 // TestProgressOfStreamsIsTheirEvents guards against stalled streams that never end
 // because bytes arrive now and then, and against slow ones that are cut.
 func TestProgressOfStreamsIsTheirEvents(t *testing.T) {
