--- a/lobby/proxy/callerconn_test.go
+++ b/lobby/proxy/callerconn_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/testkit"
 	"sesamewell.example/lobby/proxy"
 	"sesamewell.example/lobby/scheduler"
@@ -274,3 +275,47 @@
 		})
 	}
 }
+
+// TestRefusedRequestsAreNotRun sends the rest of requests that were refused while they arrived.
+func TestRefusedRequestsAreNotRun(t *testing.T) {
+	cases := map[string]struct {
+		refuse func(l *lobby)
+		want   int
+	}{
+		"slow sender": {want: http.StatusRequestTimeout, refuse: func(l *lobby) {
+			l.proxy.SetLimits(deployment.NewLimits(deployment.LimitsConfig{MaxHeader: 16 << 10, MaxBody: 16 << 10, ReadTimeout: 50 * time.Millisecond, IdleTimeout: testTimeout}))
+		}},
+		"stop": {want: http.StatusServiceUnavailable, refuse: func(l *lobby) { l.proxy.Close() }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+				_, _ = io.WriteString(conn, fixedLengthAnswer(id, "x"))
+				return true
+			})
+			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address = b.address })
+			conn := dial(t, l.address)
+			if _, err := io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nh"); err != nil {
+				t.Fatal(err)
+			}
+			awaitCount(t, "requests that arrive", 1, l.proxy.Pending)
+			tc.refuse(l)
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, response.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			_, _ = io.WriteString(conn, "i"+"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\nContent-Length: 0\r\n\r\n") // fails on a connection that has been closed
+			if n, err := io.Copy(io.Discard, reader); n > 0 {
+				t.Errorf("%d bytes behind the refusal, %v", n, err)
+			}
+			if diff := cmp.Diff(0, len(b.requestIDs)); diff != "" {
+				t.Errorf("requests that were run (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
