Test calls between processes that come byte by byte

The last reader of bytes: net/rpc, with and without TLS, through a relay that passes on one byte at a time.

--- a/commons/peerrpc/peerrpc_test.go
+++ b/commons/peerrpc/peerrpc_test.go
@@ -152,3 +152,67 @@
 		client.Close()
 	}
 }
+
+// relayBytes passes on connections to an address byte by byte, and returns the address for
+// them.
+func relayBytes(t *testing.T, to string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	relay := func(to, from net.Conn) {
+		defer func() { _ = to.Close() }()
+		buffer := make([]byte, 1)
+		for {
+			if _, err := from.Read(buffer); err != nil {
+				return
+			}
+			if _, err := to.Write(buffer); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = near.Close()
+				return
+			}
+			go relay(far, near)
+			go relay(near, far)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestCallsInPiecesAreReadWhole makes calls through a relay that sends byte by byte.
+func TestCallsInPiecesAreReadWhole(t *testing.T) {
+	cases := map[string]struct{ secret string }{
+		"plain text": {},
+		"TLS":        {secret: "the fleet's own secret"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			identity := newIdentity(t, tc.secret)
+			client := peerrpc.NewClient(peerrpc.ClientConfig{Address: relayBytes(t, startServer(t, identity)), Identity: identity, DialTimeout: 5 * time.Second})
+			defer client.Close()
+			for _, text := range []string{"\r\n\r\nhello\n", "", "you"} {
+				var reply string
+				if err := client.Call("Echo.Say", text, &reply, 5*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(text, reply); diff != "" {
+					t.Errorf("reply (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
