Account for the bytes that a side holds

Seen: a backend server whose answers do not end takes its side beyond its memory; so does an entry that submits many large requests. Cause: the limit of a side is for one answer (8 MiB), with up to 1,024 at once; pieces on their way from the runners to the dispatcher were bounded by the length of a ring alone (16,384 of up to 16 KiB); requests in the queue by their number alone (256 of up to 4 MiB). Change: the dispatcher accounts for the bytes of requests and for unconfirmed bytes of answers, each up to half of [foyer] max-held (1 GiB, and 35% of [process] memory if less). Beyond it a request is refused with queue_full, which the entry places elsewhere, and the answer with most unsent bytes ends with answer_too_large. Runners wait while 256 pieces have not been taken.

--- a/side/dispatcher/attempt.go
+++ b/side/dispatcher/attempt.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"time"
 
 	"sesamewell.example/commons/protocol"
@@ -41,12 +42,24 @@
 	keyWithdrawn bool // the caller's key was withdrawn while the attempt ran
 }
 
-// confirm drops the buffered bytes before offset, which the entry has received.
-func (a *attempt) confirm(offset int64) {
-	received := min(max(offset-a.confirmed, 0), int64(len(a.buffer)))
+// confirm drops the buffered bytes before offset, which the entry has received. It returns
+// their number.
+func (a *attempt) confirm(offset int64) (received int64) {
+	received = min(max(offset-a.confirmed, 0), int64(len(a.buffer)))
 	a.buffer = a.buffer[received:]
 	a.confirmed += received
 	a.sent = max(a.sent, a.confirmed)
+	return received
+}
+
+// unsent returns the number of buffered bytes that have not been sent.
+func (a *attempt) unsent() int64 { return a.confirmed + int64(len(a.buffer)) - a.sent }
+
+// dropUnsent drops the buffered bytes that have not been sent. It returns their number.
+func (a *attempt) dropUnsent() int64 {
+	dropped := a.unsent()
+	a.buffer = bytes.Clone(a.buffer[:int64(len(a.buffer))-dropped])
+	return dropped
 }
 
 // rewind marks all unconfirmed bytes and the end of the answer as unsent.
@@ -57,8 +70,7 @@
 
 // hasUnsent reports whether bytes or the end of the answer are still to be sent.
 func (a *attempt) hasUnsent() bool {
-	unsent := a.sent < a.confirmed+int64(len(a.buffer))
-	return unsent || (a.state != protocol.AnswerOpen && !a.endSent)
+	return a.unsent() > 0 || (a.state != protocol.AnswerOpen && !a.endSent)
 }
 
 // nextPage returns the next page of the answer with at most limit bytes of data and
--- a/side/dispatcher/core.go
+++ b/side/dispatcher/core.go
@@ -20,6 +20,8 @@
 	PrefixBlocks int           // number of prompt blocks in one generation of the prefix index
 	Residency    Residency     // nil if every model is always resident
 	MaxBuffered  int64         // maximum number of unconfirmed bytes of one answer
+	MaxBodies    int64         // maximum number of bytes of the requests that are queued or run; zero for no limit
+	MaxAnswers   int64         // maximum number of unconfirmed bytes of all answers; zero for no limit
 	FlushDelay   time.Duration // time for which chunks are collected before a read is answered
 }
 
@@ -39,6 +41,8 @@
 	latency          latencyEstimator
 	prefixes         *prefixIndex
 	admitted         uint64 // number of attempts admitted so far
+	bodies           int64  // bytes of the requests of all attempts
+	buffered         int64  // unconfirmed bytes of all answers
 	running          int
 	waitingExclusive []*attempt // at most one attempt, which runs next once no other runs
 	runningExclusive bool       // the running attempt has to run alone
@@ -215,10 +219,11 @@
 	if c.estimateWait(submit.Tenant(), submit.Urgent()) > submit.Remaining() {
 		return protocol.CodeWouldExpire
 	}
-	if c.full() && !c.makeRoom(now, submit) {
+	if exceeds(c.bodies+int64(len(submit.Body())), c.config.MaxBodies) || c.full() && !c.makeRoom(now, submit) {
 		return protocol.CodeQueueFull
 	}
 	c.admitted++
+	c.bodies += int64(len(submit.Body()))
 	a := &attempt{submit: submit, entry: entry, sequence: c.admitted, arrivedAt: now, deadline: now.Add(submit.Remaining())}
 	c.attempts[submit.Attempt()] = a
 	c.readerFor(now, entry).attempts[submit.Attempt()] = a
@@ -234,6 +239,9 @@
 	return c.running+c.Queued() >= c.config.Concurrency+c.config.QueueLimit
 }
 
+// exceeds reports whether there are more bytes than a limit allows. Zero is no limit.
+func exceeds(bytes, limit int64) bool { return limit > 0 && bytes > limit }
+
 // makeRoom evicts a queued attempt in favour of a new one. It returns false if no
 // queued attempt has to give way.
 func (c *Core) makeRoom(now time.Time, newcomer protocol.Submit) bool {
@@ -320,7 +328,7 @@
 	if !ok {
 		return
 	}
-	a.confirm(position.Offset())
+	c.buffered -= a.confirm(position.Offset())
 	if position.Ended() && a.phase == phaseEnded {
 		c.remove(now, a)
 	}
@@ -338,14 +346,42 @@
 		return nil
 	}
 	if int64(len(a.buffer)+len(m.data)) > c.config.MaxBuffered {
-		c.releaseSlot(now, a)
-		a.fail(protocol.CodeAnswerTooLarge, true)
-		c.markPending(now, a)
-		return []Action{Stop{attempt: m.attempt}}
+		return c.cutAnswer(now, a)
 	}
 	c.chargeTokens(now, a, m.data)
 	a.buffer = append(a.buffer, m.data...)
+	c.buffered += int64(len(m.data))
+	c.markPending(now, a)
+	if exceeds(c.buffered, c.config.MaxAnswers) {
+		return c.shed(now)
+	}
+	return nil
+}
+
+// cutAnswer ends the answer of a running attempt that has become too large.
+func (c *Core) cutAnswer(now time.Time, a *attempt) []Action {
+	c.releaseSlot(now, a)
+	a.fail(protocol.CodeAnswerTooLarge, true)
 	c.markPending(now, a)
+	return []Action{Stop{attempt: a.submit.Attempt()}}
+}
+
+// shed drops the answer of which most bytes have not been sent, and ends it.
+func (c *Core) shed(now time.Time) []Action {
+	var largest *attempt
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		if a := c.attempts[id]; largest == nil || a.unsent() > largest.unsent() {
+			largest = a
+		}
+	}
+	c.buffered -= largest.dropUnsent()
+	switch {
+	case largest.phase == phaseEnded:
+		largest.fail(protocol.CodeAnswerTooLarge, true)
+		c.markPending(now, largest)
+	case !largest.cancelled && !largest.keyWithdrawn:
+		return c.cutAnswer(now, largest)
+	}
 	return nil
 }
 
@@ -426,6 +462,8 @@
 func (c *Core) remove(now time.Time, a *attempt) {
 	id := a.submit.Attempt()
 	delete(c.attempts, id)
+	c.bodies -= int64(len(a.submit.Body()))
+	c.buffered -= int64(len(a.buffer))
 	c.tombstones[id] = tombstone{endedAt: now}
 	if reader, ok := c.readers[a.entry]; ok {
 		delete(reader.attempts, id)
--- a/side/dispatcher/dispatcher.go
+++ b/side/dispatcher/dispatcher.go
@@ -19,6 +19,8 @@
 	Run(run Run) error
 	// Stop stops a running attempt.
 	Stop(attempt string)
+	// PieceTaken reports that a piece of an answer has been taken from the inbox.
+	PieceTaken()
 }
 
 // FreshnessProof decides whether a fleet state may still be acted on.
@@ -101,6 +103,9 @@
 		d.revision = m.Revision()
 		message = NewRevisionChanged(d.revision)
 	}
+	if _, ok := message.(ChunkReceived); ok {
+		defer d.config.Runners.PieceTaken()
+	}
 	d.updateFreshness(now)
 	if m, ok := message.(Message); ok {
 		d.execute(now, d.core.Handle(now, m))
--- a/side/process.go
+++ b/side/process.go
@@ -14,6 +14,7 @@
 	"sesamewell.example/commons/freshness"
 	"sesamewell.example/commons/inifile"
 	"sesamewell.example/commons/logclient"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/otlp"
 	"sesamewell.example/commons/peerrpc"
 	"sesamewell.example/commons/protocol"
@@ -54,8 +55,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "[process] secret")
 	}
+	maxHeld := settings.Bytes("foyer", "max-held")
 	if bytes := settings.Bytes("process", "memory"); bytes > 0 {
 		supervisor.LimitMemory(bytes)
+		maxHeld = min(maxHeld, memory.NewBudget(bytes).Limit())
 	}
 	p := &process{
 		supervisor: supervisor.New(supervisor.Config{Name: "side", Log: log}),
@@ -91,6 +94,8 @@
 			PrefixBlocks: settings.Integer("foyer", "prefix-blocks"),
 			Residency:    p.loader,
 			MaxBuffered:  settings.Bytes("foyer", "max-buffered"),
+			MaxBodies:    maxHeld / 2,
+			MaxAnswers:   maxHeld / 2,
 			FlushDelay:   settings.Duration("desk", "linger"),
 		},
 		Capacity:  settings.Integer("foyer", "inbox"),
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -25,6 +25,7 @@
 // Limits of a runner.
 const (
 	readBufferBytes = 16 << 10         // maximum number of bytes in one read from the backend server
+	maxPieces       = 256              // pieces of answers that may wait in the dispatcher's ring
 	putTimeout      = 10 * time.Second // longest wait for room in the dispatcher's ring
 	dialTimeout     = 2 * time.Second
 )
@@ -52,6 +53,7 @@
 type Pool struct {
 	config Config
 	jobs   *ring.Ring
+	pieces chan struct{} // one element for each piece that waits in the dispatcher's ring
 
 	mu       sync.Mutex
 	attempts map[string]*attemptState
@@ -68,6 +70,7 @@
 	return &Pool{
 		config:   config,
 		jobs:     ring.New(ring.Config{Name: "runner", Capacity: config.Threads}),
+		pieces:   make(chan struct{}, maxPieces),
 		attempts: make(map[string]*attemptState),
 	}
 }
@@ -102,6 +105,28 @@
 	}
 }
 
+// PieceTaken reports that the dispatcher has taken a piece of an answer.
+func (p *Pool) PieceTaken() { <-p.pieces }
+
+// reservePiece waits up to putTimeout until one more piece may wait for the dispatcher.
+func (p *Pool) reservePiece(ctx context.Context) error {
+	select {
+	case p.pieces <- struct{}{}:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(putTimeout)
+	defer timer.Stop()
+	select {
+	case p.pieces <- struct{}{}:
+		return nil
+	case <-timer.C:
+		return errors.Wrap(ring.ErrFull, "pieces of answers")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Runners returns the threads, to be added to a supervisor. They report to a
 // dispatcher.
 func (p *Pool) Runners(to Dispatcher) []*Runner {
@@ -273,7 +298,14 @@
 	if len(data) == 0 {
 		return nil
 	}
-	return r.dispatcher.PutWithin(ctx, dispatcher.NewChunkReceived(attempt, bytes.Clone(data)), putTimeout)
+	if err := r.pool.reservePiece(ctx); err != nil {
+		return err
+	}
+	if err := r.dispatcher.PutWithin(ctx, dispatcher.NewChunkReceived(attempt, bytes.Clone(data)), putTimeout); err != nil {
+		r.pool.PieceTaken()
+		return err
+	}
+	return nil
 }
 
 // checkStreamEnd returns an error if a stream of a model did not end with its last
--- a/standin/e2e/endlessanswers_test.go
+++ b/standin/e2e/endlessanswers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -17,6 +18,7 @@
 
 	"sesamewell.example/commons/peerrpc"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/testkit"
 )
 
 const (
@@ -118,6 +120,60 @@
 	}
 }
 
+// newFaultyBackendFleet starts an entry, a side before a sound service and a side before
+// an engine that can misbehave.
+func newFaultyBackendFleet(t *testing.T) (*fleet, door, *faultyServer) {
+	if err := buildPlain(); err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t)
+	f.build = plainBuild
+	f.processSettings = entryMemory + "drain-limit = 4s\n"
+	engine := testkit.FreeAddress(t)
+	f.start("engine-1", "sesamewell-standin", "engine", "--listen", engine, "--name", "engine-1", "--step", fastStep.String(), "--preload")
+	faulty, address := startFaulty(t, proxyTo(engine))
+	f.declareModel()
+	f.inventory.WriteString("[backend engine-1]\nkind = engine\nmemory = 80GiB\nslots = 64\n")
+	f.inventory.WriteString("[backend faulty]\nkind = service\nservice = faulty\nslots = 64\n[route faulty]\npath = /faulty\nservice = faulty\nidempotent = yes\n")
+	f.inventory.WriteString("[backend peer]\nkind = service\nservice = plain\nslots = 512\n[route plain]\npath = /plain\nservice = plain\nidempotent = yes\n")
+	f.addSide("side-engine", "engine-1", address, 64)
+	f.addSide("side-faulty", "faulty", address, 64)
+	f.addSide("side-peer", "peer", newPeer(t), 512)
+	f.addEntry("entry-1", "")
+	f.apply()
+	lines := "Authorization: Bearer " + tenantKey + "\r\n"
+	return f, door{address: f.entryAddresses[0], lines: lines, quick: "/plain/quick"}, faulty
+}
+
+// TestEndlessAnswersOfBackendServers guards against a process that keeps what a backend
+// server sends without end.
+func TestEndlessAnswersOfBackendServers(t *testing.T) {
+	f, d, faulty := newFaultyBackendFleet(t)
+	watched := peaks{processes: []*process{f.processes["entry-1"], f.processes["side-engine"], f.processes["side-faulty"]}}
+	requests := map[string]string{
+		"plain":  d.withBody("/faulty/a", "{}"),
+		"stream": d.withBody("/v1/chat/completions", chatBody(10, true)),
+		"whole":  d.withBody("/v1/chat/completions", chatBody(10, false)),
+	}
+	act := func(ctx context.Context) {
+		var crowds []*crowd
+		for _, request := range requests {
+			crowds = append(crowds, startCrowd(d, endlessCallers, func(_ door, conn net.Conn) error { return write(conn, request) }),
+				startCrowd(d, endlessCallers, func(_ door, conn net.Conn) error {
+					if err := write(conn, request); err != nil {
+						return err
+					}
+					return hold(conn)
+				}))
+		}
+		<-ctx.Done()
+		for _, c := range crowds {
+			c.stop()
+		}
+	}
+	playEndless(t, faulty, watched, act, func(t *testing.T) { awaitAnswer(t, f.processes["entry-1"], d) })
+}
+
 // TestEndlessAnswersOfAnEngineToItsKeeper guards against a keeper that keeps what an
 // engine sends without end.
 func TestEndlessAnswersOfAnEngineToItsKeeper(t *testing.T) {
--- a/standin/e2e/endlessmessages_test.go
+++ b/standin/e2e/endlessmessages_test.go
@@ -184,6 +184,21 @@
 // absurdBatch is the start of a batch that is said to have very many requests.
 var absurdBatch = rawMessage("\x95\xa1e\xa1s\xdd\xff\xff\xff\xff")
 
+// endlessSubmits submits requests with large bodies to a side.
+func endlessSubmits(conn net.Conn) error {
+	encoder := gob.NewEncoder(conn)
+	body := []byte(strings.Repeat("x", maxBody))
+	for sequence := uint64(0); ; sequence++ {
+		submit := protocol.NewSubmit(protocol.SubmitConfig{Attempt: fmt.Sprint(conn.LocalAddr(), sequence), Method: "POST", Path: "/slow", Body: body, Remaining: time.Minute})
+		if err := encoder.Encode(rpc.Request{ServiceMethod: protocol.SubmitMethod, Seq: sequence}); err != nil {
+			return err
+		}
+		if err := encoder.Encode(protocol.NewBatch(protocol.BatchConfig{Entry: "e", Submits: []protocol.Submit{submit}})); err != nil {
+			return err
+		}
+	}
+}
+
 // playMessages lets a crowd write each message to the RPC port of a process. An ordinary
 // request must be answered afterwards.
 func playMessages(t *testing.T, p *process, port string, calls map[string]answerScript, awaitOrdinary func(t *testing.T)) {
@@ -244,6 +259,7 @@
 	t.Run("calls of a side", func(t *testing.T) {
 		calls := map[string]answerScript{
 			"absurd batch": endlessCalls(protocol.SubmitMethod, absurdBatch),
+			"large bodies": endlessSubmits,
 			"reads":        endlessCalls(protocol.ReadMethod, protocol.NewRead(protocol.ReadConfig{Entry: "e", Wait: time.Second})),
 		}
 		playMessages(t, side, f.linkAddresses["side-peer"], calls, awaitOrdinary)
