Tell other lobbies of named rates when they change and every 2 s

Cause: each digest repeated all named rates; at up to 20 digests a second that is more than the rest of it. Change: a rate is told when it changes and again after 2 s, for digests that are lost.

--- a/lobby/scheduler/limitgate.go
+++ b/lobby/scheduler/limitgate.go
@@ -18,6 +18,8 @@
 	// limitRetention is the time after the last answer that named the rate from which on
 	// a lobby without turns asks, by a request, whether that still holds.
 	limitRetention = 15 * time.Second
+	// limitTellPeriod is the time after which the other lobbies are told again.
+	limitTellPeriod = 2 * time.Second
 	// maxLimitTransit is the longest time that a digest is taken to be on its way.
 	maxLimitTransit = time.Second
 	// limitCost is added to the estimated delay at a backend server that names a rate:
@@ -41,6 +43,8 @@
 
 	answered    time.Time // as heard, of answers to this lobby
 	answeredEnd time.Time // as ended, of requests from this lobby
+	told        time.Time // time at which the other lobbies were told last
+	toldRate    float64
 }
 
 func newLimitGate(backend string, shares *rateShares) *limitGate {
@@ -91,15 +95,19 @@
 	return true
 }
 
-// toSend returns what the other lobbies are told: what answers to this lobby have named.
+// toSend returns what the other lobbies are to be told now, if anything: what answers to
+// this lobby have named lately, when it has changed and repeatedly.
 func (g *limitGate) toSend(now time.Time) (limit protocol.LimitConfig, ok bool) {
 	limit = protocol.LimitConfig{Backend: g.pacer.backend, Rate: g.rate, Age: now.Sub(g.answered)}
 	if g.rate == 0 {
 		limit.Age = now.Sub(g.answeredEnd)
 	}
-	return limit, limit.Age < limitRetention
+	return limit, limit.Age < limitRetention && (g.toldRate != g.rate || now.Sub(g.told) >= limitTellPeriod)
 }
 
+// tell records that the other lobbies are told now.
+func (g *limitGate) tell(now time.Time) { g.told, g.toldRate = now, g.rate }
+
 // named returns the rate that the backend server names, zero if it names none.
 func (g *limitGate) named() float64 {
 	if g == nil {
--- a/lobby/scheduler/limitserver.go
+++ b/lobby/scheduler/limitserver.go
@@ -46,8 +46,8 @@
 	c.emit(record)
 }
 
-// limitsToSend returns the rates that backend servers have named in answers to this lobby
-// lately, and those that they have ceased to name.
+// limitsToSend returns what the other lobbies are to be told now of rates that backend
+// servers have named, or have ceased to name, in answers to this lobby.
 func (c *Core) limitsToSend(now time.Time) []protocol.LimitConfig {
 	var limits []protocol.LimitConfig
 	for _, s := range c.servers {
@@ -55,6 +55,7 @@
 			continue
 		}
 		if limit, ok := s.limit.toSend(now); ok && len(limits) < maxSentLimits {
+			s.limit.tell(now)
 			limit.Start = s.backend.StartTime()
 			limits = append(limits, limit)
 		}
@@ -62,8 +63,8 @@
 	return limits
 }
 
-// maxSentLimits is the largest number of limits in a digest, which bounds its size. Of more,
-// each digest has others.
+// maxSentLimits is the largest number of limits in a digest, which bounds its size. The
+// others wait for the next one.
 const maxSentLimits = 64
 
 // limitState says what has become of a limit.
