Guard named rates that sink, and measure ticks with many of them

Before, no test played a rate that another one follows, and no benchmark many backend servers that name one.

--- a/lobby/scheduler/limit_test.go
+++ b/lobby/scheduler/limit_test.go
@@ -150,3 +150,30 @@
 		t.Errorf("decisions and explanation (-want +got):\n%s", diff)
 	}
 }
+
+// BenchmarkTickWithNamedRates measures a tick while requests wait for their turns at backend
+// servers that name rates.
+func BenchmarkTickWithNamedRates(b *testing.B) {
+	for _, servers := range []int{50, 600} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			f := newFixture()
+			f.limiter.remaining = 1 << 30
+			var list []deployment.BackendConfig
+			for i := range servers {
+				list = append(list, plainServer(fmt.Sprint("p", i)))
+			}
+			f.list(list...)
+			for _, server := range list {
+				f.core.Handle(f.now, scheduler.NewBackendLimit(scheduler.NewOrigin(server.ID, 0), 2, f.now))
+			}
+			f.core.Handle(f.now, scheduler.NewLobbiesListed(f.now, f.now, nil))
+			f.now = f.now.Add(5 * time.Second)
+			for range 6000 {
+				f.arrive(httpmeta.RequestConfig{Path: "/long/a"})
+			}
+			for b.Loop() {
+				f.core.Tick(f.now)
+			}
+		})
+	}
+}
--- a/lobby/scheduler/limitfleet_test.go
+++ b/lobby/scheduler/limitfleet_test.go
@@ -363,6 +363,32 @@
 	})
 }
 
+// TestSinkingRateIsKept guards against lobbies, with turns or without, that go on with a rate
+// that the backend server named before.
+func TestSinkingRateIsKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lobbies  int
+		from, to float64
+	}{
+		"one lobby":                {lobbies: 1, from: 10, to: 1},
+		"8 lobbies":                {lobbies: 8, from: 40, to: 2},
+		"8 lobbies, a low rate":    {lobbies: 8, from: 2, to: 0.3},
+		"27 lobbies":               {lobbies: 27, from: 10, to: 1},
+		"27 lobbies, steep":        {lobbies: 27, from: 40, to: 0.3},
+		"27 lobbies, turns remain": {lobbies: 27, from: 40, to: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLimitFleet(limitFleetConfig{seed: 1, lobbies: tc.lobbies, rate: tc.from, named: 10 * time.Second, ended: time.Hour, load: 5 * tc.from, paths: []string{"/stream/a"}, lost: 0.3})
+			f.advance(40 * time.Second)
+			f.config.rate, f.first = tc.to, f.now
+			f.advance(30 * time.Second)
+			if bound := int(tc.to*limitExcess*limitWindow.Seconds() + limitSlack); f.most() > bound {
+				t.Errorf("%d requests within %v, more than %d", f.most(), limitWindow, bound)
+			}
+		})
+	}
+}
+
 // TestNamedRateIsUsed guards against lobbies that leave a backend server idle which names a
 // rate, and against refusals that name no time or an absurd one.
 func TestNamedRateIsUsed(t *testing.T) {
