Take a rate of zero for the least one, and unreadable rates for neither

Seen by backend servers: full load again from all lobbies once a signed answer says Server-Limit: 0, or 0.0 for a rate that was rounded, or a text that is no number. Cause: such text counted as an answer that names none, which ends the limit. Evidence: two new cases of TestStateInHeadIsReported got the end of the limit. Change: zero is the least rate; text that is no decimal number changes nothing. However low the rate is, a lobby or a side asks every 30 s at most, since only an answer tells of the end; the number that may arrive within the window stays dealt as before.

--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -154,7 +154,7 @@
 	Misdirected bool          // another backend server now has the address, or this one does not have the model
 	Backend     string        // ID of the backend server that answers; empty if the answer does not state it
 	Close       bool          // the connection is closed after this answer
-	IdleTimeout time.Duration // time for which the backend server keeps an idle connection; zero if not stated
+	IdleTimeout time.Duration // time for which the backend server keeps an idle connection; zero if not stated, UnreadableRate if stated otherwise
 	Signed      bool          // the answer has the backend server's signature
 	Leaving     bool          // the backend server leaves and is to get no new requests
 	RetryAfter  time.Duration // time for which the backend server, which refused the request, wants no others; zero if not stated
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -129,10 +129,11 @@
 }
 
 // reportLimit reports the rate that the backend server names in the head of an answer, or
-// that a signed answer names none any more.
+// that a signed answer names none any more. One that cannot be read changes nothing.
 func (b *backendConn) reportLimit() {
 	rate := b.answer.info.Limit()
-	if ended := b.exchange.send.Limited() && b.answer.info.Signed(); (rate > 0 || ended) && b.fromExpected() {
+	ended := rate == 0 && b.exchange.send.Limited() && b.answer.info.Signed()
+	if (rate > 0 || ended) && b.fromExpected() {
 		b.proxy.notifyScheduler(scheduler.NewBackendLimit(b.exchange.send.Origin(), rate, b.exchange.sentAt))
 	}
 }
--- a/lobby/proxy/backendstate_test.go
+++ b/lobby/proxy/backendstate_test.go
@@ -20,6 +20,7 @@
 	origin := scheduler.NewOrigin("i-1", 7)
 	left, refused := scheduler.Message(scheduler.NewBackendLeaving(origin)), scheduler.Message(scheduler.NewBackendRefusing(origin, 1500*time.Millisecond))
 	named, none := scheduler.Message(scheduler.NewBackendLimit(origin, 2.5, time.Time{})), scheduler.Message(scheduler.NewBackendLimit(origin, 0, time.Time{}))
+	least := scheduler.Message(scheduler.NewBackendLimit(origin, 1e-3, time.Time{}))
 	const limit = "Server-Limit: 2.5\r\n"
 	cases := map[string]struct {
 		answer  string
@@ -32,6 +33,8 @@
 		"limit of another server":     {answer: "HTTP/1.1 421 No\r\nInstance-Id: i-9\r\n" + limit + "Content-Length: 0\r\n\r\n", limited: true},
 		"limit, another request":      {answer: "HTTP/1.1 500 Oops\r\n" + limit + "Request-Id: other\r\nContent-Length: 0\r\n\r\n" + fixedLengthAnswer("r1", "hello")},
 		"limit has ended":             {answer: "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 0\r\n\r\n", limited: true, want: []scheduler.Message{none}},
+		"limit of zero, signed":       {answer: "HTTP/1.1 200 OK\r\n" + stamp + "Server-Limit: 0\r\nContent-Length: 0\r\n\r\n", limited: true, want: []scheduler.Message{least}},
+		"invalid limit, signed":       {answer: "HTTP/1.1 200 OK\r\n" + stamp + "Server-Limit: 3, 4\r\nContent-Length: 0\r\n\r\n", limited: true},
 		"no limit, unsigned":          {answer: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", limited: true},
 		"neither":                     {answer: fixedLengthAnswer("r1", "hello")},
 		"refusal":                     {answer: refusal + "Content-Length: 0\r\n\r\n", want: []scheduler.Message{refused}},
--- a/lobby/scheduler/cold.go
+++ b/lobby/scheduler/cold.go
@@ -18,6 +18,9 @@
 	// coldCost is added to the estimated delay at a backend server that is cold or warms
 	// up: what others can run leaves its turns to what they cannot.
 	coldCost = 25 * time.Millisecond
+	// maxColdGap is the longest time between two requests of a lobby to a cold backend
+	// server, however low a rate the configuration states.
+	maxColdGap = 10 * time.Minute
 )
 
 // coldParts are the parts, by standing, of the requests that may reach a cold backend server
@@ -199,7 +202,7 @@
 // bound returns what the backend server tolerates while it is cold.
 func (g *coldGate) bound() rateBound {
 	config := g.config.Shares.config
-	return rateBound{rate: g.config.Rate, most: g.config.Rate*config.Overshoot + config.Slack, window: time.Second + shareMargin, parts: coldParts}
+	return rateBound{rate: g.config.Rate, most: g.config.Rate*config.Overshoot + config.Slack, window: time.Second + shareMargin, maxGap: maxColdGap, parts: coldParts}
 }
 
 // configure sets the cold time and the rate.
--- a/lobby/scheduler/limitgate.go
+++ b/lobby/scheduler/limitgate.go
@@ -16,7 +16,7 @@
 	// once in tickPeriod.
 	limitCatchUp = 2 * tickPeriod
 	// limitRetention is the time after the last answer that named the rate from which on
-	// a lobby without turns asks, by a request, whether that still holds.
+	// a lobby asks, by a request, whether that still holds, if it has no turn before.
 	limitRetention = 15 * time.Second
 	// limitTellPeriod is the time after which the other lobbies are told again.
 	limitTellPeriod = 2 * time.Second
@@ -202,6 +202,6 @@
 func (g *limitGate) bound() rateBound {
 	return rateBound{
 		rate: g.rate, most: limitExcess*limitWindow.Seconds()*g.rate + limitSlack,
-		window: limitWindow + shareMargin + limitCatchUp, parts: limitParts,
+		window: limitWindow + shareMargin + limitCatchUp, maxGap: limitRetention, parts: limitParts,
 	}
 }
--- a/lobby/scheduler/rateshare.go
+++ b/lobby/scheduler/rateshare.go
@@ -136,6 +136,7 @@
 	rate   float64              // requests per second in the long run
 	most   float64              // requests that may arrive within the window
 	window time.Duration        // longer than the stated one by the time that requests may take longer than others
+	maxGap time.Duration        // longest time between two requests of a lobby, however low the rate
 	parts  map[standing]float64 // parts of most, by standing
 }
 
@@ -166,7 +167,7 @@
 	}
 	requests := (limit - rank + len(s.members) - 1) / len(s.members)
 	stretch := max(float64(limit)/(bound.window.Seconds()*bound.rate), 1)
-	gap := min(bound.window.Seconds()*stretch/float64(requests), maxShareGap.Seconds())
+	gap := min(bound.window.Seconds()*stretch/float64(requests), bound.maxGap.Seconds())
 	share := rateShare{gap: time.Duration(gap * float64(time.Second)), rank: rank}
 	share.offset = share.gap * time.Duration(rank) / time.Duration(min(limit, len(s.members)))
 	return share
@@ -189,12 +190,9 @@
 	return binary.BigEndian.Uint64(sum[:])
 }
 
-// Limits of what a configuration or a backend server may state: for a higher rate, this many
-// requests count, and for a lower one, requests are this far apart at most.
-const (
-	maxBoundRequests = 1 << 20
-	maxShareGap      = 10 * time.Minute
-)
+// maxBoundRequests is the largest number of requests that counts, whatever a configuration or
+// a backend server states.
+const maxBoundRequests = 1 << 20
 
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
--- a/side/dispatcher/limit.go
+++ b/side/dispatcher/limit.go
@@ -5,8 +5,9 @@
 const (
 	// limitCatchUp is the longest time for which a turn is kept.
 	limitCatchUp = 50 * time.Millisecond
-	// maxTurnGap is the longest time between two attempts, however low the rate.
-	maxTurnGap = 10 * time.Minute
+	// maxTurnGap is the longest time between two attempts, however low the rate: only an
+	// answer tells that the limit has ended.
+	maxTurnGap = 30 * time.Second
 )
 
 // limit is the rate that the backend server names in its answers: the requests per second
@@ -21,8 +22,8 @@
 // whether that changes the limit. An answer to an attempt that had started when a rate was
 // last named does not end it, since answers overtake one another.
 func (l *limit) hear(now time.Time, rate float64, started time.Time) bool {
-	if rate == 0 && (l.rate == 0 || !started.After(l.heard)) {
-		return false
+	if rate < 0 || rate == 0 && (l.rate == 0 || !started.After(l.heard)) {
+		return false // it cannot be read, or ends nothing
 	}
 	if rate > 0 {
 		l.heard = now
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/testkit"
 	"sesamewell.example/commons/tracing"
@@ -304,7 +305,7 @@
 		"success": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: 2.5\r\nContent-Length: 0\r\n\r\n", want: 2.5},
 		"failure": {answer: "HTTP/1.1 503 Busy\r\nserver-limit: 3\r\nContent-Length: 0\r\n\r\n", want: 3},
 		"none":    {answer: sized + "whole  8"},
-		"no rate": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: soon\r\nContent-Length: 0\r\n\r\n"},
+		"no rate": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: soon\r\nContent-Length: 0\r\n\r\n", want: httpmeta.UnreadableRate},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
