Keep the rate of a backend server whose entry lapses for long

Cause: the state of an unlisted backend server is dropped after two minutes, with the rate that it named; a hold is kept.

--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -116,7 +116,7 @@
 // long, unless a time that one of them asked for has not ended.
 func (c *Core) forgetUnlisted(now time.Time) {
 	for id, s := range c.unlisted {
-		if now.Sub(s.unlistedAt) > unlistedRetention && !s.hold.active(now) {
+		if now.Sub(s.unlistedAt) > unlistedRetention && !s.hold.active(now) && !s.limit.heldAt(now) {
 			delete(c.unlisted, id)
 		}
 	}
--- a/lobby/scheduler/limit_test.go
+++ b/lobby/scheduler/limit_test.go
@@ -110,10 +110,12 @@
 	restarted.StartTime = 9
 	cases := map[string]struct {
 		lists [][]deployment.BackendConfig
-		want  int // of ten requests sent at once
+		apart time.Duration // time between two lists
+		want  int           // of ten requests sent at once
 	}{
 		"listed again":       {lists: [][]deployment.BackendConfig{{plainServer("p")}}, want: 0},
 		"lapsed for a while": {lists: [][]deployment.BackendConfig{{}, {plainServer("p")}}, want: 0},
+		"lapsed for long":    {lists: [][]deployment.BackendConfig{{}, {}, {plainServer("p")}}, apart: 3 * time.Minute, want: 0},
 		"started again":      {lists: [][]deployment.BackendConfig{{restarted}}, want: 10},
 	}
 	for name, tc := range cases {
@@ -122,6 +124,7 @@
 			f.core.Handle(f.now, scheduler.NewBackendLimit(scheduler.NewOrigin("p", 0), 2, f.now))
 			for _, list := range tc.lists {
 				f.list(list...)
+				f.now = f.now.Add(tc.apart)
 			}
 			sent := 0
 			for range 10 {
--- a/lobby/scheduler/limitgate.go
+++ b/lobby/scheduler/limitgate.go
@@ -116,6 +116,9 @@
 	return g.rate
 }
 
+// heldAt reports whether a rate is in force and was named not long ago.
+func (g *limitGate) heldAt(now time.Time) bool { return g.named() > 0 && now.Sub(g.heard) < maxHold }
+
 func (g *limitGate) limits(time.Time) bool { return g.named() > 0 }
 
 // end returns a time that is far away: nothing tells for how long a rate is named.
