Log changes of a named rate once in five seconds

Seen by operators: a rate that differs from answer to answer gave a line for each, 6,282 a minute with 27 lobbies and one backend server, since each digest changes it too. Change: a change is recorded if the last record is five seconds old; begin and end always.

--- a/lobby/scheduler/limitgate.go
+++ b/lobby/scheduler/limitgate.go
@@ -41,6 +41,7 @@
 	heard time.Time // time of the last answer that named one, to this lobby or another
 	ended time.Time // time of the request whose answer ended the last limit, from this lobby or another
 
+	recorded    time.Time // time of the last record
 	answered    time.Time // as heard, of answers to this lobby
 	answeredEnd time.Time // as ended, of requests from this lobby
 	told        time.Time // time at which the other lobbies were told last
--- a/lobby/scheduler/limitserver.go
+++ b/lobby/scheduler/limitserver.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// changeLimit lets a change act on the limit of a backend server and records it. When one
-// begins, requests that wait for a connection are taken back.
+// changeLimit lets a change act on the limit of a backend server and records it, changes of
+// the rate once in a period. When one begins, requests that wait for a connection are taken back.
 func (c *Core) changeLimit(now time.Time, s *server, peer string, change func(g *limitGate) bool) {
 	if s.limit == nil {
 		s.setLimit(newLimitGate(s.backend.ID(), c.rateShares))
@@ -34,6 +34,11 @@
 	if !change(s.limit) {
 		return
 	}
+	changed := before > 0 && s.limit.named() > 0
+	if changed && now.Sub(s.limit.recorded) < limitRecordPeriod {
+		return
+	}
+	s.limit.recorded = now
 	record := RecordLimit{backend: s.backend.ID(), state: limitChanged, rate: s.limit.named(), before: before, age: now.Sub(s.limit.since), peer: peer, share: s.limit.perSecond(now), lobbies: c.rateShares.lobbies()}
 	switch {
 	case before == 0:
@@ -67,6 +72,10 @@
 // others wait for the next one.
 const maxSentLimits = 64
 
+// limitRecordPeriod is the shortest time between two records of changes of a rate, which may
+// differ from answer to answer.
+const limitRecordPeriod = 5 * time.Second
+
 // limitState says what has become of a limit.
 type limitState string
 
