--- a/side/loader/caller.go
+++ b/side/loader/caller.go
@@ -19,6 +19,9 @@
 	statePath  = "/orders/state"
 )
 
+// maxState is the maximum number of bytes in an engine's answer about its state.
+const maxState = 1 << 20
+
 // putTimeout is the longest wait for room in the loader's inbox.
 const putTimeout = 10 * time.Second
 
@@ -41,7 +44,7 @@
 		config:  config,
 		jobs:    ring.New(ring.Config{Name: "orders", Capacity: config.Capacity}),
 		replies: replies,
-		client:  httpclient.New(httpclient.Config{Address: config.Address, MaxConns: 1}),
+		client:  httpclient.New(httpclient.Config{Address: config.Address, MaxConns: 1, MaxBody: maxState}),
 	}
 }
 
