Let a side hold less of answers without end

Seen: TestEndlessAnswersOfBackendServers/huge_length had 110 MB resident of 96 in a side, in one run at a load of 28 on 8 cores; 79 and 90 MB in the two runs after it. Change: unconfirmed answers may take a quarter of [foyer] max-held, since each is copied while it grows, and 64 pieces of 16 KiB may be under way to the dispatcher, 256 before.

--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -83,7 +83,7 @@
 	{Section: "foyer", Key: "queue", Kind: Integer, Default: "256", Min: "0", Max: "100000", Doc: "requests that may wait for the backend server"},
 	{Section: "foyer", Key: "prefix-blocks", Kind: Integer, Default: "16384", Min: "64", Max: "1000000", Doc: "blocks of recent prompts that are remembered, to send like prompts to the same backend server"},
 	{Section: "foyer", Key: "max-buffered", Kind: Bytes, Default: "8MiB", Min: "64KiB", Max: "256MiB", Doc: "bytes of one answer that an entry has not yet confirmed"},
-	{Section: "foyer", Key: "max-held", Kind: Bytes, Default: "1GiB", Min: "1MiB", Max: "1024GiB", Doc: "half of it bytes of requests that wait or run, half of it bytes of answers that entries have not yet confirmed; 35% of [process] memory if that is less. Beyond it requests are refused, and the answer of which most is left ends"},
+	{Section: "foyer", Key: "max-held", Kind: Bytes, Default: "1GiB", Min: "1MiB", Max: "1024GiB", Doc: "half of it bytes of requests that wait or run, a quarter of it bytes of answers that entries have not yet confirmed, which are copied while they grow; 35% of [process] memory if that is less. Beyond it requests are refused, and the answer of which most is left ends"},
 	{Section: "orders", Key: "inbox", Kind: Integer, Default: "1024", Min: "16", Max: "100000", Doc: "capacity of the rings for orders to the backend server, in messages"},
 	{Section: "orders", Key: "timeout", Kind: Duration, Default: "1s", Min: "50ms", Max: "30s", Doc: "limit on one call to the backend server about its memory"},
 	{Section: "orders", Key: "longest-delay", Kind: Duration, Default: "10s", Min: "100ms", Max: "10m", Doc: "longest time from sending an order until it takes effect"},
--- a/side/process.go
+++ b/side/process.go
@@ -95,7 +95,7 @@
 			Residency:    p.loader,
 			MaxBuffered:  settings.Bytes("foyer", "max-buffered"),
 			MaxBodies:    maxHeld / 2,
-			MaxAnswers:   maxHeld / 2,
+			MaxAnswers:   maxHeld / 4,
 			FlushDelay:   settings.Duration("desk", "linger"),
 		},
 		Capacity:  settings.Integer("foyer", "inbox"),
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -25,7 +25,7 @@
 // Limits of a runner.
 const (
 	readBufferBytes = 16 << 10         // maximum number of bytes in one read from the backend server
-	maxPieces       = 256              // pieces of answers that may wait in the dispatcher's ring
+	maxPieces       = 64               // pieces of answers that may wait in the dispatcher's ring
 	putTimeout      = 10 * time.Second // longest wait for room in the dispatcher's ring
 	dialTimeout     = 2 * time.Second
 )
