Place models by what backend servers take that name a rate

Cause: for the placement a copy on a limited engine is as good as any, so that hot models get no copies on the free engines. Change: a host has a capacity, which for one that names a rate is what the rate keeps busy. The demand for a model divides by capacity, and costs of loads count by it. The scheduler tells the planner of its lobby what it knows from answers and digests. Tests: none of the existing ones changed.

--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -99,7 +99,7 @@
 }
 
 // Broadcast sends this lobby's digest to the other lobbies and to its own
-// planner.
+// planner, which is told of the backend servers that name a rate, too.
 func (m *mediator) Broadcast(action scheduler.Broadcast) error {
 	digest := protocol.NewDigest(protocol.DigestConfig{
 		Sender: m.self, Domain: m.domain, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
@@ -112,9 +112,23 @@
 	if err := m.planner.Inbox().Put(digest); err != nil {
 		return err
 	}
+	if err := m.planner.Inbox().Put(placementLimits(action.Capacities())); err != nil {
+		return err
+	}
 	return m.broadcaster.Send(digest)
 }
 
+// placementLimits returns what backend servers run that name a rate, for the planner.
+func placementLimits(capacities []scheduler.BackendCapacity) placement.Limits {
+	limits := make(placement.Limits, 0, len(capacities))
+	for _, capacity := range capacities {
+		limits = append(limits, placement.NewLimit(placement.LimitConfig{
+			Backend: capacity.Backend(), Start: capacity.Start(), Engines: capacity.Engines(), Since: capacity.Since(),
+		}))
+	}
+	return limits
+}
+
 func (m *mediator) notifyScheduler(message scheduler.Message) {
 	if err := m.scheduler.Inbox().PutWithin(context.Background(), message, putTimeout); err != nil {
 		m.log.WithField("event", "steward_behind").WithError(err).Error("message to the scheduler lost")
--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -30,8 +30,10 @@
 	backends      map[string]deployment.Backend
 	peers         map[string]*peer // by address, including this lobby
 	plan          map[string][]string
-	replaced      map[string]int64 // start times, by ID, of backend servers that are gone though they are listed
-	leaving       map[string]int64 // start times, by ID, of backend servers that have said that they leave
+	replaced      map[string]int64          // start times, by ID, of backend servers that are gone though they are listed
+	leaving       map[string]int64          // start times, by ID, of backend servers that have said that they leave
+	limits        map[string]Limit          // by ID of the backend server
+	limitedDemand map[string]*limitedDemand // by service
 	evacuations   deployment.Evacuations
 	startTimes    map[string]int64 // start time of each planned backend server, Unix milliseconds
 
@@ -51,7 +53,7 @@
 
 // NewCore returns a core without configuration, backend servers or peers.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), leaving: make(map[string]int64), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
+	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), leaving: make(map[string]int64), limits: make(map[string]Limit), limitedDemand: make(map[string]*limitedDemand), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
 }
 
 // SetConfiguration replaces the configuration.
@@ -218,8 +220,9 @@
 			// It keeps what it has loaded, which does not count as copies.
 			backend, models = backend.AsLeaving(), backend.Models()
 		}
-		d.add(backend, c.cold(now, backend), models)
+		d.add(hostConfig{Backend: backend, Cold: c.cold(now, backend), Capacity: c.capacity(now, backend), Room: c.room(backend), Models: models})
 	}
+	c.limitDemand(now, service, d)
 	return d
 }
 
--- a/lobby/placement/cost.go
+++ b/lobby/placement/cost.go
@@ -2,7 +2,8 @@
 
 // The cost of a plan is the sum of the costs of its hosts' loads. It is lower the
 // more evenly the load is spread, and a copy of a model pays as long as it lowers
-// the sum, however many copies there are already.
+// the sum, however many copies there are already. The demand for a model divides over its
+// copies by the capacities of their hosts.
 
 // minGain is the reduction of the total load cost from which on a model gets
 // another copy. Below it, the benefit does not justify the load.
@@ -12,8 +13,8 @@
 // the backend server's own disk.
 const storeLoadCost = 0.02
 
-// coldHostCost is the extra cost of a copy on a cold backend server, which serves only its
-// cold rate at first.
+// coldHostCost is the extra cost of a copy on a backend server that is cold, and serves only
+// its cold rate at first, or names a rate.
 const coldHostCost = 0.02
 
 // idleCopyCost is the cost of evicting the last copy of a model without demand.
@@ -26,6 +27,10 @@
 	lastCopyFactor   = 4
 )
 
+// onlyCopyCost is the cost of evicting the only copy of a model in demand while capacities
+// are limited, which is more than the relief of other hosts can gain.
+const onlyCopyCost = 1e6
+
 // unloadCost is the cost of evicting a copy as a multiple of its load: an engine
 // unloads a model only when the running requests for it have ended.
 const unloadCost = 0.5
@@ -49,22 +54,23 @@
 // a model in place of the evicted ones. It includes the cost of the load itself and
 // that of evicting last copies.
 func (d *draft) costOf(target *host, model string, evicted []string) float64 {
-	demand, copies := d.demand[model], float64(d.copies[model])
-	load := d.hostLoad(target) + demand/(copies+1)
+	demand, capacity := d.countedDemand(model), d.capacity[model]
+	perCapacity := demand / (capacity + target.capacity)
+	load := d.hostLoad(target) + perCapacity
 	cost := 0.0
 	if !target.backend.HasLocalCopy(model) {
 		cost += storeLoadCost
 	}
-	if target.cold {
+	if target.cold || target.limited() {
 		cost += coldHostCost
 	}
 	for _, name := range evicted {
 		load -= d.loadPerCopy(name)
 		cost += d.evictionCost(target, name)
 	}
-	cost += loadCost(load) - loadCost(d.hostLoad(target))
-	if copies > 0 {
-		cost += d.shiftCost(target, model, demand/(copies+1)-demand/copies)
+	cost += target.capacity * (loadCost(load) - loadCost(d.hostLoad(target)))
+	if d.copies[model] > 0 {
+		cost += d.shiftCost(target, model, perCapacity-demand/capacity)
 	}
 	return cost
 }
@@ -76,7 +82,7 @@
 	for _, h := range d.holders[model] {
 		if h != except {
 			load := d.hostLoad(h)
-			cost += loadCost(load+added) - loadCost(load)
+			cost += h.capacity * (loadCost(load+added) - loadCost(load))
 		}
 	}
 	return cost
@@ -84,15 +90,16 @@
 
 // evictionCost returns by how much the cost rises if a copy of a model is evicted
 // from the given host, apart from the load that it takes off that host. Copies that
-// are planned but not loaded, or on a cold backend server, cannot yet take over its load.
+// are planned but not loaded, or on a backend server that is cold or names a rate, cannot
+// take over its load.
 func (d *draft) evictionCost(h *host, model string) float64 {
 	if !h.backend.Holds(model, "") {
 		return d.shiftCost(h, model, d.evictionLoad(h, model))
 	}
 	if d.loadedElsewhere(h, model) < 1 {
-		return d.lastCopyCost(model)
+		return d.lastCopyCost(h, model)
 	}
-	return d.shiftCost(h, model, d.evictionLoad(h, model)) + unloadCost*d.loadPerCopy(model)
+	return d.shiftCost(h, model, d.evictionLoad(h, model)) + unloadCost*h.capacity*d.loadPerCopy(model)
 }
 
 // loadedElsewhere returns the number of loaded copies of a model on other hosts.
@@ -103,21 +110,37 @@
 	return d.loaded[model]
 }
 
-// lastCopyCost returns the cost of evicting the last loaded copy of a model.
-func (d *draft) lastCopyCost(model string) float64 {
+// lastCopyCost returns the cost of evicting the last loaded copy of a model that a host has,
+// apart from those on hosts with limited capacities.
+func (d *draft) lastCopyCost(h *host, model string) float64 {
 	if d.demand[model] > minDemand {
-		return demandedCopyCost + lastCopyFactor*d.demand[model]
+		if d.named && !d.moving && d.limitedElsewhere(h, model) < d.countedDemand(model) {
+			return onlyCopyCost
+		}
+		return demandedCopyCost + lastCopyFactor*d.countedDemand(model)
 	}
 	return idleCopyCost
 }
 
+// limitedElsewhere returns the capacity of the other hosts with limited capacities that have
+// loaded a model.
+func (d *draft) limitedElsewhere(h *host, model string) float64 {
+	if h.limited() && h.runs(model) {
+		return d.limitedLoaded[model] - h.capacity
+	}
+	return d.limitedLoaded[model]
+}
+
 // evictionLoad returns the load that the eviction of a host's copy of a model adds to
 // each of its other copies. While the host is cold, they have most of its load already.
 func (d *draft) evictionLoad(h *host, model string) float64 {
 	if h.cold {
 		return d.loadPerCopy(model)
 	}
-	demand, copies := d.demand[model], float64(d.loaded[model])
+	demand, copies := d.countedDemand(model), float64(d.loaded[model])
+	if h.limited() && copies >= 1 {
+		return demand/copies - demand/(copies+h.capacity)
+	}
 	if copies <= 1 {
 		return demand
 	}
@@ -127,18 +150,22 @@
 // evictionRank orders the models of a host for eviction, the cheapest first.
 func (d *draft) evictionRank(h *host, model string) float64 {
 	if d.loadedElsewhere(h, model) < 1 {
-		return d.lastCopyCost(model)
+		return d.lastCopyCost(h, model)
 	}
 	return d.evictionLoad(h, model)
 }
 
-// loadPerCopy returns the demand for a model that each of its copies serves, in
-// engines.
+// loadPerCopy returns the load that the demand for a model puts on each host that holds
+// it.
 func (d *draft) loadPerCopy(model string) float64 {
-	return d.demand[model] / float64(max(d.copies[model], 1))
+	if d.copies[model] == 0 {
+		return d.countedDemand(model)
+	}
+	return d.countedDemand(model) / d.capacity[model]
 }
 
-// hostLoad returns the load that the planned models put on a host, in engines.
+// hostLoad returns the load that the planned models put on a host, as a part of its
+// capacity.
 func (d *draft) hostLoad(h *host) float64 {
 	sum := 0.0
 	for _, model := range h.models {
--- a/lobby/placement/planner.go
+++ b/lobby/placement/planner.go
@@ -79,7 +79,7 @@
 func (p *Planner) Inbox() *ring.Ring { return p.inbox }
 
 // Put adds a message to the inbox: a *deployment.Configuration, a
-// []deployment.Backend, a deployment.Evacuations or a protocol.Digest. It waits up to 5 s
+// []deployment.Backend, a deployment.Evacuations, Limits or a protocol.Digest. It waits up to 5 s
 // for room and returns an error if there is none by then.
 func (p *Planner) Put(message any) error {
 	return p.inbox.PutWithin(context.Background(), message, putTimeout)
@@ -105,6 +105,8 @@
 		p.core.SetEvacuations(m)
 	case protocol.Digest:
 		p.core.UpdatePeer(now, m)
+	case Limits:
+		p.core.SetLimits(m)
 	case recalledDemand:
 		p.core.Recall(m.demand)
 	}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -195,6 +195,7 @@
 	Replaced   map[string]int64         // start times, by ID, of the listed backend servers that are gone
 	Leaving    map[string]int64         // start times, by ID, of the listed backend servers that have said that they leave
 	Limits     []protocol.LimitConfig   // rates that backend servers have named in answers lately, and those that have ended
+	Capacities []BackendCapacity        // of the backend servers that name a rate
 	Joining    bool                     // the other lobbies may not all know this one yet
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
@@ -238,6 +239,9 @@
 // and those that have ended.
 func (b Broadcast) Limits() []protocol.LimitConfig { return b.config.Limits }
 
+// Capacities returns what the backend servers run that name a rate, for this lobby's planner.
+func (b Broadcast) Capacities() []BackendCapacity { return b.config.Capacities }
+
 // Joining reports whether the other lobbies may not all know this one yet, so that the
 // list of lobbies is to be read often.
 func (b Broadcast) Joining() bool { return b.config.Joining }
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -157,6 +157,7 @@
 	config.Replaced = c.startTimes(func(s *server) bool { return s.replaced })
 	config.Leaving = c.leavingToSend()
 	config.Limits = c.limitsToSend(now)
+	config.Capacities = c.capacities(now)
 	for _, s := range c.servers {
 		if s.open > 0 {
 			config.Loads = append(config.Loads, protocol.BackendLoadConfig{Backend: s.backend.ID(), Open: s.open, PrefillTime: s.prefill, Silent: s.silent(now)})
