--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -190,22 +190,6 @@
 	return gnet.Close
 }
 
-// expire closes a connection whose request is incomplete, which has had no request, or whose
-// caller does not end it, for longer than the limit. The event loop decides: a request may arrive whole
-// meanwhile. It is safe to call from any thread.
-func (c *conn) expire(now time.Time) {
-	switch {
-	case c.sending.Load():
-		c.onLoop(func(socket gnet.Conn) error { return c.checkSent(now, socket) })
-	case c.lingerSince.Load() != 0:
-		c.onLoop(func(socket gnet.Conn) error { return c.finishClose(now, socket) })
-	case c.expired(now):
-		c.onLoop(func(socket gnet.Conn) error { return c.closeIdle(now, socket) })
-	case c.late(now):
-		c.onLoop(func(gnet.Conn) error { return c.refuseLate(now) })
-	}
-}
-
 // onLoop calls a function on the connection's event loop unless the connection is closed. It
 // is safe to call from any thread.
 func (c *conn) onLoop(do func(socket gnet.Conn) error) {
@@ -217,38 +201,6 @@
 	})
 }
 
-// expired reports whether the connection has had no request for longer than the limit. It is
-// safe to call from any thread.
-func (c *conn) expired(now time.Time) bool { return c.idleFor(now) > c.server.config.Idle }
-
-// closeIdle closes the connection, unless a request has arrived meanwhile.
-func (c *conn) closeIdle(now time.Time, socket gnet.Conn) error {
-	if !c.expired(now) {
-		return nil
-	}
-	c.ended = true
-	c.waitingSince.Store(0)
-	return socket.Close()
-}
-
-// late reports whether a request arrives too slowly. It is safe to call from any thread.
-func (c *conn) late(now time.Time) bool {
-	if !c.arriving() {
-		return false
-	}
-	arrival := NewArrival(time.Unix(0, c.waitingSince.Load()), time.Unix(0, c.lastByte.Load()), c.arrived().Body())
-	return arrival.Late(now, c.server.config.SlowSender, c.server.config.MinUpload)
-}
-
-// refuseLate refuses a request that arrives too slowly, unless more of it has arrived
-// meanwhile.
-func (c *conn) refuseLate(now time.Time) error {
-	if c.late(now) {
-		c.refuseUnread(now, ErrSlowSender, SlowSender)
-	}
-	return nil
-}
-
 // arrived returns the part of the request that has arrived. It is safe to call from any
 // thread.
 func (c *conn) arrived() Fragment {
@@ -303,53 +255,6 @@
 	return errors.CombineErrors(socket.SetLinger(0), socket.Close())
 }
 
-// removable reports whether the connection may be closed for another one: an idle one after
-// minIdle, or crowdedIdle if its address holds most connections, and one whose request or
-// answer is incomplete at once.
-func (c *conn) removable(now time.Time, crowded bool) bool {
-	idle := minIdle
-	if crowded {
-		idle = crowdedIdle
-	}
-	return c.partial.Load() || c.sending.Load() || c.idleFor(now) >= idle
-}
-
-// displace closes the connection to make room for another one, unless a request has arrived
-// whole meanwhile. It is safe to call from any thread.
-func (c *conn) displace(now time.Time) {
-	c.closing.Store(true)
-	c.onLoop(func(socket gnet.Conn) error { return c.makeRoom(now, socket) })
-}
-
-// makeRoom closes the connection for another one, unless a call is open or has ended since
-// it was chosen.
-func (c *conn) makeRoom(now time.Time, socket gnet.Conn) error {
-	since := c.waitingSince.Load()
-	switch {
-	case since == 0 || since > now.UnixNano():
-		c.closing.Store(false)
-	case c.sending.Load():
-		c.server.causes.Record(now, NotReading, c.address)
-		return c.resetNow(socket)
-	case c.partial.Load():
-		c.refuseUnread(now, errTooManyConns, Displaced)
-	default:
-		c.ended = true
-		return socket.Close()
-	}
-	return nil
-}
-
-// idleFor returns the time for which no byte of a request has arrived, zero while there
-// is one.
-func (c *conn) idleFor(now time.Time) time.Duration {
-	since := c.waitingSince.Load()
-	if since == 0 || c.partial.Load() {
-		return 0
-	}
-	return now.Sub(time.Unix(0, since))
-}
-
 // release makes the connection available for its next request.
 func (c *conn) release(socket gnet.Conn) error {
 	c.call = nil
@@ -358,75 +263,3 @@
 	c.waitingSince.Store(time.Now().UnixNano())
 	return socket.Wake(nil)
 }
-
-// write writes the parts of a message without a copy of them, and then calls a function on
-// the event loop unless the connection is closed. The message is charged to the address
-// until the event loop has it. It is safe to call from any thread.
-func (c *conn) write(then func(socket gnet.Conn) error, message ...[]byte) error {
-	size := 0
-	for _, part := range message {
-		size += len(part)
-	}
-	c.setSending(true)
-	account := c.server.config.Account
-	overrun := account.Charge(c.address, int64(size))
-	err := c.socket.AsyncWritev(message, func(socket gnet.Conn, err error) error {
-		defer account.Release(c.address, int64(size))
-		return c.written(socket, err, size, then)
-	})
-	if err != nil {
-		account.Release(c.address, int64(size))
-		c.setSending(false)
-	}
-	if overrun {
-		c.server.shed(time.Now())
-	}
-	return err
-}
-
-// written accounts for a message that was written, and calls a function unless the
-// connection is closed.
-func (c *conn) written(socket gnet.Conn, err error, size int, then func(socket gnet.Conn) error) error {
-	if err != nil || c.gone.Load() {
-		c.setSending(false)
-		return err
-	}
-	c.progress.Wrote(size)
-	c.setSending(socket.OutboundBuffered() > 0)
-	c.chargeBuffers()
-	return then(socket)
-}
-
-// checkSent ends the wait for unsent bytes once they have left, or if the caller takes
-// none of them.
-func (c *conn) checkSent(now time.Time, socket gnet.Conn) error {
-	if c.gone.Load() {
-		return nil
-	}
-	unsent := socket.OutboundBuffered()
-	c.setSending(unsent > 0)
-	c.chargeBuffers()
-	switch {
-	case unsent == 0 && c.closeSent.Load():
-		return c.endSending(now, socket)
-	case c.progress.Stalled(now, Untaken(socket), c.server.config.Stall):
-		c.server.causes.Record(now, NotReading, c.address)
-		return c.resetNow(socket)
-	case unsent == 0 && c.call == nil:
-		c.waitingSince.Store(now.UnixNano())
-		return socket.Wake(nil) // requests that arrived behind the answer
-	}
-	return nil
-}
-
-// setSending records whether bytes have been written that have not left the process.
-func (c *conn) setSending(sending bool) {
-	if c.sending.Swap(sending) == sending {
-		return
-	}
-	if sending {
-		c.server.unsent.Add(1)
-		return
-	}
-	c.server.unsent.Add(-1)
-}
