Close the connection of a refused message before its response

Seen by processes: the call after one that was too long fails, connection is shut down. Cause: net/rpc answers a call whose argument cannot be read, and reads on; the connection ended at the next read only. If the response came first, the client took it for an answer of the method, kept the connection and sent its next call there. Change: the connection is closed as soon as the message is refused. The test plays the long call first each time, which a map left to chance.

--- a/commons/peerrpc/codec.go
+++ b/commons/peerrpc/codec.go
@@ -105,6 +105,7 @@
 	if errors.IsAny(err, ErrMessageTooLong, ErrNoRoom) {
 		messagesRefused.Inc()
 		c.log.WithFields(logrus.Fields{"event": "message_refused", "peer": c.conn.RemoteAddr()}).WithError(err).Warn("connection of a peer closed for its message")
+		_ = c.Close() // at once: after a response the peer would send its next call here
 	}
 	return err
 }
--- a/commons/peerrpc/peerrpc_test.go
+++ b/commons/peerrpc/peerrpc_test.go
@@ -178,11 +178,14 @@
 			address := startServerWith(t, peerrpc.ServerConfig{MaxMessage: tc.server})
 			client := peerrpc.NewClient(peerrpc.ClientConfig{Address: address, DialTimeout: time.Second, MaxMessage: tc.client})
 			defer client.Close()
-			for length, want := range map[int]bool{tc.length: tc.want, 1: true} {
-				text, got := strings.Repeat("x", length), ""
+			for _, call := range []struct {
+				length int
+				want   bool
+			}{{tc.length, tc.want}, {1, true}} {
+				text, got := strings.Repeat("x", call.length), ""
 				err := client.Call("Echo.Say", text, &got, 5*time.Second)
-				if ok := err == nil && got == text; ok != want {
-					t.Errorf("%d bytes: %d bytes back, %v", length, len(got), err)
+				if ok := err == nil && got == text; ok != call.want {
+					t.Errorf("%d bytes: %d bytes back, %v", call.length, len(got), err)
 				}
 			}
 		})
