Name the rate of a backend server in a header of each interface

Cause: the side read the header of the users' platform, by a constant outside platform/, which alone speaks its words. Change: platform/ has the name of its header; a side reads X-Sesamewell-Rate, beside X-Sesamewell-Tenant. go test ./platform ./side/... passes.

--- a/commons/httpmeta/rate.go
+++ b/commons/httpmeta/rate.go
@@ -7,10 +7,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// LimitHeader is the header in which a backend server names the requests per second that it
-// takes from all instances together.
-const LimitHeader = "Server-Limit"
-
 // Range of the rates that a backend server is taken to name, in requests per second.
 const (
 	minRate = 1e-3
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -23,6 +23,12 @@
 	"sesamewell.example/side/dispatcher"
 )
 
+// Headers between a side and its backend server.
+const (
+	tenantHeader = "X-Sesamewell-Tenant" // tenant of a request
+	rateHeader   = "X-Sesamewell-Rate"   // in an answer: requests per second that the backend server takes
+)
+
 // Limits of a runner.
 const (
 	readBufferBytes = 16 << 10         // maximum number of bytes in one read from the backend server
@@ -233,7 +239,7 @@
 	}
 	defer func() { _ = response.CloseBodyStream() }()
 	header := dispatcher.NewHeaderReceived(submit.Attempt(), response.StatusCode(), string(response.Header.ContentType())).
-		WithLimit(httpmeta.ParseRate(string(response.Header.Peek(httpmeta.LimitHeader))))
+		WithLimit(httpmeta.ParseRate(string(response.Header.Peek(rateHeader))))
 	if err := r.dispatcher.PutWithin(ctx, header, putTimeout); err != nil {
 		return protocol.CodeSideOverloaded, true
 	}
@@ -248,7 +254,7 @@
 	request.SetRequestURI("http://" + r.pool.config.Address + submit.Path())
 	request.Header.SetContentType(submit.ContentType())
 	request.Header.Set("X-Request-Id", submit.Request())
-	request.Header.Set("X-Sesamewell-Tenant", submit.Tenant())
+	request.Header.Set(tenantHeader, submit.Tenant())
 	request.Header.Set("traceparent", span.Traceparent())
 	request.SetConnectionClose()
 	request.SetBodyRaw(submit.Body())
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -306,10 +306,10 @@
 		answer string
 		want   float64
 	}{
-		"success": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: 2.5\r\nContent-Length: 0\r\n\r\n", want: 2.5},
-		"failure": {answer: "HTTP/1.1 503 Busy\r\nserver-limit: 3\r\nContent-Length: 0\r\n\r\n", want: 3},
+		"success": {answer: "HTTP/1.1 200 OK\r\nX-Sesamewell-Rate: 2.5\r\nContent-Length: 0\r\n\r\n", want: 2.5},
+		"failure": {answer: "HTTP/1.1 503 Busy\r\nx-sesamewell-rate: 3\r\nContent-Length: 0\r\n\r\n", want: 3},
 		"none":    {answer: sized + "whole  8"},
-		"no rate": {answer: "HTTP/1.1 200 OK\r\nServer-Limit: soon\r\nContent-Length: 0\r\n\r\n", want: httpmeta.UnreadableRate},
+		"no rate": {answer: "HTTP/1.1 200 OK\r\nX-Sesamewell-Rate: soon\r\nContent-Length: 0\r\n\r\n", want: httpmeta.UnreadableRate},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
