--- a/lobby/placement/draft.go
+++ b/lobby/placement/draft.go
@@ -47,7 +47,7 @@
 	countedShare  float64            // part of it that the hosts can run
 	named         bool               // some hosts name rates
 	mostRoom      float64            // largest room of a host
-	moving        bool               // only copies count as any last ones, to find those that are worth moving
+	moving        bool               // only copies count as any last ones, to find those whose move gains
 	settling      bool               // limits have just ended, so that no host is relieved
 	storeTokens   float64            // number of loads from the weight store that may be planned now
 }
