--- a/lobby/placement/limiteddraft.go
+++ b/lobby/placement/limiteddraft.go
@@ -6,8 +6,8 @@
 func (d *draft) countedDemand(model string) float64 { return d.counted[model] * d.countedShare }
 
 // limitDemand sets the demand that counts if some hosts name rates. Of what the hosts cannot
-// run, the same part of each model's demand counts: otherwise a copy would relieve every
-// host for ever.
+// run, the same part of each model's demand counts: otherwise it would always pay to relieve
+// some host.
 func (d *draft) limitDemand(demand map[string]float64) {
 	d.counted = demand
 	sum, capacity := 0.0, 0.0
