Log that the store was restored between two reads

A read of the store now returns a position, an era and an offset, in place of the offset alone. The two watchers that keep one log event=store_restored with both when the era has changed. Nothing is decided by it yet.

--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -56,10 +56,10 @@
 	sharer       ListSharer
 	updates      *ring.Ring // of protocol.ListUpdate, those of other lobbies
 	rank         atomic.Int32
-	offset       int64
+	position     deployment.Position
 	backends     map[string]deployment.Backend
 	lastFullRead time.Time       // time of the last read of the full list
-	afterFull    bool            // the last read was of the full list, which may be newer than offset
+	afterFull    bool            // the last read was of the full list, which may be newer than position
 	lastRead     time.Time       // time of the last successful read
 	lastAttempt  time.Time       // time of the last read
 	lastUpdate   time.Time       // time of the last update of another lobby that this one needed not read
@@ -143,7 +143,7 @@
 // them and what this lobby knows. Some may be known already: a backend server writes its
 // entry less often than the list is read, so none of them is undone by an older state.
 func (w *BackendWatcher) applyUpdate(now time.Time, update protocol.ListUpdate) {
-	if w.backends == nil || update.From() > w.offset || update.To() < w.offset {
+	if w.backends == nil || update.From() > w.position.Offset() || update.To() < w.position.Offset() {
 		return
 	}
 	changes := make(map[string]deployment.Backend, len(update.Changed())+len(update.Removed()))
@@ -155,7 +155,7 @@
 	}
 	w.lastUpdate = now
 	w.recordRead(now)
-	w.offset = update.To()
+	w.position = deployment.NewPosition(w.position.Era(), update.To())
 	w.applyChanges(now, changes)
 	w.removeMissing(now)
 }
@@ -188,7 +188,7 @@
 	if w.backends == nil || now.Sub(w.lastFullRead) > fullReadPeriod {
 		return w.readAll(now)
 	}
-	changes, offset, err := w.config.Store.BackendsSince(w.offset)
+	changes, position, err := w.config.Store.BackendsSince(w.position)
 	if errors.Is(err, ErrMissed) {
 		return w.readAll(now)
 	}
@@ -196,8 +196,8 @@
 		return err
 	}
 	w.recordRead(now)
-	from := w.offset
-	w.offset = offset
+	from := w.position
+	w.moveTo(position)
 	unknown := w.applyChanges(now, changes)
 	if w.afterFull { // some may be known from the full list, but not to the other lobbies
 		unknown, w.afterFull = changes, false
@@ -206,10 +206,16 @@
 	return nil
 }
 
-// share sends changes that were read from an offset on to the other lobbies of the
+// moveTo sets the position at which the next read starts.
+func (w *BackendWatcher) moveTo(position deployment.Position) {
+	logRestore(w.config.Log, "backends", w.position, position)
+	w.position = position
+}
+
+// share sends changes that were read from a position on to the other lobbies of the
 // failure domain, also if there are none: they need not read then.
-func (w *BackendWatcher) share(from int64, changes map[string]deployment.Backend) {
-	update := protocol.ListUpdateConfig{From: from, To: w.offset}
+func (w *BackendWatcher) share(from deployment.Position, changes map[string]deployment.Backend) {
+	update := protocol.ListUpdateConfig{From: from.Offset(), To: w.position.Offset()}
 	for id, backend := range changes {
 		if backend.ID() == "" {
 			update.Removed = append(update.Removed, id)
@@ -222,7 +228,7 @@
 }
 
 func (w *BackendWatcher) readAll(now time.Time) error {
-	all, offset, err := w.config.Store.Backends()
+	all, position, err := w.config.Store.Backends()
 	if err != nil {
 		return err
 	}
@@ -238,7 +244,8 @@
 	for id, backend := range all {
 		w.apply(now, id, backend)
 	}
-	w.offset, w.lastFullRead, w.afterFull = offset, now, true
+	w.moveTo(position)
+	w.lastFullRead, w.afterFull = now, true
 	w.publish(now)
 	return nil
 }
--- a/lobby/discovery/discovery.go
+++ b/lobby/discovery/discovery.go
@@ -17,23 +17,24 @@
 // Store reads the platform's store.
 type Store interface {
 	// Configuration returns the newest configuration, nil if there is none, the
-	// evacuations in force, and the offset at which the next read starts. The
+	// evacuations in force, and the position at which the next read starts. The
 	// Through of the evacuations is lower than that if the store did not list all
 	// keys.
-	Configuration() (*deployment.Configuration, deployment.Evacuations, int64, error)
-	// ConfigurationSince waits for records of the operator written at or after an
-	// offset. It returns the newest configuration among them, nil if there is none
-	// within wait, what they say of evacuations, and the offset at which the next
-	// read starts. It returns ErrMissed if records from that offset on were dropped.
-	ConfigurationSince(from int64, wait time.Duration) (*deployment.Configuration, []deployment.EvacuationRecord, int64, error)
-	// Backends returns all backend servers by ID and the offset at which the next
+	Configuration() (*deployment.Configuration, deployment.Evacuations, deployment.Position, error)
+	// ConfigurationSince waits for records of the operator written at or after the
+	// offset of a position. It returns the newest configuration among them, nil if
+	// there is none within wait, what they say of evacuations, and the position at
+	// which the next read starts. It returns ErrMissed if records from that offset on
+	// were dropped.
+	ConfigurationSince(from deployment.Position, wait time.Duration) (*deployment.Configuration, []deployment.EvacuationRecord, deployment.Position, error)
+	// Backends returns all backend servers by ID and the position at which the next
 	// read starts.
-	Backends() (map[string]deployment.Backend, int64, error)
+	Backends() (map[string]deployment.Backend, deployment.Position, error)
 	// BackendsSince returns the backend servers, by ID, whose entries were written
-	// at or after an offset, and the offset at which the next read starts. The
-	// value of a removed one has no ID. It returns ErrMissed if records from that
-	// offset on were dropped.
-	BackendsSince(from int64) (map[string]deployment.Backend, int64, error)
+	// at or after the offset of a position, and the position at which the next read
+	// starts. The value of a removed one has no ID. It returns ErrMissed if records
+	// from that offset on were dropped.
+	BackendsSince(from deployment.Position) (map[string]deployment.Backend, deployment.Position, error)
 }
 
 const (
@@ -71,7 +72,7 @@
 // failure domains. It has its own thread because a read blocks until the next change.
 type ConfigurationWatcher struct {
 	config      WatcherConfig
-	offset      int64
+	position    deployment.Position
 	initialized bool
 	partial     bool // the last read of all keys lacks some
 	reachable   bool // the store answered the last read
@@ -104,7 +105,7 @@
 	if !w.initialized {
 		return w.readAll()
 	}
-	c, evacuations, offset, err := w.config.Store.ConfigurationSince(w.offset, w.config.longPoll())
+	c, evacuations, position, err := w.config.Store.ConfigurationSince(w.position, w.config.longPoll())
 	if errors.Is(err, ErrMissed) {
 		w.initialized = false
 		return nil
@@ -112,11 +113,11 @@
 	if err != nil {
 		return err
 	}
-	through := offset
+	through := position.Offset()
 	if w.partial { // earlier records are not known; all keys are read again
 		through, w.initialized = 0, false
 	}
-	w.offset = offset
+	w.moveTo(position)
 	w.config.State.applyEvacuations(time.Now(), evacuations, through)
 	w.config.State.setConfiguration(c, "store")
 	return nil
@@ -124,16 +125,35 @@
 
 // readAll reads all keys of the operator.
 func (w *ConfigurationWatcher) readAll() error {
-	c, evacuations, offset, err := w.config.Store.Configuration()
+	c, evacuations, position, err := w.config.Store.Configuration()
 	if err != nil {
 		return err
 	}
-	w.offset, w.initialized, w.partial = offset, true, evacuations.Through() < offset
+	w.moveTo(position)
+	w.initialized, w.partial = true, evacuations.Through() < position.Offset()
 	w.config.State.setEvacuations(time.Now(), evacuations)
 	w.config.State.setConfiguration(c, "store")
 	return nil
 }
 
+// moveTo sets the position at which the next read starts.
+func (w *ConfigurationWatcher) moveTo(position deployment.Position) {
+	logRestore(w.config.Log, "charter", w.position, position)
+	w.position = position
+}
+
+// logRestore logs that the store has come back from a backup between two reads, with the
+// positions after them.
+func logRestore(log *logrus.Entry, reads string, previous, next deployment.Position) {
+	if previous.Era() == next.Era() || previous == (deployment.Position{}) {
+		return
+	}
+	log.WithFields(logrus.Fields{
+		"event": "store_restored", "reads": reads, "era": next.Era(), "offset": next.Offset(),
+		"previous_era": previous.Era(), "previous_offset": previous.Offset(),
+	}).Warn("store restored from a backup")
+}
+
 // logReachability logs when the store becomes unreachable or reachable, and
 // returns whether it is reachable after a read that ended in err.
 func logReachability(log *logrus.Entry, reads string, reached bool, err error) bool {
--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -69,29 +69,29 @@
 	return all
 }
 
-func (s *store) Configuration() (*deployment.Configuration, deployment.Evacuations, int64, error) {
-	return version(s.version), deployment.NewEvacuations(s.evacuations), 5, s.err
+func (s *store) Configuration() (*deployment.Configuration, deployment.Evacuations, deployment.Position, error) {
+	return version(s.version), deployment.NewEvacuations(s.evacuations), deployment.NewPosition(0, 5), s.err
 }
 
-func (s *store) ConfigurationSince(from int64, _ time.Duration) (*deployment.Configuration, []deployment.EvacuationRecord, int64, error) {
+func (s *store) ConfigurationSince(from deployment.Position, _ time.Duration) (*deployment.Configuration, []deployment.EvacuationRecord, deployment.Position, error) {
 	if s.missed {
 		s.missed = false
 		return nil, nil, from, ErrMissed
 	}
-	return version(s.version), s.records, from + 1, s.err
+	return version(s.version), s.records, deployment.NewPosition(0, from.Offset()+1), s.err
 }
 
-func (s *store) Backends() (map[string]deployment.Backend, int64, error) {
+func (s *store) Backends() (map[string]deployment.Backend, deployment.Position, error) {
 	s.fullReads++
-	return maps.Clone(s.list), 7, s.err
+	return maps.Clone(s.list), deployment.NewPosition(0, 7), s.err
 }
 
-func (s *store) BackendsSince(from int64) (map[string]deployment.Backend, int64, error) {
+func (s *store) BackendsSince(from deployment.Position) (map[string]deployment.Backend, deployment.Position, error) {
 	if s.missed {
 		s.missed = false
 		return nil, from, ErrMissed
 	}
-	return s.changes, from + 1, s.err
+	return s.changes, deployment.NewPosition(0, from.Offset()+1), s.err
 }
 
 func TestReadsFollowTheBoundsOfTheDeployment(t *testing.T) {
--- a/lobby/discovery/sharing_test.go
+++ b/lobby/discovery/sharing_test.go
@@ -38,26 +38,26 @@
 
 var errRefused = errors.New("refused")
 
-func (r reader) Backends() (map[string]deployment.Backend, int64, error) {
-	all, end, err := r.BackendsSince(0)
+func (r reader) Backends() (map[string]deployment.Backend, deployment.Position, error) {
+	all, end, err := r.BackendsSince(deployment.Position{})
 	for id, backend := range all {
 		if backend.ID() == "" {
 			delete(all, id)
 		}
 	}
-	return all, end - int64(r.late), err
+	return all, deployment.NewPosition(end.Era(), end.Offset()-int64(r.late)), err
 }
 
-func (r reader) BackendsSince(from int64) (map[string]deployment.Backend, int64, error) {
+func (r reader) BackendsSince(from deployment.Position) (map[string]deployment.Backend, deployment.Position, error) {
 	r.reads[r.number]++
 	if r.refused[r.number] {
 		return nil, from, errRefused
 	}
 	changed := make(map[string]deployment.Backend)
-	for _, backend := range r.changes[from:] {
+	for _, backend := range r.changes[from.Offset():] {
 		changed[backend.ID()] = backend
 	}
-	return changed, int64(len(r.changes)), nil
+	return changed, deployment.NewPosition(0, int64(len(r.changes))), nil
 }
 
 // readers is a failure domain of watchers in virtual time. Each knows its rank.
@@ -145,7 +145,7 @@
 				r.advance(100 * time.Millisecond)
 				for i, w := range r.watchers {
 					if !r.stopped[i] {
-						oldest = max(oldest, len(r.log.changes)-int(w.offset))
+						oldest = max(oldest, len(r.log.changes)-int(w.position.Offset()))
 					}
 				}
 			}
@@ -198,7 +198,7 @@
 			if diff := cmp.Diff(tc.want, ids(w.backends)); diff != "" {
 				t.Errorf("list (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff(tc.offset, w.offset); diff != "" {
+			if diff := cmp.Diff(tc.offset, w.position.Offset()); diff != "" {
 				t.Errorf("offset (-want +got):\n%s", diff)
 			}
 		})
