Read the configuration anew when the store was restored

Cause: the watcher reads from the offset at which it stopped. A store that comes back from a backup assigns the lost offsets again; where its end is at that offset or past it, nothing tells (event=store_restored shows offset 5 in both eras). Class: a cursor that outlives what it points into.

A read that is answered in another era is discarded, and all keys are read. The first read after a failed one no longer waits for a change: it waited 2 s after the cut before it could tell.

--- a/lobby/discovery/discovery.go
+++ b/lobby/discovery/discovery.go
@@ -25,7 +25,8 @@
 	// offset of a position. It returns the newest configuration among them, nil if
 	// there is none within wait, what they say of evacuations, and the position at
 	// which the next read starts. It returns ErrMissed if records from that offset on
-	// were dropped.
+	// were dropped. If the position returned is of another era, the records are not
+	// those that follow the given one.
 	ConfigurationSince(from deployment.Position, wait time.Duration) (*deployment.Configuration, []deployment.EvacuationRecord, deployment.Position, error)
 	// Backends returns all backend servers by ID and the position at which the next
 	// read starts.
@@ -89,9 +90,7 @@
 // Serve reads the store until ctx ends.
 func (w *ConfigurationWatcher) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := w.step()
-		w.reachable = logReachability(w.config.Log, "charter", w.reachable, err)
-		if err == nil {
+		if err := w.read(); err == nil {
 			continue
 		}
 		if err := supervisor.Sleep(ctx, retryDelay); err != nil {
@@ -101,11 +100,18 @@
 	return ctx.Err()
 }
 
+// read reads the store once and records whether it answered.
+func (w *ConfigurationWatcher) read() error {
+	err := w.step()
+	w.reachable = logReachability(w.config.Log, "charter", w.reachable, err)
+	return err
+}
+
 func (w *ConfigurationWatcher) step() error {
 	if !w.initialized {
 		return w.readAll()
 	}
-	c, evacuations, position, err := w.config.Store.ConfigurationSince(w.position, w.config.longPoll())
+	c, evacuations, position, err := w.config.Store.ConfigurationSince(w.position, w.wait())
 	if errors.Is(err, ErrMissed) {
 		w.initialized = false
 		return nil
@@ -113,6 +119,10 @@
 	if err != nil {
 		return err
 	}
+	if position.Era() != w.position.Era() { // the store was restored: the read began at another record
+		w.initialized = false
+		return nil
+	}
 	through := position.Offset()
 	if w.partial { // earlier records are not known; all keys are read again
 		through, w.initialized = 0, false
@@ -123,6 +133,15 @@
 	return nil
 }
 
+// wait returns the longest wait of the next read for new records. The store may have been
+// restored while it was out of reach, so the first read after that is answered at once.
+func (w *ConfigurationWatcher) wait() time.Duration {
+	if !w.reachable {
+		return 0
+	}
+	return w.config.longPoll()
+}
+
 // readAll reads all keys of the operator.
 func (w *ConfigurationWatcher) readAll() error {
 	c, evacuations, position, err := w.config.Store.Configuration()
