Log what a lobby knows of a crashing request, and when it tries one

The line of a send that a backend server broke off has crashes, the backend servers known to have ended under the request's copies; event=tried names a suspect of which a single request may run. No decision changes.

--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -118,7 +118,7 @@
 	if len(c.verdicts) == 0 {
 		return 0, true
 	}
-	var tried []*record
+	var tried []Suspect
 	for _, suspect := range suspectsOf(request) {
 		v, ok := c.verdicts[suspect]
 		if !ok {
@@ -128,16 +128,27 @@
 		if !c.mayTry(now, number, r, v) {
 			return max(v.until().Sub(now), trialTurn), false
 		}
-		tried = append(tried, r)
+		tried = append(tried, suspect)
 	}
-	for _, r := range tried {
-		if r.trial.request != number {
+	for _, suspect := range tried {
+		if r := c.records[suspect]; r.trial.request != number {
 			r.trial = trial{request: number, began: now}
+			c.noteChange(suspect, Tried, c.verdicts[suspect])
 		}
 	}
 	return 0, true
 }
 
+// Crashes returns the number of crashes known under a request and its copies, without
+// those that an answer has cleared.
+func (c *Core) Crashes(request *httpmeta.Request) int {
+	r, ok := c.records[requestSuspect(request)]
+	if !ok {
+		return 0
+	}
+	return len(r.times(nil))
+}
+
 // mayTry reports whether a request of a quarantined suspect may run as a trial.
 func (c *Core) mayTry(now time.Time, number uint64, r *record, v verdict) bool {
 	if r.trial.request == number {
--- a/lobby/quarantine/core_test.go
+++ b/lobby/quarantine/core_test.go
@@ -198,6 +198,15 @@
 	if diff := cmp.Diff([]string{"x 7s", "y 9s", "z 11s"}, tried); diff != "" {
 		t.Errorf("trials (-want +got):\n%s", diff)
 	}
+	for self, c := range lobbies {
+		var states []quarantine.State
+		for _, change := range c.Changes() {
+			states = append(states, change.State())
+		}
+		if diff := cmp.Diff([]quarantine.State{quarantine.Quarantined, quarantine.Tried}, states); diff != "" {
+			t.Errorf("changes at %s (-want +got):\n%s", self, diff)
+		}
+	}
 }
 
 func TestQuarantineGrowsWithCrashesAndEnds(t *testing.T) {
--- a/lobby/quarantine/verdict.go
+++ b/lobby/quarantine/verdict.go
@@ -14,20 +14,30 @@
 // until returns the time until which no request of the suspect is sent.
 func (v verdict) until() time.Time { return v.last.Add(quarantineLength(v.events)) }
 
-// Change is a suspect that was quarantined or released.
+// State says what has become of a suspect.
+type State string
+
+// States of a suspect.
+const (
+	Quarantined State = "quarantined"
+	Released    State = "released"
+	Tried       State = "tried" // a single request of it may run in spite of the quarantine
+)
+
+// Change is a suspect that was quarantined, tried or released.
 type Change struct {
-	suspect     Suspect
-	quarantined bool
-	events      int
-	lastCrash   time.Time
-	until       time.Time
+	suspect   Suspect
+	state     State
+	events    int
+	lastCrash time.Time
+	until     time.Time
 }
 
 // Suspect returns the suspect.
 func (c Change) Suspect() Suspect { return c.suspect }
 
-// Quarantined reports whether the suspect was quarantined, else it was released.
-func (c Change) Quarantined() bool { return c.quarantined }
+// State returns what has become of the suspect.
+func (c Change) State() State { return c.state }
 
 // Events returns the number of crashes that count, those within a short time as one.
 func (c Change) Events() int { return c.events }
@@ -93,17 +103,21 @@
 func (c *Core) noteChanges(verdicts map[Suspect]verdict) {
 	for suspect, v := range verdicts {
 		if _, ok := c.verdicts[suspect]; !ok {
-			c.changes = append(c.changes, Change{suspect: suspect, quarantined: true, events: v.events, lastCrash: v.last, until: v.until()})
+			c.noteChange(suspect, Quarantined, v)
 		}
 	}
 	for suspect, v := range c.verdicts {
 		if _, ok := verdicts[suspect]; !ok {
-			c.changes = append(c.changes, Change{suspect: suspect, events: v.events, lastCrash: v.last, until: v.until()})
+			c.noteChange(suspect, Released, v)
 		}
 	}
 }
 
-// Changes returns the suspects that were quarantined or released since the last call.
+func (c *Core) noteChange(suspect Suspect, state State, v verdict) {
+	c.changes = append(c.changes, Change{suspect: suspect, state: state, events: v.events, lastCrash: v.last, until: v.until()})
+}
+
+// Changes returns the suspects that were quarantined, tried or released since the last call.
 func (c *Core) Changes() []Change {
 	changes := c.changes
 	c.changes = nil
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -78,7 +78,7 @@
 func (c *Core) requestAbandoned(now time.Time, m Abandoned) {
 	if req, ok := c.requests[m.number]; ok {
 		s := req.server
-		c.emit(req.record(now, s, NewSendEnded(m.number, CallerGone, 0).WithLongestPause(m.longestPause)))
+		c.emit(req.record(now, s, NewSendEnded(m.number, CallerGone, 0).WithLongestPause(m.longestPause), 0))
 		c.release(req)
 		c.remove(req)
 		c.placeNext(now, s)
@@ -115,12 +115,14 @@
 	if m.status != 0 {
 		s.responded(now)
 	}
-	c.emit(req.record(now, s, m))
+	crashes := 0
 	if m.disconnected {
 		c.config.Quarantine.Crashed(now, quarantine.CrashConfig{
 			Request: req.request, Backend: s.backend.ID(), StartTime: s.backend.StartTime(), Answering: req.answering(now),
 		})
+		crashes = c.config.Quarantine.Crashes(req.request)
 	}
+	c.emit(req.record(now, s, m, crashes))
 	switch m.result {
 	case Complete:
 		c.sendCompleted(now, req, s, m)
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -43,8 +43,10 @@
 	// Answering records that a backend server has been writing an answer for a while,
 	// from a given time on.
 	Answering(request *httpmeta.Request, from time.Time)
-	// Changes returns the suspects that were quarantined or released since the last
-	// call.
+	// Crashes returns the number of crashes known under a request and its copies.
+	Crashes(request *httpmeta.Request) int
+	// Changes returns the suspects that were quarantined, tried or released since the
+	// last call.
 	Changes() []quarantine.Change
 	// Suspects returns the suspects to send to the other lobbies now.
 	Suspects(now time.Time) []protocol.SuspectConfig
@@ -246,7 +248,7 @@
 	return c.actions
 }
 
-// recordQuarantines reports the suspects that were quarantined or released.
+// recordQuarantines reports the suspects that were quarantined, tried or released.
 func (c *Core) recordQuarantines() {
 	for _, change := range c.config.Quarantine.Changes() {
 		c.emit(RecordQuarantine{change: change})
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -22,7 +22,7 @@
 	s.stats.sendEnded(a)
 	log := s.config.Log
 	if a.Disconnected() {
-		log = log.WithFields(contentFields(a.Request()))
+		log = log.WithFields(contentFields(a.Request())).WithField("crashes", a.Crashes())
 	}
 	if e := a.Estimate(); e.Known() {
 		log = log.WithFields(logrus.Fields{"cached": e.Cached(), "cache_age": e.CacheAge(), "start_predicted": e.Predicted(), "start_observed": e.Observed()})
@@ -87,18 +87,20 @@
 	s.config.Log.WithFields(logrus.Fields{"event": "limit", "backend": a.backend, "state": a.state, "rate": a.rate, "before": a.before, "age": a.age, "share": a.share, "lobbies": a.lobbies, "lobby": a.peer}).Info(limitTexts[a.state])
 }
 
-// recordQuarantine logs that a suspect was quarantined or released.
+// recordQuarantine logs that a suspect was quarantined, tried or released.
 func (s *Scheduler) recordQuarantine(change quarantine.Change) {
-	fields := logrus.Fields{
-		"event": "released", "kind": change.Suspect().Kind(), "suspect": change.Suspect().ID(), "crashes": change.Events(), "last_crash": change.LastCrash(), "until": change.Until(),
+	log := s.config.Log.WithFields(logrus.Fields{
+		"event": change.State(), "kind": change.Suspect().Kind(), "suspect": change.Suspect().ID(), "crashes": change.Events(), "last_crash": change.LastCrash(), "until": change.Until(),
+	})
+	switch change.State() {
+	case quarantine.Quarantined:
+		s.stats.quarantines.Inc()
+		log.Warn("suspect quarantined: backend servers closed their connections before they answered it")
+	case quarantine.Tried:
+		log.Info("suspect tried: a single request of it may run")
+	case quarantine.Released:
+		log.Info("suspect released: it was answered, or its crashes are long ago or explained by another suspect")
 	}
-	if !change.Quarantined() {
-		s.config.Log.WithFields(fields).Info("suspect released: it was answered, or its crashes are long ago or explained by another suspect")
-		return
-	}
-	fields["event"] = "quarantined"
-	s.stats.quarantines.Inc()
-	s.config.Log.WithFields(fields).Warn("suspect quarantined: backend servers closed their connections before they answered it")
 }
 
 // contentFields returns log fields that identify a request's content: its fingerprint
--- a/lobby/scheduler/record.go
+++ b/lobby/scheduler/record.go
@@ -18,6 +18,7 @@
 	Took         time.Duration // time from the arrival to the end
 	LongestPause time.Duration // longest pause between two events
 	Disconnected bool          // the backend server closed the connection before its answer was complete
+	Crashes      int           // crashes known under the request and its copies, if disconnected
 	Estimate     StartEstimate // of the time from the send to the first event
 }
 
@@ -89,8 +90,12 @@
 // Took returns the time from the arrival to the end.
 func (r RecordSend) Took() time.Duration { return r.config.Took }
 
+// Crashes returns the number of crashes known under the request and its copies, with the
+// one that ended the send.
+func (r RecordSend) Crashes() int { return r.config.Crashes }
+
 // RecordQuarantine records in log and metrics that a suspect of crashes was
-// quarantined or released.
+// quarantined, tried or released.
 type RecordQuarantine struct{ change quarantine.Change }
 
 // Change returns what changed.
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -115,10 +115,11 @@
 	return r.server != nil && r.tried[r.server.backend.ID()]
 }
 
-// record returns the action that logs the end of a send.
-func (r *openRequest) record(now time.Time, s *server, m SendEnded) RecordSend {
+// record returns the action that logs the end of a send. crashes are those known under the
+// request and its copies, if the backend server closed the connection.
+func (r *openRequest) record(now time.Time, s *server, m SendEnded, crashes int) RecordSend {
 	arrived := r.request.Arrived()
-	config := RecordSendConfig{Request: r.request, Result: m.result, Status: m.status, Took: now.Sub(arrived), LongestPause: m.longestPause, Disconnected: m.disconnected, Estimate: r.estimate}
+	config := RecordSendConfig{Request: r.request, Result: m.result, Status: m.status, Took: now.Sub(arrived), LongestPause: m.longestPause, Disconnected: m.disconnected, Crashes: crashes, Estimate: r.estimate}
 	if s != nil {
 		config.Backend = s.backend.ID()
 	}
