Run the requests of a suspect one at a time until one is answered

Class: a check whose result is stale by the time it matters, as what it allows is not counted.

From the first crash until an answer a lobby runs the requests of a suspect one at a time; the others wait in the queue, at most 2 s for one without a result. After three crashes too close together for a verdict the lobbies take turns. Parts that were answered before are exempt. What is new of a suspect is told once more after 0.25 s.

--- a/lobby/quarantine/core_test.go
+++ b/lobby/quarantine/core_test.go
@@ -356,3 +356,51 @@
 		})
 	}
 }
+
+// TestRequestsOfASuspectRunOneAtATime guards against copies that are sent together after a
+// crash, and against a popular request or prompt part that waits although it is sound.
+func TestRequestsOfASuspectRunOneAtATime(t *testing.T) {
+	crash := func(at time.Duration, r *httpmeta.Request, backends ...string) func(c *quarantine.Core) {
+		return func(c *quarantine.Core) {
+			for _, backend := range backends {
+				crashAt(c, at, r, backend)
+			}
+		}
+	}
+	answered := func(at time.Duration, r *httpmeta.Request) func(c *quarantine.Core) {
+		return func(c *quarantine.Core) { c.Completed(r, noon.Add(at)) }
+	}
+	answering := func(at time.Duration, r *httpmeta.Request) func(c *quarantine.Core) {
+		return func(c *quarantine.Core) { c.Answering(r, noon.Add(at)) }
+	}
+	cases := map[string]struct {
+		before  []func(c *quarantine.Core)
+		running []*httpmeta.Request
+		self    string // lobbies take turns in the order of their addresses; the other one is "m"
+		want    bool
+	}{
+		"no crash":                         {running: []*httpmeta.Request{request(1, "p", "own")}},
+		"a crash, nothing runs":            {before: []func(*quarantine.Core){crash(0, request(1, "p", "own"), "a")}},
+		"a crash, another runs":            {before: []func(*quarantine.Core){crash(0, request(1, "p", "own"), "a")}, running: []*httpmeta.Request{request(2, "q", "own")}},
+		"a crash, a copy runs":             {before: []func(*quarantine.Core){crash(0, request(1, "p", "own"), "a")}, running: []*httpmeta.Request{request(2), request(1)}, want: true},
+		"a copy was answered since":        {before: []func(*quarantine.Core){crash(0, request(1), "a"), answered(time.Millisecond, request(1))}, running: []*httpmeta.Request{request(1)}},
+		"a part crashed, one with it runs": {before: []func(*quarantine.Core){crash(0, request(3, "p", "x"), "a")}, running: []*httpmeta.Request{request(4, "p", "y")}, want: true},
+		"the part was answered before":     {before: []func(*quarantine.Core){answering(0, request(5, "p", "z")), crash(time.Millisecond, request(3, "p", "x"), "a")}, running: []*httpmeta.Request{request(4, "p", "y")}},
+		"the part is answered elsewhere":   {before: []func(*quarantine.Core){crash(time.Millisecond, request(3, "p", "x"), "a"), answering(0, request(5, "p", "z"))}, running: []*httpmeta.Request{request(4, "p", "y")}},
+		"three crashes at once, own turn":  {before: []func(*quarantine.Core){crash(900*time.Millisecond, request(1), "a", "b", "c")}, self: "a"},
+		"three crashes at once, no turn":   {before: []func(*quarantine.Core){crash(900*time.Millisecond, request(1), "a", "b", "c")}, self: "z", want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: tc.self})
+			for _, event := range tc.before {
+				event(c)
+			}
+			now := noon.Add(time.Second)
+			c.UpdatePeer(now, protocol.NewDigest(protocol.DigestConfig{Sender: "m"}))
+			if diff := cmp.Diff(tc.want, c.MustWait(now, request(1, "p", "own"), slices.Values(tc.running))); diff != "" {
+				t.Errorf("must wait (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	maxSent      = 32               // suspects in one digest
-	resendPeriod = 2 * time.Second  // time after which an unchanged suspect is sent again
-	learnMargin  = 10 * time.Second // suspects that expire within it are not learnt from other lobbies
+	maxSent      = 32                     // suspects in one digest
+	repeatDelay  = 250 * time.Millisecond // time after which what is new is sent once more, as the digest may be lost
+	resendPeriod = 2 * time.Second        // time after which an unchanged suspect is sent again
+	learnMargin  = 10 * time.Second       // suspects that expire within it are not learnt from other lobbies
 )
 
 // Suspects drops what has expired and returns the suspects to send to the other
@@ -25,7 +26,7 @@
 	var sent []protocol.SuspectConfig
 	for _, suspect := range due[:min(len(due), maxSent)] {
 		r := c.records[suspect]
-		r.changed, r.shared = false, now
+		r.changed, r.repeat, r.shared = false, r.changed, now
 		sent = append(sent, encodeRecord(now, suspect, r))
 	}
 	return sent
@@ -36,7 +37,7 @@
 func (c *Core) dueSuspects(now time.Time) []Suspect {
 	var due []Suspect
 	for suspect, r := range c.records {
-		if r.changed || now.Sub(r.shared) >= resendPeriod {
+		if idle := now.Sub(r.shared); r.changed || r.repeat && idle >= repeatDelay || idle >= resendPeriod {
 			due = append(due, suspect)
 		}
 	}
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -42,6 +42,7 @@
 	crashes map[start]crash
 	own     bool      // this lobby has seen a crash or an answer of the suspect itself
 	changed bool      // to be sent to the other lobbies at once
+	repeat  bool      // it was new when it was last sent
 	shared  time.Time // time at which it was last sent or, if it is not own, received
 	trial   trial
 }
--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -52,7 +52,7 @@
 // stillAccepted reports whether a request that has waited for an adapter may be sent to
 // its backend server now.
 func (c *Core) stillAccepted(now time.Time, req *openRequest) bool {
-	if _, admitted := c.config.Quarantine.Admit(now, req.number, req.request); !admitted {
+	if _, admitted := c.config.Quarantine.Admit(now, req.number, req.request); !admitted || c.mustWait(now, req) {
 		return false
 	}
 	s := req.server
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -256,7 +256,7 @@
 func (c *Core) retryMayHaveRun(now time.Time, req *openRequest, otherwise Action) {
 	req.mayHaveRun, req.needsRetry = true, true
 	if _, admitted := c.config.Quarantine.Admit(now, req.number, req.request); admitted && req.mayRetry(now) {
-		if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
+		if chosen, ok := c.choose(now, req); ok && !c.mustWait(now, req) && c.maySend(now, req) {
 			c.assign(now, req, chosen)
 			return
 		}
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -34,6 +35,9 @@
 	// Admit reports whether a request may be sent. If not, it returns the time after
 	// which the caller may try again.
 	Admit(now time.Time, number uint64, request *httpmeta.Request) (time.Duration, bool)
+	// MustWait reports whether a request has to wait for the result of another one of
+	// those that are running at this or another lobby.
+	MustWait(now time.Time, request *httpmeta.Request, running iter.Seq[*httpmeta.Request]) bool
 	// Crashed records that a backend server closed the connection before its answer
 	// to a request was complete.
 	Crashed(now time.Time, config quarantine.CrashConfig)
--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -41,6 +41,7 @@
 	sends   []time.Time // of deadly requests, by lobbies in contact
 	sound   map[int]*simShare
 	links   simLinks
+	wait    time.Duration // further time from a send to the first event, at busy engines
 }
 
 // simLinks says what happens to digests.
@@ -212,7 +213,11 @@
 
 // arrive sends a request to a lobby, drawn at random.
 func (f *simFleet) arrive(config httpmeta.RequestConfig, deadly bool) {
-	l := f.lobbies[f.random.IntN(len(f.lobbies))]
+	f.arriveAt(f.lobbies[f.random.IntN(len(f.lobbies))], config, deadly)
+}
+
+// arriveAt sends a request to a lobby.
+func (f *simFleet) arriveAt(l *simLobby, config httpmeta.RequestConfig, deadly bool) {
 	l.number++
 	config.ID, config.Host, config.APIKey, config.Model, config.Arrived = fmt.Sprint(l.address, l.number), "h", "k", "m", f.now
 	config.PromptTokens, config.MaxOutputTokens = 1, 1
@@ -278,11 +283,15 @@
 	}
 	for at := range e.running {
 		r := &e.running[at]
-		if r.began || f.now.Sub(r.sentAt) < simBegin {
+		if r.began || f.now.Sub(r.sentAt) < simBegin+f.wait {
 			continue
 		}
 		if r.deadly {
-			f.crashes = append(f.crashes, f.now)
+			for _, other := range e.running {
+				if other.deadly {
+					f.crashes = append(f.crashes, f.now)
+				}
+			}
 			f.crash(e)
 			return
 		}
@@ -294,7 +303,7 @@
 		r.lobby.post(f.now, scheduler.NewStreamStarted(r.number))
 	}
 	e.running = deleteRuns(e.running, func(r simRunning) bool {
-		if f.now.Sub(r.sentAt) < simRun {
+		if f.now.Sub(r.sentAt) < simRun+f.wait {
 			return false
 		}
 		r.lobby.post(f.now, scheduler.NewSendEnded(r.number, scheduler.Complete, 200))
@@ -356,14 +365,23 @@
 		f.lobbies[1].cutUntil = f.now.Add(4 * time.Second)
 		f.lobbies[1].contactSince = f.now.Add(4 * time.Second)
 	}
+	half := func(f *simFleet) {
+		for _, l := range f.lobbies[2:] {
+			l.cutUntil, l.contactSince = f.now.Add(4*time.Second), f.now.Add(4*time.Second)
+		}
+	}
+	busy := func(f *simFleet) { f.wait = 900 * time.Millisecond }
 	return map[string]struct {
 		links simLinks
 		at    map[time.Duration]func(f *simFleet)
 	}{
-		"undisturbed":              {links: simLinks{delay: 2 * time.Millisecond}},
-		"half of the digests lost": {links: simLinks{delay: 20 * time.Millisecond, lost: 0.5}},
-		"late and doubled digests": {links: simLinks{delay: 400 * time.Millisecond, doubled: 0.5}},
-		"a lobby restarts":         {at: map[time.Duration]func(f *simFleet){6 * time.Second: func(f *simFleet) { f.start(f.lobbies[2]) }}},
+		"engines are busy":                          {at: map[time.Duration]func(f *simFleet){time.Second: busy}},
+		"engines are busy, half of lobbies cut off": {at: map[time.Duration]func(f *simFleet){time.Second: busy, 3 * time.Second: half}},
+		"half of the lobbies are cut off":           {at: map[time.Duration]func(f *simFleet){3 * time.Second: half, 12 * time.Second: half}},
+		"undisturbed":                               {links: simLinks{delay: 2 * time.Millisecond}},
+		"half of the digests lost":                  {links: simLinks{delay: 20 * time.Millisecond, lost: 0.5}},
+		"late and doubled digests":                  {links: simLinks{delay: 400 * time.Millisecond, doubled: 0.5}},
+		"a lobby restarts":                          {at: map[time.Duration]func(f *simFleet){6 * time.Second: func(f *simFleet) { f.start(f.lobbies[2]) }}},
 		"all lobbies restart at once": {at: map[time.Duration]func(f *simFleet){8 * time.Second: func(f *simFleet) {
 			for _, l := range f.lobbies {
 				f.start(l)
@@ -405,6 +423,37 @@
 	}
 }
 
+// TestCopiesOfACrashingRequestAreNotSentTogether guards against copies of a request under
+// which backend servers have ended that arrive together, and are all sent before the first
+// of them shows that it still crashes its backend server.
+func TestCopiesOfACrashingRequestAreNotSentTogether(t *testing.T) {
+	const gap = 450 // steps between two bursts, more than simLearnTime
+	for name, tc := range simFaults() {
+		for _, copies := range []int{2, 4, 8} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s, %d copies, seed %d", name, copies, seed), func(t *testing.T) {
+					t.Parallel()
+					f := newSimFleet(seed, tc.links)
+					for step := 1; f.now.Sub(noon) < simEnd; step++ {
+						if event, ok := tc.at[f.now.Sub(noon)]; ok {
+							event(f)
+						}
+						if f.now.Sub(noon) >= simOnset && step%gap == 0 {
+							l := f.lobbies[f.random.IntN(len(f.lobbies))]
+							for range copies {
+								f.arriveAt(l, httpmeta.RequestConfig{Path: "/stream/deadly", Fingerprint: httpmeta.Fingerprint{1}}, true)
+							}
+						}
+						f.arriveSound(step)
+						f.advance(step)
+					}
+					f.check(t, 3)
+				})
+			}
+		}
+	}
+}
+
 // TestPromptPartThatCrashesBackendsIsHeldBack guards against requests that differ but
 // for one part of their prompts, and end each backend server that begins to answer them.
 func TestPromptPartThatCrashesBackendsIsHeldBack(t *testing.T) {
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -15,13 +15,29 @@
 		c.refuseNotRun(now, req, quarantined, wait)
 		return
 	}
-	if chosen, ok := c.choose(now, req); ok && c.maySend(now, req) {
+	if chosen, ok := c.choose(now, req); ok && !c.mustWait(now, req) && c.maySend(now, req) {
 		c.assign(now, req, chosen)
 		return
 	}
 	c.enqueue(now, req)
 }
 
+// mustWait reports whether the request has to wait, since it may crash its backend server
+// as others have that share its content. A send without a result for doubtTimeout is not
+// waited for.
+func (c *Core) mustWait(now time.Time, req *openRequest) bool {
+	return c.config.Quarantine.MustWait(now, req.request, func(yield func(*httpmeta.Request) bool) {
+		for _, other := range c.requests {
+			if other == req || other.server == nil || other.inFlight() && now.Sub(other.sentAt) >= doubtTimeout {
+				continue
+			}
+			if !yield(other.request) {
+				return
+			}
+		}
+	})
+}
+
 // maySend reports whether the request may be sent now. A retry is taken from the
 // retry budget.
 func (c *Core) maySend(now time.Time, req *openRequest) bool {
--- a/lobby/scheduler/freedslot.go
+++ b/lobby/scheduler/freedslot.go
@@ -78,7 +78,7 @@
 	if _, admitted := c.config.Quarantine.Admit(now, req.number, req.request); !admitted || !ok || chosen.suspected {
 		return false
 	}
-	if c.shareUsed(now, req) || !c.maySend(now, req) {
+	if c.shareUsed(now, req) || c.mustWait(now, req) || !c.maySend(now, req) {
 		return false
 	}
 	c.assign(now, req, chosen)
