Try a quarantined request again after eight times the time, not twice

Cause: each trial that fails ends another backend server and is a retry, and the pause between them only doubled. The first trial still comes after 5 s, so that an innocent suspect is free soon; the next after 40 s, then every 5 min.

TestTrialsLeaveRoomForCopiesSentBeforeTheVerdict failed before: 3 trials within 40 s, with room for 1. TestQuarantineGrowsWithCrashesAndEnds stated the times of the doubling; it states those of the new growth, as exactly, over 15 min instead of 5.

--- a/lobby/quarantine/core_test.go
+++ b/lobby/quarantine/core_test.go
@@ -213,13 +213,13 @@
 	c := quarantine.New(quarantine.Config{Self: "x"})
 	threeCrashes(c, request(1))
 	var trials []time.Duration
-	for at := 2 * time.Second; at < 5*time.Minute; at += 100 * time.Millisecond {
+	for at := 2 * time.Second; at < 15*time.Minute; at += 100 * time.Millisecond {
 		if number := uint64(at); admitted(c, at, number, request(1)) {
 			trials = append(trials, at)
 			crashAt(c, at+50*time.Millisecond, request(1), fmt.Sprint("t", at))
 		}
 	}
-	want := []time.Duration{7 * time.Second, 17100 * time.Millisecond, 37200 * time.Millisecond, 77300 * time.Millisecond, 157400 * time.Millisecond}
+	want := []time.Duration{7 * time.Second, 47100 * time.Millisecond, 347200 * time.Millisecond, 647300 * time.Millisecond}
 	if diff := cmp.Diff(want, trials); diff != "" {
 		t.Errorf("trials (-want +got):\n%s", diff)
 	}
@@ -404,3 +404,25 @@
 		})
 	}
 }
+
+// TestTrialsLeaveRoomForCopiesSentBeforeTheVerdict guards against trials that, with the
+// copies that two lobbies without contact to the others had sent, are too many retries.
+func TestTrialsLeaveRoomForCopiesSentBeforeTheVerdict(t *testing.T) {
+	const (
+		span    = 40 * time.Second // after the verdict
+		retries = 3                // allowed after the third crash
+		copies  = 2                // sent before the verdict, one by each of the two lobbies
+	)
+	c := quarantine.New(quarantine.Config{Self: "x"})
+	threeCrashes(c, request(1))
+	trials := 0
+	for at := 2 * time.Second; at < 2*time.Second+span; at += 50 * time.Millisecond {
+		if number := uint64(at); admitted(c, at, number, request(1)) {
+			trials++
+			crashAt(c, at+50*time.Millisecond, request(1), fmt.Sprint("t", at))
+		}
+	}
+	if trials > retries-copies {
+		t.Errorf("%d trials within %v, want at most %d", trials, span, retries-copies)
+	}
+}
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -15,7 +15,8 @@
 	convictionEvents  = 3 // events after which a suspect is quarantined
 	manyCrashes       = 5 // crashes after which fewestEvents events are enough
 	fewestEvents      = 2
-	firstQuarantine   = 5 * time.Second // length of the quarantine after convictionEvents events; each further one doubles it
+	firstQuarantine   = 5 * time.Second // length of the quarantine after convictionEvents events
+	quarantineGrowth  = 8               // factor by which each further event lengthens it: each costs another backend server
 	longestQuarantine = 5 * time.Minute
 	minLifetime       = time.Minute      // time after its last crash for which a suspect is remembered at least
 	lifetimeFactor    = 3                // in lengths of its quarantine
@@ -148,7 +149,7 @@
 func quarantineLength(events int) time.Duration {
 	length := firstQuarantine
 	for range events - convictionEvents {
-		length = min(2*length, longestQuarantine)
+		length = min(quarantineGrowth*length, longestQuarantine)
 	}
 	return length
 }
