Let lobbies take turns with a request of which two copies ended

Cause: the lobbies know one crash for several copies that end with one backend server, and each lobby runs its own single copy. Lobbies now tell how many copies of a request each had at a crash.

--- a/commons/protocol/suspect.go
+++ b/commons/protocol/suspect.go
@@ -6,9 +6,10 @@
 // suspect were unanswered there.
 type CrashConfig struct {
 	Backend   string
-	StartTime int64         // Unix milliseconds
-	Age       time.Duration // time since the crash when the digest was sent
-	Cleared   bool          // a later request of the suspect has been answered
+	StartTime int64          // Unix milliseconds
+	Age       time.Duration  // time since the crash when the digest was sent
+	Cleared   bool           // a later request of the suspect has been answered
+	Copies    map[string]int // copies of the request that were unanswered there, by the RPC address of their lobby
 }
 
 // SuspectConfig describes what may have crashed backend servers, and its crashes.
--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -18,6 +18,7 @@
 	maxRecords   = 512              // suspects that are remembered
 	peerLifetime = time.Second      // time after its last digest for which another lobby takes turns
 	trialTurn    = 2 * time.Second  // length of a lobby's turn; a trial may begin in its first half
+	doubtTurn    = time.Second      // the same for a request without a verdict, whose caller waits
 	expiryPeriod = time.Second      // time between two checks for expired suspects
 	trialTimeout = 10 * time.Second // time after which a trial without a result no longer counts
 )
@@ -76,7 +77,11 @@
 // addCrash adds a crash that this lobby has seen to the record of a suspect.
 func (c *Core) addCrash(now time.Time, suspect Suspect, rank int, from start) bool {
 	r := c.record(suspect, rank)
-	if !r.add(from, crash{at: now}) {
+	changed := r.add(from, crash{at: now})
+	if suspect.kind == RequestKind {
+		changed = r.copies.add(from, c.config.Self, r.copies[from][c.config.Self]+1) || changed
+	}
+	if !changed {
 		return false
 	}
 	r.own, r.changed, r.trial = true, true, trial{}
@@ -155,13 +160,13 @@
 		return true
 	}
 	running := r.trial.request != 0 && now.Sub(r.trial.began) < trialTimeout
-	return !running && !now.Before(v.until()) && c.hasTurn(now, v.until())
+	return !running && !now.Before(v.until()) && c.hasTurn(now, v.until(), trialTurn)
 }
 
-// hasTurn reports whether this lobby may begin a trial now. The live lobbies take
-// turns from the end of the quarantine on, in the order of their addresses. In the
+// hasTurn reports whether this lobby may send a request of a suspect now. The live lobbies
+// take turns of the given length from a time on, in the order of their addresses. In the
 // second half of a turn none begins, so that its result is known to the next lobby.
-func (c *Core) hasTurn(now, until time.Time) bool {
+func (c *Core) hasTurn(now, from time.Time, length time.Duration) bool {
 	live, place := 1, 0
 	for address, p := range c.peers {
 		if now.Sub(p.heard) > peerLifetime {
@@ -172,8 +177,8 @@
 			place++
 		}
 	}
-	turn, within := now.Sub(until)/trialTurn, now.Sub(until)%trialTurn
-	return int(turn)%live == place && within < trialTurn/2
+	turn, within := now.Sub(from)/length, now.Sub(from)%length
+	return int(turn)%live == place && within < length/2
 }
 
 // record returns the record of a suspect, a new one if it has none.
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -61,7 +62,7 @@
 func encodeRecord(now time.Time, suspect Suspect, r *record) protocol.SuspectConfig {
 	config := protocol.SuspectConfig{Kind: uint8(suspect.kind), ID: suspect.id, Rank: r.rank, Sound: r.sound}
 	for from, c := range r.crashes {
-		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: from.backend, StartTime: from.time, Age: now.Sub(c.at), Cleared: c.cleared})
+		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: from.backend, StartTime: from.time, Age: now.Sub(c.at), Cleared: c.cleared, Copies: maps.Clone(r.copies[from])})
 	}
 	return config
 }
@@ -93,10 +94,7 @@
 // What is about to expire is not learnt: by the time that a digest takes it seems
 // younger than it is, and lobbies could teach it to each other for ever.
 func (c *Core) merge(now time.Time, config protocol.SuspectConfig) bool {
-	incoming := newRecord(config.Rank)
-	for _, crashed := range config.Crashes[:min(len(config.Crashes), maxCrashes)] {
-		incoming.add(start{backend: crashed.Backend, time: crashed.StartTime}, crash{at: now.Add(-max(crashed.Age, 0)), cleared: crashed.Cleared})
-	}
+	incoming := decodeRecord(now, config)
 	suspect := Suspect{kind: Kind(config.Kind), id: config.ID}
 	if len(incoming.crashes) == 0 || suspect.kind.String() == unknownKind {
 		return false
@@ -105,13 +103,20 @@
 		return false
 	}
 	r := c.record(suspect, config.Rank)
-	changed := config.Sound && !r.sound
-	r.sound = r.sound || config.Sound
-	for from, crashed := range incoming.crashes {
-		changed = r.add(from, crashed) || changed
-	}
+	changed := r.merge(incoming)
 	if !r.own && incoming.covers(r) {
 		r.shared = now
 	}
 	return changed
 }
+
+func decodeRecord(now time.Time, config protocol.SuspectConfig) *record {
+	r := newRecord(config.Rank)
+	r.sound = config.Sound
+	for _, crashed := range config.Crashes[:min(len(config.Crashes), maxCrashes)] {
+		from := start{backend: crashed.Backend, time: crashed.StartTime}
+		r.add(from, crash{at: now.Add(-max(crashed.Age, 0)), cleared: crashed.Cleared})
+		r.copies.merge(from, crashed.Copies)
+	}
+	return r
+}
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -41,6 +41,7 @@
 	rank    int
 	sound   bool // it had been answered before one of its crashes
 	crashes map[start]crash
+	copies  copies
 	own     bool      // this lobby has seen a crash or an answer of the suspect itself
 	changed bool      // to be sent to the other lobbies at once
 	repeat  bool      // it was new when it was last sent
@@ -55,7 +56,9 @@
 	began   time.Time
 }
 
-func newRecord(rank int) *record { return &record{rank: rank, crashes: make(map[start]crash)} }
+func newRecord(rank int) *record {
+	return &record{rank: rank, crashes: make(map[start]crash), copies: make(copies)}
+}
 
 // add merges a crash and reports whether that changed the record. The merge is
 // idempotent and commutative: of several reports of one crash the oldest time counts,
@@ -73,11 +76,26 @@
 	}
 	r.crashes[from] = c
 	if len(r.crashes) > maxCrashes {
-		delete(r.crashes, r.oldest())
+		oldest := r.oldest()
+		delete(r.crashes, oldest)
+		r.copies.forget(oldest)
 	}
 	return true
 }
 
+// merge merges all that another record says, and reports whether any of it is new.
+func (r *record) merge(other *record) bool {
+	changed := other.sound && !r.sound
+	r.sound = r.sound || other.sound
+	for from, c := range other.crashes {
+		changed = r.add(from, c) || changed
+		if _, kept := r.crashes[from]; kept {
+			changed = r.copies.merge(from, other.copies[from]) || changed
+		}
+	}
+	return changed
+}
+
 // oldest returns the start whose crash is the oldest.
 func (r *record) oldest() start {
 	var oldest start
