Hold back a crashing request sooner and try it later

Two crashes are enough for a verdict if several copies of a request ended with one backend server; the first trial comes after 20 s, not 5, and the next after four times as long. A request that ended three backend servers and was never answered is hardly sound, and each trial ends another with all that it runs.

Test: two cases of TestRequestIsQuarantinedAfterThreeCrashes (two copies in one crash and one in another: not held back before).

--- a/lobby/quarantine/copies.go
+++ b/lobby/quarantine/copies.go
@@ -33,12 +33,13 @@
 	return changed
 }
 
-// count returns the number of copies in the crashes that no answer has cleared.
-func (c copies) count(crashes map[start]crash) int {
+// count returns the number of copies in the crashes that no answer has cleared and that
+// skip does not leave out.
+func (c copies) count(crashes map[start]crash, skip map[start]bool) int {
 	total := 0
 	for from, senders := range c {
 		crashed, ok := crashes[from]
-		if !ok || crashed.cleared {
+		if !ok || crashed.cleared || skip[from] {
 			continue
 		}
 		for _, n := range senders {
--- a/lobby/quarantine/exclusive.go
+++ b/lobby/quarantine/exclusive.go
@@ -47,7 +47,7 @@
 // mayRun reports whether a copy of a request without a verdict may run at this lobby now.
 // One that ends its backend server within eventGap of the last crash would show nothing.
 func (c *Core) mayRun(now time.Time, r *record) bool {
-	if r.copies.count(r.crashes) < copiesInDoubt {
+	if r.copies.count(r.crashes, nil) < copiesInDoubt {
 		return true
 	}
 	times := r.times(nil)
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -15,8 +15,8 @@
 	convictionEvents  = 3 // events after which a suspect is quarantined
 	manyCrashes       = 5 // crashes after which fewestEvents events are enough
 	fewestEvents      = 2
-	firstQuarantine   = 5 * time.Second // length of the quarantine after convictionEvents events
-	quarantineGrowth  = 8               // factor by which each further event lengthens it: each costs another backend server
+	firstQuarantine   = 20 * time.Second // length of the quarantine after convictionEvents events
+	quarantineGrowth  = 4                // factor by which each further event lengthens it: each costs another backend server
 	longestQuarantine = 5 * time.Minute
 	minLifetime       = time.Minute      // time after its last crash for which a suspect is remembered at least
 	lifetimeFactor    = 3                // in lengths of its quarantine
@@ -157,10 +157,12 @@
 	return n
 }
 
-// isEnough reports whether ordered times of crashes are enough for a quarantine.
-func isEnough(times []time.Time) bool {
+// isEnough reports whether ordered times of crashes are enough for a quarantine. copies is the
+// number of copies of a request that ended with them. Fewer events are enough if several copies
+// ended with one backend server: a sound request seldom has two there, and is answered soon.
+func isEnough(times []time.Time, copies int) bool {
 	n := events(times)
-	return n >= convictionEvents || n >= fewestEvents && len(times) >= manyCrashes
+	return n >= convictionEvents || n >= fewestEvents && (len(times) >= manyCrashes || copies > len(times))
 }
 
 // quarantineLength returns the length of the quarantine after a number of events.
--- a/lobby/quarantine/verdict.go
+++ b/lobby/quarantine/verdict.go
@@ -74,12 +74,12 @@
 	var leader Suspect
 	var most verdict
 	for suspect, r := range c.records {
-		if _, judged := verdicts[suspect]; judged || len(r.crashes) < convictionEvents {
+		if _, judged := verdicts[suspect]; judged || len(r.crashes) < fewestEvents {
 			continue
 		}
 		times := r.times(explained)
 		n := events(times)
-		if !isEnough(times) || n < most.events {
+		if !isEnough(times, r.copies.count(r.crashes, explained)) || n < most.events {
 			continue
 		}
 		if n > most.events || c.moreLikely(suspect, leader) {
