Read the list of backend servers anew when the store was restored

After a restore the watcher went on from its old offset and missed what was written again below it for 15 s to 45 s; updates of other lobbies were applied by offset alone; and the whole list was believed although it is seconds old: a start known to leave became ready, one known to have gone came back, one that started since the backup was dropped.

A read or an update of another era is not applied, and all keys are read. For four seconds a start that is known to leave stays so and one known to have gone stays away, since entries expire after three reports (3.6 s); one that is missing is kept for two, as after an outage. Then the whole list is read once more.

TestBackendListAfterARestore failed in all 8 cases and TestUpdatesOfAnotherEraAreNotApplied in 3 of 4 with the new rules off.

--- a/commons/protocol/listupdate.go
+++ b/commons/protocol/listupdate.go
@@ -7,7 +7,8 @@
 
 // ListUpdateConfig holds the construction parameters of a ListUpdate.
 type ListUpdateConfig struct {
-	From    int64 // offset in the platform's store from which on the changes were read
+	Era     int64 // era of the platform's store, whose offsets follow
+	From    int64 // offset from which on the changes were read
 	To      int64 // offset up to which they were read
 	Changed []deployment.BackendConfig
 	Removed []string // IDs
@@ -23,11 +24,15 @@
 // NewListUpdate returns an update.
 func NewListUpdate(config ListUpdateConfig) ListUpdate { return ListUpdate{config: config} }
 
-// From returns the offset from which on the changes were read.
-func (u ListUpdate) From() int64 { return u.config.From }
+// From returns the position from which on the changes were read.
+func (u ListUpdate) From() deployment.Position {
+	return deployment.NewPosition(u.config.Era, u.config.From)
+}
 
-// To returns the offset up to which the changes were read.
-func (u ListUpdate) To() int64 { return u.config.To }
+// To returns the position up to which the changes were read.
+func (u ListUpdate) To() deployment.Position {
+	return deployment.NewPosition(u.config.Era, u.config.To)
+}
 
 // Changed returns the backend servers that are new or have changed.
 func (u ListUpdate) Changed() []deployment.BackendConfig { return u.config.Changed }
--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -41,6 +41,12 @@
 	// outageGrace is the time within which running backend servers are on the list
 	// again after an outage of the store.
 	outageGrace = 2 * time.Second
+	// restoreGrace is the time after a restore of the store within which its list may
+	// still hold backend servers as they were before: entries expire after three reports.
+	restoreGrace = 4 * time.Second
+	// removalMemory is the time for which a removed backend server is remembered. A store
+	// is restored to a state of some seconds ago.
+	removalMemory = time.Minute
 )
 
 // ListSharer sends changes of the list of backend servers to the other lobbies of this
@@ -66,6 +72,9 @@
 	published    time.Time       // time at which the list was last passed on
 	outageEnd    time.Time       // time at which the last outage of the store ended
 	missing      map[string]bool // IDs in backends that have not been listed since the outage
+	restored     time.Time       // time at which this lobby learnt of the last restore of the store
+	removed      map[string]removal
+	doubted      bool // the list was not believed in part since the restore
 	reachable    bool
 	hurry        atomic.Bool // requests wait for a change of the list
 }
@@ -73,7 +82,7 @@
 // NewBackendWatcher returns a watcher that reads the store while Serve runs.
 func NewBackendWatcher(config WatcherConfig, sharer ListSharer) *BackendWatcher {
 	return &BackendWatcher{
-		config: config, sharer: sharer, missing: make(map[string]bool),
+		config: config, sharer: sharer, missing: make(map[string]bool), removed: make(map[string]removal),
 		updates: ring.New(ring.Config{Name: "list updates", Capacity: updateCapacity}),
 	}
 }
@@ -136,14 +145,18 @@
 	if w.rank.Load() == 0 || w.backends == nil {
 		return period - now.Sub(last)
 	}
-	return min(period-now.Sub(last), max(followerReadPeriod-now.Sub(w.lastFullRead), period-now.Sub(w.lastAttempt)))
+	fullRead := followerReadPeriod - now.Sub(w.lastFullRead)
+	if w.mustSettle(now) {
+		fullRead = 0
+	}
+	return min(period-now.Sub(last), max(fullRead, period-now.Sub(w.lastAttempt)))
 }
 
 // applyUpdate applies the changes that another lobby has read, if no others lie between
 // them and what this lobby knows. Some may be known already: a backend server writes its
 // entry less often than the list is read, so none of them is undone by an older state.
 func (w *BackendWatcher) applyUpdate(now time.Time, update protocol.ListUpdate) {
-	if w.backends == nil || update.From() > w.position.Offset() || update.To() < w.position.Offset() {
+	if w.backends == nil || !w.continues(update) {
 		return
 	}
 	changes := make(map[string]deployment.Backend, len(update.Changed())+len(update.Removed()))
@@ -155,11 +168,18 @@
 	}
 	w.lastUpdate = now
 	w.recordRead(now)
-	w.position = deployment.NewPosition(w.position.Era(), update.To())
+	w.position = update.To()
 	w.applyChanges(now, changes)
 	w.removeMissing(now)
 }
 
+// continues reports whether no changes lie between what this lobby knows and an update. One
+// of another era does not continue it: the next read shows whether the store was restored.
+func (w *BackendWatcher) continues(update protocol.ListUpdate) bool {
+	known, from, to := w.position, update.From(), update.To()
+	return known.Era() == from.Era() && from.Offset() <= known.Offset() && known.Offset() <= to.Offset()
+}
+
 // applyChanges applies changes and passes the list on if it has changed or has not been
 // passed on for a while. It returns the changes that were not known.
 func (w *BackendWatcher) applyChanges(now time.Time, changes map[string]deployment.Backend) map[string]deployment.Backend {
@@ -185,7 +205,7 @@
 }
 
 func (w *BackendWatcher) poll(now time.Time) error {
-	if w.backends == nil || now.Sub(w.lastFullRead) > fullReadPeriod {
+	if w.backends == nil || now.Sub(w.lastFullRead) > fullReadPeriod || w.mustSettle(now) {
 		return w.readAll(now)
 	}
 	changes, position, err := w.config.Store.BackendsSince(w.position)
@@ -195,6 +215,9 @@
 	if err != nil {
 		return err
 	}
+	if position.Era() != w.position.Era() {
+		return w.readAll(now)
+	}
 	w.recordRead(now)
 	from := w.position
 	w.moveTo(position)
@@ -215,7 +238,7 @@
 // share sends changes that were read from a position on to the other lobbies of the
 // failure domain, also if there are none: they need not read then.
 func (w *BackendWatcher) share(from deployment.Position, changes map[string]deployment.Backend) {
-	update := protocol.ListUpdateConfig{From: from.Offset(), To: w.position.Offset()}
+	update := protocol.ListUpdateConfig{Era: from.Era(), From: from.Offset(), To: w.position.Offset()}
 	for id, backend := range changes {
 		if backend.ID() == "" {
 			update.Removed = append(update.Removed, id)
@@ -233,6 +256,7 @@
 		return err
 	}
 	w.recordRead(now)
+	w.recordRestore(now, position)
 	if w.backends == nil {
 		w.backends = make(map[string]deployment.Backend, len(all))
 	}
@@ -245,7 +269,7 @@
 		w.apply(now, id, backend)
 	}
 	w.moveTo(position)
-	w.lastFullRead, w.afterFull = now, true
+	w.lastFullRead, w.afterFull, w.doubted = now, true, w.doubted && !w.mustSettle(now)
 	w.publish(now)
 	return nil
 }
@@ -266,13 +290,14 @@
 	previous, ok := w.backends[id]
 	switch {
 	case backend.ID() != "":
-		w.backends[id] = backend
-		delete(w.missing, id)
+		if backend, ok = w.believed(now, backend); ok {
+			w.backends[id] = backend
+			delete(w.missing, id)
+		}
 	case ok && !previous.Leaving() && now.Sub(w.outageEnd) < outageGrace:
 		w.missing[id] = true
 	default:
-		delete(w.backends, id)
-		delete(w.missing, id)
+		w.remove(now, id)
 	}
 }
 
@@ -282,11 +307,10 @@
 	if len(w.missing) == 0 || now.Sub(w.outageEnd) < outageGrace {
 		return
 	}
+	w.config.Log.WithFields(logrus.Fields{"event": "lapsed", "backends": len(w.missing)}).Warn("backend servers removed: not listed again after an outage of the store")
 	for id := range w.missing {
-		delete(w.backends, id)
+		w.remove(now, id)
 	}
-	w.config.Log.WithFields(logrus.Fields{"event": "lapsed", "backends": len(w.missing)}).Warn("backend servers removed: not listed again after an outage of the store")
-	clear(w.missing)
 	w.publish(now)
 }
 
--- a/lobby/discovery/discovery.go
+++ b/lobby/discovery/discovery.go
@@ -161,18 +161,6 @@
 	w.position = position
 }
 
-// logRestore logs that the store has come back from a backup between two reads, with the
-// positions after them.
-func logRestore(log *logrus.Entry, reads string, previous, next deployment.Position) {
-	if previous.Era() == next.Era() || previous == (deployment.Position{}) {
-		return
-	}
-	log.WithFields(logrus.Fields{
-		"event": "store_restored", "reads": reads, "era": next.Era(), "offset": next.Offset(),
-		"previous_era": previous.Era(), "previous_offset": previous.Offset(),
-	}).Warn("store restored from a backup")
-}
-
 // logReachability logs when the store becomes unreachable or reachable, and
 // returns whether it is reachable after a read that ended in err.
 func logReachability(log *logrus.Entry, reads string, reached bool, err error) bool {
--- a/lobby/discovery/restore_test.go
+++ b/lobby/discovery/restore_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/testkit"
 )
 
@@ -105,3 +106,151 @@
 		t.Errorf("longest waits of the reads (-want +got):\n%s", diff)
 	}
 }
+
+// backendLog is a store whose list of backend servers is a log that can be restored to an
+// older state. A record without an ID removes the backend server with that key.
+type backendLog struct {
+	store
+	era     int64
+	records []backendRecord
+}
+
+type backendRecord struct {
+	key   string
+	state deployment.Backend
+}
+
+func (l *backendLog) end() deployment.Position {
+	return deployment.NewPosition(l.era, int64(len(l.records)))
+}
+
+func (l *backendLog) Backends() (map[string]deployment.Backend, deployment.Position, error) {
+	all, end, err := l.BackendsSince(deployment.NewPosition(l.era, 0))
+	for key, backend := range all {
+		if backend.ID() == "" {
+			delete(all, key)
+		}
+	}
+	return all, end, err
+}
+
+func (l *backendLog) BackendsSince(from deployment.Position) (map[string]deployment.Backend, deployment.Position, error) {
+	if from.Offset() > l.end().Offset() {
+		return nil, from, ErrMissed
+	}
+	changed := make(map[string]deployment.Backend)
+	for _, record := range l.records[from.Offset():] {
+		changed[record.key] = record.state
+	}
+	return changed, l.end(), nil
+}
+
+func (l *backendLog) restore(kept int, added ...backendRecord) {
+	l.era++
+	l.records = append(l.records[:kept:kept], added...)
+}
+
+func ready(id string, start int64) backendRecord {
+	return backendRecord{key: id, state: deployment.NewBackend(deployment.BackendConfig{ID: id, StartTime: start})}
+}
+
+func leaving(id string, start int64) backendRecord {
+	return backendRecord{key: id, state: ready(id, start).state.AsLeaving()}
+}
+
+func gone(id string) backendRecord { return backendRecord{key: id} }
+
+// listedAs returns how each backend server is listed.
+func listedAs(backends map[string]deployment.Backend) map[string]string {
+	states := make(map[string]string)
+	for id, backend := range backends {
+		states[id] = "ready"
+		if backend.Leaving() {
+			states[id] = "leaving"
+		}
+	}
+	return states
+}
+
+// TestBackendListAfterARestore guards against a list that lacks what was written again below
+// the offset at which the lobby stopped, and against one that is believed although it tells
+// what was so before the backup.
+func TestBackendListAfterARestore(t *testing.T) {
+	first := []backendRecord{ready("a", 1), ready("b", 1), ready("c", 1)}
+	cases := map[string]struct {
+		since    []backendRecord   // written after the backup and lost
+		restored []backendRecord   // written before the lobby reads the restored store
+		later    []backendRecord   // written a second later
+		soon     map[string]string // list at the first read after the restore
+		settled  map[string]string // list after the grace period
+	}{
+		"written again, end at the offset":   {since: []backendRecord{ready("d", 1), ready("e", 1)}, restored: []backendRecord{leaving("a", 1), gone("b")}, soon: map[string]string{"a": "leaving", "b": "ready", "c": "ready", "d": "ready", "e": "ready"}, settled: map[string]string{"a": "leaving", "c": "ready"}},
+		"written again, end past the offset": {since: []backendRecord{ready("d", 1)}, restored: []backendRecord{leaving("a", 1), ready("d", 1)}, soon: map[string]string{"a": "leaving", "b": "ready", "c": "ready", "d": "ready"}, settled: map[string]string{"a": "leaving", "b": "ready", "c": "ready", "d": "ready"}},
+		"started since, reports again":       {since: []backendRecord{ready("d", 1)}, later: []backendRecord{ready("d", 1)}, soon: map[string]string{"a": "ready", "b": "ready", "c": "ready", "d": "ready"}, settled: map[string]string{"a": "ready", "b": "ready", "c": "ready", "d": "ready"}},
+		"started since, does not report":     {since: []backendRecord{ready("d", 1)}, soon: map[string]string{"a": "ready", "b": "ready", "c": "ready", "d": "ready"}, settled: map[string]string{"a": "ready", "b": "ready", "c": "ready"}},
+		"leaves since, reports again":        {since: []backendRecord{leaving("a", 1)}, later: []backendRecord{leaving("a", 1)}, soon: map[string]string{"a": "leaving", "b": "ready", "c": "ready"}, settled: map[string]string{"a": "leaving", "b": "ready", "c": "ready"}},
+		"left since, still listed":           {since: []backendRecord{leaving("a", 1), gone("a")}, later: []backendRecord{gone("a")}, soon: map[string]string{"b": "ready", "c": "ready"}, settled: map[string]string{"b": "ready", "c": "ready"}},
+		"lapsed since, is back":              {since: []backendRecord{gone("a")}, soon: map[string]string{"b": "ready", "c": "ready"}, settled: map[string]string{"a": "ready", "b": "ready", "c": "ready"}},
+		"started again under its ID":         {since: []backendRecord{gone("a")}, restored: []backendRecord{ready("a", 2)}, soon: map[string]string{"a": "ready", "b": "ready", "c": "ready"}, settled: map[string]string{"a": "ready", "b": "ready", "c": "ready"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			log := &backendLog{era: 1, records: first}
+			w := NewBackendWatcher(WatcherConfig{Store: log, State: NewState(StateConfig{Listener: &listener{}, Log: testkit.DiscardLog()}), Log: testkit.DiscardLog()}, &sharer{})
+			now := noon
+			step := func(after time.Duration) {
+				for end := now.Add(after); now.Before(end); {
+					now = now.Add(readPeriod)
+					if err := w.step(now); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			step(readPeriod)
+			for _, record := range tc.since {
+				log.records = append(log.records[:len(log.records):len(log.records)], record)
+				step(readPeriod)
+			}
+			log.restore(len(first), tc.restored...)
+			step(readPeriod)
+			if diff := cmp.Diff(tc.soon, listedAs(w.backends)); diff != "" {
+				t.Errorf("list after the restore (-want +got):\n%s", diff)
+			}
+			step(time.Second)
+			log.records = append(log.records, tc.later...)
+			step(restoreGrace)
+			if diff := cmp.Diff(tc.settled, listedAs(w.backends)); diff != "" {
+				t.Errorf("list after the grace period (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUpdatesOfAnotherEraAreNotApplied guards against changes that another lobby has read
+// at offsets which stand for other records here.
+func TestUpdatesOfAnotherEraAreNotApplied(t *testing.T) {
+	cases := map[string]struct {
+		era  int64 // of the update
+		want map[string]string
+	}{
+		"own era":       {era: 2, want: map[string]string{"a": "leaving", "b": "ready"}},
+		"before it":     {era: 1, want: map[string]string{"a": "ready", "b": "ready"}},
+		"after it":      {era: 3, want: map[string]string{"a": "ready", "b": "ready"}},
+		"none is known": {want: map[string]string{"a": "ready", "b": "ready"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			log := &backendLog{era: 2, records: []backendRecord{ready("a", 1), ready("b", 1)}}
+			w := NewBackendWatcher(WatcherConfig{Store: log, State: NewState(StateConfig{Listener: &listener{}, Log: testkit.DiscardLog()}), Log: testkit.DiscardLog()}, &sharer{})
+			if err := w.step(noon); err != nil {
+				t.Fatal(err)
+			}
+			w.applyUpdate(noon.Add(time.Second), protocol.NewListUpdate(protocol.ListUpdateConfig{
+				Era: tc.era, From: 2, To: 3, Changed: []deployment.BackendConfig{leaving("a", 1).state.Config()},
+			}))
+			if diff := cmp.Diff(tc.want, listedAs(w.backends)); diff != "" {
+				t.Errorf("list (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
