Take a restored list of lobbies for older than what is known

Any other offset of an announcement counted as a sign of life, so a lobby that had stopped lived 24 s longer by the older announcement of a restored store; and one that had joined since the backup was missing, though the rates of cold and limited backend servers rest on no list lacking a lobby that sends.

The offsets of a restored list are noted and count as nothing new, lobbies that it lacks are kept until they expire, and each lobby announces itself at once. One that has joined lately joins once more before it sends to such backend servers.

TestLobbiesAfterARestore and a case of TestStandingOfLobby failed before.

--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -278,19 +278,32 @@
 
 // directory is a fake directory with fixed announcements.
 type directory struct {
-	offsets map[string]int64
-	err     error // of announcements
+	offsets   map[string]int64
+	era       int64
+	err       error // of announcements
+	announced int   // number of announcements
 }
 
-func (d *directory) Announce(string) error              { return d.err }
-func (d *directory) Lobbies() (map[string]int64, error) { return d.offsets, nil }
+func (d *directory) Announce(string) error {
+	if d.err == nil {
+		d.announced++
+	}
+	return d.err
+}
+
+func (d *directory) Lobbies() (map[string]int64, deployment.Position, error) {
+	return d.offsets, deployment.NewPosition(d.era, 1), nil
+}
 
 // lobbyObserver records the last complete read of the directory.
 type lobbyObserver struct {
 	read, announced time.Time
 	addresses       int
+	restores        int
 }
 
+func (o *lobbyObserver) DirectoryRestored() { o.restores++ }
+
 func (o *lobbyObserver) LobbiesListed(read, announced time.Time, addresses []string) {
 	o.read, o.announced, o.addresses = read, announced, len(addresses)
 }
--- a/lobby/discovery/lobbies.go
+++ b/lobby/discovery/lobbies.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/supervisor"
 )
 
@@ -15,8 +16,8 @@
 	// Announce writes this lobby's RPC address.
 	Announce(address string) error
 	// Lobbies returns the offset of the newest announcement of each lobby that was
-	// ever announced, by RPC address.
-	Lobbies() (map[string]int64, error)
+	// ever announced, by RPC address, and the position at which the list ends.
+	Lobbies() (map[string]int64, deployment.Position, error)
 }
 
 // PeerSet is the set of the other lobbies.
@@ -32,6 +33,9 @@
 	// that began at a given time, and the time at which this lobby's last successful
 	// announcement began.
 	LobbiesListed(read, announced time.Time, addresses []string)
+	// DirectoryRestored reports that the directory was restored to an older state, which may
+	// lack lobbies that have joined lately.
+	DirectoryRestored()
 }
 
 const (
@@ -56,7 +60,8 @@
 // from it.
 type LobbyWatcher struct {
 	config        LobbyWatcherConfig
-	announced     time.Time // time of this lobby's last announcement
+	announced     time.Time           // time of this lobby's last announcement
+	position      deployment.Position // end of the directory at the last read
 	announcements map[string]announcement
 	reachable     bool
 	hurry         atomic.Bool // the directory is to be read often
@@ -101,7 +106,7 @@
 
 // period returns the time between two reads of the directory.
 func (w *LobbyWatcher) period(failed bool) time.Duration {
-	if failed || len(w.announcements) < 2 || w.hurry.Load() {
+	if failed || w.announced.IsZero() || len(w.announcements) < 2 || w.hurry.Load() {
 		return retryPeriod
 	}
 	return directoryPeriod
@@ -114,24 +119,50 @@
 		}
 		w.announced = now
 	}
-	offsets, err := w.config.Directory.Lobbies()
+	offsets, position, err := w.config.Directory.Lobbies()
 	if err != nil {
 		return err
 	}
+	if w.restoredAt(position) {
+		w.handleRestore(offsets, position)
+		return nil
+	}
+	w.position = position
 	alive := w.alive(now, offsets)
 	w.config.Observer.LobbiesListed(now, w.announced, alive)
 	return w.config.Peers.AddPeers(alive)
 }
 
-// alive returns the addresses of the lobbies whose newest announcement was first
-// seen less than lobbyExpiry ago.
+// restoredAt reports whether the directory was restored since the last read.
+func (w *LobbyWatcher) restoredAt(position deployment.Position) bool {
+	return w.position != (deployment.Position{}) && position.Era() != w.position.Era()
+}
+
+// handleRestore notes the offsets of a restored directory. Its announcements are older than
+// those that were read before, so none is a sign of life, and this lobby's own is lost. It
+// announces itself again before the next read.
+func (w *LobbyWatcher) handleRestore(offsets map[string]int64, position deployment.Position) {
+	logRestore(w.config.Log, "lobbies", w.position, position)
+	for address, offset := range offsets {
+		if last, ok := w.announcements[address]; ok {
+			w.announcements[address] = announcement{offset: offset, firstSeen: last.firstSeen}
+		}
+	}
+	w.position, w.announced = position, time.Time{}
+	w.config.Observer.DirectoryRestored()
+}
+
+// alive returns the addresses of the lobbies whose newest announcement was first seen less
+// than lobbyExpiry ago. The directory may lack some of them since it was restored.
 func (w *LobbyWatcher) alive(now time.Time, offsets map[string]int64) []string {
-	var alive []string
 	for address, offset := range offsets {
 		if last, ok := w.announcements[address]; !ok || last.offset != offset {
 			w.announcements[address] = announcement{offset: offset, firstSeen: now}
 		}
-		if now.Sub(w.announcements[address].firstSeen) < lobbyExpiry {
+	}
+	var alive []string
+	for address, last := range w.announcements {
+		if now.Sub(last.firstSeen) < lobbyExpiry {
 			alive = append(alive, address)
 		}
 	}
--- a/lobby/discovery/restore_test.go
+++ b/lobby/discovery/restore_test.go
@@ -304,3 +304,28 @@
 		})
 	}
 }
+
+// TestLobbiesAfterARestore guards against a lobby that counts as alive by an announcement of
+// before the restore, and against one that is dropped since the restored store lacks its own.
+func TestLobbiesAfterARestore(t *testing.T) {
+	d, o := &directory{era: 1, offsets: map[string]int64{"a": 6, "dead": 3, "new": 7}}, &lobbyObserver{}
+	w := NewLobbyWatcher(LobbyWatcherConfig{Self: "a", Directory: d, Peers: peerSet{}, Observer: o, Log: testkit.DiscardLog()})
+	step := func(at time.Duration) {
+		if err := w.step(noon.Add(at)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step(0)
+	d.era, d.offsets = 2, map[string]int64{"a": 4, "dead": 2}
+	step(5 * time.Second)
+	step(6 * time.Second)
+	if diff := cmp.Diff([]int{3, 1, 2}, []int{o.addresses, o.restores, d.announced}); diff != "" {
+		t.Errorf("lobbies alive, restores, announcements after the restore (-want +got):\n%s", diff)
+	}
+	d.offsets = map[string]int64{"a": 5, "dead": 2, "new": 6}
+	step(14 * time.Second)
+	step(lobbyExpiry)
+	if diff := cmp.Diff([]int{2, 1}, []int{o.addresses, o.restores}); diff != "" {
+		t.Errorf("lobbies alive, restores once the dead one has expired (-want +got):\n%s", diff)
+	}
+}
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -91,6 +91,9 @@
 	m.notifyScheduler(scheduler.NewLobbiesListed(read, announced, addresses))
 }
 
+// DirectoryRestored tells the scheduler that the list of lobbies is an older one.
+func (m *mediator) DirectoryRestored() { m.notifyScheduler(scheduler.DirectoryRestored{}) }
+
 // Planned passes a plan made by this lobby to the scheduler. It ignores nil.
 func (m *mediator) Planned(plan map[string][]string) {
 	if plan != nil {
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -202,6 +202,8 @@
 		c.config.Limiter.SetLobbies(m.lobbies)
 	case LobbiesListed:
 		c.rateShares.list(now, m)
+	case DirectoryRestored:
+		c.rateShares.directoryRestored(now)
 	case PlanChanged:
 		c.adoptPlan(now, "", m.plan)
 	case FetchEnded:
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -209,6 +209,9 @@
 	return LobbiesListed{read: read, announced: announced, addresses: addresses}
 }
 
+// DirectoryRestored reports that the store's list of lobbies was restored to an older state.
+type DirectoryRestored struct{}
+
 // PlanChanged carries a plan made by this lobby: models by backend server.
 type PlanChanged struct{ plan map[string][]string }
 
@@ -252,4 +255,5 @@
 func (PlanChanged) schedulerMessage()          {}
 func (LobbyCountChanged) schedulerMessage()    {}
 func (LobbiesListed) schedulerMessage()        {}
+func (DirectoryRestored) schedulerMessage()    {}
 func (FetchEnded) schedulerMessage()           {}
--- a/lobby/scheduler/rateshare.go
+++ b/lobby/scheduler/rateshare.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// directoryRestored records that the list was restored to an older state. A lobby that has
+// joined lately may not be on it, so that it joins once more; the others were listed before.
+func (s *rateShares) directoryRestored(now time.Time) {
+	if standing := s.standing(now); standing == unannounced || standing == joining {
+		s.since = now
+	}
+}
+
 // digestArrived records that a lobby is alive.
 func (s *rateShares) digestArrived(now time.Time, sender string) {
 	s.heard[sender] = now
--- a/lobby/scheduler/rateshare_test.go
+++ b/lobby/scheduler/rateshare_test.go
@@ -244,10 +244,13 @@
 		s.list(coldNoon.Add(at), NewLobbiesListed(coldNoon.Add(at), coldNoon.Add(at), []string{"a", "b"}))
 	}
 	cases := map[string]struct {
-		lists []time.Duration // times of complete reads with an announcement
-		at    time.Duration
-		want  standing
+		lists    []time.Duration // times of complete reads with an announcement
+		restored time.Duration   // time at which the list was restored to an older state, after those reads; zero if never
+		at       time.Duration
+		want     standing
 	}{
+		"restored while it joins":  {lists: []time.Duration{0, 4 * time.Second}, restored: 4500 * time.Millisecond, at: 5 * time.Second, want: unannounced},
+		"restored, known to all":   {lists: []time.Duration{0, 8 * time.Second, 15 * time.Second}, restored: 16 * time.Second, at: 17 * time.Second, want: established},
 		"no list":                  {at: time.Minute, want: unannounced},
 		"just listed":              {lists: []time.Duration{0}, at: time.Second, want: unannounced},
 		"known to those that join": {lists: []time.Duration{0, 4 * time.Second}, at: 5 * time.Second, want: joining},
@@ -263,6 +266,9 @@
 			for _, at := range tc.lists {
 				list(s, at)
 			}
+			if tc.restored > 0 {
+				s.directoryRestored(coldNoon.Add(tc.restored))
+			}
 			if diff := cmp.Diff(tc.want, s.standing(coldNoon.Add(tc.at))); diff != "" {
 				t.Errorf("standing (-want +got):\n%s", diff)
 			}
