--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -49,12 +49,6 @@
 	removalMemory = time.Minute
 )
 
-// ListSharer sends changes of the list of backend servers to the other lobbies of this
-// failure domain.
-type ListSharer interface {
-	ShareList(update protocol.ListUpdate) error
-}
-
 // BackendWatcher watches the list of backend servers. The lobbies of a failure domain
 // share their reads: each waits a little longer for the changes than the one before it.
 type BackendWatcher struct {
@@ -94,14 +88,6 @@
 // often. It is safe to call from any thread.
 func (w *BackendWatcher) SetHurry(hurry bool) { w.hurry.Store(hurry) }
 
-// SetRank sets the number of live lobbies of this failure domain that read the list
-// before this one. It is safe to call from any thread.
-func (w *BackendWatcher) SetRank(rank int) { w.rank.Store(int32(rank)) }
-
-// Receive queues an update of another lobby. It is dropped if too many are queued; this
-// lobby then reads the store. It is safe to call from any thread.
-func (w *BackendWatcher) Receive(update protocol.ListUpdate) { _ = w.updates.Put(update) }
-
 // Serve reads the store and handles updates until ctx ends.
 func (w *BackendWatcher) Serve(ctx context.Context) error {
 	for {
@@ -152,34 +138,6 @@
 	return min(period-now.Sub(last), max(fullRead, period-now.Sub(w.lastAttempt)))
 }
 
-// applyUpdate applies the changes that another lobby has read, if no others lie between
-// them and what this lobby knows. Some may be known already: a backend server writes its
-// entry less often than the list is read, so none of them is undone by an older state.
-func (w *BackendWatcher) applyUpdate(now time.Time, update protocol.ListUpdate) {
-	if w.backends == nil || !w.continues(update) {
-		return
-	}
-	changes := make(map[string]deployment.Backend, len(update.Changed())+len(update.Removed()))
-	for _, config := range update.Changed() {
-		changes[config.ID] = deployment.NewBackend(config)
-	}
-	for _, id := range update.Removed() {
-		changes[id] = deployment.Backend{}
-	}
-	w.lastUpdate = now
-	w.recordRead(now)
-	w.position = update.To()
-	w.applyChanges(now, changes)
-	w.removeMissing(now)
-}
-
-// continues reports whether no changes lie between what this lobby knows and an update. One
-// of another era does not continue it: the next read shows whether the store was restored.
-func (w *BackendWatcher) continues(update protocol.ListUpdate) bool {
-	known, from, to := w.position, update.From(), update.To()
-	return known.Era() == from.Era() && from.Offset() <= known.Offset() && known.Offset() <= to.Offset()
-}
-
 // applyChanges applies changes and passes the list on if it has changed or has not been
 // passed on for a while. It returns the changes that were not known.
 func (w *BackendWatcher) applyChanges(now time.Time, changes map[string]deployment.Backend) map[string]deployment.Backend {
@@ -235,21 +193,6 @@
 	w.position = position
 }
 
-// share sends changes that were read from a position on to the other lobbies of the
-// failure domain, also if there are none: they need not read then.
-func (w *BackendWatcher) share(from deployment.Position, changes map[string]deployment.Backend) {
-	update := protocol.ListUpdateConfig{Era: from.Era(), From: from.Offset(), To: w.position.Offset()}
-	for id, backend := range changes {
-		if backend.ID() == "" {
-			update.Removed = append(update.Removed, id)
-			continue
-		}
-		update.Changed = append(update.Changed, backend.Config())
-	}
-	// A full ring drops the update; the other lobbies then read the store.
-	_ = w.sharer.ShareList(protocol.NewListUpdate(update))
-}
-
 func (w *BackendWatcher) readAll(now time.Time) error {
 	all, position, err := w.config.Store.Backends()
 	if err != nil {
