--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -58,17 +58,17 @@
 	rank         atomic.Int32
 	position     deployment.Position
 	backends     map[string]deployment.Backend
-	lastFullRead time.Time       // time of the last read of the full list
-	afterFull    bool            // the last read was of the full list, which may be newer than position
-	lastRead     time.Time       // time of the last successful read
-	lastAttempt  time.Time       // time of the last read
-	lastUpdate   time.Time       // time of the last update of another lobby that this one needed not read
-	published    time.Time       // time at which the list was last passed on
-	outageEnd    time.Time       // time at which the last outage of the store ended
-	missing      map[string]bool // IDs in backends that have not been listed since the outage
-	restored     time.Time       // time at which this lobby learnt of the last restore of the store
-	removed      map[string]removal
-	doubted      bool // the list was not believed in part since the restore
+	lastFullRead time.Time          // time of the last read of the full list
+	afterFull    bool               // the last read was of the full list, which may be newer than position
+	lastRead     time.Time          // time of the last successful read
+	lastAttempt  time.Time          // time of the last read
+	lastUpdate   time.Time          // time of the last update of another lobby that this one needed not read
+	published    time.Time          // time at which the list was last passed on
+	outageEnd    time.Time          // time at which the last outage of the store ended
+	missing      map[string]bool    // IDs in backends that have not been listed since the outage
+	restored     time.Time          // time at which this lobby learnt of the last restore of the store
+	removed      map[string]removal // by ID, those removed lately
+	doubted      bool               // the list was not believed in part since the restore
 	reachable    bool
 	hurry        atomic.Bool // requests wait for a change of the list
 }
