--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -15,11 +15,11 @@
 // get meanwhile.
 func partsCase(f *fleet, trouble bool) (verdict, error) {
 	const (
-		engines    = 12
-		crashing   = 3 // a quarter
+		engines    = 16
+		crashing   = 4 // a quarter
 		parts      = 1300
 		events     = 17
-		streamers  = 240
+		streamers  = 320
 		bookers    = 32
 		timeout    = 800 * time.Millisecond // of the bookings' route
 		grace      = 500 * time.Millisecond
