--- a/review/standin-2/refused.go
+++ b/review/standin-2/refused.go
@@ -48,10 +48,19 @@
 		w.answerBody(c, r, 200, []byte("booked"), w.stamp())
 	}
 	f.configure(configuration(
-		[]any{route("book", "/book/", "unsafe", "pitch-desk", 1500, 300, 2)}, []any{plainService("pitch-desk")}))
+		[]any{
+			route("book", "/book/", "unsafe", "pitch-desk", 1500, 300, 2),
+			route("stock", "/stock/", "safe", "stock-desk", 1500, 300, 2),
+		}, []any{plainService("pitch-desk"), plainService("stock-desk")}))
 	if _, err := f.newWorker(&worker{service: "pitch-desk", zone: "z1", slots: 6, handle: handle}); err != nil {
 		return verdict{}, err
 	}
+	sound := func(w *worker, c *workerConn, r *http.Request, body []byte) {
+		w.answerBody(c, r, 200, []byte("3 left"), w.stamp())
+	}
+	if _, err := f.newWorker(&worker{service: "stock-desk", zone: "z2", slots: 6, handle: sound}); err != nil {
+		return verdict{}, err
+	}
 	lobbies, err := startLobbies(f, 2)
 	if err != nil {
 		return verdict{}, err
@@ -102,6 +111,10 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	clients.Wait()
+	if answer := send(outgoing{address: lobbies[0].front(), method: "GET", path: "/stock/x", timeout: 2 * time.Second,
+		header: []string{"Request-Id: " + newID(), "Deadline-Ms: 1500", "Authorization: Bearer key-sellers"}}); answer.status != 200 {
+		return verdict{}, fmt.Errorf("the sound worker's service answers %d", answer.status)
+	}
 	mu.Lock()
 	defer mu.Unlock()
 	return verdict{broken: falsely > 0, what: fmt.Sprintf("%d requests were answered 503 and had run; %d of %d answers were sent twice", falsely, doubled, answers)}, nil
