--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,8 +1,12 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-# With TROUBLE=0 the disruption is left out.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-2/cases ] && [ -x target/sesamewell-lobby ] || { echo "build the project and review/build-2.sh first"; exit 2; }
-TROUBLE="${TROUBLE:-1}"
-export TROUBLE
-exec target/review-2/cases refused review/10/record.txt
+#!/usr/bin/env bash
+# Runs the case after the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves out
+# the disruption. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+rig="$root/target/review-2/rig"
+if [ ! -x "$rig" ]; then
+	echo "NOT RUN: review/build-2.sh has not been run"
+	exit 2
+fi
+export TROUBLE="${TROUBLE:-1}"
+exec "$rig" -case poison -root "$root" -out "$here"
