--- a/review/rig/case_latecopy.go
+++ b/review/rig/case_latecopy.go
@@ -87,14 +87,18 @@
 		return r.notRun(err)
 	}
 	told := make(map[string]int) // status that the client got, by request ID
-	book := func(id string) {
-		got := send(lobby.front(), call{method: "POST", path: "/book/seat", id: id, key: "key1", body: "seat", deadline: bookingTimeout})
+	book := func(path, id string) {
+		got := send(lobby.front(), call{method: "POST", path: path, id: id, key: "key1", body: "seat", deadline: bookingTimeout})
 		told[id] = got.status
 		r.printf("client of %s gets status %d, error %v", id, got.status, got.err)
 	}
 	for round := range refusals {
+		path := "/book/seat" // may be sent to two workers
+		if round%2 == 1 {
+			path = "/hold/seat" // to three
+		}
 		for n := range ordinaryCalls {
-			book(fmt.Sprintf("ordinary-%d-%d", round, n))
+			book(path, fmt.Sprintf("ordinary-%d-%d", round, n))
 			if n%4 == 0 {
 				send(lobby.front(), call{method: "GET", path: "/stock/x", id: fmt.Sprintf("stock-%d-%d", round, n), key: "key1", deadline: bookingTimeout})
 			}
@@ -103,7 +107,7 @@
 		b.mu.Lock()
 		b.refuse[id] = true
 		b.mu.Unlock()
-		book(id)
+		book(path, id)
 		time.Sleep(time.Second) // for runs that come later
 	}
 	b.mu.Lock()
@@ -128,13 +132,13 @@
 	return r.verdict(refused+twice > 0, "of %d bookings %d were served; %d were answered as not run and ran; %d ran twice", len(told), served, refused, twice)
 }
 
-// deskConfiguration returns the operator's configuration with a route to a booking service,
+// deskConfiguration returns the operator's configuration with two routes to a booking service,
 // whose requests may run once, and one to a service for look-ups.
 func deskConfiguration() map[string]any {
-	route := func(name, kind, service string) map[string]any {
+	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "route_kind": kind, "timeout_ms": bookingTimeout.Milliseconds(),
-			"target_latency_ms": 300, "priority": 2, "service": service, "max_attempts": 2, "public": false, "sticky": false, "resumable": false,
+			"target_latency_ms": 300, "priority": 2, "service": service, "max_attempts": attempts, "public": false, "sticky": false, "resumable": false,
 		}
 	}
 	service := func(name string) map[string]any {
@@ -142,7 +146,7 @@
 	}
 	return map[string]any{
 		"version":  1,
-		"routes":   []any{route("book", "unsafe", "desk"), route("stock", "safe", "stock")},
+		"routes":   []any{route("book", "unsafe", "desk", 2), route("hold", "unsafe", "desk", 3), route("stock", "safe", "stock", 2)},
 		"services": []any{service("desk"), service("stock")},
 		"limits":   limitsOfClients(),
 		"tenants":  []any{map[string]any{"name": "tenant1", "api_keys": []string{"key1"}, "priority": 1}},
