Keep the lease of an adapter while a request runs with it

After some seconds of a long stream the keeper took its adapter for unused and ordered its unload first.

The scheduler renews the lease at each tick in which it is about to end. A renewal that a keeper does not grant holds back other renewals at that backend server for a second, and no longer requests for other adapters.

--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -24,6 +24,15 @@
 	c.fetch(s, request, 0)
 }
 
+// keepAdapter renews the lease of the adapter with which a request runs: the keeper unloads
+// those without one first, and would wait for the run meanwhile. At a backend server that
+// gets no requests it does nothing.
+func (c *Core) keepAdapter(now time.Time, req *openRequest) {
+	if req.inFlight() && !req.server.closed(now) && !now.Before(req.server.renewBlockedUntil) {
+		c.renewLease(now, req.server, req.request)
+	}
+}
+
 // fetchEnded sends the request that waited for an adapter, or places it again
 // if the adapter could not be loaded or the backend server has started again.
 func (c *Core) fetchEnded(now time.Time, m FetchEnded) {
@@ -31,9 +40,12 @@
 	if ok {
 		key := adapterKey(m.fetch.Model(), m.fetch.Adapter())
 		delete(s.renewing, key)
-		if m.lease > leaseMargin {
+		switch {
+		case m.lease > leaseMargin:
 			s.leases[key] = now.Add(m.lease - leaseMargin)
-		} else {
+		case m.fetch.Number() == 0:
+			s.renewBlockedUntil = now.Add(renewRetryPause)
+		default:
 			s.fetchBlockedUntil = now.Add(fetchRetryPause)
 		}
 	}
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -25,6 +25,7 @@
 	leaseRenewAhead      = 1200 * time.Millisecond // a lease in use is renewed when less than this is left
 	missingModelLifetime = 1500 * time.Millisecond // time without requests for a model that a backend server reported missing
 	fetchRetryPause      = 250 * time.Millisecond  // after a backend server failed to load an adapter
+	renewRetryPause      = time.Second             // after a keeper did not renew the lease of an adapter
 	// A request leaves reservedSlots slots of an engine free for each level of
 	// priority above its own, for at most maxReservedLevels levels.
 	reservedSlots     = 2
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -240,6 +240,7 @@
 			req.sound = true
 			c.config.Quarantine.Answering(req.request, req.beganAt)
 		}
+		c.keepAdapter(now, req)
 	}
 	c.forecast.update(now, c.waitingWork())
 	c.endHolds(now)
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -27,6 +27,7 @@
 	leases            map[string]time.Time // ends of adapter leases, by MODEL/ADAPTER
 	renewing          map[string]bool      // leases that are being renewed, by MODEL/ADAPTER
 	fetchBlockedUntil time.Time            // no adapter is fetched until then
+	renewBlockedUntil time.Time            // no lease of an adapter in use is renewed until then
 	peerOpen          int                  // open requests of other lobbies
 	peerSuspect       bool                 // another lobby reports it silent
 	peerPrefill       time.Duration        // pending prefill of other lobbies
