--- a/keeper/loader/adapter.go
+++ b/keeper/loader/adapter.go
@@ -77,6 +77,16 @@
 	return c.newOrder(deployment.OrderConfig{Unload: true, Model: model, Adapter: name}), ok
 }
 
+// leaseAll leases all adapters that the engine holds. Lobbies may use each of them as long as
+// a lease of this process's predecessor lasts.
+func (c *Core) leaseAll(now time.Time, holdings deployment.Holdings) {
+	for _, holding := range holdings {
+		for _, name := range holding.Adapters() {
+			c.leases[adapterKey(holding.Model(), name)] = now.Add(c.config.AdapterLease)
+		}
+	}
+}
+
 // expiredLease returns the adapter whose lease ended first, if any has ended. Those that
 // are being unloaded are left out.
 func (c *Core) expiredLease(now time.Time) (model, adapter string, found bool) {
--- a/keeper/loader/core.go
+++ b/keeper/loader/core.go
@@ -59,7 +59,7 @@
 		c.waiters = append(c.waiters, waiter{fetch: m.fetch, reply: m.reply, deadline: now.Add(c.config.FetchTimeout - m.fetch.Age())})
 	case StateReported:
 		c.pollPending = false
-		c.updateState(m.state)
+		c.updateState(now, m.state)
 	case EnginePaused:
 		c.pausedUntil = now.Add(min(m.wait, maxPause))
 	case StateUnavailable:
@@ -94,7 +94,10 @@
 }
 
 // updateState replaces the state of the engine by a new report.
-func (c *Core) updateState(state deployment.EngineState) {
+func (c *Core) updateState(now time.Time, state deployment.EngineState) {
+	if !c.stateKnown {
+		c.leaseAll(now, state.Holdings())
+	}
 	if c.stateKnown && state.StartTime() != c.engine.startTime {
 		clear(c.leases) // a restarted engine has lost its adapters
 		clear(c.unloads)
--- a/keeper/loader/core_test.go
+++ b/keeper/loader/core_test.go
@@ -474,6 +474,32 @@
 	}
 }
 
+// TestRestartedKeeperKeepsLeasedAdapters starts a keeper beside an engine whose places are
+// taken. It unloaded adapters at once that its predecessor had just leased to lobbies.
+func TestRestartedKeeperKeepsLeasedAdapters(t *testing.T) {
+	cases := map[string]struct {
+		after    time.Duration // from the start to the request
+		adapters []string
+	}{
+		"at once":          {after: 100 * time.Millisecond, adapters: []string{"a1", "a2"}},
+		"before the end":   {after: 2500 * time.Millisecond, adapters: []string{"a1", "a2"}},
+		"after the leases": {after: 4 * time.Second, adapters: []string{"a2", "a3"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation("a")
+			s.loaded["a"], s.orders = []string{"a1", "a2"}, 2
+			s.assign("l1", "a")
+			s.advance(tc.after)
+			s.fetch("a", "a3")
+			s.advance(300 * time.Millisecond)
+			if diff := cmp.Diff(tc.adapters, slices.Sorted(slices.Values(s.loaded["a"]))); diff != "" {
+				t.Errorf("adapters (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestOldRequestForAnAdapterGivesNoOrder guards against orders for a request that its lobby
 // has moved since, as the backend server leaves or has asked for a time without requests.
 func TestOldRequestForAnAdapterGivesNoOrder(t *testing.T) {
