Break off streams whose body ends within an event

Cause: only the end of a connection was checked for an event that has begun, not that of chunks or of a length. Now each successful answer to a streaming request is checked, however its body ended, unless it names another media type. The side checks the last event of a stream in the same way.

TestStreamThatEndsInAnEventIsBrokenOff: 24 of 45 cases failed before; the test of streams without chunks has become its fifth framing. Three tests sent "a", "b", "hello" or "right" as bodies of streams, which are no events: they send events now and check the same.

--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -44,6 +44,7 @@
 	}
 	end += len(headEnd)
 	reader := bufio.NewReaderSize(bytes.NewReader(buffered[:end]), end)
+	a.head.SetNoDefaultContentType(true)
 	if err := a.head.Read(reader); err != nil {
 		return 0, errors.Mark(err, errHead)
 	}
@@ -96,6 +97,10 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// mayBeEventStream reports whether the body consists of server-sent events, as far as the
+// backend server tells: it may name no type.
+func (a *answer) mayBeEventStream() bool { return len(a.head.ContentType()) == 0 || a.isEventStream() }
+
 // buffer appends a piece to the buffered body.
 func (a *answer) buffer(data []byte) error {
 	if len(a.body)+len(data) > maxBody {
--- a/lobby/proxy/answer_test.go
+++ b/lobby/proxy/answer_test.go
@@ -20,6 +20,7 @@
 // may get a success, and no part of the head.
 func TestAnswerThatEndsInItsHeadIsNoSuccess(t *testing.T) {
 	const unframed = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + stamp + "Connection: close\r\n\r\n"
+	const hello = "data: hello\n\n"
 	cases := map[string]struct {
 		head   string
 		stream bool
@@ -39,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, func(conn net.Conn, id string, n int) bool {
 				if tc.kept && n == 0 {
-					_, _ = io.WriteString(conn, fixedLengthAnswer(id, "hello"))
+					_, _ = io.WriteString(conn, fixedLengthAnswer(id, hello))
 					return true
 				}
 				sent, _ := strconv.Atoi(strings.TrimPrefix(id, "cut-"))
@@ -54,7 +55,7 @@
 			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream = b.address, tc.stream })
 			for sent := range len(strings.ReplaceAll(tc.head, "ID", "cut-0")) {
 				if tc.kept {
-					if _, body, err := sendRequest(t, l.address); err != nil || body != "hello" {
+					if _, body, err := sendRequest(t, l.address); err != nil || body != hello {
 						t.Fatalf("first answer on the connection: %q, %v", body, err)
 					}
 					<-l.ended
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -169,6 +169,10 @@
 		b.answer, b.tainted = &answer{}, true
 		return
 	}
+	if b.endsInEvent() {
+		b.fail(errEndInEvent)
+		return
+	}
 	e := b.exchange
 	b.exchange, b.answer, e.conn = nil, nil, nil
 	b.release(now, a)
@@ -208,13 +212,27 @@
 	b.reportIncomplete(true)
 }
 
-// completeAtEOF reports whether the end of the connection completes the answer. That of
-// a stream must not be within an event.
+// completeAtEOF reports whether the end of the connection completes the answer.
 func (b *backendConn) completeAtEOF() bool {
-	if !b.answer.headRead || b.answer.length != unknownLength || b.stale() {
+	return b.answer.headRead && b.answer.length == unknownLength && !b.stale() && !b.endsInEvent()
+}
+
+// errEndInEvent reports a stream whose body has ended, by whatever framing, within an event.
+var errEndInEvent = errors.New("stream broken off within an event")
+
+// endsInEvent reports whether the answer, whose body has ended, is a stream that was broken
+// off within an event.
+func (b *backendConn) endsInEvent() bool {
+	success := b.answer.head.StatusCode() < fasthttp.StatusMultipleChoices
+	if !b.exchange.send.Stream() || !success || !b.answer.mayBeEventStream() {
 		return false
 	}
-	return !b.answer.streaming || !b.exchange.scanner.InEvent()
+	if b.answer.streaming {
+		return b.exchange.scanner.InEvent()
+	}
+	var scanner eventstream.Scanner
+	scanner.Scan(b.answer.body)
+	return scanner.InEvent()
 }
 
 // fail closes the connection and reports its exchange as incomplete.
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -213,7 +213,7 @@
 	}{
 		"fixed length":            {script: reply(fixedLengthAnswer("ID", "hello")), status: 200, body: "hello", result: scheduler.Complete},
 		"chunked":                 {script: reply(streamHead("ID") + chunk("a") + chunk("b") + "0\r\n\r\n"), status: 200, body: "ab", result: scheduler.Complete},
-		"stream":                  {script: reply(streamHead("ID") + chunk("a") + chunk("b") + "0\r\n\r\n"), stream: true, status: 200, body: "ab", result: scheduler.Complete},
+		"stream":                  {script: reply(streamHead("ID") + chunk("data: a\n") + chunk("\ndata: b\n\n") + "0\r\n\r\n"), stream: true, status: 200, body: "data: a\n\ndata: b\n\n", result: scheduler.Complete},
 		"until end of connection": {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Connection: close\r\n\r\nhello"), status: 200, body: "hello", result: scheduler.Complete},
 		"server error":            {script: reply("HTTP/1.1 500 Oops\r\n" + stamp + "Content-Length: 2\r\n\r\nno"), status: 500, body: "no", result: scheduler.Complete},
 		"server error kept":       {script: reply("HTTP/1.1 500 Oops\r\n" + stamp + "Content-Length: 2\r\n\r\nno"), keepError: true, status: 502, result: scheduler.BackendError},
@@ -225,7 +225,10 @@
 		"408 unconfirmed":         {script: reply("HTTP/1.1 408 Slow\r\n" + stamp + "Content-Length: 0\r\n\r\n"), status: 502, result: scheduler.Unconfirmed},
 		"model missing":           {script: reply("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"), status: 502, result: scheduler.ModelMissing},
 		"stale answer first":      {script: reply(fixedLengthAnswer("other", "wrong") + fixedLengthAnswer("ID", "right")), status: 200, body: "right", result: scheduler.Complete},
-		"stale stream first":      {script: reply(streamHead("other") + chunk("wrong") + "0\r\n\r\n" + streamHead("ID") + chunk("right") + "0\r\n\r\n"), stream: true, status: 200, body: "right", result: scheduler.Complete},
+		"stale stream first":      {script: reply(streamHead("other") + chunk("wrong") + "0\r\n\r\n" + streamHead("ID") + chunk("data: right\n\n") + "0\r\n\r\n"), stream: true, status: 200, body: "data: right\n\n", result: scheduler.Complete},
+		"stream without events":   {script: reply(streamHead("ID") + "0\r\n\r\n"), stream: true, status: 200, result: scheduler.Complete},
+		"no stream after all":     {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"), stream: true, status: 200, body: "{}", result: scheduler.Complete},
+		"stream, another success": {script: reply("HTTP/1.1 201 OK\r\n" + stamp + "Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\ndata: a"), stream: true, status: 502, result: scheduler.Lost},
 		"no signature":            {script: reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"), status: 502, result: scheduler.Lost},
 		"encoded":                 {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi"), status: 502, result: scheduler.Lost},
 		"truncated":               {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 9\r\n\r\nhi"), status: 502, result: scheduler.Lost},
@@ -422,12 +425,26 @@
 	}
 }
 
-// TestUnframedStreamThatEndsInAnEventIsBrokenOff guards against a stream without length
-// and chunks that is taken for complete when its connection ends early.
-func TestUnframedStreamThatEndsInAnEventIsBrokenOff(t *testing.T) {
+// TestStreamThatEndsInAnEventIsBrokenOff guards against a stream that is passed on as complete
+// though its body, whichever way that is framed, ends within an event.
+func TestStreamThatEndsInAnEventIsBrokenOff(t *testing.T) {
 	const first = "id: 1\ndata: a\n\n"
 	const second = "id: 2\ndata: b\n\n"
-	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + stamp + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + stamp
+	const eventType = "Content-Type: text/event-stream\r\n"
+	framings := map[string]func(stream string) string{
+		"end of the connection": func(stream string) string { return head + eventType + "Connection: close\r\n\r\n" + stream },
+		"chunk":                 func(stream string) string { return streamHead("r1") + chunk(stream) + "0\r\n\r\n" },
+		"chunks": func(stream string) string {
+			return streamHead("r1") + chunk(stream[:len(stream)-1]) + chunk(stream[len(stream)-1:]) + "0\r\nA: b\r\n\r\n"
+		},
+		"length": func(stream string) string {
+			return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", head, eventType, len(stream), stream)
+		},
+		"length, no type": func(stream string) string {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(stream), stream)
+		},
+	}
 	cases := map[string]struct {
 		stream    string
 		resumable bool
@@ -440,35 +457,39 @@
 		"ends after a comment":               {stream: first + second + ": bye\n", body: first + second + ": bye\n", result: scheduler.Complete},
 		"ends in a line":                     {stream: first + "id: 2\nda", truncated: true, result: scheduler.Truncated},
 		"ends before the blank line":         {stream: first + "id: 2\ndata: b\n", truncated: true, result: scheduler.Truncated},
+		"ends after CR of the blank line":    {stream: first + "id: 2\r\ndata: b\r\n\r", truncated: true, result: scheduler.Truncated},
+		"ends in its first line":             {stream: "da", truncated: true, result: scheduler.Truncated},
 		"ends in a line, resumable":          {stream: first + "id: 2\nda", resumable: true, body: first + second, result: scheduler.Truncated},
 		"ends in its first event, resumable": {stream: "id: 1\nda", resumable: true, truncated: true, result: scheduler.Lost},
 	}
 	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			a := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
-				_, _ = io.WriteString(conn, head+tc.stream)
-				return false
-			})
-			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
-				_, _ = io.WriteString(conn, streamHead(id)+chunk(second)+"0\r\n\r\n")
-				return true
+		for framing, frame := range framings {
+			t.Run(name+"/"+framing, func(t *testing.T) {
+				a := newBackend(t, func(conn net.Conn, _ string, _ int) bool {
+					_, _ = io.WriteString(conn, frame(tc.stream))
+					return false
+				})
+				b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
+					_, _ = io.WriteString(conn, streamHead(id)+chunk(second)+"0\r\n\r\n")
+					return true
+				})
+				var resumeAt []string
+				if tc.resumable {
+					resumeAt = []string{b.address}
+				}
+				l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream, s.Resumable = a.address, true, tc.resumable }, resumeAt...)
+				response, body, err := sendRequest(t, l.address)
+				if diff := cmp.Diff(tc.truncated, err != nil || response.StatusCode != http.StatusOK); diff != "" {
+					t.Errorf("truncated (-want +got):\n%s%v", diff, err)
+				}
+				if diff := cmp.Diff(tc.body, body); !tc.truncated && diff != "" {
+					t.Errorf("body (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tc.result, (<-l.ended).Result()); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
 			})
-			var resumeAt []string
-			if tc.resumable {
-				resumeAt = []string{b.address}
-			}
-			l := newLobby(t, func(s *scheduler.SendConfig) { s.Address, s.Stream, s.Resumable = a.address, true, tc.resumable }, resumeAt...)
-			response, body, err := sendRequest(t, l.address)
-			if diff := cmp.Diff(tc.truncated, err != nil || response.StatusCode != http.StatusOK); diff != "" {
-				t.Errorf("truncated (-want +got):\n%s%v", diff, err)
-			}
-			if diff := cmp.Diff(tc.body, body); !tc.truncated && diff != "" {
-				t.Errorf("body (-want +got):\n%s", diff)
-			}
-			if diff := cmp.Diff(tc.result, (<-l.ended).Result()); diff != "" {
-				t.Errorf("result (-want +got):\n%s", diff)
-			}
-		})
+		}
 	}
 }
 
--- a/side/runner/runner.go
+++ b/side/runner/runner.go
@@ -289,6 +289,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if submit.Stream() && response.StatusCode() == fasthttp.StatusOK && scanner.InEvent() {
+				return errors.Wrap(io.ErrUnexpectedEOF, "stream broken off within an event")
+			}
 			return checkStreamEnd(submit, response, tail)
 		}
 		if err != nil {
--- a/side/runner/runner_test.go
+++ b/side/runner/runner_test.go
@@ -180,6 +180,7 @@
 		"complete by chunks":                       {behaviour: sendAndClose(chunked + "4\r\ncomp\r\n4\r\nlete\r\n0\r\n\r\n"), want: result{Status: 200, Data: "complete", MayHaveRun: true}},
 		"complete without a body":                  {behaviour: sendAndClose("HTTP/1.1 204 No Content\r\n\r\n"), want: result{Status: 204, MayHaveRun: true}},
 		"complete stream":                          {behaviour: sendAndClose(chunked + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"), stream: true, want: result{Status: 200, Data: "data: [DONE]\n\n", MayHaveRun: true}},
+		"stream cut after its last line":           {behaviour: sendAndClose(chunked + "d\r\ndata: [DONE]\n\r\n0\r\n\r\n"), stream: true, want: result{Status: 200, Data: "data: [DONE]\n", Code: protocol.CodeAnswerCut, MayHaveRun: true}},
 		"error response to a streaming request":    {behaviour: sendAndClose("HTTP/1.1 400 Bad Request\r\nContent-Length: 3\r\n\r\nbad"), stream: true, want: result{Status: 400, Data: "bad", MayHaveRun: true}},
 		"shorter than its length":                  {behaviour: sendAndClose(sized + "comp"), want: result{Status: 200, Data: "comp", Code: protocol.CodeAnswerCut, MayHaveRun: true}},
 		"closed before the first byte of the body": {behaviour: sendAndClose(sized), want: result{Status: 200, Code: protocol.CodeAnswerCut, MayHaveRun: true}},
