Count requests out once when their caller leaves within a write

Cause: a write to a caller that has reset its connection ends the connection within the write, which removes the request; the code behind the write removed it again. The number of open requests stayed too low, and the drainer ended while as many were open.

The numbers of open requests and of connections with unsent bytes are the lengths of their tables now, and an exchange ends once. On a related path, a connection that ended while its refusal was written in a stop stayed in the list of connections whose end is awaited.

--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -50,12 +50,12 @@
 	before := c.unsent
 	c.unsent = unsent
 	c.charge(unsent - before)
-	switch {
-	case before == 0 && unsent > 0:
-		c.proxy.unsent.Add(1)
-	case before > 0 && unsent == 0:
-		c.proxy.unsent.Add(-1)
+	if unsent > 0 {
+		c.proxy.sending[c] = struct{}{}
+	} else {
+		delete(c.proxy.sending, c)
 	}
+	c.proxy.unsent.Store(int64(len(c.proxy.sending)))
 }
 
 // setUnread records the number of bytes that have arrived and are not read, and charges
@@ -104,8 +104,11 @@
 }
 
 // halfClose takes no further request and leaves the end of the connection to the next
-// sweeps, since the caller may still send.
+// sweeps, since the caller may still send. It does nothing if the caller has gone.
 func (c *callerConn) halfClose() {
+	if c.closed {
+		return
+	}
 	c.closed = true
 	c.proxy.waiting.move(c, &c.proxy.waiting.closing)
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -99,16 +99,17 @@
 	run         atomic.Pointer[loopRun] // nil before the first one
 	limits      atomic.Pointer[deployment.Limits]
 	drainStart  atomic.Pointer[time.Time] // nil while the process does not drain
-	open        atomic.Int64              // number of exchanges
-	unsent      atomic.Int64              // callers' connections with bytes that have not left the process
+	open        atomic.Int64              // length of exchanges
+	unsent      atomic.Int64              // length of sending
 
 	lastNumber    uint64
 	callers       map[*callerConn]struct{}
 	waiting       waitingCallers
 	exchanges     map[uint64]*exchange
-	pools         map[string]*pool // by ID of the backend server
-	backendConns  int              // connections to backend servers, including those being opened
-	lastOpen      int              // openConnections when the last caller connected
+	sending       map[*callerConn]struct{} // callers' connections with bytes that have not left the process
+	pools         map[string]*pool         // by ID of the backend server
+	backendConns  int                      // connections to backend servers, including those being opened
+	lastOpen      int                      // openConnections when the last caller connected
 	budget        *descriptors.Budget
 	stats         *stats
 	causes        *httpserver.Causes
@@ -127,6 +128,7 @@
 		dials:     ring.New(ring.Config{Name: "dials", Capacity: config.Capacity}),
 		callers:   make(map[*callerConn]struct{}),
 		exchanges: make(map[uint64]*exchange),
+		sending:   make(map[*callerConn]struct{}),
 		pools:     make(map[string]*pool),
 		budget:    descriptors.NewBudget(config.Descriptors),
 		stats:     newStats(),
@@ -304,7 +306,7 @@
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
-	p.open.Add(1)
+	p.open.Store(int64(len(p.exchanges)))
 	if len(p.exchanges) > p.budget.MaxRequests(now) {
 		p.stats.refused.Inc()
 		c.closeAfterAnswer = true
@@ -316,8 +318,12 @@
 	}
 }
 
-// closeExchange ends an exchange and handles its caller's next request.
+// closeExchange ends an exchange and handles its caller's next request, unless the caller has
+// gone while its answer was written.
 func (p *Proxy) closeExchange(now time.Time, e *exchange) {
+	if e.ended {
+		return
+	}
 	p.removeExchange(e)
 	e.caller.finish(now)
 	e.caller.readRequests(now)
@@ -328,7 +334,7 @@
 	delete(p.exchanges, e.number)
 	e.reader.Release()
 	e.releaseAnswer()
-	p.open.Add(-1)
+	p.open.Store(int64(len(p.exchanges)))
 }
 
 // notifyScheduler sends a message to the scheduler. If the message is lost because
