Send no request twice on one connection to a backend server

Cause: a request that a backend server had refused for a time went back to it on the connection of the refusal. A late copy of the refusal has the same request ID, and was taken for the answer to the repeat.

A request takes a connection on which it has not been sent before, whatever its earlier answer was; a new one if there is none, in the place of an idle one at the limit.

--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -31,6 +31,7 @@
 // send sends the request of an exchange.
 func (b *backendConn) send(now time.Time, e *exchange) {
 	b.exchange, b.answer = e, &answer{}
+	e.sentOn = append(e.sentOn, b)
 	e.conn, e.sentAt, e.lastByte, e.lastProgress, e.scanner = b, now, now, now, eventstream.Scanner{}
 
 	b.proxy.requestBuffer = b.proxy.config.Codec.AppendRequest(now, b.proxy.requestBuffer[:0], e.request, e.send.Forwarding().WithLastEventID(string(e.events.lastID)))
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +31,7 @@
 	send          scheduler.Send
 	pool          *pool // pool in which it waits for a connection
 	conn          *backendConn
+	sentOn        []*backendConn      // connections on which the request has been sent
 	answerBytes   int                 // bytes of the buffered answer, charged to the customer
 	heldError     *answer             // server error of the backend server, kept for ForwardError
 	sentAt        time.Time           // time of the last send
@@ -212,6 +214,11 @@
 	e.caller.abort()
 }
 
+// mayUse reports whether the request may be sent on a connection: it has not been sent there
+// before. A late copy of an answer to the earlier send has the same request ID as the answer
+// to the repeat.
+func (e *exchange) mayUse(b *backendConn) bool { return !slices.Contains(e.sentOn, b) }
+
 // late reports whether the request must not be sent any more.
 func (e *exchange) late(now time.Time) bool {
 	limit := e.send.SendBefore()
--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -23,7 +23,7 @@
 // send sends the request of an exchange on an idle connection, or queues it and
 // dials a new one.
 func (p *pool) send(now time.Time, e *exchange) {
-	if b := p.takeIdle(now, e.send.FreshConnection()); b != nil {
+	if b := p.takeIdle(now, e); b != nil {
 		b.send(now, e)
 		return
 	}
@@ -39,18 +39,19 @@
 	p.dial()
 }
 
-func (p *pool) takeIdle(now time.Time, fresh bool) *backendConn {
-	for len(p.idle) > 0 {
-		b := p.idle[len(p.idle)-1]
+// takeIdle removes and returns the most recently used idle connection that may carry the
+// request of an exchange, nil if there is none.
+func (p *pool) takeIdle(now time.Time, e *exchange) *backendConn {
+	for i, b := range slices.Backward(p.idle) {
 		limit := b.idleTimeout
-		if fresh {
+		if e.send.FreshConnection() {
 			limit = min(limit, maxFreshIdle)
 		}
 		if now.Sub(b.idleSince) > limit {
 			return nil // the others have been idle even longer
 		}
-		p.idle = p.idle[:len(p.idle)-1]
-		if !b.closed {
+		if e.mayUse(b) {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return b
 		}
 	}
@@ -86,45 +87,48 @@
 func (p *pool) dialFailed() {
 	p.dialing--
 	p.count(-1)
-	if e := p.nextWaiting(); e != nil {
+	if e := p.nextWaiting(nil); e != nil {
 		p.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Unsent, 0))
 	}
 	p.dial()
 }
 
-// release uses a free connection for the next waiting request, or adds it to the
-// idle ones. It closes the connection if the pool has been retired.
+// release uses a free connection for the next request that waits and may use it, or adds
+// it to the idle ones. It closes the connection if the pool has been retired, or if it takes
+// the place of one for the requests that wait.
 func (p *pool) release(now time.Time, b *backendConn) {
 	p.returnLate(now)
-	if e := p.nextWaiting(); e != nil {
+	if e := p.nextWaiting(b); e != nil {
 		b.send(now, e)
 		return
 	}
-	if p.proxy.pools[p.backend] != p {
+	if p.proxy.pools[p.backend] != p || len(p.waiting) > p.dialing && p.open >= p.maxOpen {
 		b.close()
 		return
 	}
 	p.idle = append(p.idle, b)
+	p.dial()
 }
 
-// nextWaiting removes and returns the request that has waited longest, nil if none
-// waits. It skips those that have ended.
-func (p *pool) nextWaiting() *exchange {
-	for len(p.waiting) > 0 {
-		e := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if e.pool == p && !e.ended {
-			e.pool = nil
-			return e
-		}
+// nextWaiting removes and returns the request that has waited longest of those that may
+// use a connection, or of all if b is nil; nil if there is none. It drops those that have
+// ended.
+func (p *pool) nextWaiting(b *backendConn) *exchange {
+	p.waiting = slices.DeleteFunc(p.waiting, func(e *exchange) bool { return e.pool != p || e.ended })
+	i := slices.IndexFunc(p.waiting, func(e *exchange) bool { return b == nil || e.mayUse(b) })
+	if i < 0 {
+		return nil
 	}
-	return nil
+	e := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	e.pool = nil
+	return e
 }
 
 // returnWaiting ends the sends of the requests that wait for a connection with a result,
 // so that they are sent elsewhere.
 func (p *pool) returnWaiting(result scheduler.Result) {
-	for e := p.nextWaiting(); e != nil; e = p.nextWaiting() {
+	for e := p.nextWaiting(nil); e != nil; e = p.nextWaiting(nil) {
 		p.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, result, 0))
 	}
 }
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -92,6 +92,7 @@
 	states          chan scheduler.Message // what backend servers say of themselves
 	disconnected    chan struct{}          // one value for each caller that disconnected
 	resumeAddresses []string               // addresses of the backend servers that resume truncated streams, in order
+	returns         atomic.Int64           // number of sends that are repeated at the same backend server, whatever their result
 }
 
 // Ready returns the value that the test has set.
@@ -166,6 +167,10 @@
 				s := scheduler.SendConfig{Number: m.Number(), Connections: 4, Address: l.resumeAddresses[0], Stream: true, Resumable: true, Forwarding: httpmeta.NewForwarding(httpmeta.ForwardingConfig{Backend: l.resumeAddresses[0], Deadline: time.Now().Add(testTimeout)})}
 				l.resumeAddresses = l.resumeAddresses[1:]
 				_ = l.proxy.Put(scheduler.NewSend(s))
+			} else if m.Result() != scheduler.Complete && l.returns.Add(-1) >= 0 {
+				s := scheduler.SendConfig{Number: m.Number(), Connections: 4, Forwarding: httpmeta.NewForwarding(httpmeta.ForwardingConfig{Backend: "i-1", Deadline: time.Now().Add(testTimeout)})}
+				send(&s)
+				_ = l.proxy.Put(scheduler.NewSend(s))
 			} else if m.Result() != scheduler.Complete {
 				_ = l.proxy.Put(scheduler.NewRefuse(scheduler.RefuseConfig{Number: m.Number(), Request: httpmeta.NewRequest(httpmeta.RequestConfig{}), Status: http.StatusBadGateway}))
 			}
