Give back the bytes of callers that leave within a write

Cause: a refusal is written to a connection that has been reset, which ends it and gives its bytes back; the code behind the write charged the rest of its buffer again.

What is charged for a buffer or an answer is a memory.Charge, which is released once and stays zero afterwards. Callers' connections and buffered answers use it.

--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -100,7 +100,7 @@
 		return
 	}
 	e.send, e.heldError, e.startReported = send, nil, false
-	e.releaseAnswer()
+	e.buffered.Set(0)
 	e.events.reset()
 	if e.started && len(e.events.lastID) == 0 { // without an event ID the stream cannot be resumed
 		p.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Truncated, 0))
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -85,7 +85,7 @@
 	default:
 		b.exchange.lastProgress = now
 		if err = b.answer.buffer(data); err == nil {
-			b.exchange.chargeAnswer(len(data))
+			b.proxy.charge(b.exchange.buffered, int64(len(b.answer.body)))
 		}
 	}
 	return used, err
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/memory"
 )
 
 // callerConn is a caller's connection, which carries one request at a time. It
@@ -26,17 +27,24 @@
 	closeAfterAnswer bool
 	flooded          bool      // too many bytes have arrived behind the open request
 	closed           bool      // no further request is taken
-	aborted          bool      // the connection is being closed with a reset
 	lingerSince      time.Time // time at which the connection ended in its own direction; zero before
 	progress         httpserver.Progress
 	address          string            // IP of the caller
-	unsent           int               // bytes written that have not left the process; charged to the address
+	unsent           *memory.Charge    // for bytes written that have not left the process
 	buffer           httpserver.Unread // bytes that have arrived and are not read
-	unread           int               // bytes that they take; charged to the address
+	unread           *memory.Charge    // for the memory that they take
 	waitingIn        *list.List        // list of connections without an open request in which it is; nil while it has one
 	waiting          *list.Element     // its element there
 }
 
+// newCallerConn returns a connection that was accepted at a time.
+func newCallerConn(now time.Time, p *Proxy, conn gnet.Conn, address string) *callerConn {
+	return &callerConn{
+		proxy: p, conn: conn, since: now, address: address, probe: conn.LocalAddr().String() == p.config.Probe,
+		unsent: memory.NewCharge(p.config.Memory, address), unread: memory.NewCharge(p.config.Memory, address),
+	}
+}
+
 // readRequests handles buffered requests and accounts for the bytes that stay buffered.
 func (c *callerConn) readRequests(now time.Time) {
 	c.wire += int64(c.buffer.Fill(c.conn))
@@ -50,7 +58,7 @@
 		c.limitPipelined(now)
 	}
 	c.buffer.Keep()
-	c.setUnread(c.buffer.Held())
+	c.proxy.charge(c.unread, int64(c.buffer.Held()))
 }
 
 // takesRequests reports whether the next request may be read. A caller that does not take
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"sesamewell.example/commons/eventstream"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -32,7 +33,7 @@
 	pool          *pool // pool in which it waits for a connection
 	conn          *backendConn
 	sentOn        []*backendConn      // connections on which the request has been sent
-	answerBytes   int                 // bytes of the buffered answer, charged to the customer
+	buffered      *memory.Charge      // for the bytes of the answer that are buffered
 	heldError     *answer             // server error of the backend server, kept for ForwardError
 	sentAt        time.Time           // time of the last send
 	lastByte      time.Time           // time of the last byte in either direction
@@ -177,18 +178,6 @@
 	e.caller.write(out)
 }
 
-// chargeAnswer charges the customer for bytes of the answer that are buffered.
-func (e *exchange) chargeAnswer(bytes int) {
-	e.answerBytes += bytes
-	e.proxy.charge(e.reader.Customer(), bytes)
-}
-
-// releaseAnswer gives back what the buffered answer was charged with.
-func (e *exchange) releaseAnswer() {
-	e.proxy.config.Memory.Release(e.reader.Customer(), int64(e.answerBytes))
-	e.answerBytes = 0
-}
-
 // refuse ends the request with an error answer. If a part of another answer has
 // been forwarded, it closes the caller's connection instead.
 func (e *exchange) refuse(now time.Time, status int, retryAfter time.Duration) {
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -41,16 +41,10 @@
 	}
 }
 
-// setUnsent records the number of bytes that are taken by what has not left the process,
-// and charges the caller for them.
+// setUnsent records the number of bytes that are taken by what has not left the process.
 func (c *callerConn) setUnsent(unsent int) {
-	if c.aborted {
-		return
-	}
-	before := c.unsent
-	c.unsent = unsent
-	c.charge(unsent - before)
-	if unsent > 0 {
+	c.proxy.charge(c.unsent, int64(unsent))
+	if c.unsent.Bytes() > 0 {
 		c.proxy.sending[c] = struct{}{}
 	} else {
 		delete(c.proxy.sending, c)
@@ -58,25 +52,11 @@
 	c.proxy.unsent.Store(int64(len(c.proxy.sending)))
 }
 
-// setUnread records the number of bytes that have arrived and are not read, and charges
-// the caller for them.
-func (c *callerConn) setUnread(unread int) {
-	if c.aborted {
-		return
-	}
-	before := c.unread
-	c.unread = unread
-	c.charge(unread - before)
-}
-
-// charge charges the caller's address with bytes, or gives bytes back.
-func (c *callerConn) charge(bytes int) {
-	switch {
-	case bytes > 0:
-		c.proxy.charge(c.address, bytes)
-	case bytes < 0:
-		c.proxy.config.Memory.Release(c.address, int64(-bytes))
-	}
+// releaseBuffers gives back for good what the connection's buffers were charged with.
+func (c *callerConn) releaseBuffers() {
+	c.unread.Release()
+	c.unsent.Release()
+	c.setUnsent(0)
 }
 
 // close takes no further request and closes the connection once the caller has taken all
@@ -116,9 +96,8 @@
 // abort closes the connection at once with a reset, so that nobody takes what has been
 // sent for a whole answer.
 func (c *callerConn) abort() {
-	c.setUnsent(0)
-	c.setUnread(0)
-	c.closed, c.aborted = true, true
+	c.releaseBuffers()
+	c.closed = true
 	c.proxy.waiting.move(c, nil)
 	if err := c.conn.SetLinger(0); err != nil {
 		c.proxy.config.Log.WithField("event", "link_reset").WithError(err).Debug("connection not reset")
@@ -137,7 +116,7 @@
 		c.abort()
 	case c.closed:
 		c.finishClose(now, unsent)
-	case c.exchange == nil && c.unread > 0 && !c.receiving:
+	case c.exchange == nil && c.unread.Bytes() > 0 && !c.receiving:
 		c.sweepPipelined(now, unsent)
 	case c.exchange == nil:
 		c.sweepWaiting(now)
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"sesamewell.example/commons/descriptors"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/memory"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/scheduler"
@@ -208,7 +209,7 @@
 		p.causes.Record(now, httpserver.Connections, address)
 		return p.refusalHead(fasthttp.StatusServiceUnavailable, overloadRetryAfter), gnet.Close
 	}
-	c := &callerConn{proxy: p, conn: conn, since: now, address: address, probe: conn.LocalAddr().String() == p.config.Probe}
+	c := newCallerConn(now, p, conn, address)
 	conn.SetContext(c)
 	p.callers[c] = struct{}{}
 	p.lastOpen = p.openConnections()
@@ -279,8 +280,7 @@
 	c.closed = true
 	delete(p.callers, c)
 	p.waiting.move(c, nil)
-	c.setUnsent(0)
-	c.setUnread(0)
+	c.releaseBuffers()
 	c.releaseReader()
 	if e := c.exchange; e != nil {
 		e.cancelSend()
@@ -302,7 +302,10 @@
 func (p *Proxy) openExchange(now time.Time, c *callerConn, reader *httpserver.RequestReader) {
 	p.lastNumber++
 	request := reader.Request()
-	e := &exchange{number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request, meta: p.config.Codec.DecodeRequest(now, request)}
+	e := &exchange{
+		number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request, meta: p.config.Codec.DecodeRequest(now, request),
+		buffered: memory.NewCharge(p.config.Memory, reader.Customer()),
+	}
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
@@ -333,7 +336,7 @@
 	e.ended = true
 	delete(p.exchanges, e.number)
 	e.reader.Release()
-	e.releaseAnswer()
+	e.buffered.Release()
 	p.open.Store(int64(len(p.exchanges)))
 }
 
--- a/lobby/proxy/room.go
+++ b/lobby/proxy/room.go
@@ -14,10 +14,10 @@
 // errGivenUp reports that an answer was given up since the process holds too many bytes.
 var errGivenUp = errors.New("answer given up: the process holds too many bytes")
 
-// charge charges a customer with bytes that cannot be refused: those of answers. If the
+// charge sets a charge for bytes that cannot be refused, such as those of answers. If the
 // process holds far too many, the largest holder is given up.
-func (p *Proxy) charge(customer string, bytes int) {
-	if p.config.Memory.Charge(customer, int64(bytes)) {
+func (p *Proxy) charge(charge *memory.Charge, bytes int64) {
+	if charge.Set(bytes) {
 		p.giveUpLargest()
 	}
 }
@@ -27,16 +27,16 @@
 func (p *Proxy) giveUpLargest() {
 	var largest *exchange
 	for _, e := range p.exchanges {
-		if e.conn != nil && e.answerBytes >= minGivenUp && (largest == nil || e.answerBytes > largest.answerBytes) {
+		if e.conn != nil && e.buffered.Bytes() >= minGivenUp && (largest == nil || e.buffered.Bytes() > largest.buffered.Bytes()) {
 			largest = e
 		}
 	}
 	callers, excess := p.excessCallers()
-	held := 0
+	held := int64(0)
 	for _, c := range excess {
 		held = max(held, c.held())
 	}
-	if largest != nil && largest.answerBytes >= held {
+	if largest != nil && largest.buffered.Bytes() >= held {
 		p.giveUpAnswer(largest)
 		return
 	}
@@ -54,11 +54,11 @@
 func (p *Proxy) giveUpAnswer(e *exchange) {
 	p.config.Log.WithFields(logrus.Fields{
 		"event": "room", "held": p.config.Memory.Total(), "limit": p.config.Memory.Limit(),
-		"request": e.meta.ID(), "backend": e.conn.pool.backend, "bytes": e.answerBytes,
+		"request": e.meta.ID(), "backend": e.conn.pool.backend, "bytes": e.buffered.Bytes(),
 	}).Warn("largest answer given up: too many bytes are held")
 	p.stats.givenUp.Inc()
 	e.conn.resetAndFail(errGivenUp)
-	e.releaseAnswer()
+	e.buffered.Set(0)
 }
 
 // excessCallers returns the connections of callers to close so that the process holds no
@@ -67,7 +67,7 @@
 	callers := make([]*callerConn, 0, len(p.callers))
 	holdings := make([]memory.Holding, 0, len(p.callers))
 	for c := range p.callers {
-		holdings = append(holdings, memory.NewHolding(c.address, int64(c.held()), len(callers)))
+		holdings = append(holdings, memory.NewHolding(c.address, c.held(), len(callers)))
 		callers = append(callers, c)
 	}
 	var excess []*callerConn
@@ -78,7 +78,7 @@
 }
 
 // held returns the number of bytes in the connection's buffers that are charged.
-func (c *callerConn) held() int { return c.unsent + c.unread }
+func (c *callerConn) held() int64 { return c.unsent.Bytes() + c.unread.Bytes() }
 
 // senders is the account of requests that arrive. If there is no room for a request, the
 // slowest of those that have not arrived whole is refused for it.
