Keep nothing by the names of models that callers make up

A model that is neither configured for the service nor held by a backend server is "(unknown)" from its admission on: one queue, one demand. When and how such requests are refused does not change, and a held model that is not configured is still served.

--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -56,6 +56,17 @@
 	return &Request{config: config}
 }
 
+// UnknownModel is the name of all models that nobody knows. No backend server has it.
+const UnknownModel = "(unknown)"
+
+// WithUnknownModel returns the request with UnknownModel as its model and without an adapter,
+// so that nothing is kept by the names that callers make up.
+func (r *Request) WithUnknownModel() *Request {
+	config := r.config
+	config.Model, config.Adapter = UnknownModel, ""
+	return NewRequest(config)
+}
+
 // WithoutModel returns the request without a model and an adapter, for a service where
 // they mean nothing.
 func (r *Request) WithoutModel() *Request {
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // acceptsNew reports whether new requests are accepted. A draining process
 // accepts them until the platform's readiness probes have had time to fail.
@@ -76,8 +79,12 @@
 	req.route = route
 	req.service = route.PickService(c.config.Random.Float64())
 	service, _ := c.configuration.Service(req.service)
-	if _, engine := service.Engine(); !engine {
+	engine, ok := service.Engine()
+	switch model := req.request.Model(); {
+	case !ok:
 		req.request = req.request.WithoutModel() // callers may name any
+	case model != "" && !engine.HasModel(model) && !c.holdsModel(req.service, model):
+		req.request = req.request.WithUnknownModel()
 	}
 	if route.Open() || !c.configuration.HasTenants() {
 		req.homes = newHomes(route, req.tenant)
@@ -90,6 +97,11 @@
 	return ""
 }
 
+// holdsModel reports whether a backend server of a service holds a model.
+func (c *Core) holdsModel(service, model string) bool {
+	return slices.ContainsFunc(c.byService[service], func(s *server) bool { return s.hasModel(model) })
+}
+
 func (c *Core) charge(now time.Time, req *openRequest) (time.Duration, bool) {
 	if req.tenant.Name() == "" {
 		return 0, true
