--- a/commons/http1/response_test.go
+++ b/commons/http1/response_test.go
@@ -173,7 +173,7 @@
 		parsed.SetNoDefaultContentType(true)
 		reader := bufio.NewReaderSize(bytes.NewReader(text[:used]), used+1)
 		if err := parsed.Read(reader); err != nil {
-			t.Skip(err) // refused by the reader of the fields
+			return // refused by the parser, which fails the call as well
 		}
 		length := response.Length(false)
 		if parsed.StatusCode() != response.Status() || reader.Buffered() > 0 || length != 0 && int64(parsed.ContentLength()) != int64(length) {
