--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -222,18 +222,19 @@
 var errEndInEvent = errors.New("stream broken off within an event")
 
 // endsInEvent reports whether the answer, whose body has ended, is a stream that was broken
-// off within an event.
+// off within an event. One that is not forwarded as it arrives is a stream only if it says so.
 func (b *backendConn) endsInEvent() bool {
 	success := b.answer.head.StatusCode() < fasthttp.StatusMultipleChoices
-	if !b.exchange.send.Stream() || !success || !b.answer.mayBeEventStream() {
+	switch {
+	case !b.exchange.send.Stream() || !success:
 		return false
+	case b.answer.streaming:
+		return b.answer.mayBeEventStream() && b.exchange.scanner.InEvent()
+	default:
+		var scanner eventstream.Scanner
+		scanner.Scan(b.answer.body)
+		return b.answer.isEventStream() && scanner.InEvent()
 	}
-	if b.answer.streaming {
-		return b.exchange.scanner.InEvent()
-	}
-	var scanner eventstream.Scanner
-	scanner.Scan(b.answer.body)
-	return scanner.InEvent()
 }
 
 // fail closes the connection and reports its exchange as incomplete.
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -233,6 +233,7 @@
 		"stale stream first":      {script: reply(streamHead("other") + chunk("wrong") + "0\r\n\r\n" + streamHead("ID") + chunk("data: right\n\n") + "0\r\n\r\n"), stream: true, status: 200, body: "data: right\n\n", result: scheduler.Complete},
 		"stream without events":   {script: reply(streamHead("ID") + "0\r\n\r\n"), stream: true, status: 200, result: scheduler.Complete},
 		"no stream after all":     {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"), stream: true, status: 200, body: "{}", result: scheduler.Complete},
+		"no stream, no type":      {script: reply("HTTP/1.1 201 OK\r\n" + stamp + "Content-Length: 2\r\n\r\n{}"), stream: true, status: 201, body: "{}", result: scheduler.Complete},
 		"stream, another success": {script: reply("HTTP/1.1 201 OK\r\n" + stamp + "Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\ndata: a"), stream: true, status: 502, result: scheduler.Lost},
 		"no signature":            {script: reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"), status: 502, result: scheduler.Lost},
 		"encoded":                 {script: reply("HTTP/1.1 200 OK\r\n" + stamp + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi"), status: 502, result: scheduler.Lost},
