Log how a connection ends in the middle of an answer

Cause: nothing in the logs told a reset that the event loop reports as an end of file from an orderly end.

Change: event=link_ended with what the loop reports, what the socket says, and whether the end of the connection is that of the answer.

--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -25,6 +25,7 @@
 	headRead  bool
 	length    int // length of the body in bytes, chunkedLength or unknownLength
 	remaining int // bytes of a body of known length that have not arrived
+	received  int // bytes of the body that have arrived, as they were sent
 	chunks    http1.ChunkDecoder
 	body      []byte // buffered part of the body
 	streaming bool   // the body is forwarded as it arrives
@@ -65,6 +66,7 @@
 // readBody returns the next piece of the body and the number of bytes of buffered
 // that it consumed.
 func (a *answer) readBody(buffered []byte) (data []byte, used int, err error) {
+	defer func() { a.received += used }()
 	switch a.length {
 	case chunkedLength:
 		return a.chunks.Next(buffered)
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -6,9 +6,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/eventstream"
+	"sesamewell.example/commons/httpserver"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -204,6 +206,7 @@
 
 // peerClosed handles the end of the connection.
 func (b *backendConn) peerClosed(now time.Time, cause error) {
+	b.logEnd(cause)
 	if b.exchange != nil && errors.Is(cause, io.EOF) && b.completeAtEOF() {
 		b.closed = true
 		b.finish(now)
@@ -213,6 +216,24 @@
 	b.reportIncomplete(true)
 }
 
+// logEnd logs the end of a connection in the middle of an exchange, with what the socket says
+// of it: an answer without a length ends in the same way.
+func (b *backendConn) logEnd(cause error) {
+	if b.exchange == nil {
+		return
+	}
+	fields := logrus.Fields{
+		"event": "link_ended", "request": b.exchange.meta.ID(), "backend": b.pool.backend, "reported": cause,
+		"head_read": b.answer.headRead, "until_end": b.answer.headRead && b.answer.length == unknownLength, "bytes": b.answer.received,
+	}
+	log := b.proxy.config.Log.WithFields(fields)
+	if err := httpserver.EndError(b.conn, cause); err != nil {
+		log.WithError(err).Info("connection to the backend server broken")
+		return
+	}
+	log.Info("connection ended by the backend server")
+}
+
 // completeAtEOF reports whether the end of the connection completes the answer.
 func (b *backendConn) completeAtEOF() bool {
 	return b.answer.headRead && b.answer.length == unknownLength && !b.stale() && !b.endsInEvent()
