Take an answer without a length for complete only if its connection ended in order

Cause: gnet reports io.EOF in OnClose, without a read, when the poller tells only of an error or a hang-up. Some resets arrive so, and the lobby took them for the end of the body.

A peer that has ended the connection in order leaves it at its end of file, also if a reset follows.

Ruled out: bytes lost by our own reading (all bytes that had come were passed on), an answer with a length or in chunks (neither looks at the end).

--- a/commons/httpserver/connend.go
+++ b/commons/httpserver/connend.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
@@ -16,7 +17,10 @@
 // gives: gnet also reports io.EOF, without a read, for a connection that was reset or has timed
 // out, if the poller tells only of an error.
 func EndError(conn gnet.Conn, cause error) error {
-	if !errors.Is(cause, io.EOF) {
+	switch {
+	case cause == nil:
+		return errors.Wrap(net.ErrClosed, "connection ended by this process")
+	case !errors.Is(cause, io.EOF):
 		return errors.Wrap(cause, "connection ended")
 	}
 	var first [1]byte
--- /dev/null
+++ b/commons/httpserver/connend_test.go
@@ -0,0 +1,108 @@
+package httpserver_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"sesamewell.example/commons/httpserver"
+)
+
+// socket is a connection of an event loop of which only the descriptor is used.
+type socket struct {
+	gnet.Conn
+
+	fd int
+}
+
+// Fd returns the descriptor.
+func (s socket) Fd() int { return s.fd }
+
+// TestOnlyAnEndInOrderIsAnEnd guards against a connection that was reset, has bytes left or was
+// closed by this process and is taken for one that its peer has ended in order.
+func TestOnlyAnEndInOrderIsAnEnd(t *testing.T) {
+	cases := map[string]struct {
+		end   func(peer *net.TCPConn) error
+		cause error
+		want  error // nil for an end in order
+	}{
+		"in order":                  {end: (*net.TCPConn).Close, cause: io.EOF},
+		"half closed":               {end: (*net.TCPConn).CloseWrite, cause: io.EOF},
+		"reset, reported as an end": {end: reset, cause: io.EOF, want: unix.ECONNRESET},
+		"reset, reported as such":   {end: reset, cause: unix.ECONNRESET, want: unix.ECONNRESET},
+		"bytes are left": {end: func(peer *net.TCPConn) error {
+			_, err := peer.Write([]byte("rest"))
+			return errors.CombineErrors(err, peer.Close())
+		}, cause: io.EOF, want: httpserver.ErrUnread},
+		"not ended":           {end: func(*net.TCPConn) error { return nil }, cause: io.EOF, want: unix.EAGAIN},
+		"closed here":         {end: (*net.TCPConn).Close, want: net.ErrClosed},
+		"timed out in a read": {end: (*net.TCPConn).Close, cause: unix.ETIMEDOUT, want: unix.ETIMEDOUT},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, peer := connect(t)
+			if err := tc.end(peer); err != nil {
+				t.Fatal(err)
+			}
+			if tc.want != unix.EAGAIN {
+				awaitReadable(t, conn)
+			}
+			raw, err := conn.SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got error
+			if err := raw.Control(func(fd uintptr) { got = httpserver.EndError(socket{fd: int(fd)}, tc.cause) }); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]bool{tc.want == nil, true}, []bool{got == nil, errors.Is(got, tc.want)}); diff != "" {
+				t.Errorf("in order, cause (-want +got):\n%s%v", diff, got)
+			}
+		})
+	}
+}
+
+func reset(peer *net.TCPConn) error {
+	return errors.CombineErrors(peer.SetLinger(0), peer.Close())
+}
+
+// connect returns the two ends of a connection.
+func connect(t *testing.T) (conn, peer *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = dialled.Close(), accepted.Close() })
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// awaitReadable waits until a read of a connection would not block, without a read.
+func awaitReadable(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) {
+		if _, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, -1); err != nil {
+			t.Error(err)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -206,8 +205,7 @@
 
 // peerClosed handles the end of the connection.
 func (b *backendConn) peerClosed(now time.Time, cause error) {
-	b.logEnd(cause)
-	if b.exchange != nil && errors.Is(cause, io.EOF) && b.completeAtEOF() {
+	if b.exchange != nil && b.endedInOrder(cause) && b.completeAtEnd() {
 		b.closed = true
 		b.finish(now)
 	}
@@ -216,12 +214,9 @@
 	b.reportIncomplete(true)
 }
 
-// logEnd logs the end of a connection in the middle of an exchange, with what the socket says
-// of it: an answer without a length ends in the same way.
-func (b *backendConn) logEnd(cause error) {
-	if b.exchange == nil {
-		return
-	}
+// endedInOrder reports whether the backend server has ended the connection in the middle of
+// an exchange as it ends an answer without a length: not by a reset, nor with bytes unread.
+func (b *backendConn) endedInOrder(cause error) bool {
 	fields := logrus.Fields{
 		"event": "link_ended", "request": b.exchange.meta.ID(), "backend": b.pool.backend, "reported": cause,
 		"head_read": b.answer.headRead, "until_end": b.answer.headRead && b.answer.length == unknownLength, "bytes": b.answer.received,
@@ -229,13 +224,14 @@
 	log := b.proxy.config.Log.WithFields(fields)
 	if err := httpserver.EndError(b.conn, cause); err != nil {
 		log.WithError(err).Info("connection to the backend server broken")
-		return
+		return false
 	}
 	log.Info("connection ended by the backend server")
+	return true
 }
 
-// completeAtEOF reports whether the end of the connection completes the answer.
-func (b *backendConn) completeAtEOF() bool {
+// completeAtEnd reports whether the end of the connection, in order, completes the answer.
+func (b *backendConn) completeAtEnd() bool {
 	return b.answer.headRead && b.answer.length == unknownLength && !b.stale() && !b.endsInEvent()
 }
 
