Confirm that a backend server has outlived an answer without a length

Cause: the kernel ends the connections of a killed process in order, if the process had read all bytes. That is how an answer without a length ends too.

Change: such an answer waits until another connection to its backend server is accepted, which the next request needs anyway; if it is refused, the send is lost or truncated as at any other crash. A refusal that states that it has not run is taken at once. The listener of a process is closed before its connections, so a refused connection is evidence of its end.

Ruled out as evidence: other connections (they end in no order after this one), the entry in the list (some seconds old).

--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -348,7 +348,7 @@
 	}{
 		"answered":      {path: "/a/ok", model: "m", status: 200, want: []string{"event=sent", "result=complete"}},
 		"no model":      {path: "/a/ok", model: "n", status: 503, want: []string{"cause=no_backend"}},
-		"truncated":     {path: "/a/cut", model: "m", status: 200, want: []string{"event=sent", "result=severed", "cause=answer_cut"}},
+		"truncated":     {path: "/a/cut", model: "m", status: 200, want: []string{"event=sent", "event=link_ended", "result=severed", "cause=answer_cut"}},
 		"slow":          {path: "/a/late", model: "m", status: 200, want: []string{"event=sent", "result=complete"}},
 		"unknown route": {path: "/b/", model: "m", status: 404, want: []string{"cause=no_route"}},
 	}
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -18,6 +18,8 @@
 type backendConn struct {
 	proxy       *Proxy
 	pool        *pool
+	dial        uint64 // its number among the connections of its pool
+	lastDial    uint64 // number of the last connection that was requested before this one ended
 	conn        gnet.Conn
 	exchange    *exchange
 	answer      *answer
@@ -205,23 +207,23 @@
 
 // peerClosed handles the end of the connection.
 func (b *backendConn) peerClosed(now time.Time, cause error) {
-	if b.exchange != nil && b.endedInOrder(cause) && b.completeAtEnd() {
-		b.closed = true
+	complete := b.exchange != nil && b.endedInOrder(cause) && b.completeAtEnd()
+	b.closed = true
+	switch {
+	case !complete:
+		b.reportIncomplete(true)
+	case b.answer.info.NotRun(): // the head alone says that
 		b.finish(now)
+	default:
+		b.pool.awaitConfirmation(b)
 	}
-	b.closed = true
 	b.pool.remove(b)
-	b.reportIncomplete(true)
 }
 
 // endedInOrder reports whether the backend server has ended the connection in the middle of
 // an exchange as it ends an answer without a length: not by a reset, nor with bytes unread.
 func (b *backendConn) endedInOrder(cause error) bool {
-	fields := logrus.Fields{
-		"event": "link_ended", "request": b.exchange.meta.ID(), "backend": b.pool.backend, "reported": cause,
-		"head_read": b.answer.headRead, "until_end": b.answer.headRead && b.answer.length == unknownLength, "bytes": b.answer.received,
-	}
-	log := b.proxy.config.Log.WithFields(fields)
+	log := b.logExchange("link_ended").WithField("reported", cause)
 	if err := httpserver.EndError(b.conn, cause); err != nil {
 		log.WithError(err).Info("connection to the backend server broken")
 		return false
@@ -230,6 +232,14 @@
 	return true
 }
 
+// logExchange returns the log with an event and what has arrived of the answer.
+func (b *backendConn) logExchange(event string) *logrus.Entry {
+	return b.proxy.config.Log.WithFields(logrus.Fields{
+		"event": event, "request": b.exchange.meta.ID(), "backend": b.pool.backend,
+		"head_read": b.answer.headRead, "until_end": b.answer.headRead && b.answer.length == unknownLength, "bytes": b.answer.received,
+	})
+}
+
 // completeAtEnd reports whether the end of the connection, in order, completes the answer.
 func (b *backendConn) completeAtEnd() bool {
 	return b.answer.headRead && b.answer.length == unknownLength && !b.stale() && !b.endsInEvent()
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -33,6 +33,7 @@
 // backend is a fake backend server that answers requests with a script.
 type backend struct {
 	address      string
+	listener     net.Listener
 	conns        atomic.Int64
 	closed       chan struct{} // one value for each connection that the proxy closed
 	requestIDs   chan string   // ids of the requests received
@@ -49,7 +50,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	b := &backend{address: listener.Addr().String(), closed: make(chan struct{}, 64), requestIDs: make(chan string, 64), lastEventIDs: make(chan string, 64)}
+	b := &backend{address: listener.Addr().String(), listener: listener, closed: make(chan struct{}, 64), requestIDs: make(chan string, 64), lastEventIDs: make(chan string, 64)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
