Let no entry of an unknown service take a backend server out of the list

Cause: of two entries with one address the later start is taken for the successor of the other, whatever its service. An entry of another writer with the address of a sound backend server took it out of all lobbies' lists.

Change: an entry whose service the configuration does not name succeeds no other, and is logged once. Before the first configuration, as before.

Ruled out: leaving such entries out of the list altogether. A configuration that is on its way may name the service, and its backend servers would then come a read later.

--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -233,6 +233,9 @@
 	previous, ok := w.backends[id]
 	switch {
 	case backend.ID() != "":
+		if !ok && !w.config.State.hasService(backend.Service()) {
+			w.config.Log.WithFields(logrus.Fields{"event": "backend", "backend": id, "service": backend.Service()}).Info("backend server of a service that is not configured")
+		}
 		if backend, ok = w.believed(now, backend); ok {
 			w.backends[id] = backend
 			delete(w.missing, id)
@@ -261,7 +264,7 @@
 	w.published = now
 	newest := make(map[string]deployment.Backend, len(w.backends)) // by address
 	for _, backend := range w.backends {
-		if backend.StartTime() > newest[backend.Address()].StartTime() {
+		if w.config.State.hasService(backend.Service()) && backend.StartTime() > newest[backend.Address()].StartTime() {
 			newest[backend.Address()] = backend
 		}
 	}
@@ -275,7 +278,8 @@
 }
 
 // succeeded reports whether another backend server that started later has the address of
-// a listed one, which then has ended although its entry has not expired yet.
+// a listed one, which then has ended although its entry has not expired yet. An entry of a
+// service that is not configured may come from another writer, and succeeds no other.
 func succeeded(backend, newest deployment.Backend) bool {
 	return newest.ID() != "" && newest.ID() != backend.ID() && backend.StartTime() > 0 && backend.StartTime() < newest.StartTime()
 }
--- a/lobby/discovery/backends_test.go
+++ b/lobby/discovery/backends_test.go
@@ -82,19 +82,25 @@
 
 // TestSucceededBackendIsNotListed guards against requests to, and copies counted at, a
 // backend server that has ended while its entry has not expired: another one has started
-// at its address.
+// at its address. An entry of another writer, with a service that is not configured, took a
+// sound one out of the list.
 func TestSucceededBackendIsNotListed(t *testing.T) {
-	entry := func(id, address string, start int64) deployment.Backend {
-		return deployment.NewBackend(deployment.BackendConfig{ID: id, Address: address, StartTime: start})
+	entry := func(id, address, service string, start int64) deployment.Backend {
+		return deployment.NewBackend(deployment.BackendConfig{ID: id, Address: address, Service: service, StartTime: start})
 	}
 	cases := map[string]struct {
-		listed []deployment.Backend
-		want   []string
+		listed       []deployment.Backend
+		unconfigured bool // there is no configuration yet
+		want         []string
 	}{
-		"other addresses":         {listed: []deployment.Backend{entry("a", "x", 1), entry("b", "y", 2)}, want: []string{"a", "b"}},
-		"a later start":           {listed: []deployment.Backend{entry("a", "x", 1), entry("b", "x", 2)}, want: []string{"b"}},
-		"the same start":          {listed: []deployment.Backend{entry("a", "x", 2), entry("b", "x", 2)}, want: []string{"a", "b"}},
-		"start of one not stated": {listed: []deployment.Backend{entry("a", "x", 0), entry("b", "x", 2)}, want: []string{"a", "b"}},
+		"other addresses":         {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "y", "s", 2)}, want: []string{"a", "b"}},
+		"a later start":           {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "x", "s", 2)}, want: []string{"b"}},
+		"of another service":      {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "x", "other", 2)}, want: []string{"b"}},
+		"of an unknown service":   {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "x", "none", 2)}, want: []string{"a", "b"}},
+		"one of three, unknown":   {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "x", "s", 2), entry("c", "x", "none", 3)}, want: []string{"b", "c"}},
+		"no configuration":        {listed: []deployment.Backend{entry("a", "x", "s", 1), entry("b", "x", "none", 2)}, unconfigured: true, want: []string{"b"}},
+		"the same start":          {listed: []deployment.Backend{entry("a", "x", "s", 2), entry("b", "x", "s", 2)}, want: []string{"a", "b"}},
+		"start of one not stated": {listed: []deployment.Backend{entry("a", "x", "s", 0), entry("b", "x", "s", 2)}, want: []string{"a", "b"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -102,7 +108,11 @@
 			for _, backend := range tc.listed {
 				s.list[backend.ID()] = backend
 			}
-			w := NewBackendWatcher(WatcherConfig{Store: s, State: NewState(StateConfig{Listener: l, Log: testkit.DiscardLog()}), Log: testkit.DiscardLog()}, &sharer{})
+			state := NewState(StateConfig{Listener: l, Log: testkit.DiscardLog()})
+			if !tc.unconfigured {
+				state.setConfiguration(deployment.NewConfiguration(deployment.Config{Version: 1, Services: []deployment.ServiceConfig{{Name: "s"}, {Name: "other"}}}), "store")
+			}
+			w := NewBackendWatcher(WatcherConfig{Store: s, State: state, Log: testkit.DiscardLog()}, &sharer{})
 			if err := w.step(noon); err != nil {
 				t.Fatal(err)
 			}
--- a/lobby/discovery/state.go
+++ b/lobby/discovery/state.go
@@ -58,6 +58,18 @@
 	return s.configuration.Version()
 }
 
+// hasService reports whether the newest configuration has a service. Without a configuration
+// any may be one.
+func (s *State) hasService(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configuration == nil {
+		return true
+	}
+	_, ok := s.configuration.Service(name)
+	return ok
+}
+
 // Newest returns the newest configuration, nil if there is none, and the newest
 // list of backend servers and evacuations.
 func (s *State) Newest() (*deployment.Configuration, []deployment.Backend, deployment.Evacuations) {
