Refuse requests with a transfer coding other than chunked

Cause: fasthttp skips this coding, and RequestReader took what it returned.

Change: a head that names a transfer coding while the body is not in chunks gets 400 and its connection is closed, as RFC 9112, section 6.3, demands. Lobby, entry and the ports beside them share the reader.

Ruled out: other codings, several codings and codings in HTTP/1.0, which the library refuses; the same on answers, which commons/http1 refuses.

--- a/commons/httpserver/refusal.go
+++ b/commons/httpserver/refusal.go
@@ -81,6 +81,10 @@
 		Status: fasthttp.StatusBadRequest, Code: "ambiguous_length",
 		Message: "the request has both Content-Length and Transfer-Encoding; send one of them",
 	})
+	errUnknownCoding = NewRefusal(RefusalConfig{
+		Status: fasthttp.StatusBadRequest, Code: "unknown_coding",
+		Message: "the request has a Transfer-Encoding other than chunked; send chunks or a Content-Length",
+	})
 )
 
 // errStopping refuses a request that has not arrived whole when the process ends.
--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -16,6 +16,9 @@
 	// lengthField is counted because fasthttp silently drops a Content-Length that
 	// is combined with the chunked transfer coding or with another Content-Length.
 	lengthField = []byte("\ncontent-length")
+	// codingField is counted because fasthttp skips the coding "identity", with which the end
+	// of a body cannot be told (RFC 9112, section 6.3).
+	codingField = []byte("\ntransfer-encoding")
 )
 
 const (
@@ -181,8 +184,11 @@
 		return 0, err
 	}
 	length := request.Header.ContentLength()
-	lengthCount := bytes.Count(bytes.ToLower(buffered[:end]), lengthField)
+	head := bytes.ToLower(buffered[:end])
+	lengthCount := bytes.Count(head, lengthField)
 	switch {
+	case length != chunkedLength && bytes.Contains(head, codingField):
+		return 0, errUnknownCoding
 	case lengthCount > 1 || length == chunkedLength && lengthCount > 0:
 		return 0, errAmbiguousLength
 	case length > r.config.MaxBody:
--- a/commons/httpserver/requestreader_test.go
+++ b/commons/httpserver/requestreader_test.go
@@ -201,6 +201,41 @@
 	}
 }
 
+// TestUnknownCodingIsRefused guards against a body that is taken for the next request: with a
+// transfer coding other than chunked its end can't be told (RFC 9112, section 6.3).
+func TestUnknownCodingIsRefused(t *testing.T) {
+	const rest = "0\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n"
+	cases := map[string]struct {
+		fields string
+		want   int // status of the refusal, zero if there is none
+	}{
+		"chunked":                      {fields: "Transfer-Encoding: Chunked\r\n"},
+		"identity":                     {fields: "Transfer-Encoding: identity\r\n", want: 400},
+		"identity, other letters":      {fields: "transfer-encodinG:IDENTITY\r\n", want: 400},
+		"identity and a length":        {fields: "Transfer-Encoding: identity\r\nContent-Length: 30\r\n", want: 400},
+		"a length and identity":        {fields: "Content-Length: 30\r\nTransfer-Encoding: identity\r\n", want: 400},
+		"identity and chunked":         {fields: "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n", want: 400},
+		"chunked and identity":         {fields: "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", want: 400},
+		"list with identity":           {fields: "Transfer-Encoding: identity, chunked\r\n", want: 400},
+		"compressed":                   {fields: "Transfer-Encoding: gzip\r\n", want: 400},
+		"compressed, then in chunks":   {fields: "Transfer-Encoding: gzip, chunked\r\n", want: 400},
+		"none":                         {fields: "Transfer-Encoding:\r\n", want: 400},
+		"blank before the colon":       {fields: "Transfer-Encoding : identity\r\n", want: 400},
+		"folded":                       {fields: "Transfer-Encoding:\r\n identity\r\n", want: 400},
+		"line end without CR":          {fields: "A: b\nTransfer-Encoding: identity\r\n", want: 400},
+		"part of another field's name": {fields: "X-Transfer-Encoding: identity\r\nContent-Length: 0\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := "POST /a HTTP/1.1\r\nHost: a\r\n" + tc.fields + "\r\n" + rest
+			got := readSplit(httpserver.NewRequestReader(httpserver.RequestReaderConfig{MaxHeader: 1024, MaxBody: 1024}), text, []int{len(text) - len(rest)})
+			if diff := cmp.Diff(tc.want, got.Status); diff != "" {
+				t.Errorf("status of the refusal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestBodiesAreChargedBeforeTheyAreHeld reads requests against an account with little room.
 // Heads were in no account: parsed, one of 16 KiB can take some hundred.
 func TestBodiesAreChargedBeforeTheyAreHeld(t *testing.T) {
