Let a keeper wait for the answer of a silent engine

Cause: while a poll has no answer, Alarm named the time of the next poll, which had passed, and the event loop called Tick without a pause: from 10 ms on while requests wait for adapters, from 0.5 s on else, until the limit on a call.

Evidence: TestKeeperWaitsForASilentEngine, 5 of 5 cases failed before (10 ticks at one moment, where the test stops counting; 0 to 2 in 3 s now).

Change: meanwhile the next decision is due when the first waiting request must be told, or with the answer.

Ruled out: a least pause in the event loop, which would hide the next core that names a time in the past. The other cores with alarms were read and name times at which they do something.

--- a/keeper/loader/core.go
+++ b/keeper/loader/core.go
@@ -36,7 +36,7 @@
 	pollPending  bool                 // the last poll has no answer yet
 	orderPending bool                 // the last order has no answer yet
 	stale        bool                 // the state may lack effects of the last order
-	due          time.Time            // time of the next poll
+	due          time.Time            // time of the next decision that no message brings; zero for none
 	pausedUntil  time.Time            // the engine wants no calls until then; zero before its first refusal
 	leases       map[string]time.Time // end of each adapter's lease, by MODEL/NAME
 	unloads      unloads
@@ -78,7 +78,8 @@
 	return c.actions
 }
 
-// Alarm returns the time of the next poll, at which Tick must be called.
+// Alarm returns the time at which Tick must be called, or the zero time if the core waits
+// only for messages.
 func (c *Core) Alarm() time.Time { return c.due }
 
 // setPlan replaces the plan. Of two lobbies that plan at once, the one with the
@@ -138,7 +139,7 @@
 		c.polledAt, c.pollPending = now, true
 		c.actions = append(c.actions, PollState{})
 	}
-	c.due = c.polledAt.Add(period)
+	c.due = c.nextDue(period)
 	if !c.stateKnown || c.orderPending || c.stale || c.assign.StartTime() != c.engine.startTime {
 		return
 	}
@@ -149,6 +150,21 @@
 	}
 }
 
+// nextDue returns the time of the next poll. While the last one has no answer it returns the
+// time at which the first wait for an adapter ends, zero if nothing waits.
+func (c *Core) nextDue(period time.Duration) time.Time {
+	if !c.pollPending {
+		return c.polledAt.Add(period)
+	}
+	var due time.Time
+	for _, w := range c.waiters {
+		if due.IsZero() || w.deadline.Before(due) {
+			due = w.deadline
+		}
+	}
+	return due
+}
+
 // nextOrder returns the next order: for adapters that requests wait for, then for
 // models of the plan.
 func (c *Core) nextOrder(now time.Time) (deployment.Order, bool) {
--- a/keeper/loader/core_test.go
+++ b/keeper/loader/core_test.go
@@ -54,6 +54,7 @@
 	adapterLoads  int
 	running       map[string]bool // adapters that runs use, as MODEL/NAME
 	unloading     map[string]bool // adapters that are unloaded when their runs have ended
+	silent        bool            // the engine answers nothing
 }
 
 func newSimulation(models ...string) *simulation {
@@ -98,7 +99,7 @@
 // is kept, and whether it has arrived.
 func fetchResult(reply *ring.Ring) (time.Duration, bool) {
 	items := make([]any, 1)
-	if reply.Drain(items) == 0 {
+	if reply == nil || reply.Drain(items) == 0 {
 		return 0, false
 	}
 	return items[0].(protocol.Fetched).KeptFor(), true
@@ -135,6 +136,9 @@
 // execute executes the actions of the core.
 func (s *simulation) execute(actions []loader.Action) {
 	for _, action := range actions {
+		if _, ok := action.(loader.Reply); s.silent && !ok {
+			continue
+		}
 		switch a := action.(type) {
 		case loader.PollState:
 			s.execute(s.core.Handle(s.now, loader.NewStateReported(s.now, s.state())))
@@ -584,3 +588,55 @@
 		})
 	}
 }
+
+// TestKeeperWaitsForASilentEngine guards against a thread that spins: while a poll had no
+// answer, the next one was due already.
+func TestKeeperWaitsForASilentEngine(t *testing.T) {
+	cases := map[string]struct {
+		known  bool // the engine has reported its state before
+		fetch  bool // a request waits for an adapter
+		answer bool // the last poll is answered in the end
+		want   int  // ticks by alarm within 3 s
+	}{
+		"before its first report":             {},
+		"before its first report, a request":  {fetch: true, want: 1},
+		"idle":                                {known: true, want: 1},
+		"a request, and an order":             {known: true, fetch: true, want: 2}, // a poll, and the end of the wait
+		"a request, and an answer in the end": {fetch: true, answer: true, want: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation("a")
+			if tc.known {
+				s.assign("l1", "a")
+				s.advance(time.Second)
+			}
+			s.silent = true
+			s.assign("l1", "a")
+			var reply *ring.Ring
+			if tc.fetch {
+				reply = s.fetch("a", "a1")
+			}
+			ticks, end := 0, s.now.Add(3*time.Second)
+			for alarm := s.core.Alarm(); !alarm.IsZero() && alarm.Before(end) && ticks < 10; alarm = s.core.Alarm() {
+				if alarm.After(s.now) {
+					s.now = alarm
+				}
+				ticks++
+				s.execute(s.core.Tick(s.now))
+			}
+			if diff := cmp.Diff(tc.want, ticks); diff != "" {
+				t.Errorf("ticks (-want +got):\n%s", diff)
+			}
+			if kept, ok := fetchResult(reply); tc.fetch && (!ok || kept != 0) {
+				t.Errorf("the request was answered: %v, and may use the adapter for %v", ok, kept)
+			}
+			if tc.answer {
+				s.execute(s.core.Handle(s.now, loader.NewStateReported(s.now, s.state())))
+				if !s.core.Alarm().After(s.now) {
+					t.Error("no poll follows the answer")
+				}
+			}
+		})
+	}
+}
