Serve customers whose quota has a rate and no burst

Cause: a request was granted if the bucket held its cost, and the bucket holds at most the burst. The same for each request that costs more than the burst.

Evidence: TestRequestsBeyondTheBurst, 6 of 10 cases failed before, with nothing granted in 40 s.

Change: a full bucket grants such a request, up to 8,192 tokens or one request, and goes below zero; the next one waits. The depth of a debt that is paid back grows by that for each lobby, or debts of other lobbies would be forgotten. Quotas with a burst of that size are kept as before.

--- a/lobby/ratelimit/limiter.go
+++ b/lobby/ratelimit/limiter.go
@@ -75,18 +75,44 @@
 	maxReserve         = 0.75
 )
 
+// A full bucket grants a request that costs more than the burst, up to these costs. The next
+// one waits until the tokens have been refilled.
+const (
+	maxOverdraftTokens   = 8192 // more than an ordinary prompt and its answer
+	maxOverdraftRequests = 1
+)
+
+// quota is a tenant's quota.
+type quota struct {
+	rate, burst float64 // tokens or requests, per second and at once
+	overdraft   float64 // cost beyond the burst that one request may have
+}
+
+// quotaOf returns the quota of a tenant. Its rate is zero if there is no limit.
+func quotaOf(tenant deployment.Tenant) quota {
+	rate, burst := tenant.Quota()
+	largest := float64(maxOverdraftRequests)
+	if tenant.CountsTokens() {
+		largest = maxOverdraftTokens
+	}
+	return quota{rate: rate, burst: max(burst, 0), overdraft: max(largest-burst, 0)}
+}
+
 // Spend takes cost from the tenant's quota. If the quota does not suffice, it
 // takes nothing and returns the time until it may. A tenant without a rate is not
 // limited.
 func (l *Limiter) Spend(now time.Time, tenant deployment.Tenant, cost float64) (time.Duration, bool) {
-	rate, burst := tenant.Quota()
-	if rate <= 0 {
+	q := quotaOf(tenant)
+	if q.rate <= 0 {
 		return 0, true
 	}
-	b := l.refill(now, tenant.Name(), rate, burst)
-	needed := max(cost, min(cost+burst*l.reserveShare(now), burst)) // a full bucket grants what the burst allows
+	b := l.refill(now, tenant.Name(), q)
+	needed := min(cost+q.burst*l.reserveShare(now), q.burst) // a full bucket grants what the burst allows
+	if cost > q.burst+q.overdraft {
+		needed = cost // which no bucket holds
+	}
 	if b.level < needed {
-		return time.Duration((needed - b.level) / rate * float64(time.Second)), false
+		return time.Duration((needed - b.level) / q.rate * float64(time.Second)), false
 	}
 	b.level -= cost
 	l.spent[tenant.Name()] += cost
@@ -95,9 +121,9 @@
 
 // Refund returns the cost of a request that did not run to the tenant's quota.
 func (l *Limiter) Refund(now time.Time, tenant deployment.Tenant, cost float64) {
-	if rate, burst := tenant.Quota(); rate > 0 {
-		b := l.refill(now, tenant.Name(), rate, burst)
-		b.level = min(b.level+cost, burst)
+	if q := quotaOf(tenant); q.rate > 0 {
+		b := l.refill(now, tenant.Name(), q)
+		b.level = min(b.level+cost, q.burst)
 		l.spent[tenant.Name()] -= cost
 	}
 }
@@ -142,13 +168,13 @@
 
 // refill adds the tokens due since the last call to a tenant's bucket, less the
 // shares that silent lobbies are assumed to spend.
-func (l *Limiter) refill(now time.Time, name string, rate, burst float64) *bucket {
+func (l *Limiter) refill(now time.Time, name string, q quota) *bucket {
 	b, ok := l.buckets[name]
 	if !ok {
-		b = &bucket{level: burst * l.initialFill(now), updated: l.config.StartTime}
+		b = &bucket{level: q.burst * l.initialFill(now), updated: l.config.StartTime}
 		l.buckets[name] = b
 	}
-	refilled := now.Sub(b.updated).Seconds() * rate
+	refilled := now.Sub(b.updated).Seconds() * q.rate
 	b.updated = now
 	share := refilled / float64(l.lobbyCount(now))
 	for _, p := range l.peers {
@@ -158,7 +184,8 @@
 		}
 	}
 	refilled -= share * float64(l.unheard(now))
-	b.level = min(max(b.level+refilled, -burst*(1+2*l.reserveShare(now))), burst)
+	debt := q.burst*(1+2*l.reserveShare(now)) + q.overdraft*float64(l.lobbyCount(now)) // most that is paid back
+	b.level = min(max(b.level+refilled, -debt), q.burst)
 	return b
 }
 
--- a/lobby/ratelimit/limiter_test.go
+++ b/lobby/ratelimit/limiter_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"sesamewell.example/commons/deployment"
@@ -50,6 +51,7 @@
 
 // fleet is a group of lobbies that share a quota, in virtual time.
 type fleet struct {
+	tenant  deployment.Tenant
 	now     time.Time
 	lobbies []*lobby
 	spends  []spend
@@ -73,7 +75,8 @@
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: noon, steps: stepsPerDigest}
+	tenant, _ := configuration.TenantByKey("k")
+	f := &fleet{tenant: tenant, now: noon, steps: stepsPerDigest}
 	for range n {
 		f.lobbies = append(f.lobbies, &lobby{limiter: ratelimit.New(config), incarnation: 1})
 	}
@@ -83,7 +86,6 @@
 // advance runs the fleet for the given time, while requests of the given cost per
 // second arrive at each lobby. It returns the requested and the granted cost.
 func (f *fleet) advance(span time.Duration, demand []float64) (requested, granted float64) {
-	tenant, _ := configuration.TenantByKey("k")
 	for i := range int(span / step) {
 		f.now = f.now.Add(step)
 		for j, l := range f.lobbies {
@@ -95,7 +97,7 @@
 				cost = demand[j] * step.Seconds()
 			}
 			requested += cost
-			if _, ok := l.limiter.Spend(f.now, tenant, cost); ok && cost > 0 {
+			if _, ok := l.limiter.Spend(f.now, f.tenant, cost); ok && cost > 0 {
 				granted += cost
 				f.spends = append(f.spends, spend{f.now, cost})
 			}
@@ -286,3 +288,59 @@
 		t.Errorf("a request for the whole burst was refused for %v", wait)
 	}
 }
+
+// TestRequestsBeyondTheBurst guards against a tenant of which everything is refused because its
+// quota has no burst, or a smaller one than its requests cost, and against an overspent quota.
+func TestRequestsBeyondTheBurst(t *testing.T) {
+	const (
+		lobbies      = 4
+		tokenSlack   = 11000 // by which a window may exceed the quota besides, as the platform's pages allow
+		requestSlack = 2 * lobbies
+	)
+	cases := map[string]struct {
+		tenant  deployment.TenantConfig
+		cost    float64
+		refused bool // all requests
+	}{
+		"requests, no burst":               {tenant: deployment.TenantConfig{Rate: 5}, cost: 1},
+		"less than a request per second":   {tenant: deployment.TenantConfig{Rate: 0.5, Burst: 0.5}, cost: 1},
+		"requests, burst":                  {tenant: deployment.TenantConfig{Rate: 5, Burst: 10}, cost: 1},
+		"tokens, no burst":                 {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 5000}, cost: 1540},
+		"tokens, no burst, low rate":       {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 500}, cost: 1540},
+		"tokens, no burst, high rate":      {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 100000}, cost: 8000},
+		"tokens, small burst":              {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 5000, Burst: 1000}, cost: 1540},
+		"tokens, burst":                    {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 5000, Burst: 10000}, cost: 1540},
+		"tokens, no burst, absurd request": {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 5000}, cost: 1 << 24, refused: true},
+		"tokens, burst, larger request":    {tenant: deployment.TenantConfig{CountsTokens: true, Rate: 5000, Burst: 10000}, cost: 10001, refused: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc.tenant.Name, tc.tenant.Keys = "t", []string{"k"}
+			f := newFleet(lobbies)
+			f.tenant, _ = deployment.NewConfiguration(deployment.Config{Tenants: []deployment.TenantConfig{tc.tenant}}).TenantByKey("k")
+			oneEachStep := tc.cost / step.Seconds()
+			demand := []float64{oneEachStep, oneEachStep, oneEachStep, oneEachStep}
+			_, granted := f.advance(40*time.Second, demand)
+			if tc.refused {
+				if diff := cmp.Diff(0.0, granted); diff != "" {
+					t.Errorf("granted (-want +got):\n%s", diff)
+				}
+				return
+			}
+			if least := 0.9 * tc.tenant.Rate * 40; granted < least-tc.cost {
+				t.Errorf("%.0f were granted, fewer than %.0f", granted, least)
+			}
+			for i := range f.lobbies {
+				f.restart(i)
+			}
+			f.advance(20*time.Second, demand)
+			bound := (tc.tenant.Rate*window.Seconds()+tc.tenant.Burst)*(1+tolerance) + requestSlack
+			if tc.tenant.CountsTokens {
+				bound += tokenSlack - requestSlack
+			}
+			if got := f.maxInWindow(); got > bound {
+				t.Errorf("%.0f in a window, more than %.0f", got, bound)
+			}
+		})
+	}
+}
