Hold by tests what a 421 of another instance means

A renewed entry may have been written before; a later start ends it.

Ruled out: ending it with a renewed entry. What other lobbies tell in digests has the start only, so they would take the server out again.

--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -308,10 +308,13 @@
 func TestReplacedOrUnloadedBackendServerIsAvoided(t *testing.T) {
 	cases := map[string]struct {
 		result scheduler.Result
-		after  string // decision 2 s later, with the same list
+		listed deployment.BackendConfig // what the list says of e1 later, beside its ID
+		after  string                   // decision 2 s later
 	}{
-		"replaced":      {result: scheduler.Replaced, after: "send e2"},
-		"model missing": {result: scheduler.ModelMissing, after: "send e1"},
+		"replaced":                {result: scheduler.Replaced, after: "send e2"},
+		"replaced, entry renewed": {result: scheduler.Replaced, listed: deployment.BackendConfig{Revision: 9}, after: "send e2"},
+		"replaced, later start":   {result: scheduler.Replaced, listed: deployment.BackendConfig{StartTime: 9, Revision: 9}, after: "send e1"},
+		"model missing":           {result: scheduler.ModelMissing, after: "send e1"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -325,7 +328,9 @@
 				f.core.Handle(f.now, scheduler.NewSendEnded(number+1, scheduler.Complete, 200))
 			}
 			f.now = f.now.Add(2 * time.Second)
-			f.list(engineServer("e1"), engineServer("e2"))
+			listed := engineServer("e1")
+			listed.StartTime, listed.Revision = tc.listed.StartTime, tc.listed.Revision
+			f.list(listed, engineServer("e2"))
 			checkActions(t, "2 s later", []string{tc.after}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m"}))
 		})
 	}
