Cut long values in log lines

Cause: the queue is bounded in lines, not in bytes.

Evidence: TestLongValuesAreCut, all 6 cases failed before, with lines of 16 to 33 kB; less than 2 kB now.

Change: values and messages are cut after 512 bytes, in all programs.

Ruled out: a bound on the bytes of the queue, by which long lines of one client would drop those of others.

--- a/commons/logging/logging.go
+++ b/commons/logging/logging.go
@@ -18,8 +18,8 @@
 	Instance string
 }
 
-// New returns a logger that adds the program and the instance to every line. It
-// returns an error if the level is unknown.
+// New returns a logger that adds the program and the instance to every line, and cuts long
+// values. It returns an error if the level is unknown.
 func New(config Config) (*logrus.Entry, error) {
 	level, err := logrus.ParseLevel(config.Level)
 	if err != nil {
@@ -28,6 +28,7 @@
 	log := logrus.New()
 	log.SetOutput(config.Output)
 	log.SetLevel(level)
+	log.AddHook(lengthLimit{})
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	return log.WithFields(logrus.Fields{"program": config.Program, "instance": config.Instance}), nil
 }
