Bound the cancelled runs of an entry, and keep no bodies of them

Cause: the intent may still appear, so that the run is kept; the request was kept with it, outside of the account of bodies.

Change: a run has its request until it is dispatched, cancelled or ended; 8,192 runs beside those of open requests are kept, then requests are refused as not run, with the code that those in such an outage get anyway.

Ruled out: dropping the oldest runs. Their intents may still appear, and their keys would have no outcome until they are forgotten.

--- a/entry/idempotency/core.go
+++ b/entry/idempotency/core.go
@@ -57,8 +57,8 @@
 // run is one intent of this entry and the progress of its run.
 type run struct {
 	id         string
-	origin     string // ID of the request that started the run; its caller gets the answer as it arrives
-	request    router.Request
+	origin     string         // ID of the request that started the run; its caller gets the answer as it arrives
+	request    router.Request // empty once it is not to be dispatched any more
 	intent     Intent
 	phase      phase
 	phaseStart time.Time // time at which the phase began
@@ -196,6 +196,9 @@
 	if c.table.Len() >= c.config.Table.Capacity {
 		return []Action{c.refuse(request.ID(), errKeysExhausted)}
 	}
+	if len(c.runs) >= c.config.MaxCallers+maxCancelled {
+		return []Action{c.refuse(request.ID(), errLogUnavailable)}
+	}
 	r := c.addRun(now, waiter)
 	return []Action{AppendIntent{intent: r.intent}}
 }
@@ -303,6 +306,7 @@
 // waiters. The run is kept, since its intent may still appear in the log.
 func (c *Core) cancel(now time.Time, r *run, refusal *httpserver.Refusal) []Action {
 	r.phase, r.phaseStart = cancelled, now
+	r.request = router.Request{}
 	delete(c.activeRuns, r.intent.Scope())
 	return c.refuseWaiters(r.intent.Scope(), refusal)
 }
@@ -501,6 +505,7 @@
 		config.Status, config.ContentType, config.Body = last.Status(), last.ContentType(), r.answer
 	}
 	r.phase, r.phaseStart, r.outcome, r.answer = outcomePending, now, NewOutcome(config), nil
+	r.request = router.Request{}
 	r.retryDelay = minRetryDelay
 	return []Action{c.appendOutcome(now, r)}
 }
--- a/entry/idempotency/core_test.go
+++ b/entry/idempotency/core_test.go
@@ -260,3 +260,44 @@
 		})
 	}
 }
+
+// TestCancelledRunsAreBounded guards against memory that grows while the log shows no intents:
+// each cancelled run kept the body of its request for minutes.
+func TestCancelledRunsAreBounded(t *testing.T) {
+	refused := reply{Code: "log_unavailable", Outcome: httpserver.NotRun}
+	cases := map[string]struct {
+		requests int
+		then     time.Duration // time after the last of them
+		runs     int
+		want     reply // to one more request
+	}{
+		"one":                      {requests: 1, runs: 2},
+		"many":                     {requests: 8200, runs: 8201},
+		"too many":                 {requests: 8400, runs: 8292, want: refused},
+		"too many, later":          {requests: 8400, then: 10 * time.Minute, runs: 1},
+		"too many, a little later": {requests: 8400, then: time.Minute, runs: 8292, want: refused},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, 1)
+			core := s.entries[0].core
+			for n := range tc.requests {
+				s.send(0, fmt.Sprint("b", n))
+				if n%100 == 99 || n == tc.requests-1 {
+					s.entries[0].pendingAppends = nil // no record of the log shows them
+					s.tick(4 * time.Second)
+				}
+			}
+			s.tick(tc.then)
+			id := s.send(0, "last")
+			for _, r := range core.runs {
+				if r.phase == cancelled && len(r.request.Body()) > 0 {
+					t.Fatal("a cancelled run keeps a body")
+				}
+			}
+			if diff := cmp.Diff([]any{tc.runs, tc.want}, []any{len(core.runs), s.replies[id]}); diff != "" {
+				t.Errorf("runs, answer to the last request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
