Forget what a lobby's scheduler kept by names of earlier configurations

Ruled out: the demand for models, rates at which queues start and times of returning callers, which end by themselves; prefix caches and hot parts, which are bounded.

--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -32,6 +32,7 @@
 	if last, ok := c.departed[origin.backend]; ok && last >= origin.startTime {
 		return
 	}
+	c.makeRoomForDeparted()
 	c.departed[origin.backend] = origin.startTime
 	record.origin, record.listAge = origin, c.now.Sub(c.listedAt)
 	c.emit(record)
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -220,6 +220,7 @@
 // configurationChanged puts a configuration in force.
 func (c *Core) configurationChanged(now time.Time, configuration *deployment.Configuration) {
 	c.configuration = configuration
+	c.forgetUnconfigured()
 	c.configureCold(now)
 	c.restrictOpen(now)
 	for _, s := range c.servers {
--- a/lobby/scheduler/load.go
+++ b/lobby/scheduler/load.go
@@ -131,13 +131,28 @@
 	metrics.GetOrCreateGauge("sesamewell_queued_work"+labels, nil).Set(work)
 }
 
+const (
+	openGauge  = "sesamewell_share_open"
+	limitGauge = "sesamewell_share_limit"
+)
+
 // shareGauges export the use of this lobby's shares.
-type shareGauges struct{}
+type shareGauges struct{ used map[string]bool }
 
-func (shareGauges) update(loads []ShareLoad) {
+// update sets the gauges of the given shares and removes all others.
+func (g *shareGauges) update(loads []ShareLoad) {
+	used := make(map[string]bool, len(loads))
 	for _, l := range loads {
 		labels := fmt.Sprintf("{service=%q}", l.Service())
-		metrics.GetOrCreateGauge("sesamewell_share_open"+labels, nil).Set(float64(l.Open()))
-		metrics.GetOrCreateGauge("sesamewell_share_limit"+labels, nil).Set(l.Limit())
+		used[labels] = true
+		metrics.GetOrCreateGauge(openGauge+labels, nil).Set(float64(l.Open()))
+		metrics.GetOrCreateGauge(limitGauge+labels, nil).Set(l.Limit())
+	}
+	for labels := range g.used {
+		if !used[labels] {
+			metrics.UnregisterMetric(openGauge + labels)
+			metrics.UnregisterMetric(limitGauge + labels)
+		}
 	}
+	g.used = used
 }
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -13,7 +13,7 @@
 	refusals     map[Cause]*metrics.Counter
 	forecasts    map[Cause]*metrics.Histogram
 	queue        *queueGauges
-	shares       shareGauges
+	shares       *shareGauges
 	fetches      *metrics.Counter
 	quarantines  *metrics.Counter
 	withheld     *metrics.Counter // from cold backend servers
@@ -34,7 +34,7 @@
 		refusals:     make(map[Cause]*metrics.Counter),
 		forecasts:    make(map[Cause]*metrics.Histogram),
 		queue:        &queueGauges{},
-		shares:       shareGauges{},
+		shares:       &shareGauges{},
 		fetches:      metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
 		quarantines:  metrics.GetOrCreateCounter("sesamewell_quarantines_total"),
 		withheld:     metrics.GetOrCreateCounter("sesamewell_cold_withheld_total"),
