Bound the customers, lobbies and backend servers that quotas and plans remember

Cause: they were dropped nowhere, or only where plans are made.

Evidence: TestNamesAreBounded (1 of 3 cases failed before) and TestNamesAreForgotten (2 of 2; 601 and 603 names before).

Change: 4,096 customers and 1,024 lobbies, of which the one used least recently makes way; lobbies that have been silent for a minute, services that are not configured and backend servers that are not listed are forgotten by the planner.

Ruled out: dropping a customer as soon as the configuration lacks it. If the next version has it again, it would have its burst a second time.

--- a/lobby/placement/core.go
+++ b/lobby/placement/core.go
@@ -56,8 +56,19 @@
 	return &Core{config: config, peers: make(map[string]*peer), plan: make(map[string][]string), replaced: make(map[string]int64), leaving: make(map[string]int64), limits: make(map[string]Limit), limitedDemand: make(map[string]*limitedDemand), startTimes: make(map[string]int64), buckets: make(map[string]*bucket)}
 }
 
+// peerRetention is the time without a digest after which the demand of another lobby is forgotten.
+const peerRetention = time.Minute
+
 // SetConfiguration replaces the configuration.
-func (c *Core) SetConfiguration(next *deployment.Configuration) { c.configuration = next }
+func (c *Core) SetConfiguration(next *deployment.Configuration) {
+	c.configuration = next
+	unknown := func(service string) bool {
+		_, ok := next.Service(service)
+		return !ok
+	}
+	maps.DeleteFunc(c.buckets, func(service string, _ *bucket) bool { return unknown(service) })
+	maps.DeleteFunc(c.limitedDemand, func(service string, _ *limitedDemand) bool { return unknown(service) })
+}
 
 // SetBackends replaces the list of backend servers.
 func (c *Core) SetBackends(backends []deployment.Backend) {
@@ -65,6 +76,7 @@
 	for _, backend := range backends {
 		c.backends[backend.ID()] = backend
 	}
+	c.forgetGone()
 }
 
 // SetEvacuations replaces the set of failure domains that are to be evacuated.
@@ -75,6 +87,9 @@
 func (c *Core) UpdatePeer(now time.Time, digest protocol.Digest) {
 	demand := digest.Demand()
 	last, ok := c.peers[digest.Sender()]
+	if !ok {
+		maps.DeleteFunc(c.peers, func(_ string, p *peer) bool { return now.Sub(p.lastSeen) > peerRetention })
+	}
 	if ok && demand == nil {
 		demand = last.demand
 	}
@@ -174,15 +189,21 @@
 	return sum
 }
 
-// prune drops backend servers from the plan that are no longer listed, have restarted or
-// are gone.
-func (c *Core) prune() {
+// forgetGone forgets what is known of backend servers, or earlier starts of them, that are no
+// longer listed.
+func (c *Core) forgetGone() {
 	outdated := func(id string, start int64) bool {
 		backend, ok := c.backends[id]
 		return !ok || backend.StartTime() != start
 	}
 	maps.DeleteFunc(c.replaced, outdated)
 	maps.DeleteFunc(c.leaving, outdated)
+}
+
+// prune drops backend servers from the plan that are no longer listed, have restarted or
+// are gone.
+func (c *Core) prune() {
+	c.forgetGone()
 	maps.DeleteFunc(c.plan, func(id string, _ []string) bool {
 		backend, ok := c.backends[id]
 		startTime, planned := c.startTimes[id]
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -432,3 +432,30 @@
 		})
 	}
 }
+
+// TestNamesAreForgotten guards against memory that grows with each backend server, lobby and
+// service that there ever was, also at lobbies that do not plan.
+func TestNamesAreForgotten(t *testing.T) {
+	cases := map[string]struct{ leader string }{"planner": {leader: self}, "another lobby": {leader: "10.0.0.1:7000"}}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(map[string][]string{"e1": {"a"}})
+			for n := range 200 {
+				service := fmt.Sprint("s-", n)
+				f.core.SetConfiguration(deployment.NewConfiguration(deployment.Config{Services: []deployment.ServiceConfig{{Name: service, Engine: &deployment.EngineConfig{Slots: 64, Memory: 230, Models: []deployment.ModelConfig{{Name: "a", Memory: 70}}}}}}))
+				gone := deployment.BackendConfig{ID: fmt.Sprint("gone-", n), Service: service, Address: "10.0.9.9:80", Slots: 64, StartTime: 7}
+				f.core.SetBackends([]deployment.Backend{deployment.NewBackend(gone)})
+				for _, sender := range []string{tc.leader, fmt.Sprint("10.0.1.", n, ":7000")} {
+					f.core.UpdatePeer(f.now, protocol.NewDigest(protocol.DigestConfig{
+						Sender: sender, Demand: map[string]float64{"a": 1}, Replaced: map[string]int64{gone.ID: 7}, Leaving: map[string]int64{gone.ID: 7},
+					}))
+				}
+				f.now = f.now.Add(time.Second)
+				f.core.Decide(f.now)
+			}
+			if got := f.core.Names(); got > 70 {
+				t.Errorf("%d names are kept, more than 70", got)
+			}
+		})
+	}
+}
--- a/lobby/ratelimit/limiter.go
+++ b/lobby/ratelimit/limiter.go
@@ -67,6 +67,26 @@
 // SetLobbies sets the number of lobbies that are listed, including this one.
 func (l *Limiter) SetLobbies(n int) { l.listed = n }
 
+// Bounds on what is kept by name. The one that was used least recently makes way for another.
+const (
+	maxTenants = 4096
+	maxPeers   = 1024
+)
+
+// makeRoom deletes the entry with the earliest time if a map has as many as it may.
+func makeRoom[V any](kept map[string]V, most int, at func(V) time.Time) (deleted string) {
+	if len(kept) < most {
+		return ""
+	}
+	for name, value := range kept {
+		if first, ok := kept[deleted]; !ok || at(value).Before(at(first)) {
+			deleted = name
+		}
+	}
+	delete(kept, deleted)
+	return deleted
+}
+
 // The reserve grows from reserveFreeLobbies on by one burst in lobbiesPerReserve, up to
 // maxReserve of a burst.
 const (
@@ -161,6 +181,8 @@
 	added := &peer{incarnation: digest.Incarnation(), spent: digest.Spent(), assumed: make(map[string]float64)}
 	if restarted {
 		added.spent = make(map[string]float64)
+	} else {
+		makeRoom(l.peers, maxPeers, func(p *peer) time.Time { return p.lastSeen })
 	}
 	l.peers[digest.Sender()] = added
 	return added
@@ -171,6 +193,7 @@
 func (l *Limiter) refill(now time.Time, name string, q quota) *bucket {
 	b, ok := l.buckets[name]
 	if !ok {
+		delete(l.spent, makeRoom(l.buckets, maxTenants, func(b *bucket) time.Time { return b.updated }))
 		b = &bucket{level: q.burst * l.initialFill(now), updated: l.config.StartTime}
 		l.buckets[name] = b
 	}
--- a/lobby/ratelimit/limiter_test.go
+++ b/lobby/ratelimit/limiter_test.go
@@ -344,3 +344,42 @@
 		})
 	}
 }
+
+// TestNamesAreBounded guards against memory that grows with each tenant that was ever
+// configured, and with each lobby that was ever heard from.
+func TestNamesAreBounded(t *testing.T) {
+	type names struct{ Tenants, Lobbies int }
+	cases := map[string]struct{ number, want names }{
+		"few":  {number: names{3, 2}, want: names{3, 2}},
+		"most": {number: names{4096, 1024}, want: names{4096, 1024}},
+		"more": {number: names{5000, 1500}, want: names{4096, 1024}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			limiter, now := ratelimit.New(config), noon
+			tenant := func(n int) deployment.Tenant {
+				c := deployment.NewConfiguration(deployment.Config{Tenants: []deployment.TenantConfig{{Name: fmt.Sprint("t", n), Keys: []string{"k"}, Rate: 1, Burst: 10}}})
+				tenant, _ := c.TenantByKey("k")
+				return tenant
+			}
+			for n := range max(tc.number.Tenants, tc.number.Lobbies) {
+				now = now.Add(time.Second)
+				if n < tc.number.Tenants {
+					limiter.Spend(now, tenant(n), 1)
+					limiter.Spend(now, tenant(0), 0) // in use, so it stays
+				}
+				if n < tc.number.Lobbies {
+					limiter.UpdatePeer(now, protocol.NewDigest(protocol.DigestConfig{Sender: fmt.Sprint("lobby-", n), Incarnation: 1, Serial: 1}))
+				}
+			}
+			var got names
+			got.Tenants, got.Lobbies = limiter.Names()
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("names that are kept (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(1.0, limiter.Spent()["t0"]); diff != "" {
+				t.Errorf("spent by the first tenant, which is in use (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
