--- a/commons/peerrpc/peerrpc_test.go
+++ b/commons/peerrpc/peerrpc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -278,3 +279,35 @@
 		})
 	}
 }
+
+// TestClientsAreBounded guards against clients, each with a connection, for every address that
+// was ever called.
+func TestClientsAreBounded(t *testing.T) {
+	cases := map[string]struct {
+		others int  // addresses that are called after the first one
+		in     bool // the first one is called meanwhile
+		same   bool // its client is kept
+	}{
+		"few":                {others: 10, same: true},
+		"most":               {others: 1023, same: true},
+		"more":               {others: 1024},
+		"more, still in use": {others: 3000, in: true, same: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			clients := peerrpc.NewClients(func(address string) *peerrpc.Client {
+				return peerrpc.NewClient(peerrpc.ClientConfig{Address: address, DialTimeout: time.Second})
+			})
+			first := clients.For("127.0.0.1:1")
+			for n := range tc.others {
+				clients.For(fmt.Sprint("10.0.0.1:", n+1))
+				if tc.in && n%100 == 0 {
+					clients.For("127.0.0.1:1")
+				}
+			}
+			if diff := cmp.Diff(tc.same, clients.For("127.0.0.1:1") == first); diff != "" {
+				t.Errorf("the first client is kept (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
