Forget the leases of adapters that an engine has unloaded

Evidence: TestLeasesOfUnloadedAdaptersAreForgotten failed before (30 leases for 2 places).

Change: with each report, leases that have ended are forgotten unless the engine holds the adapter.

--- a/keeper/loader/adapter.go
+++ b/keeper/loader/adapter.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"maps"
 	"time"
 
 	"sesamewell.example/commons/deployment"
@@ -87,6 +88,12 @@
 	}
 }
 
+// forgetLeases forgets the leases that have ended of adapters that the engine does not hold.
+func (c *Core) forgetLeases(now time.Time) {
+	held := c.engine.heldAdapters()
+	maps.DeleteFunc(c.leases, func(key string, until time.Time) bool { return !held[key] && !now.Before(until) })
+}
+
 // expiredLease returns the adapter whose lease ended first, if any has ended. Those that
 // are being unloaded are left out.
 func (c *Core) expiredLease(now time.Time) (model, adapter string, found bool) {
--- a/keeper/loader/core.go
+++ b/keeper/loader/core.go
@@ -105,6 +105,7 @@
 	}
 	c.engine, c.stateKnown, c.stale = newEngineState(state), true, c.orderPending
 	c.unloads.update(c.engine, c.orderPending)
+	c.forgetLeases(now)
 }
 
 // handleAnswer records the result of an order. What the engine does after it has started
--- a/keeper/loader/core_test.go
+++ b/keeper/loader/core_test.go
@@ -640,3 +640,19 @@
 		})
 	}
 }
+
+// TestLeasesOfUnloadedAdaptersAreForgotten guards against memory that grows with each adapter
+// that the engine ever had.
+func TestLeasesOfUnloadedAdaptersAreForgotten(t *testing.T) {
+	s := newSimulation("a")
+	s.assign("l1", "a")
+	s.advance(time.Second)
+	for n := range 30 {
+		s.fetch("a", fmt.Sprint("a", n))
+		s.advance(4 * time.Second)
+		s.assign("l1", "a")
+	}
+	if diff := cmp.Diff([]int{30, adapterSlots}, []int{s.adapterLoads, s.core.Leases()}); diff != "" {
+		t.Errorf("adapters loaded, and leases that are remembered (-want +got):\n%s", diff)
+	}
+}
--- a/keeper/loader/state.go
+++ b/keeper/loader/state.go
@@ -37,6 +37,17 @@
 	return n
 }
 
+// heldAdapters returns the adapters that are loaded, as MODEL/NAME.
+func (s *engineState) heldAdapters() map[string]bool {
+	held := make(map[string]bool)
+	for _, holding := range s.holdings {
+		for _, name := range holding.Adapters() {
+			held[adapterKey(holding.Model(), name)] = true
+		}
+	}
+	return held
+}
+
 // apply records an order for an adapter that the engine has started. An adapter to unload
 // keeps its place until a report lacks it.
 func (s *engineState) apply(order deployment.Order) {
--- a/keeper/loader/unloads.go
+++ b/keeper/loader/unloads.go
@@ -60,12 +60,7 @@
 // update removes the adapters that the engine has dropped, or was not ordered to unload as
 // far as it tells. orderPending must be true if the last order has no answer yet.
 func (u unloads) update(state engineState, orderPending bool) {
-	held := make(map[string]bool)
-	for _, holding := range state.holdings {
-		for _, name := range holding.Adapters() {
-			held[adapterKey(holding.Model(), name)] = true
-		}
-	}
+	held := state.heldAdapters()
 	for key, unload := range u {
 		lost := !unload.certain && !orderPending && state.orders <= unload.expected
 		if !held[key] || lost {
