Bound the instances that an entry remembers to have been listed

Evidence: TestInstancesThatWereListedAreBounded, 1 of 2 cases failed before.

Change: beyond 16,384 names, those that are neither on the list nor in the inventory are forgotten. Sides of the inventory that have left the list get no work, as before.

--- a/entry/membership/core.go
+++ b/entry/membership/core.go
@@ -22,11 +22,13 @@
 	listMaxAge    = 30 * time.Second       // age from which the platform's list is ignored
 	minProbeDelay = 250 * time.Millisecond // time between the first and the second probe of a closed side; doubles with each probe
 	maxProbeDelay = 4 * time.Second        // longest time between two probes of a closed side
+	maxEverListed = 16384                  // instances outside of list and inventory that are remembered
 )
 
 // Core tracks the state of every side. It does no I/O; Tracker executes the
 // actions that Handle and Tick return.
 type Core struct {
+	inventory    *fleetstate.Inventory // nil before the first one
 	sides        map[string]*side
 	listedStates map[string]State
 	everListed   map[string]struct{} // instances that have ever been in the list
@@ -145,6 +147,27 @@
 	for name := range m.states {
 		c.everListed[name] = struct{}{}
 	}
+	c.forgetUnknown()
+}
+
+// forgetUnknown forgets the instances that are neither in the list nor in the inventory, if
+// there are too many. The list may name any.
+func (c *Core) forgetUnknown() {
+	if len(c.everListed) <= len(c.listedStates)+maxEverListed {
+		return
+	}
+	maps.DeleteFunc(c.everListed, func(name string, _ struct{}) bool {
+		_, listed := c.listedStates[name]
+		return !listed && !c.inInventory(name)
+	})
+}
+
+func (c *Core) inInventory(name string) bool {
+	if c.inventory == nil {
+		return false
+	}
+	_, ok := c.inventory.Instance(name)
+	return ok
 }
 
 func (c *Core) handleAnswer(m SideAnswered) {
@@ -162,6 +185,7 @@
 // updateSides replaces the set of sides by those of the inventory. A side whose
 // address is unchanged keeps its state.
 func (c *Core) updateSides(inventory *fleetstate.Inventory) {
+	c.inventory = inventory
 	sides := make(map[string]*side)
 	for _, instance := range inventory.Instances() {
 		if instance.Role() != fleetstate.RoleSide {
--- a/entry/membership/core_test.go
+++ b/entry/membership/core_test.go
@@ -264,3 +264,40 @@
 		})
 	}
 }
+
+// TestInstancesThatWereListedAreBounded guards against memory that grows with each name that was
+// ever on the platform's list, and against work for a side that has left it.
+func TestInstancesThatWereListedAreBounded(t *testing.T) {
+	inventory, err := fleetstate.ParseInventory("inv.ini", []byte("[instance side-0]\nrole = side\nlink = 127.0.0.1:1\ndomain = a\nbackend = desk-0\n[backend desk-0]\nkind = service\nservice = bookings\nslots = 4\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]struct {
+		lists, names int // number of lists, and of the other instances on each
+		want         int // instances that are remembered
+	}{
+		"few":  {lists: 10, names: 10, want: 101},
+		"many": {lists: 100, names: 1000, want: 15001},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			core, now := NewCore(), time.Unix(1_000_000, 0)
+			core.Handle(now, NewInventoryChanged(inventory))
+			core.Handle(now, NewListUpdated(map[string]State{"side-0": Live}))
+			for list := range tc.lists {
+				states := make(map[string]State)
+				for n := range tc.names {
+					states[fmt.Sprint("other-", list, "-", n)] = Live
+				}
+				now = now.Add(time.Second)
+				core.Handle(now, NewListUpdated(states))
+			}
+			if diff := cmp.Diff(tc.want, len(core.everListed)); diff != "" {
+				t.Errorf("instances that are remembered (-want +got):\n%s", diff)
+			}
+			if !slices.Contains(core.Removed(now), "side-0") {
+				t.Error("a side that has left the list is taken for live")
+			}
+		})
+	}
+}
