Bound the entries that a lobby keeps of the lists of backend servers and lobbies

Change: 16,384 entries, 256 of them of services that are not configured, so that these take no place of others; 4,096 removed ones; expired lobbies that the list of lobbies lacks are forgotten.

Ruled out: leaving out services that are not configured: a configuration on its way may name them. What a read of the whole list takes while it is decoded is not bounded beyond 4 MiB for each page (platform, not changed here).

--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -47,6 +47,11 @@
 	// removalMemory is the time for which a removed backend server is remembered. A store
 	// is restored to a state of some seconds ago.
 	removalMemory = time.Minute
+	maxRemoved    = 4096 // removed backend servers that are remembered
+	// maxBackends and maxStrangers bound the entries that are kept of the list, in all and
+	// of services that are not configured. Other writers may add any number.
+	maxBackends  = 16384
+	maxStrangers = 256
 )
 
 // BackendWatcher watches the list of backend servers. The lobbies of a failure domain
@@ -233,8 +238,8 @@
 	previous, ok := w.backends[id]
 	switch {
 	case backend.ID() != "":
-		if !ok && !w.config.State.hasService(backend.Service()) {
-			w.config.Log.WithFields(logrus.Fields{"event": "backend", "backend": id, "service": backend.Service()}).Info("backend server of a service that is not configured")
+		if !ok && !w.hasRoom(backend) {
+			return
 		}
 		if backend, ok = w.believed(now, backend); ok {
 			w.backends[id] = backend
@@ -247,6 +252,24 @@
 	}
 }
 
+// hasRoom reports whether a backend server that was not on the list may be added to it.
+func (w *BackendWatcher) hasRoom(backend deployment.Backend) bool {
+	if w.config.State.hasService(backend.Service()) {
+		return len(w.backends) < maxBackends
+	}
+	strangers := 0
+	for _, other := range w.backends {
+		if !w.config.State.hasService(other.Service()) {
+			strangers++
+		}
+	}
+	if strangers >= maxStrangers || len(w.backends) >= maxBackends {
+		return false
+	}
+	w.config.Log.WithFields(logrus.Fields{"event": "backend", "backend": backend.ID(), "service": backend.Service()}).Info("backend server of a service that is not configured")
+	return true
+}
+
 // removeMissing removes the servers that are still missing at the end of the
 // grace period after an outage.
 func (w *BackendWatcher) removeMissing(now time.Time) {
--- a/lobby/discovery/backends_test.go
+++ b/lobby/discovery/backends_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -124,3 +125,51 @@
 		})
 	}
 }
+
+// TestEntriesOfTheListAreBounded guards against memory that grows with what other writers put
+// into the list, and with what they take out of it.
+func TestEntriesOfTheListAreBounded(t *testing.T) {
+	type counts struct{ Listed, Removed int }
+	cases := map[string]struct {
+		service        string // of the other entries
+		entries, reads int    // entries that each read brings, other ones each time
+		removed        bool   // those before are removed
+		want           counts
+	}{
+		"configured":                  {service: "s", entries: 1000, reads: 3, want: counts{Listed: 3001}},
+		"too many, configured":        {service: "s", entries: 6000, reads: 3, want: counts{Listed: 16384}},
+		"not configured":              {service: "none", entries: 50, reads: 3, want: counts{Listed: 151}},
+		"too many, not configured":    {service: "none", entries: 1000, reads: 3, want: counts{Listed: 257}},
+		"too many, one after another": {service: "s", entries: 3000, reads: 4, removed: true, want: counts{Listed: 3001, Removed: 4096}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			state := NewState(StateConfig{Listener: &listener{}, Log: testkit.DiscardLog()})
+			state.setConfiguration(deployment.NewConfiguration(deployment.Config{Version: 1, Services: []deployment.ServiceConfig{{Name: "s"}}}), "store")
+			sound := deployment.NewBackend(deployment.BackendConfig{ID: "sound", Service: "s"})
+			s := &store{list: map[string]deployment.Backend{"sound": sound}}
+			w := NewBackendWatcher(WatcherConfig{Store: s, State: state, Log: testkit.DiscardLog()}, &sharer{})
+			now := noon
+			for read := range tc.reads + 1 {
+				s.changes = make(map[string]deployment.Backend)
+				for n := range tc.entries {
+					id := fmt.Sprint(read, "-", n)
+					s.changes[id] = deployment.NewBackend(deployment.BackendConfig{ID: id, Service: tc.service})
+					if tc.removed {
+						s.changes[fmt.Sprint(read-1, "-", n)] = deployment.Backend{}
+					}
+				}
+				if err := w.step(now); err != nil { // the first one reads the list
+					t.Fatal(err)
+				}
+				now = now.Add(time.Second)
+			}
+			if diff := cmp.Diff(tc.want, counts{Listed: len(w.backends), Removed: len(w.removed)}); diff != "" {
+				t.Errorf("entries that are kept (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff("sound", w.backends["sound"].ID()); diff != "" {
+				t.Errorf("sound one (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -348,4 +348,9 @@
 	if diff := cmp.Diff([]string{"a"}, w.alive(noon.Add(lobbyExpiry), d.offsets)); diff != "" {
 		t.Errorf("lobbies after the expiry (-want +got):\n%s", diff)
 	}
+	delete(d.offsets, "b")
+	w.alive(noon.Add(lobbyExpiry), d.offsets)
+	if diff := cmp.Diff(1, len(w.announcements)); diff != "" {
+		t.Errorf("lobbies that are remembered without an entry (-want +got):\n%s", diff)
+	}
 }
--- a/lobby/discovery/lobbies.go
+++ b/lobby/discovery/lobbies.go
@@ -162,8 +162,12 @@
 	}
 	var alive []string
 	for address, last := range w.announcements {
-		if now.Sub(last.firstSeen) < lobbyExpiry {
+		_, listed := offsets[address]
+		switch {
+		case now.Sub(last.firstSeen) < lobbyExpiry:
 			alive = append(alive, address)
+		case !listed:
+			delete(w.announcements, address)
 		}
 	}
 	return alive
--- a/lobby/discovery/restore.go
+++ b/lobby/discovery/restore.go
@@ -63,7 +63,7 @@
 
 // remove removes a backend server and remembers its start for a while.
 func (w *BackendWatcher) remove(now time.Time, id string) {
-	if backend, ok := w.backends[id]; ok {
+	if backend, ok := w.backends[id]; ok && len(w.removed) < maxRemoved {
 		w.removed[id] = removal{startTime: backend.StartTime(), at: now}
 	}
 	maps.DeleteFunc(w.removed, func(_ string, r removal) bool { return now.Sub(r.at) > removalMemory })
