Ask no keeper for adapters that callers make up

Cause: the model of a request was looked up, its adapter was not.

Change: a request for an adapter that is neither configured nor held is one for an unknown model, which waits and is refused as before.

Ruled out: the keeper as the place: assignments state sizes, not names.

--- a/commons/deployment/service.go
+++ b/commons/deployment/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -30,6 +32,19 @@
 	return slices.ContainsFunc(e.Models, func(model ModelConfig) bool { return model.Name == name })
 }
 
+// adapterPrefix begins the names of adapters, which are numbered from one.
+const adapterPrefix = "a"
+
+// HasAdapter reports whether a model is configured with an adapter of the given name.
+func (e EngineConfig) HasAdapter(model, name string) bool {
+	digits, ok := strings.CutPrefix(name, adapterPrefix)
+	number, err := strconv.Atoi(digits)
+	if !ok || err != nil || strconv.Itoa(number) != digits {
+		return false
+	}
+	return slices.ContainsFunc(e.Models, func(m ModelConfig) bool { return m.Name == model && number >= 1 && number <= m.Adapters })
+}
+
 // ModelLoadTime returns the time to load a model from a backend server's own disk,
 // if that is known and onDisk is set, else from the weight store. It returns zero for
 // a model that is not configured.
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sesamewell.example/commons/deployment"
 )
 
 // acceptsNew reports whether new requests are accepted. A draining process
@@ -83,7 +85,7 @@
 	switch model := req.request.Model(); {
 	case !ok:
 		req.request = req.request.WithoutModel() // callers may name any
-	case model != "" && !engine.HasModel(model) && !c.holdsModel(req.service, model):
+	case model != "" && !c.knows(req.service, engine, model, req.request.Adapter()):
 		req.request = req.request.WithUnknownModel()
 	}
 	if route.Open() || !c.configuration.HasTenants() {
@@ -97,9 +99,13 @@
 	return ""
 }
 
-// holdsModel reports whether a backend server of a service holds a model.
-func (c *Core) holdsModel(service, model string) bool {
-	return slices.ContainsFunc(c.byService[service], func(s *server) bool { return s.hasModel(model) })
+// knows reports whether a model and, unless its name is empty, an adapter of it are configured
+// for a service, or held by one of its backend servers.
+func (c *Core) knows(service string, engine deployment.EngineConfig, model, adapter string) bool {
+	if engine.HasModel(model) && (adapter == "" || engine.HasAdapter(model, adapter)) {
+		return true
+	}
+	return slices.ContainsFunc(c.byService[service], func(s *server) bool { return s.backend.Holds(model, adapter) })
 }
 
 func (c *Core) charge(now time.Time, req *openRequest) (time.Duration, bool) {
--- a/lobby/scheduler/admission_test.go
+++ b/lobby/scheduler/admission_test.go
@@ -59,3 +59,27 @@
 		})
 	}
 }
+
+// TestMadeUpAdaptersAreNotFetched guards against orders for adapters whose names callers make up:
+// a keeper would order its engine to load each, and unload others for them.
+func TestMadeUpAdaptersAreNotFetched(t *testing.T) {
+	cases := map[string]struct {
+		model, adapter string
+		want           []string // decisions on the request
+	}{
+		"configured":               {model: "m", adapter: "a9", want: []string{"fetch e1 m/a9"}},
+		"held, not configured":     {model: "m", adapter: "own", want: []string{"fetch e1 m/own"}},
+		"number beyond the last":   {model: "m", adapter: "a10"},
+		"number before the first":  {model: "m", adapter: "a0"},
+		"number in another form":   {model: "m", adapter: "a09"},
+		"made up":                  {model: "m", adapter: "x1"},
+		"made up, of large number": {model: "m", adapter: "a99999999999999999999"},
+		"model without adapters":   {model: "n", adapter: "a1"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(engineServer("e1", "own"))
+			checkActions(t, "request", tc.want, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: tc.model, Adapter: tc.adapter}))
+		})
+	}
+}
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -46,7 +46,7 @@
 }
 
 func engineConfig() *deployment.EngineConfig {
-	return &deployment.EngineConfig{Slots: 64, Memory: 230, AdapterSlots: 8, LoadsPerSec: 3, Models: []deployment.ModelConfig{{Name: "m", Memory: 70, LoadTime: 4 * time.Second, DiskTime: 500 * time.Millisecond}, {Name: "n", Memory: 70}}}
+	return &deployment.EngineConfig{Slots: 64, Memory: 230, AdapterSlots: 8, LoadsPerSec: 3, Models: []deployment.ModelConfig{{Name: "m", Memory: 70, LoadTime: 4 * time.Second, DiskTime: 500 * time.Millisecond, Adapters: 9, AdapterSize: 1}, {Name: "n", Memory: 70}}}
 }
 
 func newFixture(backends ...deployment.BackendConfig) *fixture {
--- a/standin/e2e/endlessmessages_test.go
+++ b/standin/e2e/endlessmessages_test.go
@@ -394,7 +394,7 @@
 	p, addresses := f.startLobby("lobby-1", store)
 	d := callersDoor(addresses.callers)
 	adapter := d
-	adapter.lines = strings.Replace(d.lines, "Model: m\r\n", "Model: m/a\r\n", 1)
+	adapter.lines = strings.Replace(d.lines, "Model: m\r\n", "Model: m/a1\r\n", 1)
 	act := func(ctx context.Context) {
 		c := startCrowd(adapter, endlessCallers, func(d door, conn net.Conn) error { return write(conn, d.withBody(d.stream, d.body)) })
 		<-ctx.Done()
--- a/standin/e2e/untrustedclients_test.go
+++ b/standin/e2e/untrustedclients_test.go
@@ -133,7 +133,7 @@
 	{"name":"plain","host":"h","path_prefix":"/plain/","route_kind":"safe","timeout_ms":15000,"target_latency_ms":1000,"service":"p","max_attempts":2},
 	{"name":"stream","host":"h","path_prefix":"/s/","route_kind":"streaming","timeout_ms":15000,"target_latency_ms":1000,"gap_target_ms":1000,"service":"s","max_attempts":1}],
 	"services":[{"name":"p","health_path":"/health","max_connections":500},
-	{"name":"s","health_path":"/health","max_connections":500,"engine":{"slots":400,"kv_cache_tokens":100000,"weights_mb":100,"adapter_slots":1,"loads_per_s":1,"models":[{"name":"m","weights_mb":50,"load_time_s":1}]}}],
+	{"name":"s","health_path":"/health","max_connections":500,"engine":{"slots":400,"kv_cache_tokens":100000,"weights_mb":100,"adapter_slots":1,"loads_per_s":1,"models":[{"name":"m","weights_mb":50,"load_time_s":1,"adapters":1,"adapter_size_mb":1}]}}],
 	"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 	"tenants":[{"name":"t","api_keys":["` + tenantKey + `"]}]}`
 
