--- a/standin/e2e/clientpatterns_test.go
+++ b/standin/e2e/clientpatterns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -43,6 +44,24 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", d.head("POST", path), len(body), body)
 }
 
+const (
+	nameBytes = 15000 // length of the names that a client makes up, below maxHeader
+	maxNames  = 1000  // requests of one connection that name something else each time
+)
+
+// withName returns a request that names something of which no other one has heard, each time
+// another kind of thing. The first of several fields with one name counts.
+func (d door) withName(n int) string {
+	name := fmt.Sprintf("%x-%s", rand.Uint64(), strings.Repeat("x", nameBytes))
+	parts := fmt.Sprintf("%x:1,", rand.Uint32()) + strings.Repeat("a:0,", nameBytes/len("a:0,")) + "b:0"
+	fields := []string{"Model: " + name, "Model: m/" + name, "Prompt-Prefix: " + name + ":1", "Prompt-Prefix: " + parts, "Request-Id: " + name, "Authorization: Bearer " + name, "Idempotency-Key: " + name, "Host: " + name}
+	named := d
+	field := fields[n%len(fields)]
+	named.lines = "Deadline-Ms: 100\r\n" + field + "\r\n" + d.lines
+	body := strings.Replace(d.body, `"model":"`, `"model":"`+name, n%2)
+	return strings.Replace(named.withBody(d.stream, body), "Host: h\r\n", "", strings.Count(field, "Host: "))
+}
+
 // script is what one abusive client does on one connection, until the connection breaks.
 type script func(d door, conn net.Conn) error
 
@@ -250,6 +269,29 @@
 		}
 		return hold(conn)
 	}},
+	"other names in each request": {clients: 300, run: func(d door, conn net.Conn) error {
+		for n := range maxNames {
+			if err := write(conn, d.withName(n)); err != nil {
+				return err
+			}
+			if _, err := conn.Read(make([]byte, 64<<10)); err != nil {
+				return err
+			}
+		}
+		return io.EOF
+	}},
+	"streams of prompts with very many parts": {clients: 300, run: func(d door, conn net.Conn) error {
+		named := d
+		named.lines = "Prompt-Prefix: " + strings.Repeat("a:0,", nameBytes/len("a:0,")) + "b:0\r\n" + d.lines
+		if err := write(conn, named.withBody(d.stream, d.body)); err != nil {
+			return err
+		}
+		for buffer := make([]byte, 64<<10); ; {
+			if _, err := conn.Read(buffer); err != nil {
+				return err
+			}
+		}
+	}},
 	"requests cancelled at a high rate": {clients: 100, run: func(d door, conn net.Conn) error {
 		if err := write(conn, d.withBody(d.slow, "{}")); err != nil {
 			return err
