Read the software version of backend servers and what a request takes up, and log both

Cause: a lobby checked that an entry has a version and dropped it; Resumes was unknown to it. Nothing in the logs told which version went on with a stream, nor which stream that was.

Change: Backend.Version, Request.Resumes and TakesUp; event=sent has resumes and version where a send goes on with a stream, within an answer or over a caller's tries.

Evidence: TestDecodeBackend, TestDecodeRequest.

--- a/commons/deployment/backend.go
+++ b/commons/deployment/backend.go
@@ -59,6 +59,7 @@
 	// reports that have not changed.
 	ColdFor  time.Duration
 	Revision int64
+	Version  string // of its software
 }
 
 // Backend is the newest state that a backend server has reported. It is immutable.
@@ -99,6 +100,9 @@
 	return b
 }
 
+// Version returns the version of the backend server's software.
+func (b Backend) Version() string { return b.config.Version }
+
 // StartTime returns the time of the backend server's start in Unix milliseconds.
 func (b Backend) StartTime() int64 { return b.config.StartTime }
 
--- a/commons/httpmeta/httpmeta.go
+++ b/commons/httpmeta/httpmeta.go
@@ -37,6 +37,8 @@
 	Fingerprint     Fingerprint   // identifies the request's content
 	Timeout         time.Duration // time for which the caller waits; zero if unknown
 	Arrived         time.Time     // time at which the request was complete
+	Resumes         string        // ID of the attempt that brought the first event of the stream that the request takes up; empty if it states none
+	LastEventID     string        // ID of the last event that the caller has; empty if it takes no stream up
 }
 
 // Request holds the parameters of a caller's request. It is immutable.
@@ -78,6 +80,13 @@
 	return NewRequest(config)
 }
 
+// TakesUp reports whether the request takes up a stream that an earlier attempt began.
+func (r *Request) TakesUp() bool { return r.config.Resumes != "" || r.config.LastEventID != "" }
+
+// Resumes returns the ID of the attempt that brought the first event of the stream that the
+// request takes up, or "" if it states none.
+func (r *Request) Resumes() string { return r.config.Resumes }
+
 // ID returns the identifier that the caller gave this attempt.
 func (r *Request) ID() string { return r.config.ID }
 
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -26,6 +26,8 @@
 	Resumable        bool          // the stream may be resumed at another backend server, so only whole events are forwarded
 	KeepError        bool          // a server error of the backend server is kept for ForwardError
 	Limited          bool          // the backend server has named a rate, so an answer without one is reported too
+	Resumption       bool          // the send goes on with a stream that another one or an earlier attempt began
+	Version          string        // of the backend server's software
 }
 
 // Send sends a request to a backend server.
@@ -84,6 +86,13 @@
 // answer that names none is reported too.
 func (s Send) Limited() bool { return s.config.Limited }
 
+// Resumption reports whether the send goes on with a stream that another send or an earlier
+// attempt of the caller began.
+func (s Send) Resumption() bool { return s.config.Resumption }
+
+// Version returns the version of the backend server's software.
+func (s Send) Version() string { return s.config.Version }
+
 // ForwardErrorConfig holds the construction parameters of a ForwardError.
 type ForwardErrorConfig struct {
 	Number uint64
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -96,6 +96,8 @@
 		IdleTimeout:      req.idleTimeout(),
 		Stream:           req.route.Kind() == deployment.Stream,
 		Resumable:        req.route.Resumable(),
+		Resumption:       req.started || req.request.TakesUp(),
+		Version:          s.backend.Version(),
 		Forwarding: httpmeta.NewForwarding(httpmeta.ForwardingConfig{
 			Backend:     s.backend.ID(),
 			Tenant:      req.tenant.Name(),
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -11,7 +11,11 @@
 )
 
 func (s *Scheduler) logSend(a Send) {
-	s.config.Log.WithFields(logrus.Fields{
+	log := s.config.Log
+	if a.Resumption() {
+		log = log.WithFields(logrus.Fields{"resumes": a.Request().Resumes(), "version": a.Version()})
+	}
+	log.WithFields(logrus.Fields{
 		"event": "sent", "request": a.Request().ID(), "backend": a.Forwarding().Backend(), "tenant": a.Forwarding().Tenant(), "model": a.Request().Model(),
 		"adapter": a.Request().Adapter(), "waited": time.Since(a.Request().Arrived()),
 	}).Info("request sent")
