Resume a stream within its answer only at the software version that began it

Cause: the choice of the backend server that goes on knew no version.

Change: from its first event on a request is pinned to the version of the backend server that began it. The pin is part of the queue's key, as home regions are, so all that estimates a wait counts the right backend servers. Without a usable backend server of that version, or with only those that have broken the stream off while others serve, it is broken off at once.

TestTruncatedStreamWaitsForAnotherServer shows that a stream of a single version still waits for another server.

--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -68,5 +68,5 @@
 		return false
 	}
 	s := req.server
-	return !s.closed(now) && c.inHome(req.homes, s) && s.gates.admits(now)
+	return !s.closed(now) && c.eligible(req.queueKey(), s) && s.gates.admits(now)
 }
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -47,7 +47,7 @@
 func (c *Core) holders(req *openRequest) int {
 	n := 0
 	for _, s := range c.byService[req.service] {
-		if model := req.request.Model(); s.usable() && c.inHome(req.homes, s) && (model == "" || s.hasModel(model)) {
+		if model := req.request.Model(); s.usable() && c.eligible(req.queueKey(), s) && (model == "" || s.hasModel(model)) {
 			n++
 		}
 	}
@@ -63,7 +63,7 @@
 		req.started, req.firstEvent = true, now
 	}
 	if req.server != nil {
-		req.beganAt = now
+		req.beganAt, req.pin = now, pinTo(req.server.backend.Version())
 		req.server.prefill -= req.prefill
 		req.prefill = 0
 		req.stopAwaiting()
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -127,11 +127,12 @@
 func (c *Core) choose(now time.Time, req *openRequest) (best candidate, found bool) {
 	service, _ := c.configuration.Service(req.service)
 	_, engine := service.Engine()
+	key := req.queueKey()
 	if !engine && c.shareUsed(now, req) {
 		return best, false
 	}
 	for _, s := range c.byService[req.service] {
-		if !s.usable() || !s.hold.admits(now) || !c.gatesAdmit(now, s, req) || req.tried[s.backend.ID()] || !c.inHome(req.homes, s) || s.reservedAgainst(now, req) {
+		if !s.usable() || !s.hold.admits(now) || !c.gatesAdmit(now, s, req) || req.tried[s.backend.ID()] || !c.eligible(key, s) || s.reservedAgainst(now, req) {
 			continue
 		}
 		if cand, ok := c.evaluate(now, req, s, engine); ok && (!found || cand.betterThan(best)) {
--- a/lobby/scheduler/evacuation.go
+++ b/lobby/scheduler/evacuation.go
@@ -103,7 +103,7 @@
 func (c *Core) evacuatedOnly(req *openRequest) bool {
 	evacuated := false
 	for _, s := range c.byService[req.service] {
-		if !c.inHome(req.homes, s) {
+		if !c.eligible(req.queueKey(), s) {
 			continue
 		}
 		if s.usable() {
--- a/lobby/scheduler/explain.go
+++ b/lobby/scheduler/explain.go
@@ -178,7 +178,7 @@
 			Prefill: c.promptTime(now, s, req.request.Model(), uncached), Ratio: s.model.prefill.ratio(now),
 		}
 		cand, ok := c.evaluate(now, req, s, engine)
-		if ok && s.admits(now) && c.inHome(req.homes, s) && !s.reservedAgainst(now, req) && !shareUsed {
+		if ok && s.admits(now) && c.eligible(req.queueKey(), s) && !s.reservedAgainst(now, req) && !shareUsed {
 			config.Route = cand.route
 		} else {
 			config.Excluded = c.exclusion(now, req, s, engine, config.Prefill)
--- a/lobby/scheduler/forecast.go
+++ b/lobby/scheduler/forecast.go
@@ -30,6 +30,7 @@
 type queueKey struct {
 	service, model string
 	homes          homes
+	pin            pin
 }
 
 // waitingLoad is the number and the work of queued requests.
@@ -137,7 +138,7 @@
 	var a availability
 	usable, replaced := 0, 0
 	for _, s := range c.byService[key.service] {
-		if !c.inHome(key.homes, s) {
+		if !c.eligible(key, s) {
 			continue
 		}
 		if s.replaced {
@@ -168,7 +169,7 @@
 	}
 	if a.gone { // the disks still have what had been loaded
 		load := engine.ModelLoadTime(key.model, true)
-		return remaining(now, c.forecast.absence(now, queueKey{service: key.service, homes: key.homes}), registrationDelay+planDelay+load, load)
+		return remaining(now, c.forecast.absence(now, queueKey{service: key.service, homes: key.homes, pin: key.pin}), registrationDelay+planDelay+load, load)
 	}
 	if !engine.HasModel(key.model) { // callers may name any
 		return planDelay
--- a/lobby/scheduler/freedslot.go
+++ b/lobby/scheduler/freedslot.go
@@ -89,7 +89,7 @@
 func (c *Core) queuesFor(s *server, engine bool) []*fairqueue.Queue {
 	var queues []*fairqueue.Queue
 	for key, q := range c.waiting {
-		if key.service == s.backend.Service() && c.inHome(key.homes, s) && (!engine || s.hasModel(key.model)) {
+		if key.service == s.backend.Service() && c.eligible(key, s) && (!engine || s.hasModel(key.model)) {
 			queues = append(queues, q)
 		}
 	}
--- a/lobby/scheduler/hold.go
+++ b/lobby/scheduler/hold.go
@@ -99,7 +99,7 @@
 func (c *Core) holdDelay(now time.Time, req *openRequest, skip map[string]bool) time.Duration {
 	shortest, model := time.Duration(0), req.request.Model()
 	for _, s := range c.byService[req.service] {
-		if !s.usable() || skip[s.backend.ID()] || !c.inHome(req.homes, s) || model != "" && !s.hasModel(model) {
+		if !s.usable() || skip[s.backend.ID()] || !c.eligible(req.queueKey(), s) || model != "" && !s.hasModel(model) {
 			continue
 		}
 		if !s.hold.active(now) {
--- a/lobby/scheduler/pass.go
+++ b/lobby/scheduler/pass.go
@@ -162,7 +162,7 @@
 	service, _ := c.configuration.Service(key.service)
 	_, engine := service.Engine()
 	for _, s := range c.byService[key.service] {
-		if s.admits(now) && c.inHome(key.homes, s) && (!engine || s.hasSlot(priority) && s.serves(now, key.model)) {
+		if s.admits(now) && c.eligible(key, s) && (!engine || s.hasSlot(priority) && s.serves(now, key.model)) {
 			return true
 		}
 	}
--- a/lobby/scheduler/queue.go
+++ b/lobby/scheduler/queue.go
@@ -23,6 +23,10 @@
 		c.refuseNotRun(now, req, noHome, noBackendRetryAfter)
 		return
 	}
+	if !c.hasVersion(req) {
+		c.refuseNotRun(now, req, noVersion, 0)
+		return
+	}
 	if !c.drainStart.IsZero() || !mayWait || c.evacuatedOnly(req) {
 		c.refuseUnserved(now, req, noBackend, max(c.freeQueueDelay(now, req), noBackendRetryAfter))
 		return
@@ -159,7 +163,7 @@
 
 // queueKey returns the key of the requests that wait for the same backend servers.
 func (r *openRequest) queueKey() queueKey {
-	return queueKey{service: r.service, model: r.request.Model(), homes: r.homes}
+	return queueKey{service: r.service, model: r.request.Model(), homes: r.homes, pin: r.pin}
 }
 
 // queueDeadline returns the time until which the request may stay in the queue.
--- a/lobby/scheduler/request.go
+++ b/lobby/scheduler/request.go
@@ -17,6 +17,7 @@
 	tenant         deployment.Tenant
 	service        string
 	homes          homes
+	pin            pin // to the version at which its stream began
 	expires        time.Time
 	triedFor       time.Duration // time from the caller's first request to this one; zero if unknown
 	server         *server       // current backend server; nil if there is none
--- a/lobby/scheduler/returns.go
+++ b/lobby/scheduler/returns.go
@@ -87,7 +87,7 @@
 	service, _ := c.configuration.Service(req.service)
 	engine, isEngine := service.Engine()
 	for _, s := range c.byService[req.service] {
-		if s.usable() && c.inHome(key.homes, s) && (!isEngine || s.hasModel(key.model)) {
+		if s.usable() && c.eligible(key, s) && (!isEngine || s.hasModel(key.model)) {
 			slots += s.backend.Slots()
 		}
 	}
--- a/lobby/scheduler/turn.go
+++ b/lobby/scheduler/turn.go
@@ -51,7 +51,7 @@
 		return t
 	}
 	for _, s := range c.byService[key.service] {
-		if !s.usable() || s.hold.active(now) || skip[s.backend.ID()] || !c.inHome(key.homes, s) || key.model != "" && !s.hasModel(key.model) {
+		if !s.usable() || s.hold.active(now) || skip[s.backend.ID()] || !c.eligible(key, s) || key.model != "" && !s.hasModel(key.model) {
 			continue
 		}
 		if !s.gates.limits(now) {
