--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -57,6 +57,7 @@
 	Hot           []HotPartsConfig    // what the sender has sent repeatedly since its last digest with them; bounded in bytes
 
 	Evacuations deployment.EvacuationsConfig // failure domains that are to be evacuated, as far as the sender knows
+	Streams     []StreamsConfig              // that began at the sender, where their services have several software versions
 }
 
 // Digest is the state that a lobby sends to the other lobbies several times a
@@ -122,6 +123,10 @@
 // Suspects returns what the sender knows of some of the suspects of crashes.
 func (d Digest) Suspects() []SuspectConfig { return d.config.Suspects }
 
+// Streams returns streams that began at the sender lately, where their services have several
+// software versions.
+func (d Digest) Streams() []StreamsConfig { return d.config.Streams }
+
 // Hot returns the prompt parts that the sender has sent repeatedly to backend servers
 // lately, nil if they were not due.
 func (d Digest) Hot() []HotPartsConfig { return d.config.Hot }
--- /dev/null
+++ b/commons/protocol/streams.go
@@ -0,0 +1,70 @@
+package protocol
+
+import (
+	"time"
+
+	"sesamewell.example/commons/httpmeta"
+)
+
+// SoftwareVersionConfig is a version of the software of a service's backend servers.
+type SoftwareVersionConfig struct {
+	Service string
+	Version string
+}
+
+// StreamsConfig is a number of streams that began at the same software version.
+type StreamsConfig struct {
+	Service string
+	Version string
+	Streams []httpmeta.StreamID
+	Left    time.Duration // time for which their callers may take them up
+}
+
+// StreamsSaveConfig holds the construction parameters of a StreamsSave.
+type StreamsSaveConfig struct {
+	Added   []SoftwareVersionConfig // versions of which streams may be open
+	Removed []SoftwareVersionConfig // versions of which no stream can be open any more
+	Streams []StreamsConfig         // that began at the sender
+}
+
+// StreamsSave is what a lobby adds to what the platform's store keeps of software versions and
+// of the streams that began there.
+type StreamsSave struct{ config StreamsSaveConfig }
+
+// NewStreamsSave returns a StreamsSave.
+func NewStreamsSave(config StreamsSaveConfig) StreamsSave { return StreamsSave{config: config} }
+
+// Added returns the versions of which streams may be open.
+func (s StreamsSave) Added() []SoftwareVersionConfig { return s.config.Added }
+
+// Removed returns the versions of which no stream can be open any more.
+func (s StreamsSave) Removed() []SoftwareVersionConfig { return s.config.Removed }
+
+// Streams returns the streams that began at the sender.
+func (s StreamsSave) Streams() []StreamsConfig { return s.config.Streams }
+
+// SavedStreamsConfig holds the construction parameters of SavedStreams.
+type SavedStreamsConfig struct {
+	Versions []SoftwareVersionConfig
+	Streams  []StreamsConfig
+	Slots    map[string]int // by lobby, the slot that it wrote last
+}
+
+// SavedStreams is what the platform's store keeps of software versions and of the streams that
+// began there, or a part of it.
+type SavedStreams struct{ config SavedStreamsConfig }
+
+// NewSavedStreams returns a SavedStreams.
+func NewSavedStreams(config SavedStreamsConfig) SavedStreams { return SavedStreams{config: config} }
+
+// Versions returns the versions of which streams may be open.
+func (s SavedStreams) Versions() []SoftwareVersionConfig { return s.config.Versions }
+
+// Streams returns the streams.
+func (s SavedStreams) Streams() []StreamsConfig { return s.config.Streams }
+
+// Slot returns the slot that a lobby wrote last, false if it has written none.
+func (s SavedStreams) Slot(lobby string) (int, bool) {
+	slot, ok := s.config.Slots[lobby]
+	return slot, ok
+}
--- a/lobby/evacuation_test.go
+++ b/lobby/evacuation_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -22,75 +23,80 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/lobby/discovery"
+	"sesamewell.example/platform"
 )
 
-// operatorStore is a fake of the platform's store to whose operator's topic records can
-// be appended while lobbies read it.
+// operatorStore is a fake of the platform's store to whose topics records can be appended
+// while lobbies read them.
 type operatorStore struct {
 	mu       sync.Mutex
-	records  [][2]string   // keys and values by offset
-	appended chan struct{} // closed by the next append
-	backends map[string]string
-	down     atomic.Bool // all calls fail
+	topics   map[string][]storeRecord // by offset
+	appended chan struct{}            // closed by the next append
+	shared   atomic.Bool              // it keeps the records of lobbies too, which then find each other, and states its era
+	down     atomic.Bool              // all calls fail
 }
 
+// storeRecord is a record of a topic with keys.
+type storeRecord struct{ key, value string }
+
 // newOperatorStore starts a store with a configuration and a list of backend servers. It
 // returns the store and its address.
 func newOperatorStore(t *testing.T, config string, backends map[string]string) (*operatorStore, string) {
 	t.Helper()
-	s := &operatorStore{records: [][2]string{{"config", config}}, appended: make(chan struct{}), backends: backends}
+	s := &operatorStore{topics: make(map[string][]storeRecord), appended: make(chan struct{})}
+	s.set("config", config)
+	for id, value := range backends {
+		s.append(platform.BackendTopic, storeRecord{key: id, value: value})
+	}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
 	return s, strings.TrimPrefix(server.URL, "http://")
 }
 
-// set appends a record.
+// set appends a record of the operator.
 func (s *operatorStore) set(key, value string) {
+	s.append(platform.ConfigurationTopic, storeRecord{key: key, value: value})
+}
+
+// append appends records to a topic and returns the offset of the first.
+func (s *operatorStore) append(topic string, records ...storeRecord) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, [2]string{key, value})
+	offset := len(s.topics[topic])
+	s.topics[topic] = append(s.topics[topic], records...)
 	close(s.appended)
 	s.appended = make(chan struct{})
+	return offset
 }
 
-// since returns the records from an offset on as the store encodes them, and a channel
-// that is closed by the next append.
-func (s *operatorStore) since(from int) (page []byte, appended chan struct{}) {
+// since returns the records of a topic from an offset on as the store encodes them, and a
+// channel that is closed by the next append.
+func (s *operatorStore) since(topic string, from int) (page []byte, appended chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page = binary.BigEndian.AppendUint64(nil, uint64(len(s.records)))
+	records := s.topics[topic]
+	page = binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	page = binary.BigEndian.AppendUint64(page, 0)
-	for _, record := range s.records[from:] {
-		content := string([]byte{byte(len(record[0]))}) + record[0] + record[1]
+	for _, record := range records[min(from, len(records)):] {
+		content := string([]byte{byte(len(record.key))}) + record.key + record.value
 		page = append(binary.BigEndian.AppendUint32(page, uint32(len(content))), content...)
 	}
 	return page, s.appended
 }
 
-// newest returns the newest record of each key that has a value, as the store encodes it.
-func (s *operatorStore) newest() string {
+// newest returns the newest record of each key of a topic that has a value, as the store
+// encodes it.
+func (s *operatorStore) newest(topic string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := make(map[string]string)
-	for offset, record := range s.records {
-		items[record[0]] = storeItem(record[0], record[1], offset)
-		if record[1] == "" {
-			delete(items, record[0])
+	for offset, record := range s.topics[topic] {
+		items[record.key] = fmt.Sprintf(`{"key":%q,"value":%q,"offset":%d}`, record.key, base64.StdEncoding.EncodeToString([]byte(record.value)), offset)
+		if record.value == "" {
+			delete(items, record.key)
 		}
 	}
-	return storeItems(items, len(s.records))
-}
-
-func storeItem(key, value string, offset int) string {
-	return fmt.Sprintf(`{"key":%q,"value":%q,"offset":%d}`, key, base64.StdEncoding.EncodeToString([]byte(value)), offset)
-}
-
-func storeItems(items map[string]string, end int) string {
-	var list []string
-	for _, item := range items {
-		list = append(list, item)
-	}
-	return fmt.Sprintf(`{"items":[%s],"end":%d}`, strings.Join(list, ","), end)
+	return fmt.Sprintf(`{"items":[%s],"end":%d}`, strings.Join(slices.Collect(maps.Values(items)), ","), len(s.topics[topic]))
 }
 
 func (s *operatorStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -98,44 +104,64 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	operator := r.URL.Query().Get("topic") == "keyed.op"
+	if s.shared.Load() {
+		w.Header().Set("Store-Era", "1")
+	}
 	switch {
-	case strings.HasSuffix(r.URL.Path, "log-read") && operator:
-		s.serveRead(w, r)
 	case strings.HasSuffix(r.URL.Path, "log-read"):
-		_, _ = w.Write(make([]byte, 16))
-	case operator:
-		_, _ = io.WriteString(w, s.newest())
-	case r.URL.Query().Get("topic") == "keyed.servers":
-		items := make(map[string]string)
-		for id, value := range s.backends {
-			items[id] = storeItem(id, value, 1)
-		}
-		_, _ = io.WriteString(w, storeItems(items, 2))
+		s.serveRead(w, r)
+	case strings.HasSuffix(r.URL.Path, "log-newest"):
+		_, _ = io.WriteString(w, s.newest(r.URL.Query().Get("topic")))
 	default:
-		_, _ = io.WriteString(w, `{"items":[],"end":0,"offset":0}`)
+		s.serveAppend(w, r)
 	}
 }
 
-// serveRead answers a long poll of the operator's topic.
+// serveRead answers a long poll of a topic.
 func (s *operatorStore) serveRead(w http.ResponseWriter, r *http.Request) {
-	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	const maxWait = 200 * time.Millisecond
+	query := r.URL.Query()
+	from, err := strconv.Atoi(query.Get("from"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	page, appended := s.since(from)
+	wait, _ := time.ParseDuration(query.Get("wait_ms") + "ms") // zero if it is not given
+	page, appended := s.since(query.Get("topic"), from)
 	if len(page) == 16 {
 		select {
 		case <-appended:
 		case <-r.Context().Done():
-		case <-time.After(200 * time.Millisecond):
+		case <-time.After(min(wait, maxWait)):
 		}
-		page, _ = s.since(from)
+		page, _ = s.since(query.Get("topic"), from)
 	}
 	_, _ = w.Write(page)
 }
 
+// serveAppend appends the records that a lobby sends.
+func (s *operatorStore) serveAppend(w http.ResponseWriter, r *http.Request) {
+	topic := r.URL.Query().Get("topic")
+	if topic == platform.ConfigurationTopic || topic == platform.BackendTopic {
+		http.Error(w, "not writable", http.StatusForbidden)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var records []storeRecord
+	for s.shared.Load() && len(body) > 0 {
+		length := 4 + binary.BigEndian.Uint32(body)
+		content, keyLength := body[5:length], body[4]
+		records = append(records, storeRecord{key: string(content[:keyLength]), value: string(content[keyLength:])})
+		body = body[length:]
+	}
+	offset := s.append(topic, records...)
+	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, offset, offset+len(records))
+}
+
 // countingBackend is a fake model engine that counts the requests that reach it.
 type countingBackend struct{ arrived atomic.Int64 }
 
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -94,6 +94,16 @@
 // DirectoryRestored tells the scheduler that the list of lobbies is an older one.
 func (m *mediator) DirectoryRestored() { m.notifyScheduler(scheduler.DirectoryRestored{}) }
 
+// StreamsRead passes what the store keeps of streams to the scheduler.
+func (m *mediator) StreamsRead(saved protocol.SavedStreams) error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewStreamsRead(saved), putTimeout)
+}
+
+// StreamsRestored tells the scheduler that the store has lost what was saved of streams lately.
+func (m *mediator) StreamsRestored() error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.StreamsRestored{}, putTimeout)
+}
+
 // Planned passes a plan made by this lobby to the scheduler. It ignores nil.
 func (m *mediator) Planned(plan map[string][]string) {
 	if plan != nil {
@@ -106,7 +116,7 @@
 func (m *mediator) Broadcast(action scheduler.Broadcast) error {
 	digest := protocol.NewDigest(protocol.DigestConfig{
 		Sender: m.self, Domain: m.domain, Incarnation: m.incarnation, Serial: m.serial.Add(1), ConfigVersion: m.state.Version(),
-		Replaced: action.Replaced(), Leaving: action.Leaving(), Limits: action.Limits(), Suspects: action.Suspects(), Hot: action.Hot(),
+		Replaced: action.Replaced(), Leaving: action.Leaving(), Limits: action.Limits(), Suspects: action.Suspects(), Hot: action.Hot(), Streams: action.Streams(),
 		Evacuations: m.state.Evacuations().Report(maxReportedEvacuations),
 		Draining:    action.Draining(), Spent: action.Spent(), Demand: action.Demand(), HomeDemand: action.HomeDemand(), Loads: action.Loads(), Plan: action.Plan(),
 	})
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -24,6 +24,7 @@
 	"sesamewell.example/lobby/proxy"
 	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/ratelimit"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 	"sesamewell.example/platform"
 )
@@ -41,6 +42,7 @@
 //	├── assigns  (calls to keepers with assignments, package keeperclient, several threads)
 //	├── planner  (placement of models, package placement)
 //	├── demand   (saved demand for models, package placement)
+//	├── streams  (software versions at which streams began, package resumption)
 //	├── parley   (calls to other lobbies, package broadcast, one thread for each)
 //	├── door     (calls from other lobbies, package peerrpc)
 //	├── catch up (reads of configurations that another lobby has first, package discovery)
@@ -77,7 +79,8 @@
 	})
 	registry := newRegistry(settings, log)
 	m.planner = newPlanner(settings, m, keepers, registry, log)
-	m.scheduler.Attach(m.proxy, keepers, m)
+	journal := resumption.NewJournal(resumption.JournalConfig{Self: m.self, Store: registry, Observer: m, MissedErr: discovery.ErrMissed, Log: log})
+	m.scheduler.Attach(m.proxy, keepers, m, journal)
 	p.drainer = newDrainer(drainerConfig{
 		MinDuration: stopSchedule(settings).AcceptPeriod() + refusalMargin,
 		Open:        m.proxy.Open,
@@ -88,6 +91,7 @@
 	p.add(keepers.Services()...)
 	p.add(m.broadcaster)
 	p.add(m.planner.Services()...)
+	p.add(journal)
 	p.addDiscovery(settings, registry, log)
 	p.addServers(settings, log)
 	return p, nil
@@ -173,6 +177,7 @@
 			Stop:       stopSchedule(settings),
 			Cold:       scheduler.ColdConfig{Self: settings.Address("door", "listen"), Overshoot: settings.Decimal("cold", "overshoot"), Slack: settings.Decimal("cold", "slack")},
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, LeaveTime: stopSchedule(settings).AcceptPeriod() + leaveMargin, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
+			Streams:    resumption.New(),
 			Quarantine: quarantine.New(quarantine.Config{Self: settings.Address("door", "listen")}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
--- /dev/null
+++ b/lobby/resumption/journal_test.go
@@ -0,0 +1,108 @@
+package resumption_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/testkit"
+	"sesamewell.example/lobby/resumption"
+)
+
+var errDown, errMissed = errors.New("store is down"), errors.New("records are gone")
+
+// store is a store that fails a number of calls, and an Observer of what is read from it. Each
+// call appends a line to calls.
+type store struct {
+	mu     sync.Mutex
+	fails  int   // calls that fail before the others
+	era    int64 // raised by restores after a number of calls
+	erases int   // calls after which the store is restored; never if zero
+	slot   int   // that the lobby wrote last before; none if negative
+	calls  []string
+	done   chan struct{} // closed after the last line that the test awaits
+	await  string
+}
+
+func (s *store) note(line string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, line)
+	if s.erases > 0 && len(s.calls) == s.erases {
+		s.era++
+	}
+	if line == s.await {
+		close(s.done)
+	}
+	if s.fails > 0 {
+		s.fails--
+		return errDown
+	}
+	return nil
+}
+
+func (s *store) SavedStreams() (protocol.SavedStreams, deployment.Position, error) {
+	config := protocol.SavedStreamsConfig{}
+	if s.slot >= 0 {
+		config.Slots = map[string]int{"l1": s.slot}
+	}
+	return protocol.NewSavedStreams(config), deployment.NewPosition(s.era, 7), s.note("read all")
+}
+
+func (s *store) SavedStreamsSince(deployment.Position) (protocol.SavedStreams, deployment.Position, error) {
+	return protocol.SavedStreams{}, deployment.Position{}, s.note("read new")
+}
+
+func (s *store) SaveStreams(lobby string, slot int, save protocol.StreamsSave) (int64, error) {
+	err := s.note(fmt.Sprint("save ", lobby, " ", slot, " ", len(save.Streams())))
+	return s.era, err
+}
+
+func (s *store) StreamsRead(protocol.SavedStreams) error { return s.note("observed") }
+func (s *store) StreamsRestored() error                  { return s.note("restored") }
+
+// TestJournalOutlivesItsStore guards against saves that are lost while the store is away or
+// after it was restored, and against a lobby that starts again and overwrites what it saved last.
+func TestJournalOutlivesItsStore(t *testing.T) {
+	cases := map[string]struct {
+		store *store
+		want  []string
+	}{
+		"calm":               {store: &store{slot: -1}, want: []string{"read all", "observed", "save l1 1 1", "save l1 2 1"}},
+		"started again":      {store: &store{slot: 41}, want: []string{"read all", "observed", "save l1 42 1", "save l1 43 1"}},
+		"at the last slot":   {store: &store{slot: 479}, want: []string{"read all", "observed", "save l1 480 1", "save l1 0 1"}},
+		"away at the start":  {store: &store{slot: -1, fails: 2}, want: []string{"read all", "read all", "read all", "observed", "save l1 1 1", "save l1 2 1"}},
+		"restored meanwhile": {store: &store{slot: -1, erases: 2}, want: []string{"read all", "observed", "save l1 1 1", "restored", "read all", "observed", "save l1 2 1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := tc.store
+			s.done, s.await = make(chan struct{}), tc.want[len(tc.want)-1]
+			journal := resumption.NewJournal(resumption.JournalConfig{Self: "l1", Store: s, Observer: s, MissedErr: errMissed, Log: testkit.DiscardLog()})
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			for range 2 {
+				journal.Save(protocol.NewStreamsSave(protocol.StreamsSaveConfig{Streams: []protocol.StreamsConfig{{Streams: []httpmeta.StreamID{1}}}}))
+			}
+			served := make(chan error, 1)
+			go func() { served <- journal.Serve(ctx) }()
+			select {
+			case <-s.done:
+			case <-ctx.Done():
+			}
+			cancel()
+			<-served
+			if diff := cmp.Diff(tc.want, s.calls); diff != "" {
+				t.Errorf("calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -209,6 +209,7 @@
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
 	Hot        []protocol.HotPartsConfig
+	Streams    []protocol.StreamsConfig // that began here, where their services have several software versions
 }
 
 // Broadcast sends this lobby's digest to the other lobbies, and tells the watcher of
@@ -240,6 +241,10 @@
 // due.
 func (b Broadcast) Hot() []protocol.HotPartsConfig { return b.config.Hot }
 
+// Streams returns streams that began here lately, where their services have several software
+// versions.
+func (b Broadcast) Streams() []protocol.StreamsConfig { return b.config.Streams }
+
 // Leaving returns the start times, by ID, of the listed backend servers that have said
 // in an answer that they leave.
 func (b Broadcast) Leaving() map[string]int64 { return b.config.Leaving }
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -44,6 +44,10 @@
 		c.refuse(req, draining, c.returnAfter(now, req, c.drainRetryAfter(now)))
 		return
 	}
+	if !c.takeUp(now, req, m.request) {
+		c.refuse(req, unknownOrigin, unknownOriginRetryAfter)
+		return
+	}
 	if wait, ok := c.charge(now, req); !ok {
 		c.refuse(req, overQuota, wait)
 		return
@@ -78,14 +82,7 @@
 	}
 	req.route = route
 	req.service = route.PickService(c.config.Random.Float64())
-	service, _ := c.configuration.Service(req.service)
-	engine, ok := service.Engine()
-	switch model := req.request.Model(); {
-	case !ok:
-		req.request = req.request.WithoutModel() // callers may name any
-	case model != "" && !engine.HasModel(model) && !c.holdsModel(req.service, model):
-		req.request = req.request.WithUnknownModel()
-	}
+	c.fitModel(req)
 	if route.Open() || !c.configuration.HasTenants() {
 		req.homes = newHomes(route, req.tenant)
 		return ""
@@ -97,6 +94,19 @@
 	return ""
 }
 
+// fitModel leaves out a model that means nothing to the request's service, and replaces one
+// that nobody knows: callers may name any.
+func (c *Core) fitModel(req *openRequest) {
+	service, _ := c.configuration.Service(req.service)
+	engine, ok := service.Engine()
+	switch model := req.request.Model(); {
+	case !ok:
+		req.request = req.request.WithoutModel()
+	case model != "" && !engine.HasModel(model) && !c.holdsModel(req.service, model):
+		req.request = req.request.WithUnknownModel()
+	}
+}
+
 // holdsModel reports whether a backend server of a service holds a model.
 func (c *Core) holdsModel(service, model string) bool {
 	return slices.ContainsFunc(c.byService[service], func(s *server) bool { return s.hasModel(model) })
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -52,6 +52,7 @@
 // longer listed get no new requests, but keep the ones that they are running.
 func (c *Core) updateBackends(now time.Time, backends []deployment.Backend) {
 	c.listed, c.listedAt = true, now
+	c.config.Streams.SetBackends(now, backends)
 	seen := make(map[string]bool, len(backends))
 	for _, backend := range backends {
 		seen[backend.ID()] = true
--- a/lobby/scheduler/cause.go
+++ b/lobby/scheduler/cause.go
@@ -14,6 +14,7 @@
 	overQuota        Cause = "over_quota"        // the tenant's rate and burst are used up
 	noBackend        Cause = "no_backend"        // no backend server can run the request
 	noHome           Cause = "no_home"           // no backend server of the service is in a region where the request may run
+	unknownOrigin    Cause = "unknown_origin"    // nobody knows at which software version the stream began that the request takes up
 	noVersion        Cause = "no_version"        // no backend server has the software version at which the stream began
 	notTaken         Cause = "not_taken"         // backend servers rejected the request, and it may not be sent again
 	answerLost       Cause = "answer_lost"       // the request may have run, and no complete answer arrived
@@ -33,6 +34,7 @@
 	overQuota:        fasthttp.StatusTooManyRequests,
 	noBackend:        fasthttp.StatusServiceUnavailable,
 	noHome:           fasthttp.StatusServiceUnavailable,
+	unknownOrigin:    fasthttp.StatusServiceUnavailable,
 	noVersion:        fasthttp.StatusServiceUnavailable,
 	notTaken:         fasthttp.StatusServiceUnavailable,
 	answerLost:       fasthttp.StatusBadGateway,
--- a/lobby/scheduler/coldserver_test.go
+++ b/lobby/scheduler/coldserver_test.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -26,7 +27,7 @@
 func newColdLobby(self string, all []string, backends ...deployment.BackendConfig) *fixture {
 	f := &fixture{limiter: &fakeLimiter{remaining: 1000}, now: noon.Add(-time.Minute), origins: make(map[uint64]scheduler.Origin)}
 	f.core = scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", Regions: domainRegions, MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: f.limiter, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", Regions: domainRegions, MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: f.limiter, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 		Cold:        scheduler.ColdConfig{Self: self, Overshoot: 1.5, Slack: 5},
 	})
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -59,6 +59,9 @@
 	if !ok {
 		return
 	}
+	if req.server != nil && !req.started {
+		c.streamBegan(now, req)
+	}
 	if !req.started {
 		req.started, req.firstEvent = true, now
 	}
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -3,16 +3,17 @@
 import "time"
 
 const (
-	tickPeriod        = 50 * time.Millisecond
-	maxFailedSends    = 3                       // sends of one request that may fail before a byte is sent
-	minBackoff        = 500 * time.Millisecond  // time to avoid a backend server after its first failure
-	maxBackoff        = 4 * time.Second         // longest such time
-	minRejectionPause = 100 * time.Millisecond  // time without requests for a model after a backend server rejected one
-	maxRejectionPause = 1600 * time.Millisecond // longest such time, after several rejections
-	promptRetryAfter  = 20 * time.Millisecond   // retry delay in refusals when another backend server can run the request now
-	retryAfter        = 300 * time.Millisecond  // default retry delay in refusals
-	restartRetryAfter = 1500 * time.Millisecond // retry delay in refusals when all lobbies are draining
-	planLifetime      = 3 * time.Second         // time after its last receipt for which a plan is valid
+	tickPeriod              = 50 * time.Millisecond
+	maxFailedSends          = 3                       // sends of one request that may fail before a byte is sent
+	minBackoff              = 500 * time.Millisecond  // time to avoid a backend server after its first failure
+	maxBackoff              = 4 * time.Second         // longest such time
+	minRejectionPause       = 100 * time.Millisecond  // time without requests for a model after a backend server rejected one
+	maxRejectionPause       = 1600 * time.Millisecond // longest such time, after several rejections
+	promptRetryAfter        = 20 * time.Millisecond   // retry delay in refusals when another backend server can run the request now
+	retryAfter              = 300 * time.Millisecond  // default retry delay in refusals
+	unknownOriginRetryAfter = 200 * time.Millisecond  // retry delay in refusals of streams of which another lobby may just be telling
+	restartRetryAfter       = 1500 * time.Millisecond // retry delay in refusals when all lobbies are draining
+	planLifetime            = 3 * time.Second         // time after its last receipt for which a plan is valid
 	// The time between two digests is the number of lobbies times
 	// digestPeriodPerLobby, within minDigestPeriod and maxDigestPeriod.
 	minDigestPeriod      = 50 * time.Millisecond
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -77,6 +77,7 @@
 	Cold        ColdConfig
 	Limiter     Limiter
 	Quarantine  Quarantine
+	Streams     StreamOrigins
 	Random      *rand.Rand
 }
 
@@ -208,6 +209,10 @@
 		c.adoptPlan(now, "", m.plan)
 	case FetchEnded:
 		c.fetchEnded(now, m)
+	case StreamsRead:
+		c.config.Streams.Load(now, m.saved)
+	case StreamsRestored:
+		c.config.Streams.Restored(now)
 	case Drain:
 		c.drainStart = m.start
 	case Closing:
@@ -248,6 +253,7 @@
 	c.recordColds(now)
 	c.placeQueued(now)
 	c.returns.forget(now)
+	c.saveStreams(now)
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
 	}
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -14,6 +14,7 @@
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -52,7 +53,7 @@
 func newFixture(backends ...deployment.BackendConfig) *fixture {
 	f := &fixture{limiter: &fakeLimiter{remaining: 1000}, now: noon, origins: make(map[uint64]scheduler.Origin)}
 	f.config = scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: f.limiter, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: f.limiter, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	}
 	f.core = scheduler.NewCore(f.config)
@@ -75,7 +76,7 @@
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: deployment.Safe, Timeout: time.Second, Open: true, Shares: []deployment.ShareConfig{{Service: "plain", Weight: 1}}},
 		},
 		Services: []deployment.ServiceConfig{{Name: "plain", MaxConnections: 10}, {Name: "engine", MaxConnections: 10, Engine: engineConfig()}},
-		Tenants:  []deployment.TenantConfig{{Name: "t", Keys: []string{"k"}, Rate: 1, Burst: 1}},
+		Tenants:  []deployment.TenantConfig{{Name: "t", Keys: []string{"k"}, Rate: 1, Burst: 1}, {Name: "t2", Keys: []string{"k2"}}},
 	})
 }
 
@@ -177,7 +178,7 @@
 }
 
 func TestRefusalIsTemporaryBeforeConfiguration(t *testing.T) {
-	core := scheduler.NewCore(scheduler.CoreConfig{Limiter: &fakeLimiter{}, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))})
+	core := scheduler.NewCore(scheduler.CoreConfig{Limiter: &fakeLimiter{}, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))})
 	request := httpmeta.NewRequest(httpmeta.RequestConfig{Host: "h", Path: "/safe/a", Arrived: noon})
 	actions := core.Handle(noon, scheduler.NewArrived(1, request))
 	checkActions(t, "decision", []string{"refuse 503 no_configuration"}, actions)
--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -12,6 +12,7 @@
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -107,7 +108,7 @@
 	l.serial, l.inbox, l.contactSince = 0, nil, f.now
 	l.deadly, l.second = make(map[uint64]bool), make(map[uint64]int)
 	l.core = scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: simLobbies, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30}, Quarantine: quarantine.New(quarantine.Config{Self: l.address}), Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: simLobbies, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30}, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{Self: l.address}), Random: rand.New(rand.NewPCG(1, 1)),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 	})
 	for _, e := range f.engines {
--- a/lobby/scheduler/limitfleet_test.go
+++ b/lobby/scheduler/limitfleet_test.go
@@ -15,6 +15,7 @@
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -113,7 +114,7 @@
 	l.heard, l.announcedAt, l.hurry, l.seen = -1, -time.Hour, true, make(map[string]limitSeen)
 	l.core = scheduler.NewCore(scheduler.CoreConfig{
 		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30},
-		Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(f.config.seed, f.random.Uint64())),
+		Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(f.config.seed, f.random.Uint64())),
 		RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 		Cold:        scheduler.ColdConfig{Self: l.address, Overshoot: 1},
 	})
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -37,6 +37,20 @@
 	}).Log(recordLevel(a), "send ended")
 }
 
+// recordTakeUp logs what is known of a stream that a caller takes up.
+func (s *Scheduler) recordTakeUp(a RecordTakeUp) {
+	s.stats.takeUp(a)
+	log := s.config.Log.WithFields(logrus.Fields{
+		"event": "taken_up", "request": a.request.ID(), "resumes": a.request.Resumes(), "service": a.finding.Origin().Service(), "version": a.finding.Origin().Version(),
+		"source": a.finding.Source(), "age": a.finding.Age(),
+	})
+	if a.goesOn {
+		log.Info("stream taken up: it goes on at the software version at which it began")
+		return
+	}
+	log.Warn("stream taken up, of which nobody knows at which software version it began")
+}
+
 // recordLeaving logs that a backend server leaves.
 func (s *Scheduler) recordLeaving(a RecordLeaving) {
 	s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.origin.backend, "start": a.origin.startTime, "source": a.source, "lobby": a.peer, "list_age": a.listAge}).Info("backend server leaves: no new requests")
--- a/lobby/scheduler/peers.go
+++ b/lobby/scheduler/peers.go
@@ -22,6 +22,7 @@
 func (c *Core) updatePeer(now time.Time, digest protocol.Digest) {
 	c.config.Limiter.UpdatePeer(now, digest)
 	c.config.Quarantine.UpdatePeer(now, digest)
+	c.config.Streams.UpdatePeer(now, digest)
 	if last, ok := c.peers[digest.Sender()]; ok && last.incarnation == digest.Incarnation() && digest.Serial() <= last.serial {
 		return // overtaken by a later one on another path
 	}
@@ -164,6 +165,7 @@
 		}
 	}
 	config.Hot = c.hotToSend(now)
+	config.Streams = c.config.Streams.ToTell(now)
 	c.emit(NewBroadcast(config))
 }
 
--- a/lobby/scheduler/pin_test.go
+++ b/lobby/scheduler/pin_test.go
@@ -14,6 +14,12 @@
 	return config
 }
 
+// leaving returns a backend server that leaves.
+func leaving(config deployment.BackendConfig) deployment.BackendConfig {
+	config.Leaving = true
+	return config
+}
+
 // TestStreamsGoOnAtTheirVersion guards against a stream that breaks off and goes on within its
 // answer at a backend server of another software version.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
@@ -30,7 +36,7 @@
 		"the other version only":          {others: []deployment.BackendConfig{versioned("v2", engineServer("e2"))}, begun: true, want: []string{"refuse 502 answer_cut"}},
 		"both":                            {others: []deployment.BackendConfig{versioned("v2", engineServer("e2")), versioned("v1", in("d2", engineServer("e3")))}, begun: true, want: []string{"send e3"}},
 		"not begun":                       {others: []deployment.BackendConfig{versioned("v2", engineServer("e2"))}, want: []string{"send e2"}},
-		"its version leaves":              {others: []deployment.BackendConfig{versioned("v1", leavingServer("e2")), versioned("v2", engineServer("e3"))}, begun: true, want: []string{"refuse 502 answer_cut"}},
+		"its version leaves":              {others: []deployment.BackendConfig{versioned("v1", leaving(engineServer("e2"))), versioned("v2", engineServer("e3"))}, begun: true, want: []string{"refuse 502 answer_cut"}},
 		"its version loads the model":     {others: []deployment.BackendConfig{full, versioned("v2", engineServer("e3"))}, begun: true, next: []deployment.BackendConfig{first, versioned("v1", engineServer("e2")), versioned("v2", engineServer("e3"))}, then: []string{"send e2"}},
 		"its version goes while it waits": {others: []deployment.BackendConfig{full, versioned("v2", engineServer("e3"))}, begun: true, next: []deployment.BackendConfig{first, versioned("v2", engineServer("e3"))}, then: []string{"close idle e2", "refuse 502 answer_cut"}},
 	}
--- a/lobby/scheduler/queue_test.go
+++ b/lobby/scheduler/queue_test.go
@@ -16,6 +16,7 @@
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -334,7 +335,7 @@
 		engine.Models = append(engine.Models, deployment.ModelConfig{Name: fmt.Sprint("m", i), Memory: 70})
 	}
 	core := scheduler.NewCore(scheduler.CoreConfig{
-		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30}, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
+		Domain: "d1", MinLobbies: 1, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30}, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	core.Handle(noon, scheduler.NewConfigurationChanged(deployment.NewConfiguration(deployment.Config{
 		Version: 1,
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/ring"
 	"sesamewell.example/commons/supervisor"
 )
@@ -26,6 +27,11 @@
 	Broadcast(digest Broadcast) error
 }
 
+// Journal saves in the store at which software versions streams began.
+type Journal interface {
+	Save(save protocol.StreamsSave)
+}
+
 // Config holds the construction parameters of a Scheduler.
 type Config struct {
 	Core        CoreConfig
@@ -33,6 +39,7 @@
 	Proxy       Proxy
 	Fetcher     Fetcher
 	Broadcaster Broadcaster
+	Journal     Journal
 
 	Log *logrus.Entry
 }
@@ -50,8 +57,8 @@
 	undelivered []Action // actions for the proxy that wait for room in its inbox, in their order
 }
 
-// New returns a Scheduler. Unless config contains the proxy, the fetcher and the
-// broadcaster, Attach must be called before the scheduler runs.
+// New returns a Scheduler. Unless config contains the proxy, the fetcher, the broadcaster
+// and the journal, Attach must be called before the scheduler runs.
 func New(config Config) *Scheduler {
 	s := &Scheduler{
 		config: config,
@@ -69,8 +76,8 @@
 
 // Attach sets the components that execute the scheduler's actions. It must be
 // called before the scheduler runs.
-func (s *Scheduler) Attach(proxy Proxy, fetcher Fetcher, broadcaster Broadcaster) {
-	s.config.Proxy, s.config.Fetcher, s.config.Broadcaster = proxy, fetcher, broadcaster
+func (s *Scheduler) Attach(proxy Proxy, fetcher Fetcher, broadcaster Broadcaster, journal Journal) {
+	s.config.Proxy, s.config.Fetcher, s.config.Broadcaster, s.config.Journal = proxy, fetcher, broadcaster, journal
 }
 
 // Ready reports whether the process accepts callers' connections. It is safe to
@@ -134,6 +141,7 @@
 	s.execute(now, s.core.Tick(now))
 	s.stats.queue.update(s.core.QueueLoads())
 	s.stats.shares.update(s.core.ShareLoads())
+	s.stats.streams.update(s.core.config.Streams.Size())
 	return nil
 }
 
@@ -182,6 +190,12 @@
 	case RecordLeaving:
 		s.recordLeaving(a)
 		return
+	case RecordTakeUp:
+		s.recordTakeUp(a)
+		return
+	case SaveStreams:
+		s.config.Journal.Save(a.save)
+		return
 	case RecordQuarantine:
 		s.recordQuarantine(a.Change())
 		return
--- a/lobby/scheduler/scheduler_test.go
+++ b/lobby/scheduler/scheduler_test.go
@@ -10,8 +10,10 @@
 
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/testkit"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -37,6 +39,11 @@
 
 func (noPeers) Broadcast(scheduler.Broadcast) error { return errors.New("full") }
 
+// noJournal is a Journal that saves nothing.
+type noJournal struct{}
+
+func (noJournal) Save(protocol.StreamsSave) {}
+
 // TestFullInboxLosesNoAction refuses requests while the inbox of the proxy is full. The
 // thread ended with the first action that was not taken, and the others were lost: their
 // callers got no answer.
@@ -46,8 +53,8 @@
 		t.Run(name, func(t *testing.T) {
 			proxy := &fullProxy{full: full}
 			s := scheduler.New(scheduler.Config{
-				Core:     scheduler.CoreConfig{Limiter: &fakeLimiter{}, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))},
-				Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Log: testkit.DiscardLog(),
+				Core:     scheduler.CoreConfig{Limiter: &fakeLimiter{}, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))},
+				Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Journal: noJournal{}, Log: testkit.DiscardLog(),
 			})
 			now := noon
 			var want []uint64
@@ -76,8 +83,8 @@
 func TestRecordsOfEvacuationsAreForTheLogOnly(t *testing.T) {
 	proxy := &countingProxy{}
 	s := scheduler.New(scheduler.Config{
-		Core:     scheduler.CoreConfig{Limiter: &fakeLimiter{}, Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))},
-		Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Log: testkit.DiscardLog(),
+		Core:     scheduler.CoreConfig{Limiter: &fakeLimiter{}, Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(1, 1))},
+		Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Journal: noJournal{}, Log: testkit.DiscardLog(),
 	})
 	evacuations := deployment.NewEvacuations(deployment.EvacuationsConfig{Through: 2, Offsets: map[string]int64{"d1": 1}})
 	changed := scheduler.NewEvacuationsChanged(scheduler.EvacuationsChangedConfig{Evacuations: evacuations, Begun: []string{"d1"}})
@@ -128,7 +135,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f, proxy := newFixture(), &sentTo{}
-			s := scheduler.New(scheduler.Config{Core: f.config, Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Log: testkit.DiscardLog()})
+			s := scheduler.New(scheduler.Config{Core: f.config, Capacity: 16, Proxy: proxy, Broadcaster: noPeers{}, Journal: noJournal{}, Log: testkit.DiscardLog()})
 			now, number := noon, uint64(0)
 			handle := func(message scheduler.Message) {
 				t.Helper()
--- a/lobby/scheduler/simulation_test.go
+++ b/lobby/scheduler/simulation_test.go
@@ -13,6 +13,7 @@
 	"sesamewell.example/commons/protocol"
 	"sesamewell.example/commons/supervisor"
 	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -123,7 +124,7 @@
 	for i := range config.lobbies {
 		core := scheduler.NewCore(scheduler.CoreConfig{
 			Domain: fmt.Sprint("d", i%3+1), MinLobbies: 4, Stop: supervisor.NewStopSchedule(8 * time.Second), Limiter: &fakeLimiter{remaining: 1 << 30},
-			Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(config.seed, uint64(i))),
+			Streams: resumption.New(), Quarantine: quarantine.New(quarantine.Config{}), Random: rand.New(rand.NewPCG(config.seed, uint64(i))),
 			RetryBudget: scheduler.RetryBudgetConfig{Ratio: 0.2, Extra: 20, Window: 10 * time.Second},
 		})
 		core.Handle(noon, scheduler.NewConfigurationChanged(deployment.NewConfiguration(config.configuration)))
--- a/lobby/scheduler/startrate_test.go
+++ b/lobby/scheduler/startrate_test.go
@@ -7,12 +7,13 @@
 
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/lobby/resumption"
 )
 
 // TestStartRateCountsSlotsAtHome guards against callers with home regions that are asked to
 // return at the rate of slots which they cannot use.
 func TestStartRateCountsSlotsAtHome(t *testing.T) {
-	c := NewCore(CoreConfig{Regions: map[string]string{"d1": "north", "d2": "south"}})
+	c := NewCore(CoreConfig{Streams: resumption.New(), Regions: map[string]string{"d1": "north", "d2": "south"}})
 	c.configuration = deployment.NewConfiguration(deployment.Config{})
 	for domain, slots := range map[string]int{"d1": 2, "d2": 6} {
 		s := newServer(deployment.NewBackend(deployment.BackendConfig{ID: domain, Service: "plain", Domain: domain, Slots: slots}))
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,7 @@
 	shares       shareGauges
 	fetches      *metrics.Counter
 	quarantines  *metrics.Counter
+	streams      *streamGauges
 	withheld     *metrics.Counter // from cold backend servers
 	withheldRate *metrics.Counter // from backend servers that name a rate
 	limits       map[limitState]*metrics.Counter
@@ -37,6 +39,7 @@
 		shares:       shareGauges{},
 		fetches:      metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
 		quarantines:  metrics.GetOrCreateCounter("sesamewell_quarantines_total"),
+		streams:      newStreamGauges(),
 		withheld:     metrics.GetOrCreateCounter("sesamewell_cold_withheld_total"),
 		withheldRate: metrics.GetOrCreateCounter("sesamewell_limit_withheld_total"),
 		waited:       metrics.GetOrCreateHistogram("sesamewell_request_waited_seconds"),
@@ -97,6 +100,30 @@
 	}
 }
 
+// takeUp updates the metrics with a stream that a caller takes up.
+func (s *stats) takeUp(r RecordTakeUp) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("sesamewell_take_ups_total{source=%q,goes_on=\"%t\"}", r.finding.Source(), r.goesOn)).Inc()
+}
+
+// streamGauges exports what is remembered of the origins of streams.
+type streamGauges struct{ streams, bytes, dropped atomic.Int64 }
+
+func newStreamGauges() *streamGauges {
+	g := &streamGauges{}
+	for name, value := range map[string]*atomic.Int64{"sesamewell_streams_remembered": &g.streams, "sesamewell_streams_remembered_bytes": &g.bytes, "sesamewell_streams_dropped_total": &g.dropped} {
+		metrics.GetOrCreateGauge(name, func() float64 { return float64(value.Load()) })
+	}
+	return g
+}
+
+// update sets the number of streams that are remembered, the bytes that they take, and the
+// number of those that were forgotten for want of room.
+func (g *streamGauges) update(streams, bytes, dropped int) {
+	g.streams.Store(int64(streams))
+	g.bytes.Store(int64(bytes))
+	g.dropped.Store(int64(dropped))
+}
+
 // registerGauges exports the number of open requests, readiness and uptime. The
 // functions are called from any thread.
 func registerGauges(open func() int, ready func() bool) {
--- /dev/null
+++ b/lobby/scheduler/takeup.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/resumption"
+)
+
+// StreamOrigins remembers at which software versions streams began.
+type StreamOrigins interface {
+	// SetBackends records the list of backend servers.
+	SetBackends(now time.Time, backends []deployment.Backend)
+	// Began records that a stream has begun or gone on at an origin, and the time at which
+	// its caller's timeout ends.
+	Began(now time.Time, stream httpmeta.StreamID, origin resumption.Origin, until time.Time)
+	// Find returns what is known of the origin of a stream that a caller takes up, whose
+	// request goes to a service.
+	Find(now time.Time, stream httpmeta.StreamID, service string) resumption.Finding
+	// UpdatePeer records what another lobby tells.
+	UpdatePeer(now time.Time, digest protocol.Digest)
+	// Load records what the store keeps.
+	Load(now time.Time, saved protocol.SavedStreams)
+	// Restored records that the store has lost what was saved lately.
+	Restored(now time.Time)
+	// ToTell returns the streams for the next digest.
+	ToTell(now time.Time) []protocol.StreamsConfig
+	// ToSave returns what is to be saved in the store now, false if nothing is due.
+	ToSave(now time.Time, lobbies int) (protocol.StreamsSave, bool)
+	// Size returns the number of streams that are remembered, the bytes that they take, and
+	// the number of those that were forgotten for want of room.
+	Size() (streams, bytes, dropped int)
+}
+
+// StreamsRead carries what the store keeps of streams, or a part of it.
+type StreamsRead struct{ saved protocol.SavedStreams }
+
+// NewStreamsRead returns the message.
+func NewStreamsRead(saved protocol.SavedStreams) StreamsRead { return StreamsRead{saved: saved} }
+
+// StreamsRestored reports that the store has lost what was saved of streams lately.
+type StreamsRestored struct{}
+
+func (StreamsRead) schedulerMessage()     {}
+func (StreamsRestored) schedulerMessage() {}
+
+// SaveStreams saves in the store at which software versions streams began.
+type SaveStreams struct{ save protocol.StreamsSave }
+
+// Save returns what is to be saved.
+func (s SaveStreams) Save() protocol.StreamsSave { return s.save }
+
+// RecordTakeUp records in log and metrics what is known of the origin of a stream that a
+// caller takes up, and whether it may go on.
+type RecordTakeUp struct {
+	request *httpmeta.Request
+	finding resumption.Finding
+	goesOn  bool
+}
+
+func (SaveStreams) schedulerAction()  {}
+func (RecordTakeUp) schedulerAction() {}
+
+// streamID returns the ID of the stream that a request takes up, or else begins.
+func (r *openRequest) streamID() httpmeta.StreamID {
+	attempt := r.request.Resumes()
+	if attempt == "" {
+		attempt = r.request.ID()
+	}
+	return httpmeta.NewStreamID(r.tenant.Name(), attempt)
+}
+
+// takeUp pins a request that takes up a stream to the software version at which the stream
+// began. It returns false if nobody knows that, or the route does not lead there any more: then
+// the stream can't go on.
+func (c *Core) takeUp(now time.Time, req *openRequest, request *httpmeta.Request) bool {
+	if !request.TakesUp() || req.route.Kind() != deployment.Stream {
+		return true
+	}
+	finding := c.config.Streams.Find(now, req.streamID(), req.service)
+	origin := finding.Origin()
+	goesOn := finding.Known() && slices.Contains(req.route.Services(), origin.Service())
+	c.emit(RecordTakeUp{request: request, finding: finding, goesOn: goesOn})
+	if !goesOn {
+		return false
+	}
+	req.pin = pinTo(origin.Version())
+	if origin.Service() != req.service {
+		req.service, req.request = origin.Service(), request
+		c.fitModel(req)
+	}
+	return true
+}
+
+// streamBegan remembers the software version at which a stream has begun, or gone on, for its
+// caller.
+func (c *Core) streamBegan(now time.Time, req *openRequest) {
+	if !req.route.Resumable() {
+		return
+	}
+	timeout := req.request.Timeout()
+	if timeout == 0 {
+		timeout = req.route.Timeout()
+	}
+	origin := resumption.NewOrigin(req.service, req.server.backend.Version())
+	c.config.Streams.Began(now, req.streamID(), origin, req.request.Arrived().Add(timeout))
+}
+
+// saveStreams has what is due saved.
+func (c *Core) saveStreams(now time.Time) {
+	if save, ok := c.config.Streams.ToSave(now, c.lobbyCount); ok {
+		c.emit(SaveStreams{save: save})
+	}
+}
--- /dev/null
+++ b/lobby/scheduler/takeup_test.go
@@ -0,0 +1,163 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/scheduler"
+)
+
+// saved returns a message with what a store keeps: versions of the service of engines, and a
+// stream that the attempt "old" of the tenant "t" began at one of them.
+func saved(version string, versions ...string) scheduler.StreamsRead {
+	config := protocol.SavedStreamsConfig{}
+	for _, name := range versions {
+		config.Versions = append(config.Versions, protocol.SoftwareVersionConfig{Service: "engine", Version: name})
+	}
+	if version != "" {
+		config.Streams = []protocol.StreamsConfig{{Service: "engine", Version: version, Streams: []httpmeta.StreamID{httpmeta.NewStreamID("t", "old")}, Left: time.Minute}}
+	}
+	return scheduler.NewStreamsRead(protocol.NewSavedStreams(config))
+}
+
+// TestTakenUpStreamsGoOnAtTheirVersion guards against a stream that its caller takes up and
+// that goes on at another software version, at a lobby that has begun it or not, and whether or
+// not all lobbies have lost their memory since.
+func TestTakenUpStreamsGoOnAtTheirVersion(t *testing.T) {
+	v1, v2 := versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2"))
+	mixed := []deployment.BackendConfig{v1, v2}
+	takeUp := httpmeta.RequestConfig{Resumes: "old", LastEventID: "7"}
+	const unknown = "refuse 503 unknown_origin"
+	cases := map[string]struct {
+		servers []deployment.BackendConfig
+		read    *scheduler.StreamsRead // by the lobby from the store; nil if it has not read it
+		begun   string                 // version at which the lobby itself has begun the stream
+		told    string                 // version at which another lobby says that it began
+		later   []deployment.BackendConfig
+		silence time.Duration // time without a list and digests before the take-up
+		request httpmeta.RequestConfig
+		want    string
+	}{
+		"begun here, old version":              {servers: mixed, begun: "v1", request: takeUp, want: "send e1"},
+		"begun here, new version":              {servers: mixed, begun: "v2", request: takeUp, want: "send e2"},
+		"told by another lobby":                {servers: mixed, told: "v2", request: takeUp, want: "send e2"},
+		"kept by the store":                    {servers: mixed, read: ptr(saved("v2", "v1", "v2")), request: takeUp, want: "send e2"},
+		"its version has left":                 {servers: []deployment.BackendConfig{v2}, read: ptr(saved("v1", "v1", "v2")), request: takeUp, want: "refuse 503 no_version"},
+		"its version leaves":                   {servers: mixed, begun: "v1", later: []deployment.BackendConfig{versioned("v1", leaving(engineServer("e1"))), v2}, request: takeUp, want: "refuse 503 no_version"},
+		"nobody knows":                         {servers: mixed, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
+		"nobody knows, old version has left":   {servers: []deployment.BackendConfig{v2}, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
+		"nobody knows, new version not listed": {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: unknown},
+		"store not read":                       {servers: []deployment.BackendConfig{v1}, request: takeUp, want: unknown},
+		"one version":                          {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: takeUp, want: "send e1"},
+		"one version, attempt not named":       {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: httpmeta.RequestConfig{LastEventID: "7"}, want: "send e1"},
+		"one version, nothing heard for long":  {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), silence: 3 * time.Second, request: takeUp, want: unknown},
+		"attempt not named":                    {servers: mixed, begun: "v1", request: httpmeta.RequestConfig{LastEventID: "7"}, want: unknown},
+		"attempt of another customer":          {servers: mixed, begun: "v1", request: httpmeta.RequestConfig{Resumes: "old", APIKey: "k2"}, want: unknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(tc.servers...)
+			f.list(tc.servers...)
+			if tc.read != nil {
+				f.core.Handle(f.now, *tc.read)
+			}
+			if tc.begun != "" {
+				f.begin(t, tc.begun)
+			}
+			if tc.told != "" {
+				f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "l2", Streams: []protocol.StreamsConfig{
+					{Service: "engine", Version: tc.told, Streams: []httpmeta.StreamID{httpmeta.NewStreamID("t", "old")}, Left: time.Minute},
+				}})))
+			}
+			if tc.later != nil {
+				f.list(tc.later...)
+			}
+			f.now = f.now.Add(tc.silence)
+			tc.request.Path, tc.request.Model = "/resumable/a", "m"
+			checkActions(t, "take-up", []string{tc.want}, f.arrive(tc.request))
+		})
+	}
+}
+
+func ptr[T any](value T) *T { return &value }
+
+// begin begins a stream of the attempt "old" at a version and breaks its caller's connection.
+func (f *fixture) begin(t *testing.T, version string) {
+	t.Helper()
+	for range 100 {
+		f.number++
+		actions := f.core.Handle(f.now, scheduler.NewArrived(f.number, httpmeta.NewRequest(httpmeta.RequestConfig{ID: "old", Host: "h", Path: "/resumable/a", APIKey: "k", Model: "m", Arrived: f.now, Timeout: 10 * time.Second})))
+		if send, ok := actions[0].(scheduler.Send); ok && send.Version() == version {
+			f.core.Handle(f.now, scheduler.NewStreamStarted(f.number))
+			f.core.Handle(f.now, scheduler.NewAbandoned(f.number))
+			return
+		}
+	}
+	t.Fatalf("no stream began at %s", version)
+}
+
+// TestWhatIsKnownOfStreamsOutlivesALobby guards against a lobby that forgets, or does not tell,
+// at which versions streams began: those from before there were several, and those taken up.
+func TestWhatIsKnownOfStreamsOutlivesALobby(t *testing.T) {
+	v1, v2 := versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2"))
+	f := newFixture(v1)
+	f.core.Handle(f.now, saved(""))
+	f.begin(t, "v1")
+	told, kept := f.tellAndSave()
+	if diff := cmp.Diff([]string{"versions [v1]"}, append(told, kept...)); diff != "" {
+		t.Errorf("told and saved with one version (-want +got):\n%s", diff)
+	}
+	f.list(v1, v2)
+	told, kept = f.tellAndSave()
+	if diff := cmp.Diff([]string{"v1 1", "versions [v2]", "v1 1"}, append(told, kept...)); diff != "" {
+		t.Errorf("told and saved with two versions (-want +got):\n%s", diff)
+	}
+	f.core.Handle(f.now, scheduler.StreamsRestored{})
+	if _, kept = f.tellAndSave(); len(kept) != 2 {
+		t.Errorf("saved after a restore of the store: %q", kept)
+	}
+	f.now = f.now.Add(3 * time.Minute)
+	f.list(v2)
+	f.now = f.now.Add(3 * time.Minute)
+	if _, kept = f.tellAndSave(); !cmp.Equal([]string{"removed [v1]"}, kept) {
+		t.Errorf("saved when the old version is long gone: %q", kept)
+	}
+}
+
+// tellAndSave returns what the next digest tells of streams, and what is saved.
+func (f *fixture) tellAndSave() (told, kept []string) {
+	f.now = f.now.Add(time.Second)
+	describeStreams := func(groups []protocol.StreamsConfig) (lines []string) {
+		for _, group := range groups {
+			lines = append(lines, fmt.Sprint(group.Version, " ", len(group.Streams)))
+		}
+		return lines
+	}
+	names := func(versions []protocol.SoftwareVersionConfig) (names []string) {
+		for _, version := range versions {
+			names = append(names, version.Version)
+		}
+		return names
+	}
+	for _, action := range f.core.Tick(f.now) {
+		switch a := action.(type) {
+		case scheduler.Broadcast:
+			told = describeStreams(a.Streams())
+		case scheduler.SaveStreams:
+			if added := names(a.Save().Added()); added != nil {
+				kept = append(kept, fmt.Sprint("versions ", added))
+			}
+			if removed := names(a.Save().Removed()); removed != nil {
+				kept = append(kept, fmt.Sprint("removed ", removed))
+			}
+			kept = append(kept, describeStreams(a.Save().Streams())...)
+		}
+	}
+	return told, kept
+}
--- a/lobby/subprocess_test.go
+++ b/lobby/subprocess_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -41,37 +42,49 @@
 // lobbyProcess is a lobby in a process of its own.
 type lobbyProcess struct {
 	address, probe string
+	settings       string // path of its settings file
+	descriptors    int
 	cmd            *exec.Cmd
 	log            *logBuffer
 	exited         chan struct{}
 }
 
 // startProcess starts a lobby that may open a number of descriptors and take the grace
-// time to stop, and waits until it is ready.
-func startProcess(t *testing.T, storeAddress string, descriptors int, grace time.Duration) *lobbyProcess {
+// time to stop, and waits until it is ready. Its settings file ends with the given sections.
+func startProcess(t *testing.T, storeAddress string, descriptors int, grace time.Duration, sections ...string) *lobbyProcess {
 	t.Helper()
-	p := &lobbyProcess{address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), log: &logBuffer{}, exited: make(chan struct{})}
-	path := filepath.Join(t.TempDir(), "lobby.ini")
-	if err := os.WriteFile(path, []byte(lobbySettings(t, storeAddress, p.address, p.probe, grace)), 0o600); err != nil {
+	p := &lobbyProcess{
+		address: testkit.FreeAddress(t), probe: testkit.FreeAddress(t), settings: filepath.Join(t.TempDir(), "lobby.ini"),
+		descriptors: descriptors, log: &logBuffer{},
+	}
+	settings := lobbySettings(t, storeAddress, p.address, p.probe, grace) + strings.Join(sections, "")
+	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.cmd = exec.Command(os.Args[0], path)
+	p.launch(t)
+	awaitReady(t, p.probe)
+	return p
+}
+
+// launch starts the process with its settings file, again if it has exited.
+func (p *lobbyProcess) launch(t *testing.T) {
+	t.Helper()
+	cmd, exited := exec.Command(os.Args[0], p.settings), make(chan struct{})
 	// A program with the race detector waits for a second before it exits.
-	p.cmd.Env = append(os.Environ(), descriptorsVariable+"="+strconv.Itoa(descriptors), "GORACE=atexit_sleep_ms=0")
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	if err := p.cmd.Start(); err != nil {
+	cmd.Env = append(os.Environ(), descriptorsVariable+"="+strconv.Itoa(p.descriptors), "GORACE=atexit_sleep_ms=0")
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
-		defer close(p.exited)
-		_ = p.cmd.Wait()
+		defer close(exited)
+		_ = cmd.Wait()
 	}()
 	t.Cleanup(func() {
-		_ = p.cmd.Process.Kill()
-		<-p.exited
+		_ = cmd.Process.Kill()
+		<-exited
 	})
-	awaitReady(t, p.probe)
-	return p
+	p.cmd, p.exited = cmd, exited
 }
 
 // caller is a caller's connection, which it keeps.
