Take only a backend server's own end of its last connection for a sign of its end

Cause: the event loop reports each end of a connection, also those that the lobby makes itself, when a caller leaves, the answer asks for it or a connection has been idle. Each such end of the last connection raised a doubt.

Change: an end that this process has made is no report. A connection that cannot be opened is a sign too, unless it failed for want of something here, and the first connection after that is reported.

--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -81,7 +81,7 @@
 		if a.ranOut {
 			p.budget.Exhausted(now, p.openConnections())
 		}
-		a.pool.dialFailed(a.number)
+		a.pool.dialFailed(a.number, !a.ranOut)
 	case sweep:
 		p.sweep(now)
 	}
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -207,6 +207,9 @@
 
 // peerClosed handles the end of the connection.
 func (b *backendConn) peerClosed(now time.Time, cause error) {
+	if b.closed {
+		return // by this process
+	}
 	complete := b.exchange != nil && b.endedInOrder(cause) && b.completeAtEnd()
 	b.closed = true
 	switch {
@@ -218,8 +221,8 @@
 		b.pool.awaitConfirmation(b)
 	}
 	b.pool.remove(b)
-	if !complete && b.pool.established() == 0 {
-		b.proxy.notifyScheduler(scheduler.NewBackendDisconnected(b.pool.origin))
+	if !complete {
+		b.pool.disconnected()
 	}
 }
 
--- a/lobby/proxy/confirmation.go
+++ b/lobby/proxy/confirmation.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"sesamewell.example/lobby/scheduler"
 )
 
 // The kernel ends the connections of a process that was killed in order, as the process does
@@ -37,7 +35,6 @@
 	for _, b := range p.takeUnconfirmed(number) {
 		b.logExchange("unconfirmed").Info("answer taken for incomplete: its backend server accepts no connection")
 		b.reportIncomplete(true)
-		b.proxy.notifyScheduler(scheduler.NewBackendDisconnected(p.origin))
 	}
 }
 
--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -70,7 +70,7 @@
 		p.dialing++
 		p.dials++
 		if err := p.proxy.dials.Put(dialRequest{pool: p, address: p.address, number: p.dials}); err != nil {
-			p.dialFailed(p.dials)
+			p.dialFailed(p.dials, false)
 		}
 	}
 }
@@ -84,16 +84,23 @@
 // connected adds a new connection.
 func (p *pool) connected(now time.Time, b *backendConn) {
 	p.dialing--
+	if p.established() == 1 {
+		p.proxy.notifyScheduler(scheduler.NewBackendConnected(p.origin))
+	}
 	b.idleSince, b.idleTimeout = now, defaultIdle
 	p.confirm(now, b.dial)
 	p.release(now, b)
 }
 
 // dialFailed records that the connection of a number could not be opened, and reports one of
-// the waiting requests as unsent.
-func (p *pool) dialFailed(number uint64) {
+// the waiting requests as unsent. tried is set unless that was for want of something of this
+// process.
+func (p *pool) dialFailed(number uint64, tried bool) {
 	p.dialing--
 	p.count(-1)
+	if tried {
+		p.disconnected()
+	}
 	p.refute(number)
 	if e := p.nextWaiting(nil); e != nil {
 		p.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Unsent, 0))
@@ -167,6 +174,14 @@
 // established returns the number of connections that are open.
 func (p *pool) established() int { return p.open - p.dialing }
 
+// disconnected reports that the backend server has ended a connection or accepts none, unless
+// another one is open.
+func (p *pool) disconnected() {
+	if p.established() == 0 {
+		p.proxy.notifyScheduler(scheduler.NewBackendDisconnected(p.origin))
+	}
+}
+
 // sweep closes connections that have been idle for too long, and returns the requests
 // that have waited for too long.
 func (p *pool) sweep(now time.Time) {
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -55,7 +55,7 @@
 func NewBackendLeaving(origin Origin) BackendLeaving { return BackendLeaving{origin: origin} }
 
 // BackendDisconnected reports that a backend server has ended the last connection to it, which
-// did not complete an answer: its process may have ended and started again.
+// did not complete an answer, or accepts none: its process may end and start again.
 type BackendDisconnected struct{ origin Origin }
 
 // NewBackendDisconnected returns the message. origin is the start that is listed.
@@ -63,6 +63,13 @@
 	return BackendDisconnected{origin: origin}
 }
 
+// BackendConnected reports that a backend server has accepted a connection while there was no
+// other one.
+type BackendConnected struct{ origin Origin }
+
+// NewBackendConnected returns the message. origin is the start that is listed.
+func NewBackendConnected(origin Origin) BackendConnected { return BackendConnected{origin: origin} }
+
 // BackendRefusing reports that a backend server has refused a request and states a time
 // for which it wants no others. The rest of the answer may not have arrived.
 type BackendRefusing struct {
@@ -253,6 +260,7 @@
 func (StreamStarted) schedulerMessage()        {}
 func (BackendLeaving) schedulerMessage()       {}
 func (BackendDisconnected) schedulerMessage()  {}
+func (BackendConnected) schedulerMessage()     {}
 func (BackendRefusing) schedulerMessage()      {}
 func (BackendLimit) schedulerMessage()         {}
 func (Abandoned) schedulerMessage()            {}
