Keep what is known of streams true over outages, releases and restarts

The doubt counts from the first connection after the end, not from the end; Streams begin at a version only once the store knows it, so what the store names is all there can be; lobbies always tell their streams; - what a release had left in the store counted as open streams for ever (TestStreamsOfALongGoneVersionAreNotOpen), grew, and displaced own streams (TestLoadDisplacesNoOwnStreams). Slots are removed, and read in parts; - a doubt that had ended left streams that can't be resumed (TestDoubtThatIsSettledLeavesStreamsResumable); doubts are logged and counted; - any digest made an old list valid (TestOtherLobbyDoesNotReplaceTheList): now all other lobbies must have been heard; - a read that the scheduler had not taken was not repeated (TestReadThatIsNotTakenIsRepeated), and a version in a lost save was taken for saved (TestVersionOutlivesALongOutageOfTheStore): one save at a time, until it is acknowledged; - a truncated stream whose start was not reported went on anywhere (TestTruncatedStreamIsPinned); a field that stands twice hid a take-up.

A lobby that starts is ready once it has read this from the store, or after a second.

--- a/commons/protocol/streams.go
+++ b/commons/protocol/streams.go
@@ -25,6 +25,7 @@
 	Added   []SoftwareVersionConfig // versions of which streams may be open
 	Removed []SoftwareVersionConfig // versions of which no stream can be open any more
 	Streams []StreamsConfig         // that began at the sender
+	Mixed   bool                    // a service has several versions, so that other lobbies save streams too
 }
 
 // StreamsSave is what a lobby adds to what the platform's store keeps of software versions and
@@ -43,6 +44,14 @@
 // Streams returns the streams that began at the sender.
 func (s StreamsSave) Streams() []StreamsConfig { return s.config.Streams }
 
+// Empty reports whether there is nothing to write.
+func (s StreamsSave) Empty() bool {
+	return len(s.config.Added)+len(s.config.Removed)+len(s.config.Streams) == 0
+}
+
+// Mixed reports whether a service has several versions, so that other lobbies save streams too.
+func (s StreamsSave) Mixed() bool { return s.config.Mixed }
+
 // SavedStreamsConfig holds the construction parameters of SavedStreams.
 type SavedStreamsConfig struct {
 	Versions []SoftwareVersionConfig
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -95,8 +95,13 @@
 func (m *mediator) DirectoryRestored() { m.notifyScheduler(scheduler.DirectoryRestored{}) }
 
 // StreamsRead passes what the store keeps of streams to the scheduler.
-func (m *mediator) StreamsRead(saved protocol.SavedStreams) error {
-	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewStreamsRead(saved), putTimeout)
+func (m *mediator) StreamsRead(saved protocol.SavedStreams, complete bool) error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewStreamsRead(saved, complete), putTimeout)
+}
+
+// StreamsSaved tells the scheduler that the store has taken what was to be saved of streams.
+func (m *mediator) StreamsSaved() error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.StreamsSaved{}, putTimeout)
 }
 
 // StreamsRestored tells the scheduler that the store has lost what was saved of streams lately.
--- a/lobby/resumption/core.go
+++ b/lobby/resumption/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,23 +13,27 @@
 
 const (
 	// maxListAge is the age of the list of backend servers up to which it tells all versions
-	// of a service, unless another lobby has been heard since.
+	// of a service. Later all other lobbies must have been heard within peerLifetime.
 	maxListAge   = 2500 * time.Millisecond
-	peerLifetime = time.Second // time after its receipt for which another lobby's digest tells that no others serve
+	peerLifetime = time.Second
+	// maxSaveTime is the time after which streams begin at a version that the store has not
+	// been able to take.
+	maxSaveTime  = 3 * time.Second
 	expiryPeriod = 5 * time.Second
-	tellings     = 3       // digests in which a stream is told, since some are lost
-	maxTold      = 256     // streams in one digest
-	maxSaved     = 1 << 12 // streams in one save
+	resendPeriod = 10 * time.Second // time after which a save without an answer is repeated
+	tellings     = 2                // digests in which a stream is told, since some are lost
+	maxTold      = 256              // streams in one digest
+	maxSaved     = 1 << 12          // streams in one save
 	// The time between two saves grows with the number of lobbies, which share the store's
 	// rate of writes.
 	minSavePeriod      = 250 * time.Millisecond
 	savePeriodPerLobby = 50 * time.Millisecond
 )
 
-// telling is a stream that is to be told to the other lobbies.
-type telling struct {
-	stream httpmeta.StreamID
-	times  int // digests that are still to tell it
+// digestEntry is a stream that is to be told to the other lobbies.
+type digestEntry struct {
+	stream  httpmeta.StreamID
+	digests int // that are still to contain it
 }
 
 // Core decides at which software version a stream may go on. It does no I/O and is not safe
@@ -36,27 +41,40 @@
 type Core struct {
 	streams  *table
 	versions versions
-	loaded   bool      // the store has been read since the start
-	listed   time.Time // time of the last list of backend servers
-	heard    time.Time // time of the last digest of another lobby
-	expired  time.Time // time of the last check for what is over
-	lastSave time.Time
-	removed  []protocol.SoftwareVersionConfig // versions to be removed from the store
-	untold   []telling                        // own streams that are to be told to the other lobbies, oldest first
+	mixed    map[string]bool      // services with several versions, whose streams are saved
+	earlier  map[string]string    // by service, the only version at which streams began before the store was read
+	loaded   time.Time            // time at which the store had been read; zero before
+	listed   time.Time            // time of the last list of backend servers
+	peers    map[string]time.Time // times of the last digests of the other lobbies
+	expired  time.Time            // time of the last check for what is over
+	digest   []digestEntry        // streams for the next digests, oldest first
+
 	unsaved  []httpmeta.StreamID              // own streams that are to be saved, oldest first
-	told     map[string]bool                  // services with several versions whose own streams are told and saved
+	removed  []protocol.SoftwareVersionConfig // versions that are to be removed from the store
+	saving   *protocol.StreamsSave            // the save that the store has not answered; nil if there is none
+	lastSave time.Time                        // time of the last save
+	reread   bool                             // what the last save said of Mixed
 }
 
 // New returns a core that knows nothing.
 func New() *Core {
-	return &Core{streams: newTable(), versions: make(versions), told: make(map[string]bool)}
+	return &Core{
+		streams: newTable(), versions: make(versions), mixed: make(map[string]bool), earlier: make(map[string]string), peers: make(map[string]time.Time),
+	}
 }
 
 // SetBackends records the list of backend servers.
 func (c *Core) SetBackends(now time.Time, backends []deployment.Backend) {
 	c.listed = now
 	c.versions.list(now, backends)
-	c.tellMixed(now)
+	c.updateMixed(now)
+}
+
+// MayBegin reports whether resumable streams may begin at an origin: the store has its version,
+// so that a lobby that starts later knows of it, or has not been able to take it for long.
+func (c *Core) MayBegin(now time.Time, origin Origin) bool {
+	version, ok := c.versions[origin.service][origin.version]
+	return !ok || version.saved || now.Sub(version.since) >= maxSaveTime
 }
 
 // Began records that a stream has begun at an origin, or gone on there. It is remembered until
@@ -66,136 +84,213 @@
 	if latest := now.Add(maxRetention); until.After(latest) {
 		until = latest
 	}
-	c.streams.add(stream, record{origin: origin, source: SourceOwn, learnt: now, until: until})
-	if c.told[origin.service] {
-		c.tell(stream)
+	c.add(stream, record{origin: origin, source: SourceOwn, learnt: now, until: until})
+	c.digest = append(c.digest, digestEntry{stream: stream, digests: tellings})
+	c.digest = c.digest[max(len(c.digest)-maxStreams, 0):]
+	if c.mixed[origin.service] {
+		c.save(stream)
+	}
+}
+
+// add records where a stream began, and until when its version may have streams.
+func (c *Core) add(stream httpmeta.StreamID, next record) {
+	c.streams.add(stream, next)
+	if version, ok := c.versions[next.origin.service][next.origin.version]; ok && next.until.After(version.until) {
+		version.until = next.until
 	}
 }
 
+func (c *Core) save(stream httpmeta.StreamID) {
+	c.unsaved = append(c.unsaved, stream)
+	c.unsaved = c.unsaved[max(len(c.unsaved)-maxStreams, 0):]
+}
+
 // Find returns what is known of the origin of a stream that a caller takes up, whose request
-// goes to a service.
-func (c *Core) Find(now time.Time, stream httpmeta.StreamID, service string) Finding {
+// goes to a service. lobbies is the number of lobbies.
+func (c *Core) Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) Finding {
 	if r, ok := c.streams.records[stream]; ok && r.until.After(now) {
 		if r.unclear {
 			return Finding{source: SourceUnknown, age: now.Sub(r.learnt)}
 		}
 		return Finding{origin: r.origin, source: r.source, age: now.Sub(r.learnt)}
 	}
-	age := now.Sub(c.listed)
-	only, ok := c.versions.only(service)
+	finding := Finding{age: now.Sub(c.listed)}
+	only, single := c.versions.only(service)
+	earlier, ok := c.earlier[service]
 	switch {
-	case !c.loaded:
-		return Finding{source: SourceUnread}
-	case !ok:
-		return Finding{source: SourceUnknown, age: age}
-	case age > maxListAge && now.Sub(c.heard) > peerLifetime:
-		return Finding{source: SourceStale, age: age}
+	case c.loaded.IsZero():
+		finding.source = SourceUnread
+	case !c.upToDate(now, lobbies):
+		finding.source = SourceStale
+	case single:
+		finding.origin, finding.source = NewOrigin(service, only), SourceOnly
+	case ok && now.Sub(c.loaded) <= earlierPeriod:
+		finding.origin, finding.source = NewOrigin(service, earlier), SourceEarlier
 	default:
-		return Finding{origin: NewOrigin(service, only), source: SourceOnly, age: age}
+		finding.source = SourceUnknown
+	}
+	return finding
+}
+
+// upToDate reports whether no other lobby can have begun streams at a version of which this one
+// does not know: the list is new enough to name it, or all others have been heard.
+func (c *Core) upToDate(now time.Time, lobbies int) bool {
+	if now.Sub(c.listed) <= maxListAge {
+		return true
+	}
+	heard := 0
+	for _, last := range c.peers {
+		if now.Sub(last) <= peerLifetime {
+			heard++
+		}
 	}
+	return lobbies > 1 && heard >= lobbies-1
 }
 
 // UpdatePeer records what another lobby tells.
 func (c *Core) UpdatePeer(now time.Time, digest protocol.Digest) {
-	c.heard = now
+	c.peers[digest.Sender()] = now
 	c.learn(now, digest.Streams(), SourcePeer)
 }
 
-// Load records what the store keeps.
-func (c *Core) Load(now time.Time, saved protocol.SavedStreams) {
-	c.loaded = true
+// Load records what the store keeps, or a part of it. complete is set if all has been read.
+func (c *Core) Load(now time.Time, saved protocol.SavedStreams, complete bool) {
 	for _, config := range saved.Versions() {
 		if version := c.versions.learn(now, NewOrigin(config.Service, config.Version)); version != nil {
 			version.saved = true
 		}
 	}
 	c.learn(now, saved.Streams(), SourceStore)
+	if complete && c.loaded.IsZero() {
+		c.loaded = now
+		for service := range c.versions {
+			if only, ok := c.versions.only(service); ok {
+				c.earlier[service] = only
+			}
+		}
+	}
+}
+
+// Saved records that the store has taken the last save.
+func (c *Core) Saved(now time.Time) {
+	if c.saving == nil {
+		return
+	}
+	c.versions.markSaved(c.saving.Added())
+	c.saving = nil
+	c.updateMixed(now)
 }
 
 // Restored records that the store has lost what was saved lately. All that this lobby knows
 // of its own is saved again.
 func (c *Core) Restored(now time.Time) {
-	c.versions.markUnsaved()
-	clear(c.told)
-	c.tellMixed(now)
+	c.versions.markLost()
+	c.saving = nil
+	clear(c.mixed)
+	c.updateMixed(now)
 }
 
-// learn records streams of which another lobby or the store tells.
+// learn records streams of which another lobby or the store tells, and the versions at which
+// they began. What the store keeps of versions that it does not have any more is over.
 func (c *Core) learn(now time.Time, groups []protocol.StreamsConfig, source Source) {
 	for _, group := range groups {
 		origin := NewOrigin(group.Service, group.Version)
-		if c.versions.learn(now, origin) == nil {
+		if _, ok := c.versions[origin.service][origin.version]; !ok && source == SourceStore {
+			continue
+		}
+		version := c.versions.learn(now, origin)
+		if version == nil {
 			continue
 		}
+		version.claimed = true
 		until := now.Add(min(group.Left, maxRetention))
 		for _, stream := range group.Streams {
-			c.streams.add(stream, record{origin: origin, source: source, learnt: now, until: until})
+			if source == SourceStore && c.streams.full() {
+				break
+			}
+			c.add(stream, record{origin: origin, source: source, learnt: now, until: until})
 		}
 	}
-	c.tellMixed(now)
+	c.updateMixed(now)
 }
 
-// tellMixed has all own streams told and saved of the services that have several versions now,
-// and no more those of the others.
-func (c *Core) tellMixed(now time.Time) {
-	for service := range c.told {
+// updateMixed has all own streams saved of the services that have several versions now.
+func (c *Core) updateMixed(now time.Time) {
+	for service := range c.mixed {
 		if !c.versions.mixed(service) {
-			delete(c.told, service)
+			delete(c.mixed, service)
 		}
 	}
 	for service := range c.versions {
-		if !c.versions.mixed(service) || c.told[service] {
+		if !c.versions.mixed(service) || c.mixed[service] {
 			continue
 		}
-		c.told[service] = true
+		c.mixed[service] = true
 		for _, stream := range c.streams.order {
 			if r, ok := c.streams.records[stream]; ok && r.source == SourceOwn && r.origin.service == service && r.until.After(now) {
-				c.tell(stream)
+				c.save(stream)
 			}
 		}
 	}
 }
 
-func (c *Core) tell(stream httpmeta.StreamID) {
-	c.untold = append(c.untold, telling{stream: stream, times: tellings})
-	c.unsaved = append(c.unsaved, stream)
-	c.untold = c.untold[max(len(c.untold)-maxStreams, 0):]
-	c.unsaved = c.unsaved[max(len(c.unsaved)-maxStreams, 0):]
-}
-
 // ToTell returns the streams for the next digest, the newest first: they are the least known.
+// For services with several versions it has all of them.
 func (c *Core) ToTell(now time.Time) []protocol.StreamsConfig {
-	if len(c.untold) == 0 {
-		return nil
-	}
-	from := max(len(c.untold)-maxTold, 0)
-	streams := make([]httpmeta.StreamID, 0, len(c.untold)-from)
-	kept := c.untold[:from:from]
-	for _, next := range c.untold[from:] {
+	from := max(len(c.digest)-maxTold, 0)
+	streams := make([]httpmeta.StreamID, 0, len(c.digest)-from)
+	kept := c.digest[:from:from]
+	for _, next := range c.digest[from:] {
 		streams = append(streams, next.stream)
-		if next.times--; next.times > 0 {
+		if next.digests--; next.digests > 0 {
 			kept = append(kept, next)
 		}
 	}
-	c.untold = kept
-	return c.group(now, streams)
+	c.digest = kept
+	groups := c.group(now, streams)
+	for service := range c.mixed {
+		for name, version := range c.versions[service] {
+			if version.saved || version.claimed {
+				groups = append(groups, protocol.StreamsConfig{Service: service, Version: name})
+			}
+		}
+	}
+	slices.SortStableFunc(groups, compareGroups)
+	return groups
+}
+
+// compareGroups compares groups by their origins.
+func compareGroups(a, b protocol.StreamsConfig) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 }
 
 // ToSave returns what is to be saved in the store now, false if nothing is due. lobbies is the
-// number of lobbies.
+// number of lobbies. There is one save at a time, which is repeated if Saved does not follow.
 func (c *Core) ToSave(now time.Time, lobbies int) (protocol.StreamsSave, bool) {
 	c.expire(now)
-	added := c.versions.unsaved()
+	if c.saving != nil {
+		if now.Sub(c.lastSave) < resendPeriod {
+			return protocol.StreamsSave{}, false
+		}
+		c.lastSave = now
+		return *c.saving, true
+	}
+	config := protocol.StreamsSaveConfig{Added: c.versions.unsaved(), Removed: c.removed, Mixed: len(c.mixed) > 0}
 	due := now.Sub(c.lastSave) >= max(minSavePeriod, time.Duration(lobbies)*savePeriodPerLobby)
-	if len(added)+len(c.removed) == 0 && (!due || len(c.unsaved) == 0) {
+	if len(config.Added)+len(c.removed) == 0 && config.Mixed == c.reread && (!due || len(c.unsaved) == 0) {
 		return protocol.StreamsSave{}, false
 	}
 	n := min(len(c.unsaved), maxSaved)
-	save := protocol.NewStreamsSave(protocol.StreamsSaveConfig{Added: added, Removed: c.removed, Streams: c.group(now, c.unsaved[:n])})
-	c.removed, c.unsaved, c.lastSave = nil, c.unsaved[n:], now
+	config.Streams = c.group(now, c.unsaved[:n])
+	save := protocol.NewStreamsSave(config)
+	c.saving, c.lastSave, c.reread = &save, now, config.Mixed
+	c.removed, c.unsaved = nil, c.unsaved[n:]
 	return save, true
 }
 
+// Loaded reports whether the store has been read since the start.
+func (c *Core) Loaded() bool { return !c.loaded.IsZero() }
+
 // Size returns the number of streams that are remembered, the bytes that they take, and the
 // number of those that were forgotten for want of room.
 func (c *Core) Size() (streams, bytes, dropped int) {
@@ -210,7 +305,8 @@
 	c.expired = now
 	c.streams.expire(now)
 	c.removed = append(c.removed, c.versions.expire(now)...)
-	c.tellMixed(now)
+	maps.DeleteFunc(c.peers, func(_ string, last time.Time) bool { return now.Sub(last) > minRetention })
+	c.updateMixed(now)
 }
 
 // group returns streams by origin, in the order of their origins, without those that are
@@ -234,8 +330,6 @@
 	for _, config := range byOrigin {
 		groups = append(groups, *config)
 	}
-	slices.SortFunc(groups, func(a, b protocol.StreamsConfig) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
-	})
+	slices.SortFunc(groups, compareGroups)
 	return groups
 }
--- a/lobby/resumption/journal.go
+++ b/lobby/resumption/journal.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	journalCapacity = 256                    // saves that may be queued
-	retryPeriod     = 300 * time.Millisecond // time between two calls while the store does not answer
+	journalCapacity = 8                      // saves that may be queued; the core makes one at a time
+	minRetryPeriod  = 300 * time.Millisecond // time between two calls while the store does not answer, at first
+	maxRetryPeriod  = 5 * time.Second        // the same after many calls
 	readPeriod      = 5 * time.Second        // time between two reads while a service has several versions
-	idlePeriod      = time.Minute            // longest wait for a save otherwise
-	// slots is the number of saves of a lobby that the store keeps. They last for maxRetention
+	idleReadPeriod  = 30 * time.Second       // time between two reads otherwise, which show whether the store was restored
+	maxRead         = 1 << 12                // streams that are passed to the observer at once
+	// slots is the number of saves of a lobby that the store keeps. They last for minRetention
 	// at least, since a lobby saves streams every minSavePeriod at most.
-	slots = int(maxRetention/minSavePeriod) + 1
+	slots = int(minRetention/minSavePeriod) + 1
 )
 
 // Store keeps at which software versions streams began.
@@ -35,12 +37,17 @@
 	// SaveStreams writes what a lobby adds. The streams replace those of its slot. It returns
 	// the era of the store.
 	SaveStreams(lobby string, slot int, save protocol.StreamsSave) (era int64, err error)
+	// ClearStreams removes all streams, but no versions.
+	ClearStreams() error
 }
 
-// Observer is told what the journal has read.
+// Observer is told what the journal has read and written.
 type Observer interface {
-	// StreamsRead takes what the store keeps, or a part of it.
-	StreamsRead(saved protocol.SavedStreams) error
+	// StreamsRead takes what the store keeps, or a part of it. complete is set with the last
+	// part.
+	StreamsRead(saved protocol.SavedStreams, complete bool) error
+	// StreamsSaved takes note that the store has taken the last save.
+	StreamsSaved() error
 	// StreamsRestored takes note that the store has lost what was saved lately.
 	StreamsRestored() error
 }
@@ -55,29 +62,27 @@
 	Log       *logrus.Entry
 }
 
-// Journal reads what the store keeps of streams once, and again from time to time while a
-// service has several versions, and writes what is passed to it. It has a thread of its own
-// because calls of the store block.
+// Journal reads what the store keeps of streams once, and again from time to time, and writes
+// what is passed to it. It has a thread of its own because calls of the store block.
 type Journal struct {
 	config    JournalConfig
 	inbox     *ring.Ring // of protocol.StreamsSave
 	position  deployment.Position
-	read      bool      // the store has been read
+	read      bool      // all has been read and passed to the observer
 	lastRead  time.Time // time of the last read
 	mixed     bool      // a service had several versions at the last save
 	slot      int       // that was written last
 	pending   *protocol.StreamsSave
 	reachable bool
-	failures  *metrics.Counter
-	refused   *metrics.Counter
+	failures  int // calls that have failed since the last one that did not
+	failed    *metrics.Counter
 }
 
 // NewJournal returns a journal that uses the store while Serve runs.
 func NewJournal(config JournalConfig) *Journal {
 	return &Journal{
 		config: config, reachable: true, inbox: ring.New(ring.Config{Name: "streams", Capacity: journalCapacity}),
-		failures: metrics.GetOrCreateCounter("sesamewell_stream_saves_failed_total"),
-		refused:  metrics.GetOrCreateCounter("sesamewell_stream_saves_dropped_total"),
+		failed: metrics.GetOrCreateCounter("sesamewell_stream_saves_failed_total"),
 	}
 }
 
@@ -87,10 +92,10 @@
 // Inbox returns the ring from which the journal takes its saves.
 func (j *Journal) Inbox() *ring.Ring { return j.inbox }
 
-// Save queues what is to be saved. It is dropped while the store has not answered for long.
+// Save queues what is to be saved. A save that is dropped, since others wait, is made again.
 func (j *Journal) Save(save protocol.StreamsSave) {
 	if j.inbox.Put(save) != nil {
-		j.refused.Inc()
+		j.failed.Inc()
 	}
 }
 
@@ -99,12 +104,14 @@
 	for {
 		if err := j.step(time.Now()); err != nil {
 			j.logResult(err)
-			if err := supervisor.Sleep(ctx, retryPeriod); err != nil {
+			if err := supervisor.Sleep(ctx, j.retryPeriod()); err != nil {
 				return err
 			}
+			j.failures++
 			continue
 		}
 		j.logResult(nil)
+		j.failures = 0
 		item, err := j.inbox.TakeWithin(ctx, j.untilRead(time.Now()))
 		if err != nil {
 			return err
@@ -115,6 +122,11 @@
 	}
 }
 
+// retryPeriod returns the time until the next call after one has failed.
+func (j *Journal) retryPeriod() time.Duration {
+	return min(minRetryPeriod<<min(j.failures, 5), maxRetryPeriod)
+}
+
 // step reads the store if that is due, and writes the save that waits.
 func (j *Journal) step(now time.Time) error {
 	if !j.read || j.untilRead(now) <= 0 {
@@ -130,10 +142,11 @@
 
 // untilRead returns the time until the store is to be read again.
 func (j *Journal) untilRead(now time.Time) time.Duration {
-	if !j.mixed {
-		return idlePeriod
+	period := idleReadPeriod
+	if j.mixed {
+		period = readPeriod
 	}
-	return readPeriod - now.Sub(j.lastRead)
+	return period - now.Sub(j.lastRead)
 }
 
 func (j *Journal) readStore(now time.Time) error {
@@ -147,8 +160,14 @@
 	if slot, ok := saved.Slot(j.config.Self); ok && !j.read {
 		j.slot = slot
 	}
+	parts := split(saved)
+	for i, part := range parts {
+		if err := j.config.Observer.StreamsRead(part, i == len(parts)-1); err != nil {
+			return err
+		}
+	}
 	j.position, j.lastRead, j.read = position, now, true
-	return j.config.Observer.StreamsRead(saved)
+	return nil
 }
 
 // readNew returns what has been saved since the last read, or all if that is not known.
@@ -163,18 +182,51 @@
 	return saved, position, err
 }
 
+// split returns what the store keeps in parts that the observer can take in a short time: the
+// versions first, then the newest streams up to the number that is remembered.
+func split(saved protocol.SavedStreams) []protocol.SavedStreams {
+	parts := []protocol.SavedStreams{protocol.NewSavedStreams(protocol.SavedStreamsConfig{Versions: saved.Versions()})}
+	var groups []protocol.StreamsConfig
+	size, total := 0, 0
+	flush := func() {
+		if len(groups) > 0 {
+			parts = append(parts, protocol.NewSavedStreams(protocol.SavedStreamsConfig{Streams: groups}))
+		}
+		groups, size = nil, 0
+	}
+	for _, group := range saved.Streams() {
+		if size+len(group.Streams) > maxRead {
+			flush()
+		}
+		if total += len(group.Streams); total > maxStreams {
+			break
+		}
+		groups, size = append(groups, group), size+len(group.Streams)
+	}
+	flush()
+	return parts
+}
+
 func (j *Journal) write(save protocol.StreamsSave) error {
-	era, err := j.config.Store.SaveStreams(j.config.Self, (j.slot+1)%slots, save)
-	if err != nil {
-		j.failures.Inc()
-		return err
+	if !save.Empty() {
+		era, err := j.config.Store.SaveStreams(j.config.Self, (j.slot+1)%slots, save)
+		if err != nil {
+			j.failed.Inc()
+			return err
+		}
+		j.slot = (j.slot + 1) % slots
+		if era != j.position.Era() {
+			j.pending = nil
+			return j.restored(era)
+		}
 	}
-	j.slot, j.pending = (j.slot+1)%slots, nil
-	j.mixed = len(save.Streams()) > 0 || j.mixed && len(save.Removed()) == 0
-	if era != j.position.Era() {
-		return j.restored(era)
+	if j.mixed && !save.Mixed() { // no stream needs to be told apart any more
+		if err := j.config.Store.ClearStreams(); err != nil {
+			return err
+		}
 	}
-	return nil
+	j.mixed, j.pending = save.Mixed(), nil
+	return j.config.Observer.StreamsSaved()
 }
 
 // restored notes that the store came back from a backup, and has all of it read anew.
--- a/lobby/resumption/stream.go
+++ b/lobby/resumption/stream.go
@@ -5,20 +5,22 @@
 // store outlives them all.
 package resumption
 
-import (
-	"time"
-
-	"sesamewell.example/commons/protocol"
-)
+import "time"
 
 const (
 	// maxRetention is the longest time for which a stream is remembered, in which its caller
 	// may take it up.
-	maxRetention = 2 * time.Minute
+	maxRetention = 10 * time.Minute
+	// minRetention is the shortest time for which a version is remembered that is not listed
+	// any more, and that for which the store keeps what a lobby has saved of streams.
+	minRetention = 2 * time.Minute
 	// retentionSlack is the time for which a stream is remembered beyond its caller's timeout.
 	retentionSlack = 2 * time.Second
-	maxStreams     = 1 << 15 // streams that are remembered
-	maxVersions    = 16      // versions of one service that are remembered
+	// earlierPeriod is the time after a lobby has read the store in which it takes streams that
+	// nobody knows for ones that began before.
+	earlierPeriod = time.Minute
+	maxStreams    = 1 << 15 // streams that are remembered
+	maxVersions   = 16      // versions of one service that are remembered
 	// streamSize is the number of bytes that one stream takes in memory, as far as the metrics
 	// tell.
 	streamSize = 160
@@ -39,11 +41,6 @@
 // Version returns the version of the software of the backend server.
 func (o Origin) Version() string { return o.version }
 
-// config returns the origin as messages carry it.
-func (o Origin) config() protocol.SoftwareVersionConfig {
-	return protocol.SoftwareVersionConfig{Service: o.service, Version: o.version}
-}
-
 // Source says how a lobby knows where a stream began.
 type Source string
 
@@ -52,7 +49,8 @@
 	SourceOwn     Source = "own"          // the stream began at this lobby, or was taken up here
 	SourcePeer    Source = "peer"         // another lobby has said so
 	SourceStore   Source = "store"        // the store says so
-	SourceOnly    Source = "only_version" // the service has had one version for as long as streams are remembered
+	SourceOnly    Source = "only_version" // streams of the service can have begun at one version only
+	SourceEarlier Source = "earlier"      // the stream began before this lobby read the store, when that was so
 	SourceUnread  Source = "unread"       // not known: the store has not been read since the start
 	SourceStale   Source = "stale"        // not known: other versions may serve of which the lobby has not heard
 	SourceUnknown Source = "unknown"      // not known: the service has several versions, and nobody has said at which it began
@@ -74,6 +72,6 @@
 // Source returns how the origin is known, or why it is not.
 func (f Finding) Source() Source { return f.source }
 
-// Age returns the time since this lobby learnt of it; for SourceOnly and SourceStale that
+// Age returns the time since this lobby learnt of it; for the others that
 // since the last list of backend servers.
 func (f Finding) Age() time.Duration { return f.age }
--- a/lobby/resumption/table.go
+++ b/lobby/resumption/table.go
@@ -47,9 +47,12 @@
 	}
 }
 
+// full reports whether another stream has room only in the place of one that is remembered.
+func (t *table) full() bool { return len(t.records) >= maxStreams }
+
 // makeRoom forgets the streams that were added first until another one has room.
 func (t *table) makeRoom() {
-	for len(t.records) >= maxStreams {
+	for t.full() {
 		if _, ok := t.records[t.order[0]]; ok {
 			delete(t.records, t.order[0])
 			t.dropped++
--- a/lobby/resumption/versions.go
+++ b/lobby/resumption/versions.go
@@ -9,16 +9,19 @@
 
 // version is one software version of a service.
 type version struct {
-	listed bool      // a backend server of it is on the list
-	seen   time.Time // last time at which it was listed or another lobby or the store told of it
-	saved  bool      // it has been passed on to be saved in the store
+	listed  bool      // a backend server of it is on the list
+	since   time.Time // time from which on it has been known
+	seen    time.Time // last time at which it was listed or another lobby or the store told of it
+	until   time.Time // time until which the last stream is remembered that began there
+	saved   bool      // the store has it
+	claimed bool      // streams have begun there: the store or another lobby says so
 }
 
 // versions holds the software versions of which streams may be open, by service.
 type versions map[string]map[string]*version
 
-// learn records that streams of a version may be open, and returns it; nil if the service has
-// more versions than are remembered.
+// learn records that a version exists, and returns it; nil if the service has more versions
+// than are remembered.
 func (v versions) learn(now time.Time, origin Origin) *version {
 	known, ok := v[origin.service]
 	if !ok {
@@ -30,7 +33,7 @@
 		if len(known) >= maxVersions {
 			return nil
 		}
-		found = &version{}
+		found = &version{since: now}
 		known[origin.version] = found
 	}
 	found.seen = now
@@ -54,29 +57,33 @@
 // mixed reports whether a service has several versions.
 func (v versions) mixed(service string) bool { return len(v[service]) > 1 }
 
-// only returns the version of a service that has a single one.
-func (v versions) only(service string) (string, bool) {
-	if len(v[service]) != 1 {
-		return "", false
-	}
-	for name := range v[service] {
-		return name, true
+// only returns the one version of a service at which streams may have begun, false if there are
+// none or several.
+func (v versions) only(service string) (only string, ok bool) {
+	for name, version := range v[service] {
+		if !version.saved && !version.claimed {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		only, ok = name, true
 	}
-	return "", false
+	return only, ok
 }
 
-// expire forgets the versions that have not been seen for as long as streams are remembered,
-// and returns those of them that are saved.
+// expire forgets the versions that have not been seen for minRetention and of whose streams
+// none is remembered, and returns those of them that the store has.
 func (v versions) expire(now time.Time) []protocol.SoftwareVersionConfig {
 	var saved []protocol.SoftwareVersionConfig
 	for service, known := range v {
 		for name, version := range known {
-			if version.listed || now.Sub(version.seen) <= maxRetention {
+			if version.listed || now.Sub(version.seen) <= minRetention || version.until.After(now) {
 				continue
 			}
 			delete(known, name)
 			if version.saved {
-				saved = append(saved, NewOrigin(service, name).config())
+				saved = append(saved, protocol.SoftwareVersionConfig{Service: service, Version: name})
 			}
 		}
 		if len(known) == 0 {
@@ -86,24 +93,33 @@
 	return saved
 }
 
-// unsaved returns the versions that have not been passed on to be saved, and marks them.
+// unsaved returns the versions that the store does not have.
 func (v versions) unsaved() []protocol.SoftwareVersionConfig {
 	var unsaved []protocol.SoftwareVersionConfig
 	for service, known := range v {
 		for name, version := range known {
 			if !version.saved {
-				version.saved = true
-				unsaved = append(unsaved, NewOrigin(service, name).config())
+				unsaved = append(unsaved, protocol.SoftwareVersionConfig{Service: service, Version: name})
 			}
 		}
 	}
 	return unsaved
 }
 
-// markUnsaved records that the store may have lost the versions.
-func (v versions) markUnsaved() {
+// markSaved records that the store has versions.
+func (v versions) markSaved(saved []protocol.SoftwareVersionConfig) {
+	for _, config := range saved {
+		if version, ok := v[config.Service][config.Version]; ok {
+			version.saved = true
+		}
+	}
+}
+
+// markLost records that the store may have lost the versions.
+func (v versions) markLost() {
 	for _, known := range v {
 		for _, version := range known {
+			version.claimed = version.claimed || version.saved
 			version.saved = false
 		}
 	}
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -51,6 +51,9 @@
 // updateBackends applies a new list of backend servers. Those that are no
 // longer listed get no new requests, but keep the ones that they are running.
 func (c *Core) updateBackends(now time.Time, backends []deployment.Backend) {
+	if !c.listed {
+		c.listedFirst = now
+	}
 	c.listed, c.listedAt = true, now
 	c.config.Streams.SetBackends(now, backends)
 	seen := make(map[string]bool, len(backends))
@@ -67,7 +70,7 @@
 		}
 		s.forgetUnloaded(func(model string) bool { return backend.Holds(model, "") })
 		s.backend, s.listed = backend, true
-		s.settleDoubt(now)
+		c.settleDoubt(now, s)
 		c.updateCold(now, s)
 		s.cacheTokens = c.cacheTokens(s)
 
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -59,14 +59,14 @@
 	if !ok {
 		return
 	}
-	if req.server != nil && !req.started {
-		c.streamBegan(now, req)
-	}
 	if !req.started {
 		req.started, req.firstEvent = true, now
+		if req.server != nil {
+			c.streamBegan(now, req)
+		}
 	}
 	if req.server != nil {
-		req.beganAt, req.pin = now, pinToStart(req.server)
+		req.beganAt = now
 		req.server.prefill -= req.prefill
 		req.prefill = 0
 		req.stopAwaiting()
@@ -112,6 +112,9 @@
 	if !ok || !req.inFlight() {
 		return
 	}
+	if m.result == Truncated && !req.started { // the report of its start was lost
+		c.streamStarted(now, req.number)
+	}
 	s := req.server
 	c.release(req)
 	defer c.placeNext(now, s)
--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -11,6 +11,7 @@
 	maxRejectionPause       = 1600 * time.Millisecond // longest such time, after several rejections
 	promptRetryAfter        = 20 * time.Millisecond   // retry delay in refusals when another backend server can run the request now
 	retryAfter              = 300 * time.Millisecond  // default retry delay in refusals
+	streamsReadTimeout      = time.Second             // time after the first list of backend servers for which a lobby that starts awaits what the store keeps of streams
 	unknownOriginRetryAfter = 200 * time.Millisecond  // retry delay in refusals of streams of which another lobby may just be telling
 	restartRetryAfter       = 1500 * time.Millisecond // retry delay in refusals when all lobbies are draining
 	planLifetime            = 3 * time.Second         // time after its last receipt for which a plan is valid
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -84,30 +84,32 @@
 // Core makes all decisions of the scheduler. It does no I/O. The
 // Scheduler executes the actions that Handle and Tick return.
 type Core struct {
-	config        CoreConfig
-	configuration *deployment.Configuration // nil until the first one is received
-	servers       map[string]*server
-	unlisted      map[string]*server   // by ID, those whose entries have left the list
-	departed      map[string]int64     // by ID, the last start that is known to leave
-	byService     map[string][]*server // sorted by ID
-	requests      map[uint64]*openRequest
-	queued        map[uint64]*openRequest // subset of requests that waits for a backend server
-	budgets       map[string]*retryBudget
-	lobbyCount    int  // lobbies that share connections and retries, including this one
-	listed        bool // a list of backend servers has been received
-	listedAt      time.Time
-	now           time.Time            // time of the current message or tick
-	drainStart    time.Time            // zero unless draining
-	peers         map[string]peerState // by address
-	evacuations   deployment.Evacuations
-	plan          map[string][]string // models by backend server
-	planSource    string              // address of the lobby that made the plan, "" for this one
-	planTime      time.Time
-	estimator     *prefillEstimator
-	models        map[queueKey]*serviceModel // averages over backend servers
-	forecast      *forecast
-	hot           *hotParts
-	lastHot       time.Time // time of the last digest with the hot parts
+	config         CoreConfig
+	configuration  *deployment.Configuration // nil until the first one is received
+	servers        map[string]*server
+	unlisted       map[string]*server   // by ID, those whose entries have left the list
+	departed       map[string]int64     // by ID, the last start that is known to leave
+	byService      map[string][]*server // sorted by ID
+	requests       map[uint64]*openRequest
+	queued         map[uint64]*openRequest // subset of requests that waits for a backend server
+	budgets        map[string]*retryBudget
+	lobbyCount     int       // lobbies that share connections and retries, including this one
+	listed         bool      // a list of backend servers has been received
+	listedFirst    time.Time // time of the first one
+	streamsOverdue bool      // what the store keeps of streams has not been read for long
+	listedAt       time.Time
+	now            time.Time            // time of the current message or tick
+	drainStart     time.Time            // zero unless draining
+	peers          map[string]peerState // by address
+	evacuations    deployment.Evacuations
+	plan           map[string][]string // models by backend server
+	planSource     string              // address of the lobby that made the plan, "" for this one
+	planTime       time.Time
+	estimator      *prefillEstimator
+	models         map[queueKey]*serviceModel // averages over backend servers
+	forecast       *forecast
+	hot            *hotParts
+	lastHot        time.Time // time of the last digest with the hot parts
 
 	waiting       map[queueKey]*fairqueue.Queue // order of the queued requests
 	places        *places
@@ -167,7 +169,9 @@
 }
 
 // Ready reports whether the process can take callers' connections.
-func (c *Core) Ready() bool { return c.configuration != nil && c.listed && c.drainStart.IsZero() }
+func (c *Core) Ready() bool {
+	return c.configuration != nil && c.listed && c.drainStart.IsZero() && (c.config.Streams.Loaded() || c.streamsOverdue)
+}
 
 // Open returns the number of requests that have not been completely answered.
 func (c *Core) Open() int { return len(c.requests) }
@@ -183,7 +187,9 @@
 	case BackendLeaving:
 		c.backendLeaving(m.origin)
 	case BackendDisconnected:
-		c.backendDisconnected(now, m.origin)
+		c.backendDisconnected(m.origin)
+	case BackendConnected:
+		c.backendConnected(now, m.origin)
 	case BackendRefusing:
 		c.backendRefusing(now, m)
 	case BackendLimit:
@@ -212,7 +218,9 @@
 	case FetchEnded:
 		c.fetchEnded(now, m)
 	case StreamsRead:
-		c.config.Streams.Load(now, m.saved)
+		c.config.Streams.Load(now, m.saved, m.complete)
+	case StreamsSaved:
+		c.config.Streams.Saved(now)
 	case StreamsRestored:
 		c.config.Streams.Restored(now)
 	case Drain:
@@ -256,6 +264,7 @@
 	c.placeQueued(now)
 	c.returns.forget(now)
 	c.saveStreams(now)
+	c.streamsOverdue = c.listed && now.Sub(c.listedFirst) >= streamsReadTimeout
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
 	}
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -51,6 +51,17 @@
 	log.Warn("stream taken up, of which nobody knows at which software version it began")
 }
 
+// recordDoubt logs that a backend server may have started again, or has not.
+func (s *Scheduler) recordDoubt(a RecordDoubt) {
+	log := s.config.Log.WithFields(logrus.Fields{"event": "doubt", "backend": a.origin.backend, "start": a.origin.startTime, "list_age": a.listAge})
+	if a.raised {
+		s.stats.doubts.Inc()
+		log.Info("backend server may start again with another software version: no stream goes on there")
+		return
+	}
+	log.WithField("event", "doubt_ended").Info("backend server is listed with the same start: streams go on there")
+}
+
 // recordLeaving logs that a backend server leaves.
 func (s *Scheduler) recordLeaving(a RecordLeaving) {
 	s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.origin.backend, "start": a.origin.startTime, "source": a.source, "lobby": a.peer, "list_age": a.listAge}).Info("backend server leaves: no new requests")
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -193,6 +193,9 @@
 	case RecordTakeUp:
 		s.recordTakeUp(a)
 		return
+	case RecordDoubt:
+		s.recordDoubt(a)
+		return
 	case SaveStreams:
 		s.config.Journal.Save(a.save)
 		return
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -21,7 +21,7 @@
 	rejections        map[string]*backoff // by model whose requests it rejects, "" without models
 	replaced          bool                // another backend server has taken over its address
 	hold              hold
-	doubtedSince      time.Time            // time since which it may be another start than the listed one; zero if it is not
+	doubt             doubt
 	leaving           bool                 // it has said in an answer that it leaves
 	evacuated         bool                 // its failure domain is to be evacuated
 	missingUntil      map[string]time.Time // by model reported missing: no requests until then
--- a/lobby/scheduler/stats.go
+++ b/lobby/scheduler/stats.go
@@ -18,6 +18,7 @@
 	fetches      *metrics.Counter
 	quarantines  *metrics.Counter
 	streams      *streamGauges
+	doubts       *metrics.Counter
 	withheld     *metrics.Counter // from cold backend servers
 	withheldRate *metrics.Counter // from backend servers that name a rate
 	limits       map[limitState]*metrics.Counter
@@ -40,6 +41,7 @@
 		fetches:      metrics.GetOrCreateCounter("sesamewell_adapter_fetches_total"),
 		quarantines:  metrics.GetOrCreateCounter("sesamewell_quarantines_total"),
 		streams:      newStreamGauges(),
+		doubts:       metrics.GetOrCreateCounter("sesamewell_doubts_total"),
 		withheld:     metrics.GetOrCreateCounter("sesamewell_cold_withheld_total"),
 		withheldRate: metrics.GetOrCreateCounter("sesamewell_limit_withheld_total"),
 		waited:       metrics.GetOrCreateHistogram("sesamewell_request_waited_seconds"),
--- a/lobby/scheduler/takeup.go
+++ b/lobby/scheduler/takeup.go
@@ -17,13 +17,19 @@
 	// Began records that a stream has begun or gone on at an origin, and the time at which
 	// its caller's timeout ends.
 	Began(now time.Time, stream httpmeta.StreamID, origin resumption.Origin, until time.Time)
+	// MayBegin reports whether resumable streams may begin at an origin.
+	MayBegin(now time.Time, origin resumption.Origin) bool
 	// Find returns what is known of the origin of a stream that a caller takes up, whose
-	// request goes to a service.
-	Find(now time.Time, stream httpmeta.StreamID, service string) resumption.Finding
+	// request goes to a service. lobbies is the number of lobbies.
+	Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) resumption.Finding
 	// UpdatePeer records what another lobby tells.
 	UpdatePeer(now time.Time, digest protocol.Digest)
-	// Load records what the store keeps.
-	Load(now time.Time, saved protocol.SavedStreams)
+	// Load records what the store keeps, or a part of it. complete is set with the last part.
+	Load(now time.Time, saved protocol.SavedStreams, complete bool)
+	// Loaded reports whether all that the store keeps has been loaded.
+	Loaded() bool
+	// Saved records that the store has taken the last save.
+	Saved(now time.Time)
 	// Restored records that the store has lost what was saved lately.
 	Restored(now time.Time)
 	// ToTell returns the streams for the next digest.
@@ -36,15 +42,24 @@
 }
 
 // StreamsRead carries what the store keeps of streams, or a part of it.
-type StreamsRead struct{ saved protocol.SavedStreams }
+type StreamsRead struct {
+	saved    protocol.SavedStreams
+	complete bool
+}
+
+// NewStreamsRead returns the message. complete is set with the last part.
+func NewStreamsRead(saved protocol.SavedStreams, complete bool) StreamsRead {
+	return StreamsRead{saved: saved, complete: complete}
+}
 
-// NewStreamsRead returns the message.
-func NewStreamsRead(saved protocol.SavedStreams) StreamsRead { return StreamsRead{saved: saved} }
+// StreamsSaved reports that the store has taken what was to be saved.
+type StreamsSaved struct{}
 
 // StreamsRestored reports that the store has lost what was saved of streams lately.
 type StreamsRestored struct{}
 
 func (StreamsRead) schedulerMessage()     {}
+func (StreamsSaved) schedulerMessage()    {}
 func (StreamsRestored) schedulerMessage() {}
 
 // SaveStreams saves in the store at which software versions streams began.
@@ -75,12 +90,12 @@
 
 // takeUp pins a request that takes up a stream to the software version at which the stream
 // began. It returns false if nobody knows that, or the route does not lead there any more: then
-// the stream can't go on.
+// the stream can't go on. request is as its caller sent it.
 func (c *Core) takeUp(now time.Time, req *openRequest, request *httpmeta.Request) bool {
-	if !request.TakesUp() || req.route.Kind() != deployment.Stream {
+	if !request.TakesUp() || !req.route.Resumable() {
 		return true
 	}
-	finding := c.config.Streams.Find(now, req.streamID(), req.service)
+	finding := c.config.Streams.Find(now, req.streamID(), req.service, c.lobbyCount)
 	origin := finding.Origin()
 	goesOn := finding.Known() && slices.Contains(req.route.Services(), origin.Service())
 	c.emit(RecordTakeUp{request: request, finding: finding, goesOn: goesOn})
@@ -95,18 +110,36 @@
 	return true
 }
 
-// streamBegan remembers the software version at which a stream has begun, or gone on, for its
-// caller.
+// mayBegin reports whether a backend server may run a request, whose stream begins there if it
+// is resumable: its version must be known to lobbies that start later, unless no other one
+// serves.
+func (c *Core) mayBegin(now time.Time, req *openRequest, s *server) bool {
+	if !req.route.Resumable() || req.pin.set || c.config.Streams.MayBegin(now, s.origin()) {
+		return true
+	}
+	return !slices.ContainsFunc(c.byService[req.service], func(other *server) bool {
+		return other.usable() && c.config.Streams.MayBegin(now, other.origin())
+	})
+}
+
+// origin returns where streams begin that a backend server runs.
+func (s *server) origin() resumption.Origin {
+	return resumption.NewOrigin(s.backend.Service(), s.backend.Version())
+}
+
+// streamBegan pins a request to the software version of the backend server at which its stream
+// has begun, and remembers that for its caller. While the backend server is doubted, nobody
+// knows the version.
 func (c *Core) streamBegan(now time.Time, req *openRequest) {
-	if !req.route.Resumable() || req.server.doubted() {
+	req.pin = pinToStart(req.server)
+	if !req.route.Resumable() || req.pin.unknown {
 		return
 	}
 	timeout := req.request.Timeout()
 	if timeout == 0 {
 		timeout = req.route.Timeout()
 	}
-	origin := resumption.NewOrigin(req.service, req.server.backend.Version())
-	c.config.Streams.Began(now, req.streamID(), origin, req.request.Arrived().Add(timeout))
+	c.config.Streams.Began(now, req.streamID(), req.server.origin(), req.request.Arrived().Add(timeout))
 }
 
 // saveStreams has what is due saved.
