--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -81,7 +81,7 @@
 		if a.ranOut {
 			p.budget.Exhausted(now, p.openConnections())
 		}
-		a.pool.dialFailed(a.number)
+		a.pool.dialFailed(a.number, !a.ranOut)
 	case sweep:
 		p.sweep(now)
 	}
@@ -121,7 +121,7 @@
 		target = &pool{proxy: p, backend: id, address: send.Address()}
 		p.pools[id] = target
 	}
-	target.maxOpen, e.pool = send.Connections(), target
+	target.maxOpen, target.origin, e.pool = send.Connections(), send.Origin(), target
 	target.send(now, e)
 }
 
--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -26,6 +26,8 @@
 	Resumable        bool          // the stream may be resumed at another backend server, so only whole events are forwarded
 	KeepError        bool          // a server error of the backend server is kept for ForwardError
 	Limited          bool          // the backend server has named a rate, so an answer without one is reported too
+	Resumption       bool          // the send goes on with a stream that another one or an earlier attempt began
+	Version          string        // of the backend server's software
 }
 
 // Send sends a request to a backend server.
@@ -84,6 +86,13 @@
 // answer that names none is reported too.
 func (s Send) Limited() bool { return s.config.Limited }
 
+// Resumption reports whether the send goes on with a stream that another send or an earlier
+// attempt of the caller began.
+func (s Send) Resumption() bool { return s.config.Resumption }
+
+// Version returns the version of the backend server's software.
+func (s Send) Version() string { return s.config.Version }
+
 // ForwardErrorConfig holds the construction parameters of a ForwardError.
 type ForwardErrorConfig struct {
 	Number uint64
@@ -200,6 +209,7 @@
 	AwaitsLoad bool                     // queued requests wait until a model is loaded
 	Suspects   []protocol.SuspectConfig // suspects of crashes to tell the other lobbies of
 	Hot        []protocol.HotPartsConfig
+	Streams    []protocol.StreamsConfig // that began here, where their services have several software versions
 }
 
 // Broadcast sends this lobby's digest to the other lobbies, and tells the watcher of
@@ -231,6 +241,10 @@
 // due.
 func (b Broadcast) Hot() []protocol.HotPartsConfig { return b.config.Hot }
 
+// Streams returns streams that began here lately, where their services have several software
+// versions.
+func (b Broadcast) Streams() []protocol.StreamsConfig { return b.config.Streams }
+
 // Leaving returns the start times, by ID, of the listed backend servers that have said
 // in an answer that they leave.
 func (b Broadcast) Leaving() map[string]int64 { return b.config.Leaving }
--- a/lobby/scheduler/admission.go
+++ b/lobby/scheduler/admission.go
@@ -46,6 +46,10 @@
 		c.refuse(req, draining, c.returnAfter(now, req, c.drainRetryAfter(now)))
 		return
 	}
+	if !c.takeUp(now, req, m.request) {
+		c.refuse(req, unknownOrigin, unknownOriginRetryAfter)
+		return
+	}
 	if wait, ok := c.charge(now, req); !ok {
 		c.refuse(req, overQuota, wait)
 		return
@@ -80,14 +84,7 @@
 	}
 	req.route = route
 	req.service = route.PickService(c.config.Random.Float64())
-	service, _ := c.configuration.Service(req.service)
-	engine, ok := service.Engine()
-	switch model := req.request.Model(); {
-	case !ok:
-		req.request = req.request.WithoutModel() // callers may name any
-	case model != "" && !c.knows(req.service, engine, model, req.request.Adapter()):
-		req.request = req.request.WithUnknownModel()
-	}
+	c.fitModel(req)
 	if route.Open() || !c.configuration.HasTenants() {
 		req.homes = newHomes(route, req.tenant)
 		return ""
@@ -99,6 +96,19 @@
 	return ""
 }
 
+// fitModel leaves out a model that means nothing to the request's service, and replaces one
+// that, or whose adapter, nobody knows: callers may name any.
+func (c *Core) fitModel(req *openRequest) {
+	service, _ := c.configuration.Service(req.service)
+	engine, ok := service.Engine()
+	switch model := req.request.Model(); {
+	case !ok:
+		req.request = req.request.WithoutModel()
+	case model != "" && !c.knows(req.service, engine, model, req.request.Adapter()):
+		req.request = req.request.WithUnknownModel()
+	}
+}
+
 // knows reports whether a model and, unless its name is empty, an adapter of it are configured
 // for a service, or held by one of its backend servers.
 func (c *Core) knows(service string, engine deployment.EngineConfig, model, adapter string) bool {
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -47,7 +47,7 @@
 func (c *Core) holders(req *openRequest) int {
 	n := 0
 	for _, s := range c.byService[req.service] {
-		if model := req.request.Model(); s.usable() && c.inHome(req.homes, s) && (model == "" || s.hasModel(model)) {
+		if model := req.request.Model(); s.usable() && c.eligible(req.queueKey(), s) && (model == "" || s.hasModel(model)) {
 			n++
 		}
 	}
@@ -61,6 +61,9 @@
 	}
 	if !req.started {
 		req.started, req.firstEvent = true, now
+		if req.server != nil {
+			c.streamBegan(now, req)
+		}
 	}
 	if req.server != nil {
 		req.beganAt = now
@@ -109,6 +112,9 @@
 	if !ok || !req.inFlight() {
 		return
 	}
+	if m.result == Truncated && !req.started { // the report of its start was lost
+		c.streamStarted(now, req.number)
+	}
 	s := req.server
 	c.release(req)
 	defer c.placeNext(now, s)
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -96,6 +96,8 @@
 		IdleTimeout:      req.idleTimeout(),
 		Stream:           req.route.Kind() == deployment.Stream,
 		Resumable:        req.route.Resumable(),
+		Resumption:       req.started || req.request.TakesUp(),
+		Version:          s.backend.Version(),
 		Forwarding: httpmeta.NewForwarding(httpmeta.ForwardingConfig{
 			Backend:     s.backend.ID(),
 			Tenant:      req.tenant.Name(),
@@ -125,11 +127,12 @@
 func (c *Core) choose(now time.Time, req *openRequest) (best candidate, found bool) {
 	service, _ := c.configuration.Service(req.service)
 	_, engine := service.Engine()
+	key := req.queueKey()
 	if !engine && c.shareUsed(now, req) {
 		return best, false
 	}
 	for _, s := range c.byService[req.service] {
-		if !s.usable() || !s.hold.admits(now) || !c.gatesAdmit(now, s, req) || req.tried[s.backend.ID()] || !c.inHome(req.homes, s) || s.reservedAgainst(now, req) {
+		if !s.usable() || !s.hold.admits(now) || !c.gatesAdmit(now, s, req) || req.tried[s.backend.ID()] || !c.eligible(key, s) || s.reservedAgainst(now, req) {
 			continue
 		}
 		if cand, ok := c.evaluate(now, req, s, engine); ok && (!found || cand.betterThan(best)) {
@@ -142,7 +145,7 @@
 // evaluate returns a backend server as a candidate for a request, if it can run
 // the request now.
 func (c *Core) evaluate(now time.Time, req *openRequest, s *server, engine bool) (candidate, bool) {
-	if engine && !s.canRun(now, req) {
+	if engine && !s.canRun(now, req) || !c.mayBegin(now, req, s) {
 		return candidate{}, false
 	}
 	match := s.cache.match(req.parts)
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -11,7 +11,11 @@
 )
 
 func (s *Scheduler) logSend(a Send) {
-	s.config.Log.WithFields(logrus.Fields{
+	log := s.config.Log
+	if a.Resumption() {
+		log = log.WithFields(logrus.Fields{"resumes": a.Request().Resumes(), "version": a.Version()})
+	}
+	log.WithFields(logrus.Fields{
 		"event": "sent", "request": a.Request().ID(), "backend": a.Forwarding().Backend(), "tenant": a.Forwarding().Tenant(), "model": a.Request().Model(),
 		"adapter": a.Request().Adapter(), "waited": time.Since(a.Request().Arrived()),
 	}).Info("request sent")
@@ -33,6 +37,31 @@
 	}).Log(recordLevel(a), "send ended")
 }
 
+// recordTakeUp logs what is known of a stream that a caller takes up.
+func (s *Scheduler) recordTakeUp(a RecordTakeUp) {
+	s.stats.takeUp(a)
+	log := s.config.Log.WithFields(logrus.Fields{
+		"event": "taken_up", "request": a.request.ID(), "resumes": a.request.Resumes(), "service": a.finding.Origin().Service(), "version": a.finding.Origin().Version(),
+		"source": a.finding.Source(), "age": a.finding.Age(),
+	})
+	if a.goesOn {
+		log.Info("stream taken up: it goes on at the software version at which it began")
+		return
+	}
+	log.Warn("stream taken up, of which nobody knows at which software version it began")
+}
+
+// recordDoubt logs that a backend server may have started again, or has not.
+func (s *Scheduler) recordDoubt(a RecordDoubt) {
+	log := s.config.Log.WithFields(logrus.Fields{"event": "doubt", "backend": a.origin.backend, "start": a.origin.startTime, "list_age": a.listAge})
+	if a.raised {
+		s.stats.doubts.Inc()
+		log.Info("backend server may start again with another software version: no stream goes on there")
+		return
+	}
+	log.WithField("event", "doubt_ended").Info("backend server is listed with the same start: streams go on there")
+}
+
 // recordLeaving logs that a backend server leaves.
 func (s *Scheduler) recordLeaving(a RecordLeaving) {
 	s.config.Log.WithFields(logrus.Fields{"event": "backend_leaving", "backend": a.origin.backend, "start": a.origin.startTime, "source": a.source, "lobby": a.peer, "list_age": a.listAge}).Info("backend server leaves: no new requests")
--- a/lobby/scheduler/server.go
+++ b/lobby/scheduler/server.go
@@ -21,6 +21,7 @@
 	rejections        map[string]*backoff // by model whose requests it rejects, "" without models
 	replaced          bool                // another backend server has taken over its address
 	hold              hold
+	doubt             doubt
 	leaving           bool                 // it has said in an answer that it leaves
 	evacuated         bool                 // its failure domain is to be evacuated
 	missingUntil      map[string]time.Time // by model reported missing: no requests until then
--- /dev/null
+++ b/lobby/scheduler/takeup_test.go
@@ -0,0 +1,164 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sesamewell.example/commons/deployment"
+	"sesamewell.example/commons/httpmeta"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/scheduler"
+)
+
+// saved returns a message with what a store keeps: versions of the service of engines, and a
+// stream that the attempt "old" of the tenant "t" began at one of them.
+func saved(version string, versions ...string) scheduler.StreamsRead {
+	config := protocol.SavedStreamsConfig{}
+	for _, name := range versions {
+		config.Versions = append(config.Versions, protocol.SoftwareVersionConfig{Service: "engine", Version: name})
+	}
+	if version != "" {
+		config.Streams = []protocol.StreamsConfig{{Service: "engine", Version: version, Streams: []httpmeta.StreamID{httpmeta.NewStreamID("t", "old")}, Left: time.Minute}}
+	}
+	return scheduler.NewStreamsRead(protocol.NewSavedStreams(config), true)
+}
+
+// TestTakenUpStreamsGoOnAtTheirVersion guards against a stream that its caller takes up and
+// that goes on at another software version, at a lobby that has begun it or not, and whether or
+// not all lobbies have lost their memory since.
+func TestTakenUpStreamsGoOnAtTheirVersion(t *testing.T) {
+	v1, v2 := versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2"))
+	mixed := []deployment.BackendConfig{v1, v2}
+	takeUp := httpmeta.RequestConfig{Resumes: "old", LastEventID: "7"}
+	const unknown = "refuse 503 unknown_origin"
+	cases := map[string]struct {
+		servers []deployment.BackendConfig
+		read    *scheduler.StreamsRead // by the lobby from the store; nil if it has not read it
+		begun   string                 // version at which the lobby itself has begun the stream
+		told    string                 // version at which another lobby says that it began
+		later   []deployment.BackendConfig
+		after   time.Duration // time until the later list
+		silence time.Duration // time without a list and digests before the take-up
+		request httpmeta.RequestConfig
+		want    string
+	}{
+		"begun here, old version":              {servers: mixed, begun: "v1", request: takeUp, want: "send e1"},
+		"begun here, new version":              {servers: mixed, begun: "v2", request: takeUp, want: "send e2"},
+		"told by another lobby":                {servers: mixed, told: "v2", request: takeUp, want: "send e2"},
+		"kept by the store":                    {servers: mixed, read: ptr(saved("v2", "v1", "v2")), request: takeUp, want: "send e2"},
+		"its version has left":                 {servers: []deployment.BackendConfig{v2}, read: ptr(saved("v1", "v1", "v2")), request: takeUp, want: "refuse 503 no_version"},
+		"its version leaves":                   {servers: mixed, begun: "v1", later: []deployment.BackendConfig{versioned("v1", leaving(engineServer("e1"))), v2}, request: takeUp, want: "refuse 503 no_version"},
+		"nobody knows":                         {servers: mixed, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
+		"nobody knows, old version has left":   {servers: []deployment.BackendConfig{v2}, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
+		"nobody knows, new version long since": {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", later: mixed, after: 2 * time.Minute, request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: unknown},
+		"began before a new version appeared":  {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", later: mixed, request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: "send e1"},
+		"store not read":                       {servers: []deployment.BackendConfig{v1}, request: takeUp, want: unknown},
+		"one version":                          {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: takeUp, want: "send e1"},
+		"one version, attempt not named":       {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: httpmeta.RequestConfig{LastEventID: "7"}, want: "send e1"},
+		"one version, nothing heard for long":  {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), silence: 3 * time.Second, request: takeUp, want: unknown},
+		"attempt not named":                    {servers: mixed, begun: "v1", request: httpmeta.RequestConfig{LastEventID: "7"}, want: unknown},
+		"attempt of another customer":          {servers: mixed, begun: "v1", request: httpmeta.RequestConfig{Resumes: "old", APIKey: "k2"}, want: unknown},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(tc.servers...)
+			f.list(tc.servers...)
+			if tc.read != nil {
+				f.core.Handle(f.now, *tc.read)
+			}
+			if tc.begun != "" {
+				f.begin(t, tc.begun)
+			}
+			if tc.told != "" {
+				f.core.Handle(f.now, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "l2", Streams: []protocol.StreamsConfig{
+					{Service: "engine", Version: tc.told, Streams: []httpmeta.StreamID{httpmeta.NewStreamID("t", "old")}, Left: time.Minute},
+				}})))
+			}
+			f.now = f.now.Add(tc.after)
+			if tc.later != nil {
+				f.list(tc.later...)
+			}
+			f.now = f.now.Add(tc.silence)
+			tc.request.Path, tc.request.Model = "/resumable/a", "m"
+			checkActions(t, "take-up", []string{tc.want}, f.arrive(tc.request))
+		})
+	}
+}
+
+func ptr[T any](value T) *T { return &value }
+
+// begin begins a stream of the attempt "old" at a version and breaks its caller's connection.
+func (f *fixture) begin(t *testing.T, version string) {
+	t.Helper()
+	for range 100 {
+		f.number++
+		actions := f.core.Handle(f.now, scheduler.NewArrived(f.number, httpmeta.NewRequest(httpmeta.RequestConfig{ID: "old", Host: "h", Path: "/resumable/a", APIKey: "k", Model: "m", Arrived: f.now, Timeout: 10 * time.Second})))
+		if send, ok := actions[0].(scheduler.Send); ok && send.Version() == version {
+			f.core.Handle(f.now, scheduler.NewStreamStarted(f.number))
+			f.core.Handle(f.now, scheduler.NewAbandoned(f.number))
+			return
+		}
+	}
+	t.Fatalf("no stream began at %s", version)
+}
+
+// TestWhatIsKnownOfStreamsOutlivesALobby guards against a lobby that forgets, or does not tell,
+// at which versions streams began: those from before there were several, and those taken up.
+func TestWhatIsKnownOfStreamsOutlivesALobby(t *testing.T) {
+	v1, v2 := versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2"))
+	f := newFixture(v1)
+	f.core.Handle(f.now, saved(""))
+	f.begin(t, "v1")
+	check := func(step string, want ...string) {
+		t.Helper()
+		if diff := cmp.Diff(want, f.tellAndSave()); diff != "" {
+			t.Errorf("told and saved %s (-want +got):\n%s", step, diff)
+		}
+		f.core.Handle(f.now, scheduler.StreamsSaved{})
+	}
+	check("with one version", "add [v1]", "tell v1 1")
+	f.list(v1, v2)
+	check("with two versions", "add [v2]", "save v1 1", "tell v1 1", "tell v1 0")
+	f.core.Handle(f.now, scheduler.StreamsRestored{})
+	check("after a restore of the store", "add [v1 v2]", "save v1 1", "tell v1 0", "tell v2 0")
+	f.now = f.now.Add(3 * time.Minute)
+	f.list(v2)
+	f.now = f.now.Add(3 * time.Minute)
+	check("when the old version is long gone", "remove [v1]")
+}
+
+// tellAndSave returns what the next digest tells of streams, and what is saved.
+func (f *fixture) tellAndSave() (lines []string) {
+	f.now = f.now.Add(time.Second)
+	add := func(verb string, groups []protocol.StreamsConfig) {
+		var found []string
+		for _, group := range groups {
+			found = append(found, fmt.Sprint(verb, " ", group.Version, " ", len(group.Streams)))
+		}
+		lines = append(lines, found...)
+	}
+	name := func(verb string, versions []protocol.SoftwareVersionConfig) {
+		var names []string
+		for _, version := range versions {
+			names = append(names, version.Version)
+		}
+		if slices.Sort(names); names != nil {
+			lines = append(lines, fmt.Sprint(verb, " ", names))
+		}
+	}
+	for _, action := range f.core.Tick(f.now) {
+		switch a := action.(type) {
+		case scheduler.Broadcast:
+			add("tell", a.Streams())
+		case scheduler.SaveStreams:
+			name("add", a.Save().Added())
+			name("remove", a.Save().Removed())
+			add("save", a.Save().Streams())
+		}
+	}
+	return lines
+}
