Reset a stream without chunks whose caller would take our end for its end

Cause: such an answer ends with its connection, and the kernel ends the connections of a process that stops, or whose event loop ends, in order.

--- a/commons/httpserver/connend_test.go
+++ b/commons/httpserver/connend_test.go
@@ -1,16 +1,23 @@
 package httpserver_test
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"sesamewell.example/commons/httpserver"
+	"sesamewell.example/commons/ring"
+	"sesamewell.example/commons/testkit"
 )
 
 // socket is a connection of an event loop of which only the descriptor is used.
@@ -106,3 +113,67 @@
 		t.Fatal(err)
 	}
 }
+
+// TestStreamWithoutChunksIsNotCompleteAtAStop guards against an answer for an HTTP/1.0 caller,
+// which ends with its connection, that looks complete since the server stops in the middle of it.
+func TestStreamWithoutChunksIsNotCompleteAtAStop(t *testing.T) {
+	cases := map[string]struct{ version string }{
+		"in chunks":      {version: "HTTP/1.1"},
+		"without chunks": {version: "HTTP/1.0"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
+			address := testkit.FreeAddress(t)
+			server := httpserver.New(httpserver.Config{
+				Address: address, Inbox: inbox, Log: testkit.DiscardLog(), MaxHeader: 2048, MaxBody: 4096,
+				MaxUnsent: 1 << 20, MaxConns: 64, SlowSender: timeout, Idle: timeout,
+			})
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			go func() { _ = server.Serve(ctx) }()
+			conn := dialStarting(t, address)
+			if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, "GET / "+tc.version+"\r\nHost: a\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			item, err := inbox.Take(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			call := item.(*httpserver.Call)
+			if err := errors.CombineErrors(call.Begin(&fasthttp.Response{}), call.Write([]byte("piece"))); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(response.Body, make([]byte, len("piece"))); err != nil {
+				t.Fatal(err)
+			}
+			stop()
+			_, err = io.Copy(io.Discard, response.Body)
+			if diff := cmp.Diff(true, err != nil); diff != "" {
+				t.Errorf("seen as broken off (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// dialStarting returns a connection to a server that may still be starting.
+func dialStarting(t *testing.T, address string) net.Conn {
+	t.Helper()
+	for range 200 {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+			return conn
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("server did not start")
+	return nil
+}
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -99,6 +99,7 @@
 	e.chunked = e.request.Header.IsHTTP11()
 	if !e.chunked {
 		e.caller.closeAfterAnswer = true
+		e.caller.resetIfClosed(true)
 	}
 	a.head.SetContentLength(chunkedLength)
 	if e.caller.closeAfterAnswer {
@@ -119,6 +120,8 @@
 	}
 	if e.chunked {
 		e.caller.write(lastChunk)
+	} else {
+		e.caller.resetIfClosed(false)
 	}
 	e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Complete, a.head.StatusCode()).WithLongestPause(e.longestPause).WithEvents(e.scanner.Events()))
 	e.proxy.closeExchange(now, e)
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -99,12 +99,22 @@
 	c.releaseBuffers()
 	c.closed = true
 	c.proxy.waiting.move(c, nil)
-	if err := c.conn.SetLinger(0); err != nil {
-		c.proxy.config.Log.WithField("event", "link_reset").WithError(err).Debug("connection not reset")
-	}
+	c.resetIfClosed(true)
 	_ = c.conn.Close()
 }
 
+// resetIfClosed sets whether the kernel resets the connection when it is closed, also by the end
+// of the process. It does while an answer is sent that its end would complete.
+func (c *callerConn) resetIfClosed(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if err := c.conn.SetLinger(seconds); err != nil {
+		c.proxy.config.Log.WithField("event", "link_reset").WithError(err).Debug("reset of a connection not set")
+	}
+}
+
 // sweep closes a connection whose caller takes no bytes, that has been idle for too long
 // or whose request arrives too slowly, and goes on with a close that waits.
 func (c *callerConn) sweep(now time.Time) {
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -94,6 +94,7 @@
 	disconnected    chan struct{}          // one value for each caller that disconnected
 	resumeAddresses []string               // addresses of the backend servers that resume truncated streams, in order
 	doubts          atomic.Int64           // ends of the last connection to a backend server
+	stop            func()                 // stops the proxy
 	returns         atomic.Int64           // number of sends that are repeated at the same backend server, whatever their result
 }
 
@@ -106,8 +107,8 @@
 	return newLobbyWith(t, proxy.Config{}, send, resumeAt...)
 }
 
-// newLobbyWith starts a proxy with the codec and the number of descriptors of a
-// configuration, if it has them.
+// newLobbyWith starts a proxy with the codec, the dial function, the account and the number of
+// descriptors of a configuration, if it has them.
 func newLobbyWith(t testing.TB, config proxy.Config, send func(send *scheduler.SendConfig), resumeAt ...string) *lobby {
 	t.Helper()
 	if config.Codec == nil {
@@ -128,9 +129,13 @@
 	if config.StallTimeout == 0 {
 		config.StallTimeout = testTimeout
 	}
-	config.Dial, config.Scheduler, config.Readiness, config.Log = platform.Dial, inbox, l, testkit.DiscardLog()
+	if config.Dial == nil {
+		config.Dial = platform.Dial
+	}
+	config.Scheduler, config.Readiness, config.Log = inbox, l, testkit.DiscardLog()
 	l.proxy = proxy.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
+	l.stop = cancel
 	for _, service := range l.proxy.Services() {
 		go func() { _ = service.Serve(ctx) }()
 	}
