Break off an answer without a length that holds a late copy of an earlier one

Change: such a body is searched for heads of answers; one that names a request that the connection has carried before breaks the answer off. What may become such a head is held back until that is known.

--- a/lobby/proxy/answer.go
+++ b/lobby/proxy/answer.go
@@ -27,8 +27,9 @@
 	remaining int // bytes of a body of known length that have not arrived
 	received  int // bytes of the body that have arrived, as they were sent
 	chunks    http1.ChunkDecoder
-	body      []byte // buffered part of the body
-	streaming bool   // the body is forwarded as it arrives
+	body      []byte     // buffered part of the body
+	streaming bool       // the body is forwarded as it arrives
+	guard     *copyGuard // of a body that ends with its connection, if that has carried other requests; else nil
 }
 
 // readHead parses the head at the start of buffered and returns the number of
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -24,6 +24,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time after which it is not used any more
 	answers     int           // complete answers so far
+	requests    []string      // IDs of the last requests, with the current one
 	tainted     bool          // an answer has arrived that belongs to no open request
 	closed      bool
 	removed     bool // removed from its pool
@@ -33,6 +34,7 @@
 func (b *backendConn) send(now time.Time, e *exchange) {
 	b.exchange, b.answer = e, &answer{}
 	e.sentOn = append(e.sentOn, b)
+	b.requests = append(b.requests[max(len(b.requests)-maxEarlier, 0):], e.meta.ID())
 	e.conn, e.sentAt, e.lastByte, e.lastProgress, e.scanner = b, now, now, now, eventstream.Scanner{}
 
 	b.proxy.requestBuffer = b.proxy.config.Codec.AppendRequest(now, b.proxy.requestBuffer[:0], e.request, e.send.Forwarding().WithLastEventID(string(e.events.lastID)))
@@ -76,6 +78,9 @@
 	}
 	b.exchange.lastByte = now
 	data, used, err := b.answer.readBody(buffered)
+	if err == nil && b.answer.guard != nil {
+		data, err = b.answer.guard.pass(data)
+	}
 	if err != nil || len(data) == 0 {
 		return used, err
 	}
@@ -104,6 +109,9 @@
 		return used, err
 	}
 	b.answer.streaming = b.forwards()
+	if earlier := b.requests[:len(b.requests)-1]; len(earlier) > 0 && b.answer.length == unknownLength {
+		b.answer.guard = &copyGuard{codec: b.proxy.config.Codec, earlier: earlier}
+	}
 	if b.stale() {
 		return used, nil
 	}
@@ -214,7 +222,7 @@
 	if b.closed {
 		return // by this process
 	}
-	complete := b.exchange != nil && b.endedInOrder(cause) && b.completeAtEnd()
+	complete := b.exchange != nil && b.endedInOrder(cause) && b.takeHeld(now) && b.completeAtEnd()
 	b.closed = true
 	switch {
 	case !complete:
@@ -250,6 +258,16 @@
 	})
 }
 
+// takeHeld takes what is held back of a body that has ended. It reports whether that is a part
+// of the body.
+func (b *backendConn) takeHeld(now time.Time) bool {
+	if b.answer.guard == nil {
+		return true
+	}
+	data, err := b.answer.guard.end()
+	return err == nil && b.takeBody(now, data) == nil
+}
+
 // completeAtEnd reports whether the end of the connection, in order, completes the answer.
 func (b *backendConn) completeAtEnd() bool {
 	return b.answer.headRead && b.answer.length == unknownLength && !b.stale() && !b.endsInEvent()
