Show that a side's memory rests on fencing numbers that an engine forgets

Found while looking for the class of the late order at the next start: the engine of the side's simulation kept its fencing number over a restart, while PROTOCOL.md says that a restart clears fences.

--- a/side/loader/core_test.go
+++ b/side/loader/core_test.go
@@ -42,9 +42,13 @@
 // while orders are lost, delayed or duplicated, the engine restarts, and sides pause
 // or are killed and replaced.
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
-	cases := map[string]struct{ fencing bool }{
+	cases := map[string]struct {
+		fencing bool
+		forgets bool // the engine's fencing number ends with its start, as PROTOCOL.md says
+	}{
 		"engine checks fencing numbers":  {fencing: true},
 		"engine ignores fencing numbers": {fencing: false},
+		"engine forgets fencing numbers": {fencing: true, forgets: true},
 	}
 	kinds := make([]string, 0, len(faults))
 	for kind := range faults {
@@ -55,6 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				sim := newSimulation(rapid.Uint64().Draw(t, "seed"), tc.fencing)
+				sim.engine.forgets = tc.forgets
 				sim.plan([]string{"a", "c"})
 				for range 25 {
 					faults[rapid.SampledFrom(kinds).Draw(t, "fault")](t, sim)
--- a/side/loader/simulation_test.go
+++ b/side/loader/simulation_test.go
@@ -202,6 +202,7 @@
 type engine struct {
 	now     time.Time
 	fencing bool
+	forgets bool // a restart clears the fencing number
 	fence   int64
 	loaded  map[string]*loadedItem
 	events  []event
@@ -270,7 +271,12 @@
 	return bytes
 }
 
-func (e *engine) restart() { e.loaded = make(map[string]*loadedItem) }
+func (e *engine) restart() {
+	e.loaded = make(map[string]*loadedItem)
+	if e.forgets {
+		e.fence = 0
+	}
+}
 
 func (e *engine) state() loader.EngineState {
 	config := loader.EngineStateConfig{Fence: e.fence}
