Keep the evidence against crashing requests in the store

Cause: lobbies told each other what they knew of crashes and kept it nowhere.

Change: a lobby writes what it has itself seen of suspects under its address to keyed.suspects, when it has learnt something, at most once a second; what is refuted or has expired is taken out 5 s later. Bounded to 128 suspects and 64 KiB. It reads the records of all lobbies once at its start, with retries, and writes nothing before. The recorder has a thread of its own. A write that failed is repeated 10 s after the next that succeeds, since the store may execute it late; after a restore (Store-Era rises) what is known is written again.

Ruled out: one record for all lobbies or one for each suspect (writers would take each other's evidence away, or need conditions); verdicts alone (lobbies killed after each crash would never have one); parts that had been answered before (kills in quick succession would convict popular templates); a lobby that is not ready until it has read (the store may be slow).

--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -109,6 +109,11 @@
 	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.StreamsRestored{}, putTimeout)
 }
 
+// SuspectsRecalled passes what lobbies had saved of suspects to the scheduler.
+func (m *mediator) SuspectsRecalled(at time.Time, saved map[string][]protocol.SuspectConfig) error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewSuspectsRecalled(at, saved), putTimeout)
+}
+
 // Planned passes a plan made by this lobby to the scheduler. It ignores nil.
 func (m *mediator) Planned(plan map[string][]string) {
 	if plan != nil {
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -43,6 +43,7 @@
 //	├── planner  (placement of models, package placement)
 //	├── demand   (saved demand for models, package placement)
 //	├── streams  (software versions at which streams began, package resumption)
+//	├── suspects (saved evidence against crashing requests, package quarantine)
 //	├── parley   (calls to other lobbies, package broadcast, one thread for each)
 //	├── door     (calls from other lobbies, package peerrpc)
 //	├── catch up (reads of configurations that another lobby has first, package discovery)
@@ -64,7 +65,9 @@
 	}
 	m.rpcClient = newRPCClients()
 	m.state = discovery.NewState(discovery.StateConfig{Listener: m, Log: log})
-	m.scheduler = newScheduler(settings, log)
+	registry := newRegistry(settings, log)
+	recorder := quarantine.NewRecorder(quarantine.RecorderConfig{Self: m.self, Store: registry, Observer: m, Log: log})
+	m.scheduler = newScheduler(settings, recorder, log)
 	var err error
 	if m.proxy, err = newProxy(settings, m.scheduler, log); err != nil {
 		return nil, err
@@ -77,7 +80,6 @@
 		Handler: m,
 		Log:     log,
 	})
-	registry := newRegistry(settings, log)
 	m.planner = newPlanner(settings, m, keepers, registry, log)
 	journal := resumption.NewJournal(resumption.JournalConfig{Self: m.self, Store: registry, Observer: m, MissedErr: discovery.ErrMissed, Log: log})
 	m.scheduler.Attach(m.proxy, keepers, m, journal)
@@ -87,7 +89,7 @@
 	})
 	p.add(p.drainer)
 	p.add(m.proxy.Services()...)
-	p.add(m.scheduler.EventLoop())
+	p.add(m.scheduler.EventLoop(), recorder.EventLoop())
 	p.add(keepers.Services()...)
 	p.add(m.broadcaster)
 	p.add(m.planner.Services()...)
@@ -168,7 +170,7 @@
 	})
 }
 
-func newScheduler(settings *inifile.Values, log *logrus.Entry) *scheduler.Scheduler {
+func newScheduler(settings *inifile.Values, recorder *quarantine.Recorder, log *logrus.Entry) *scheduler.Scheduler {
 	return scheduler.New(scheduler.Config{
 		Core: scheduler.CoreConfig{
 			Domain:     settings.Text("process", "domain"),
@@ -187,6 +189,7 @@
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("steward", "inbox"),
+		Suspects: recorder,
 		Log:      log,
 	})
 }
--- a/lobby/process_test.go
+++ b/lobby/process_test.go
@@ -159,14 +159,20 @@
 
 // runLobby runs a lobby, and waits until it is ready. It returns the log.
 func runLobby(t *testing.T, settings *inifile.Values) *logBuffer {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return runLobbyUntil(ctx, t, settings)
+}
+
+// runLobbyUntil runs a lobby until ctx ends, and waits until it is ready. It returns the log.
+func runLobbyUntil(ctx context.Context, t *testing.T, settings *inifile.Values) *logBuffer {
 	t.Helper()
 	out := &logBuffer{}
 	log, err := logging.New(logging.Config{Output: out, Level: "info", Program: "sesamewell-lobby", Instance: "lobby-1"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	process, err := newProcess(settings, log)
 	if err != nil {
 		t.Fatal(err)
--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -38,6 +38,8 @@
 	history  *history
 	peers    map[string]peer // by RPC address
 	expired  time.Time       // time of the last check for expired suspects
+	unsaved  unsaved
+	recalled bool // what lobbies had saved before this one's start is known
 }
 
 // peer is another lobby.
@@ -48,7 +50,7 @@
 
 // New returns a core without suspects.
 func New(config Config) *Core {
-	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer)}
+	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
 }
 
 // CrashConfig holds the parameters of Crashed.
@@ -86,6 +88,7 @@
 	}
 	r.own, r.changed, r.trial = true, true, trial{}
 	r.sound = r.sound || suspect.kind == PartKind && c.history.contains(suspect.id)
+	c.unsaved.learnt = c.unsaved.learnt || mayBeSaved(suspect, r)
 	return true
 }
 
@@ -109,6 +112,7 @@
 			c.history.add(suspect.id)
 		}
 		if r, ok := c.records[suspect]; ok && r.clear(answered) {
+			c.unsaved.refute(suspect)
 			r.own, r.changed, changed = true, true, true
 		}
 	}
@@ -222,6 +226,7 @@
 	for suspect, r := range c.records {
 		if !now.Before(r.expiry()) {
 			delete(c.records, suspect)
+			c.unsaved.refute(suspect)
 			dropped = true
 		}
 	}
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -103,7 +103,11 @@
 		return false
 	}
 	r := c.record(suspect, config.Rank)
+	cleared := r.cleared()
 	changed := r.merge(incoming)
+	if r.cleared() > cleared {
+		c.unsaved.refute(suspect)
+	}
 	if !r.own && incoming.covers(r) {
 		r.shared = now
 	}
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -131,6 +131,17 @@
 	return cleared
 }
 
+// cleared returns the number of cleared crashes.
+func (r *record) cleared() int {
+	n := 0
+	for _, c := range r.crashes {
+		if c.cleared {
+			n++
+		}
+	}
+	return n
+}
+
 // times returns the times of the crashes that are not cleared and that skip does not
 // leave out, in order.
 func (r *record) times(skip map[start]bool) []time.Time {
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -56,6 +56,7 @@
 	Suspects(now time.Time) []protocol.SuspectConfig
 	// UpdatePeer merges what another lobby knows.
 	UpdatePeer(now time.Time, digest protocol.Digest)
+	SuspectMemory
 }
 
 // StopSchedule divides the time that a planned stop may take.
@@ -223,6 +224,8 @@
 		c.config.Streams.Saved(now)
 	case StreamsRestored:
 		c.config.Streams.Restored(now)
+	case SuspectsRecalled:
+		c.config.Quarantine.Recall(m.at, m.saved)
 	case Drain:
 		c.drainStart = m.start
 	case Closing:
@@ -268,6 +271,7 @@
 	if now.Sub(c.lastDigest) >= digestPeriod(c.lobbyCount) {
 		c.broadcast(now)
 	}
+	c.saveSuspects(now)
 	c.recordQuarantines()
 	return c.actions
 }
--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -24,9 +24,10 @@
 	simListDelay  = 300 * time.Millisecond // from a crash until the list omits the engine
 	simLobbies    = 4
 	simEngines    = 12
-	simLearnTime  = 3 * time.Second // after the crash that convicts, for lobbies to learn of it
-	simMaxRetries = 3               // crashing requests that may be sent later than simLearnTime after it
-	simOnset      = 2 * time.Second // time of the first crashing request
+	simLearnTime  = 3 * time.Second        // after the crash that convicts, for lobbies to learn of it
+	simMaxRetries = 3                      // crashing requests that may be sent later than simLearnTime after it
+	simRecall     = 100 * time.Millisecond // from a lobby's start until it has read what is saved
+	simOnset      = 2 * time.Second        // time of the first crashing request
 	simEnd        = 26 * time.Second
 )
 
@@ -43,6 +44,13 @@
 	sound   map[int]*simShare
 	links   simLinks
 	wait    time.Duration // further time from a send to the first event, at busy engines
+	saved   map[string]simSaved
+}
+
+// simSaved is what a lobby has saved of suspects.
+type simSaved struct {
+	at       time.Time
+	suspects []protocol.SuspectConfig
 }
 
 // simLinks says what happens to digests.
@@ -89,7 +97,7 @@
 }
 
 func newSimFleet(seed uint64, links simLinks) *simFleet {
-	f := &simFleet{now: noon, random: rand.New(rand.NewPCG(seed, 25)), sound: make(map[int]*simShare), links: links}
+	f := &simFleet{now: noon, random: rand.New(rand.NewPCG(seed, 25)), sound: make(map[int]*simShare), links: links, saved: make(map[string]simSaved)}
 	for range simEngines {
 		f.starts++
 		f.engines = append(f.engines, &simEngine{id: fmt.Sprintf("e%d", f.starts)})
@@ -124,6 +132,22 @@
 		Tenants:  []deployment.TenantConfig{{Name: "t", Keys: []string{"k"}}},
 	})))
 	f.handle(l, scheduler.NewBackendsChanged(f.list()))
+	l.post(f.now.Add(simRecall), f.recall(f.now.Add(simRecall)))
+}
+
+// recall returns what lobbies have saved of suspects, with ages as of a time.
+func (f *simFleet) recall(at time.Time) scheduler.SuspectsRecalled {
+	recalled := make(map[string][]protocol.SuspectConfig)
+	for lobby, saved := range f.saved {
+		for _, suspect := range saved.suspects {
+			suspect.Crashes = slices.Clone(suspect.Crashes)
+			for n := range suspect.Crashes {
+				suspect.Crashes[n].Age += at.Sub(saved.at)
+			}
+			recalled[lobby] = append(recalled[lobby], suspect)
+		}
+	}
+	return scheduler.NewSuspectsRecalled(at, recalled)
 }
 
 func deleteRuns(runs []simRunning, drop func(simRunning) bool) []simRunning {
@@ -166,6 +190,8 @@
 			f.send(l, a)
 		case scheduler.Broadcast:
 			f.broadcast(l, a)
+		case scheduler.SaveSuspects:
+			f.saved[l.address] = simSaved{at: f.now, suspects: a.Suspects()}
 		}
 	}
 }
@@ -490,6 +516,51 @@
 	}
 }
 
+// TestEvidenceOutlivesAllLobbies guards against requests that crash backend servers anew
+// whenever all lobbies have been killed at once. They come while all lobbies are in contact.
+func TestEvidenceOutlivesAllLobbies(t *testing.T) {
+	kills := map[string][]time.Duration{
+		"killed once":          {8 * time.Second},
+		"killed three times":   {7 * time.Second, 13 * time.Second, 19 * time.Second},
+		"killed after each":    {3 * time.Second, 7 * time.Second, 11 * time.Second, 15 * time.Second, 19 * time.Second},
+		"killed, digests lost": {8 * time.Second, 16 * time.Second},
+	}
+	requests := map[string]struct {
+		crash  int // the crash from which on few may be sent
+		config func(step int) httpmeta.RequestConfig
+	}{
+		"copies of a request": {crash: 3, config: func(int) httpmeta.RequestConfig {
+			return httpmeta.RequestConfig{Path: "/stream/deadly", Fingerprint: httpmeta.Fingerprint{1}}
+		}},
+		"requests with a part": {crash: 5, config: func(step int) httpmeta.RequestConfig {
+			return promptConfig(3, step, "template", "deadly", fmt.Sprint("own", -step))
+		}},
+	}
+	for name, times := range kills {
+		for kind, tc := range requests {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", name, kind, seed), func(t *testing.T) {
+					t.Parallel()
+					f := newSimFleet(seed, simLinks{lost: map[bool]float64{true: 0.5}[name == "killed, digests lost"]})
+					for step := 1; f.now.Sub(noon) < simEnd; step++ {
+						if slices.Contains(times, f.now.Sub(noon)) {
+							for _, l := range f.lobbies {
+								f.start(l)
+							}
+						}
+						if step%40 == 0 && f.now.Sub(f.lobbies[0].contactSince) >= simLearnTime {
+							f.arrive(tc.config(step), true)
+						}
+						f.arriveSound(step)
+						f.advance(step)
+					}
+					f.check(t, tc.crash)
+				})
+			}
+		}
+	}
+}
+
 // promptConfig returns a request that differs from those of other steps, with the given
 // parts of its prompt.
 func promptConfig(kind byte, step int, parts ...string) httpmeta.RequestConfig {
--- a/lobby/scheduler/scheduler.go
+++ b/lobby/scheduler/scheduler.go
@@ -40,6 +40,7 @@
 	Fetcher     Fetcher
 	Broadcaster Broadcaster
 	Journal     Journal
+	Suspects    SuspectRecorder // nil to save nothing
 
 	Log *logrus.Entry
 }
@@ -202,6 +203,11 @@
 	case RecordQuarantine:
 		s.recordQuarantine(a.Change())
 		return
+	case SaveSuspects:
+		if s.config.Suspects != nil {
+			s.config.Suspects.Save(now, a.Suspects())
+		}
+		return
 	case Send:
 		s.logSend(a)
 	case Refuse:
