--- a/commons/inifile/programs.go
+++ b/commons/inifile/programs.go
@@ -163,6 +163,7 @@
 	{Section: "steward", Key: "inbox", Kind: Integer, Default: "8192", Min: "16", Max: "1000000", Doc: "capacity of the rings between connections and decisions, in messages"},
 	{Section: "keeper", Key: "port", Kind: Integer, Required: true, Min: "1", Max: "65535", Doc: "port of every keeper's door, on the backend server's IP"},
 	{Section: "keeper", Key: "threads", Kind: Integer, Default: "8", Min: "2", Max: "64", Doc: "calls to keepers for adapters that are made at once"},
+	{Section: "suspects", Key: "remember", Kind: Duration, Default: "24h", Min: "1m", Max: "720h", Doc: "time after its last crash for which a request or part of prompts that has crashed backend servers is remembered; longer than the pause after which it comes again, which is a day for work on a schedule: one that is forgotten crashes three more before it is held back"},
 	{Section: "planner", Key: "excess", Kind: Decimal, Default: "1", Doc: "loads from the weight store that may begin, against its rate"},
 	{Section: "cold", Key: "overshoot", Kind: Decimal, Default: "1", Min: "0", Max: "1000", Doc: "requests that may reach a cold backend server in one second, as a multiple of the rate that its service states, over all instances"},
 	{Section: "cold", Key: "slack", Kind: Decimal, Default: "0", Min: "0", Max: "100000", Doc: "requests that may reach a cold backend server in one second beside that multiple"},
--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -21,11 +21,14 @@
 	doubtTurn    = time.Second      // the same for a request without a verdict, whose caller waits
 	expiryPeriod = time.Second      // time between two checks for expired suspects
 	trialTimeout = 10 * time.Second // time after which a trial without a result no longer counts
+
+	defaultLifetime = 24 * time.Hour // work on a schedule comes again within it
 )
 
 // Config holds the construction parameters of a Core.
 type Config struct {
-	Self string // RPC address of this lobby
+	Self     string        // RPC address of this lobby
+	Lifetime time.Duration // time after its last crash for which a suspect is remembered; zero for defaultLifetime
 }
 
 // Core makes the decisions of the quarantine. It does no I/O and is not safe for
@@ -50,6 +53,7 @@
 
 // New returns a core without suspects.
 func New(config Config) *Core {
+	config.Lifetime = cmp.Or(config.Lifetime, defaultLifetime)
 	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
 }
 
@@ -135,7 +139,7 @@
 		}
 		r := c.records[suspect]
 		if !c.mayTry(now, number, r, v) {
-			return max(v.until().Sub(now), trialTurn), false
+			return max(v.until.Sub(now), trialTurn), false
 		}
 		tried = append(tried, suspect)
 	}
@@ -164,7 +168,7 @@
 		return true
 	}
 	running := r.trial.request != 0 && now.Sub(r.trial.began) < trialTimeout
-	return !running && !now.Before(v.until()) && c.hasTurn(now, v.until(), trialTurn)
+	return !running && !now.Before(v.until) && c.hasTurn(now, v.until, trialTurn)
 }
 
 // hasTurn reports whether this lobby may send a request of a suspect now. The live lobbies
@@ -205,15 +209,15 @@
 	var victim Suspect
 	var fewest *record
 	for suspect, r := range c.records {
-		if fewest == nil || compareWeight(r, fewest) < 0 {
+		if fewest == nil || c.compareWeight(r, fewest) < 0 {
 			victim, fewest = suspect, r
 		}
 	}
 	delete(c.records, victim)
 }
 
-func compareWeight(a, b *record) int {
-	return cmp.Or(cmp.Compare(events(a.times(nil)), events(b.times(nil))), a.expiry().Compare(b.expiry()))
+func (c *Core) compareWeight(a, b *record) int {
+	return cmp.Or(cmp.Compare(events(a.times(nil)), events(b.times(nil))), a.expiry(c.config.Lifetime).Compare(b.expiry(c.config.Lifetime)))
 }
 
 // expire drops the records and peers whose time is over, at most every expiryPeriod.
@@ -224,7 +228,7 @@
 	c.expired = now
 	dropped := false
 	for suspect, r := range c.records {
-		if !now.Before(r.expiry()) {
+		if !now.Before(r.expiry(c.config.Lifetime)) {
 			delete(c.records, suspect)
 			c.unsaved.refute(suspect)
 			dropped = true
--- a/lobby/quarantine/evidence.go
+++ b/lobby/quarantine/evidence.go
@@ -66,7 +66,7 @@
 		}
 	}
 	slices.SortFunc(own, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a.kind, b.kind), c.records[b].expiry().Compare(c.records[a].expiry()), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a.kind, b.kind), c.records[b].lastCrash().Compare(c.records[a].lastCrash()), cmp.Compare(a.id, b.id))
 	})
 	return own[:min(len(own), maxSaved)]
 }
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -10,10 +10,14 @@
 )
 
 const (
-	maxSent      = 32                     // suspects in one digest
-	repeatDelay  = 250 * time.Millisecond // time after which what is new is sent once more, as the digest may be lost
-	resendPeriod = 2 * time.Second        // time after which an unchanged suspect is sent again
-	learnMargin  = 10 * time.Second       // suspects that expire within it are not learnt from other lobbies
+	maxSent     = 32                     // suspects in one digest
+	repeatDelay = 250 * time.Millisecond // time after which what is new is sent once more, as the digest may be lost
+	// An unchanged suspect is sent again after a resendShare of the time since its last
+	// crash, within the following limits: what is old is known everywhere.
+	resendShare     = 30
+	minResendPeriod = 2 * time.Second
+	maxResendPeriod = time.Minute
+	learnMargin     = 10 * time.Second // suspects that expire within it are not learnt from other lobbies
 )
 
 // Suspects drops what has expired and returns the suspects to send to the other
@@ -38,7 +42,7 @@
 func (c *Core) dueSuspects(now time.Time) []Suspect {
 	var due []Suspect
 	for suspect, r := range c.records {
-		if idle := now.Sub(r.shared); r.changed || r.repeat && idle >= repeatDelay || idle >= resendPeriod {
+		if idle := now.Sub(r.shared); r.changed || r.repeat && idle >= repeatDelay || idle >= r.resendPeriod(now) {
 			due = append(due, suspect)
 		}
 	}
@@ -48,6 +52,11 @@
 	return due
 }
 
+// resendPeriod returns the time after which the record is sent again if it has not changed.
+func (r *record) resendPeriod(now time.Time) time.Duration {
+	return min(max(now.Sub(r.lastCrash())/resendShare, minResendPeriod), maxResendPeriod)
+}
+
 func compareDue(a, b *record) int {
 	switch {
 	case a.changed == b.changed:
@@ -99,7 +108,7 @@
 	if len(incoming.crashes) == 0 || suspect.kind.String() == unknownKind {
 		return false
 	}
-	if _, known := c.records[suspect]; !known && incoming.expiry().Sub(now) < learnMargin {
+	if _, known := c.records[suspect]; !known && incoming.expiry(c.config.Lifetime).Sub(now) < learnMargin {
 		return false
 	}
 	r := c.record(suspect, config.Rank)
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -12,16 +12,14 @@
 
 	timeTolerance = 25 * time.Millisecond // difference between the times of one crash that does not matter
 
-	convictionEvents  = 3 // events after which a suspect is quarantined
-	manyCrashes       = 5 // crashes after which fewestEvents events are enough
-	fewestEvents      = 2
-	firstQuarantine   = 20 * time.Second // length of the quarantine after convictionEvents events
-	quarantineGrowth  = 4                // factor by which each further event lengthens it: each costs another backend server
-	longestQuarantine = 5 * time.Minute
-	minLifetime       = time.Minute      // time after its last crash for which a suspect is remembered at least
-	lifetimeFactor    = 3                // in lengths of its quarantine
-	clearedLifetime   = 15 * time.Second // time for which a cleared crash is remembered, so that all lobbies learn of it
-	maxCrashes        = 16               // crashes that are remembered for one suspect
+	convictionEvents = 3 // events after which a suspect is quarantined
+	manyCrashes      = 5 // crashes after which fewestEvents events are enough
+	fewestEvents     = 2
+	firstQuarantine  = 20 * time.Second // length of the quarantine after convictionEvents events
+	quarantineGrowth = 4                // factor by which each further event lengthens it: each costs another backend server
+	maxTrials        = 2                // trials that may fail; the platform allows three repeats, and one may be under way at the verdict
+	clearedLifetime  = 15 * time.Second // time for which a cleared crash is remembered, so that all lobbies learn of it
+	maxCrashes       = 16               // crashes that are remembered for one suspect
 )
 
 // start identifies one start of a backend server.
@@ -176,26 +174,37 @@
 	return n >= convictionEvents || n >= fewestEvents && (len(times) >= manyCrashes || copies > len(times))
 }
 
-// quarantineLength returns the length of the quarantine after a number of events.
-func quarantineLength(events int) time.Duration {
+// quarantineLength returns the length of the quarantine after a number of events, for a
+// suspect that is remembered for lifetime after its last crash. Once maxTrials trials have
+// failed, that is as long as it is remembered.
+func quarantineLength(events int, lifetime time.Duration) time.Duration {
+	failed := max(events-convictionEvents, 0)
+	if failed >= maxTrials {
+		return lifetime
+	}
 	length := firstQuarantine
-	for range events - convictionEvents {
-		length = min(quarantineGrowth*length, longestQuarantine)
+	for range failed {
+		length *= quarantineGrowth
 	}
-	return length
+	return min(length, lifetime)
 }
 
-// expiry returns the time at which the record is dropped.
-func (r *record) expiry() time.Time {
+// expiry returns the time at which the record is dropped, if a suspect is remembered for
+// lifetime after its last crash.
+func (r *record) expiry(lifetime time.Duration) time.Time {
 	if times := r.times(nil); len(times) > 0 {
-		lifetime := max(minLifetime, lifetimeFactor*quarantineLength(events(times)))
 		return times[len(times)-1].Add(lifetime)
 	}
+	return r.lastCrash().Add(clearedLifetime)
+}
+
+// lastCrash returns the time of the last crash, whether it is cleared or not.
+func (r *record) lastCrash() time.Time {
 	var last time.Time
 	for _, c := range r.crashes {
 		if c.at.After(last) {
 			last = c.at
 		}
 	}
-	return last.Add(clearedLifetime)
+	return last
 }
--- a/lobby/quarantine/verdict.go
+++ b/lobby/quarantine/verdict.go
@@ -9,11 +9,9 @@
 type verdict struct {
 	events int
 	last   time.Time // time of the last crash
+	until  time.Time // time until which no request of the suspect is sent
 }
 
-// until returns the time until which no request of the suspect is sent.
-func (v verdict) until() time.Time { return v.last.Add(quarantineLength(v.events)) }
-
 // State says what has become of a suspect.
 type State string
 
@@ -83,12 +81,17 @@
 			continue
 		}
 		if n > most.events || c.moreLikely(suspect, leader) {
-			leader, most = suspect, verdict{events: n, last: times[len(times)-1]}
+			leader, most = suspect, c.verdict(n, times[len(times)-1])
 		}
 	}
 	return leader, most, most.events > 0
 }
 
+// verdict returns the verdict on a suspect after a number of events, the last at a given time.
+func (c *Core) verdict(events int, last time.Time) verdict {
+	return verdict{events: events, last: last, until: last.Add(quarantineLength(events, c.config.Lifetime))}
+}
+
 // moreLikely decides between suspects with equal evidence: one that had never been
 // answered before its crashes is more likely, then the more specific one.
 func (c *Core) moreLikely(a, b Suspect) bool {
@@ -114,7 +117,7 @@
 }
 
 func (c *Core) noteChange(suspect Suspect, state State, v verdict) {
-	c.changes = append(c.changes, Change{suspect: suspect, state: state, events: v.events, lastCrash: v.last, until: v.until()})
+	c.changes = append(c.changes, Change{suspect: suspect, state: state, events: v.events, lastCrash: v.last, until: v.until})
 }
 
 // Changes returns the suspects that were quarantined, tried or released since the last call.
