Clear a suspect by any answer that is no server error

Seen: not reported. A request that is answered with 304 or 404 each time, and ran at three backend servers as they ended for other reasons, is held back.

Cause: only answers with a status below 300 counted.

Evidence: TestAnsweredRequestIsNotHeldAgainstItsCrashes, 2 of 5 cases failed before (2 crashes known, 1 now).

Change: statuses below 500 count. 500 and 504 still clear nothing: a request may have got them before it began to run.

--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -141,8 +141,10 @@
 
 // sendCompleted ends a request whose answer is complete, and learns from it.
 func (c *Core) sendCompleted(now time.Time, req *openRequest, s *server, m SendEnded) {
-	if m.status < fasthttp.StatusMultipleChoices {
+	if m.status < fasthttp.StatusInternalServerError {
 		c.config.Quarantine.Completed(req.request, req.answeredFrom())
+	}
+	if m.status < fasthttp.StatusMultipleChoices {
 		c.answerCompleted(now, req)
 	}
 	c.observeSteps(now, req, s, m.events)
--- a/lobby/scheduler/completion_test.go
+++ b/lobby/scheduler/completion_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -189,3 +190,43 @@
 		})
 	}
 }
+
+// TestAnsweredRequestIsNotHeldAgainstItsCrashes guards against a request that is answered each
+// time, with a status that is no success, and is held back for the crashes of others.
+func TestAnsweredRequestIsNotHeldAgainstItsCrashes(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		want   int // crashes known at the second one
+	}{
+		"success":                {status: 200, want: 1},
+		"not modified":           {status: 304, want: 1},
+		"unknown to its service": {status: 404, want: 1},
+		"failed":                 {status: 500, want: 2},
+		"too late":               {status: 504, want: 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			config := httpmeta.RequestConfig{Path: "/unsafe/a", Fingerprint: httpmeta.Fingerprint{1}}
+			crashes := 0
+			for n, ended := range []scheduler.SendEnded{
+				scheduler.NewSendEnded(1, scheduler.Lost, 0).WithDisconnect(),
+				scheduler.NewSendEnded(2, scheduler.Complete, tc.status),
+				scheduler.NewSendEnded(3, scheduler.Lost, 0).WithDisconnect(),
+			} {
+				f.now = f.now.Add(time.Second)
+				f.list(plainServer(fmt.Sprint("p", n)))
+				f.arrive(config)
+				f.now = f.now.Add(time.Second)
+				for _, action := range f.core.Handle(f.now, ended) {
+					if record, ok := action.(scheduler.RecordSend); ok {
+						crashes = record.Crashes()
+					}
+				}
+			}
+			if diff := cmp.Diff(tc.want, crashes); diff != "" {
+				t.Errorf("crashes known (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
