Judge crashes under long prompts in time that grows with their parts

Cause: each new suspect looked through all 512 records for the one to drop and sorted the crashes of each (parts times suspects, 335 ms for one request with 1,300 parts). Whether a suspect has to wait listed the parts of all running requests anew for each doubtful part (113 ms for 130 parts). The flood also displaced the records of requests.

TestPartOfALongPromptIsQuarantined (5 of 5) and TestPartsLeaveRoomToRequests failed before, too.

Change: records in a heap by weight, requests and parts apart; crashes of a record in order. At most 32 parts of a prompt become suspects at one crash; the first crash of the others is remembered by a hash, the second makes them suspects. Shared parts of running prompts are found in one pass.

Profile before: 87 % in makeRoom.

Ruled out: a limit on the parts of a prompt that are looked at (a deadly part behind it would never be found); work left for later ticks (not needed, and the verdict would lag behind the sends); a record for each part (memory, digests).

--- a/lobby/quarantine/copies.go
+++ b/lobby/quarantine/copies.go
@@ -7,46 +7,37 @@
 
 // copies counts the copies of a request that ended with a start of a backend server, by
 // the RPC address of the lobby that had sent them. A sound request has one.
-type copies map[start]map[string]int
+type copies map[string]int
 
-// add records that a lobby had at least n copies there, and reports whether that is new.
-func (c copies) add(from start, lobby string, n int) bool {
+// add returns the copies with at least n of a lobby, and whether that is new.
+func (c copies) add(lobby string, n int) (copies, bool) {
 	n = min(n, maxCopies)
-	senders, ok := c[from]
-	if !ok {
-		senders = make(map[string]int)
-		c[from] = senders
+	if known, ok := c[lobby]; known >= n || !ok && len(c) >= maxSenders {
+		return c, false
 	}
-	if known, ok := senders[lobby]; known >= n || !ok && len(senders) >= maxSenders {
-		return false
+	if c == nil {
+		c = make(copies)
 	}
-	senders[lobby] = n
-	return true
+	c[lobby] = n
+	return c, true
 }
 
-// merge adds what another lobby has counted, and reports whether any of it is new.
-func (c copies) merge(from start, counted map[string]int) bool {
+// merge returns the copies with those that another lobby has counted, and whether any of
+// them is new.
+func (c copies) merge(counted copies) (copies, bool) {
 	changed := false
 	for lobby, n := range counted {
-		changed = c.add(from, lobby, n) || changed
+		var added bool
+		c, added = c.add(lobby, n)
+		changed = changed || added
 	}
-	return changed
+	return c, changed
 }
 
-// count returns the number of copies in the crashes that no answer has cleared and that
-// skip does not leave out.
-func (c copies) count(crashes map[start]crash, skip map[start]bool) int {
+func (c copies) count() int {
 	total := 0
-	for from, senders := range c {
-		crashed, ok := crashes[from]
-		if !ok || crashed.cleared || skip[from] {
-			continue
-		}
-		for _, n := range senders {
-			total += n
-		}
+	for _, n := range c {
+		total += n
 	}
 	return total
 }
-
-func (c copies) forget(from start) { delete(c, from) }
--- a/lobby/quarantine/core.go
+++ b/lobby/quarantine/core.go
@@ -9,13 +9,15 @@
 
 import (
 	"cmp"
+	"iter"
+	"slices"
 	"time"
 
 	"sesamewell.example/commons/httpmeta"
 )
 
 const (
-	maxRecords   = 512              // suspects that are remembered
+	maxNewParts  = 32               // parts of one prompt that become suspects at one crash, so that others have room
 	peerLifetime = time.Second      // time after its last digest for which another lobby takes turns
 	trialTurn    = 2 * time.Second  // length of a lobby's turn; a trial may begin in its first half
 	doubtTurn    = time.Second      // the same for a request without a verdict, whose caller waits
@@ -35,7 +37,10 @@
 // concurrent use.
 type Core struct {
 	config   Config
-	records  map[Suspect]*record
+	requests *memory
+	parts    *memory
+	first    *firstCrashes
+	search   uint64 // number of the last search for running requests
 	verdicts map[Suspect]verdict
 	changes  []Change
 	history  *history
@@ -54,7 +59,7 @@
 // New returns a core without suspects.
 func New(config Config) *Core {
 	config.Lifetime = cmp.Or(config.Lifetime, defaultLifetime)
-	return &Core{config: config, records: make(map[Suspect]*record), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
+	return &Core{config: config, requests: newMemory(), parts: newMemory(), first: newFirstCrashes(), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
 }
 
 // CrashConfig holds the parameters of Crashed.
@@ -69,60 +74,120 @@
 // request was complete.
 func (c *Core) Crashed(now time.Time, config CrashConfig) {
 	from := start{backend: config.Backend, time: config.StartTime}
-	changed := c.addCrash(now, requestSuspect(config.Request), requestRank, from)
+	changed := c.addRequestCrash(now, config.Request, from)
 	if !config.Answering {
-		for place, suspect := range partSuspects(config.Request) {
-			changed = c.addCrash(now, suspect, place, from) || changed
-		}
+		changed = c.addPartCrashes(now, config.Request, from) || changed
 	}
 	if changed {
 		c.judge()
 	}
 }
 
-// addCrash adds a crash that this lobby has seen to the record of a suspect.
-func (c *Core) addCrash(now time.Time, suspect Suspect, rank int, from start) bool {
-	r := c.record(suspect, rank)
-	changed := r.add(from, crash{at: now})
-	if suspect.kind == RequestKind {
-		changed = r.copies.add(from, c.config.Self, r.copies[from][c.config.Self]+1) || changed
+// addRequestCrash adds a crash that this lobby has seen to the record of a request.
+func (c *Core) addRequestCrash(now time.Time, request *httpmeta.Request, from start) bool {
+	suspect := requestSuspect(request)
+	r, known := c.find(suspect)
+	if !known {
+		r = &record{suspect: suspect, rank: requestRank}
+	}
+	changed := r.add(from, now, false)
+	if at := r.crashOf(from); at != nil {
+		changed = r.addCopies(from, copies{c.config.Self: at.copies[c.config.Self] + 1}) || changed
+	}
+	return changed && c.keep(r, known)
+}
+
+// addPartCrashes adds a crash that this lobby has seen to the records of the parts of a
+// prompt. At most maxNewParts get a record by their first crash; the others of a long prompt
+// get one by their second.
+func (c *Core) addPartCrashes(now time.Time, request *httpmeta.Request, from start) bool {
+	changed, added := false, 0
+	for place, part := range leadingParts(request) {
+		r, known := c.parts.get(part.ID())
+		switch {
+		case known:
+		case added < maxNewParts:
+			added++
+			r = &record{suspect: partSuspect(part), rank: place}
+		default:
+			earlier, ok := c.firstCrash(part.ID(), crash{from: from, at: now})
+			if !ok {
+				continue
+			}
+			r = &record{suspect: partSuspect(part), rank: place, crashes: []crash{earlier}}
+		}
+		changed = r.add(from, now, false) && c.keep(r, known) || changed
+	}
+	return changed
+}
+
+// firstCrash returns the earlier crash of a part without a record, if it is known. Else it
+// remembers this one, unless the part was answered before.
+func (c *Core) firstCrash(part string, now crash) (crash, bool) {
+	if c.history.contains(part) {
+		return crash{}, false
 	}
-	if !changed {
+	earlier, ok := c.first.note(part, now)
+	return earlier, ok && now.at.Sub(earlier.at) < c.config.Lifetime
+}
+
+// keep keeps a record to which this lobby has added a crash. It returns false if it is a new
+// one for which there is no room.
+func (c *Core) keep(r *record, known bool) bool {
+	m := c.memory(r.suspect.kind)
+	if known {
+		m.update(r)
+	} else if !m.add(r) {
 		return false
 	}
 	r.own, r.changed, r.trial = true, true, trial{}
-	r.sound = r.sound || suspect.kind == PartKind && c.history.contains(suspect.id)
-	c.unsaved.learnt = c.unsaved.learnt || mayBeSaved(suspect, r)
+	r.sound = r.sound || r.suspect.kind == PartKind && c.history.contains(r.suspect.id)
+	c.unsaved.learnt = c.unsaved.learnt || mayBeSaved(r)
 	return true
 }
 
 // Completed records that a backend server has answered a request, and was writing the
 // answer at a given time. The request is not the cause of earlier crashes.
 func (c *Core) Completed(request *httpmeta.Request, answering time.Time) {
-	c.clear(suspectsOf(request), answering)
+	cleared := c.clearParts(request, answering)
+	if r, ok := c.find(requestSuspect(request)); ok {
+		cleared = c.clear(r, answering) || cleared
+	}
+	if cleared {
+		c.judge()
+	}
 }
 
 // Answering records that a backend server has been writing an answer for a while, from
 // a given time on. The parts of the prompt are not the cause of earlier crashes.
 func (c *Core) Answering(request *httpmeta.Request, from time.Time) {
-	c.clear(partSuspects(request), from)
+	if c.clearParts(request, from) {
+		c.judge()
+	}
 }
 
-// clear clears the crashes of suspects before a time at which they were answered.
-func (c *Core) clear(suspects []Suspect, answered time.Time) {
-	changed := false
-	for _, suspect := range suspects {
-		if suspect.kind == PartKind {
-			c.history.add(suspect.id)
-		}
-		if r, ok := c.records[suspect]; ok && r.clear(answered) {
-			c.unsaved.refute(suspect)
-			r.own, r.changed, changed = true, true, true
+// clearParts clears the parts of a prompt that was answered, and remembers them.
+func (c *Core) clearParts(request *httpmeta.Request, answered time.Time) bool {
+	cleared := false
+	for _, part := range leadingParts(request) {
+		c.history.add(part.ID())
+		c.first.forget(part.ID())
+		if r, ok := c.parts.get(part.ID()); ok {
+			cleared = c.clear(r, answered) || cleared
 		}
 	}
-	if changed {
-		c.judge()
+	return cleared
+}
+
+// clear clears the crashes of a suspect before a time at which it was answered.
+func (c *Core) clear(r *record, answered time.Time) bool {
+	if !r.clear(answered) {
+		return false
 	}
+	c.unsaved.refute(r.suspect)
+	r.own, r.changed = true, true
+	c.memory(r.suspect.kind).update(r)
+	return true
 }
 
 // Admit reports whether a request may be sent to a backend server. If not, it returns
@@ -131,22 +196,25 @@
 	if len(c.verdicts) == 0 {
 		return 0, true
 	}
-	var tried []Suspect
-	for _, suspect := range suspectsOf(request) {
+	var tried []*record
+	for suspect := range suspectsOf(request) {
 		v, ok := c.verdicts[suspect]
 		if !ok {
 			continue
 		}
-		r := c.records[suspect]
+		r, ok := c.find(suspect)
+		if !ok {
+			continue
+		}
 		if !c.mayTry(now, number, r, v) {
 			return max(v.until.Sub(now), trialTurn), false
 		}
-		tried = append(tried, suspect)
+		tried = append(tried, r)
 	}
-	for _, suspect := range tried {
-		if r := c.records[suspect]; r.trial.request != number {
+	for _, r := range tried {
+		if r.trial.request != number {
 			r.trial = trial{request: number, began: now}
-			c.noteChange(suspect, Tried, c.verdicts[suspect])
+			c.noteChange(r.suspect, Tried, c.verdicts[r.suspect])
 		}
 	}
 	return 0, true
@@ -155,11 +223,11 @@
 // Crashes returns the number of crashes known under a request and its copies, without
 // those that an answer has cleared.
 func (c *Core) Crashes(request *httpmeta.Request) int {
-	r, ok := c.records[requestSuspect(request)]
+	r, ok := c.find(requestSuspect(request))
 	if !ok {
 		return 0
 	}
-	return len(r.times(nil))
+	return r.findings(nil).crashes
 }
 
 // mayTry reports whether a request of a quarantined suspect may run as a trial.
@@ -189,35 +257,28 @@
 	return int(turn)%live == place && within < length/2
 }
 
-// record returns the record of a suspect, a new one if it has none.
-func (c *Core) record(suspect Suspect, rank int) *record {
-	r, ok := c.records[suspect]
-	if !ok {
-		c.makeRoom()
-		r = newRecord(rank)
-		c.records[suspect] = r
+// memory returns the memory of a kind of suspects.
+func (c *Core) memory(kind Kind) *memory {
+	if kind == RequestKind {
+		return c.requests
 	}
-	return r
+	return c.parts
 }
 
-// makeRoom drops the record with the fewest events, of these the one that expires
-// first, if there is no room for another.
-func (c *Core) makeRoom() {
-	if len(c.records) < maxRecords {
-		return
-	}
-	var victim Suspect
-	var fewest *record
-	for suspect, r := range c.records {
-		if fewest == nil || c.compareWeight(r, fewest) < 0 {
-			victim, fewest = suspect, r
+// find returns the record of a suspect.
+func (c *Core) find(suspect Suspect) (*record, bool) { return c.memory(suspect.kind).get(suspect.id) }
+
+// records returns all records.
+func (c *Core) records() iter.Seq[*record] {
+	return func(yield func(*record) bool) {
+		for _, m := range []*memory{c.requests, c.parts} {
+			for n := len(m.ranking) - 1; n >= 0; n-- {
+				if !yield(m.ranking[n]) {
+					return
+				}
+			}
 		}
 	}
-	delete(c.records, victim)
-}
-
-func (c *Core) compareWeight(a, b *record) int {
-	return cmp.Or(cmp.Compare(events(a.times(nil)), events(b.times(nil))), a.expiry(c.config.Lifetime).Compare(b.expiry(c.config.Lifetime)))
 }
 
 // expire drops the records and peers whose time is over, at most every expiryPeriod.
@@ -227,10 +288,10 @@
 	}
 	c.expired = now
 	dropped := false
-	for suspect, r := range c.records {
+	for _, r := range slices.Collect(c.records()) {
 		if !now.Before(r.expiry(c.config.Lifetime)) {
-			delete(c.records, suspect)
-			c.unsaved.refute(suspect)
+			c.memory(r.suspect.kind).remove(r)
+			c.unsaved.refute(r.suspect)
 			dropped = true
 		}
 	}
--- a/lobby/quarantine/core_test.go
+++ b/lobby/quarantine/core_test.go
@@ -494,3 +494,47 @@
 		t.Errorf("%d trials within %v, want at most %d", trials, span, retries-copies)
 	}
 }
+
+// TestPartOfALongPromptIsQuarantined guards against a part that is overlooked since the
+// prompts have many more parts than are remembered, none of them alike.
+func TestPartOfALongPromptIsQuarantined(t *testing.T) {
+	const parts = 1300
+	for _, place := range []int{0, 31, 32, 700, parts - 2} {
+		t.Run(fmt.Sprint("at ", place), func(t *testing.T) {
+			c := quarantine.New(quarantine.Config{Self: "x"})
+			for n := range 4 {
+				ids := make([]string, parts)
+				for part := range ids {
+					ids[part] = fmt.Sprint(n, "-", part)
+				}
+				ids[place] = "deadly"
+				crashAt(c, time.Duration(n)*time.Second, request(byte(n), ids...), fmt.Sprint("b", n))
+			}
+			if admitted(c, 4*time.Second, 1, request(9, "deadly", "own")) {
+				t.Error("not quarantined")
+			}
+			if !admitted(c, 4*time.Second, 2, request(9, "0-5", "own")) {
+				t.Error("another part quarantined as well")
+			}
+			c.Answering(request(9, "deadly", "own"), noon.Add(4*time.Second))
+			if !admitted(c, 4*time.Second, 3, request(9, "deadly", "own")) {
+				t.Error("quarantined after an answer")
+			}
+		})
+	}
+}
+
+// TestPartsLeaveRoomToRequests guards against a request whose crashes are forgotten for the
+// parts of long prompts.
+func TestPartsLeaveRoomToRequests(t *testing.T) {
+	c := quarantine.New(quarantine.Config{Self: "x"})
+	for n := range 3 {
+		crashAt(c, time.Duration(2*n)*time.Second, request(1), fmt.Sprint("b", n))
+		for other := range 40 {
+			crashAt(c, time.Duration(2*n+1)*time.Second, longPrompt(100+40*n+other, 130), fmt.Sprint("c", n))
+		}
+	}
+	if admitted(c, 6*time.Second, 1, request(1)) {
+		t.Error("not quarantined")
+	}
+}
--- a/lobby/quarantine/evidence.go
+++ b/lobby/quarantine/evidence.go
@@ -46,36 +46,33 @@
 	}
 	c.unsaved = unsaved{savedAt: now, saved: make(map[Suspect]struct{})}
 	var saved []protocol.SuspectConfig
-	for _, suspect := range c.ownEvidence() {
-		c.unsaved.saved[suspect] = struct{}{}
-		config := encodeRecord(now, suspect, c.records[suspect])
+	for _, r := range c.ownEvidence() {
+		c.unsaved.saved[r.suspect] = struct{}{}
+		config := encodeRecord(now, r)
 		config.Crashes = slices.DeleteFunc(config.Crashes, func(crashed protocol.CrashConfig) bool { return crashed.Cleared })
 		saved = append(saved, config)
 	}
 	return saved, true
 }
 
-// ownEvidence returns the suspects to be saved, those with the most evidence first. With
-// as much, requests go before parts, as a crash has many more of these.
-func (c *Core) ownEvidence() []Suspect {
-	weights := make(map[Suspect]int)
-	var own []Suspect
-	for suspect, r := range c.records {
-		if times := r.times(nil); r.own && len(times) > 0 && mayBeSaved(suspect, r) {
-			own, weights[suspect] = append(own, suspect), events(times)
+// ownEvidence returns the records to be saved, those with the most evidence first. With as
+// much, requests go before parts, as a crash has many more of these.
+func (c *Core) ownEvidence() []*record {
+	var own []*record
+	for r := range c.records() {
+		if r.own && r.weight.events > 0 && mayBeSaved(r) {
+			own = append(own, r)
 		}
 	}
-	slices.SortFunc(own, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a.kind, b.kind), c.records[b].lastCrash().Compare(c.records[a].lastCrash()), cmp.Compare(a.id, b.id))
+	slices.SortFunc(own, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.weight.events, a.weight.events), cmp.Compare(a.suspect.kind, b.suspect.kind), b.weight.last.Compare(a.weight.last), cmp.Compare(a.suspect.id, b.suspect.id))
 	})
 	return own[:min(len(own), maxSaved)]
 }
 
 // mayBeSaved reports whether a suspect is worth a place in the store. A part that had been
 // answered before its crash is hardly the cause, and common to many requests.
-func mayBeSaved(suspect Suspect, r *record) bool {
-	return !r.sound && len(suspect.id) <= maxSavedID
-}
+func mayBeSaved(r *record) bool { return !r.sound && len(r.suspect.id) <= maxSavedID }
 
 // Recall merges what lobbies had saved as of a given time, by their RPC addresses.
 func (c *Core) Recall(at time.Time, saved map[string][]protocol.SuspectConfig) {
@@ -96,7 +93,7 @@
 	if !own {
 		return
 	}
-	if r, ok := c.records[suspect]; ok {
+	if r, ok := c.find(suspect); ok {
 		r.own = true
 		c.unsaved.saved[suspect] = struct{}{}
 		return
--- a/lobby/quarantine/exchange.go
+++ b/lobby/quarantine/exchange.go
@@ -27,28 +27,25 @@
 // suppression of Trickle, RFC 6206), so that the volume hardly grows with the fleet.
 func (c *Core) Suspects(now time.Time) []protocol.SuspectConfig {
 	c.expire(now)
-	due := c.dueSuspects(now)
+	due := c.dueRecords(now)
 	var sent []protocol.SuspectConfig
-	for _, suspect := range due[:min(len(due), maxSent)] {
-		r := c.records[suspect]
+	for _, r := range due[:min(len(due), maxSent)] {
 		r.changed, r.repeat, r.shared = false, r.changed, now
-		sent = append(sent, encodeRecord(now, suspect, r))
+		sent = append(sent, encodeRecord(now, r))
 	}
 	return sent
 }
 
-// dueSuspects returns the suspects that are due, first those that have changed, then
-// those that were shared least recently.
-func (c *Core) dueSuspects(now time.Time) []Suspect {
-	var due []Suspect
-	for suspect, r := range c.records {
+// dueRecords returns the records that are due, first those that have changed, then those
+// that were shared least recently.
+func (c *Core) dueRecords(now time.Time) []*record {
+	var due []*record
+	for r := range c.records() {
 		if idle := now.Sub(r.shared); r.changed || r.repeat && idle >= repeatDelay || idle >= r.resendPeriod(now) {
-			due = append(due, suspect)
+			due = append(due, r)
 		}
 	}
-	slices.SortFunc(due, func(a, b Suspect) int {
-		return cmp.Or(compareDue(c.records[a], c.records[b]), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(due, func(a, b *record) int { return cmp.Or(compareDue(a, b), cmp.Compare(a.suspect.id, b.suspect.id)) })
 	return due
 }
 
@@ -68,10 +65,10 @@
 	}
 }
 
-func encodeRecord(now time.Time, suspect Suspect, r *record) protocol.SuspectConfig {
-	config := protocol.SuspectConfig{Kind: uint8(suspect.kind), ID: suspect.id, Rank: r.rank, Sound: r.sound}
-	for from, c := range r.crashes {
-		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: from.backend, StartTime: from.time, Age: now.Sub(c.at), Cleared: c.cleared, Copies: maps.Clone(r.copies[from])})
+func encodeRecord(now time.Time, r *record) protocol.SuspectConfig {
+	config := protocol.SuspectConfig{Kind: uint8(r.suspect.kind), ID: r.suspect.id, Rank: r.rank, Sound: r.sound}
+	for _, c := range r.crashes {
+		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: c.from.backend, StartTime: c.from.time, Age: now.Sub(c.at), Cleared: c.cleared, Copies: maps.Clone(c.copies)})
 	}
 	return config
 }
@@ -94,7 +91,7 @@
 
 // resendAll makes all suspects due, for a lobby that is new or was silent.
 func (c *Core) resendAll() {
-	for _, r := range c.records {
+	for r := range c.records() {
 		r.changed = true
 	}
 }
@@ -104,32 +101,33 @@
 // younger than it is, and lobbies could teach it to each other for ever.
 func (c *Core) merge(now time.Time, config protocol.SuspectConfig) bool {
 	incoming := decodeRecord(now, config)
-	suspect := Suspect{kind: Kind(config.Kind), id: config.ID}
-	if len(incoming.crashes) == 0 || suspect.kind.String() == unknownKind {
+	if len(incoming.crashes) == 0 || incoming.suspect.kind.String() == unknownKind {
 		return false
 	}
-	if _, known := c.records[suspect]; !known && incoming.expiry(c.config.Lifetime).Sub(now) < learnMargin {
-		return false
+	m := c.memory(incoming.suspect.kind)
+	r, known := m.get(incoming.suspect.id)
+	if !known {
+		incoming.shared = now
+		return incoming.expiry(c.config.Lifetime).Sub(now) >= learnMargin && m.add(incoming)
 	}
-	r := c.record(suspect, config.Rank)
 	cleared := r.cleared()
 	changed := r.merge(incoming)
 	if r.cleared() > cleared {
-		c.unsaved.refute(suspect)
+		c.unsaved.refute(r.suspect)
 	}
 	if !r.own && incoming.covers(r) {
 		r.shared = now
 	}
+	m.update(r)
 	return changed
 }
 
 func decodeRecord(now time.Time, config protocol.SuspectConfig) *record {
-	r := newRecord(config.Rank)
-	r.sound = config.Sound
+	r := &record{suspect: Suspect{kind: Kind(config.Kind), id: config.ID}, rank: config.Rank, sound: config.Sound}
 	for _, crashed := range config.Crashes[:min(len(config.Crashes), maxCrashes)] {
 		from := start{backend: crashed.Backend, time: crashed.StartTime}
-		r.add(from, crash{at: now.Add(-max(crashed.Age, 0)), cleared: crashed.Cleared})
-		r.copies.merge(from, crashed.Copies)
+		r.add(from, now.Add(-max(crashed.Age, 0)), crashed.Cleared)
+		r.addCopies(from, crashed.Copies)
 	}
 	return r
 }
--- a/lobby/quarantine/history.go
+++ b/lobby/quarantine/history.go
@@ -9,11 +9,14 @@
 	newer, older map[string]struct{}
 }
 
-func newHistory() *history { return &history{newer: make(map[string]struct{})} }
+func newHistory() *history {
+	return &history{newer: make(map[string]struct{}), older: make(map[string]struct{})}
+}
 
 func (h *history) add(part string) {
 	if len(h.newer) >= historySize {
-		h.newer, h.older = make(map[string]struct{}), h.newer
+		h.newer, h.older = h.older, h.newer
+		clear(h.newer)
 	}
 	h.newer[part] = struct{}{}
 }
--- a/lobby/quarantine/record.go
+++ b/lobby/quarantine/record.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"sesamewell.example/commons/httpmeta"
 )
 
 const (
@@ -30,21 +33,32 @@
 
 // crash is the end of one start of a backend server.
 type crash struct {
+	from    start
 	at      time.Time
 	cleared bool // the suspect has been answered since, so it is not the cause
+	copies  copies
+}
+
+func (c crash) compare(other crash) int {
+	return cmp.Or(c.at.Compare(other.at), cmp.Compare(c.from.backend, other.from.backend), cmp.Compare(c.from.time, other.from.time))
 }
 
 // record holds the crashes of one suspect.
 type record struct {
+	suspect Suspect
 	rank    int
-	sound   bool // it had been answered before one of its crashes
-	crashes map[start]crash
-	copies  copies
+	sound   bool      // it had been answered before one of its crashes
+	crashes []crash   // in the order of their times
 	own     bool      // this lobby has seen a crash or an answer of the suspect itself
 	changed bool      // to be sent to the other lobbies at once
 	repeat  bool      // it was new when it was last sent
 	shared  time.Time // time at which it was last sent or, if it is not own, received
 	trial   trial
+
+	runner *httpmeta.Request // one that stands for the suspect and was last seen running
+	search uint64            // number of the last search for such a one
+	weight weight
+	place  int // in the ranking
 }
 
 // trial is a request that may run in spite of the quarantine, to show whether the
@@ -54,62 +68,66 @@
 	began   time.Time
 }
 
-func newRecord(rank int) *record {
-	return &record{rank: rank, crashes: make(map[start]crash), copies: make(copies)}
+// crashOf returns the crash of a start, nil if there is none.
+func (r *record) crashOf(from start) *crash {
+	for n := range r.crashes {
+		if r.crashes[n].from == from {
+			return &r.crashes[n]
+		}
+	}
+	return nil
 }
 
-// add merges a crash and reports whether that changed the record. The merge is
-// idempotent and commutative: of several reports of one crash the oldest time counts,
-// since one that is delayed seems younger, and a cleared crash stays cleared.
-func (r *record) add(from start, c crash) bool {
-	known, ok := r.crashes[from]
-	if ok {
-		c.cleared = c.cleared || known.cleared
-		if known.at.Before(c.at) {
-			c.at = known.at
+// add merges a crash without its copies and reports whether that changed the record. The
+// merge is idempotent and commutative: of several reports of one crash the oldest time
+// counts, since one that is delayed seems younger, and a cleared crash stays cleared.
+func (r *record) add(from start, at time.Time, cleared bool) bool {
+	known := r.crashOf(from)
+	switch {
+	case known != nil && (!cleared || known.cleared) && !at.Before(known.at):
+		return false
+	case known != nil:
+		known.cleared = known.cleared || cleared
+		if at.Before(known.at) {
+			known.at = at
 		}
-	}
-	if ok && c == known {
+	case len(r.crashes) >= maxCrashes && !at.After(r.crashes[0].at):
 		return false
+	default:
+		r.crashes = append(r.crashes, crash{from: from, at: at, cleared: cleared})
 	}
-	r.crashes[from] = c
-	if len(r.crashes) > maxCrashes {
-		oldest := r.oldest()
-		delete(r.crashes, oldest)
-		r.copies.forget(oldest)
-	}
+	slices.SortFunc(r.crashes, crash.compare)
+	r.crashes = r.crashes[max(len(r.crashes)-maxCrashes, 0):]
 	return true
 }
 
+// addCopies records that a lobby had at least n copies of the request at a crash.
+func (r *record) addCopies(from start, counted copies) bool {
+	known := r.crashOf(from)
+	if known == nil {
+		return false
+	}
+	merged, changed := known.copies.merge(counted)
+	known.copies = merged
+	return changed
+}
+
 // merge merges all that another record says, and reports whether any of it is new.
 func (r *record) merge(other *record) bool {
 	changed := other.sound && !r.sound
 	r.sound = r.sound || other.sound
-	for from, c := range other.crashes {
-		changed = r.add(from, c) || changed
-		if _, kept := r.crashes[from]; kept {
-			changed = r.copies.merge(from, other.copies[from]) || changed
-		}
+	for _, c := range other.crashes {
+		changed = r.add(c.from, c.at, c.cleared) || changed
+		changed = r.addCopies(c.from, c.copies) || changed
 	}
 	return changed
 }
 
-// oldest returns the start whose crash is the oldest.
-func (r *record) oldest() start {
-	var oldest start
-	for from, c := range r.crashes {
-		if oldest == (start{}) || c.at.Before(r.crashes[oldest].at) {
-			oldest = from
-		}
-	}
-	return oldest
-}
-
 // covers reports whether the record says all that another one does.
 func (r *record) covers(other *record) bool {
-	for from, c := range other.crashes {
-		known, ok := r.crashes[from]
-		if !ok || c.cleared && !known.cleared || known.at.Sub(c.at) > timeTolerance {
+	for _, c := range other.crashes {
+		known := r.crashOf(c.from)
+		if known == nil || c.cleared && !known.cleared || known.at.Sub(c.at) > timeTolerance {
 			return false
 		}
 	}
@@ -120,10 +138,9 @@
 // suspect. It reports whether there were any.
 func (r *record) clear(began time.Time) bool {
 	cleared := false
-	for from, c := range r.crashes {
-		if !c.cleared && c.at.Before(began) {
-			c.cleared = true
-			r.crashes[from], cleared = c, true
+	for n := range r.crashes {
+		if c := &r.crashes[n]; !c.cleared && c.at.Before(began) {
+			c.cleared, cleared = true, true
 		}
 	}
 	return cleared
@@ -140,38 +157,47 @@
 	return n
 }
 
-// times returns the times of the crashes that are not cleared and that skip does not
-// leave out, in order.
-func (r *record) times(skip map[start]bool) []time.Time {
-	var times []time.Time
-	for from, c := range r.crashes {
-		if !c.cleared && !skip[from] {
-			times = append(times, c.at)
-		}
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times
+// findings sum up what speaks against a suspect.
+type findings struct {
+	crashes int
+	events  int // crashes within eventGap of the first of them count as one
+	copies  int // of a request that ended with them
+	last    time.Time
 }
 
-// events counts events among ordered times: an event starts with the first crash that
-// is eventGap or more later than the start of the one before.
-func events(times []time.Time) int {
-	n := 0
-	var began time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(began) >= eventGap {
-			n, began = n+1, at
+// findings returns what the crashes show that are not cleared and that skip does not leave
+// out.
+func (r *record) findings(skip map[start]bool) findings {
+	var f findings
+	var began time.Time // of the last event
+	for _, c := range r.crashes {
+		if c.cleared || len(skip) > 0 && skip[c.from] {
+			continue
+		}
+		if f.events == 0 || c.at.Sub(began) >= eventGap {
+			f.events, began = f.events+1, c.at
 		}
+		f.crashes++
+		f.copies += c.copies.count()
+		f.last = c.at
 	}
-	return n
+	return f
+}
+
+// enough reports whether the findings are enough for a quarantine. Fewer events are enough if
+// several copies ended with one backend server: a sound request seldom has two there, and is
+// answered soon.
+func (f findings) enough() bool {
+	return f.events >= convictionEvents || f.events >= fewestEvents && (f.crashes >= manyCrashes || f.copies > f.crashes)
 }
 
-// isEnough reports whether ordered times of crashes are enough for a quarantine. copies is the
-// number of copies of a request that ended with them. Fewer events are enough if several copies
-// ended with one backend server: a sound request seldom has two there, and is answered soon.
-func isEnough(times []time.Time, copies int) bool {
-	n := events(times)
-	return n >= convictionEvents || n >= fewestEvents && (len(times) >= manyCrashes || copies > len(times))
+// newWeight returns the weight of the record as it is now.
+func (r *record) newWeight() weight {
+	f := r.findings(nil)
+	if f.crashes == 0 {
+		return weight{last: r.lastCrash()}
+	}
+	return weight{events: f.events, last: f.last}
 }
 
 // quarantineLength returns the length of the quarantine after a number of events, for a
@@ -192,19 +218,11 @@
 // expiry returns the time at which the record is dropped, if a suspect is remembered for
 // lifetime after its last crash.
 func (r *record) expiry(lifetime time.Duration) time.Time {
-	if times := r.times(nil); len(times) > 0 {
-		return times[len(times)-1].Add(lifetime)
+	if f := r.findings(nil); f.crashes > 0 {
+		return f.last.Add(lifetime)
 	}
 	return r.lastCrash().Add(clearedLifetime)
 }
 
 // lastCrash returns the time of the last crash, whether it is cleared or not.
-func (r *record) lastCrash() time.Time {
-	var last time.Time
-	for _, c := range r.crashes {
-		if c.at.After(last) {
-			last = c.at
-		}
-	}
-	return last
-}
+func (r *record) lastCrash() time.Time { return r.crashes[len(r.crashes)-1].at }
--- a/lobby/quarantine/recorder.go
+++ b/lobby/quarantine/recorder.go
@@ -55,7 +55,7 @@
 	inbox  *ring.Ring
 
 	recalled  bool
-	latest    evidence
+	latest    snapshot
 	pending   bool      // the latest evidence is to be written
 	written   bool      // the store should hold the latest evidence
 	era       int64     // of the store before that write
@@ -66,8 +66,8 @@
 	reachable bool
 }
 
-// evidence is what this lobby knew of suspects at a time.
-type evidence struct {
+// snapshot is what this lobby knew of suspects at a time.
+type snapshot struct {
 	at       time.Time
 	suspects []protocol.SuspectConfig
 }
@@ -88,7 +88,7 @@
 // Save queues what this lobby knows at a given time, in place of older evidence that still
 // waits. It does not block.
 func (r *Recorder) Save(at time.Time, suspects []protocol.SuspectConfig) {
-	message := evidence{at: at, suspects: suspects}
+	message := snapshot{at: at, suspects: suspects}
 	for errors.Is(r.inbox.Put(message), ring.ErrFull) {
 		var older [1]any
 		r.inbox.Drain(older[:])
@@ -103,7 +103,7 @@
 
 // Handle takes the evidence to be written.
 func (r *Recorder) Handle(now time.Time, message any) error {
-	if latest, ok := message.(evidence); ok {
+	if latest, ok := message.(snapshot); ok {
 		r.latest, r.pending = latest, true
 		if r.due.Before(now) {
 			r.due = now
@@ -172,7 +172,7 @@
 	r.config.Log.WithFields(logrus.Fields{"event": "suspects_recalled", "lobbies": len(saved), "suspects": suspects}).Info("evidence against crashing requests read from the store")
 	own := saved[r.config.Self]
 	r.recalled, r.written, r.era = true, len(own) > 0, r.config.Store.Era()
-	r.latest = evidence{at: now, suspects: own}
+	r.latest = snapshot{at: now, suspects: own}
 	return nil
 }
 
--- a/lobby/quarantine/suspect.go
+++ b/lobby/quarantine/suspect.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "sesamewell.example/commons/httpmeta"
+import (
+	"iter"
+
+	"sesamewell.example/commons/httpmeta"
+)
 
 // Kind says what a suspect is.
 type Kind uint8
@@ -41,22 +45,28 @@
 // its kind. It may contain any bytes.
 func (s Suspect) ID() string { return s.id }
 
-// partSuspects returns the suspects that stand for the parts of a prompt, by their
-// order. The last part belongs to the request alone.
-func partSuspects(request *httpmeta.Request) []Suspect {
+// leadingParts returns the parts of a prompt that other requests may share: all but the
+// last, which belongs to the request alone.
+func leadingParts(request *httpmeta.Request) []httpmeta.Part {
 	parts := request.Parts()
-	suspects := make([]Suspect, 0, len(parts))
-	for _, part := range parts[:max(len(parts)-1, 0)] {
-		suspects = append(suspects, Suspect{kind: PartKind, id: part.ID()})
-	}
-	return suspects
+	return parts[:max(len(parts)-1, 0)]
 }
 
-// suspectsOf returns all suspects that a request stands for.
-func suspectsOf(request *httpmeta.Request) []Suspect {
-	return append(partSuspects(request), requestSuspect(request))
+// suspectsOf returns all suspects that a request stands for: the parts of its prompt by
+// their order, and itself.
+func suspectsOf(request *httpmeta.Request) iter.Seq[Suspect] {
+	return func(yield func(Suspect) bool) {
+		for _, part := range leadingParts(request) {
+			if !yield(partSuspect(part)) {
+				return
+			}
+		}
+		yield(requestSuspect(request))
+	}
 }
 
+func partSuspect(part httpmeta.Part) Suspect { return Suspect{kind: PartKind, id: part.ID()} }
+
 // requestSuspect returns the suspect that stands for a request and its copies.
 func requestSuspect(request *httpmeta.Request) Suspect {
 	return Suspect{kind: RequestKind, id: request.Fingerprint().String()}
--- a/lobby/quarantine/verdict.go
+++ b/lobby/quarantine/verdict.go
@@ -53,13 +53,13 @@
 	verdicts := make(map[Suspect]verdict)
 	explained := make(map[start]bool)
 	for {
-		suspect, v, ok := c.leading(explained, verdicts)
-		if !ok {
+		leader, v := c.leading(explained, verdicts)
+		if leader == nil {
 			break
 		}
-		verdicts[suspect] = v
-		for from, crashed := range c.records[suspect].crashes {
-			explained[from] = explained[from] || !crashed.cleared
+		verdicts[leader.suspect] = v
+		for _, crashed := range leader.crashes {
+			explained[crashed.from] = explained[crashed.from] || !crashed.cleared
 		}
 	}
 	c.noteChanges(verdicts)
@@ -67,24 +67,26 @@
 }
 
 // leading returns the suspect with the most evidence in the crashes that are not
-// explained, if it is enough for a quarantine.
-func (c *Core) leading(explained map[start]bool, verdicts map[Suspect]verdict) (Suspect, verdict, bool) {
-	var leader Suspect
-	var most verdict
-	for suspect, r := range c.records {
-		if _, judged := verdicts[suspect]; judged || len(r.crashes) < fewestEvents {
+// explained, nil if none has enough for a quarantine.
+func (c *Core) leading(explained map[start]bool, verdicts map[Suspect]verdict) (*record, verdict) {
+	var leader *record
+	var most findings
+	for r := range c.records() {
+		if len(r.crashes) < fewestEvents {
 			continue
 		}
-		times := r.times(explained)
-		n := events(times)
-		if !isEnough(times, r.copies.count(r.crashes, explained)) || n < most.events {
+		if _, judged := verdicts[r.suspect]; judged {
 			continue
 		}
-		if n > most.events || c.moreLikely(suspect, leader) {
-			leader, most = suspect, c.verdict(n, times[len(times)-1])
+		f := r.findings(explained)
+		if !f.enough() || f.events < most.events {
+			continue
+		}
+		if f.events > most.events || moreLikely(r, leader) {
+			leader, most = r, f
 		}
 	}
-	return leader, most, most.events > 0
+	return leader, c.verdict(most.events, most.last)
 }
 
 // verdict returns the verdict on a suspect after a number of events, the last at a given time.
@@ -94,12 +96,11 @@
 
 // moreLikely decides between suspects with equal evidence: one that had never been
 // answered before its crashes is more likely, then the more specific one.
-func (c *Core) moreLikely(a, b Suspect) bool {
-	left, right := c.records[a], c.records[b]
-	if left.sound != right.sound {
-		return right.sound
+func moreLikely(a, b *record) bool {
+	if a.sound != b.sound {
+		return b.sound
 	}
-	return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(a.id, b.id)) > 0
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.suspect.id, b.suspect.id)) > 0
 }
 
 // noteChanges notes the suspects that are quarantined or released by new verdicts.
