Move the core of the quarantine to commons

The lobby's core has no input or output and needs nothing of the lobby, so it moves as it is; lobby/quarantine keeps its door to the platform's store and the construction of the core. No change of behaviour: the tests moved with it.

--- a/commons/protocol/suspect.go
+++ b/commons/protocol/suspect.go
@@ -14,7 +14,7 @@
 
 // SuspectConfig describes what may have crashed backend servers, and its crashes.
 type SuspectConfig struct {
-	Kind    uint8  // as lobby/quarantine numbers them
+	Kind    uint8  // as commons/quarantine numbers them
 	ID      string // differs from those of other suspects of the kind
 	Rank    int    // suspects of a higher rank are more specific
 	Sound   bool   // it had been answered before one of its crashes
--- a/lobby/quarantine/benchmark_test.go
+++ b/commons/quarantine/benchmark_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sesamewell.example/commons/httpmeta"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 // fullCore returns a core with one quarantined request among as many suspects as it
--- a/lobby/quarantine/core_test.go
+++ b/commons/quarantine/core_test.go
@@ -12,7 +12,7 @@
 
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
--- a/lobby/quarantine/evidence_test.go
+++ b/commons/quarantine/evidence_test.go
@@ -10,7 +10,7 @@
 
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 // newRecalled returns the core of a lobby that found nothing saved at its start.
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -180,7 +180,7 @@
 			Cold:       scheduler.ColdConfig{Self: settings.Address("door", "listen"), Overshoot: settings.Decimal("cold", "overshoot"), Slack: settings.Decimal("cold", "slack")},
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, LeaveTime: stopSchedule(settings).AcceptPeriod() + leaveMargin, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
 			Streams:    resumption.New(),
-			Quarantine: quarantine.New(quarantine.Config{Self: settings.Address("door", "listen"), Lifetime: settings.Duration("suspects", "remember")}),
+			Quarantine: quarantine.NewCore(quarantine.CoreConfig{Self: settings.Address("door", "listen"), Lifetime: settings.Duration("suspects", "remember")}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  settings.Decimal("retries", "extra"),
--- a/lobby/quarantine/recorder_test.go
+++ b/lobby/quarantine/recorder_test.go
@@ -13,6 +13,8 @@
 	"sesamewell.example/lobby/quarantine"
 )
 
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
 // fakeStore keeps what is saved, and fails the calls within some spans of time.
 type fakeStore struct {
 	now      time.Duration // after noon
--- a/lobby/scheduler/completion.go
+++ b/lobby/scheduler/completion.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 // closeAll refuses all open requests. Those that no backend server can have run
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -12,7 +12,7 @@
 	"sesamewell.example/commons/fairqueue"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 // Limiter enforces the tenants' quotas.
--- a/lobby/scheduler/limitfleet_test.go
+++ b/lobby/scheduler/limitfleet_test.go
@@ -13,8 +13,8 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/quarantine"
 	"sesamewell.example/commons/supervisor"
-	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
--- a/lobby/scheduler/log.go
+++ b/lobby/scheduler/log.go
@@ -7,7 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sesamewell.example/commons/httpmeta"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 func (s *Scheduler) logSend(a Send) {
--- a/lobby/scheduler/record.go
+++ b/lobby/scheduler/record.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"sesamewell.example/commons/httpmeta"
-	"sesamewell.example/lobby/quarantine"
+	"sesamewell.example/commons/quarantine"
 )
 
 // RecordSendConfig holds the construction parameters of a RecordSend.
--- a/lobby/scheduler/scheduler_test.go
+++ b/lobby/scheduler/scheduler_test.go
@@ -11,8 +11,8 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/quarantine"
 	"sesamewell.example/commons/testkit"
-	"sesamewell.example/lobby/quarantine"
 	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
