Keep the evidence of both fronts in one core

Its core decides now which requests run alone, in which order, and logs bans; what is known of them is in commons/quarantine. What differs is a policy: an entry runs a suspect alone, so that one crash then is enough (RunAlone); a lobby can't keep others from a backend server and counts events (SharedEvidence).

A ban lasts as long as this entry's own, from the time that the log states. Fingerprints and records in the log stay as they are.

A verdict looks at the suspects with enough evidence only, in the order of what is left of it, in place of all suspects for each verdict.

--- a/commons/protocol/suspect.go
+++ b/commons/protocol/suspect.go
@@ -9,6 +9,7 @@
 	StartTime int64          // Unix milliseconds
 	Age       time.Duration  // time since the crash when the digest was sent
 	Cleared   bool           // a later request of the suspect has been answered
+	Alone     bool           // the backend server ran nothing else
 	Copies    map[string]int // copies of the request that were unanswered there, by the RPC address of their lobby
 }
 
--- a/commons/quarantine/core.go
+++ b/commons/quarantine/core.go
@@ -31,6 +31,8 @@
 type Config struct {
 	Self     string        // RPC address of this lobby
 	Lifetime time.Duration // time after its last crash for which a suspect is remembered; zero for defaultLifetime
+	Capacity int           // suspects of one kind that are remembered; zero for maxRecords
+	Policy   Policy        // nil for SharedEvidence
 }
 
 // Core makes the decisions of the quarantine. It does no I/O and is not safe for
@@ -58,8 +60,11 @@
 
 // New returns a core without suspects.
 func New(config Config) *Core {
-	config.Lifetime = cmp.Or(config.Lifetime, defaultLifetime)
-	return &Core{config: config, requests: newMemory(), parts: newMemory(), first: newFirstCrashes(), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
+	config.Lifetime, config.Capacity = cmp.Or(config.Lifetime, defaultLifetime), cmp.Or(config.Capacity, maxRecords)
+	if config.Policy == nil {
+		config.Policy = SharedEvidence{}
+	}
+	return &Core{config: config, requests: newMemory(config), parts: newMemory(config), first: newFirstCrashes(), verdicts: make(map[Suspect]verdict), history: newHistory(), peers: make(map[string]peer), unsaved: unsaved{saved: make(map[Suspect]struct{})}}
 }
 
 // CrashConfig holds the parameters of Crashed.
@@ -74,7 +79,7 @@
 // request was complete.
 func (c *Core) Crashed(now time.Time, config CrashConfig) {
 	from := start{backend: config.Backend, time: config.StartTime}
-	changed := c.addRequestCrash(now, config.Request, from)
+	changed := c.addRequestCrash(requestSuspect(config.Request), crash{from: from, at: now})
 	if !config.Answering {
 		changed = c.addPartCrashes(now, config.Request, from) || changed
 	}
@@ -84,15 +89,14 @@
 }
 
 // addRequestCrash adds a crash that this lobby has seen to the record of a request.
-func (c *Core) addRequestCrash(now time.Time, request *httpmeta.Request, from start) bool {
-	suspect := requestSuspect(request)
+func (c *Core) addRequestCrash(suspect Suspect, seen crash) bool {
 	r, known := c.find(suspect)
 	if !known {
 		r = &record{suspect: suspect, rank: requestRank}
 	}
-	changed := r.add(from, now, false)
-	if at := r.crashOf(from); at != nil {
-		changed = r.addCopies(from, copies{c.config.Self: at.copies[c.config.Self] + 1}) || changed
+	changed := r.add(seen)
+	if at := r.crashOf(seen.from); at != nil {
+		changed = r.addCopies(seen.from, copies{c.config.Self: at.copies[c.config.Self] + 1}) || changed
 	}
 	return changed && c.keep(r, known)
 }
@@ -116,7 +120,7 @@
 			}
 			r = &record{suspect: partSuspect(part), rank: place, crashes: []crash{earlier}}
 		}
-		changed = r.add(from, now, false) && c.keep(r, known) || changed
+		changed = r.add(crash{from: from, at: now}) && c.keep(r, known) || changed
 	}
 	return changed
 }
@@ -281,15 +285,28 @@
 	}
 }
 
-// expire drops the records and peers whose time is over, at most every expiryPeriod.
-func (c *Core) expire(now time.Time) {
+// expiry returns the time at which a record is dropped.
+func (c *Core) expiry(r *record) time.Time {
+	f := r.findings(nil)
+	if f.crashes == 0 {
+		return r.lastCrash().Add(clearedLifetime)
+	}
+	lifetime := c.config.Lifetime
+	if c.config.Policy.Enough(f) {
+		lifetime = max(lifetime, c.config.Policy.Quarantine(f, lifetime))
+	}
+	return f.last.Add(lifetime)
+}
+
+// Expire drops the records and peers whose time is over, at most every expiryPeriod.
+func (c *Core) Expire(now time.Time) {
 	if now.Sub(c.expired) < expiryPeriod {
 		return
 	}
 	c.expired = now
 	dropped := false
 	for _, r := range slices.Collect(c.records()) {
-		if !now.Before(r.expiry(c.config.Lifetime)) {
+		if !now.Before(c.expiry(r)) {
 			c.memory(r.suspect.kind).remove(r)
 			c.unsaved.refute(r.suspect)
 			dropped = true
--- a/commons/quarantine/exchange.go
+++ b/commons/quarantine/exchange.go
@@ -26,7 +26,7 @@
 // known from other lobbies is due only if none of them has sent it lately (the
 // suppression of Trickle, RFC 6206), so that the volume hardly grows with the fleet.
 func (c *Core) Suspects(now time.Time) []protocol.SuspectConfig {
-	c.expire(now)
+	c.Expire(now)
 	due := c.dueRecords(now)
 	var sent []protocol.SuspectConfig
 	for _, r := range due[:min(len(due), maxSent)] {
@@ -68,7 +68,7 @@
 func encodeRecord(now time.Time, r *record) protocol.SuspectConfig {
 	config := protocol.SuspectConfig{Kind: uint8(r.suspect.kind), ID: r.suspect.id, Rank: r.rank, Sound: r.sound}
 	for _, c := range r.crashes {
-		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: c.from.backend, StartTime: c.from.time, Age: now.Sub(c.at), Cleared: c.cleared, Copies: maps.Clone(c.copies)})
+		config.Crashes = append(config.Crashes, protocol.CrashConfig{Backend: c.from.backend, StartTime: c.from.time, Age: now.Sub(c.at), Cleared: c.cleared, Alone: c.alone, Copies: maps.Clone(c.copies)})
 	}
 	return config
 }
@@ -108,7 +108,7 @@
 	r, known := m.get(incoming.suspect.id)
 	if !known {
 		incoming.shared = now
-		return incoming.expiry(c.config.Lifetime).Sub(now) >= learnMargin && m.add(incoming)
+		return c.expiry(incoming).Sub(now) >= learnMargin && m.add(incoming)
 	}
 	cleared := r.cleared()
 	changed := r.merge(incoming)
@@ -126,7 +126,7 @@
 	r := &record{suspect: Suspect{kind: Kind(config.Kind), id: config.ID}, rank: config.Rank, sound: config.Sound}
 	for _, crashed := range config.Crashes[:min(len(config.Crashes), maxCrashes)] {
 		from := start{backend: crashed.Backend, time: crashed.StartTime}
-		r.add(from, now.Add(-max(crashed.Age, 0)), crashed.Cleared)
+		r.add(crash{from: from, at: now.Add(-max(crashed.Age, 0)), cleared: crashed.Cleared, alone: crashed.Alone})
 		r.addCopies(from, crashed.Copies)
 	}
 	return r
--- a/commons/quarantine/memory.go
+++ b/commons/quarantine/memory.go
@@ -6,17 +6,22 @@
 	"time"
 )
 
-// maxRecords is the number of suspects of one kind that are remembered.
+// maxRecords is the number of suspects of one kind that are remembered unless more are
+// configured.
 const maxRecords = 512
 
 // memory holds the records of the suspects of one kind. Each operation takes a time that
 // hardly depends on their number.
 type memory struct {
-	records map[string]*record // by the suspect's ID
-	ranking ranking
+	capacity int
+	policy   Policy
+	records  map[string]*record // by the suspect's ID
+	ranking  ranking
 }
 
-func newMemory() *memory { return &memory{records: make(map[string]*record)} }
+func newMemory(config Config) *memory {
+	return &memory{capacity: config.Capacity, policy: config.Policy, records: make(map[string]*record)}
+}
 
 // get returns the record of a suspect.
 func (m *memory) get(id string) (*record, bool) {
@@ -27,8 +32,8 @@
 // add adds the record of a new suspect. If there is no room, it takes the place of the one
 // with the least evidence, or returns false if it does not outweigh that.
 func (m *memory) add(r *record) bool {
-	r.weight = r.newWeight()
-	if len(m.ranking) >= maxRecords {
+	r.weight = r.newWeight(m.policy)
+	if len(m.ranking) >= m.capacity {
 		lightest := m.ranking[0]
 		if !r.weight.outweighs(lightest.weight) {
 			return false
@@ -42,7 +47,7 @@
 
 // update puts a record into its place after it has changed.
 func (m *memory) update(r *record) {
-	r.weight = r.newWeight()
+	r.weight = r.newWeight(m.policy)
 	heap.Fix(&m.ranking, r.place)
 }
 
@@ -53,18 +58,29 @@
 
 // weight is how much speaks for remembering a record.
 type weight struct {
-	events int
-	last   time.Time // of its crashes
+	convicted bool // what is known is enough for a quarantine
+	events    int
+	last      time.Time // of its crashes
 }
 
 func (w weight) compare(other weight) int {
-	return cmp.Or(cmp.Compare(w.events, other.events), w.last.Compare(other.last))
+	switch {
+	case w.convicted == other.convicted:
+		return cmp.Or(cmp.Compare(w.events, other.events), w.last.Compare(other.last))
+	case w.convicted:
+		return 1
+	default:
+		return -1
+	}
 }
 
 // outweighs reports whether a record may take the place of another one. Those of one event
 // don't displace each other: prompts of many parts would do nothing else.
 func (w weight) outweighs(other weight) bool {
-	return w.events > other.events || w.events == other.events && w.last.Sub(other.last) >= eventGap
+	if w.convicted == other.convicted && w.events == other.events {
+		return w.last.Sub(other.last) >= eventGap
+	}
+	return w.compare(other) > 0
 }
 
 // ranking is a heap of records, with the lightest first. It implements heap.Interface.
--- a/commons/quarantine/record.go
+++ b/commons/quarantine/record.go
@@ -15,14 +15,8 @@
 
 	timeTolerance = 25 * time.Millisecond // difference between the times of one crash that does not matter
 
-	convictionEvents = 3 // events after which a suspect is quarantined
-	manyCrashes      = 5 // crashes after which fewestEvents events are enough
-	fewestEvents     = 2
-	firstQuarantine  = 20 * time.Second // length of the quarantine after convictionEvents events
-	quarantineGrowth = 4                // factor by which each further event lengthens it: each costs another backend server
-	maxTrials        = 2                // trials that may fail; the platform allows three repeats, and one may be under way at the verdict
-	clearedLifetime  = 15 * time.Second // time for which a cleared crash is remembered, so that all lobbies learn of it
-	maxCrashes       = 16               // crashes that are remembered for one suspect
+	clearedLifetime = 15 * time.Second // time for which a cleared crash is remembered, so that all lobbies learn of it
+	maxCrashes      = 16               // crashes that are remembered for one suspect
 )
 
 // start identifies one start of a backend server.
@@ -36,6 +30,7 @@
 	from    start
 	at      time.Time
 	cleared bool // the suspect has been answered since, so it is not the cause
+	alone   bool // the backend server ran nothing else
 	copies  copies
 }
 
@@ -81,26 +76,32 @@
 // add merges a crash without its copies and reports whether that changed the record. The
 // merge is idempotent and commutative: of several reports of one crash the oldest time
 // counts, since one that is delayed seems younger, and a cleared crash stays cleared.
-func (r *record) add(from start, at time.Time, cleared bool) bool {
-	known := r.crashOf(from)
+func (r *record) add(c crash) bool {
+	known := r.crashOf(c.from)
 	switch {
-	case known != nil && (!cleared || known.cleared) && !at.Before(known.at):
+	case known != nil && !known.learnsFrom(c):
 		return false
 	case known != nil:
-		known.cleared = known.cleared || cleared
-		if at.Before(known.at) {
-			known.at = at
+		known.cleared, known.alone = known.cleared || c.cleared, known.alone || c.alone
+		if c.at.Before(known.at) {
+			known.at = c.at
 		}
-	case len(r.crashes) >= maxCrashes && !at.After(r.crashes[0].at):
+	case len(r.crashes) >= maxCrashes && !c.at.After(r.crashes[0].at):
 		return false
 	default:
-		r.crashes = append(r.crashes, crash{from: from, at: at, cleared: cleared})
+		c.copies = nil
+		r.crashes = append(r.crashes, c)
 	}
 	slices.SortFunc(r.crashes, crash.compare)
 	r.crashes = r.crashes[max(len(r.crashes)-maxCrashes, 0):]
 	return true
 }
 
+// learnsFrom reports whether another report of the crash says more.
+func (c *crash) learnsFrom(other crash) bool {
+	return other.cleared && !c.cleared || other.alone && !c.alone || other.at.Before(c.at)
+}
+
 // addCopies records that a lobby had at least n copies of the request at a crash.
 func (r *record) addCopies(from start, counted copies) bool {
 	known := r.crashOf(from)
@@ -117,7 +118,7 @@
 	changed := other.sound && !r.sound
 	r.sound = r.sound || other.sound
 	for _, c := range other.crashes {
-		changed = r.add(c.from, c.at, c.cleared) || changed
+		changed = r.add(c) || changed
 		changed = r.addCopies(c.from, c.copies) || changed
 	}
 	return changed
@@ -157,18 +158,10 @@
 	return n
 }
 
-// findings sum up what speaks against a suspect.
-type findings struct {
-	crashes int
-	events  int // crashes within eventGap of the first of them count as one
-	copies  int // of a request that ended with them
-	last    time.Time
-}
-
 // findings returns what the crashes show that are not cleared and that skip does not leave
 // out.
-func (r *record) findings(skip map[start]bool) findings {
-	var f findings
+func (r *record) findings(skip map[start]bool) Findings {
+	var f Findings
 	var began time.Time // of the last event
 	for _, c := range r.crashes {
 		if c.cleared || len(skip) > 0 && skip[c.from] {
@@ -179,49 +172,21 @@
 		}
 		f.crashes++
 		f.copies += c.copies.count()
+		if c.alone {
+			f.alone++
+		}
 		f.last = c.at
 	}
 	return f
 }
 
-// enough reports whether the findings are enough for a quarantine. Fewer events are enough if
-// several copies ended with one backend server: a sound request seldom has two there, and is
-// answered soon.
-func (f findings) enough() bool {
-	return f.events >= convictionEvents || f.events >= fewestEvents && (f.crashes >= manyCrashes || f.copies > f.crashes)
-}
-
 // newWeight returns the weight of the record as it is now.
-func (r *record) newWeight() weight {
+func (r *record) newWeight(policy Policy) weight {
 	f := r.findings(nil)
 	if f.crashes == 0 {
 		return weight{last: r.lastCrash()}
 	}
-	return weight{events: f.events, last: f.last}
-}
-
-// quarantineLength returns the length of the quarantine after a number of events, for a
-// suspect that is remembered for lifetime after its last crash. Once maxTrials trials have
-// failed, that is as long as it is remembered.
-func quarantineLength(events int, lifetime time.Duration) time.Duration {
-	failed := max(events-convictionEvents, 0)
-	if failed >= maxTrials {
-		return lifetime
-	}
-	length := firstQuarantine
-	for range failed {
-		length *= quarantineGrowth
-	}
-	return min(length, lifetime)
-}
-
-// expiry returns the time at which the record is dropped, if a suspect is remembered for
-// lifetime after its last crash.
-func (r *record) expiry(lifetime time.Duration) time.Time {
-	if f := r.findings(nil); f.crashes > 0 {
-		return f.last.Add(lifetime)
-	}
-	return r.lastCrash().Add(clearedLifetime)
+	return weight{convicted: policy.Enough(f), events: f.events, last: f.last}
 }
 
 // lastCrash returns the time of the last crash, whether it is cleared or not.
--- a/commons/quarantine/verdict.go
+++ b/commons/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -52,55 +53,65 @@
 func (c *Core) judge() {
 	verdicts := make(map[Suspect]verdict)
 	explained := make(map[start]bool)
-	for {
-		leader, v := c.leading(explained, verdicts)
-		if leader == nil {
-			break
-		}
-		verdicts[leader.suspect] = v
-		for _, crashed := range leader.crashes {
-			explained[crashed.from] = explained[crashed.from] || !crashed.cleared
+	candidates := c.candidates()
+	for len(candidates) > 0 {
+		leading := candidates[0]
+		candidates = candidates[1:]
+		f := leading.record.findings(explained)
+		switch {
+		case !c.config.Policy.Enough(f):
+		case f.events < leading.events:
+			candidates = insertCandidate(candidates, candidate{record: leading.record, events: f.events})
+		default:
+			verdicts[leading.record.suspect] = verdict{events: f.events, last: f.last, until: f.last.Add(c.config.Policy.Quarantine(f, c.config.Lifetime))}
+			leading.record.explain(explained)
 		}
 	}
 	c.noteChanges(verdicts)
 	c.verdicts = verdicts
 }
 
-// leading returns the suspect with the most evidence in the crashes that are not
-// explained, nil if none has enough for a quarantine.
-func (c *Core) leading(explained map[start]bool, verdicts map[Suspect]verdict) (*record, verdict) {
-	var leader *record
-	var most findings
+// candidate is a suspect that may be quarantined.
+type candidate struct {
+	record *record
+	events int // in crashes that may have been explained since
+}
+
+// candidates returns the suspects with enough evidence, those with the most first. What is
+// explained later only takes some of it away.
+func (c *Core) candidates() []candidate {
+	var candidates []candidate
 	for r := range c.records() {
-		if len(r.crashes) < fewestEvents {
-			continue
-		}
-		if _, judged := verdicts[r.suspect]; judged {
-			continue
-		}
-		f := r.findings(explained)
-		if !f.enough() || f.events < most.events {
-			continue
-		}
-		if f.events > most.events || moreLikely(r, leader) {
-			leader, most = r, f
+		if r.weight.convicted {
+			candidates = append(candidates, candidate{record: r, events: r.weight.events})
 		}
 	}
-	return leader, c.verdict(most.events, most.last)
+	slices.SortFunc(candidates, compareCandidates)
+	return candidates
+}
+
+func insertCandidate(candidates []candidate, added candidate) []candidate {
+	n, _ := slices.BinarySearchFunc(candidates, added, compareCandidates)
+	return slices.Insert(candidates, n, added)
 }
 
-// verdict returns the verdict on a suspect after a number of events, the last at a given time.
-func (c *Core) verdict(events int, last time.Time) verdict {
-	return verdict{events: events, last: last, until: last.Add(quarantineLength(events, c.config.Lifetime))}
+// compareCandidates orders suspects by their evidence, the most first. With as much, one that
+// had never been answered before its crashes is more likely, then the more specific one.
+func compareCandidates(a, b candidate) int {
+	if n := cmp.Compare(b.events, a.events); n != 0 || a.record.sound == b.record.sound {
+		return cmp.Or(n, cmp.Compare(b.record.rank, a.record.rank), cmp.Compare(b.record.suspect.id, a.record.suspect.id))
+	}
+	if b.record.sound {
+		return -1
+	}
+	return 1
 }
 
-// moreLikely decides between suspects with equal evidence: one that had never been
-// answered before its crashes is more likely, then the more specific one.
-func moreLikely(a, b *record) bool {
-	if a.sound != b.sound {
-		return b.sound
+// explain adds the crashes of the record to those with a known cause.
+func (r *record) explain(explained map[start]bool) {
+	for _, c := range r.crashes {
+		explained[c.from] = explained[c.from] || !c.cleared
 	}
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.suspect.id, b.suspect.id)) > 0
 }
 
 // noteChanges notes the suspects that are quarantined or released by new verdicts.
--- a/entry/quarantine/core.go
+++ b/entry/quarantine/core.go
@@ -1,6 +1,7 @@
-// Package quarantine bans requests that crash backend servers. All requests in
-// flight at a crash become suspects. Suspects run one at a time, each alone on its
-// backend server, and a suspect whose backend server crashes again is banned.
+// Package quarantine is the entry's door to the quarantine of crashing requests. All
+// requests in flight at a crash become suspects. Suspects run one at a time, each alone on
+// its backend server, and a suspect whose backend server crashes again is banned. What is
+// known of them is kept by commons/quarantine, under its policy RunAlone.
 package quarantine
 
 import (
@@ -9,29 +10,32 @@
 	"slices"
 	"time"
 
+	"sesamewell.example/commons/quarantine"
 	"sesamewell.example/entry/router"
 )
 
 // CoreConfig holds the construction parameters of a Core.
 type CoreConfig struct {
 	Capacity    int           // maximum number of suspects, and of requests that wait to run
-	SuspectTTL  time.Duration // time after a first crash for which a request is a suspect
+	SuspectTTL  time.Duration // time after its last crash for which a request is a suspect
 	BanDuration time.Duration // time for which a request is banned
 }
 
-// Core makes the decisions of the quarantine. It does no I/O: its caller executes
-// the actions that Handle and Tick return. It is not safe for concurrent use.
+// Core decides which requests run alone, and in which order. It does no I/O: its caller
+// executes the actions that Handle and Tick return. It is not safe for concurrent use.
 type Core struct {
 	config   CoreConfig
-	suspects map[string]time.Time // by fingerprint; time of the first crash
-	banned   map[string]time.Time // by fingerprint; end of the ban
-	waiting  []router.Request     // requests that wait to run, oldest first
-	running  *router.Request      // the request that runs, or nil
+	evidence *quarantine.Core
+	crashes  int64            // crash reports so far
+	waiting  []router.Request // requests that wait to run, oldest first
+	running  *router.Request  // the request that runs, or nil
 }
 
 // NewCore returns a core without suspects and bans.
 func NewCore(config CoreConfig) *Core {
-	return &Core{config: config, suspects: make(map[string]time.Time), banned: make(map[string]time.Time)}
+	return &Core{config: config, evidence: quarantine.New(quarantine.Config{
+		Lifetime: config.SuspectTTL, Capacity: config.Capacity, Policy: quarantine.RunAlone{Ban: config.BanDuration},
+	})}
 }
 
 // Fingerprint returns the SHA-256 of a request's model, service and body, in
@@ -44,18 +48,14 @@
 	return hex.EncodeToString(sum.Sum(nil))
 }
 
+// suspectOf returns the suspect that stands for a request and its copies.
+func suspectOf(request router.Request) quarantine.Suspect {
+	return quarantine.RequestSuspect(Fingerprint(request))
+}
+
 // Watched returns the fingerprints of suspects and banned requests. The core must
 // receive every new request that has one of them.
-func (c *Core) Watched() map[string]struct{} {
-	watched := make(map[string]struct{}, len(c.suspects)+len(c.banned))
-	for fingerprint := range c.suspects {
-		watched[fingerprint] = struct{}{}
-	}
-	for fingerprint := range c.banned {
-		watched[fingerprint] = struct{}{}
-	}
-	return watched
-}
+func (c *Core) Watched() map[string]struct{} { return c.evidence.SuspectedRequests() }
 
 // Running returns the ID of the request that runs under quarantine, or "".
 func (c *Core) Running() string {
@@ -76,24 +76,16 @@
 	case Finished:
 		c.handleFinished(m)
 	case BanLogged:
-		c.addBan(m.ban)
+		c.evidence.Learn(now, m.ban.evidence(now))
 	}
+	c.evidence.Changes() // the log has its own line for a ban
 	return append(actions, c.startNext(now)...)
 }
 
 // Tick removes expired suspects and bans, stops waiting for a running request whose
 // deadline has passed, and returns the actions to execute.
 func (c *Core) Tick(now time.Time) []Action {
-	for fingerprint, at := range c.suspects {
-		if now.Sub(at) >= c.config.SuspectTTL {
-			delete(c.suspects, fingerprint)
-		}
-	}
-	for fingerprint, until := range c.banned {
-		if !now.Before(until) {
-			delete(c.banned, fingerprint)
-		}
-	}
+	c.evidence.Expire(now)
 	if c.running != nil && !now.Before(c.running.Deadline()) {
 		c.running = nil
 	}
@@ -102,7 +94,7 @@
 
 // enqueue adds a request to those that wait to run.
 func (c *Core) enqueue(now time.Time, request router.Request) []Action {
-	if c.isBanned(now, Fingerprint(request)) {
+	if c.evidence.QuarantinedAt(now, suspectOf(request)) {
 		return []Action{refuseBanned(request)}
 	}
 	if len(c.waiting) >= c.config.Capacity {
@@ -117,20 +109,16 @@
 // may have caused the crash.
 func (c *Core) handleCrash(now time.Time, report router.CrashReport) []Action {
 	request := report.Request()
-	fingerprint := Fingerprint(request)
-	_, suspect := c.suspects[fingerprint]
 	wasRunning := c.Running() == request.ID()
 	if wasRunning {
 		c.running = nil
 	}
+	alone := wasRunning && request.Exclusive() && c.evidence.Suspected(suspectOf(request))
+	c.crashes++
+	c.evidence.RecordContained(now, quarantine.ContainedCrash{Suspect: suspectOf(request), Number: c.crashes, Alone: alone})
 	var actions []Action
-	switch {
-	case wasRunning && request.Exclusive() && suspect:
-		ban := NewBan(BanConfig{Fingerprint: fingerprint, At: now, Until: now.Add(c.config.BanDuration)})
-		c.addBan(ban)
-		actions = append(actions, Append{ban: ban})
-	case !suspect && len(c.suspects) < c.config.Capacity:
-		c.suspects[fingerprint] = now
+	if alone {
+		actions = append(actions, Append{ban: NewBan(BanConfig{Fingerprint: Fingerprint(request), At: now, Until: now.Add(c.config.BanDuration)})})
 	}
 	if report.Retry() {
 		actions = append(actions, c.enqueue(now, request)...)
@@ -143,7 +131,7 @@
 func (c *Core) handleFinished(m Finished) {
 	if c.running != nil && c.running.ID() == m.requestID {
 		if m.complete {
-			delete(c.suspects, Fingerprint(*c.running))
+			c.evidence.Exonerate(suspectOf(*c.running))
 		}
 		c.running = nil
 		return
@@ -151,17 +139,6 @@
 	c.waiting = slices.DeleteFunc(c.waiting, func(request router.Request) bool { return request.ID() == m.requestID })
 }
 
-// addBan bans a fingerprint until the end of the ban.
-func (c *Core) addBan(ban Ban) {
-	delete(c.suspects, ban.Fingerprint())
-	c.banned[ban.Fingerprint()] = ban.Until()
-}
-
-func (c *Core) isBanned(now time.Time, fingerprint string) bool {
-	until, ok := c.banned[fingerprint]
-	return ok && now.Before(until)
-}
-
 // startNext runs the oldest waiting request unless another one runs.
 func (c *Core) startNext(now time.Time) []Action {
 	var actions []Action
@@ -169,7 +146,7 @@
 		request := c.waiting[0]
 		c.waiting = c.waiting[1:]
 		switch {
-		case c.isBanned(now, Fingerprint(request)):
+		case c.evidence.QuarantinedAt(now, suspectOf(request)):
 			actions = append(actions, refuseBanned(request))
 		case !now.Before(request.Deadline()):
 			actions = append(actions, Refuse{router.NewRefuse(request.ID(), withOutcome(request, errExpired), retryAfter)})
--- a/entry/quarantine/core_test.go
+++ b/entry/quarantine/core_test.go
@@ -232,3 +232,26 @@
 		}
 	}
 }
+
+// TestBansOutlastSuspects guards against a ban that is forgotten for suspects of which there
+// are more than are remembered, and against one that an entry learns late.
+func TestBansOutlastSuspects(t *testing.T) {
+	s := newSimulation(t)
+	s.submit(0, 0, "bad")
+	s.runToCompletion()
+	for n := range 300 {
+		s.now = s.now.Add(time.Second)
+		for entry, core := range s.entries {
+			request := router.NewRequest(router.RequestConfig{ID: fmt.Sprint("other", n), Body: []byte(fmt.Sprint(n)), Deadline: s.now.Add(time.Hour)})
+			s.execute(entry, core.Handle(s.now, NewCrashed(router.NewCrashReport(request, false))))
+			core.Tick(s.now)
+		}
+	}
+	s.entries = append(s.entries, NewCore(CoreConfig{Capacity: 100, SuspectTTL: time.Minute, BanDuration: time.Hour}))
+	s.applyLog()
+	for entry := range s.entries {
+		if diff := cmp.Diff(quarantined, s.answers[s.submit(entry, 0, "bad")]); diff != "" {
+			t.Errorf("copy at entry %d (-want +got):\n%s", entry, diff)
+		}
+	}
+}
--- a/entry/quarantine/message.go
+++ b/entry/quarantine/message.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"sesamewell.example/commons/fleetstate"
+	"sesamewell.example/commons/protocol"
+	"sesamewell.example/commons/quarantine"
 	"sesamewell.example/entry/router"
 )
 
@@ -29,8 +31,13 @@
 // Fingerprint returns the fingerprint of the banned requests.
 func (b Ban) Fingerprint() string { return b.config.Fingerprint }
 
-// Until returns the time at which the ban ends.
-func (b Ban) Until() time.Time { return b.config.Until }
+// evidence returns the crash for which the request was banned, as of a given time.
+func (b Ban) evidence(now time.Time) protocol.SuspectConfig {
+	return protocol.SuspectConfig{
+		Kind: uint8(quarantine.RequestKind), ID: b.config.Fingerprint,
+		Crashes: []protocol.CrashConfig{{Backend: b.config.Fingerprint, StartTime: b.config.At.UnixNano(), Age: now.Sub(b.config.At), Alone: true}},
+	}
+}
 
 // Record returns the log record of the ban. change is the ID of the change.
 func (b Ban) Record(change string) (fleetstate.Record, error) {
