--- a/lobby/quarantine/verdict.go
+++ b/commons/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -9,11 +10,9 @@
 type verdict struct {
 	events int
 	last   time.Time // time of the last crash
+	until  time.Time // time until which no request of the suspect is sent
 }
 
-// until returns the time until which no request of the suspect is sent.
-func (v verdict) until() time.Time { return v.last.Add(quarantineLength(v.events)) }
-
 // State says what has become of a suspect.
 type State string
 
@@ -54,49 +53,65 @@
 func (c *Core) judge() {
 	verdicts := make(map[Suspect]verdict)
 	explained := make(map[start]bool)
-	for {
-		suspect, v, ok := c.leading(explained, verdicts)
-		if !ok {
-			break
-		}
-		verdicts[suspect] = v
-		for from, crashed := range c.records[suspect].crashes {
-			explained[from] = explained[from] || !crashed.cleared
+	candidates := c.candidates()
+	for len(candidates) > 0 {
+		leading := candidates[0]
+		candidates = candidates[1:]
+		f := leading.record.findings(explained)
+		switch {
+		case !c.config.Policy.Enough(f):
+		case f.events < leading.events:
+			candidates = insertCandidate(candidates, candidate{record: leading.record, events: f.events})
+		default:
+			verdicts[leading.record.suspect] = verdict{events: f.events, last: f.last, until: f.last.Add(c.config.Policy.Quarantine(f, c.config.Lifetime))}
+			leading.record.explain(explained)
 		}
 	}
 	c.noteChanges(verdicts)
 	c.verdicts = verdicts
 }
 
-// leading returns the suspect with the most evidence in the crashes that are not
-// explained, if it is enough for a quarantine.
-func (c *Core) leading(explained map[start]bool, verdicts map[Suspect]verdict) (Suspect, verdict, bool) {
-	var leader Suspect
-	var most verdict
-	for suspect, r := range c.records {
-		if _, judged := verdicts[suspect]; judged || len(r.crashes) < fewestEvents {
-			continue
-		}
-		times := r.times(explained)
-		n := events(times)
-		if !isEnough(times, r.copies.count(r.crashes, explained)) || n < most.events {
-			continue
-		}
-		if n > most.events || c.moreLikely(suspect, leader) {
-			leader, most = suspect, verdict{events: n, last: times[len(times)-1]}
+// candidate is a suspect that may be quarantined.
+type candidate struct {
+	record *record
+	events int // in crashes that may have been explained since
+}
+
+// candidates returns the suspects with enough evidence, those with the most first. What is
+// explained later only takes some of it away.
+func (c *Core) candidates() []candidate {
+	var candidates []candidate
+	for r := range c.records() {
+		if r.weight.convicted {
+			candidates = append(candidates, candidate{record: r, events: r.weight.events})
 		}
 	}
-	return leader, most, most.events > 0
+	slices.SortFunc(candidates, compareCandidates)
+	return candidates
+}
+
+func insertCandidate(candidates []candidate, added candidate) []candidate {
+	n, _ := slices.BinarySearchFunc(candidates, added, compareCandidates)
+	return slices.Insert(candidates, n, added)
+}
+
+// compareCandidates orders suspects by their evidence, the most first. With as much, one that
+// had never been answered before its crashes is more likely, then the more specific one.
+func compareCandidates(a, b candidate) int {
+	if n := cmp.Compare(b.events, a.events); n != 0 || a.record.sound == b.record.sound {
+		return cmp.Or(n, cmp.Compare(b.record.rank, a.record.rank), cmp.Compare(b.record.suspect.id, a.record.suspect.id))
+	}
+	if b.record.sound {
+		return -1
+	}
+	return 1
 }
 
-// moreLikely decides between suspects with equal evidence: one that had never been
-// answered before its crashes is more likely, then the more specific one.
-func (c *Core) moreLikely(a, b Suspect) bool {
-	left, right := c.records[a], c.records[b]
-	if left.sound != right.sound {
-		return right.sound
+// explain adds the crashes of the record to those with a known cause.
+func (r *record) explain(explained map[start]bool) {
+	for _, c := range r.crashes {
+		explained[c.from] = explained[c.from] || !c.cleared
 	}
-	return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(a.id, b.id)) > 0
 }
 
 // noteChanges notes the suspects that are quarantined or released by new verdicts.
@@ -114,7 +129,7 @@
 }
 
 func (c *Core) noteChange(suspect Suspect, state State, v verdict) {
-	c.changes = append(c.changes, Change{suspect: suspect, state: state, events: v.events, lastCrash: v.last, until: v.until()})
+	c.changes = append(c.changes, Change{suspect: suspect, state: state, events: v.events, lastCrash: v.last, until: v.until})
 }
 
 // Changes returns the suspects that were quarantined, tried or released since the last call.
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -37,12 +37,14 @@
 //	├── farewell (end of a drain)
 //	├── porch    (connections of callers and to backend servers, package proxy)
 //	├── dialer   (new connections to backend servers, several threads)
+//	├── confirmer (ends of backend servers, package proxy, several threads)
 //	├── steward  (decisions on requests, package scheduler)
 //	├── fetches  (calls to keepers for adapters, package keeperclient, several threads)
 //	├── assigns  (calls to keepers with assignments, package keeperclient, several threads)
 //	├── planner  (placement of models, package placement)
 //	├── demand   (saved demand for models, package placement)
 //	├── streams  (software versions at which streams began, package resumption)
+//	├── suspects (saved evidence against crashing requests, package quarantine)
 //	├── parley   (calls to other lobbies, package broadcast, one thread for each)
 //	├── door     (calls from other lobbies, package peerrpc)
 //	├── catch up (reads of configurations that another lobby has first, package discovery)
@@ -64,7 +66,9 @@
 	}
 	m.rpcClient = newRPCClients()
 	m.state = discovery.NewState(discovery.StateConfig{Listener: m, Log: log})
-	m.scheduler = newScheduler(settings, log)
+	registry := newRegistry(settings, log)
+	recorder := quarantine.NewRecorder(quarantine.RecorderConfig{Self: m.self, Store: registry, Observer: m, Log: log})
+	m.scheduler = newScheduler(settings, recorder, log)
 	var err error
 	if m.proxy, err = newProxy(settings, m.scheduler, log); err != nil {
 		return nil, err
@@ -77,7 +81,6 @@
 		Handler: m,
 		Log:     log,
 	})
-	registry := newRegistry(settings, log)
 	m.planner = newPlanner(settings, m, keepers, registry, log)
 	journal := resumption.NewJournal(resumption.JournalConfig{Self: m.self, Store: registry, Observer: m, MissedErr: discovery.ErrMissed, Log: log})
 	m.scheduler.Attach(m.proxy, keepers, m, journal)
@@ -87,7 +90,7 @@
 	})
 	p.add(p.drainer)
 	p.add(m.proxy.Services()...)
-	p.add(m.scheduler.EventLoop())
+	p.add(m.scheduler.EventLoop(), recorder.EventLoop())
 	p.add(keepers.Services()...)
 	p.add(m.broadcaster)
 	p.add(m.planner.Services()...)
@@ -168,7 +171,7 @@
 	})
 }
 
-func newScheduler(settings *inifile.Values, log *logrus.Entry) *scheduler.Scheduler {
+func newScheduler(settings *inifile.Values, recorder *quarantine.Recorder, log *logrus.Entry) *scheduler.Scheduler {
 	return scheduler.New(scheduler.Config{
 		Core: scheduler.CoreConfig{
 			Domain:     settings.Text("process", "domain"),
@@ -178,7 +181,7 @@
 			Cold:       scheduler.ColdConfig{Self: settings.Address("door", "listen"), Overshoot: settings.Decimal("cold", "overshoot"), Slack: settings.Decimal("cold", "slack")},
 			Limiter:    ratelimit.New(ratelimit.Config{PeerTimeout: peerTimeout, PeerExpiry: peerExpiry, LeaveTime: stopSchedule(settings).AcceptPeriod() + leaveMargin, InitialLobbies: minLobbies, InitialFill: initialFill, DiscoveryTime: discoveryTime, StartTime: time.Now()}),
 			Streams:    resumption.New(),
-			Quarantine: quarantine.New(quarantine.Config{Self: settings.Address("door", "listen")}),
+			Quarantine: quarantine.NewCore(quarantine.CoreConfig{Self: settings.Address("door", "listen"), Lifetime: settings.Duration("suspects", "remember")}),
 			RetryBudget: scheduler.RetryBudgetConfig{
 				Ratio:  settings.Decimal("retries", "ratio"),
 				Extra:  settings.Decimal("retries", "extra"),
@@ -187,6 +190,7 @@
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 		Capacity: settings.Integer("steward", "inbox"),
+		Suspects: recorder,
 		Log:      log,
 	})
 }
