Reset a stream without chunks until all of it has been sent

Cause: the reset by a close, which tells an HTTP/1.0 caller that the process ended in the middle of a stream, was taken back when the last event had been passed on, not when it had left the process or its kernel. A stop or a kill in between left a stream that looks complete.

Change: it is taken back where the connection is ended in its own direction, once the kernel has all that is to be sent, or closed with nothing left.

--- a/commons/httpserver/call.go
+++ b/commons/httpserver/call.go
@@ -82,17 +82,13 @@
 		response.Header.SetConnectionClose()
 	}
 	if !c.chunked {
-		if err := c.conn.write(resetIfClosed); err != nil {
+		if err := c.conn.write(c.conn.resetIfClosed); err != nil {
 			return err
 		}
 	}
 	return c.send(response.Header.AppendBytes(nil))
 }
 
-// resetIfClosed makes the kernel reset a connection that is closed, also by the end of the
-// process: it would complete an answer without chunks.
-func resetIfClosed(socket gnet.Conn) error { return socket.SetLinger(0) }
-
 // Write sends one piece of the body. It returns ErrCallerGone if the caller has
 // disconnected or reads too slowly.
 func (c *Call) Write(piece []byte) error {
@@ -172,11 +168,6 @@
 	if c.keepAlive && !c.conn.flooded {
 		return c.conn.release(socket)
 	}
-	if !c.chunked {
-		if err := socket.SetLinger(-1); err != nil {
-			return err
-		}
-	}
 	return c.conn.closeWhenSent(socket)
 }
 
--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -21,6 +21,7 @@
 	continueSent bool
 	ended        bool   // nothing that arrives is read any more
 	flooded      bool   // too many bytes have arrived behind the open call or an unread answer
+	resets       bool   // the kernel resets the connection when it is closed
 	address      string // IP of the caller
 	unread       Unread
 	inbound      int64        // bytes that have arrived and are not read; charged to the address
--- a/commons/httpserver/connend_test.go
+++ b/commons/httpserver/connend_test.go
@@ -177,3 +177,59 @@
 	t.Fatal("server did not start")
 	return nil
 }
+
+// TestStreamWithoutChunksIsResetUntilItIsSent guards against an answer for an HTTP/1.0 caller that
+// looks complete since the server stops before its last bytes have left the process.
+func TestStreamWithoutChunksIsResetUntilItIsSent(t *testing.T) {
+	cases := map[string]struct{ size int }{
+		"taken by the kernel":       {size: 16},
+		"kept by the process still": {size: 16 << 20},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			inbox := ring.New(ring.Config{Name: "test", Capacity: 64})
+			address := testkit.FreeAddress(t)
+			server := httpserver.New(httpserver.Config{
+				Address: address, Inbox: inbox, Log: testkit.DiscardLog(), MaxHeader: 2048, MaxBody: 4096,
+				MaxUnsent: 64 << 20, MaxConns: 64, SlowSender: timeout, Idle: timeout, Stall: timeout,
+			})
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(ctx) }()
+			conn := dialStarting(t, address)
+			if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\nHost: a\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			item, err := inbox.Take(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			call := item.(*httpserver.Call)
+			if err := errors.CombineErrors(call.Begin(&fasthttp.Response{}), call.Write(make([]byte, tc.size))); err != nil {
+				t.Fatal(err)
+			}
+			call.End()
+			reader := bufio.NewReader(conn)
+			if _, err := reader.ReadByte(); err != nil { // the writes above are queued in their order
+				t.Fatal(err)
+			}
+			stop()
+			<-served
+			if err := reader.UnreadByte(); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return // broken off
+			}
+			body, err := io.ReadAll(response.Body)
+			if diff := cmp.Diff(false, err == nil && len(body) < tc.size); diff != "" {
+				t.Errorf("looks complete with %d of %d bytes (-want +got):\n%s", len(body), tc.size, diff)
+			}
+		})
+	}
+}
--- a/commons/httpserver/linger.go
+++ b/commons/httpserver/linger.go
@@ -22,6 +22,11 @@
 // the caller the end of its answer. A connection that makes room for others is closed.
 func (c *conn) endSending(now time.Time, socket gnet.Conn) error {
 	c.ended = true
+	if c.resets {
+		if err := socket.SetLinger(-1); err != nil {
+			return err
+		}
+	}
 	if c.closing.Load() || Unacknowledged(socket.Fd()) == 0 {
 		return socket.Close()
 	}
@@ -34,6 +39,13 @@
 	return unix.Shutdown(socket.Fd(), unix.SHUT_WR)
 }
 
+// resetIfClosed makes the kernel reset the connection when it is closed before all has been sent,
+// also by the end of the process: that would complete an answer without chunks.
+func (c *conn) resetIfClosed(socket gnet.Conn) error {
+	c.resets = true
+	return socket.SetLinger(0)
+}
+
 // finishClose closes a connection of which the own direction has ended, once the caller has
 // taken all and sends no more, or has had the time that a request may take.
 func (c *conn) finishClose(now time.Time, socket gnet.Conn) error {
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -25,6 +25,7 @@
 	lastByte         time.Time // arrival of the last byte of the current request
 	wire             int64     // bytes that have arrived since its first byte
 	closeAfterAnswer bool
+	resets           bool      // the kernel resets the connection when it is closed
 	flooded          bool      // too many bytes have arrived behind the open request
 	closed           bool      // no further request is taken
 	lingerSince      time.Time // time at which the connection ended in its own direction; zero before
--- a/lobby/proxy/exchange.go
+++ b/lobby/proxy/exchange.go
@@ -120,8 +120,6 @@
 	}
 	if e.chunked {
 		e.caller.write(lastChunk)
-	} else {
-		e.caller.resetIfClosed(false)
 	}
 	e.proxy.notifyScheduler(scheduler.NewSendEnded(e.number, scheduler.Complete, a.head.StatusCode()).WithLongestPause(e.longestPause).WithEvents(e.scanner.Events()))
 	e.proxy.closeExchange(now, e)
--- a/lobby/proxy/outbound.go
+++ b/lobby/proxy/outbound.go
@@ -71,6 +71,7 @@
 	case c.buffer.Len() > 0 || httpserver.Unacknowledged(c.conn.Fd()) > 0:
 		c.endSending(now)
 	default:
+		c.resetIfClosed(false)
 		c.closeNow()
 	}
 }
@@ -106,6 +107,10 @@
 // resetIfClosed sets whether the kernel resets the connection when it is closed, also by the end
 // of the process. It does while an answer is sent that its end would complete.
 func (c *callerConn) resetIfClosed(reset bool) {
+	if reset == c.resets {
+		return
+	}
+	c.resets = reset
 	seconds := -1
 	if reset {
 		seconds = 0
@@ -180,6 +185,7 @@
 // endSending ends the connection in its own direction.
 func (c *callerConn) endSending(now time.Time) {
 	c.lingerSince, c.since = now, now
+	c.resetIfClosed(false)
 	if err := unix.Shutdown(c.conn.Fd(), unix.SHUT_WR); err != nil {
 		c.closeNow()
 	}
