Report each confirmation of an answer, and confirm none late

Change: a confirmation is reported until there is room, with a log line; one that is half a second late is left out, and its answer taken for complete; the exchange is looked at again after the last bytes.

--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -265,7 +265,7 @@
 		return true
 	}
 	data, err := b.answer.guard.end()
-	return err == nil && b.takeBody(now, data) == nil
+	return err == nil && b.takeBody(now, data) == nil && b.exchange != nil // it may have been given up
 }
 
 // completeAtEnd reports whether the end of the connection, in order, completes the answer.
--- a/lobby/proxy/confirmation.go
+++ b/lobby/proxy/confirmation.go
@@ -18,6 +18,7 @@
 const (
 	confirmers     = 4                      // threads that open connections for confirmations
 	confirmTimeout = 250 * time.Millisecond // limit on such a connection
+	maxConfirmWait = 500 * time.Millisecond // time for which an answer waits for its turn; it is taken for complete then
 	// confirmDelay is the time from the end of a connection to its confirmation, in which the
 	// kernel closes the listening socket of a process that was killed.
 	confirmDelay = 40 * time.Millisecond
@@ -82,18 +83,33 @@
 		if err := supervisor.Sleep(ctx, time.Until(request.due)); err != nil {
 			return err
 		}
-		result := confirmation{conn: request.conn, ended: c.refuses(request.address)}
-		if err := c.proxy.inbox.PutWithin(ctx, result, reportWait); err != nil && ctx.Err() != nil {
+		late := time.Since(request.due) > maxConfirmWait
+		if err := c.report(ctx, confirmation{conn: request.conn, ended: !late && c.hasEnded(request.address)}); err != nil {
+			return err
+		}
+	}
+}
+
+// report passes a confirmation to the event loop. It waits for room in the inbox, since the
+// answer would never end. It returns an error only if ctx ends before.
+func (c *confirmer) report(ctx context.Context, result confirmation) error {
+	for {
+		err := c.proxy.inbox.PutWithin(ctx, result, reportWait)
+		if err == nil {
+			c.proxy.wake()
+			return nil
+		}
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		c.proxy.wake()
+		c.proxy.config.Log.WithField("event", "confirm").WithError(err).Warn("confirmation of an answer not reported yet: inbox of the event loop full")
 	}
 }
 
-// refuses reports whether a backend server refuses connections. Any other failure to open one
+// hasEnded reports whether a backend server refuses connections. Any other failure to open one
 // says nothing of it: this process may lack something, and a machine without power, which does
 // not answer, has not ended its connections in order either.
-func (c *confirmer) refuses(address string) bool {
+func (c *confirmer) hasEnded(address string) bool {
 	conn, err := c.proxy.config.Dial(address, confirmTimeout)
 	if err != nil {
 		return errors.Is(err, unix.ECONNREFUSED)
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -132,7 +132,10 @@
 	if config.Dial == nil {
 		config.Dial = platform.Dial
 	}
-	config.Scheduler, config.Readiness, config.Log = inbox, l, testkit.DiscardLog()
+	if config.Log == nil {
+		config.Log = testkit.DiscardLog()
+	}
+	config.Scheduler, config.Readiness = inbox, l
 	l.proxy = proxy.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stop = cancel
