Conclude the version of a stream only from what all lobbies can know

Causes, found by the second review of this work, each a way to join streams of two versions, or to refuse streams for long: - A stream that had begun at a doubted backend server was not remembered, so that at the next lobby it passed for one of the only known version. Such streams are now remembered, told and saved without a version. - A stream that had begun at a version that the store did not take was no reason against the store's only version. Versions of which a lobby knows streams now count as well as those that the store has, and only those two; streams begin at others when no backend server of a saved version has the model (before: after 3 s). - A stream that nobody knows passed for an earlier one although not all other lobbies had been heard. They must have been, but for the first 2 s. - Two lobbies kept a version alive for each other by their digests; now these tell for how long it is kept. - The answer to a save that was repeated, or to one before it, passed for the one to the newest. Saves have serials, and one is open at a time. - A version that was removed and came back within one save was removed. - That the store came back from a backup was told once, even if it was not heard.

Evidence: TestStreamBegunWithoutTheStoreIsNotOfAnotherVersion, TestLobbyThatHearsNoOtherKnowsNoEarlierStreams, TestFleetForgetsAVersion, TestRepeatedSaveIsAcknowledgedOnce, TestVersionThatReturnsIsNotRemoved and TestRestoreThatIsNotTakenIsRepeated failed before and hold; the rig of processes (TestStreamStaysWithItsVersion, TestTakeUpsGoOnWhenAVersionAppears, TestServerThatWasDownForAWhileIsDoubted) still joins none.

--- a/commons/protocol/streams.go
+++ b/commons/protocol/streams.go
@@ -12,7 +12,8 @@
 	Version string
 }
 
-// StreamsConfig is a number of streams that began at the same software version.
+// StreamsConfig is a number of streams that began at the same software version, which is empty
+// while nobody knows it. Without streams it names a version that the platform's store has.
 type StreamsConfig struct {
 	Service string
 	Version string
@@ -22,10 +23,11 @@
 
 // StreamsSaveConfig holds the construction parameters of a StreamsSave.
 type StreamsSaveConfig struct {
+	Serial  uint64                  // of the save among those of its sender
 	Added   []SoftwareVersionConfig // versions of which streams may be open
 	Removed []SoftwareVersionConfig // versions of which no stream can be open any more
 	Streams []StreamsConfig         // that began at the sender
-	Mixed   bool                    // a service has several versions, so that other lobbies save streams too
+	Several bool                    // a service has several versions, so that other lobbies save streams too
 }
 
 // StreamsSave is what a lobby adds to what the platform's store keeps of software versions and
@@ -35,6 +37,9 @@
 // NewStreamsSave returns a StreamsSave.
 func NewStreamsSave(config StreamsSaveConfig) StreamsSave { return StreamsSave{config: config} }
 
+// Serial returns the number of the save among those of its sender.
+func (s StreamsSave) Serial() uint64 { return s.config.Serial }
+
 // Added returns the versions of which streams may be open.
 func (s StreamsSave) Added() []SoftwareVersionConfig { return s.config.Added }
 
@@ -49,8 +54,9 @@
 	return len(s.config.Added)+len(s.config.Removed)+len(s.config.Streams) == 0
 }
 
-// Mixed reports whether a service has several versions, so that other lobbies save streams too.
-func (s StreamsSave) Mixed() bool { return s.config.Mixed }
+// Several reports whether a service has several versions, so that other lobbies save streams
+// too.
+func (s StreamsSave) Several() bool { return s.config.Several }
 
 // SavedStreamsConfig holds the construction parameters of SavedStreams.
 type SavedStreamsConfig struct {
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -99,9 +99,9 @@
 	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewStreamsRead(saved, complete), putTimeout)
 }
 
-// StreamsSaved tells the scheduler that the store has taken what was to be saved of streams.
-func (m *mediator) StreamsSaved() error {
-	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.StreamsSaved{}, putTimeout)
+// StreamsSaved tells the scheduler that the store has taken a save of streams.
+func (m *mediator) StreamsSaved(serial uint64) error {
+	return m.scheduler.Inbox().PutWithin(context.Background(), scheduler.NewStreamsSaved(serial), putTimeout)
 }
 
 // StreamsRestored tells the scheduler that the store has lost what was saved of streams lately.
--- a/lobby/resumption/core.go
+++ b/lobby/resumption/core.go
@@ -16,18 +16,11 @@
 	// of a service. Later all other lobbies must have been heard within peerLifetime.
 	maxListAge   = 2500 * time.Millisecond
 	peerLifetime = time.Second
-	// maxSaveTime is the time after which streams begin at a version that the store has not
-	// been able to take.
-	maxSaveTime  = 3 * time.Second
-	expiryPeriod = 5 * time.Second
-	resendPeriod = 10 * time.Second // time after which a save without an answer is repeated
-	tellings     = 2                // digests in which a stream is told, since some are lost
-	maxTold      = 256              // streams in one digest
-	maxSaved     = 1 << 12          // streams in one save
-	// The time between two saves grows with the number of lobbies, which share the store's
-	// rate of writes.
-	minSavePeriod      = 250 * time.Millisecond
-	savePeriodPerLobby = 50 * time.Millisecond
+	// joinPeriod is the time after which a lobby that starts has heard all others.
+	joinPeriod       = 2 * time.Second
+	expiryPeriod     = 5 * time.Second
+	digestsPerStream = 2   // since some are lost
+	maxTold          = 256 // streams in one digest
 )
 
 // digestEntry is a stream that is to be told to the other lobbies.
@@ -39,27 +32,22 @@
 // Core decides at which software version a stream may go on. It does no I/O and is not safe
 // for concurrent use.
 type Core struct {
-	streams  *table
-	versions versions
-	mixed    map[string]bool      // services with several versions, whose streams are saved
-	earlier  map[string]string    // by service, the only version at which streams began before the store was read
-	loaded   time.Time            // time at which the store had been read; zero before
-	listed   time.Time            // time of the last list of backend servers
-	peers    map[string]time.Time // times of the last digests of the other lobbies
-	expired  time.Time            // time of the last check for what is over
-	digest   []digestEntry        // streams for the next digests, oldest first
-
-	unsaved  []httpmeta.StreamID              // own streams that are to be saved, oldest first
-	removed  []protocol.SoftwareVersionConfig // versions that are to be removed from the store
-	saving   *protocol.StreamsSave            // the save that the store has not answered; nil if there is none
-	lastSave time.Time                        // time of the last save
-	reread   bool                             // what the last save said of Mixed
+	streams    *table
+	versions   versions
+	saver      saver
+	several    map[string]bool      // services with several versions, whose streams are saved
+	onlyAtLoad map[string]string    // by service, the only version at which streams may have begun when the store was read
+	loaded     time.Time            // time at which the store had been read; zero before
+	listed     time.Time            // time of the last list of backend servers
+	peers      map[string]time.Time // times of the last digests of the other lobbies
+	expired    time.Time            // time of the last check for what is over
+	digest     []digestEntry        // streams for the next digests, oldest first
 }
 
 // New returns a core that knows nothing.
 func New() *Core {
 	return &Core{
-		streams: newTable(), versions: make(versions), mixed: make(map[string]bool), earlier: make(map[string]string), peers: make(map[string]time.Time),
+		streams: newTable(), versions: make(versions), several: make(map[string]bool), onlyAtLoad: make(map[string]string), peers: make(map[string]time.Time),
 	}
 }
 
@@ -67,77 +55,70 @@
 func (c *Core) SetBackends(now time.Time, backends []deployment.Backend) {
 	c.listed = now
 	c.versions.list(now, backends)
-	c.updateMixed(now)
+	c.updateSeveral(now)
 }
 
-// MayBegin reports whether resumable streams may begin at an origin: the store has its version,
-// so that a lobby that starts later knows of it, or has not been able to take it for long.
-func (c *Core) MayBegin(now time.Time, origin Origin) bool {
-	version, ok := c.versions[origin.service][origin.version]
-	return !ok || version.saved || now.Sub(version.since) >= maxSaveTime
+// Saved reports whether the store has the version of an origin, so that lobbies that start later
+// know that streams may have begun there.
+func (c *Core) Saved(origin Origin) bool {
+	version := c.versions.of(origin)
+	return version == nil || version.saved
 }
 
 // Began records that a stream has begun at an origin, or gone on there. It is remembered until
-// its caller's timeout ends.
+// its caller's timeout ends. The origin has no version while that is not known.
 func (c *Core) Began(now time.Time, stream httpmeta.StreamID, origin Origin, until time.Time) {
 	until = until.Add(retentionSlack)
 	if latest := now.Add(maxRetention); until.After(latest) {
 		until = latest
 	}
 	c.add(stream, record{origin: origin, source: SourceOwn, learnt: now, until: until})
-	c.digest = append(c.digest, digestEntry{stream: stream, digests: tellings})
+	c.digest = append(c.digest, digestEntry{stream: stream, digests: digestsPerStream})
 	c.digest = c.digest[max(len(c.digest)-maxStreams, 0):]
-	if c.mixed[origin.service] {
-		c.save(stream)
+	if c.several[origin.service] || origin.version == "" {
+		c.saver.add(stream)
 	}
 }
 
-// add records where a stream began, and until when its version may have streams.
+// add records where a stream began, and that its version has streams.
 func (c *Core) add(stream httpmeta.StreamID, next record) {
 	c.streams.add(stream, next)
-	if version, ok := c.versions[next.origin.service][next.origin.version]; ok && next.until.After(version.until) {
-		version.until = next.until
+	if version := c.versions.of(next.origin); version != nil {
+		version.hasStreams = true
+		version.keep(next.until)
 	}
 }
 
-func (c *Core) save(stream httpmeta.StreamID) {
-	c.unsaved = append(c.unsaved, stream)
-	c.unsaved = c.unsaved[max(len(c.unsaved)-maxStreams, 0):]
-}
-
 // Find returns what is known of the origin of a stream that a caller takes up, whose request
 // goes to a service. lobbies is the number of lobbies.
 func (c *Core) Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) Finding {
 	if r, ok := c.streams.records[stream]; ok && r.until.After(now) {
-		if r.unclear {
+		if r.unclear || r.origin.version == "" {
 			return Finding{source: SourceUnknown, age: now.Sub(r.learnt)}
 		}
 		return Finding{origin: r.origin, source: r.source, age: now.Sub(r.learnt)}
 	}
 	finding := Finding{age: now.Sub(c.listed)}
 	only, single := c.versions.only(service)
-	earlier, ok := c.earlier[service]
+	atLoad, ok := c.onlyAtLoad[service]
 	switch {
 	case c.loaded.IsZero():
 		finding.source = SourceUnread
-	case !c.upToDate(now, lobbies):
+	case now.Sub(c.listed) > maxListAge && !c.heardAll(now, lobbies):
 		finding.source = SourceStale
 	case single:
 		finding.origin, finding.source = NewOrigin(service, only), SourceOnly
-	case ok && now.Sub(c.loaded) <= earlierPeriod:
-		finding.origin, finding.source = NewOrigin(service, earlier), SourceEarlier
+	case ok && now.Sub(c.loaded) <= earlierPeriod && (now.Sub(c.loaded) <= joinPeriod || c.heardAll(now, lobbies)):
+		finding.origin, finding.source = NewOrigin(service, atLoad), SourceEarlier
 	default:
 		finding.source = SourceUnknown
 	}
 	return finding
 }
 
-// upToDate reports whether no other lobby can have begun streams at a version of which this one
-// does not know: the list is new enough to name it, or all others have been heard.
-func (c *Core) upToDate(now time.Time, lobbies int) bool {
-	if now.Sub(c.listed) <= maxListAge {
-		return true
-	}
+// heardAll reports whether all other lobbies have been heard lately, so that this one knows of
+// the streams that have begun there.
+func (c *Core) heardAll(now time.Time, lobbies int) bool {
 	heard := 0
 	for _, last := range c.peers {
 		if now.Sub(last) <= peerLifetime {
@@ -150,92 +131,99 @@
 // UpdatePeer records what another lobby tells.
 func (c *Core) UpdatePeer(now time.Time, digest protocol.Digest) {
 	c.peers[digest.Sender()] = now
-	c.learn(now, digest.Streams(), SourcePeer)
+	for _, group := range digest.Streams() {
+		if len(group.Streams) == 0 {
+			c.learnSaved(now, group)
+			continue
+		}
+		c.learn(now, group, SourcePeer)
+	}
+	c.updateSeveral(now)
 }
 
-// Load records what the store keeps, or a part of it. complete is set if all has been read.
+// learnSaved records that the store has a version, as another lobby tells.
+func (c *Core) learnSaved(now time.Time, group protocol.StreamsConfig) {
+	if version := c.versions.learn(NewOrigin(group.Service, group.Version)); version != nil {
+		version.saved = true
+		version.keep(now.Add(min(group.Left, maxRetention)))
+	}
+}
+
+// Load records what the store keeps, or a part of it. complete is set with the last part.
 func (c *Core) Load(now time.Time, saved protocol.SavedStreams, complete bool) {
 	for _, config := range saved.Versions() {
-		if version := c.versions.learn(now, NewOrigin(config.Service, config.Version)); version != nil {
+		if version := c.versions.learn(NewOrigin(config.Service, config.Version)); version != nil {
 			version.saved = true
+			version.keep(now.Add(minRetention))
 		}
 	}
-	c.learn(now, saved.Streams(), SourceStore)
+	for _, group := range saved.Streams() {
+		if origin := NewOrigin(group.Service, group.Version); origin.version == "" || c.versions.of(origin) != nil { // else it is over
+			c.learn(now, group, SourceStore)
+		}
+	}
+	c.updateSeveral(now)
 	if complete && c.loaded.IsZero() {
 		c.loaded = now
 		for service := range c.versions {
 			if only, ok := c.versions.only(service); ok {
-				c.earlier[service] = only
+				c.onlyAtLoad[service] = only
 			}
 		}
 	}
 }
 
-// Saved records that the store has taken the last save.
-func (c *Core) Saved(now time.Time) {
-	if c.saving == nil {
+// learn records streams of which another lobby or the store tells. What the store keeps takes
+// no place of streams that are remembered.
+func (c *Core) learn(now time.Time, group protocol.StreamsConfig, source Source) {
+	origin := NewOrigin(group.Service, group.Version)
+	if origin.version != "" && c.versions.learn(origin) == nil {
 		return
 	}
-	c.versions.markSaved(c.saving.Added())
-	c.saving = nil
-	c.updateMixed(now)
+	until := now.Add(min(group.Left, maxRetention))
+	for _, stream := range group.Streams {
+		if source == SourceStore && c.streams.full() {
+			return
+		}
+		c.add(stream, record{origin: origin, source: source, learnt: now, until: until})
+	}
+}
+
+// SaveAnswered records that the store has taken the save of a serial.
+func (c *Core) SaveAnswered(now time.Time, serial uint64) {
+	if save := c.saver.answered(serial); save != nil {
+		c.versions.markSaved(save.Added())
+		c.updateSeveral(now)
+	}
 }
 
 // Restored records that the store has lost what was saved lately. All that this lobby knows
 // of its own is saved again.
 func (c *Core) Restored(now time.Time) {
 	c.versions.markLost()
-	c.saving = nil
-	clear(c.mixed)
-	c.updateMixed(now)
+	c.saver.open = nil
+	clear(c.several)
+	c.updateSeveral(now)
 }
 
-// learn records streams of which another lobby or the store tells, and the versions at which
-// they began. What the store keeps of versions that it does not have any more is over.
-func (c *Core) learn(now time.Time, groups []protocol.StreamsConfig, source Source) {
-	for _, group := range groups {
-		origin := NewOrigin(group.Service, group.Version)
-		if _, ok := c.versions[origin.service][origin.version]; !ok && source == SourceStore {
-			continue
-		}
-		version := c.versions.learn(now, origin)
-		if version == nil {
-			continue
-		}
-		version.claimed = true
-		until := now.Add(min(group.Left, maxRetention))
-		for _, stream := range group.Streams {
-			if source == SourceStore && c.streams.full() {
-				break
-			}
-			c.add(stream, record{origin: origin, source: source, learnt: now, until: until})
-		}
-	}
-	c.updateMixed(now)
-}
-
-// updateMixed has all own streams saved of the services that have several versions now.
-func (c *Core) updateMixed(now time.Time) {
-	for service := range c.mixed {
-		if !c.versions.mixed(service) {
-			delete(c.mixed, service)
-		}
-	}
+// updateSeveral has all own streams saved of the services that have several versions now.
+func (c *Core) updateSeveral(now time.Time) {
+	maps.DeleteFunc(c.several, func(service string, _ bool) bool { return !c.versions.several(service) })
 	for service := range c.versions {
-		if !c.versions.mixed(service) || c.mixed[service] {
+		if !c.versions.several(service) || c.several[service] {
 			continue
 		}
-		c.mixed[service] = true
+		c.several[service] = true
 		for _, stream := range c.streams.order {
 			if r, ok := c.streams.records[stream]; ok && r.source == SourceOwn && r.origin.service == service && r.until.After(now) {
-				c.save(stream)
+				c.saver.add(stream)
 			}
 		}
 	}
 }
 
 // ToTell returns the streams for the next digest, the newest first: they are the least known.
-// For services with several versions it has all of them.
+// For services with several versions it names all that the store has, without streams.
 func (c *Core) ToTell(now time.Time) []protocol.StreamsConfig {
 	from := max(len(c.digest)-maxTold, 0)
 	streams := make([]httpmeta.StreamID, 0, len(c.digest)-from)
@@ -248,10 +236,10 @@
 	}
 	c.digest = kept
 	groups := c.group(now, streams)
-	for service := range c.mixed {
+	for service := range c.several {
 		for name, version := range c.versions[service] {
-			if version.saved || version.claimed {
-				groups = append(groups, protocol.StreamsConfig{Service: service, Version: name})
+			if version.saved {
+				groups = append(groups, protocol.StreamsConfig{Service: service, Version: name, Left: max(version.forgetAt.Sub(now), 0)})
 			}
 		}
 	}
@@ -259,33 +247,13 @@
 	return groups
 }
 
-// compareGroups compares groups by their origins.
-func compareGroups(a, b protocol.StreamsConfig) int {
-	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
-}
-
 // ToSave returns what is to be saved in the store now, false if nothing is due. lobbies is the
-// number of lobbies. There is one save at a time, which is repeated if Saved does not follow.
+// number of lobbies. Until SaveAnswered follows there is no other save, and this one is repeated.
 func (c *Core) ToSave(now time.Time, lobbies int) (protocol.StreamsSave, bool) {
 	c.expire(now)
-	if c.saving != nil {
-		if now.Sub(c.lastSave) < resendPeriod {
-			return protocol.StreamsSave{}, false
-		}
-		c.lastSave = now
-		return *c.saving, true
-	}
-	config := protocol.StreamsSaveConfig{Added: c.versions.unsaved(), Removed: c.removed, Mixed: len(c.mixed) > 0}
-	due := now.Sub(c.lastSave) >= max(minSavePeriod, time.Duration(lobbies)*savePeriodPerLobby)
-	if len(config.Added)+len(c.removed) == 0 && config.Mixed == c.reread && (!due || len(c.unsaved) == 0) {
-		return protocol.StreamsSave{}, false
-	}
-	n := min(len(c.unsaved), maxSaved)
-	config.Streams = c.group(now, c.unsaved[:n])
-	save := protocol.NewStreamsSave(config)
-	c.saving, c.lastSave, c.reread = &save, now, config.Mixed
-	c.removed, c.unsaved = nil, c.unsaved[n:]
-	return save, true
+	return c.saver.next(now, savePeriod(lobbies), c.versions, len(c.several) > 0, func(streams []httpmeta.StreamID) []protocol.StreamsConfig {
+		return c.group(now, streams)
+	})
 }
 
 // Loaded reports whether the store has been read since the start.
@@ -304,9 +272,9 @@
 	}
 	c.expired = now
 	c.streams.expire(now)
-	c.removed = append(c.removed, c.versions.expire(now)...)
+	c.saver.remove(c.versions.expire(now))
 	maps.DeleteFunc(c.peers, func(_ string, last time.Time) bool { return now.Sub(last) > minRetention })
-	c.updateMixed(now)
+	c.updateSeveral(now)
 }
 
 // group returns streams by origin, in the order of their origins, without those that are
@@ -333,3 +301,8 @@
 	slices.SortFunc(groups, compareGroups)
 	return groups
 }
+
+// compareGroups compares groups by their origins.
+func compareGroups(a, b protocol.StreamsConfig) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+}
--- a/lobby/resumption/journal.go
+++ b/lobby/resumption/journal.go
@@ -46,8 +46,8 @@
 	// StreamsRead takes what the store keeps, or a part of it. complete is set with the last
 	// part.
 	StreamsRead(saved protocol.SavedStreams, complete bool) error
-	// StreamsSaved takes note that the store has taken the last save.
-	StreamsSaved() error
+	// StreamsSaved takes note that the store has taken the save of a serial.
+	StreamsSaved(serial uint64) error
 	// StreamsRestored takes note that the store has lost what was saved lately.
 	StreamsRestored() error
 }
@@ -70,7 +70,8 @@
 	position  deployment.Position
 	read      bool      // all has been read and passed to the observer
 	lastRead  time.Time // time of the last read
-	mixed     bool      // a service had several versions at the last save
+	several   bool      // a service had several versions at the last save
+	restored  bool      // the store came back from a backup, of which the observer has not been told
 	slot      int       // that was written last
 	pending   *protocol.StreamsSave
 	reachable bool
@@ -112,6 +113,9 @@
 		}
 		j.logResult(nil)
 		j.failures = 0
+		if j.restored {
+			continue
+		}
 		item, err := j.inbox.TakeWithin(ctx, j.untilRead(time.Now()))
 		if err != nil {
 			return err
@@ -129,6 +133,9 @@
 
 // step reads the store if that is due, and writes the save that waits.
 func (j *Journal) step(now time.Time) error {
+	if err := j.tellRestore(); err != nil {
+		return err
+	}
 	if !j.read || j.untilRead(now) <= 0 {
 		if err := j.readStore(now); err != nil {
 			return err
@@ -143,7 +150,7 @@
 // untilRead returns the time until the store is to be read again.
 func (j *Journal) untilRead(now time.Time) time.Duration {
 	period := idleReadPeriod
-	if j.mixed {
+	if j.several {
 		period = readPeriod
 	}
 	return period - now.Sub(j.lastRead)
@@ -155,7 +162,8 @@
 		return err
 	}
 	if j.read && position.Era() != j.position.Era() {
-		return j.restored(position.Era())
+		j.noteRestore(position.Era())
+		return nil
 	}
 	if slot, ok := saved.Slot(j.config.Self); ok && !j.read {
 		j.slot = slot
@@ -217,23 +225,39 @@
 		j.slot = (j.slot + 1) % slots
 		if era != j.position.Era() {
 			j.pending = nil
-			return j.restored(era)
+			j.noteRestore(era)
+			return nil
 		}
 	}
-	if j.mixed && !save.Mixed() { // no stream needs to be told apart any more
+	if j.several && !save.Several() { // all services have one version
 		if err := j.config.Store.ClearStreams(); err != nil {
-			return err
+			j.config.Log.WithField("event", "streams").WithError(err).Warn("streams of earlier versions left in the store")
 		}
 	}
-	j.mixed, j.pending = save.Mixed(), nil
-	return j.config.Observer.StreamsSaved()
+	if err := j.config.Observer.StreamsSaved(save.Serial()); err != nil {
+		return err
+	}
+	j.several, j.pending = save.Several(), nil
+	return nil
 }
 
-// restored notes that the store came back from a backup, and has all of it read anew.
-func (j *Journal) restored(era int64) error {
+// noteRestore notes that the store came back from a backup: the observer is to be told, and all
+// of it to be read anew.
+func (j *Journal) noteRestore(era int64) {
 	j.config.Log.WithFields(logrus.Fields{"event": "store_restored", "reads": "streams", "era": era, "previous_era": j.position.Era()}).Warn("store restored: what is known of streams is saved again")
-	j.read = false
-	return j.config.Observer.StreamsRestored()
+	j.restored, j.read = true, false
+}
+
+// tellRestore tells the observer that the store came back from a backup, if it has not been told.
+func (j *Journal) tellRestore() error {
+	if !j.restored {
+		return nil
+	}
+	if err := j.config.Observer.StreamsRestored(); err != nil {
+		return err
+	}
+	j.restored = false
+	return nil
 }
 
 // logResult logs when calls of the store begin to fail or succeed again.
--- a/lobby/resumption/stream.go
+++ b/lobby/resumption/stream.go
@@ -26,7 +26,7 @@
 	streamSize = 160
 )
 
-// Origin is where a stream began.
+// Origin is where a stream began. It has no version while that is not known.
 type Origin struct {
 	service string
 	version string
--- a/lobby/resumption/table.go
+++ b/lobby/resumption/table.go
@@ -38,7 +38,13 @@
 		*known = next
 		return
 	}
-	known.unclear = known.unclear || known.origin != next.origin
+	switch {
+	case next.origin.version == "":
+	case known.origin.version == "":
+		known.origin, known.learnt = next.origin, next.learnt
+	default:
+		known.unclear = known.unclear || known.origin != next.origin
+	}
 	if next.until.After(known.until) {
 		known.until = next.until
 	}
--- a/lobby/resumption/versions.go
+++ b/lobby/resumption/versions.go
@@ -9,35 +9,37 @@
 
 // version is one software version of a service.
 type version struct {
-	listed  bool      // a backend server of it is on the list
-	since   time.Time // time from which on it has been known
-	seen    time.Time // last time at which it was listed or another lobby or the store told of it
-	until   time.Time // time until which the last stream is remembered that began there
-	saved   bool      // the store has it
-	claimed bool      // streams have begun there: the store or another lobby says so
+	listed     bool      // a backend server of it is on the list
+	forgetAt   time.Time // time at which it is forgotten, unless it is listed then
+	saved      bool      // the store has it
+	hasStreams bool      // streams have begun there, as far as this lobby knows
+}
+
+// keep remembers the version until a time at least.
+func (v *version) keep(until time.Time) {
+	if until.After(v.forgetAt) {
+		v.forgetAt = until
+	}
 }
 
 // versions holds the software versions of which streams may be open, by service.
 type versions map[string]map[string]*version
 
-// learn records that a version exists, and returns it; nil if the service has more versions
-// than are remembered.
-func (v versions) learn(now time.Time, origin Origin) *version {
+// of returns a version, nil if it is not known.
+func (v versions) of(origin Origin) *version { return v[origin.service][origin.version] }
+
+// learn returns a version, which it adds if it is not known; nil if the service has more
+// versions than are remembered.
+func (v versions) learn(origin Origin) *version {
 	known, ok := v[origin.service]
 	if !ok {
 		known = make(map[string]*version)
 		v[origin.service] = known
 	}
-	found, ok := known[origin.version]
-	if !ok {
-		if len(known) >= maxVersions {
-			return nil
-		}
-		found = &version{since: now}
-		known[origin.version] = found
+	if _, ok := known[origin.version]; !ok && len(known) < maxVersions {
+		known[origin.version] = &version{}
 	}
-	found.seen = now
-	return found
+	return known[origin.version]
 }
 
 // list records the list of backend servers.
@@ -48,20 +50,21 @@
 		}
 	}
 	for _, backend := range backends {
-		if version := v.learn(now, NewOrigin(backend.Service(), backend.Version())); version != nil {
+		if version := v.learn(NewOrigin(backend.Service(), backend.Version())); version != nil {
 			version.listed = true
+			version.keep(now.Add(minRetention))
 		}
 	}
 }
 
-// mixed reports whether a service has several versions.
-func (v versions) mixed(service string) bool { return len(v[service]) > 1 }
+// several reports whether a service has several versions.
+func (v versions) several(service string) bool { return len(v[service]) > 1 }
 
 // only returns the one version of a service at which streams may have begun, false if there are
 // none or several.
 func (v versions) only(service string) (only string, ok bool) {
 	for name, version := range v[service] {
-		if !version.saved && !version.claimed {
+		if !version.saved && !version.hasStreams {
 			continue
 		}
 		if ok {
@@ -72,13 +75,12 @@
 	return only, ok
 }
 
-// expire forgets the versions that have not been seen for minRetention and of whose streams
-// none is remembered, and returns those of them that the store has.
+// expire forgets the versions whose time is over, and returns those of them that the store has.
 func (v versions) expire(now time.Time) []protocol.SoftwareVersionConfig {
 	var saved []protocol.SoftwareVersionConfig
 	for service, known := range v {
 		for name, version := range known {
-			if version.listed || now.Sub(version.seen) <= minRetention || version.until.After(now) {
+			if version.listed || version.forgetAt.After(now) {
 				continue
 			}
 			delete(known, name)
@@ -109,7 +111,7 @@
 // markSaved records that the store has versions.
 func (v versions) markSaved(saved []protocol.SoftwareVersionConfig) {
 	for _, config := range saved {
-		if version, ok := v[config.Service][config.Version]; ok {
+		if version := v.of(NewOrigin(config.Service, config.Version)); version != nil {
 			version.saved = true
 		}
 	}
@@ -119,7 +121,7 @@
 func (v versions) markLost() {
 	for _, known := range v {
 		for _, version := range known {
-			version.claimed = version.claimed || version.saved
+			version.hasStreams = version.hasStreams || version.saved
 			version.saved = false
 		}
 	}
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -221,7 +221,7 @@
 	case StreamsRead:
 		c.config.Streams.Load(now, m.saved, m.complete)
 	case StreamsSaved:
-		c.config.Streams.Saved(now)
+		c.config.Streams.SaveAnswered(now, m.serial)
 	case StreamsRestored:
 		c.config.Streams.Restored(now)
 	case SuspectsRecalled:
--- a/lobby/scheduler/pin.go
+++ b/lobby/scheduler/pin.go
@@ -11,8 +11,8 @@
 // pinTo returns the pin to a version.
 func pinTo(version string) pin { return pin{set: true, version: version} }
 
-// pinToStart returns the pin to the version of a backend server at which a stream begins.
-func pinToStart(s *server) pin {
+// pinToServer returns the pin to the version of a backend server at which a stream begins.
+func pinToServer(s *server) pin {
 	if s.doubt.raised {
 		return pin{set: true, unknown: true}
 	}
@@ -34,8 +34,8 @@
 // is pinned to: one that may get new requests is listed, or other versions do not serve either.
 // A stream does not return to a backend server that has broken it off.
 func (c *Core) hasVersion(req *openRequest) bool {
-	if !req.pin.set {
-		return true
+	if !req.pin.set || req.pin.unknown {
+		return !req.pin.set
 	}
 	others := false
 	for _, s := range c.byService[req.service] {
--- a/lobby/scheduler/takeup.go
+++ b/lobby/scheduler/takeup.go
@@ -17,8 +17,9 @@
 	// Began records that a stream has begun or gone on at an origin, and the time at which
 	// its caller's timeout ends.
 	Began(now time.Time, stream httpmeta.StreamID, origin resumption.Origin, until time.Time)
-	// MayBegin reports whether resumable streams may begin at an origin.
-	MayBegin(now time.Time, origin resumption.Origin) bool
+	// Saved reports whether the store has the version of an origin, so that lobbies that start
+	// later know that streams may have begun there.
+	Saved(origin resumption.Origin) bool
 	// Find returns what is known of the origin of a stream that a caller takes up, whose
 	// request goes to a service. lobbies is the number of lobbies.
 	Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) resumption.Finding
@@ -28,8 +29,8 @@
 	Load(now time.Time, saved protocol.SavedStreams, complete bool)
 	// Loaded reports whether all that the store keeps has been loaded.
 	Loaded() bool
-	// Saved records that the store has taken the last save.
-	Saved(now time.Time)
+	// SaveAnswered records that the store has taken the save of a serial.
+	SaveAnswered(now time.Time, serial uint64)
 	// Restored records that the store has lost what was saved lately.
 	Restored(now time.Time)
 	// ToTell returns the streams for the next digest.
@@ -52,8 +53,11 @@
 	return StreamsRead{saved: saved, complete: complete}
 }
 
-// StreamsSaved reports that the store has taken what was to be saved.
-type StreamsSaved struct{}
+// StreamsSaved reports that the store has taken the save of a serial.
+type StreamsSaved struct{ serial uint64 }
+
+// NewStreamsSaved returns the message.
+func NewStreamsSaved(serial uint64) StreamsSaved { return StreamsSaved{serial: serial} }
 
 // StreamsRestored reports that the store has lost what was saved of streams lately.
 type StreamsRestored struct{}
@@ -110,15 +114,15 @@
 	return true
 }
 
-// mayBegin reports whether a backend server may run a request, whose stream begins there if it
-// is resumable: its version must be known to lobbies that start later, unless no other one
-// serves.
-func (c *Core) mayBegin(now time.Time, req *openRequest, s *server) bool {
-	if !req.route.Resumable() || req.pin.set || c.config.Streams.MayBegin(now, s.origin()) {
+// mayStartAt reports whether a request may start at a backend server. A resumable stream begins
+// only at a version that the store has, unless no backend server of such a version can run it.
+func (c *Core) mayStartAt(req *openRequest, s *server) bool {
+	if !req.route.Resumable() || req.pin.set || c.config.Streams.Saved(s.origin()) {
 		return true
 	}
 	return !slices.ContainsFunc(c.byService[req.service], func(other *server) bool {
-		return other.usable() && c.config.Streams.MayBegin(now, other.origin())
+		model := req.request.Model()
+		return other.usable() && c.eligible(req.queueKey(), other) && (model == "" || other.hasModel(model)) && c.config.Streams.Saved(other.origin())
 	})
 }
 
@@ -131,15 +135,16 @@
 // has begun, and remembers that for its caller. While the backend server is doubted, nobody
 // knows the version.
 func (c *Core) streamBegan(now time.Time, req *openRequest) {
-	req.pin = pinToStart(req.server)
-	if !req.route.Resumable() || req.pin.unknown {
+	req.pin = pinToServer(req.server)
+	if !req.route.Resumable() {
 		return
 	}
 	timeout := req.request.Timeout()
 	if timeout == 0 {
 		timeout = req.route.Timeout()
 	}
-	c.config.Streams.Began(now, req.streamID(), req.server.origin(), req.request.Arrived().Add(timeout))
+	origin := resumption.NewOrigin(req.service, req.pin.version)
+	c.config.Streams.Began(now, req.streamID(), origin, req.request.Arrived().Add(timeout))
 }
 
 // saveStreams has what is due saved.
