--- a/lobby/scheduler/constants.go
+++ b/lobby/scheduler/constants.go
@@ -54,7 +54,7 @@
 	// after its entry has left the list.
 	unlistedRetention = 2 * time.Minute
 	silenceLimit      = 400 * time.Millisecond // time without an answer after which a backend server with unanswered requests counts as silent
-	doubtTimeout      = 2 * time.Second        // time without a result after which a request no longer keeps others with its content waiting
+	resultTimeout     = 2 * time.Second        // time without a result after which a request no longer keeps others with its content waiting
 	soundAfter        = 250 * time.Millisecond // time for which an answer must go on to show that its prompt does not crash engines
 	// The following costs are added to the estimated delay at a backend server.
 
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -23,12 +23,12 @@
 }
 
 // mustWait reports whether the request has to wait, since it may crash its backend server
-// as others have that share its content. A send without a result for doubtTimeout is not
+// as others have that share its content. A send without a result for resultTimeout is not
 // waited for.
 func (c *Core) mustWait(now time.Time, req *openRequest) bool {
 	return c.config.Quarantine.MustWait(now, req.request, func(yield func(*httpmeta.Request) bool) {
 		for _, other := range c.requests {
-			if other == req || other.server == nil || other.inFlight() && now.Sub(other.sentAt) >= doubtTimeout {
+			if other == req || other.server == nil || other.inFlight() && now.Sub(other.sentAt) >= resultTimeout {
 				continue
 			}
 			if !yield(other.request) {
