Count a connection to a backend server once while the event loop that opens it ends

Cause: the connections of a pool, those being opened and those of the proxy were three numbers raised and lowered by hand. A dialer learns the end of a dial from the event loop or from the loop's end, whichever it sees first. If the loop had just opened the connection, a failure was reported as well and counted it out again; the pool, with -1 dials, then dialled a connection for no request. If the library took a connection and could not watch it, nothing was reported, and the pool held its place for ever (with one connection allowed: no request is sent to that backend server any more). A connection that the ended loop had left was not closed.

The loop ends like this when descriptors run out.

Change: the accounts are lengths of tables, whose entries are the connections; a dial that fails gives up its own place, if the connection has not been opened.

Left: the library keeps its own copy of the descriptor of a connection that its ended loop has not registered.

--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -81,7 +81,7 @@
 		if a.ranOut {
 			p.budget.Exhausted(now, p.openConnections())
 		}
-		a.pool.dialFailed(!a.ranOut)
+		a.conn.pool.dialFailed(a.conn, !a.ranOut)
 	case confirmation:
 		a.conn.confirm(now, a.ended)
 	case sweep:
@@ -120,7 +120,7 @@
 		ok = false
 	}
 	if !ok {
-		target = &pool{proxy: p, backend: id, address: send.Address()}
+		target = newPool(p, id, send.Address())
 		p.pools[id] = target
 	}
 	target.maxOpen, target.origin, e.pool = send.Connections(), send.Origin(), target
@@ -141,7 +141,7 @@
 		e.sweep(now)
 	}
 	p.stats.callers.Store(int64(len(p.callers)))
-	p.stats.backends.Store(int64(p.backendConns))
+	p.stats.backends.Store(int64(len(p.backendConns)))
 	p.stats.bytes.Store(p.config.Memory.Total())
 	p.stats.bytesLimit.Store(p.config.Memory.Limit())
 	p.stats.limit.Store(int64(p.budget.Limit(now)))
--- a/lobby/proxy/admission.go
+++ b/lobby/proxy/admission.go
@@ -50,7 +50,7 @@
 
 // openConnections returns the number of connections of callers and to backend servers,
 // including those being opened.
-func (p *Proxy) openConnections() int { return len(p.callers) + p.backendConns }
+func (p *Proxy) openConnections() int { return len(p.callers) + len(p.backendConns) }
 
 // makeRoom closes a connection that has no request, if otherwise the process would run
 // out of descriptors with one more connection. It reports whether that one may be open.
@@ -145,7 +145,7 @@
 		return
 	}
 	p.config.Log.WithFields(logrus.Fields{
-		"event": "connections", "callers": len(p.callers), "backends": p.backendConns, "requests": len(p.exchanges), "limit": p.budget.Limit(now),
+		"event": "connections", "callers": len(p.callers), "backends": len(p.backendConns), "requests": len(p.exchanges), "limit": p.budget.Limit(now),
 		"closed": closed - p.loggedClosed, "refused": refused - p.loggedRefused,
 	}).Warn("connections at the limit: idle ones closed, or requests refused as not run")
 	p.limitLogged, p.loggedClosed, p.loggedRefused = now, closed, refused
--- a/lobby/proxy/backendconn.go
+++ b/lobby/proxy/backendconn.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +28,7 @@
 	requests    []string      // IDs of the last requests, with the current one
 	tainted     bool          // an answer has arrived that belongs to no open request
 	closed      bool
-	removed     bool // removed from its pool
+	opened      atomic.Bool // the event loop has opened it; the dialer reads this
 }
 
 // send sends the request of an exchange.
--- a/lobby/proxy/dialer.go
+++ b/lobby/proxy/dialer.go
@@ -12,15 +12,15 @@
 	"sesamewell.example/commons/ring"
 )
 
-// dialRequest requests a new connection to a backend server.
+// dialRequest requests that a connection to a backend server be opened.
 type dialRequest struct {
-	pool    *pool
+	conn    *backendConn
 	address string
 }
 
 // dialFailed reports to the event loop that a connection could not be opened.
 type dialFailed struct {
-	pool   *pool
+	conn   *backendConn
 	ranOut bool // no descriptor was left
 }
 
@@ -55,13 +55,17 @@
 // dial opens a connection and registers it with the event loop. It returns an
 // error only if ctx ends before a failure can be reported to the event loop.
 func (d *dialer) dial(ctx context.Context, job dialRequest) error {
-	log := d.proxy.config.Log.WithFields(logrus.Fields{"event": "dial", "backend": job.pool.backend, "address": job.address})
+	log := d.proxy.config.Log.WithFields(logrus.Fields{"event": "dial", "backend": job.conn.pool.backend, "address": job.address})
 	conn, err := d.proxy.config.Dial(job.address, dialTimeout)
 	if err != nil {
 		log.WithError(err).Info("dialling the backend server failed")
 		return d.reportFailure(ctx, job, err)
 	}
-	if err := d.proxy.run.Load().enroll(gnet.NewContext(ctx, &backendConn{proxy: d.proxy, pool: job.pool}), conn); err != nil {
+	err = d.proxy.run.Load().enroll(gnet.NewContext(ctx, job.conn), conn)
+	if err == nil && !job.conn.opened.Load() {
+		err = errNotOpened
+	}
+	if err != nil {
 		log.WithError(err).Warn("connection not registered with the event loop")
 		return d.reportFailure(ctx, job, err)
 	}
@@ -72,7 +76,7 @@
 // waits for room in the inbox, since the pool would count the connection for ever.
 func (d *dialer) reportFailure(ctx context.Context, job dialRequest, cause error) error {
 	for {
-		err := d.proxy.inbox.PutWithin(ctx, dialFailed{pool: job.pool, ranOut: descriptors.RanOut(cause)}, reportWait)
+		err := d.proxy.inbox.PutWithin(ctx, dialFailed{conn: job.conn, ranOut: descriptors.RanOut(cause)}, reportWait)
 		if err == nil {
 			d.proxy.wake()
 			return nil
--- a/lobby/proxy/looprun.go
+++ b/lobby/proxy/looprun.go
@@ -13,6 +13,9 @@
 // run.
 var errLoopDown = errors.New("event loop does not run")
 
+// errNotOpened is returned for a connection that the event loop has taken and not opened.
+var errNotOpened = errors.New("event loop has not opened the connection")
+
 // loopRun is one run of the event loop, from the start of Proxy.Serve to its return. It
 // is safe for concurrent use.
 type loopRun struct {
@@ -53,7 +56,7 @@
 	select {
 	case registered := <-result:
 		return registered.Err
-	case <-r.ended:
-		return errLoopDown
+	case <-r.ended: // the event loop may have opened the connection just before
+		return errors.CombineErrors(errLoopDown, conn.Close())
 	}
 }
--- a/lobby/proxy/pool.go
+++ b/lobby/proxy/pool.go
@@ -14,13 +14,17 @@
 	backend string           // backend server's ID
 	origin  scheduler.Origin // start of the backend server of the last send
 	address string
-	open    int            // number of connections, including those being dialled
-	dialing int            // number of connections being dialled
+	conns   map[*backendConn]struct{} // including those being dialled
+	dialing map[*backendConn]struct{}
 	maxOpen int            // maximum number of connections
 	idle    []*backendConn // ordered from least to most recently used
 	waiting []*exchange
 }
 
+func newPool(p *Proxy, backend, address string) *pool {
+	return &pool{proxy: p, backend: backend, address: address, conns: make(map[*backendConn]struct{}), dialing: make(map[*backendConn]struct{})}
+}
+
 // send sends the request of an exchange on an idle connection, or queues it and
 // dials a new one.
 func (p *pool) send(now time.Time, e *exchange) {
@@ -29,11 +33,11 @@
 		return
 	}
 	p.waiting = append(p.waiting, e)
-	if p.open < p.maxOpen && !p.proxy.makeRoom(now) {
+	if len(p.conns) < p.maxOpen && !p.proxy.makeRoom(now) {
 		p.returnWaiting(scheduler.Unsent)
 		return
 	}
-	if p.open >= p.maxOpen && len(p.idle) > 0 {
+	if len(p.conns) >= p.maxOpen && len(p.idle) > 0 {
 		p.idle[0].close() // none that is idle may carry this request
 		return
 	}
@@ -61,24 +65,19 @@
 
 // dial requests a connection for each waiting request, up to the limit.
 func (p *pool) dial() {
-	for p.dialing < len(p.waiting) && p.open < p.maxOpen {
-		p.count(1)
-		p.dialing++
-		if err := p.proxy.dials.Put(dialRequest{pool: p, address: p.address}); err != nil {
-			p.dialFailed(false)
+	for len(p.dialing) < len(p.waiting) && len(p.conns) < p.maxOpen {
+		b := &backendConn{proxy: p.proxy, pool: p}
+		p.conns[b], p.dialing[b] = struct{}{}, struct{}{}
+		p.proxy.backendConns[b] = struct{}{}
+		if err := p.proxy.dials.Put(dialRequest{conn: b, address: p.address}); err != nil {
+			p.dialFailed(b, false)
 		}
 	}
 }
 
-// count adds a number, which may be negative, to the connections of the pool.
-func (p *pool) count(connections int) {
-	p.open += connections
-	p.proxy.backendConns += connections
-}
-
 // connected adds a new connection.
 func (p *pool) connected(now time.Time, b *backendConn) {
-	p.dialing--
+	delete(p.dialing, b)
 	if p.established() == 1 {
 		p.proxy.notifyScheduler(scheduler.NewBackendConnected(p.origin))
 	}
@@ -87,10 +86,13 @@
 }
 
 // dialFailed records that a connection could not be opened, and reports one of the waiting
-// requests as unsent. tried is set unless that was for want of something of this process.
-func (p *pool) dialFailed(tried bool) {
-	p.dialing--
-	p.count(-1)
+// requests as unsent. tried is set unless that was for want of something of this process. It
+// does nothing if the connection has been opened after all.
+func (p *pool) dialFailed(b *backendConn, tried bool) {
+	if _, ok := p.dialing[b]; !ok {
+		return
+	}
+	p.forget(b)
 	if tried {
 		p.disconnected()
 	}
@@ -109,7 +111,7 @@
 		b.send(now, e)
 		return
 	}
-	if p.proxy.pools[p.backend] != p || len(p.waiting) > p.dialing && p.open >= p.maxOpen {
+	if p.proxy.pools[p.backend] != p || len(p.waiting) > len(p.dialing) && len(p.conns) >= p.maxOpen {
 		b.close()
 		return
 	}
@@ -154,17 +156,23 @@
 
 // remove removes a closed connection.
 func (p *pool) remove(b *backendConn) {
-	if b.removed {
+	if _, ok := p.conns[b]; !ok {
 		return
 	}
-	b.removed = true
-	p.count(-1)
+	p.forget(b)
 	p.idle = slices.DeleteFunc(p.idle, func(other *backendConn) bool { return other == b })
 	p.dial()
 }
 
+// forget gives up the place of a connection in the accounts of the pool and of the proxy.
+func (p *pool) forget(b *backendConn) {
+	delete(p.dialing, b)
+	delete(p.conns, b)
+	delete(p.proxy.backendConns, b)
+}
+
 // established returns the number of connections that are open.
-func (p *pool) established() int { return p.open - p.dialing }
+func (p *pool) established() int { return len(p.conns) - len(p.dialing) }
 
 // disconnected reports that the backend server has ended a connection or accepts none, unless
 // another one is open.
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -108,10 +108,10 @@
 	callers       map[*callerConn]struct{}
 	waiting       waitingCallers
 	exchanges     map[uint64]*exchange
-	sending       map[*callerConn]struct{} // callers' connections with bytes that have not left the process
-	pools         map[string]*pool         // by ID of the backend server
-	backendConns  int                      // connections to backend servers, including those being opened
-	lastOpen      int                      // openConnections when the last caller connected
+	sending       map[*callerConn]struct{}  // callers' connections with bytes that have not left the process
+	pools         map[string]*pool          // by ID of the backend server
+	backendConns  map[*backendConn]struct{} // including those being opened
+	lastOpen      int                       // openConnections when the last caller connected
 	budget        *descriptors.Budget
 	stats         *stats
 	causes        *httpserver.Causes
@@ -133,6 +133,7 @@
 		exchanges:     make(map[uint64]*exchange),
 		sending:       make(map[*callerConn]struct{}),
 		pools:         make(map[string]*pool),
+		backendConns:  make(map[*backendConn]struct{}),
 		budget:        descriptors.NewBudget(config.Descriptors),
 		stats:         newStats(),
 		causes:        httpserver.NewCauses(config.Log),
@@ -202,6 +203,7 @@
 	now := time.Now()
 	if b, ok := conn.Context().(*backendConn); ok {
 		b.conn = conn
+		b.opened.Store(true)
 		b.pool.connected(now, b)
 		return nil, gnet.None
 	}
