Give back the bytes of requests that end while they are charged or handed on

Cause: what a request is charged with was a number in its reader. (a) If there is no room for a piece of a body, the slowest request that arrives is refused for it. The time of the last byte is that of the event, the time of the choice is the present: after a freeze between them the request that was being read was chosen itself. Its bytes were given back, room was found, and they were charged again to a reader that nobody had any more; the code behind the read then failed on nil (event=panic). (b) A panic while a request was decoded was contained before the request belonged to its exchange.

(a) needs a lobby at its budget and a freeze of a second at that moment; (b) a head that makes the decoder panic, none is known.

Change: memory.Reservation, released once by whoever comes first, also while the account looks for room for it; both fronts use it in httpserver.RequestReader. The request that is being read is not refused for itself. An exchange owns its reader before the request is decoded.

--- a/commons/httpserver/requestreader.go
+++ b/commons/httpserver/requestreader.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sesamewell.example/commons/http1"
+	"sesamewell.example/commons/memory"
 )
 
 var (
@@ -64,8 +65,8 @@
 	chunks   http1.ChunkDecoder
 	begun    bool // a byte other than a line end has arrived
 	done     bool
-	charged  int64 // bytes charged to the customer
-	taken    int64 // bytes of the request that have been read
+	reserved *memory.Reservation // of the customer, nil before the head has been read
+	taken    int64               // bytes of the request that have been read
 }
 
 // NewRequestReader returns a reader of one request.
@@ -108,15 +109,10 @@
 func (r *RequestReader) Taken() int64 { return r.taken }
 
 // Charged returns the number of bytes that the request is charged with.
-func (r *RequestReader) Charged() int64 { return r.charged }
+func (r *RequestReader) Charged() int64 { return r.reserved.Bytes() }
 
 // Release gives back what the request was charged with. It may be called several times.
-func (r *RequestReader) Release() {
-	if r.charged > 0 {
-		r.config.Account.Release(r.customer, r.charged)
-	}
-	r.charged = 0
-}
+func (r *RequestReader) Release() { r.reserved.Release() }
 
 // Read reads as many of the buffered bytes as belong to the request and can be understood,
 // and returns their number. It returns a *Refusal as error if the request is malformed or
@@ -177,6 +173,7 @@
 		return 0, errMalformed(errHeadEnd)
 	}
 	r.customer = string(request.Header.Peek(fasthttp.HeaderAuthorization))
+	r.reserved = memory.NewReservation(r.config.Account, r.customer)
 	if err := r.charge(headCost(buffered[:end])); err != nil {
 		return 0, err
 	}
@@ -264,13 +261,9 @@
 
 // charge charges the customer with bytes, if there is room for them.
 func (r *RequestReader) charge(bytes int64) error {
-	if r.config.Account == nil {
-		return nil
-	}
-	if !r.config.Account.Admit(r.customer, bytes) {
+	if !r.reserved.Add(bytes) {
 		return ErrNoRoom
 	}
-	r.charged += bytes
 	return nil
 }
 
--- a/lobby/proxy/callerconn.go
+++ b/lobby/proxy/callerconn.go
@@ -81,7 +81,7 @@
 			return
 		}
 		if c.reader == nil {
-			c.reader = c.proxy.newRequestReader()
+			c.reader = c.newRequestReader()
 		}
 		c.lastByte = now // before the read, which may refuse a request that has paused
 		used, err := c.reader.Read(buffered)
@@ -103,6 +103,14 @@
 	}
 }
 
+// newRequestReader returns a reader of a request within the limits in force.
+func (c *callerConn) newRequestReader() *httpserver.RequestReader {
+	limits := c.proxy.limits.Load()
+	return httpserver.NewRequestReader(httpserver.RequestReaderConfig{
+		MaxHeader: int(limits.MaxHeader()), MaxBody: int(limits.MaxBody()), Account: senders{proxy: c.proxy, conn: c},
+	})
+}
+
 // arrivedAt records that bytes of a request have arrived, of which some are left unread. The
 // first one begins the wait for the rest.
 func (c *callerConn) arrivedAt(now time.Time, unread int) {
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -296,27 +296,20 @@
 	}
 }
 
-// newRequestReader returns a reader of a request within the limits in force.
-func (p *Proxy) newRequestReader() *httpserver.RequestReader {
-	limits := p.limits.Load()
-	return httpserver.NewRequestReader(httpserver.RequestReaderConfig{
-		MaxHeader: int(limits.MaxHeader()), MaxBody: int(limits.MaxBody()), Account: senders{p},
-	})
-}
-
 // openExchange starts an exchange for a new request and passes the request to the
 // scheduler.
 func (p *Proxy) openExchange(now time.Time, c *callerConn, reader *httpserver.RequestReader) {
 	p.lastNumber++
 	request := reader.Request()
 	e := &exchange{
-		number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request, meta: p.config.Codec.DecodeRequest(now, request),
+		number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request,
 		buffered: memory.NewCharge(p.config.Memory, reader.Customer()),
 	}
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
 	p.open.Store(int64(len(p.exchanges)))
+	e.meta = p.config.Codec.DecodeRequest(now, request) // once the exchange owns what is charged
 	if len(p.exchanges) > p.budget.MaxRequests(now) {
 		p.stats.refused.Inc()
 		c.closeAfterAnswer = true
--- a/lobby/proxy/room.go
+++ b/lobby/proxy/room.go
@@ -80,9 +80,12 @@
 // held returns the number of bytes in the connection's buffers that are charged.
 func (c *callerConn) held() int64 { return c.unsent.Bytes() + c.unread.Bytes() }
 
-// senders is the account of requests that arrive. If there is no room for a request, the
-// slowest of those that have not arrived whole is refused for it.
-type senders struct{ proxy *Proxy }
+// senders is the account of the requests that arrive on a connection. If there is no room for
+// one, the slowest of those that have not arrived whole on other connections is refused for it.
+type senders struct {
+	proxy *Proxy
+	conn  *callerConn
+}
 
 // Admit charges a customer with bytes if there is room for them.
 func (s senders) Admit(customer string, bytes int64) bool {
@@ -91,7 +94,7 @@
 			return true
 		}
 		now := time.Now()
-		slowest := s.proxy.slowestSender(now)
+		slowest := s.proxy.slowestSender(now, s.conn)
 		if slowest == nil {
 			return false
 		}
@@ -106,14 +109,15 @@
 }
 
 // slowestSender returns the connection whose request has been arriving for longest, among
-// those with a part of a body that has paused, nil if there is none.
-func (p *Proxy) slowestSender(now time.Time) *callerConn {
+// those with a part of a body that has paused, nil if there is none. It leaves out the one
+// whose request is being read: if the process was frozen meanwhile, that seems to have paused.
+func (p *Proxy) slowestSender(now time.Time, reading *callerConn) *callerConn {
 	for element := p.waiting.receiving.Front(); element != nil; element = element.Next() {
 		c := element.Value.(*callerConn)
 		if now.Sub(c.since) < minPause {
 			return nil
 		}
-		if c.reader != nil && c.reader.Charged() > 0 && now.Sub(c.lastByte) >= minPause {
+		if c != reading && c.reader != nil && c.reader.Charged() > 0 && now.Sub(c.lastByte) >= minPause {
 			return c
 		}
 	}
