Count the messages of a connection until the event loop has taken them

Cause: one mark for each connection of commons/httpserver said that something had been written and not sent. Every message set it, and the event loop cleared it after each, also with another message queued behind it; for that moment Pending, for which a planned stop waits, left the connection out. The bytes of queued messages were charged and given back by hand; an event loop that ended with a queue never gave them back, and the connection counted as owed an answer.

A stop that cut an answer by it was not played.

Change: an outbox for each connection, whose messages are values that are taken out once, and which gives up all of them for good at the end of the connection. The buffers are charged by a memory.Charge. One change, since both numbers are about the same messages.

The fakes of the test of connections learn to fail a write and to end.

--- a/commons/httpserver/conn.go
+++ b/commons/httpserver/conn.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/memory"
 )
 
 // conn is one caller's connection. It has at most one open call; pipelined requests
@@ -23,13 +25,12 @@
 	flooded      bool   // too many bytes have arrived behind the open call or an unread answer
 	address      string // IP of the caller
 	unread       Unread
-	inbound      int64        // bytes that have arrived and are not read; charged to the address
-	outbound     int64        // bytes written that have not left the process; charged to the address
-	held         atomic.Int64 // bytes that the connection is charged with in all
+	buffers      *memory.Charge // for bytes that have arrived and are not read, and those that the event loop could not write
+	held         atomic.Int64   // bytes of these buffers
+	outbox       *outbox
 	partial      atomic.Bool  // part of a request has been received
 	gone         atomic.Bool  // the connection is closed or the call was aborted
 	closing      atomic.Bool  // the connection is being closed to make room for others
-	sending      atomic.Bool  // bytes have been written that have not left the process
 	closeSent    atomic.Bool  // the connection is closed once they have left
 	progress     Progress     // used on the event loop only
 	lastByte     atomic.Int64 // arrival of the last byte of the request that arrives, in Unix nanoseconds
@@ -39,6 +40,13 @@
 	fragment     atomic.Pointer[Fragment]
 }
 
+func newConn(s *Server, socket gnet.Conn, address string) *conn {
+	return &conn{
+		server: s, socket: socket, address: address,
+		buffers: memory.NewCharge(s.config.Account, address), outbox: newOutbox(&s.unsent, s.config.Account, address),
+	}
+}
+
 // processBuffered parses the buffered data and delivers the next request, unless a call is
 // open or an answer has not been taken: a caller that does not read gets no further answer.
 func (c *conn) processBuffered(now time.Time) gnet.Action {
@@ -124,24 +132,17 @@
 	if c.gone.Load() {
 		return
 	}
-	if c.charge(int64(c.unread.Held()), int64(Unsent(c.socket))) {
+	if c.charge(int64(c.unread.Held()) + int64(Unsent(c.socket))) {
 		c.server.shed(time.Now())
 	}
 }
 
-// charge sets what the connection's buffers are charged with. It reports whether the
-// process holds far too many bytes.
-func (c *conn) charge(inbound, outbound int64) (overrun bool) {
-	more := inbound + outbound - c.inbound - c.outbound
-	c.inbound, c.outbound = inbound, outbound
-	c.held.Store(inbound + outbound)
-	switch {
-	case more > 0:
-		return c.server.config.Account.Charge(c.address, more)
-	case more < 0:
-		c.server.config.Account.Release(c.address, -more)
-	}
-	return false
+// charge sets the number of bytes that the connection's buffers hold, unless it has ended. It
+// reports whether the process holds far too many bytes.
+func (c *conn) charge(bytes int64) (overrun bool) {
+	overrun = c.buffers.Set(bytes)
+	c.held.Store(c.buffers.Bytes())
+	return overrun
 }
 
 // answerExpect sends an interim answer to a caller that expects one before it sends the
@@ -161,7 +162,7 @@
 		}
 	}
 	c.opened = nil
-	c.charge(0, 0)
+	c.charge(0)
 }
 
 // deliver puts a complete request into the inbox, or refuses it if the inbox is
--- a/commons/httpserver/conn_test.go
+++ b/commons/httpserver/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,9 @@
 	unsent  int
 	closed  bool
 	queue   []func() // what the event loop has been asked to do
+	queued  int      // messages that it has been asked to write
+	broken  bool     // the next write fails
+	onClose func()   // called when the connection has been closed, if set
 }
 
 func (s *fakeSocket) Fd() int                       { return -1 }
@@ -42,24 +46,47 @@
 }
 
 func (s *fakeSocket) Close() error {
-	s.queue = append(s.queue, func() { s.closed = true })
+	s.queue = append(s.queue, s.end)
 	return nil
 }
 
+// end closes the connection.
+func (s *fakeSocket) end() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.onClose != nil {
+		s.onClose()
+	}
+}
+
+// Write writes on the event loop. A connection that is broken is closed within it.
+func (s *fakeSocket) Write(data []byte) (int, error) {
+	if s.broken {
+		s.end()
+	}
+	if s.closed {
+		return 0, net.ErrClosed
+	}
+	return s.written.Write(data)
+}
+
 func (s *fakeSocket) AsyncWrite(data []byte, callback gnet.AsyncCallback) error {
 	return s.AsyncWritev([][]byte{data}, callback)
 }
 
 func (s *fakeSocket) AsyncWritev(data [][]byte, callback gnet.AsyncCallback) error {
+	message := slices.Concat(data...)
+	if len(message) > 0 {
+		s.queued++
+	}
 	s.queue = append(s.queue, func() {
-		if s.closed {
-			_ = callback(s, net.ErrClosed)
-			return
-		}
-		for _, part := range data {
-			s.written.Write(part)
+		if len(message) > 0 {
+			s.queued--
 		}
-		_ = callback(s, nil)
+		_, err := s.Write(message)
+		_ = callback(s, err)
 	})
 	return nil
 }
--- a/commons/httpserver/expiry.go
+++ b/commons/httpserver/expiry.go
@@ -11,7 +11,7 @@
 // meanwhile. It is safe to call from any thread.
 func (c *conn) expire(now time.Time) {
 	switch {
-	case c.sending.Load():
+	case c.outbox.pending():
 		c.onLoop(func(socket gnet.Conn) error { return c.checkSent(now, socket) })
 	case c.lingerSince.Load() != 0:
 		c.onLoop(func(socket gnet.Conn) error { return c.finishClose(now, socket) })
@@ -72,7 +72,7 @@
 	if crowded {
 		idle = crowdedIdle
 	}
-	return c.partial.Load() || c.sending.Load() || c.idleFor(now) >= idle
+	return c.partial.Load() || c.outbox.pending() || c.idleFor(now) >= idle
 }
 
 // displace closes the connection to make room for another one, unless a request has arrived
@@ -89,7 +89,7 @@
 	switch {
 	case since == 0 || since > now.UnixNano():
 		c.closing.Store(false)
-	case c.sending.Load():
+	case c.outbox.pending():
 		c.server.causes.Record(now, NotReading, c.address)
 		return c.resetNow(socket)
 	case c.partial.Load():
--- a/commons/httpserver/sending.go
+++ b/commons/httpserver/sending.go
@@ -14,16 +14,13 @@
 	for _, part := range message {
 		size += len(part)
 	}
-	c.setSending(true)
-	account := c.server.config.Account
-	overrun := account.Charge(c.address, int64(size))
+	queued, overrun := c.outbox.put(size)
 	err := c.socket.AsyncWritev(message, func(socket gnet.Conn, err error) error {
-		defer account.Release(c.address, int64(size))
+		defer queued.release() // once the rest of the message, if any, is accounted for
 		return c.written(socket, err, size, then)
 	})
 	if err != nil {
-		account.Release(c.address, int64(size))
-		c.setSending(false)
+		queued.release()
 	}
 	if overrun {
 		c.server.shed(time.Now())
@@ -35,11 +32,11 @@
 // connection is closed.
 func (c *conn) written(socket gnet.Conn, err error, size int, then func(socket gnet.Conn) error) error {
 	if err != nil || c.gone.Load() {
-		c.setSending(false)
+		c.outbox.setUnsent(false)
 		return err
 	}
 	c.progress.Wrote(size)
-	c.setSending(socket.OutboundBuffered() > 0)
+	c.outbox.setUnsent(socket.OutboundBuffered() > 0)
 	c.chargeBuffers()
 	return then(socket)
 }
@@ -51,7 +48,7 @@
 		return nil
 	}
 	unsent := socket.OutboundBuffered()
-	c.setSending(unsent > 0)
+	c.outbox.setUnsent(unsent > 0)
 	c.chargeBuffers()
 	switch {
 	case unsent == 0 && c.closeSent.Load():
@@ -65,15 +62,3 @@
 	}
 	return nil
 }
-
-// setSending records whether bytes have been written that have not left the process.
-func (c *conn) setSending(sending bool) {
-	if c.sending.Swap(sending) == sending {
-		return
-	}
-	if sending {
-		c.server.unsent.Add(1)
-		return
-	}
-	c.server.unsent.Add(-1)
-}
--- a/commons/httpserver/server.go
+++ b/commons/httpserver/server.go
@@ -126,7 +126,7 @@
 		s.causes.Record(now, Connections, address)
 		return refusalBytes(errTooManyConns), gnet.Close
 	}
-	c := &conn{server: s, socket: socket, address: address}
+	c := newConn(s, socket, address)
 	c.waitingSince.Store(now.UnixNano())
 	socket.SetContext(c)
 	s.conns.Store(c, struct{}{})
@@ -145,8 +145,9 @@
 	if !c.gone.Swap(true) && c.partial.Load() && c.waitingSince.Load() != 0 {
 		s.causes.RecordFragment(time.Now(), Unfinished, c.address, c.arrived())
 	}
-	c.setSending(false)
+	c.outbox.end()
 	c.releaseBodies()
+	c.buffers.Release()
 	if c.call != nil {
 		// If the inbox is full, the next write on the call returns ErrCallerGone.
 		_ = s.config.Inbox.Put(Disconnect{call: c.call})
