Bind the lease of an adapter to the request for it

Cause: the answer of a keeper was matched by the ID of the backend server alone and its lease counted from the time at which the answer was handled. (b) An answer for an earlier start was taken as a lease at the start listed then, which has no adapters. (c) While the entry of a backend server was away, the answer was dropped, and the renewal counted as under way for ever: the adapter of a running request was not renewed any more.

Evidence: TestLeaseBelongsToItsRequest, 3 of 5 cases failed before: a request was sent instead of fetched after the end of the lease, and after another start; no renewal while a request ran.

Change: a Fetch carries its time and the start that it is for; its answer goes to the state of that start, also while its entry is away. After: 5 of 5.

Tests changed: fetches that tests make up state their time, as the core's do. TestAdaptersOfEarlierStartAreNotUsed expected that the first of two requests was sent to the new start by the lease of the earlier one; it now expects that neither is, and answers the fetches at the new start, where one of two is sent, as before.

--- a/lobby/scheduler/action.go
+++ b/lobby/scheduler/action.go
@@ -169,6 +169,9 @@
 	Address string // IP:port of the backend server
 	Model   string
 	Adapter string
+	// StartTime is that of the backend server in Unix milliseconds: the lease is of that start.
+	StartTime int64
+	At        time.Time // time of the request, from which a lease counts
 }
 
 // Fetch requests that a backend server load an adapter, or renews its lease.
@@ -193,6 +196,9 @@
 // Adapter returns the adapter's name.
 func (f Fetch) Adapter() string { return f.config.Adapter }
 
+// origin returns the start of the backend server.
+func (f Fetch) origin() Origin { return NewOrigin(f.config.Backend, f.config.StartTime) }
+
 // BroadcastConfig holds the construction parameters of a Broadcast.
 type BroadcastConfig struct {
 	Draining   bool                        // this lobby is draining
--- a/lobby/scheduler/adapter.go
+++ b/lobby/scheduler/adapter.go
@@ -11,6 +11,7 @@
 func (c *Core) fetch(s *server, request *httpmeta.Request, number uint64) {
 	c.emit(NewFetch(FetchConfig{
 		Number: number, Backend: s.backend.ID(), Address: s.backend.Address(), Model: request.Model(), Adapter: request.Adapter(),
+		StartTime: s.backend.StartTime(), At: c.now,
 	}))
 }
 
@@ -36,13 +37,14 @@
 // fetchEnded sends the request that waited for an adapter, or places it again
 // if the adapter could not be loaded or the backend server has started again.
 func (c *Core) fetchEnded(now time.Time, m FetchEnded) {
-	s, ok := c.servers[m.fetch.Backend()]
-	if ok {
+	s := c.serverOf(m.fetch.origin())
+	until := m.leasedUntil()
+	if s != nil {
 		key := adapterKey(m.fetch.Model(), m.fetch.Adapter())
 		delete(s.renewing, key)
 		switch {
-		case m.lease > leaseMargin:
-			s.leases[key] = now.Add(m.lease - leaseMargin)
+		case !until.IsZero():
+			s.leases[key] = later(s.leases[key], until)
 		case m.fetch.Number() == 0:
 			s.renewBlockedUntil = now.Add(renewRetryPause)
 		default:
@@ -53,7 +55,7 @@
 	if !ok || req.server == nil || req.server.backend.ID() != m.fetch.Backend() || req.tried[m.fetch.Backend()] {
 		return // it waits elsewhere by now, or was sent when the evacuation of the backend server's domain had ended
 	}
-	if m.lease > leaseMargin && req.server == s && c.stillAccepted(now, req) {
+	if now.Before(until) && req.server == s && c.stillAccepted(now, req) {
 		c.dispatch(now, req)
 		return
 	}
--- a/lobby/scheduler/adapter_test.go
+++ b/lobby/scheduler/adapter_test.go
@@ -70,3 +70,51 @@
 		})
 	}
 }
+
+// TestLeaseBelongsToItsRequest takes the answer of a keeper late, after another start of its
+// backend server, or while the entry of that is away. A lease counted from the answer's
+// handling, for whatever start was listed, and a renewal without an entry was never over.
+func TestLeaseBelongsToItsRequest(t *testing.T) {
+	const lease = 3 * time.Second
+	request := httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Adapter: "a1"}
+	other := engineServer("e1")
+	other.StartTime = 1
+	fetched := []string{"fetch e1 m/a1"}
+	cases := map[string]struct {
+		meanwhile func(f *fixture) // between a request for a lease and its answer
+		first     []string         // decision on the request that waits for it
+		second    []string         // on another one then
+	}{
+		"at once":                    {first: []string{"send e1"}, second: []string{"send e1"}},
+		"after a part of the lease":  {meanwhile: func(f *fixture) { f.now = f.now.Add(lease / 4) }, first: []string{"send e1"}, second: []string{"send e1"}},
+		"after the end of the lease": {meanwhile: func(f *fixture) { f.now = f.now.Add(lease) }, first: fetched, second: fetched},
+		"after another start":        {meanwhile: func(f *fixture) { f.list(other) }, first: fetched, second: fetched},
+		"while the entry is away":    {meanwhile: func(f *fixture) { f.list() }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(engineServer("e1"))
+			answer := func(actions []scheduler.Action) []scheduler.Action {
+				t.Helper()
+				if diff := cmp.Diff(fetched, describe(actions)); diff != "" {
+					t.Fatalf("request for a lease (-want +got):\n%s", diff)
+				}
+				if tc.meanwhile != nil {
+					tc.meanwhile(f)
+				}
+				return f.core.Handle(f.now, scheduler.NewFetchEnded(actions[0].(scheduler.Fetch), lease))
+			}
+			if tc.first != nil {
+				checkActions(t, "answered", tc.first, answer(f.arrive(request)))
+				checkActions(t, "another request", tc.second, f.arrive(request))
+				return
+			}
+			f.core.Handle(f.now, scheduler.NewFetchEnded(f.arrive(request)[0].(scheduler.Fetch), lease))
+			f.now = f.now.Add(2 * time.Second)
+			answer(f.core.Tick(f.now))
+			f.list(engineServer("e1"))
+			f.now = f.now.Add(2 * time.Second)
+			checkActions(t, "lease in use is about to end", fetched, f.core.Tick(f.now))
+		})
+	}
+}
--- a/lobby/scheduler/coldserver_test.go
+++ b/lobby/scheduler/coldserver_test.go
@@ -260,11 +260,17 @@
 	entry.StartTime = noon.UnixMilli()
 	f.list(entry)
 	var sent []int
-	for _, fetch := range fetches {
-		sent = append(sent, sendsOf(f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, time.Minute))))
+	for len(fetches) > 0 {
+		actions := f.core.Handle(f.now, scheduler.NewFetchEnded(fetches[0], time.Minute))
+		sent, fetches = append(sent, sendsOf(actions)), fetches[1:]
+		for _, action := range actions {
+			if fetch, ok := action.(scheduler.Fetch); ok {
+				fetches = append(fetches, fetch)
+			}
+		}
 	}
-	if diff := cmp.Diff([]int{1, 0}, sent); diff != "" {
-		t.Errorf("sent when the adapters arrive (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]int{0, 0, 1, 0}, sent); diff != "" {
+		t.Errorf("sent when the adapters arrive at the earlier start, and at the later one (-want +got):\n%s", diff)
 	}
 }
 
--- a/lobby/scheduler/completion_test.go
+++ b/lobby/scheduler/completion_test.go
@@ -153,9 +153,9 @@
 func TestRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
 	f := newFixture(engineServer("e1"), engineServer("e2"))
 	f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Adapter: "a1"})
-	f.core.Handle(f.now, scheduler.NewFetchEnded(scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"}), 3*time.Second))
+	f.core.Handle(f.now, scheduler.NewFetchEnded(scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1", At: f.now}), 3*time.Second))
 	checkActions(t, "lost", []string{"fetch e2 m/a1"}, f.core.Handle(f.now, scheduler.NewSendEnded(1, scheduler.Lost, 0)))
-	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e2", Model: "m", Adapter: "a1"})
+	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e2", Model: "m", Adapter: "a1", At: f.now})
 	checkActions(t, "no adapter", []string{"refuse 502 answer_lost"}, f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, 0)))
 }
 
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -433,7 +433,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(engineServer("e1"), engineServer("e2"))
 			f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Adapter: "a1", Timeout: time.Second})
-			fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
+			fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1", At: f.now})
 			f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, 3*time.Second))
 			checkActions(t, "after the send", []string{"fetch e2 m/a1"}, f.core.Handle(f.now, scheduler.NewSendEnded(1, tc.result, 0)))
 			checkActions(t, "deadline passed", []string{tc.want}, f.core.Tick(noon.Add(time.Second)))
@@ -445,7 +445,7 @@
 	f := newFixture(engineServer("e1"))
 	request := httpmeta.RequestConfig{Path: "/stream/a", Model: "m", Adapter: "a1"}
 	checkActions(t, "first", []string{"fetch e1 m/a1"}, f.arrive(request))
-	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
+	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1", At: f.now})
 	checkActions(t, "fetched", []string{"send e1"}, f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, 3*time.Second)))
 	checkActions(t, "second", []string{"send e1"}, f.arrive(request))
 	f.now = f.now.Add(1600 * time.Millisecond)
@@ -457,7 +457,7 @@
 func TestFailedAdapterFetchMovesToAnotherServer(t *testing.T) {
 	f := newFixture(engineServer("e1"), engineServer("e2"))
 	f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m", Adapter: "a1"})
-	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1"})
+	fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: "e1", Model: "m", Adapter: "a1", At: f.now})
 	checkActions(t, "decision", []string{"fetch e2 m/a1"}, f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, 0)))
 }
 
--- a/lobby/scheduler/evacuation_test.go
+++ b/lobby/scheduler/evacuation_test.go
@@ -140,7 +140,7 @@
 		checkActions(t, "request", []string{"fetch e1 m/a1"}, f.arrive(httpmeta.RequestConfig{Path: "/stream/a", Model: "m", Adapter: "a1"}))
 		checkActions(t, "evacuation", []string{"fetch e2 m/a1"}, f.evacuate("d1"))
 		fetched := func(id string) []scheduler.Action {
-			fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: id, Model: "m", Adapter: "a1"})
+			fetch := scheduler.NewFetch(scheduler.FetchConfig{Number: 1, Backend: id, Model: "m", Adapter: "a1", At: f.now})
 			return f.core.Handle(f.now, scheduler.NewFetchEnded(fetch, 3*time.Second))
 		}
 		checkActions(t, "adapter loaded by the evacuated server", nil, fetched("e1"))
--- a/lobby/scheduler/hold_test.go
+++ b/lobby/scheduler/hold_test.go
@@ -261,7 +261,7 @@
 			if !moved {
 				t.Error("the request still waits")
 			}
-			late := scheduler.NewFetchEnded(scheduler.NewFetch(scheduler.FetchConfig{Number: 2, Backend: "e1", Model: "m", Adapter: "a"}), time.Minute)
+			late := scheduler.NewFetchEnded(scheduler.NewFetch(scheduler.FetchConfig{Number: 2, Backend: "e1", Model: "m", Adapter: "a", At: f.now}), time.Minute)
 			checkActions(t, "late adapter", nil, f.core.Handle(f.now, late))
 		})
 	}
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -246,6 +246,16 @@
 	return FetchEnded{fetch: fetch, lease: lease}
 }
 
+// leasedUntil returns the time from which on the adapter may be unloaded, zero if it is not
+// leased. The lease counts from the request for it: the answer may have waited, in a process
+// that was stopped too.
+func (m FetchEnded) leasedUntil() time.Time {
+	if m.lease <= leaseMargin {
+		return time.Time{}
+	}
+	return m.fetch.config.At.Add(m.lease - leaseMargin)
+}
+
 // Drain reports that the process drains: new requests are refused after a grace period.
 type Drain struct{ start time.Time }
 
