Report an account of bytes that would fall below zero

Cause: memory.Budget.Release took whatever it was given. Bytes that nobody had been charged with made room that did not exist, or left a customer's account below zero, and nothing told.

Evidence: without the check TestNoAccountIsBelowZero fails in 2 of 5 cases (bytes held below what the other customer holds). No caller does so in the tests of lobby/proxy and commons/httpserver.

Change: what exceeds the charge does not count, and is an error in the log (event=account) and a metric. Entries export the bytes that they hold, as lobbies did, and lobbies the connections that a stop waits for.

--- a/commons/memory/budget.go
+++ b/commons/memory/budget.go
@@ -3,7 +3,12 @@
 // its requests.
 package memory
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
 
 const (
 	// budgetPercent is the part of a process's memory that messages may take, in per cent.
@@ -26,9 +31,11 @@
 // Choudhury and Hahne (IEEE/ACM Transactions on Networking 6(2), 1998). It is safe for
 // concurrent use.
 type Budget struct {
-	limit int64
+	limit     int64
+	overdrawn *metrics.Counter
 
 	mu    sync.Mutex
+	log   *logrus.Entry // nil for none
 	total int64
 	held  map[string]int64 // by customer
 }
@@ -38,7 +45,18 @@
 func NewBudget(memory int64) *Budget { return NewBudgetOf(memory * budgetPercent / 100) }
 
 // NewBudgetOf returns an empty account with a limit in bytes.
-func NewBudgetOf(limit int64) *Budget { return &Budget{limit: limit, held: make(map[string]int64)} }
+func NewBudgetOf(limit int64) *Budget {
+	return &Budget{limit: limit, held: make(map[string]int64), overdrawn: metrics.GetOrCreateCounter("sesamewell_account_faults_total")}
+}
+
+// Export exports the account as metrics of the process, and reports faults in it to a log.
+func (b *Budget) Export(log *logrus.Entry) {
+	metrics.GetOrCreateGauge("sesamewell_held_bytes", func() float64 { return float64(b.Total()) })
+	metrics.GetOrCreateGauge("sesamewell_held_bytes_limit", func() float64 { return float64(b.limit) })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log = log
+}
 
 // Admit charges a customer with bytes if there is room for them, and reports whether there
 // is.
@@ -64,13 +82,21 @@
 	return b.total > b.limit+b.limit*overrunPercent/100
 }
 
-// Release gives bytes back that a customer was charged with.
+// Release gives bytes back that a customer was charged with. It is a fault in the program to
+// give back more; what exceeds the charge is reported and does not count.
 func (b *Budget) Release(customer string, bytes int64) {
 	if bytes == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if held := b.held[customer]; bytes > held {
+		b.overdrawn.Inc()
+		if b.log != nil {
+			b.log.WithFields(logrus.Fields{"event": "account", "held": held, "released": bytes}).Error("more bytes given back than a customer was charged with")
+		}
+		bytes = held
+	}
 	b.charge(customer, -bytes)
 }
 
--- a/commons/memory/budget_test.go
+++ b/commons/memory/budget_test.go
@@ -1,9 +1,12 @@
 package memory_test
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"sesamewell.example/commons/memory"
@@ -101,3 +104,35 @@
 		}
 	})
 }
+
+// TestNoAccountIsBelowZero gives back bytes that were not charged. They made room for others,
+// without a trace.
+func TestNoAccountIsBelowZero(t *testing.T) {
+	cases := map[string]struct {
+		release int64 // by customer a, who was charged with ten
+		want    int64 // held in all; customer b was charged with five
+		faults  int
+	}{
+		"less than charged":   {release: 4, want: 11},
+		"all":                 {release: 10, want: 5},
+		"more than charged":   {release: 11, want: 5, faults: 1},
+		"more than all hold":  {release: 100, want: 5, faults: 1},
+		"nothing was charged": {release: 0, want: 15},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			log := logrus.New()
+			log.SetOutput(&out)
+			b := memory.NewBudgetOf(limit)
+			b.Export(logrus.NewEntry(log))
+			b.Charge("a", 10)
+			b.Charge("b", 5)
+			b.Release("a", tc.release)
+			got := []int64{b.Total(), int64(strings.Count(out.String(), "level=error"))}
+			if diff := cmp.Diff([]int64{tc.want, int64(tc.faults)}, got); diff != "" {
+				t.Errorf("bytes held and errors in the log (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	log.WithFields(logrus.Fields{"event": "limits", "descriptors": limit}).Info("limit on open files read")
-	account := newAccount(settings)
+	account := newAccount(settings, log)
 	p := &process{
 		supervisor: supervisor.New(supervisor.Config{Name: "entry", Log: log}),
 		drained:    make(chan struct{}),
@@ -243,13 +243,15 @@
 
 // newAccount returns the account of the bytes of requests and answers, and limits the memory
 // of the Go runtime if the settings limit that of the process.
-func newAccount(settings *inifile.Values) *memory.Budget {
+func newAccount(settings *inifile.Values, log *logrus.Entry) *memory.Budget {
 	limit := settings.Bytes("gate", "max-bodies")
 	if bytes := settings.Bytes("process", "memory"); bytes > 0 {
 		supervisor.LimitMemory(bytes)
 		limit = min(limit, memory.NewBudget(bytes).Limit())
 	}
-	return memory.NewBudgetOf(limit)
+	account := memory.NewBudgetOf(limit)
+	account.Export(log)
+	return account
 }
 
 func newCoordinator(settings *inifile.Values, p *process, logService *logclient.Client, log *logrus.Entry) *idempotency.Coordinator {
--- a/lobby/process.go
+++ b/lobby/process.go
@@ -198,6 +198,8 @@
 		return nil, err
 	}
 	log.WithFields(logrus.Fields{"event": "limits", "descriptors": limit}).Info("limit on open files read")
+	account := memory.NewBudget(settings.Bytes("process", "memory"))
+	account.Export(log)
 	return proxy.New(proxy.Config{
 		Listen:       settings.Address("porch", "listen"),
 		Probe:        settings.Address("porch", "probe"),
@@ -208,7 +210,7 @@
 		StallTimeout: stallTimeout,
 		AcceptPeriod: stopSchedule(settings).AcceptPeriod(),
 		MinUpload:    settings.Bytes("porch", "min-upload"),
-		Memory:       memory.NewBudget(settings.Bytes("process", "memory")),
+		Memory:       account,
 		Codec:        platform.HeaderCodec{},
 		Dial:         platform.Dial,
 		Scheduler:    s.Inbox(),
--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -142,8 +142,7 @@
 	}
 	p.stats.callers.Store(int64(len(p.callers)))
 	p.stats.backends.Store(int64(len(p.backendConns)))
-	p.stats.bytes.Store(p.config.Memory.Total())
-	p.stats.bytesLimit.Store(p.config.Memory.Limit())
+	p.stats.pending.Store(int64(p.Pending()))
 	p.stats.limit.Store(int64(p.budget.Limit(now)))
 	p.logLimit(now)
 }
--- a/lobby/proxy/stats.go
+++ b/lobby/proxy/stats.go
@@ -13,11 +13,10 @@
 	noRoom  *metrics.Counter // requests refused since there was no room for their bodies
 	givenUp *metrics.Counter // answers and connections given up for room
 
-	callers    atomic.Int64 // connections of callers
-	backends   atomic.Int64 // connections to backend servers
-	limit      atomic.Int64 // connections beyond which idle ones are closed
-	bytes      atomic.Int64 // bytes of requests and answers that are held
-	bytesLimit atomic.Int64
+	callers  atomic.Int64 // connections of callers
+	backends atomic.Int64 // connections to backend servers
+	pending  atomic.Int64 // connections of callers without an open request that are owed an answer
+	limit    atomic.Int64 // connections beyond which idle ones are closed
 }
 
 func newStats() *stats {
@@ -33,7 +32,6 @@
 	gauge(`sesamewell_connections{peer="caller"}`, &s.callers)
 	gauge(`sesamewell_connections{peer="backend"}`, &s.backends)
 	gauge("sesamewell_connections_limit", &s.limit)
-	gauge("sesamewell_held_bytes", &s.bytes)
-	gauge("sesamewell_held_bytes_limit", &s.bytesLimit)
+	gauge("sesamewell_connections_pending", &s.pending)
 	return s
 }
