--- a/lobby/proxy/accounts_test.go
+++ b/lobby/proxy/accounts_test.go
@@ -12,9 +12,13 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/memory"
 	"sesamewell.example/lobby/proxy"
 	"sesamewell.example/lobby/scheduler"
+	"sesamewell.example/platform"
 )
 
 // misbehave plays one caller: it sends a request, or a part of one, or what is none, reads all
@@ -80,9 +84,25 @@
 	return cut == len(answer)
 }
 
+// freezingCodec holds the event loop up at some requests, as a freeze of the process does, so
+// that connections end meanwhile.
+type freezingCodec struct {
+	platform.HeaderCodec
+
+	next func() *rand.Rand
+}
+
+// DecodeRequest returns the parameters of a caller's request.
+func (c freezingCodec) DecodeRequest(now time.Time, request *fasthttp.Request) *httpmeta.Request {
+	if random := c.next(); random.IntN(8) == 0 {
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+	return c.HeaderCodec.DecodeRequest(now, request)
+}
+
 // TestAccountsEndAtZero plays crowds of callers and backend servers whose requests, answers and
-// connections end in random orders, and a drain. It guards against a number or bytes that are
-// counted twice or never given back: all are zero at the end and none is ever below.
+// connections end in random orders, freezes, and a drain. It guards against a number or bytes
+// that are counted twice or never given back: all are zero at the end and none is ever below.
 func TestAccountsEndAtZero(t *testing.T) {
 	cases := map[string]struct {
 		seed   uint64
@@ -110,7 +130,7 @@
 				}
 			}()
 			account := memory.NewBudgetOf(testMemory)
-			l := newLobbyWith(t, proxy.Config{Memory: account}, func(s *scheduler.SendConfig) { s.Address, s.Stream = b.address, tc.stream })
+			l := newLobbyWith(t, proxy.Config{Memory: account, Codec: freezingCodec{next: next}}, func(s *scheduler.SendConfig) { s.Address, s.Stream = b.address, tc.stream })
 			go func() {
 				for {
 					select {
@@ -120,7 +140,10 @@
 					}
 				}
 			}()
-			numbers := func() []int { return []int{l.proxy.Open(), l.proxy.Pending(), int(account.Total())} }
+			numbers := func() []int {
+				callers, backends := l.proxy.Connections()
+				return []int{l.proxy.Open(), l.proxy.Pending(), int(account.Total()), callers, backends}
+			}
 			const callers, requests = 16, 15
 			var crowd sync.WaitGroup
 			for caller := range callers {
@@ -139,7 +162,8 @@
 				})
 			}
 			crowd.Wait()
-			for i, what := range []string{"open requests", "callers that are owed an answer", "bytes held"} {
+			_ = l.proxy.Put(scheduler.NewCloseIdle(scheduler.CloseIdleConfig{Backend: "i-1"}))
+			for i, what := range []string{"open requests", "callers that are owed an answer", "bytes held", "connections of callers", "connections to backend servers"} {
 				awaitCount(t, what, 0, func() int { return numbers()[i] })
 			}
 		})
