Contain a panic while a request is sent on a new connection

Cause: a request that waits for a connection to a backend server is sent by the event loop when that connection opens. A panic in what it calls there was the only one that nothing contained.

Evidence: the case "send" of TestPanicEndsItsRequestOnly, whose codec panics when it encodes the request, ended the test's process before. No request that does this is known; found while the ends of dials were looked at.

Change: OnOpen contains panics like the other events. After: the request ends, its connection is closed and counted out, and three later requests are served.

--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -200,6 +200,7 @@
 // OnOpen handles a new connection, either dialled to a backend server or accepted
 // from a caller.
 func (p *Proxy) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
+	defer p.containPanic(conn)
 	now := time.Now()
 	if b, ok := conn.Context().(*backendConn); ok {
 		b.conn = conn
--- a/lobby/proxy/proxy_test.go
+++ b/lobby/proxy/proxy_test.go
@@ -667,7 +667,8 @@
 	}
 }
 
-// panickingCodec panics on the request and on the answer with the ID "panic".
+// panickingCodec panics on the request with the ID "panic", when it sends the one with the ID
+// "panic-at-send" and on the answer to the one with the ID "panic-later".
 type panickingCodec struct{ platform.HeaderCodec }
 
 func (c panickingCodec) DecodeRequest(now time.Time, request *fasthttp.Request) *httpmeta.Request {
@@ -677,6 +678,13 @@
 	return c.HeaderCodec.DecodeRequest(now, request)
 }
 
+func (c panickingCodec) AppendRequest(now time.Time, dst []byte, request *fasthttp.Request, forwarding httpmeta.Forwarding) []byte {
+	if string(request.Header.Peek("Request-Id")) == "panic-at-send" {
+		panic("made to panic")
+	}
+	return c.HeaderCodec.AppendRequest(now, dst, request, forwarding)
+}
+
 func (c panickingCodec) DecodeAnswer(header *fasthttp.ResponseHeader) httpmeta.Answer {
 	if string(header.Peek("Request-Id")) == "panic-later" {
 		panic("made to panic")
@@ -687,7 +695,7 @@
 // TestPanicEndsItsRequestOnly checks that an unexpected error while one message is
 // handled leaves the process and its other requests alone.
 func TestPanicEndsItsRequestOnly(t *testing.T) {
-	cases := map[string]struct{ id string }{"request": {id: "panic"}, "answer": {id: "panic-later"}}
+	cases := map[string]struct{ id string }{"request": {id: "panic"}, "send": {id: "panic-at-send"}, "answer": {id: "panic-later"}}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, func(conn net.Conn, id string, _ int) bool {
