--- a/lobby/proxy/actions.go
+++ b/lobby/proxy/actions.go
@@ -83,7 +83,7 @@
 		if a.ranOut {
 			p.budget.Exhausted(now, p.openConnections())
 		}
-		a.pool.dialFailed(!a.ranOut)
+		a.conn.pool.dialFailed(a.conn, !a.ranOut)
 	case confirmation:
 		a.conn.confirm(now, a.ended)
 	case sweep:
@@ -128,7 +128,7 @@
 		ok = false
 	}
 	if !ok {
-		target = &pool{proxy: p, backend: id, address: send.Address()}
+		target = newPool(p, id, send.Address())
 		p.pools[id] = target
 	}
 	target.maxOpen, target.origin = send.Connections(), send.Origin()
@@ -149,9 +149,8 @@
 		e.sweep(now)
 	}
 	p.stats.callers.Store(int64(len(p.callers)))
-	p.stats.backends.Store(int64(p.backendConns))
-	p.stats.bytes.Store(p.config.Memory.Total())
-	p.stats.bytesLimit.Store(p.config.Memory.Limit())
+	p.stats.backends.Store(int64(len(p.backendConns)))
+	p.stats.pending.Store(int64(p.Pending()))
 	p.stats.limit.Store(int64(p.budget.Limit(now)))
 	p.logLimit(now)
 }
--- a/lobby/proxy/proxy.go
+++ b/lobby/proxy/proxy.go
@@ -108,10 +108,10 @@
 	callers       map[*callerConn]struct{}
 	waiting       waitingCallers
 	exchanges     map[uint64]*exchange
-	sending       map[*callerConn]struct{} // callers' connections with bytes that have not left the process
-	pools         map[string]*pool         // by ID of the backend server
-	backendConns  int                      // connections to backend servers, including those being opened
-	lastOpen      int                      // openConnections when the last caller connected
+	sending       map[*callerConn]struct{}  // callers' connections with bytes that have not left the process
+	pools         map[string]*pool          // by ID of the backend server
+	backendConns  map[*backendConn]struct{} // including those being opened
+	lastOpen      int                       // openConnections when the last caller connected
 	budget        *descriptors.Budget
 	stats         *stats
 	causes        *httpserver.Causes
@@ -133,6 +133,7 @@
 		exchanges:     make(map[uint64]*exchange),
 		sending:       make(map[*callerConn]struct{}),
 		pools:         make(map[string]*pool),
+		backendConns:  make(map[*backendConn]struct{}),
 		budget:        descriptors.NewBudget(config.Descriptors),
 		stats:         newStats(),
 		causes:        httpserver.NewCauses(config.Log),
@@ -199,9 +200,11 @@
 // OnOpen handles a new connection, either dialled to a backend server or accepted
 // from a caller.
 func (p *Proxy) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
+	defer p.containPanic(conn)
 	now := time.Now()
 	if b, ok := conn.Context().(*backendConn); ok {
 		b.conn = conn
+		b.opened.Store(true)
 		b.pool.connected(now, b)
 		return nil, gnet.None
 	}
@@ -294,27 +297,20 @@
 	}
 }
 
-// newRequestReader returns a reader of a request within the limits in force.
-func (p *Proxy) newRequestReader() *httpserver.RequestReader {
-	limits := p.limits.Load()
-	return httpserver.NewRequestReader(httpserver.RequestReaderConfig{
-		MaxHeader: int(limits.MaxHeader()), MaxBody: int(limits.MaxBody()), Account: senders{p},
-	})
-}
-
 // openExchange starts an exchange for a new request and passes the request to the
 // scheduler.
 func (p *Proxy) openExchange(now time.Time, c *callerConn, reader *httpserver.RequestReader) {
 	p.lastNumber++
 	request := reader.Request()
 	e := &exchange{
-		number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request, meta: p.config.Codec.DecodeRequest(now, request),
+		number: p.lastNumber, proxy: p, caller: c, reader: reader, request: request,
 		buffered: memory.NewCharge(p.config.Memory, reader.Customer()),
 	}
 	c.exchange = e
 	c.closeAfterAnswer = c.closeAfterAnswer || p.drainStart.Load() != nil
 	p.exchanges[e.number] = e
 	p.open.Store(int64(len(p.exchanges)))
+	e.meta = p.config.Codec.DecodeRequest(now, request) // once the exchange owns what is charged
 	if len(p.exchanges) > p.budget.MaxRequests(now) {
 		p.stats.refused.Inc()
 		c.closeAfterAnswer = true
