Settle doubts by the time when a list was read, and doubt whichever start is listed

Change: a list carries the time before it was read (none if another lobby has read it); a doubt is raised at the last listed start, whichever start the connection was to.

Evidence: TestSecondStartIsDoubted and TestListThatWasReadBeforeSettlesNoDoubt (the first case of each is the control) fail before and hold.

--- a/lobby/discovery/backends.go
+++ b/lobby/discovery/backends.go
@@ -297,7 +297,7 @@
 			list = append(list, backend)
 		}
 	}
-	w.config.State.setBackends(list)
+	w.config.State.setBackends(w.lastRead, list)
 }
 
 // succeeded reports whether another backend server that started later has the address of
--- a/lobby/discovery/discovery_test.go
+++ b/lobby/discovery/discovery_test.go
@@ -33,7 +33,7 @@
 	l.versions = append(l.versions, c.Version())
 }
 
-func (l *listener) BackendsChanged(backends []deployment.Backend) {
+func (l *listener) BackendsChanged(_ time.Time, backends []deployment.Backend) {
 	var ids []string
 	for _, backend := range backends {
 		ids = append(ids, backend.ID())
@@ -248,7 +248,7 @@
 			l, peers := &listener{}, &fakePeers{version: 6}
 			state := NewState(StateConfig{Listener: l, Log: testkit.DiscardLog()})
 			if tc.listed {
-				state.setBackends(nil)
+				state.setBackends(time.Now(), nil)
 			}
 			r := NewRefresher(RefresherConfig{Store: &tc.store, Peers: peers, State: state, Log: testkit.DiscardLog()})
 			ctx, cancel := context.WithCancel(context.Background())
--- a/lobby/discovery/evacuation_test.go
+++ b/lobby/discovery/evacuation_test.go
@@ -159,7 +159,7 @@
 	l.state = NewState(StateConfig{Listener: l, Log: testkit.DiscardLog()})
 	l.state.setEvacuations(noon, deployment.NewEvacuations(deployment.EvacuationsConfig{Through: 5, Offsets: map[string]int64{"a": 1}}))
 	l.state.setConfiguration(version(3), "store")
-	l.state.setBackends([]deployment.Backend{deployment.NewBackend(deployment.BackendConfig{ID: "b"})})
+	l.state.setBackends(time.Now(), []deployment.Backend{deployment.NewBackend(deployment.BackendConfig{ID: "b"})})
 	if diff := cmp.Diff([]string{"version 0, 0 backend servers, 1 evacuated", "version 3, 0 backend servers, 1 evacuated", "version 3, 1 backend servers, 1 evacuated"}, l.read); diff != "" {
 		t.Errorf("read when notified (-want +got):\n%s", diff)
 	}
@@ -178,7 +178,7 @@
 
 func (l *readingListener) ConfigurationChanged(*deployment.Configuration) { l.note() }
 
-func (l *readingListener) BackendsChanged([]deployment.Backend) { l.note() }
+func (l *readingListener) BackendsChanged(time.Time, []deployment.Backend) { l.note() }
 
 func (l *readingListener) EvacuationsChanged(EvacuationChange) error {
 	l.note()
--- a/lobby/discovery/state.go
+++ b/lobby/discovery/state.go
@@ -13,7 +13,9 @@
 // State. Other changes wait for them, so they must not block for long.
 type Listener interface {
 	ConfigurationChanged(c *deployment.Configuration)
-	BackendsChanged(backends []deployment.Backend)
+	// BackendsChanged takes a list of backend servers, and the time before it was read from the
+	// store, zero if another lobby has read it.
+	BackendsChanged(read time.Time, backends []deployment.Backend)
 	// EvacuationsChanged returns an error if the change could not be passed on. It is
 	// called again with the next report.
 	EvacuationsChanged(change EvacuationChange) error
@@ -101,12 +103,12 @@
 	return true
 }
 
-// setBackends sets the list of backend servers that was read from the store.
-func (s *State) setBackends(backends []deployment.Backend) {
+// setBackends sets the list of backend servers that was read from the store after a time.
+func (s *State) setBackends(read time.Time, backends []deployment.Backend) {
 	s.changing.Lock()
 	defer s.changing.Unlock()
 	s.fromStore = true
-	s.replaceBackends(backends)
+	s.replaceBackends(read, backends)
 }
 
 // setPeerBackends sets the list of backend servers that another lobby has read.
@@ -117,13 +119,13 @@
 	if s.fromStore || len(backends) == 0 {
 		return
 	}
-	s.replaceBackends(backends)
+	s.replaceBackends(time.Time{}, backends)
 }
 
 // replaceBackends replaces the list of backend servers and notifies the listener.
-func (s *State) replaceBackends(backends []deployment.Backend) {
+func (s *State) replaceBackends(read time.Time, backends []deployment.Backend) {
 	s.mu.Lock()
 	s.backends = backends
 	s.mu.Unlock()
-	s.config.Listener.BackendsChanged(backends)
+	s.config.Listener.BackendsChanged(read, backends)
 }
--- a/lobby/evacuation_test.go
+++ b/lobby/evacuation_test.go
@@ -282,7 +282,7 @@
 
 func (deafListener) ConfigurationChanged(*deployment.Configuration) {}
 
-func (deafListener) BackendsChanged([]deployment.Backend) {}
+func (deafListener) BackendsChanged(time.Time, []deployment.Backend) {}
 
 func (deafListener) EvacuationsChanged(discovery.EvacuationChange) error { return nil }
 
--- a/lobby/mediator.go
+++ b/lobby/mediator.go
@@ -47,8 +47,8 @@
 
 // BackendsChanged passes a new list of backend servers to the scheduler and the
 // planner.
-func (m *mediator) BackendsChanged(backends []deployment.Backend) {
-	m.notifyScheduler(scheduler.NewBackendsChanged(backends))
+func (m *mediator) BackendsChanged(read time.Time, backends []deployment.Backend) {
+	m.notifyScheduler(scheduler.NewBackendsChanged(read, backends))
 	m.notifyPlanner(backends)
 }
 
--- a/lobby/resumption/core.go
+++ b/lobby/resumption/core.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// SetBackends records the list of backend servers.
-func (c *Core) SetBackends(now time.Time, backends []deployment.Backend) {
-	c.listed = now
+// SetBackends records the list of backend servers, and the time before it was read, zero if
+// another lobby has read it.
+func (c *Core) SetBackends(now, read time.Time, backends []deployment.Backend) {
+	c.listed = read
 	c.versions.list(now, backends)
 	c.updateSeveral(now)
 }
--- a/lobby/resumption/core_test.go
+++ b/lobby/resumption/core_test.go
@@ -28,7 +28,7 @@
 func TestMemoryOfStreamsIsBounded(t *testing.T) {
 	const begun = 100_000
 	c := resumption.New()
-	c.SetBackends(noon, listOf("v1", "v2"))
+	c.SetBackends(noon, noon, listOf("v1", "v2"))
 	origin := resumption.NewOrigin("s", "v1")
 	for i := range begun {
 		c.Began(noon, httpmeta.StreamID(i), origin, noon.Add(time.Hour))
@@ -73,7 +73,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := resumption.New()
-			c.SetBackends(noon, listOf("v1", "v2"))
+			c.SetBackends(noon, noon, listOf("v1", "v2"))
 			c.Began(noon, 1, resumption.NewOrigin("s", "v1"), noon.Add(10*time.Second))
 			now := noon.Add(tc.after)
 			c.Began(now, 1, resumption.NewOrigin("s", tc.second), now.Add(10*time.Second))
@@ -94,7 +94,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := resumption.New()
-			c.SetBackends(noon, listOf("v1", "v2"))
+			c.SetBackends(noon, noon, listOf("v1", "v2"))
 			for i := range tc.streams {
 				c.Began(noon, httpmeta.StreamID(i), resumption.NewOrigin("s", "v2"), noon.Add(time.Minute))
 			}
--- a/lobby/resumption/fleet_test.go
+++ b/lobby/resumption/fleet_test.go
@@ -27,11 +27,11 @@
 			for i := range cores {
 				cores[i] = resumption.New()
 				cores[i].Load(now, savedVersions(), true)
-				cores[i].SetBackends(now, listOf("v1", "v2"))
+				cores[i].SetBackends(now, now, listOf("v1", "v2"))
 			}
 			for ; now.Before(noon.Add(time.Hour)); now = now.Add(500 * time.Millisecond) {
 				for i, c := range cores {
-					c.SetBackends(now, listOf("v2"))
+					c.SetBackends(now, now, listOf("v2"))
 					if save, ok := c.ToSave(now, tc.lobbies); ok {
 						removed += len(save.Removed())
 						c.SaveAnswered(now, save.Serial())
@@ -57,7 +57,7 @@
 func TestStreamBegunWithoutTheStoreIsNotOfAnotherVersion(t *testing.T) {
 	c, now := resumption.New(), noon
 	c.Load(now.Add(-90*time.Second), savedVersions("v1"), true)
-	c.SetBackends(now, listOf("v2")) // no other one serves
+	c.SetBackends(now, now, listOf("v2")) // no other one serves
 	c.ToSave(now, 1)
 	c.Began(now, 1, resumption.NewOrigin("s", "v2"), now.Add(time.Minute))
 	found := c.Find(now, 2, "s", 1) // begun at v2 by a lobby that was killed
@@ -83,7 +83,7 @@
 			first, second := resumption.New(), resumption.New()
 			for _, c := range []*resumption.Core{first, second} {
 				c.Load(noon, savedVersions("v1"), true)
-				c.SetBackends(now, listOf("v1", "v2"))
+				c.SetBackends(now, now, listOf("v1", "v2"))
 				save, _ := c.ToSave(now, 2)
 				c.SaveAnswered(now, save.Serial())
 			}
@@ -92,7 +92,7 @@
 				second.UpdatePeer(now, protocol.NewDigest(protocol.DigestConfig{Sender: "l1", Streams: first.ToTell(now)}))
 			}
 			now = now.Add(2 * time.Second)
-			second.SetBackends(now, listOf("v1", "v2"))
+			second.SetBackends(now, now, listOf("v1", "v2"))
 			if diff := cmp.Diff(tc.source, second.Find(now, 1, "s", 2).Source()); diff != "" {
 				t.Errorf("source (-want +got):\n%s", diff)
 			}
@@ -119,11 +119,11 @@
 		queued = queued[1:]
 		c.SaveAnswered(now, serial)
 	}
-	c.SetBackends(now, listOf("v1"))
+	c.SetBackends(now, now, listOf("v1"))
 	next(0)
 	next(11 * time.Second) // repeated: the store is away
 	take()                 // the store is back
-	c.SetBackends(now, listOf("v1", "v2"))
+	c.SetBackends(now, now, listOf("v1", "v2"))
 	next(time.Second)
 	take()
 	if diff := cmp.Diff(kept["v2"], c.Saved(resumption.NewOrigin("s", "v2"))); diff != "" {
@@ -137,15 +137,15 @@
 func TestVersionThatReturnsIsNotRemoved(t *testing.T) {
 	c, now, serial := resumption.New(), noon, uint64(0)
 	c.Load(now, savedVersions("v1", "v2"), true)
-	c.SetBackends(now, listOf("v1", "v2"))
+	c.SetBackends(now, now, listOf("v1", "v2"))
 	for _, after := range []time.Duration{2 * time.Minute, time.Minute} { // a save of v3, which the store does not answer, then v1 is forgotten
 		now = now.Add(after)
-		c.SetBackends(now, listOf("v2", "v3"))
+		c.SetBackends(now, now, listOf("v2", "v3"))
 		if save, ok := c.ToSave(now, 1); ok {
 			serial = save.Serial()
 		}
 	}
-	c.SetBackends(now, listOf("v1", "v2", "v3"))
+	c.SetBackends(now, now, listOf("v1", "v2", "v3"))
 	c.SaveAnswered(now, serial)
 	save, _ := c.ToSave(now.Add(time.Second), 1)
 	for _, added := range save.Added() {
--- a/lobby/resumption/outage_test.go
+++ b/lobby/resumption/outage_test.go
@@ -59,10 +59,10 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			kept, first, now := &keptStreams{versions: make(map[protocol.SoftwareVersionConfig]bool)}, resumption.New(), noon
-			first.SetBackends(now, listOf("v1", "v2"))
+			first.SetBackends(now, now, listOf("v1", "v2"))
 			first.Began(now, 1, resumption.NewOrigin("s", "v1"), now.Add(10*time.Second))
 			for ; now.Before(noon.Add(tc.later)); now = now.Add(time.Second) {
-				first.SetBackends(now, listOf("v2"))
+				first.SetBackends(now, now, listOf("v2"))
 				if save, ok := first.ToSave(now, 1); ok {
 					kept.save(save)
 					first.SaveAnswered(now, save.Serial())
@@ -70,7 +70,7 @@
 			}
 			second := resumption.New()
 			second.Load(now, kept.read(), true)
-			second.SetBackends(now.Add(2*time.Minute), listOf("v2"))
+			second.SetBackends(now.Add(2*time.Minute), now.Add(2*time.Minute), listOf("v2"))
 			if diff := cmp.Diff(tc.known, second.Find(now.Add(2*time.Minute), 2, "s", 1).Known()); diff != "" {
 				t.Errorf("origin of a stream of the only version known (-want +got):\n%s", diff)
 			}
@@ -98,7 +98,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := resumption.New()
 			c.Load(noon, savedVersions("v1"), true)
-			c.SetBackends(noon, listOf("v1"))
+			c.SetBackends(noon, noon, listOf("v1"))
 			if tc.digest > 0 {
 				c.UpdatePeer(noon.Add(tc.digest), protocol.NewDigest(protocol.DigestConfig{Sender: "l2"}))
 			}
@@ -113,7 +113,7 @@
 // that all lobbies have left in the store.
 func TestLoadDisplacesNoOwnStreams(t *testing.T) {
 	c := resumption.New()
-	c.SetBackends(noon, listOf("v1", "v2"))
+	c.SetBackends(noon, noon, listOf("v1", "v2"))
 	c.Began(noon, 1, resumption.NewOrigin("s", "v1"), noon.Add(time.Minute))
 	group := protocol.StreamsConfig{Service: "s", Version: "v2", Left: time.Second}
 	for i := range httpmeta.StreamID(1 << 15) {
@@ -156,7 +156,7 @@
 // store is away, and that is taken for saved although the save was lost.
 func TestVersionOutlivesALongOutageOfTheStore(t *testing.T) {
 	c, now := resumption.New(), noon
-	c.SetBackends(now, listOf("v1"))
+	c.SetBackends(now, now, listOf("v1"))
 	steps := []struct {
 		step     string
 		after    time.Duration
--- a/lobby/scheduler/backends.go
+++ b/lobby/scheduler/backends.go
@@ -51,14 +51,14 @@
 
 // updateBackends applies a new list of backend servers. Those that are no
 // longer listed get no new requests, but keep the ones that they are running.
-func (c *Core) updateBackends(now time.Time, backends []deployment.Backend) {
+func (c *Core) updateBackends(now time.Time, m BackendsChanged) {
 	if !c.listed {
 		c.listedFirst = now
 	}
 	c.listed, c.listedAt = true, now
-	c.config.Streams.SetBackends(now, backends)
-	seen := make(map[string]bool, len(backends))
-	for _, backend := range backends {
+	c.config.Streams.SetBackends(now, m.read, m.backends)
+	seen := make(map[string]bool, len(m.backends))
+	for _, backend := range m.backends {
 		seen[backend.ID()] = true
 		s, ok := c.servers[backend.ID()]
 		if !ok || s.backend.StartTime() != backend.StartTime() {
@@ -71,7 +71,7 @@
 		}
 		s.forgetUnloaded(func(model string) bool { return backend.Holds(model, "") })
 		s.backend, s.listed = backend, true
-		c.settleDoubt(now, s)
+		c.settleDoubt(now, m.read, s)
 		c.updateCold(now, s)
 		s.cacheTokens = c.cacheTokens(s)
 
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -202,7 +202,7 @@
 	case ConfigurationChanged:
 		c.configurationChanged(now, m.configuration)
 	case BackendsChanged:
-		c.updateBackends(now, m.backends)
+		c.updateBackends(now, m)
 	case EvacuationsChanged:
 		c.updateEvacuations(now, m)
 	case DigestReceived:
--- a/lobby/scheduler/core_test.go
+++ b/lobby/scheduler/core_test.go
@@ -85,7 +85,7 @@
 	for _, config := range backends {
 		list = append(list, deployment.NewBackend(config))
 	}
-	return f.core.Handle(f.now, scheduler.NewBackendsChanged(list))
+	return f.core.Handle(f.now, scheduler.NewBackendsChanged(f.now, list))
 }
 
 func plainServer(id string) deployment.BackendConfig {
--- a/lobby/scheduler/crash_test.go
+++ b/lobby/scheduler/crash_test.go
@@ -131,7 +131,7 @@
 		Services: []deployment.ServiceConfig{{Name: "engine", MaxConnections: 360, Engine: engineConfig()}},
 		Tenants:  []deployment.TenantConfig{{Name: "t", Keys: []string{"k"}}},
 	})))
-	f.handle(l, scheduler.NewBackendsChanged(f.list()))
+	f.handle(l, scheduler.NewBackendsChanged(f.now, f.list()))
 	l.post(f.now.Add(simRecall), f.recall(f.now.Add(simRecall)))
 }
 
@@ -272,7 +272,7 @@
 	}
 	for _, l := range f.lobbies {
 		if changed {
-			l.post(f.now, scheduler.NewBackendsChanged(f.list()))
+			l.post(f.now, scheduler.NewBackendsChanged(f.now, f.list()))
 		}
 		if f.now.Before(l.frozenUntil) {
 			continue
--- a/lobby/scheduler/doubt.go
+++ b/lobby/scheduler/doubt.go
@@ -17,19 +17,19 @@
 
 const (
 	// startListedAfter is the time after a new start of a backend server accepts a connection
-	// within which the list that has been read shows it.
+	// within which it is listed.
 	startListedAfter = 700 * time.Millisecond
 	connectPeriod    = time.Second // time between two connections that are asked for to end a doubt
 )
 
 // backendDisconnected records that a backend server may start again before it is listed anew.
 func (c *Core) backendDisconnected(now time.Time, origin Origin) {
-	s := c.serverOf(origin)
+	s := c.anyStartOf(origin)
 	if s == nil {
 		return
 	}
 	if !s.doubt.raised {
-		c.emit(RecordDoubt{origin: origin, raised: true, listAge: now.Sub(c.listedAt)})
+		c.emit(RecordDoubt{origin: NewOrigin(origin.backend, s.backend.StartTime()), raised: true, listAge: now.Sub(c.listedAt)})
 	}
 	s.doubt = doubt{raised: true, since: now, asked: s.doubt.asked}
 }
@@ -37,11 +37,20 @@
 // backendConnected records that a backend server that may have started again accepts a
 // connection: from now on it is one start.
 func (c *Core) backendConnected(now time.Time, origin Origin) {
-	if s := c.serverOf(origin); s != nil {
+	if s := c.anyStartOf(origin); s != nil {
 		s.doubt.accepts(now)
 	}
 }
 
+// anyStartOf returns the state of the last start of a backend server that was listed, nil if there
+// is none. A connection may be to an earlier start, or to a later one.
+func (c *Core) anyStartOf(origin Origin) *server {
+	if s, ok := c.servers[origin.backend]; ok {
+		return s
+	}
+	return c.unlisted[origin.backend]
+}
+
 // accepts records that the backend server accepts connections.
 func (d *doubt) accepts(now time.Time) {
 	if d.raised && d.connected.IsZero() {
@@ -57,9 +66,9 @@
 }
 
 // settleDoubt ends the doubt about a backend server that a new list shows with the same start,
-// if another one would be listed by now. The streams that have begun meanwhile can go on.
-func (c *Core) settleDoubt(now time.Time, s *server) {
-	if !s.doubt.raised || s.doubt.connected.IsZero() || now.Sub(s.doubt.connected) < startListedAfter {
+// if another one would be listed when it was read. The streams that have begun meanwhile can go on.
+func (c *Core) settleDoubt(now, read time.Time, s *server) {
+	if !s.doubt.raised || s.doubt.connected.IsZero() || read.Sub(s.doubt.connected) < startListedAfter {
 		return
 	}
 	s.doubt = doubt{}
--- a/lobby/scheduler/doubt_test.go
+++ b/lobby/scheduler/doubt_test.go
@@ -125,3 +125,57 @@
 		})
 	}
 }
+
+// TestSecondStartIsDoubted guards against a backend server that starts again twice, the second
+// time before anything was sent to it, so that the end is reported of a connection to the start
+// before.
+func TestSecondStartIsDoubted(t *testing.T) {
+	cases := map[string]struct{ reported int64 }{
+		"the listed start":    {reported: 2},
+		"the one of the send": {reported: 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := func(start int64, version string) deployment.BackendConfig {
+				config := versioned(version, engineServer("e1"))
+				config.StartTime = start
+				return config
+			}
+			f := newFixture(server(1, "v1"))
+			f.core.Handle(f.now, saved("", "v1", "v2"))
+			f.now = f.now.Add(time.Second)
+			f.list(server(2, "v2"))
+			f.core.Handle(f.now, scheduler.NewBackendDisconnected(scheduler.NewOrigin("e1", tc.reported)))
+			f.begin(t, "v2") // at the third process, as it is not listed yet
+			f.list(server(3, "v1"), versioned("v2", engineServer("e2")))
+			checkActions(t, "take-up", []string{"refuse 503 unknown_origin"}, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Resumes: "old", LastEventID: "7"}))
+		})
+	}
+}
+
+// TestListThatWasReadBeforeSettlesNoDoubt guards against a list that was read, or asked for,
+// before a backend server accepted connections again, and arrives long after.
+func TestListThatWasReadBeforeSettlesNoDoubt(t *testing.T) {
+	cases := map[string]struct {
+		read time.Duration // after the connection
+		want []string      // when a stream of its version is taken up
+	}{
+		"read a second after":    {read: time.Second, want: []string{"send e1"}},
+		"read just before":       {read: -10 * time.Millisecond},
+		"read a moment after it": {read: 100 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			servers := []deployment.Backend{deployment.NewBackend(versioned("v1", engineServer("e1"))), deployment.NewBackend(versioned("v2", engineServer("e2")))}
+			f := newFixture(versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2")))
+			f.core.Handle(f.now, saved("", "v1", "v2"))
+			f.begin(t, "v1")
+			f.core.Handle(f.now, scheduler.NewBackendDisconnected(scheduler.NewOrigin("e1", 0)))
+			f.core.Handle(f.now, scheduler.NewBackendConnected(scheduler.NewOrigin("e1", 0)))
+			read := f.now.Add(tc.read)
+			f.now = f.now.Add(1500 * time.Millisecond)
+			f.core.Handle(f.now, scheduler.NewBackendsChanged(read, servers))
+			checkActions(t, "take-up", tc.want, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Resumes: "old", LastEventID: "7"}))
+		})
+	}
+}
--- a/lobby/scheduler/evacuation_test.go
+++ b/lobby/scheduler/evacuation_test.go
@@ -301,8 +301,8 @@
 	begun := scheduler.EvacuationsChangedConfig{Begun: []string{"d1", "nowhere"}, Source: "store", Evacuations: deployment.NewEvacuations(deployment.EvacuationsConfig{Offsets: map[string]int64{"d1": 1, "nowhere": 2}})}
 	handle(scheduler.NewEvacuationsChanged(begun))
 	list := []deployment.Backend{deployment.NewBackend(plainServer("p1")), deployment.NewBackend(plainServer("p2"))}
-	handle(scheduler.NewBackendsChanged(list))
-	handle(scheduler.NewBackendsChanged(list))
+	handle(scheduler.NewBackendsChanged(noon, list))
+	handle(scheduler.NewBackendsChanged(noon, list))
 	handle(scheduler.NewEvacuationsChanged(scheduler.EvacuationsChangedConfig{Ended: []string{"d1"}, Source: "lobby"}))
 	var got []evacuationLine
 	for line := range strings.Lines(written.String()) {
--- a/lobby/scheduler/limitfleet_test.go
+++ b/lobby/scheduler/limitfleet_test.go
@@ -120,7 +120,7 @@
 	})
 	f.handle(l, l.incarnation, scheduler.NewConfigurationChanged(fixtureConfiguration()))
 	f.handle(l, l.incarnation, scheduler.NewLobbyCountChanged(len(f.lobbies)))
-	f.handle(l, l.incarnation, scheduler.NewBackendsChanged(f.servers))
+	f.handle(l, l.incarnation, scheduler.NewBackendsChanged(noon.Add(f.now), f.servers))
 	f.after(f.delay(50*time.Millisecond), func() { f.tick(l, l.incarnation) })
 	f.after(f.delay(500*time.Millisecond), func() { f.read(l, l.incarnation) })
 }
--- a/lobby/scheduler/message.go
+++ b/lobby/scheduler/message.go
@@ -192,11 +192,15 @@
 }
 
 // BackendsChanged carries the platform's current list of backend servers.
-type BackendsChanged struct{ backends []deployment.Backend }
+type BackendsChanged struct {
+	read     time.Time
+	backends []deployment.Backend
+}
 
-// NewBackendsChanged returns the message.
-func NewBackendsChanged(backends []deployment.Backend) BackendsChanged {
-	return BackendsChanged{backends: backends}
+// NewBackendsChanged returns the message. read is the time before the list was read from the
+// platform, zero if another lobby has read it.
+func NewBackendsChanged(read time.Time, backends []deployment.Backend) BackendsChanged {
+	return BackendsChanged{read: read, backends: backends}
 }
 
 // DigestReceived carries the digest of another lobby.
--- a/lobby/scheduler/queue_test.go
+++ b/lobby/scheduler/queue_test.go
@@ -354,7 +354,7 @@
 		}))
 		loads = append(loads, protocol.BackendLoadConfig{Backend: id, Open: 47})
 	}
-	core.Handle(noon, scheduler.NewBackendsChanged(list))
+	core.Handle(noon, scheduler.NewBackendsChanged(noon, list))
 	core.Handle(noon, scheduler.NewDigestReceived(protocol.NewDigest(protocol.DigestConfig{Sender: "10.0.0.9:7000", Loads: loads})))
 	for number := range uint64(1046) {
 		core.Handle(noon, scheduler.NewArrived(number+1, crowdedRequest(number+1)))
--- a/lobby/scheduler/scheduler_test.go
+++ b/lobby/scheduler/scheduler_test.go
@@ -88,7 +88,7 @@
 	})
 	evacuations := deployment.NewEvacuations(deployment.EvacuationsConfig{Through: 2, Offsets: map[string]int64{"d1": 1}})
 	changed := scheduler.NewEvacuationsChanged(scheduler.EvacuationsChangedConfig{Evacuations: evacuations, Begun: []string{"d1"}})
-	for _, message := range []scheduler.Message{scheduler.NewBackendsChanged(nil), changed} {
+	for _, message := range []scheduler.Message{scheduler.NewBackendsChanged(noon, nil), changed} {
 		if err := s.Handle(noon, message); err != nil {
 			t.Fatal(err)
 		}
@@ -148,7 +148,7 @@
 				handle(scheduler.NewArrived(number, httpmeta.NewRequest(httpmeta.RequestConfig{Host: "h", Path: "/stream/a", Model: "m", APIKey: "k", Arrived: now})))
 			}
 			handle(scheduler.NewConfigurationChanged(fixtureConfiguration()))
-			handle(scheduler.NewBackendsChanged([]deployment.Backend{deployment.NewBackend(engineServer("e1"))}))
+			handle(scheduler.NewBackendsChanged(noon, []deployment.Backend{deployment.NewBackend(engineServer("e1"))}))
 			arrive()
 			now = now.Add(tc.pause)
 			arrive()
--- a/lobby/scheduler/simulation_test.go
+++ b/lobby/scheduler/simulation_test.go
@@ -129,7 +129,7 @@
 		})
 		core.Handle(noon, scheduler.NewConfigurationChanged(deployment.NewConfiguration(config.configuration)))
 		core.Handle(noon, scheduler.NewLobbyCountChanged(config.lobbies))
-		core.Handle(noon, scheduler.NewBackendsChanged(list))
+		core.Handle(noon, scheduler.NewBackendsChanged(noon, list))
 		s.cores = append(s.cores, core)
 		s.tickAfter(i, time.Duration(s.random.IntN(50))*time.Millisecond)
 	}
@@ -150,7 +150,7 @@
 // list lets the lobbies read a list of backend servers.
 func (s *simulation) list(backends []deployment.Backend) {
 	for lobby := range s.cores {
-		s.handle(lobby, scheduler.NewBackendsChanged(backends))
+		s.handle(lobby, scheduler.NewBackendsChanged(noon, backends))
 	}
 }
 
--- a/lobby/scheduler/takeup.go
+++ b/lobby/scheduler/takeup.go
@@ -12,8 +12,9 @@
 
 // StreamOrigins remembers at which software versions streams began.
 type StreamOrigins interface {
-	// SetBackends records the list of backend servers.
-	SetBackends(now time.Time, backends []deployment.Backend)
+	// SetBackends records the list of backend servers, and the time before it was read, zero if
+	// another lobby has read it.
+	SetBackends(now, read time.Time, backends []deployment.Backend)
 	// Began records that a stream has begun or gone on at an origin, and the time at which
 	// its caller's timeout ends.
 	Began(now time.Time, stream httpmeta.StreamID, origin resumption.Origin, until time.Time)
