Begin streams at a new software version once all lobbies know it

What callers would see: two lobbies, a new version appears, nobody is killed. A stream begins there at the lobby that had the version acknowledged first, breaks off and is taken up at the other one, which knows one version still and sends it there: joined.

Causes, one class: a lobby concluded from what it did not know, and the others had not been asked. - Streams began when the store had acknowledged the version to one lobby. They begin now when all others have named it, or have had 4 s to read it; one that is listed counts against only_version even if it is not saved. - A stream that nobody knows passed for an earlier one for a minute, between two digests too.

--- a/commons/protocol/streams.go
+++ b/commons/protocol/streams.go
@@ -13,12 +13,13 @@
 }
 
 // StreamsConfig is a number of streams that began at the same software version, which is empty
-// while nobody knows it. Without streams it names a version that the platform's store has.
+// while nobody knows it. Without streams it names a version that the sender knows.
 type StreamsConfig struct {
 	Service string
 	Version string
 	Streams []httpmeta.StreamID
 	Left    time.Duration // time for which their callers may take them up
+	Saved   bool          // the platform's store has the version; set without streams only
 }
 
 // StreamsSaveConfig holds the construction parameters of a StreamsSave.
--- a/lobby/resumption/core.go
+++ b/lobby/resumption/core.go
@@ -16,8 +16,13 @@
 	// of a service. Later all other lobbies must have been heard within peerLifetime.
 	maxListAge   = 2500 * time.Millisecond
 	peerLifetime = time.Second
-	// joinPeriod is the time after which a lobby that starts has heard all others.
-	joinPeriod       = 2 * time.Second
+	// joinPeriod is the time after a lobby has read the store, which has one version of a service,
+	// for which it tells nobody that it knows another one, so that streams begin there nowhere.
+	// Lobbies that were killed together start within it.
+	joinPeriod = 3 * time.Second
+	// settlePeriod is the time after which all lobbies in touch have read that a version is
+	// listed, whether or not they have said so.
+	settlePeriod     = 4 * time.Second
 	expiryPeriod     = 5 * time.Second
 	digestsPerStream = 2   // since some are lost
 	maxTold          = 256 // streams in one digest
@@ -37,6 +42,7 @@
 	saver      saver
 	several    map[string]bool      // services with several versions, whose streams are saved
 	onlyAtLoad map[string]string    // by service, the only version at which streams may have begun when the store was read
+	keptAtLoad map[string]bool      // services of which the store had a version then
 	loaded     time.Time            // time at which the store had been read; zero before
 	listed     time.Time            // time of the last list of backend servers
 	peers      map[string]time.Time // times of the last digests of the other lobbies
@@ -47,23 +53,47 @@
 // New returns a core that knows nothing.
 func New() *Core {
 	return &Core{
-		streams: newTable(), versions: make(versions), several: make(map[string]bool), onlyAtLoad: make(map[string]string), peers: make(map[string]time.Time),
+		streams: newTable(), versions: make(versions), several: make(map[string]bool), onlyAtLoad: make(map[string]string), keptAtLoad: make(map[string]bool), peers: make(map[string]time.Time),
 	}
 }
 
 // SetBackends records the list of backend servers, and the time before it was read, zero if
 // another lobby has read it.
 func (c *Core) SetBackends(now, read time.Time, backends []deployment.Backend) {
+	first := c.listed.IsZero()
 	c.listed = read
-	c.versions.list(now, backends)
+	c.versions.list(now, first, backends)
 	c.updateSeveral(now)
 }
 
-// Saved reports whether the store has the version of an origin, so that lobbies that start later
-// know that streams may have begun there.
-func (c *Core) Saved(origin Origin) bool {
+// Readiness returns whether streams may begin at an origin. They may once the store has its
+// version, so that lobbies that start later know of it, and all others know of it too. lobbies is
+// the number of lobbies.
+func (c *Core) Readiness(now time.Time, origin Origin, lobbies int) Readiness {
 	version := c.versions.of(origin)
-	return version == nil || version.saved
+	if version == nil {
+		return Ready // the service has very many
+	}
+	overdue := !c.versions.several(origin.service) || now.Sub(version.since) >= settlePeriod
+	fresh := version.first && !c.loaded.IsZero() && !c.keptAtLoad[origin.service]
+	if overdue || fresh || c.mayName(now, origin) && version.knownTo(now, lobbies-1) {
+		version.shared = true
+	}
+	switch {
+	case version.saved && version.shared:
+		return Ready
+	case overdue:
+		return Overdue
+	default:
+		return Pending
+	}
+}
+
+// mayName reports whether the others may be told that this lobby knows an origin. From then on
+// streams may begin there, so none that nobody knows are taken for earlier ones any more.
+func (c *Core) mayName(now time.Time, origin Origin) bool {
+	atLoad, ok := c.onlyAtLoad[origin.service]
+	return !c.loaded.IsZero() && (!ok || atLoad == origin.version || now.Sub(c.loaded) >= joinPeriod)
 }
 
 // Began records that a stream has begun at an origin, or gone on there. It is remembered until
@@ -94,7 +124,7 @@
 // goes to a service. lobbies is the number of lobbies.
 func (c *Core) Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) Finding {
 	if r, ok := c.streams.records[stream]; ok && r.until.After(now) {
-		if r.unclear || r.origin.version == "" {
+		if r.unclear() || r.origin.version == "" {
 			return Finding{source: SourceUnknown, age: now.Sub(r.learnt)}
 		}
 		return Finding{origin: r.origin, source: r.source, age: now.Sub(r.learnt)}
@@ -102,15 +132,16 @@
 	finding := Finding{age: now.Sub(c.listed)}
 	only, single := c.versions.only(service)
 	atLoad, ok := c.onlyAtLoad[service]
+	earlier := NewOrigin(service, atLoad)
 	switch {
 	case c.loaded.IsZero():
 		finding.source = SourceUnread
 	case now.Sub(c.listed) > maxListAge && !c.heardAll(now, lobbies):
 		finding.source = SourceStale
-	case single:
+	case single && !c.versions.several(service):
 		finding.origin, finding.source = NewOrigin(service, only), SourceOnly
-	case ok && now.Sub(c.loaded) <= earlierPeriod && (now.Sub(c.loaded) <= joinPeriod || c.heardAll(now, lobbies)):
-		finding.origin, finding.source = NewOrigin(service, atLoad), SourceEarlier
+	case ok && now.Sub(c.loaded) < joinPeriod && !c.versions.streamsElsewhere(earlier):
+		finding.origin, finding.source = earlier, SourceEarlier
 	default:
 		finding.source = SourceUnknown
 	}
@@ -134,7 +165,7 @@
 	c.peers[digest.Sender()] = now
 	for _, group := range digest.Streams() {
 		if len(group.Streams) == 0 {
-			c.learnSaved(now, group)
+			c.learnVersion(now, digest.Sender(), group)
 			continue
 		}
 		c.learn(now, group, SourcePeer)
@@ -142,10 +173,11 @@
 	c.updateSeveral(now)
 }
 
-// learnSaved records that the store has a version, as another lobby tells.
-func (c *Core) learnSaved(now time.Time, group protocol.StreamsConfig) {
-	if version := c.versions.learn(NewOrigin(group.Service, group.Version)); version != nil {
-		version.saved = true
+// learnVersion records that another lobby knows a version.
+func (c *Core) learnVersion(now time.Time, sender string, group protocol.StreamsConfig) {
+	if version := c.versions.learn(now, NewOrigin(group.Service, group.Version)); version != nil {
+		version.saved = version.saved || group.Saved
+		version.named[sender] = now
 		version.keep(now.Add(min(group.Left, maxRetention)))
 	}
 }
@@ -153,9 +185,9 @@
 // Load records what the store keeps, or a part of it. complete is set with the last part.
 func (c *Core) Load(now time.Time, saved protocol.SavedStreams, complete bool) {
 	for _, config := range saved.Versions() {
-		if version := c.versions.learn(NewOrigin(config.Service, config.Version)); version != nil {
-			version.saved = true
-			version.keep(now.Add(minRetention))
+		if version := c.versions.learn(now, NewOrigin(config.Service, config.Version)); version != nil {
+			version.saved, version.shared = true, version.shared || c.loaded.IsZero()
+			version.keep(now.Add(maxRetention))
 		}
 	}
 	for _, group := range saved.Streams() {
@@ -167,6 +199,7 @@
 	if complete && c.loaded.IsZero() {
 		c.loaded = now
 		for service := range c.versions {
+			c.keptAtLoad[service] = c.versions.saved(service)
 			if only, ok := c.versions.only(service); ok {
 				c.onlyAtLoad[service] = only
 			}
@@ -178,7 +211,7 @@
 // no place of streams that are remembered.
 func (c *Core) learn(now time.Time, group protocol.StreamsConfig, source Source) {
 	origin := NewOrigin(group.Service, group.Version)
-	if origin.version != "" && c.versions.learn(origin) == nil {
+	if origin.version != "" && c.versions.learn(now, origin) == nil {
 		return
 	}
 	until := now.Add(min(group.Left, maxRetention))
@@ -224,7 +257,7 @@
 }
 
 // ToTell returns the streams for the next digest, the newest first: they are the least known.
-// For services with several versions it names all that the store has, without streams.
+// For services with several versions it names these, without streams.
 func (c *Core) ToTell(now time.Time) []protocol.StreamsConfig {
 	from := max(len(c.digest)-maxTold, 0)
 	streams := make([]httpmeta.StreamID, 0, len(c.digest)-from)
@@ -239,8 +272,8 @@
 	groups := c.group(now, streams)
 	for service := range c.several {
 		for name, version := range c.versions[service] {
-			if version.saved {
-				groups = append(groups, protocol.StreamsConfig{Service: service, Version: name, Left: max(version.forgetAt.Sub(now), 0)})
+			if c.mayName(now, NewOrigin(service, name)) {
+				groups = append(groups, protocol.StreamsConfig{Service: service, Version: name, Left: max(version.forgetAt.Sub(now), 0), Saved: version.saved})
 			}
 		}
 	}
@@ -274,26 +307,28 @@
 	c.expired = now
 	c.streams.expire(now)
 	c.saver.remove(c.versions.expire(now))
-	maps.DeleteFunc(c.peers, func(_ string, last time.Time) bool { return now.Sub(last) > minRetention })
+	maps.DeleteFunc(c.peers, func(_ string, last time.Time) bool { return now.Sub(last) > maxRetention })
 	c.updateSeveral(now)
 }
 
 // group returns streams by origin, in the order of their origins, without those that are
-// forgotten or unclear.
+// forgotten. One that is unclear is in two groups.
 func (c *Core) group(now time.Time, streams []httpmeta.StreamID) []protocol.StreamsConfig {
 	byOrigin := make(map[Origin]*protocol.StreamsConfig)
 	for _, stream := range streams {
 		r, ok := c.streams.records[stream]
-		if !ok || r.unclear || !r.until.After(now) {
+		if !ok || !r.until.After(now) {
 			continue
 		}
-		config, ok := byOrigin[r.origin]
-		if !ok {
-			config = &protocol.StreamsConfig{Service: r.origin.service, Version: r.origin.version}
-			byOrigin[r.origin] = config
+		for _, origin := range r.origins() {
+			config, ok := byOrigin[origin]
+			if !ok {
+				config = &protocol.StreamsConfig{Service: origin.service, Version: origin.version}
+				byOrigin[origin] = config
+			}
+			config.Streams = append(config.Streams, stream)
+			config.Left = max(config.Left, r.until.Sub(now))
 		}
-		config.Streams = append(config.Streams, stream)
-		config.Left = max(config.Left, r.until.Sub(now))
 	}
 	groups := make([]protocol.StreamsConfig, 0, len(byOrigin))
 	for _, config := range byOrigin {
--- a/lobby/resumption/core_test.go
+++ b/lobby/resumption/core_test.go
@@ -64,7 +64,7 @@
 	cases := map[string]struct {
 		second string // version of the second stream
 		after  time.Duration
-		known  bool
+		known  bool // at both lobbies
 	}{
 		"same version":                   {second: "v1", known: true},
 		"another version":                {second: "v2"},
@@ -72,13 +72,18 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := resumption.New()
+			c, other := resumption.New(), resumption.New()
+			tell := func(now time.Time) {
+				other.UpdatePeer(now, protocol.NewDigest(protocol.DigestConfig{Sender: "l1", Streams: c.ToTell(now)}))
+			}
 			c.SetBackends(noon, noon, listOf("v1", "v2"))
 			c.Began(noon, 1, resumption.NewOrigin("s", "v1"), noon.Add(10*time.Second))
+			tell(noon)
 			now := noon.Add(tc.after)
 			c.Began(now, 1, resumption.NewOrigin("s", tc.second), now.Add(10*time.Second))
-			if diff := cmp.Diff(tc.known, c.Find(now, 1, "s", 1).Known()); diff != "" {
-				t.Errorf("origin known (-want +got):\n%s", diff)
+			tell(now)
+			if diff := cmp.Diff([]bool{tc.known, tc.known}, []bool{c.Find(now, 1, "s", 2).Known(), other.Find(now, 1, "s", 2).Known()}); diff != "" {
+				t.Errorf("origin known at both lobbies (-want +got):\n%s", diff)
 			}
 		})
 	}
--- a/lobby/resumption/fleet_test.go
+++ b/lobby/resumption/fleet_test.go
@@ -66,35 +66,109 @@
 	}
 }
 
-// TestLobbyThatHearsNoOtherKnowsNoEarlierStreams guards against a lobby that started lately, does
-// not get the digests of another one, and takes streams that began there at a new version for
-// ones from before its start.
-func TestLobbyThatHearsNoOtherKnowsNoEarlierStreams(t *testing.T) {
+// lobbyPair is two lobbies that share a store. The first one reads lists at once, the second one
+// later.
+type lobbyPair struct {
+	cores [2]*resumption.Core
+	now   time.Time
+	lost  bool // digests
+}
+
+// newLobbyPair returns two lobbies of a service with one version that have read the store.
+func newLobbyPair() *lobbyPair {
+	p := &lobbyPair{now: noon}
+	for i := range p.cores {
+		p.cores[i] = resumption.New()
+		p.cores[i].Load(noon, savedVersions("v1"), true)
+		p.cores[i].SetBackends(noon, noon, listOf("v1"))
+	}
+	return p
+}
+
+// step has the lobbies save and tell what is due 0.1 s later.
+func (p *lobbyPair) step() {
+	p.now = p.now.Add(100 * time.Millisecond)
+	for i, c := range p.cores {
+		if save, ok := c.ToSave(p.now, 2); ok {
+			c.SaveAnswered(p.now, save.Serial())
+		}
+		if digest := protocol.NewDigest(protocol.DigestConfig{Sender: fmt.Sprint("l", i), Streams: c.ToTell(p.now)}); !p.lost {
+			p.cores[1-i].UpdatePeer(p.now, digest)
+		}
+	}
+}
+
+// TestStreamsBeginOnceAllLobbiesKnowTheVersion guards against a stream that begins at a new
+// version, and is taken up at another lobby that knows one version only, or takes it for a stream
+// from before its start.
+func TestStreamsBeginOnceAllLobbiesKnowTheVersion(t *testing.T) {
 	cases := map[string]struct {
-		heard  bool // the digest with the stream
-		source resumption.Source
+		after time.Duration // from the start of the lobbies until the version appears
+		lag   time.Duration // of the second lobby's list
+		lost  bool          // all digests
+		ready time.Duration // longest time from then on until streams begin there
 	}{
-		"heard":     {heard: true, source: resumption.SourcePeer},
-		"not heard": {source: resumption.SourceUnknown},
+		"in touch":                    {after: time.Minute, lag: time.Second, ready: 500 * time.Millisecond},
+		"digests lost":                {after: time.Minute, lag: 2400 * time.Millisecond, lost: true, ready: 4500 * time.Millisecond},
+		"after a start":               {after: 200 * time.Millisecond, lag: time.Second, ready: 3500 * time.Millisecond},
+		"after a start, digests lost": {after: 200 * time.Millisecond, lag: 2400 * time.Millisecond, lost: true, ready: 4500 * time.Millisecond},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			now := noon.Add(30 * time.Second)
-			first, second := resumption.New(), resumption.New()
-			for _, c := range []*resumption.Core{first, second} {
-				c.Load(noon, savedVersions("v1"), true)
-				c.SetBackends(now, now, listOf("v1", "v2"))
-				save, _ := c.ToSave(now, 2)
-				c.SaveAnswered(now, save.Serial())
+			p := newLobbyPair()
+			p.lost = tc.lost
+			for p.now.Before(noon.Add(tc.after)) {
+				p.step()
+				for _, c := range p.cores {
+					c.SetBackends(p.now, p.now, listOf("v1"))
+				}
+			}
+			appeared := p.now
+			ready, joined := time.Duration(0), 0
+			for p.now.Before(appeared.Add(10 * time.Second)) {
+				p.cores[0].SetBackends(p.now, p.now, listOf("v1", "v2"))
+				if p.now.Sub(appeared) >= tc.lag {
+					p.cores[1].SetBackends(p.now, p.now, listOf("v1", "v2"))
+				}
+				p.step()
+				if p.cores[0].Readiness(p.now, resumption.NewOrigin("s", "v2"), 2) != resumption.Ready {
+					ready = p.now.Sub(appeared)
+					continue
+				}
+				if p.cores[1].Find(p.now, 1, "s", 2).Origin().Version() == "v1" { // begun a moment ago
+					joined++
+				}
 			}
-			first.Began(now, 1, resumption.NewOrigin("s", "v2"), now.Add(time.Minute))
-			if tc.heard {
-				second.UpdatePeer(now, protocol.NewDigest(protocol.DigestConfig{Sender: "l1", Streams: first.ToTell(now)}))
+			if diff := cmp.Diff([]any{0, true}, []any{joined, ready < tc.ready}); diff != "" {
+				t.Errorf("moments at which a stream would be joined, streams begin in time (-want +got):\n%s%v", diff, ready)
+			}
+		})
+	}
+}
+
+// TestStreamThatNobodyKnowsIsNotOfTheOtherVersion guards against a stream of a version that has
+// left, lost with all lobbies, that is joined when the version is forgotten.
+func TestStreamThatNobodyKnowsIsNotOfTheOtherVersion(t *testing.T) {
+	cases := map[string]struct {
+		after time.Duration
+		want  string
+	}{
+		"after a minute":        {after: time.Minute},
+		"after five minutes":    {after: 5 * time.Minute},
+		"when its time is over": {after: 11 * time.Minute, want: "v2"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, now := resumption.New(), noon
+			c.Load(now, savedVersions("v1", "v2"), true)
+			for ; now.Before(noon.Add(tc.after)); now = now.Add(time.Second) {
+				c.SetBackends(now, now, listOf("v2"))
+				if save, ok := c.ToSave(now, 1); ok {
+					c.SaveAnswered(now, save.Serial())
+				}
 			}
-			now = now.Add(2 * time.Second)
-			second.SetBackends(now, now, listOf("v1", "v2"))
-			if diff := cmp.Diff(tc.source, second.Find(now, 1, "s", 2).Source()); diff != "" {
-				t.Errorf("source (-want +got):\n%s", diff)
+			if diff := cmp.Diff(tc.want, c.Find(now, 1, "s", 1).Origin().Version()); diff != "" {
+				t.Errorf("version (-want +got):\n%s", diff)
 			}
 		})
 	}
@@ -126,7 +200,7 @@
 	c.SetBackends(now, now, listOf("v1", "v2"))
 	next(time.Second)
 	take()
-	if diff := cmp.Diff(kept["v2"], c.Saved(resumption.NewOrigin("s", "v2"))); diff != "" {
+	if diff := cmp.Diff(kept["v2"], c.Readiness(now.Add(time.Minute), resumption.NewOrigin("s", "v2"), 1) == resumption.Ready); diff != "" {
 		t.Errorf("streams begin at a version that the store does not have (-want +got):\n%s", diff)
 	}
 }
@@ -138,7 +212,7 @@
 	c, now, serial := resumption.New(), noon, uint64(0)
 	c.Load(now, savedVersions("v1", "v2"), true)
 	c.SetBackends(now, now, listOf("v1", "v2"))
-	for _, after := range []time.Duration{2 * time.Minute, time.Minute} { // a save of v3, which the store does not answer, then v1 is forgotten
+	for _, after := range []time.Duration{10 * time.Minute, time.Minute} { // a save of v3, which the store does not answer, then v1 is forgotten
 		now = now.Add(after)
 		c.SetBackends(now, now, listOf("v2", "v3"))
 		if save, ok := c.ToSave(now, 1); ok {
--- a/lobby/resumption/journal.go
+++ b/lobby/resumption/journal.go
@@ -17,13 +17,13 @@
 const (
 	journalCapacity = 8                      // saves that may be queued; the core makes one at a time
 	minRetryPeriod  = 300 * time.Millisecond // time between two calls while the store does not answer, at first
-	maxRetryPeriod  = 5 * time.Second        // the same after many calls
+	maxRetryPeriod  = time.Second            // the same after many calls
 	readPeriod      = 5 * time.Second        // time between two reads while a service has several versions
 	idleReadPeriod  = 30 * time.Second       // time between two reads otherwise, which show whether the store was restored
 	maxRead         = 1 << 12                // streams that are passed to the observer at once
-	// slots is the number of saves of a lobby that the store keeps. They last for minRetention
+	// slots is the number of saves of a lobby that the store keeps. They last for savedRetention
 	// at least, since a lobby saves streams every minSavePeriod at most.
-	slots = int(minRetention/minSavePeriod) + 1
+	slots = int(savedRetention/minSavePeriod) + 1
 )
 
 // Store keeps at which software versions streams began.
@@ -74,6 +74,7 @@
 	restored  bool      // the store came back from a backup, of which the observer has not been told
 	slot      int       // that was written last
 	pending   *protocol.StreamsSave
+	written   uint64 // serial of the last save that the store has taken
 	reachable bool
 	failures  int // calls that have failed since the last one that did not
 	failed    *metrics.Counter
@@ -215,8 +216,9 @@
 	return parts
 }
 
+// write writes a save, unless the store has taken it already.
 func (j *Journal) write(save protocol.StreamsSave) error {
-	if !save.Empty() {
+	if !save.Empty() && save.Serial() > j.written {
 		era, err := j.config.Store.SaveStreams(j.config.Self, (j.slot+1)%slots, save)
 		if err != nil {
 			j.failed.Inc()
@@ -228,6 +230,7 @@
 			j.noteRestore(era)
 			return nil
 		}
+		j.written = save.Serial()
 	}
 	if j.several && !save.Several() { // all services have one version
 		if err := j.config.Store.ClearStreams(); err != nil {
--- a/lobby/resumption/journal_test.go
+++ b/lobby/resumption/journal_test.go
@@ -75,7 +75,8 @@
 func (s *store) serveJournal(observer resumption.Observer, saves ...protocol.StreamsSaveConfig) {
 	s.done = make(chan struct{})
 	journal := resumption.NewJournal(resumption.JournalConfig{Self: "l1", Store: s, Observer: observer, MissedErr: errMissed, Log: testkit.DiscardLog()})
-	for _, save := range saves {
+	for n, save := range saves {
+		save.Serial = uint64(n + 1)
 		journal.Save(protocol.NewStreamsSave(save))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/lobby/resumption/outage_test.go
+++ b/lobby/resumption/outage_test.go
@@ -162,10 +162,10 @@
 		after    time.Duration
 		saves    bool // a save is due
 		answered bool // by the store
-		saved    bool // the store has the version then
+		saved    bool // streams begin there
 	}{
 		{step: "first save", saves: true},
-		{step: "not answered", after: 4 * time.Second},
+		{step: "not answered", after: time.Second},
 		{step: "repeated", after: 10 * time.Second, saves: true, answered: true, saved: true},
 		{step: "answered", after: time.Minute, saved: true},
 	}
@@ -175,7 +175,7 @@
 		if tc.answered {
 			c.SaveAnswered(now, save.Serial())
 		}
-		if diff := cmp.Diff([]bool{tc.saves, tc.saves, tc.saved}, []bool{ok, len(save.Added()) == 1, c.Saved(resumption.NewOrigin("s", "v1"))}); diff != "" {
+		if diff := cmp.Diff([]bool{tc.saves, tc.saves, tc.saved}, []bool{ok, len(save.Added()) == 1, c.Readiness(now, resumption.NewOrigin("s", "v1"), 1) == resumption.Ready}); diff != "" {
 			t.Errorf("%s: save due, of the version, saved (-want +got):\n%s", tc.step, diff)
 		}
 	}
--- a/lobby/resumption/saver.go
+++ b/lobby/resumption/saver.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	maxSaved     = 1 << 12          // streams in one save
-	resendPeriod = 10 * time.Second // time after which a save without an answer is repeated
+	maxSaved     = 1 << 12         // streams in one save
+	resendPeriod = 2 * time.Second // time after which a save without an answer is repeated
 	// The time between two saves grows with the number of lobbies, which share the store's
 	// rate of writes.
 	minSavePeriod      = 250 * time.Millisecond
--- a/lobby/resumption/stream.go
+++ b/lobby/resumption/stream.go
@@ -11,16 +11,12 @@
 	// maxRetention is the longest time for which a stream is remembered, in which its caller
 	// may take it up.
 	maxRetention = 10 * time.Minute
-	// minRetention is the shortest time for which a version is remembered that is not listed
-	// any more, and that for which the store keeps what a lobby has saved of streams.
-	minRetention = 2 * time.Minute
+	// savedRetention is the time for which the store keeps what a lobby has saved of streams.
+	savedRetention = 2 * time.Minute
 	// retentionSlack is the time for which a stream is remembered beyond its caller's timeout.
 	retentionSlack = 2 * time.Second
-	// earlierPeriod is the time after a lobby has read the store in which it takes streams that
-	// nobody knows for ones that began before.
-	earlierPeriod = time.Minute
-	maxStreams    = 1 << 15 // streams that are remembered
-	maxVersions   = 16      // versions of one service that are remembered
+	maxStreams     = 1 << 15 // streams that are remembered
+	maxVersions    = 16      // versions of one service that are remembered
 	// streamSize is the number of bytes that one stream takes in memory, as far as the metrics
 	// tell.
 	streamSize = 160
@@ -41,6 +37,16 @@
 // Version returns the version of the software of the backend server.
 func (o Origin) Version() string { return o.version }
 
+// Readiness says whether streams may begin at a version.
+type Readiness int
+
+// Values of Readiness.
+const (
+	Ready   Readiness = iota // all lobbies know the version, and so does the store
+	Overdue                  // if no version that is ready can run them
+	Pending                  // not yet
+)
+
 // Source says how a lobby knows where a stream began.
 type Source string
 
@@ -50,7 +56,7 @@
 	SourcePeer    Source = "peer"         // another lobby has said so
 	SourceStore   Source = "store"        // the store says so
 	SourceOnly    Source = "only_version" // streams of the service can have begun at one version only
-	SourceEarlier Source = "earlier"      // the stream began before this lobby read the store, when that was so
+	SourceEarlier Source = "earlier"      // when this lobby read the store, lately, streams had begun at one version only
 	SourceUnread  Source = "unread"       // not known: the store has not been read since the start
 	SourceStale   Source = "stale"        // not known: other versions may serve of which the lobby has not heard
 	SourceUnknown Source = "unknown"      // not known: the service has several versions, and nobody has said at which it began
--- a/lobby/resumption/table.go
+++ b/lobby/resumption/table.go
@@ -8,11 +8,22 @@
 
 // record is what is known of one stream.
 type record struct {
-	origin  Origin
-	source  Source
-	learnt  time.Time
-	until   time.Time // time from which it is forgotten
-	unclear bool      // streams of the same identifier began at different origins
+	origin Origin
+	source Source
+	learnt time.Time
+	until  time.Time // time from which it is forgotten
+	other  Origin    // at which another stream of the same identifier began; zero if there is none
+}
+
+// unclear reports whether streams of the same identifier began at different origins.
+func (r *record) unclear() bool { return r.other != Origin{} }
+
+// origins returns the origins that the stream may have.
+func (r *record) origins() []Origin {
+	if r.unclear() {
+		return []Origin{r.origin, r.other}
+	}
+	return []Origin{r.origin}
 }
 
 // table holds the streams that are remembered, at most maxStreams. Those that were added
@@ -42,8 +53,8 @@
 	case next.origin.version == "":
 	case known.origin.version == "":
 		known.origin, known.learnt = next.origin, next.learnt
-	default:
-		known.unclear = known.unclear || known.origin != next.origin
+	case next.origin != known.origin:
+		known.other = next.origin
 	}
 	if next.until.After(known.until) {
 		known.until = next.until
--- a/lobby/scheduler/core.go
+++ b/lobby/scheduler/core.go
@@ -124,7 +124,8 @@
 	demand        *demand
 	cold          coldServers
 	rateShares    *rateShares
-	rateLimited   bool // the rate of some backend server was limited at the last look
+	startable     map[queueKey]bool // found while the present message or tick is handled
+	rateLimited   bool              // the rate of some backend server was limited at the last look
 
 	homeDemand *demand // of requests with home regions, by homeKey
 	lastDigest time.Time
@@ -166,6 +167,7 @@
 		rateShares: newRateShares(config.Cold),
 
 		homeDemand: newDemand(),
+		startable:  make(map[queueKey]bool),
 	}
 }
 
@@ -179,7 +181,7 @@
 
 // Handle processes one message and returns the actions to execute.
 func (c *Core) Handle(now time.Time, message Message) []Action {
-	c.actions, c.now = nil, now
+	c.begin(now)
 	switch m := message.(type) {
 	case Arrived:
 		c.requestArrived(now, m)
@@ -235,6 +237,12 @@
 	return c.actions
 }
 
+// begin begins the handling of a message or a tick.
+func (c *Core) begin(now time.Time) {
+	c.actions, c.now = nil, now
+	clear(c.startable)
+}
+
 // configurationChanged puts a configuration in force.
 func (c *Core) configurationChanged(now time.Time, configuration *deployment.Configuration) {
 	c.configuration = configuration
@@ -249,7 +257,7 @@
 // Tick ends requests past their deadline, retries queued ones and broadcasts
 // the digest when it is due. It returns the actions to execute.
 func (c *Core) Tick(now time.Time) []Action {
-	c.actions, c.now = nil, now
+	c.begin(now)
 	c.updateShares(now)
 	for _, req := range c.requests {
 		if !now.Before(req.expires) {
--- a/lobby/scheduler/dispatch.go
+++ b/lobby/scheduler/dispatch.go
@@ -140,7 +140,7 @@
 // evaluate returns a backend server as a candidate for a request, if it can run
 // the request now.
 func (c *Core) evaluate(now time.Time, req *openRequest, s *server, engine bool) (candidate, bool) {
-	if engine && !s.canRun(now, req) || !c.mayStartAt(req, s) {
+	if engine && !s.canRun(now, req) || !c.mayStartAt(now, req, s) {
 		return candidate{}, false
 	}
 	match := s.cache.match(req.parts)
--- a/lobby/scheduler/doubt_test.go
+++ b/lobby/scheduler/doubt_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// TestOnlyHolderOfAModelServes guards against streams that wait for the store at a new version,
-// although the backend servers of the other version cannot run them.
+// TestOnlyHolderOfAModelServes guards against streams that wait for ever for the store at a new
+// version, although the backend servers of the other version cannot run them.
 func TestOnlyHolderOfAModelServes(t *testing.T) {
 	cases := map[string]struct{ other deployment.BackendConfig }{
 		"the other version leaves":          {other: leaving(engineServer("e1"))},
@@ -121,7 +121,9 @@
 			f := newFixture(v1)
 			f.core.Handle(f.now, saved("", "v1"))
 			f.list(v1, versioned("v2", engineServer("e2")))
-			checkActions(t, "request", []string{"send e2"}, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m"}))
+			checkActions(t, "request", nil, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m"}))
+			f.now = f.now.Add(5 * time.Second)
+			checkActions(t, "when all lobbies have read the list", []string{"send e2"}, f.list(v1, versioned("v2", engineServer("e2"))))
 		})
 	}
 }
--- a/lobby/scheduler/pin_test.go
+++ b/lobby/scheduler/pin_test.go
@@ -44,6 +44,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(first)
+			f.core.Handle(f.now, saved("", "v1", "v2"))
 			checkActions(t, "request", []string{"send e1"}, f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m"}))
 			result := scheduler.Lost
 			if tc.begun {
@@ -78,6 +79,7 @@
 		t.Run(name, func(t *testing.T) {
 			v1, v2 := versioned("v1", engineServer("e1")), versioned("v2", engineServer("e2"))
 			f := newFixture(v1, v2)
+			f.core.Handle(f.now, saved("", "v1", "v2"))
 			f.begin(t, "v1")
 			f.core.Handle(f.now, scheduler.NewBackendDisconnected(scheduler.NewOrigin("e1", 0)))
 			if tc.down >= 0 {
--- a/lobby/scheduler/takeup.go
+++ b/lobby/scheduler/takeup.go
@@ -18,9 +18,8 @@
 	// Began records that a stream has begun or gone on at an origin, and the time at which
 	// its caller's timeout ends.
 	Began(now time.Time, stream httpmeta.StreamID, origin resumption.Origin, until time.Time)
-	// Saved reports whether the store has the version of an origin, so that lobbies that start
-	// later know that streams may have begun there.
-	Saved(origin resumption.Origin) bool
+	// Readiness returns whether streams may begin at an origin. lobbies is the number of lobbies.
+	Readiness(now time.Time, origin resumption.Origin, lobbies int) resumption.Readiness
 	// Find returns what is known of the origin of a stream that a caller takes up, whose
 	// request goes to a service. lobbies is the number of lobbies.
 	Find(now time.Time, stream httpmeta.StreamID, service string, lobbies int) resumption.Finding
@@ -116,15 +115,33 @@
 }
 
 // mayStartAt reports whether a request may start at a backend server. A resumable stream begins
-// only at a version that the store has, unless no backend server of such a version can run it.
-func (c *Core) mayStartAt(req *openRequest, s *server) bool {
-	if !req.route.Resumable() || req.pin.set || c.config.Streams.Saved(s.origin()) {
+// at a version that is ready; at one that is overdue if no backend server of a ready one can run it.
+func (c *Core) mayStartAt(now time.Time, req *openRequest, s *server) bool {
+	if !req.route.Resumable() || req.pin.set {
 		return true
 	}
-	return !slices.ContainsFunc(c.byService[req.service], func(other *server) bool {
-		model := req.request.Model()
-		return other.usable() && c.eligible(req.queueKey(), other) && (model == "" || other.hasModel(model)) && c.config.Streams.Saved(other.origin())
-	})
+	switch c.config.Streams.Readiness(now, s.origin(), c.lobbyCount) {
+	case resumption.Ready:
+		return true
+	case resumption.Overdue:
+		return !c.startableAtReady(now, req)
+	default:
+		return false
+	}
+}
+
+// startableAtReady reports whether a backend server of a version that is ready can run a request.
+func (c *Core) startableAtReady(now time.Time, req *openRequest) bool {
+	key := req.queueKey()
+	found, ok := c.startable[key]
+	if !ok {
+		found = slices.ContainsFunc(c.byService[req.service], func(s *server) bool {
+			return s.usable() && c.eligible(key, s) && (key.model == "" || s.hasModel(key.model)) &&
+				c.config.Streams.Readiness(now, s.origin(), c.lobbyCount) == resumption.Ready
+		})
+		c.startable[key] = found
+	}
+	return found
 }
 
 // origin returns where streams begin that a backend server runs.
--- a/lobby/scheduler/takeup_test.go
+++ b/lobby/scheduler/takeup_test.go
@@ -11,6 +11,7 @@
 	"sesamewell.example/commons/deployment"
 	"sesamewell.example/commons/httpmeta"
 	"sesamewell.example/commons/protocol"
+	"sesamewell.example/lobby/resumption"
 	"sesamewell.example/lobby/scheduler"
 )
 
@@ -55,7 +56,8 @@
 		"nobody knows":                         {servers: mixed, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
 		"nobody knows, old version has left":   {servers: []deployment.BackendConfig{v2}, read: ptr(saved("", "v1", "v2")), request: takeUp, want: unknown},
 		"nobody knows, new version long since": {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", later: mixed, after: 2 * time.Minute, request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: unknown},
-		"began before a new version appeared":  {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", later: mixed, request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: "send e1"},
+		"began before a new version appeared":  {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), later: mixed, request: takeUp, want: "send e1"},
+		"the same, others began there since":   {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), told: "v2", later: mixed, request: httpmeta.RequestConfig{Resumes: "other", LastEventID: "7"}, want: unknown},
 		"store not read":                       {servers: []deployment.BackendConfig{v1}, request: takeUp, want: unknown},
 		"one version":                          {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: takeUp, want: "send e1"},
 		"one version, attempt not named":       {servers: []deployment.BackendConfig{v1}, read: ptr(saved("", "v1")), request: httpmeta.RequestConfig{LastEventID: "7"}, want: "send e1"},
@@ -71,6 +73,7 @@
 				f.core.Handle(f.now, *tc.read)
 			}
 			if tc.begun != "" {
+				f.core.Handle(f.now, saved("", "v1", "v2"))
 				f.begin(t, tc.begun)
 			}
 			if tc.told != "" {
@@ -123,12 +126,12 @@
 	}
 	check("with one version", "add [v1]", "tell v1 1")
 	f.list(v1, v2)
-	check("with two versions", "add [v2]", "save v1 1", "tell v1 1", "tell v1 0")
+	check("with two versions", "add [v2]", "save v1 1", "tell v1 1", "tell v1 0", "tell v2 0")
 	f.core.Handle(f.now, scheduler.StreamsRestored{})
-	check("after a restore of the store", "add [v1 v2]", "save v1 1")
+	check("after a restore of the store", "add [v1 v2]", "save v1 1", "tell v1 0", "tell v2 0")
 	f.now = f.now.Add(3 * time.Minute)
 	f.list(v2)
-	f.now = f.now.Add(3 * time.Minute)
+	f.now = f.now.Add(11 * time.Minute)
 	check("when the old version is long gone", "remove [v1]")
 }
 
@@ -165,3 +168,49 @@
 	}
 	return lines, serial
 }
+
+// countingOrigins counts the questions whether streams may begin somewhere.
+type countingOrigins struct {
+	scheduler.StreamOrigins
+	asked int
+}
+
+func (o *countingOrigins) Readiness(now time.Time, origin resumption.Origin, lobbies int) resumption.Readiness {
+	o.asked++
+	return o.StreamOrigins.Readiness(now, origin, lobbies)
+}
+
+// TestPlacingAsksOfEachServerTwice guards against a request whose placing takes a time that grows
+// with the square of the number of backend servers, while the store has not taken their version.
+func TestPlacingAsksOfEachServerTwice(t *testing.T) {
+	const servers = 50
+	cases := map[string]struct {
+		saved bool
+		most  int
+	}{
+		"saved":     {saved: true, most: servers},
+		"not saved": {most: 2 * servers},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var list []deployment.BackendConfig
+			for n := range servers {
+				list = append(list, versioned("v1", engineServer(fmt.Sprint("e", n))))
+			}
+			f := newFixture(list...)
+			origins := &countingOrigins{StreamOrigins: resumption.New()}
+			f.config.Streams = origins
+			f.core = scheduler.NewCore(f.config)
+			f.core.Handle(f.now, scheduler.NewConfigurationChanged(fixtureConfiguration()))
+			f.list(list...)
+			if tc.saved {
+				f.core.Handle(f.now, saved("", "v1"))
+			}
+			origins.asked = 0
+			f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m"})
+			if diff := cmp.Diff(true, origins.asked <= tc.most); diff != "" {
+				t.Errorf("asked %d times (-want +got):\n%s", origins.asked, diff)
+			}
+		})
+	}
+}
