Load a model at the software version whose streams wait for it

Change: the demand with home regions that lobbies tell the planner names a software version too, where a stream waits for a backend server of one, or was refused for want of it; the planner keeps a copy there, as in home regions.

--- a/commons/protocol/digest.go
+++ b/commons/protocol/digest.go
@@ -21,11 +21,12 @@
 	Silent      bool          // requests have been unanswered for longer than the pending prefill explains
 }
 
-// HomeDemandConfig is the demand for a model by requests that may run in some regions
-// only.
+// HomeDemandConfig is the demand for a model by requests that may run in some regions only, or
+// wait for a backend server of one software version.
 type HomeDemandConfig struct {
 	Model   string
-	Regions []string // sorted
+	Regions []string // sorted; none if they may run in all
+	Version string   // of the backend servers' software, empty for any
 	Engines float64  // number of engines that the requests keep busy
 }
 
--- a/lobby/placement/core_test.go
+++ b/lobby/placement/core_test.go
@@ -26,6 +26,7 @@
 	localCopies map[string][]string
 	leaving     map[string]bool
 	domains     map[string]string // failure domain by backend server ID
+	versions    map[string]string // of the software, by backend server ID
 	demand      map[string]float64
 	cold        string // the backend server that says that it is cold
 	stuck       bool   // the engines do not apply the plan
@@ -87,7 +88,7 @@
 func (f *fleet) list() []deployment.Backend {
 	var list []deployment.Backend
 	for id, models := range f.loaded {
-		config := deployment.BackendConfig{ID: id, Service: "s", Address: id + ":80", Slots: 64, StartTime: f.startTime, Leaving: f.leaving[id], Domain: f.domains[id], LocalCopies: f.localCopies[id]}
+		config := deployment.BackendConfig{ID: id, Service: "s", Address: id + ":80", Slots: 64, StartTime: f.startTime, Leaving: f.leaving[id], Domain: f.domains[id], Version: f.versions[id], LocalCopies: f.localCopies[id]}
 		if id == f.cold {
 			config.ColdFor = time.Second
 		}
--- a/lobby/placement/homes.go
+++ b/lobby/placement/homes.go
@@ -10,15 +10,17 @@
 	"sesamewell.example/commons/protocol"
 )
 
-// homeDemand is the demand for a model by requests that may run in some regions only.
+// homeDemand is the demand for a model by requests that may run in some regions only, or wait for
+// a backend server of one software version.
 type homeDemand struct {
 	model   string
-	regions []string
-	engines float64 // number of engines that the requests keep busy
+	regions []string // none if they may run in all
+	version string   // empty for any
+	engines float64  // number of engines that the requests keep busy
 }
 
 // totalHomeDemand returns the demand of requests with home regions, summed over all live
-// lobbies and sorted by model and regions.
+// lobbies and sorted by model, regions and version.
 func (c *Core) totalHomeDemand(now time.Time) []homeDemand {
 	sums := make(map[string]homeDemand)
 	for _, p := range c.peers {
@@ -26,8 +28,8 @@
 			continue
 		}
 		for _, demand := range p.homeDemand {
-			key := demand.Model + "\x00" + strings.Join(demand.Regions, "\x00")
-			sums[key] = homeDemand{model: demand.Model, regions: demand.Regions, engines: sums[key].engines + demand.Engines}
+			key := strings.Join(append([]string{demand.Model, demand.Version}, demand.Regions...), "\x00")
+			sums[key] = homeDemand{model: demand.Model, regions: demand.Regions, version: demand.Version, engines: sums[key].engines + demand.Engines}
 		}
 	}
 	total := make([]homeDemand, 0, len(sums))
@@ -35,7 +37,7 @@
 		total = append(total, demand)
 	}
 	slices.SortFunc(total, func(a, b homeDemand) int {
-		return cmp.Or(cmp.Compare(a.model, b.model), slices.Compare(a.regions, b.regions))
+		return cmp.Or(cmp.Compare(a.model, b.model), slices.Compare(a.regions, b.regions), cmp.Compare(a.version, b.version))
 	})
 	return total
 }
@@ -49,8 +51,14 @@
 	return digest.HomeDemand()
 }
 
-// atHome reports whether a host is in a region where the requests may run.
+// atHome reports whether a host is one where the requests may run, by its region and version.
 func (d *draft) atHome(h *host, demand homeDemand) bool {
+	if demand.version != "" && demand.version != h.backend.Version() {
+		return false
+	}
+	if len(demand.regions) == 0 {
+		return true
+	}
 	region, ok := d.regions[h.backend.Domain()]
 	return ok && slices.Contains(demand.regions, region)
 }
--- a/lobby/scheduler/homes.go
+++ b/lobby/scheduler/homes.go
@@ -21,6 +21,9 @@
 // into lines.
 const homeSeparator = "\n"
 
+// homeKeySeparator separates the parts of the key of a demand.
+const homeKeySeparator = "\x00"
+
 // newHomes returns the regions that both the route and the tenant of a request allow.
 func newHomes(route deployment.Route, tenant deployment.Tenant) homes {
 	return homes{}.and(route.Homes()).and(tenant.Homes())
@@ -97,13 +100,18 @@
 	return slices.DeleteFunc(strings.Split(h.regions, homeSeparator), func(region string) bool { return region == "" })
 }
 
-// homeKey returns the key of the demand for a request's model in its home regions, "" if it
-// names no model or has no home regions.
+// homeKey returns the key of the demand for a request's model in its home regions and, if it waits
+// for a backend server of one software version, at that; "" if it names no model or may run
+// everywhere.
 func (r *openRequest) homeKey() string {
-	if r.request.Model() == "" || r.homes.regions == "" {
+	version := ""
+	if r.server == nil && r.pin.set {
+		version = r.pin.version
+	}
+	if r.request.Model() == "" || r.homes.regions == "" && version == "" {
 		return ""
 	}
-	return r.request.Model() + "\x00" + r.homes.regions
+	return strings.Join([]string{r.request.Model(), r.homes.regions, version}, homeKeySeparator)
 }
 
 // refusedAtHome counts a request that was refused for want of a backend server as demand in
@@ -130,8 +138,8 @@
 func (c *Core) homeDemandToSend() []protocol.HomeDemandConfig {
 	var demand []protocol.HomeDemandConfig
 	for _, key := range slices.Sorted(maps.Keys(c.homeDemand.engines)) {
-		model, regions, _ := strings.Cut(key, "\x00")
-		demand = append(demand, protocol.HomeDemandConfig{Model: model, Regions: homes{regions: regions}.list(), Engines: c.homeDemand.engines[key]})
+		parts := strings.SplitN(key, homeKeySeparator, 3)
+		demand = append(demand, protocol.HomeDemandConfig{Model: parts[0], Regions: homes{regions: parts[1]}.list(), Version: parts[2], Engines: c.homeDemand.engines[key]})
 	}
 	return demand
 }
--- a/lobby/scheduler/takeup_test.go
+++ b/lobby/scheduler/takeup_test.go
@@ -214,3 +214,38 @@
 		})
 	}
 }
+
+// TestDigestsCarryDemandOfTakeUps guards against a stream that is refused for good, since no
+// backend server of its version has its model and no planner learns that it needs one.
+func TestDigestsCarryDemandOfTakeUps(t *testing.T) {
+	v2 := versioned("v2", engineServer("e2"))
+	cases := map[string]struct {
+		server  deployment.BackendConfig // of the version of the stream
+		timeout time.Duration
+		want    []string // versions with demand
+	}{
+		"it lacks the model": {server: versioned("v1", emptyEngine("e1")), timeout: 10 * time.Second, want: []string{"v1"}},
+		"refused at once":    {server: versioned("v1", emptyEngine("e1")), timeout: 100 * time.Millisecond, want: []string{"v1"}},
+		"it has the model":   {server: versioned("v1", engineServer("e1")), timeout: 10 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(tc.server, v2)
+			f.core.Handle(f.now, saved("v1", "v1", "v2"))
+			f.core.Tick(f.now)
+			f.arrive(httpmeta.RequestConfig{Path: "/resumable/a", Model: "m", Resumes: "old", LastEventID: "7", Timeout: tc.timeout})
+			f.now = f.now.Add(500 * time.Millisecond)
+			var got []string
+			for _, action := range f.core.Tick(f.now) {
+				if broadcast, ok := action.(scheduler.Broadcast); ok {
+					for _, demand := range broadcast.HomeDemand() {
+						got = append(got, demand.Version)
+					}
+				}
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("versions with demand (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
