--- a/review/standin-3/flood.go
+++ b/review/standin-3/flood.go
@@ -64,7 +64,7 @@
 		for n := range 4 {
 			go func() {
 				a := call{
-					lobby: lobby, method: "POST", path: "/summary/x", id: fmt.Sprintf("stream-%d", n), body: "{}", limit: 25 * time.Second,
+					lobby: lobby, method: "POST", path: "/summary/x", id: fmt.Sprintf("stream-%d", n), body: fmt.Sprintf("{\"stream\":%d}", n), limit: 25 * time.Second,
 					headers: []string{"Model: m0", "Token-Counts: 100,50", fmt.Sprintf("Prompt-Prefix: %x:100", 0x1000+n)},
 				}
 				events := 0
@@ -80,7 +80,7 @@
 	return playFlood(s, nil, endlessStatus, func(lobby string) {
 		go func() {
 			for n := range 3 {
-				a := call{lobby: lobby, method: "POST", path: "/lookup/x", id: fmt.Sprintf("lookup-%d", n), body: "{}", limit: 15 * time.Second}
+				a := call{lobby: lobby, method: "POST", path: "/lookup/x", id: fmt.Sprintf("lookup-%d", n), body: fmt.Sprintf("{\"lookup\":%d}", n), limit: 15 * time.Second}
 				r := a.do()
 				s.log.add("client of lookup %d: status %d after %s, %v", n, r.status, r.took.Round(time.Millisecond), r.err)
 				time.Sleep(300 * time.Millisecond)
@@ -130,7 +130,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			a := call{lobby: s.fleet.front(lobby), method: "POST", path: "/booking/x", id: fmt.Sprintf("booking-%d", n), body: "{}", limit: 10 * time.Second}
+			a := call{lobby: s.fleet.front(lobby), method: "POST", path: "/booking/x", id: fmt.Sprintf("booking-%d", n), body: fmt.Sprintf("{\"booking\":%d}", n), limit: 10 * time.Second}
 			r := a.do()
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -53,7 +53,7 @@
 	served := func(adapter int, tag string, limit time.Duration) bool {
 		until := time.Now().Add(limit)
 		for n := 0; time.Now().Before(until); n++ {
-			a := call{lobby: s.fleet.front(lobby), method: "POST", path: "/notice/x", id: fmt.Sprintf("%s-%d-%d", tag, adapter, n), body: "{}", limit: 2 * time.Second,
+			a := call{lobby: s.fleet.front(lobby), method: "POST", path: "/notice/x", id: fmt.Sprintf("%s-%d-%d", tag, adapter, n), body: fmt.Sprintf("{\"adapter\":%d,\"n\":%d}", adapter, n), limit: 2 * time.Second,
 				headers: []string{fmt.Sprintf("Model: m0/a%d", adapter), "Token-Counts: 100,10", "Prompt-Prefix: 1:100"}}
 			if r := a.do(); r.status == http.StatusOK {
 				return true
--- a/review/standin-3/versions.go
+++ b/review/standin-3/versions.go
@@ -54,7 +54,8 @@
 		left := time.Until(c.deadline)
 		a := call{
 			lobby: c.lobbies[(c.number+c.attempts)%len(c.lobbies)], method: "POST", path: "/notice/x", id: fmt.Sprintf("%04x%04x", c.number, c.attempts),
-			headers: []string{"Model: m0", "Token-Counts: 100,60", fmt.Sprintf("Prompt-Prefix: %x:100", 0x1000+c.number)}, body: "{}", limit: left,
+			headers: []string{"Model: m0", "Token-Counts: 100,60", fmt.Sprintf("Prompt-Prefix: %x:100", 0x1000+c.number)}, limit: left,
+			body: fmt.Sprintf("{\"client\":%d}", c.number), // the same in all attempts
 		}
 		c.attempts++
 		if c.first != "" {
