--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -22,14 +22,15 @@
 	return r
 }
 
-// configuration returns the operator's configuration of a version.
-func configuration(version int, routes []object, models []object) []byte {
+// configuration returns the operator's configuration of a version, with workers that have so many
+// MB for weights.
+func configuration(version int, routes []object, models []object, memory float64) []byte {
 	c := object{
 		"version": version, "routes": routes,
 		"services": []object{
 			{"name": engineService, "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false, "engine": object{
 				"slots": 64, "kv_cache_tokens": 121069, "kv_token_bytes": 163840, "link_mbps": 550000.0, "models": models,
-				"weights_mb": 220000.0, "adapter_slots": 8, "loads_per_s": 1.1,
+				"weights_mb": memory, "adapter_slots": 8, "loads_per_s": 1.1,
 			}},
 			{"name": otherService, "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
 			{"name": plainService, "health_path": "/health", "max_connections": 96, "protocol": "h1", "tls": false},
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	adapterSlots = 8
-	diskLoadTime = 1700 * time.Millisecond
-	adapterTime  = 19 * time.Millisecond
+	adapterSlots  = 8
+	diskLoadTime  = 1700 * time.Millisecond
+	storeLoadTime = 4 * time.Second
+	adapterTime   = 19 * time.Millisecond
 )
 
 // engine is the part of a worker that carries out orders. Its methods hold the worker's lock.
@@ -21,7 +22,8 @@
 	adapters []string // MODEL/NAME
 	coming   []string
 	busy     bool
-	crashes  []string // orders that the engine had no room for
+	crashes  []string      // orders that the engine had no room for
+	loadTime time.Duration // of a model
 	lose     func(order orderJSON) (late time.Duration, lost bool)
 	start    int // number of starts
 }
@@ -125,7 +127,7 @@
 		e.adapters = slices.DeleteFunc(e.adapters, func(a string) bool { return a == key })
 	case order.Adapter == "":
 		e.busy = true
-		time.AfterFunc(diskLoadTime, func() {
+		time.AfterFunc(e.loadTime, func() {
 			w.mu.Lock()
 			if e.start == start {
 				e.models, e.busy = append(e.models, key), false
--- a/review/standin-3/flood.go
+++ b/review/standin-3/flood.go
@@ -22,7 +22,7 @@
 		route("summary", "/summary/", "streaming", engineService, 25000, 6000, 2, object{"resumable": true, "sticky": true, "gap_target_ms": 300}),
 		route("lookup", "/lookup/", "unsafe", otherService, 15000, 100, 1, nil),
 		route("booking", "/booking/", "unsafe", plainService, int(bookingTimeout.Milliseconds()), 100, 1, nil),
-	}, []object{model("m0")})
+	}, []object{model("m0")}, 220000)
 }
 
 // pour writes a piece again and again until the connection is closed.
--- a/review/standin-3/inplace.go
+++ b/review/standin-3/inplace.go
@@ -14,7 +14,7 @@
 	lobbies := []int{11, 12, 13, 14}
 	s.store.put("keyed.op", "config", configuration(1, []object{
 		route("notice", "/notice/", "streaming", plainService, 25000, 6000, 2, object{"resumable": true, "gap_target_ms": 300}),
-	}, []object{model("m0")}))
+	}, []object{model("m0")}, 220000))
 	var workers []*worker
 	for i := range 3 {
 		w := &worker{
--- a/review/standin-3/limit.go
+++ b/review/standin-3/limit.go
@@ -14,8 +14,8 @@
 	const lobby, side = 11, 101
 	s.store.put("keyed.op", "config", configuration(1, []object{
 		route("notice", "/notice/", "streaming", engineService, 15000, 600, 1, object{"sticky": true, "gap_target_ms": 300}),
-	}, []object{model("m0")}))
-	e := &engine{models: []string{"m0"}}
+	}, []object{model("m0")}, 220000))
+	e := &engine{models: []string{"m0"}, loadTime: diskLoadTime}
 	w := &worker{
 		store: s.store, log: s.log, id: "i-1", version: "v1", service: engineService, models: []string{"m0"}, slots: 64,
 		address: fmt.Sprintf("%s:%d", s.fleet.ip(side), appPort), orders: e.serve,
@@ -31,7 +31,7 @@
 		}
 		w.mu.Unlock()
 		if !has || name != "" && name != "m0" {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id, r.Header.Get("Request-Id"))
+			w.misdirected(c, r)
 			return
 		}
 		text := "id: 0\ndata: a\n\n"
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,6 +30,7 @@
 	"limit":          playLimit,
 	"endless-status": playEndlessStatus,
 	"in-place":       playInPlace,
+	"take-ups":       playTakeUps,
 }
 
 func main() {
--- a/review/standin-3/versions.go
+++ b/review/standin-3/versions.go
@@ -45,12 +45,13 @@
 	versions []string
 	complete bool
 	attempts int
+	tries    int // attempts that it makes at most; zero for any number
 }
 
 // read reads the stream until it is complete or the deadline has passed.
 func (c *reader) read(s *scene) {
 	c.last = -1
-	for time.Now().Before(c.deadline) && !c.complete {
+	for time.Now().Before(c.deadline) && !c.complete && (c.tries == 0 || c.attempts < c.tries) {
 		left := time.Until(c.deadline)
 		a := call{
 			lobby: c.lobbies[(c.number+c.attempts)%len(c.lobbies)], method: "POST", path: "/notice/x", id: fmt.Sprintf("%04x%04x", c.number, c.attempts),
@@ -91,7 +92,7 @@
 	lobbies := []int{11, 12, 13, 14}
 	config := configuration(1, []object{
 		route("notice", "/notice/", "streaming", engineService, 25000, 6000, 2, object{"resumable": true, "sticky": true, "gap_target_ms": 300}),
-	}, []object{model("m0")})
+	}, []object{model("m0")}, 220000)
 	s.store.put("keyed.op", "config", config)
 	var workers []*worker
 	add := func(id, version string, machine int) error {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -141,13 +141,19 @@
 		}
 		expected := request.Header.Get("Expect-Instance")
 		if expected != "" && expected != w.id {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id, request.Header.Get("Request-Id"))
+			w.misdirected(c, request)
 			continue
 		}
 		handler(w, c, request, body)
 	}
 }
 
+// misdirected answers a request that this worker does not run: it is for another one, or for a
+// model that is not loaded.
+func (w *worker) misdirected(c *workerConn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id, r.Header.Get("Request-Id"))
+}
+
 // stamp returns the headers that each answer of a worker has.
 func (w *worker) stamp(r *http.Request) string {
 	return fmt.Sprintf("Request-Id: %s\r\nServer-Stamp: %s.%s\r\nInstance-Id: %s\r\n", r.Header.Get("Request-Id"), w.id, r.Header.Get("Request-Id"), w.id)
