--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -72,6 +74,13 @@
 		s.fleet.stopAll()
 		os.Exit(failed)
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.fleet.stopAll()
+		os.Exit(failed)
+	}()
 	if s.store, err = newStore(s.fleet.store); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
