--- a/review/standin-3/inplace.go
+++ b/review/standin-3/inplace.go
@@ -16,7 +16,7 @@
 		route("notice", "/notice/", "streaming", plainService, 25000, 6000, 2, object{"resumable": true, "gap_target_ms": 300}),
 	}, []object{model("m0")}, 220000))
 	var workers []*worker
-	for i := range 3 {
+	for i := range 4 {
 		w := &worker{
 			store: s.store, log: s.log, id: fmt.Sprintf("i-a%d", i), version: "v1", service: plainService, slots: 64,
 			address: fmt.Sprintf("%s:%d", s.fleet.ip(100+i), appPort), handler: streamEvents(40, 200*time.Millisecond),
@@ -48,7 +48,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	var wait sync.WaitGroup
-	readers := make([]*reader, 24)
+	readers := make([]*reader, 32)
 	for i := range readers {
 		readers[i] = &reader{number: i, lobbies: fronts, deadline: time.Now().Add(25 * time.Second)}
 		wait.Add(1)
@@ -56,7 +56,7 @@
 			defer wait.Done()
 			readers[i].read(s)
 		}()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(15 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
 	if s.trouble {
